Estimate what a running request will still cost from how far it has come

Cause: a workspace's tag counted each running request at its mean cost (44 tokens). Nine slots in ten are held by long requests (400), so what was already promised was undercounted fivefold; a workspace that was behind got every free slot until it had caught up and then ran far ahead. Change: costs of ended requests in half-octave buckets per workspace; the tag counts E[cost - sofar | cost > sofar]. The baselines 'alone' and 'fifo' now schedule over all engines, without exchange.

--- a/Makefile
+++ b/Makefile
@@ -57,7 +57,7 @@
 
 # Builds with sanitizers and passes every test.
 check: deps
-	$(MAKE) B=build/san CFLAGS='$(CFLAGS) $(SAN) -O1' CXXFLAGS='$(CXXFLAGS) $(SAN)' LDFLAGS='$(SAN)' \
+	$(MAKE) -j$(shell nproc) B=build/san CFLAGS='$(CFLAGS) $(SAN) -O1' CXXFLAGS='$(CXXFLAGS) $(SAN)' LDFLAGS='$(SAN)' \
 	  build/san/martentiller build/san/standin build/san/tests
 	MT_BIN=build/san ASAN_OPTIONS=detect_leaks=1 LSAN_OPTIONS=suppressions=tests/lsan.supp:print_suppressions=0 \
 	  build/san/tests
@@ -78,6 +78,7 @@
 
 lint:
 	cppcheck --quiet --std=c11 --error-exitcode=1 --inline-suppr --suppressions-list=scripts/cppcheck.txt \
+	  --include=scripts/cppcheck.h \
 	  --enable=warning,performance,portability -D_GNU_SOURCE -Isrc src standin bench
 
 clean:
--- a/bench/bbmain.c
+++ b/bench/bbmain.c
@@ -14,6 +14,8 @@
 } runs[] = {
     {"demo", bb_demo,
      "three routers serve a streamed answer; --keep 1 leaves them up"},
+    {"fair", bb_fair,
+     "gap and use of 8 routers in 4 domains, against baselines"},
 };
 
 static int usage (void) {
--- a/bench/bbrun.h
+++ b/bench/bbrun.h
@@ -16,5 +16,6 @@
 typedef int (*bb_run_t)(const bb_options_t *o);
 
 int bb_demo (const bb_options_t *o);
+int bb_fair (const bb_options_t *o);
 
 #endif
--- a/src/mtcount.c
+++ b/src/mtcount.c
@@ -4,21 +4,22 @@
 #include "mtcount.h"
 
 static const mt_refusalrow_t refusals[] = {
-#define X(sym, code, status, notrun, after) {code, status, notrun, after},
-    MT_REFUSALS(X)
-#undef X
+#define REFUSAL(sym, code, status, notrun, after) \
+  {code, status, notrun, after},
+    MT_REFUSALS(REFUSAL)
+#undef REFUSAL
 };
 
 static const char *const retries[] = {
-#define X(sym, code) code,
-    MT_RETRIES(X)
-#undef X
+#define RETRY(sym, code) code,
+    MT_RETRIES(RETRY)
+#undef RETRY
 };
 
 static const char *const counters[] = {
-#define X(sym, name) name,
-    MT_COUNTERS(X)
-#undef X
+#define COUNTER(sym, name) name,
+    MT_COUNTERS(COUNTER)
+#undef COUNTER
 };
 
 const mt_refusalrow_t *mtA_refusal (mt_refusal_t why) {
--- a/src/mtedge.c
+++ b/src/mtedge.c
@@ -59,8 +59,9 @@
 }
 
 /* The attempt is over: its slot is free and its cost as far as known paid. */
-static void endattempt (mt_state_t *S, mt_req_t *r, int64_t cost) {
-  if (cost >= 0) mtQ_settle(S, r, cost);
+static void endattempt (mt_state_t *S, mt_req_t *r, int64_t cost,
+                        bool whole) {
+  if (cost >= 0) mtQ_settle(S, r, cost, whole);
   mtQ_running(S, r, -1);
 }
 
@@ -172,6 +173,9 @@
       S->now + (ask->wait ? mt_min(ask->wait, MT_WAIT_MS) : MT_WAIT_MS);
   r->home = homeof(S, r->session, r->pool);
   r->promptbytes = ask->promptbytes;
+  if (ask->maxtokens > 0 && p->kind == MT_POOL_MODEL)
+    r->maxcost =
+        ask->promptbytes * p->promptweight + ask->maxtokens * p->outputweight;
   mtV_put(&S->edge.reqs, r->id, r);
   return r;
 }
@@ -346,7 +350,7 @@
   mt_req_t *r = current(S, ev);
   if (r == NULL) return;
   bool notrun = ev->u.failed.notrun;
-  endattempt(S, r, notrun ? -1 : costof(S, r, 0, r->tokens));
+  endattempt(S, r, notrun ? -1 : costof(S, r, 0, r->tokens), false);
   if (!notrun) r->mayhaverun = true;
   if (!ev->u.failed.busy)
     mtV_put(&S->edge.held, r->target,
@@ -395,7 +399,7 @@
   int64_t prompt = ev->u.end.prompt, output = ev->u.end.output;
   if (prompt < 0) prompt = r->promptbytes / BYTES_PER_TOKEN;
   if (output < 0) output = r->tokens;
-  endattempt(S, r, costof(S, r, prompt, output));
+  endattempt(S, r, costof(S, r, prompt, output), true);
   mtR_count(S, MT_C_ANSWERS);
   mtR_effect(S, MT_FX_FORWARD, r->id);
   drop(S, r);
@@ -411,7 +415,8 @@
     case MT_R_FORWARDING:
       mtR_effect(S, MT_FX_CANCEL, r->id)->attempt = r->attempt;
       endattempt(S, r,
-                 costof(S, r, r->promptbytes / BYTES_PER_TOKEN, r->tokens));
+                 costof(S, r, r->promptbytes / BYTES_PER_TOKEN, r->tokens),
+                 false);
       r->mayhaverun = true;
       break;
     case MT_R_CLAIMING:
--- a/src/mtmember.c
+++ b/src/mtmember.c
@@ -204,9 +204,9 @@
 
 /* {== Roles ============================================================ */
 
-/* Ranks usable members; `domain` 0 ranks the whole fleet. */
-static mt_id_t rankin (mt_state_t *S, mt_id_t domain, uint64_t role,
-                       int rank) {
+/* Ranks members of one state; `domain` 0 ranks the whole fleet. */
+static mt_id_t rankin (mt_state_t *S, mt_id_t domain, uint64_t role, int rank,
+                       mt_memberstate_t state) {
   uint64_t above = UINT64_MAX;
   mt_id_t best = 0;
   for (int r = 0; r <= rank; r++) {
@@ -214,7 +214,8 @@
     best = 0;
     mtV_each (&S->members.byid, i) {
       const mt_member_t *m = S->members.byid.vals[i];
-      if ((domain != 0 && m->domain != domain) || !mtM_usable(m)) continue;
+      if (domain != 0 && m->domain != domain) continue;
+      if (m->node.state != state || m->suspect) continue;
       uint64_t w = mtV_mix(m->id, role);
       if (w >= above || w < top) continue;
       top = w;
@@ -228,8 +229,14 @@
 
 mt_id_t mtM_ranked (mt_state_t *S, mt_id_t domain, uint64_t role, int rank) {
   uint64_t r = mtV_mix(domain, role);
-  if (rankin(S, domain, r, 0) != 0) return rankin(S, domain, r, rank);
-  return rankin(S, 0, r, rank);
+  static const mt_memberstate_t states[] = {MT_ALIVE, MT_LEAVING};
+  for (size_t i = 0; i < mt_countof(states); i++) {
+    if (rankin(S, domain, r, 0, states[i]) != 0)
+      return rankin(S, domain, r, rank, states[i]);
+    if (rankin(S, 0, r, 0, states[i]) != 0)
+      return rankin(S, 0, r, rank, states[i]);
+  }
+  return 0;
 }
 
 size_t mtM_domains (mt_state_t *S, mt_id_t *out) {
--- a/src/mtmember.h
+++ b/src/mtmember.h
@@ -32,7 +32,8 @@
 
 /*
 ** The router of rank `rank` for a role in a domain: rendezvous hashing over
-** the usable members of it, or of the fleet when the domain has none.
+** the usable members of it, or of the fleet when the domain has none; the
+** leaving ones serve only when nobody else is left.
 ** 0 when there is nobody.
 */
 mt_id_t mtM_ranked (mt_state_t *S, mt_id_t domain, uint64_t role, int rank);
--- a/src/mtmsg.c
+++ b/src/mtmsg.c
@@ -394,8 +394,79 @@
   }
 }
 
+/*
+** The library allocates what an array's header claims. So a frame is walked
+** first: no array may claim more members than there are bytes left, and
+** only the types that our messages use may appear.
+*/
+static uint64_t bigendian (const unsigned char *p, size_t n) {
+  uint64_t v = 0;
+  for (size_t i = 0; i < n; i++) v = v << 8 | p[i];
+  return v;
+}
+
+/* One object's header: bytes that follow it and members that it opens. */
+typedef struct header_t {
+  size_t lenbytes;  /* of the length field behind the tag */
+  uint64_t payload; /* bytes behind the length field */
+  uint64_t members;
+} header_t;
+
+static bool readheader (const unsigned char *p, size_t n, header_t *h) {
+  unsigned tag = p[0];
+  *h = (header_t){0, 0, 0};
+  if (tag <= 0x7f || tag >= 0xe0) return true; /* small integers */
+  if (tag >= 0x90 && tag <= 0x9f) {
+    h->members = tag & 0xf;
+    return true;
+  }
+  if (tag >= 0xa0 && tag <= 0xbf) {
+    h->payload = tag & 0x1f;
+    return true;
+  }
+  if (tag >= 0xcc && tag <= 0xd3) { /* integers of 1, 2, 4, 8 bytes */
+    h->payload = 1u << ((tag - 0xcc) & 3);
+    return true;
+  }
+  switch (tag) {
+    case 0xc4:
+    case 0xd9: h->lenbytes = 1; break;
+    case 0xc5:
+    case 0xda:
+    case 0xdc: h->lenbytes = 2; break;
+    case 0xc6:
+    case 0xdb:
+    case 0xdd: h->lenbytes = 4; break;
+    default: return false;
+  }
+  if (n < 1 + h->lenbytes) return false;
+  uint64_t len = bigendian(p + 1, h->lenbytes);
+  if (tag == 0xdc || tag == 0xdd)
+    h->members = len;
+  else
+    h->payload = len;
+  return true;
+}
+
+static bool wellsized (const char *bytes, size_t n) {
+  const unsigned char *p = (const unsigned char *)bytes;
+  uint64_t open = 1; /* objects that must still come */
+  size_t at = 0;
+  while (open > 0) {
+    header_t h;
+    if (at >= n || !readheader(p + at, n - at, &h)) return false;
+    at += 1 + h.lenbytes;
+    if (h.payload > n - at) return false;
+    at += h.payload;
+    open += h.members - 1;
+    if (open > n - at) return false;
+  }
+  return at == n;
+}
+
 mt_msgerr_t mtW_unpack (const char *p, size_t n, mt_msg_t *m) {
   memset(m, 0, sizeof *m);
+  if (!wellsized(p, n)) return MT_MSG_SYNTAX;
   msgpack_unpacked un;
   msgpack_unpacked_init(&un);
   size_t off = 0;
--- a/src/mtpolicy.c
+++ b/src/mtpolicy.c
@@ -59,12 +59,14 @@
 }
 
 static void countsteps (lua_State *L, lua_Debug *ar) {
-  (void)ar;
   mt_program_t *p = owner(L);
   p->steps -= STEP_SLICE;
   if (p->steps > 0) return;
   p->outofsteps = true;
-  luaL_error(L, "runs longer than %d instructions", MT_POLICY_STEPS);
+  lua_getinfo(L, "Sl", ar);
+  lua_pushfstring(L, "%s:%d: runs longer than %d instructions", ar->short_src,
+                  ar->currentline, MT_POLICY_STEPS);
+  lua_error(L);
 }
 
 static int readonly (lua_State *L) {
--- a/src/mtqueue.c
+++ b/src/mtqueue.c
@@ -8,9 +8,8 @@
 #include "mtmember.h"
 #include "mtqueue.h"
 
-#define SKIPS_MAX 16  /* times a request is passed over for a prefix */
-#define IDLE_FULLS 3  /* full reports after work has ended */
-#define MEAN_WEIGHT 8 /* of the mean cost against a new one */
+#define SKIPS_MAX 16 /* times a request is passed over for a prefix */
+#define IDLE_FULLS 3 /* full reports after work has ended */
 #define HUNDRED 100
 #define BUDGET_MAX (100 * HUNDRED)
 
@@ -28,7 +27,6 @@
   q = mtV_new(sizeof *q);
   q->ws = queueof(S, ws);
   q->pool = pool;
-  q->mean = MT_COST_START;
   mtV_put(&S->edge.queues, key, q);
   return q;
 }
@@ -143,19 +141,45 @@
 
 /* {== Charges ========================================================== */
 
-static mt_units_t estimate (const mt_state_t *S, const mt_queue_t *q) {
-  return units(S, q->ws, mt_min(q->mean, MT_COST_MAX));
+/* What a request is expected to cost beyond `sofar`, in pool units. */
+static int64_t restof (mt_state_t *S, const mt_queue_t *q, int64_t sofar) {
+  const mt_costs_t *pool = mtV_get(&S->edge.costs, q->pool);
+  if (mtZ_known(&q->costs)) return mtZ_rest(&q->costs, sofar);
+  if (pool != NULL && mtZ_known(pool)) return mtZ_rest(pool, sofar);
+  return sofar < MT_COST_START ? MT_COST_START - sofar : sofar;
+}
+
+static mt_units_t estimate (mt_state_t *S, const mt_queue_t *q) {
+  return units(S, q->ws, mt_min(restof(S, q, 0), MT_COST_MAX));
+}
+
+/* Renews the estimate of what a running request will still cost. */
+static void setrest (mt_state_t *S, mt_queue_t *q, mt_req_t *r,
+                     int64_t sofar) {
+  int64_t rest = mt_min(restof(S, q, sofar), MT_COST_MAX);
+  if (r->maxcost > 0) rest = mt_min(rest, mt_max(r->maxcost - sofar, 0));
+  mt_units_t more = units(S, r->ws, rest);
+  q->pending += more - r->rest;
+  r->rest = more;
+}
+
+static mt_costs_t *poolcosts (mt_state_t *S, mt_id_t pool) {
+  mt_costs_t *c = mtV_get(&S->edge.costs, pool);
+  if (c != NULL) return c;
+  c = mtV_new(sizeof *c);
+  mtV_put(&S->edge.costs, pool, c);
+  return c;
 }
 
 void mtQ_running (mt_state_t *S, const mt_req_t *r, int change) {
   mt_queue_t *q = mtQ_get(S, r->ws, r->pool);
   mt_req_t *w = (mt_req_t *)r;
   if (change > 0) {
-    w->est = estimate(S, q);
     w->charged = 0;
-    q->pending += w->est;
+    setrest(S, q, w, 0);
   } else {
-    q->pending -= mt_max(w->est - w->charged, 0);
+    q->pending -= w->rest;
+    w->rest = 0;
   }
   q->running += change;
   S->edge.inprogress += (size_t)change;
@@ -166,8 +190,9 @@
   else
     mtV_del(&S->edge.running, r->target);
   const mt_target_t *t = mtF_target(S->fleet, r->target);
-  mt_link_t *l =
-      getlink(S, t ? t->domainid : S->members.self->domain, r->pool);
+  bool alone = S->set.nosharing || S->set.fifo;
+  mt_id_t own = S->members.self->domain;
+  mt_link_t *l = getlink(S, t && !alone ? t->domainid : own, r->pool);
   *mtV_push(l->targets, l->ntargets, l->targets_cap) = r->target;
 }
 
@@ -182,20 +207,20 @@
   mt_queue_t *q = mtQ_get(S, r->ws, r->pool);
   mt_units_t total = units(S, r->ws, cost);
   if (total <= r->charged) return;
-  q->pending -= mt_max(r->est - r->charged, 0);
   serve(q, total - r->charged);
   r->charged = total;
-  q->pending += mt_max(r->est - r->charged, 0);
+  setrest(S, q, r, cost);
   touch(S, q);
 }
 
-void mtQ_settle (mt_state_t *S, mt_req_t *r, int64_t cost) {
+void mtQ_settle (mt_state_t *S, mt_req_t *r, int64_t cost, bool whole) {
   mt_queue_t *q = mtQ_get(S, r->ws, r->pool);
   mt_units_t total = units(S, r->ws, cost);
   if (total < r->charged) q->credit += r->charged - total;
   mtQ_charge(S, r, cost);
-  q->mean += (cost - q->mean) / MEAN_WEIGHT;
-  if (q->mean < 1) q->mean = 1;
+  if (!whole) return;
+  mtZ_learn(&q->costs, cost);
+  mtZ_learn(poolcosts(S, q->pool), cost);
 }
 
 /* }== */
@@ -222,8 +247,7 @@
 }
 
 /* Queues without policy sets are counted, not walked to the end. */
-static void fillrow (const mt_state_t *S, const mt_queue_t *q,
-                     mt_claimrow_t *row) {
+static void fillrow (mt_state_t *S, const mt_queue_t *q, mt_claimrow_t *row) {
   *row = (mt_claimrow_t){
       .ws = q->ws, .served = q->served, .pending = mt_max(q->pending, 0)};
   row->cost = estimate(S, q);
@@ -259,7 +283,8 @@
   mtV_each (&S->edge.running, i) {
     const mt_target_t *t =
         mtF_target(S->fleet, (mt_id_t)S->edge.running.keys[i]);
-    if (t != NULL && t->pool == l->pool && t->domainid == l->domain)
+    if (t != NULL && t->pool == l->pool &&
+        (t->domainid == l->domain || S->set.nosharing || S->set.fifo))
       addrunning(S, d, t->id);
   }
 }
@@ -371,4 +396,6 @@
   }
   mtV_free(&S->edge.links);
   mtV_free(&S->edge.running);
+  mtV_each (&S->edge.costs, i) free(S->edge.costs.vals[i]);
+  mtV_free(&S->edge.costs);
 }
--- a/src/mtqueue.h
+++ b/src/mtqueue.h
@@ -25,8 +25,8 @@
 /* Charges a running request up to `cost` (pool units) in all. */
 void mtQ_charge (mt_state_t *S, mt_req_t *r, int64_t cost);
 
-/* The final cost is known: settles the charge, learns the mean. */
-void mtQ_settle (mt_state_t *S, mt_req_t *r, int64_t cost);
+/* The attempt is over: settles its charge; a whole one is learnt from. */
+void mtQ_settle (mt_state_t *S, mt_req_t *r, int64_t cost, bool whole);
 
 /* A grant was used or not; its issuer and this domain's scheduler are told.
  */
--- a/src/mtsched.c
+++ b/src/mtsched.c
@@ -71,13 +71,6 @@
 
 /* {== Room ============================================================= */
 
-/* Routers that share the targets in the baselines without exchange. */
-static int sharers (mt_state_t *S) {
-  int n = 0;
-  mtV_each (&S->members.byid, i) n += mtM_usable(S->members.byid.vals[i]);
-  return mt_max(n, 1);
-}
-
 /* Free slots of a target as far as the reports tell; below zero: too many. */
 static int room (mt_state_t *S, const mt_sched_t *G, const mt_target_t *t) {
   int used = 0;
@@ -86,9 +79,7 @@
       used += (int)(intptr_t)mtV_get(&G->edges[i]->running, t->id);
   for (size_t i = 0; i < G->nunseen; i++)
     used += G->unseen[i].target == t->id;
-  int slots = t->slots;
-  if (alone(S)) slots = mt_max(slots / sharers(S), 1);
-  return slots - used;
+  return t->slots - used;
 }
 
 static bool held (const mt_state_t *S, const mt_sched_t *G, mt_id_t target) {
@@ -105,8 +96,8 @@
   size_t n = 0;
   for (size_t i = 0; i < S->fleet->ntargets && n < MT_POOL_TARGETS; i++) {
     const mt_target_t *t = &S->fleet->targets[i];
-    if (t->pool != G->pool || t->domainid != G->domain || t->leaving)
-      continue;
+    if (t->pool != G->pool || t->leaving) continue;
+    if (t->domainid != G->domain && !alone(S)) continue;
     if (held(S, G, t->id)) continue;
     int r = room(S, G, t);
     if (r < 0) mtA_add(&S->counts, MT_C_OVERCOMMIT, -r);
--- a/src/mtstate.h
+++ b/src/mtstate.h
@@ -4,6 +4,7 @@
 #ifndef mtstate_h
 #define mtstate_h
 
+#include "mtcost.h"
 #include "mtevent.h"
 
 /* {== Membership ======================================================= */
@@ -141,7 +142,8 @@
   mt_ms_t arrived, deadline, notbefore, started;
   int64_t tokens;
   uint32_t promptbytes;
-  mt_units_t est, charged;
+  int64_t maxcost;          /* what it can cost at most, 0: not told */
+  mt_units_t rest, charged; /* expected yet; charged so far */
   struct mt_req_t *prev, *next;
 } mt_req_t;
 
@@ -159,7 +161,7 @@
   mt_units_t served; /* only grows */
   mt_units_t credit; /* charged ahead by mistake, taken off later charges */
   mt_units_t pending;
-  int64_t mean; /* cost of a request, in units of its pool */
+  mt_costs_t costs; /* of its ended requests */
   int32_t running;
   bool dirty;
   mt_budget_t budget;
@@ -184,6 +186,7 @@
   mt_map_t queues;   /* workspace and pool -> mt_queue_t, owned */
   mt_map_t links;    /* domain and pool -> mt_link_t, owned */
   mt_map_t running;  /* target -> count */
+  mt_map_t costs;    /* pool -> mt_costs_t, owned */
   mt_map_t sessions; /* session -> target */
   mt_map_t idems;    /* idempotency key -> leading mt_req_t */
   size_t waiting, inprogress;
