--- a/src/mtcli.c
+++ b/src/mtcli.c
@@ -212,7 +212,7 @@
 
 static bool checkprogram (const char *file, const char *text) {
   mt_fault_t fault = {{0}, {0}};
-  if (mtP_check(text, &fault)) return true;
+  if (mtP_check(text, NULL, &fault)) return true;
   fprintf(stderr, "%s: %s: %s\n", file, fault.where, fault.reason);
   return false;
 }
--- a/src/mtpolicy.c
+++ b/src/mtpolicy.c
@@ -12,6 +12,7 @@
 #include "mtpolicy.h"
 
 #define ORDER_MAX 1000
+#define TRIALS 16       /* made-up requests per pool */
 #define STEP_SLICE 1000 /* instructions between two looks at the limit */
 
 struct mt_program_t {
@@ -187,6 +188,13 @@
 
 /* {== Calling ========================================================== */
 
+/* A decision in service, or a trial on the fleet or on a made-up one. */
+typedef enum mt_trial_t {
+  MT_TRIAL_NONE,
+  MT_TRIAL_FLEET,
+  MT_TRIAL_MADEUP
+} mt_trial_t;
+
 /* One decision: what is asked and where the answer goes. */
 typedef struct mt_call_t {
   const mt_fleet_t *F;
@@ -195,6 +203,7 @@
   mt_choice_t *out;
   const char *workspace;
   int *share, *maxwaiting;
+  mt_trial_t trial;
 } mt_call_t;
 
 /* Pushes the function that a fresh run of the program defines, or nil. */
@@ -248,15 +257,20 @@
   }
 }
 
+/*
+** The target that the name on top means, or 0 for one of another pool.
+** A name that is declared nowhere is refused at publication and passed over
+** in service, where the configuration may have changed since.
+*/
 static mt_id_t targetnamed (lua_State *L, const mt_call_t *c) {
   if (lua_type(L, -1) != LUA_TSTRING)
     luaL_error(L, "place must return an array of target names");
   size_t n;
   const char *name = lua_tolstring(L, -1, &n);
   const mt_target_t *t = mtF_target(c->F, mtV_id(name, n));
-  if (t == NULL || t->pool != c->pool->id || strcmp(t->name, name) != 0)
-    luaL_error(L, "place returned %s, which is not one of its targets", name);
-  return t->id;
+  if (t == NULL && c->trial == MT_TRIAL_FLEET)
+    luaL_error(L, "place returned %s, which is not one of the targets", name);
+  return t != NULL && t->pool == c->pool->id && !t->leaving ? t->id : 0;
 }
 
 static void readplace (lua_State *L, const mt_call_t *c) {
@@ -268,9 +282,12 @@
     luaL_error(L, "place must return 1 to %d names", MT_POOL_TARGETS);
   for (lua_Unsigned i = 1; i <= n; i++) {
     lua_rawgeti(L, -1, (lua_Integer)i);
-    c->out->targets[c->out->n++] = targetnamed(L, c);
+    mt_id_t id = targetnamed(L, c);
+    if (id != 0) c->out->targets[c->out->n++] = id;
     lua_pop(L, 1);
   }
+  if (c->out->n == 0 && c->trial == MT_TRIAL_NONE)
+    luaL_error(L, "place returned no target of this pool");
 }
 
 static int calldecide (lua_State *L) {
@@ -338,13 +355,11 @@
   return err;
 }
 
-mt_perr_t mtP_decide (mt_program_t *p, const mt_fleet_t *F,
-                      const mt_pool_t *pool, const mt_pask_t *ask,
-                      mt_choice_t *out, mt_fault_t *fault) {
-  mt_call_t c = {.F = F, .pool = pool, .ask = ask, .out = out};
+static mt_perr_t decide (mt_program_t *p, mt_call_t *c, mt_fault_t *fault) {
+  mt_choice_t *out = c->out;
   out->n = 0;
   out->order = 0;
-  mt_perr_t err = guarded(p, calldecide, &c, fault);
+  mt_perr_t err = guarded(p, calldecide, c, fault);
   if (err != MT_P_OK) {
     out->n = 0;
     out->order = 0;
@@ -352,6 +367,13 @@
   return err;
 }
 
+mt_perr_t mtP_decide (mt_program_t *p, const mt_fleet_t *F,
+                      const mt_pool_t *pool, const mt_pask_t *ask,
+                      mt_choice_t *out, mt_fault_t *fault) {
+  mt_call_t c = {.F = F, .pool = pool, .ask = ask, .out = out};
+  return decide(p, &c, fault);
+}
+
 mt_perr_t mtP_limits (mt_program_t *p, const char *workspace, int *share,
                       int *maxwaiting, mt_fault_t *fault) {
   int share2 = *share, waiting2 = *maxwaiting;
@@ -390,7 +412,7 @@
   return F;
 }
 
-static bool tryrequest (mt_program_t *p, const mt_fleet_t *F, int i,
+static bool tryrequest (mt_program_t *p, mt_call_t *c, int i,
                         mt_fault_t *fault) {
   mt_choice_t choice;
   mt_pask_t ask = {.workspace = i % 3 ? "dry-run" : "w",
@@ -399,11 +421,24 @@
   ask.session = i & 2;
   ask.promptbytes = i & 4 ? 200000 : 20;
   ask.maxtokens = i & 8 ? 4096 : 0;
-  ask.domain = F->targets[i % 8].domainid;
-  return mtP_decide(p, F, &F->pools[0], &ask, &choice, fault) == MT_P_OK;
+  if (c->F->ntargets > 0)
+    ask.domain = c->F->targets[(size_t)i % c->F->ntargets].domainid;
+  c->ask = &ask;
+  c->out = &choice;
+  return decide(p, c, fault) == MT_P_OK;
 }
 
-bool mtP_check (const char *text, mt_fault_t *fault) {
+static bool trypools (mt_program_t *p, const mt_fleet_t *F, mt_trial_t trial,
+                      mt_fault_t *fault) {
+  bool ok = true;
+  for (size_t k = 0; ok && k < F->npools; k++) {
+    mt_call_t c = {.F = F, .pool = &F->pools[k], .trial = trial};
+    for (int i = 0; ok && i < TRIALS; i++) ok = tryrequest(p, &c, i, fault);
+  }
+  return ok;
+}
+
+bool mtP_check (const char *text, const mt_fleet_t *F, mt_fault_t *fault) {
   if (strlen(text) > MT_PROGRAM_MAX) {
     snprintf(fault->where, sizeof fault->where, "line 0");
     snprintf(fault->reason, sizeof fault->reason, "is larger than %u bytes",
@@ -412,12 +447,12 @@
   }
   mt_program_t *p = mtP_compile(text, fault);
   if (p == NULL) return false;
-  mt_fleet_t *F = tryfleet();
-  bool ok = true;
-  for (int i = 0; ok && i < 16; i++) ok = tryrequest(p, F, i, fault);
+  mt_fleet_t *madeup = F ? NULL : tryfleet();
+  bool ok = F ? trypools(p, F, MT_TRIAL_FLEET, fault)
+              : trypools(p, madeup, MT_TRIAL_MADEUP, fault);
   int share = 1, waiting = 1;
   if (ok) ok = mtP_limits(p, "dry-run", &share, &waiting, fault) == MT_P_OK;
-  mtF_free(F);
+  mtF_free(madeup);
   mtP_free(p);
   return ok;
 }
--- a/src/mtpolicy.h
+++ b/src/mtpolicy.h
@@ -57,8 +57,11 @@
 mt_perr_t mtP_limits (mt_program_t *p, const char *workspace, int *share,
                       int *maxwaiting, mt_fault_t *fault);
 
-/* Compiles and runs a program on made-up requests; false with a fault. */
-bool mtP_check (const char *text, mt_fault_t *fault);
+/*
+** Compiles a program and runs it on made-up requests, for the pools of a
+** fleet or, when that is NULL, for a made-up one; false with a fault.
+*/
+bool mtP_check (const char *text, const mt_fleet_t *F, mt_fault_t *fault);
 
 /*
 ** The programs of one configuration, compiled once; those that stand in the
--- a/src/mtpublish.c
+++ b/src/mtpublish.c
@@ -160,12 +160,13 @@
 /* {== Writing ========================================================== */
 
 /* Programs are tried before they are accepted. */
-static void checkprograms (const json_t *doc, mt_faults_t *fs) {
+static void checkprograms (const json_t *doc, const mt_fleet_t *F,
+                           mt_faults_t *fs) {
   const char *name;
   json_t *p;
   json_object_foreach (json_object_get(doc, "policies"), name, p) {
     mt_fault_t f = {{0}, {0}};
-    if (mtP_check(mtJ_str(p, "program", ""), &f)) continue;
+    if (mtP_check(mtJ_str(p, "program", ""), F, &f)) continue;
     char where[160];
     snprintf(where, sizeof where, "policies.%s %s", name, f.where);
     mtJ_fault(fs, where, "%s", f.reason);
@@ -173,8 +174,8 @@
 }
 
 static bool acceptable (json_t *doc, int64_t revision, mt_faults_t *fs) {
-  checkprograms(doc, fs);
   mt_fleet_t *F = mtF_new(doc, revision, fs);
+  if (F != NULL) checkprograms(doc, F, fs);
   mtF_free(F);
   return fs->n == 0;
 }
--- a/src/mtweb.c
+++ b/src/mtweb.c
@@ -12,6 +12,7 @@
 #include "mtweb.h"
 
 #define BACKLOG 1024
+#define ABORTED 502    /* never seen: the connection is shut by then */
 #define IDLE_MS 300000 /* an idle connection is kept this long */
 
 struct mt_web_t {
@@ -122,6 +123,11 @@
 
 void mtB_abort (mt_webreq_t *r) {
   if (r->ended || r->ending) return;
+  if (!r->begun) {
+    h2o_socket_t *sock = r->req->conn->callbacks->get_socket(r->req->conn);
+    if (sock != NULL) shutdown(h2o_socket_get_fd(sock), SHUT_RDWR);
+    mtB_begin(r, ABORTED, NULL, 0);
+  }
   r->aborted = true;
   r->ud = NULL;
   r->req->http1_is_persistent = 0;
