--- /dev/null
+++ b/bench/bbcost.c
@@ -0,0 +1,298 @@
+/*
+** bbcost.c - runs that measure cost: overhead, scale, failover
+*/
+#include <math.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bbload.h"
+#include "bbout.h"
+
+/* {== overhead ========================================================= */
+
+/* Times to first token and between chunks of one flow, directly or not. */
+static void latency (bb_lab_t *lab, const mt_addr_t *at, int n, double *first,
+                     double *whole) {
+  static const char body[] =
+      "{\"model\":\"m1\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":"
+      "\"tokens=5\"}]}";
+  static const char headers[] =
+      "Authorization: Bearer key-w1\r\nContent-Type: application/json\r\n";
+  (void)whole;
+  for (int i = 0; i < n; i++) {
+    uint64_t begun = uv_hrtime();
+    bb_call(lab, at, "POST", "/v1/chat/completions", headers, body, NULL);
+    first[i] = (double)(uv_hrtime() - begun) / 1e6;
+  }
+}
+
+/* Paired: one call to the engine, one through the router, in turn. */
+int bb_overhead (const bb_options_t *o) {
+  int pairs = o->seconds ? o->seconds * 20 : 300;
+  bb_spec_t spec = {.domains = 1,
+                    .routers = 1,
+                    .engines = 1,
+                    .slots = 64,
+                    .rate = 20000,
+                    .workspaces = 1};
+  bb_lab_t *lab = bb_start(o->bin, &spec);
+  double *added = mtV_new((size_t)pairs * sizeof *added);
+  for (int i = 0; i < pairs; i++) {
+    double direct, routed;
+    latency(lab, &lab->engines[0].addr, 1, &direct, NULL);
+    latency(lab, &lab->routers[0].callers, 1, &routed, NULL);
+    added[i] = routed - direct;
+  }
+  double p99 = bb_percentile(added, (size_t)pairs, 0.99);
+  bb_line("added_whole_call_median", added[pairs / 2], "ms");
+  bb_line("added_whole_call_p99", p99, "ms");
+  free(added);
+  bb_load_t *L = bb_load(lab, o->seed);
+  bb_flow_t f = {.workspace = 1,
+                 .router = 0,
+                 .concurrency = 48,
+                 .shorttokens = 1,
+                 .whole = true};
+  static bb_control_t c0, c1;
+  bb_flow(L, &f);
+  bb_run(lab, 1000);
+  bb_control(lab, &c0);
+  uint64_t before = bb_seen(L, 0)->answered;
+  bb_run(lab, 4000);
+  bb_control(lab, &c1);
+  bb_rates(lab, &c0, &c1);
+  double rate = (double)(bb_seen(L, 0)->answered - before) / 4.0;
+  bb_line("requests_per_second", rate, "1/s");
+  bb_line("requests_per_core_second", rate / c1.meancore, "1/s");
+  bb_stop(lab);
+  bb_summary(o);
+  return 0;
+}
+
+/* }== */
+
+/* {== scale ============================================================ */
+
+typedef struct point_t {
+  int routers, domains, workspaces, engines, pools;
+  double rate; /* requests per second per router */
+} point_t;
+
+static void scalepoint (const bb_options_t *o, const char *axis,
+                        const point_t *p, bb_control_t *out) {
+  static bb_control_t before;
+  bb_spec_t spec = {.domains = p->domains,
+                    .routers = p->routers,
+                    .engines = p->engines,
+                    .slots = 4,
+                    .rate = 400};
+  spec.workspaces = p->workspaces;
+  spec.pools = p->pools;
+  spec.engineprocs = 2;
+  bb_lab_t *lab = bb_start(o->bin, &spec);
+  bb_load_t *L = bb_load(lab, o->seed);
+  /* A tenth of the workspaces have work, spread over the pools. */
+  int active = mt_min(mt_max(p->workspaces / 10, 3), 60);
+  static char models[128][16];
+  for (int i = 0; i < active && p->rate > 0; i++) {
+    snprintf(models[i], sizeof models[i], "m%d", i % p->pools + 1);
+    bb_flow_t f = {.workspace = i + 1,
+                   .router = -1,
+                   .rate = p->rate * p->routers / active,
+                   .shorttokens = 4};
+    f.model = models[i];
+    f.whole = true;
+    bb_flow(L, &f);
+  }
+  bb_run(lab, 4000);
+  bb_control(lab, &before);
+  bb_run(lab, 6000);
+  bb_control(lab, out);
+  bb_rates(lab, &before, out);
+  char name[96];
+  snprintf(name, sizeof name, "%s_%d_%d_%d_%g", axis, p->routers,
+           p->workspaces, p->engines, p->rate);
+  printf(
+      "%-32s bytes/s mean %8.0f most %8.0f  messages/s %7.1f  core %6.4f  memory %5.1f MB\n",
+      name, out->meanbytes, out->mostbytes, out->meanmessages, out->meancore,
+      out->memory / 1e6);
+  fflush(stdout);
+  bb_stop(lab);
+}
+
+/* Least squares of y = a + b x; returns the residual's root mean square. */
+static double fit (const double *x, const double *y, int n, double *a,
+                   double *b) {
+  double sx = 0, sy = 0, sxx = 0, sxy = 0, ss = 0;
+  for (int i = 0; i < n; i++) {
+    sx += x[i];
+    sy += y[i];
+    sxx += x[i] * x[i];
+    sxy += x[i] * y[i];
+  }
+  double d = n * sxx - sx * sx;
+  *b = d != 0 ? (n * sxy - sx * sy) / d : 0;
+  *a = (sy - *b * sx) / n;
+  for (int i = 0; i < n; i++) ss += pow(y[i] - *a - *b * x[i], 2);
+  return sqrt(ss / n);
+}
+
+typedef struct axis_t {
+  const char *name;
+  point_t points[6];
+  int n;
+  double target; /* of the axis, at the size in two years */
+} axis_t;
+
+static double coordinate (const axis_t *a, int i) {
+  const point_t *p = &a->points[i];
+  switch (a->name[0]) {
+    case 'n': return p->routers;
+    case 'd': return p->domains;
+    case 'w': return p->workspaces;
+    case 'e': return p->engines;
+    default: return p->rate;
+  }
+}
+
+int bb_scale (const bb_options_t *o) {
+  static const axis_t axes[] = {
+      {"nodes_in_a_domain",
+       {{3, 1, 50, 24, 2, 2},
+        {6, 1, 50, 24, 2, 2},
+        {12, 1, 50, 24, 2, 2},
+        {18, 1, 50, 24, 2, 2}},
+       4,
+       18.5},
+      {"domains",
+       {{6, 2, 50, 24, 2, 2},
+        {12, 4, 50, 24, 2, 2},
+        {24, 8, 50, 24, 2, 2},
+        {48, 16, 50, 24, 2, 2},
+        {60, 20, 50, 24, 2, 2}},
+       5,
+       20},
+      {"workspaces",
+       {{12, 4, 10, 24, 2, 2},
+        {12, 4, 100, 24, 2, 2},
+        {12, 4, 600, 24, 2, 2},
+        {12, 4, 2500, 24, 2, 2}},
+       4,
+       2500},
+      {"engines",
+       {{12, 4, 50, 18, 4, 2},
+        {12, 4, 50, 100, 4, 2},
+        {12, 4, 50, 400, 4, 2},
+        {12, 4, 50, 1000, 4, 2},
+        {12, 4, 50, 2500, 4, 2}},
+       5,
+       2500},
+      {"requests",
+       {{12, 4, 50, 24, 2, 0},
+        {12, 4, 50, 24, 2, 2},
+        {12, 4, 50, 24, 2, 5},
+        {12, 4, 50, 24, 2, 10},
+        {12, 4, 50, 24, 2, 20}},
+       5,
+       5.4},
+  };
+  for (size_t k = 0; k < mt_countof(axes); k++) {
+    const axis_t *x = &axes[k];
+    double xs[6], bytes[6], core[6], memory[6], a, b, rms;
+    if (o->only != NULL && strcmp(o->only, x->name) != 0) continue;
+    for (int i = 0; i < x->n; i++) {
+      static bb_control_t c;
+      scalepoint(o, x->name, &x->points[i], &c);
+      xs[i] = coordinate(x, i);
+      bytes[i] = c.meanbytes;
+      core[i] = c.meancore;
+      memory[i] = c.memory;
+    }
+    rms = fit(xs, bytes, x->n, &a, &b);
+    printf("fit %-20s bytes/s = %.1f + %.4f x (rms %.1f), at %g: %.0f\n",
+           x->name, a, b, rms, x->target, a + b * x->target);
+    rms = fit(xs, core, x->n, &a, &b);
+    printf("fit %-20s core    = %.5f + %.7f x (rms %.5f), at %g: %.4f\n",
+           x->name, a, b, rms, x->target, a + b * x->target);
+    rms = fit(xs, memory, x->n, &a, &b);
+    printf("fit %-20s memory  = %.0f + %.1f x (rms %.0f), at %g: %.0f\n",
+           x->name, a, b, rms, x->target, a + b * x->target);
+    fflush(stdout);
+  }
+  return 0;
+}
+
+/* }== */
+
+/* {== failover ========================================================= */
+
+/* Tokens that arrive in each slice after the scheduler's router is killed. */
+static double regrant (bb_lab_t *lab, bb_load_t *L, int flow) {
+  uint64_t begun = uv_hrtime();
+  uint64_t before = bb_seen(L, flow)->answered + bb_seen(L, flow)->nwaits;
+  while (uv_hrtime() - begun < 20000000000ull) {
+    bb_run(lab, 20);
+    uint64_t firsts = bb_seen(L, flow)->answered + bb_seen(L, flow)->nwaits;
+    /* What was granted before the kill still answers; look for a stream of
+     * new ones. */
+    if (firsts > before + 60) return (double)(uv_hrtime() - begun) / 1e9;
+  }
+  return 20;
+}
+
+/* The router that schedules the pool in domain d0, by its own status. */
+static size_t leader (bb_lab_t *lab) {
+  for (size_t i = 0; i < lab->nrouters; i++) {
+    json_t *s = bb_json(lab, &lab->routers[i].operators, "/status");
+    size_t j;
+    json_t *g;
+    bool leads = false;
+    json_array_foreach (json_object_get(s, "schedulers"), j, g) {
+      leads |= strcmp(mtJ_str(g, "domain", ""), "d0") == 0 &&
+               strcmp(mtJ_str(g, "pool", ""), "p1") == 0;
+    }
+    json_decref(s);
+    if (leads) return i;
+  }
+  return 0;
+}
+
+int bb_failover (const bb_options_t *o) {
+  int n = o->repeat > 1 ? o->repeat : 5;
+  bb_options_t oo = *o;
+  oo.repeat = n;
+  for (int k = 0; k < n; k++) {
+    bb_spec_t spec = {.domains = 1,
+                      .routers = 4,
+                      .engines = 6,
+                      .slots = 4,
+                      .rate = 300,
+                      .workspaces = 2};
+    spec.service = true;
+    bb_lab_t *lab = bb_start(o->bin, &spec);
+    bb_load_t *L = bb_load(lab, o->seed + (uint64_t)k);
+    size_t lead = leader(lab);
+    size_t other = (lead + 1) % lab->nrouters;
+    bb_flow_t f = {.workspace = 1,
+                   .router = (int)other,
+                   .concurrency = 60,
+                   .shorttokens = 20};
+    int flow = bb_flow(L, &f);
+    bb_run(lab, 1500);
+    bb_end(lab->routers[lead].proc, SIGKILL);
+    bb_line("regrant_seconds", regrant(lab, L, flow), "s");
+    bb_stopflow(L, flow);
+    bb_idle(L, 30000);
+    const bb_seen_t *s = bb_seen(L, flow);
+    bb_line("lost", (double)(s->asked - s->answered), "requests");
+    bb_line("doubled", (double)s->tokens - 20.0 * (double)s->answered,
+            "tokens too many");
+    bb_stop(lab);
+  }
+  bb_summary(&oo);
+  return 0;
+}
+
+/* }== */
--- a/bench/bbmain.c
+++ b/bench/bbmain.c
@@ -16,6 +16,16 @@
      "three routers serve a streamed answer; --keep 1 leaves them up"},
     {"fair", bb_fair,
      "gap and use of 8 routers in 4 domains, against baselines"},
+    {"share", bb_share, "the same with shares of 1, 2 and 4"},
+    {"flood", bb_flood, "wait of small workspaces while one floods"},
+    {"use", bb_userun, "use of unequal engines in bursts; prefix hits"},
+    {"wake", bb_wake, "an idle workspace returns"},
+    {"skew", bb_skew, "everything enters at one router"},
+    {"overhead", bb_overhead, "added time, requests per second"},
+    {"scale", bb_scale,
+     "control cost over routers, workspaces, engines, requests"},
+    {"failover", bb_failover,
+     "time until grants flow after a scheduler is killed"},
 };
 
 static int usage (void) {
