--- a/bench/bbshare.c
+++ b/bench/bbshare.c
@@ -32,7 +32,9 @@
 static const trial_t trials[] = {{"ideal", "fleet", 1, 4},
                                  {"fleet", "fleet", 8, 4},
                                  {"alone", "alone", 8, 4},
-                                 {"fifo", "fifo", 8, 4}};
+                                 {"fifo", "fifo", 8, 4},
+                                 {"pinned", "pinned", 8, 4}};
+#define NFAIR 4 /* of them that are compared for fairness */
 
 /* {== Gap ============================================================== */
 
@@ -190,7 +192,7 @@
 }
 
 int bb_fair (const bb_options_t *o) {
-  return fairshare(o, NULL, mt_countof(trials));
+  return fairshare(o, NULL, NFAIR);
 }
 
 int bb_share (const bb_options_t *o) {
@@ -202,8 +204,11 @@
 
 /* {== flood ============================================================ */
 
-/* Five small workspaces; with and without one that floods the fleet. */
-static double floodrun (const bb_options_t *o, bool flood, uint64_t seed,
+/*
+** Five small workspaces beside one that keeps `big` requests up: none, just
+** enough to fill the engines, or a flood.
+*/
+static double floodrun (const bb_options_t *o, int big, uint64_t seed,
                         bb_seen_t *flooder) {
   bb_spec_t spec = {.domains = 4,
                     .routers = 8,
@@ -216,7 +221,6 @@
   bb_load_t *L = bb_load(lab, seed);
   double *waits = NULL;
   size_t n = 0, cap = 0;
-  /* The machine is as busy in both runs: the small ones at half of it. */
   for (int i = 0; i < 5; i++) {
     bb_flow_t f = {.workspace = i + 1,
                    .router = -1,
@@ -226,21 +230,21 @@
                    .longpct = 10};
     bb_flow(L, &f);
   }
-  bb_flow_t big = {.workspace = 6,
-                   .router = 0,
-                   .concurrency = 1500,
-                   .shorttokens = 10,
-                   .longtokens = 200,
-                   .longpct = 10};
+  bb_flow_t bigone = {.workspace = 6,
+                      .router = 0,
+                      .concurrency = big,
+                      .shorttokens = 10,
+                      .longtokens = 200,
+                      .longpct = 10};
   bb_run(lab, 2000);
-  if (flood) bb_flow(L, &big);
+  if (big > 0) bb_flow(L, &bigone);
   bb_run(lab, 6000);
   for (int i = 0; i < 5; i++) bb_seen(L, i)->nwaits = 0;
   bb_run(lab, (unsigned)(o->seconds ? o->seconds : 10) * 1000);
   for (int i = 0; i < 5; i++)
     for (size_t j = 0; j < bb_seen(L, i)->nwaits; j++)
       *mtV_push(waits, n, cap) = bb_seen(L, i)->waits[j];
-  if (flood) *flooder = *bb_seen(L, 5);
+  if (big > 0) *flooder = *bb_seen(L, 5);
   double p95 = bb_percentile(waits, n, 0.95);
   free(waits);
   bb_stop(lab);
@@ -250,11 +254,15 @@
 int bb_flood (const bb_options_t *o) {
   for (int k = 0; k < o->repeat; k++) {
     bb_seen_t flooder = {0};
-    double quiet = floodrun(o, false, o->seed + (uint64_t)k, &flooder);
-    double flooded = floodrun(o, true, o->seed + (uint64_t)k, &flooder);
-    bb_line("small_wait_p95_quiet", quiet, "ms");
+    uint64_t seed = o->seed + (uint64_t)k;
+    double idle = floodrun(o, 0, seed, &flooder);
+    double busy = floodrun(o, ENGINES * SLOTS, seed, &flooder);
+    double flooded = floodrun(o, 3000, seed, &flooder);
+    bb_line("small_wait_p95_idle", idle, "ms");
+    bb_line("small_wait_p95_busy", busy, "ms");
     bb_line("small_wait_p95_flood", flooded, "ms");
-    bb_line("small_wait_p95_ratio", flooded / quiet, "ratio");
+    bb_line("small_wait_p95_ratio", flooded / busy, "ratio");
+    bb_line("small_wait_p95_ratio_idle", flooded / idle, "ratio");
     bb_line("flooder_answered", (double)flooder.answered, "requests");
   }
   bb_summary(o);
@@ -318,7 +326,14 @@
 int bb_userun (const bb_options_t *o) {
   for (int k = 0; k < o->repeat; k++) {
     uint64_t seed = o->seed + (uint64_t)k;
-    double none, hits;
+    double none, hits, pinnedhits;
+    if (o->only != NULL) {
+      double u = userun(o, &trials[1], 100, seed, &hits);
+      bb_line("engine_use_sessions", u, "share");
+      bb_line("prefix_hits", hits, "share");
+      continue;
+    }
+    double pinneduse = userun(o, &trials[4], 100, seed, &pinnedhits);
     double ideal = userun(o, &trials[0], 0, seed, &none);
     double fleet = userun(o, &trials[1], 0, seed, &none);
     double alone = userun(o, &trials[2], 0, seed, &none);
@@ -329,6 +344,9 @@
     bb_line("engine_use_sessions", sess, "share");
     bb_line("engine_use_vs_one_router", fleet / ideal, "ratio");
     bb_line("prefix_hits", hits, "share");
+    bb_line("pinned_use", pinneduse, "share");
+    bb_line("pinned_hits", pinnedhits, "share");
+    bb_line("prefix_hits_vs_pinned", hits / pinnedhits, "ratio");
   }
   bb_summary(o);
   return 0;
@@ -365,10 +383,10 @@
     int64_t before = bb_seen(L, g.flows[0])->tokens;
     bb_run(lab, WARM_MS);
     int64_t mid = bb_seen(L, g.flows[0])->tokens - before;
+    int64_t fresh = bb_seen(L, g.flows[1])->tokens;
     follow(lab, L, &g, 10000);
     bb_line("wake_old_during", (double)mid, "tokens");
-    bb_line("wake_new_during", (double)bb_seen(L, g.flows[1])->tokens,
-            "tokens");
+    bb_line("wake_new_during", (double)fresh, "tokens");
     bb_line("wake_gap", widest(&g), "tokens");
     bb_stop(lab);
   }
--- a/src/mtedge.c
+++ b/src/mtedge.c
@@ -13,6 +13,7 @@
 #define SESSIONS_MAX 65536 /* sessions remembered */
 #define BYTES_PER_TOKEN 4  /* when a target does not report its usage */
 #define PRIORITY_BASE 0
+#define SPEED_SHARES 16 /* a target's speed counts up to this */
 
 /* {== Ends ============================================================= */
 
@@ -97,28 +98,35 @@
   return anytarget(S, (*p)->id) ? MT_OK : MT_NO_TARGET;
 }
 
-/* The target that holds a session's prefix, or where it would be sent. */
-static mt_id_t homeof (mt_state_t *S, uint64_t session, mt_id_t pool) {
-  if (session == 0) return 0;
-  mt_id_t known = (mt_id_t)(uintptr_t)mtV_get(&S->edge.sessions, session);
-  const mt_target_t *t = known ? mtF_target(S->fleet, known) : NULL;
-  if (t != NULL && t->pool == pool && !t->leaving) return known;
+/*
+** Where a session goes that this router has not seen: the same target at
+** every router, by rendezvous hashing, in proportion to the speeds.
+*/
+static mt_id_t appointed (mt_state_t *S, uint64_t session, mt_id_t pool) {
   uint64_t best = 0;
   mt_id_t home = 0;
-  bool local = false;
   for (size_t i = 0; i < S->fleet->ntargets; i++) {
-    t = &S->fleet->targets[i];
+    const mt_target_t *t = &S->fleet->targets[i];
     if (t->pool != pool || t->leaving) continue;
-    bool here = t->domainid == S->members.self->domain;
-    uint64_t w = mtV_mix(session, t->id);
-    if ((local && !here) || (here == local && w <= best)) continue;
-    local = here;
-    best = w;
-    home = t->id;
+    for (int k = 0; k < mt_min(t->speed, SPEED_SHARES); k++) {
+      uint64_t w = mtV_mix(mtV_mix(session, t->id), (uint64_t)k);
+      if (w <= best) continue;
+      best = w;
+      home = t->id;
+    }
   }
   return home;
 }
 
+/* The target that holds a session's prefix, or where it would be sent. */
+static mt_id_t homeof (mt_state_t *S, uint64_t session, mt_id_t pool) {
+  if (session == 0) return 0;
+  mt_id_t known = (mt_id_t)(uintptr_t)mtV_get(&S->edge.sessions, session);
+  const mt_target_t *t = known ? mtF_target(S->fleet, known) : NULL;
+  if (t != NULL && t->pool == pool && !t->leaving) return known;
+  return appointed(S, session, pool);
+}
+
 static uint64_t setdigest (const mt_id_t *ids, size_t n) {
   uint64_t sum = 0;
   for (size_t i = 0; i < n; i++) sum += mtV_mix(ids[i], 7);
@@ -150,6 +158,7 @@
   }
   r->order = choice.order;
   if (choice.n == 0) return;
+  free(r->targets);
   r->set = setdigest(choice.targets, choice.n);
   r->targets = mtV_new(choice.n * sizeof *r->targets);
   r->ntargets = choice.n;
@@ -157,6 +166,14 @@
   if (r->session == 0) r->home = choice.targets[0];
 }
 
+/* A baseline: a session never leaves its target. */
+static void pin (mt_req_t *r) {
+  r->set = setdigest(&r->home, 1);
+  r->targets = mtV_new(sizeof *r->targets);
+  r->ntargets = 1;
+  r->targets[0] = r->home;
+}
+
 static mt_req_t *makereq (mt_state_t *S, const mt_event_t *ev,
                           const mt_workspace_t *w, const mt_pool_t *p) {
   const mt_ask_t *ask = &ev->u.ask;
@@ -177,6 +194,7 @@
     r->maxcost =
         ask->promptbytes * p->promptweight + ask->maxtokens * p->outputweight;
   mtV_put(&S->edge.reqs, r->id, r);
+  if (S->set.pinned && r->home != 0) pin(r);
   return r;
 }
 
--- a/src/mtlimits.h
+++ b/src/mtlimits.h
@@ -24,16 +24,16 @@
 #define MT_MAX_POOLS 128
 #define MT_MAX_WORKSPACES 16384
 #define MT_MAX_TARGETS 8192
-#define MT_POOL_TARGETS 512   /* targets of one pool */
-#define MT_MAX_WAITING 65536  /* waiting requests, one router */
-#define MT_MAX_RUNNING 16384  /* requests in progress, one router */
-#define MT_WS_WAITING 4096    /* default waiting of a workspace */
-#define MT_AFFINITY_WINDOW 32 /* requests looked at for a prefix */
-#define MT_BUCKETS 64         /* parts that workspaces are split in */
-#define MT_MAX_ATTEMPTS 3     /* attempts of one request */
-#define MT_REPLICAS 2         /* routers that hold a pool's state */
-#define MT_WATCHERS 2         /* routers that watch, per domain */
-#define MT_LINKS 2            /* links per pair of domains */
+#define MT_POOL_TARGETS 512    /* targets of one pool */
+#define MT_MAX_WAITING 65536   /* waiting requests, one router */
+#define MT_MAX_RUNNING 16384   /* requests in progress, one router */
+#define MT_WS_WAITING 4096     /* default waiting of a workspace */
+#define MT_AFFINITY_WINDOW 256 /* requests looked at for a prefix */
+#define MT_BUCKETS 64          /* parts that workspaces are split in */
+#define MT_MAX_ATTEMPTS 3      /* attempts of one request */
+#define MT_REPLICAS 2          /* routers that hold a pool's state */
+#define MT_WATCHERS 2          /* routers that watch, per domain */
+#define MT_LINKS 2             /* links per pair of domains */
 
 /* }== */
 
--- a/src/mtqueue.c
+++ b/src/mtqueue.c
@@ -8,8 +8,8 @@
 #include "mtmember.h"
 #include "mtqueue.h"
 
-#define SKIPS_MAX 16 /* times a request is passed over for a prefix */
-#define IDLE_FULLS 3 /* full reports after work has ended */
+#define SKIPS_MAX 128 /* times a request is passed over for a prefix */
+#define IDLE_FULLS 3  /* full reports after work has ended */
 #define HUNDRED 100
 #define BUDGET_MAX (100 * HUNDRED)
 
@@ -124,6 +124,8 @@
   int window = MT_AFFINITY_WINDOW;
   for (mt_req_t *r = q->head; r != NULL && (window-- > 0 || best == NULL);
        r = r->next) {
+    mt_id_t seen = (mt_id_t)(uintptr_t)mtV_get(&S->edge.sessions, r->session);
+    if (seen != 0 && seen != r->avoid) r->home = seen; /* it may have moved */
     int fit = fitness(r, target);
     if (fit == 0) continue;
     if (best == NULL ||
--- a/src/mtset.c
+++ b/src/mtset.c
@@ -119,8 +119,10 @@
   const char *s = mtJ_str(doc, "sharing", "fleet");
   set->nosharing = strcmp(s, "alone") == 0;
   set->fifo = strcmp(s, "fifo") == 0;
-  if (!set->nosharing && !set->fifo && strcmp(s, "fleet") != 0)
-    mtJ_fault(fs, "$.sharing", "must be fleet, alone or fifo");
+  set->pinned = strcmp(s, "pinned") == 0;
+  if (!set->nosharing && !set->fifo && !set->pinned &&
+      strcmp(s, "fleet") != 0)
+    mtJ_fault(fs, "$.sharing", "must be fleet, alone, fifo or pinned");
 }
 
 static void address (const json_t *doc, const char *name, mt_addr_t *a) {
--- a/src/mtset.h
+++ b/src/mtset.h
@@ -34,6 +34,7 @@
   mt_route_t routes[MT_MAX_ROUTES]; /* other ways to routers and targets */
   size_t nroutes;
   bool nosharing; /* baseline: no exchange, each router on its own */
+  bool pinned;    /* baseline: a session never leaves its target */
   bool fifo;      /* baseline: first come, first served */
 } mt_settings_t;
 
