Reports carry at once only what can lead to a grant; exchanges are paced

Cause: every chunk of every stream made its router report, 130 KB/s a router (635 the busiest) at 15400 tokens/s.

--- a/src/mtledger.c
+++ b/src/mtledger.c
@@ -372,10 +372,8 @@
 /* One workspace of this domain as the other domains are told of it. */
 static void summarise (const mt_sched_t *G, const mt_account_t *a,
                        mt_claimrow_t *out) {
-  *out = (mt_claimrow_t){.ws = a->ws,
-                         .served = totalof(a),
-                         .pending = a->pending,
-                         .cost = a->cost};
+  *out = (mt_claimrow_t){
+      .ws = a->ws, .served = totalof(a), .pending = a->pending};
   out->lift = a->lift;
   out->forgiven = a->forgiven;
   size_t cap = 0;
@@ -420,6 +418,12 @@
   mtR_send(S, to, m);
 }
 
+/* Spaces the exchanges so that they stay within their bytes per second. */
+static void pace (mt_sched_t *G, uint64_t bytes) {
+  mt_ms_t due = bytes * 1000 / MT_EXCHANGE_BYTES;
+  G->interval = mt_min(mt_max(due, MT_EXCHANGE_MIN_MS), MT_EXCHANGE_MAX_MS);
+}
+
 void mtS_tell (mt_state_t *S, mt_sched_t *G, bool full) {
   mt_msg_t m = {.kind = MT_M_EXCHANGE};
   mt_exchange_t *x = &m.u.exchange;
@@ -441,6 +445,7 @@
     a->dirty = false;
   }
   G->urgent = false;
+  uint64_t before = S->counts.sentbytes[MT_M_EXCHANGE];
   bool keepalive = alive && S->now - G->lasttold >= MT_EXCHANGE_TTL_MS / 3;
   if (x->nrows > 0 || G->fresh || keepalive) {
     mt_id_t domains[MT_MAX_DOMAINS];
@@ -449,6 +454,7 @@
     G->lasttold = S->now;
     G->fresh = false;
   }
+  pace(G, S->counts.sentbytes[MT_M_EXCHANGE] - before);
   for (size_t i = 0; i < x->nrows; i++) free(x->rows[i].lanes);
   free(x->rows);
 }
--- a/src/mtqueue.c
+++ b/src/mtqueue.c
@@ -11,6 +11,8 @@
 #define SKIPS_MAX 128 /* times a request is passed over for a prefix */
 #define IDLE_FULLS 3  /* full reports after work has ended */
 #define HUNDRED 100
+#define FEW 4           /* waiting requests whose number is told at once */
+#define RECENT_MS 10000 /* what changed since is in every full report */
 #define BUDGET_MAX (100 * HUNDRED)
 
 /* {== Tables =========================================================== */
@@ -41,10 +43,17 @@
   return l;
 }
 
-static void touch (mt_state_t *S, mt_queue_t *q) {
+/*
+** A queue has changed. Its scheduler hears of it at once when that may lead
+** to a grant, else with the next lot.
+*/
+static void touch (mt_state_t *S, mt_queue_t *q, bool atonce) {
+  mt_link_t *l = getlink(S, S->members.self->domain, q->pool);
+  q->changed = S->now;
+  q->atonce |= atonce;
+  l->atonce |= atonce;
   if (q->dirty) return;
   q->dirty = true;
-  mt_link_t *l = getlink(S, S->members.self->domain, q->pool);
   *mtV_push(l->queues, l->nqueues, l->queues_cap) = q;
 }
 
@@ -84,7 +93,7 @@
   q->n++;
   S->edge.waiting++;
   r->state = MT_R_WAITING;
-  touch(S, q);
+  touch(S, q, q->n <= FEW);
 }
 
 void mtQ_remove (mt_state_t *S, mt_req_t *r) {
@@ -100,7 +109,7 @@
   r->prev = r->next = NULL;
   q->n--;
   S->edge.waiting--;
-  touch(S, q);
+  touch(S, q, q->n <= FEW);
 }
 
 static bool mayuse (const mt_req_t *r, mt_id_t target) {
@@ -185,7 +194,7 @@
   }
   q->running += change;
   S->edge.inprogress += (size_t)change;
-  touch(S, q);
+  touch(S, q, true);
   intptr_t n = (intptr_t)mtV_get(&S->edge.running, r->target) + change;
   if (n > 0)
     mtV_put(&S->edge.running, r->target, (void *)n);
@@ -212,7 +221,7 @@
   serve(q, total - r->charged);
   r->charged = total;
   setrest(S, q, r, cost);
-  touch(S, q);
+  touch(S, q, false);
 }
 
 void mtQ_settle (mt_state_t *S, mt_req_t *r, int64_t cost, bool whole) {
@@ -275,11 +284,15 @@
                       (int32_t)(intptr_t)mtV_get(&S->edge.running, target)};
 }
 
-static void fillfull (mt_state_t *S, const mt_link_t *l, mt_demand_t *d) {
+/* All that waits or runs; `all`: also what has long been quiet. */
+static void fillfull (mt_state_t *S, const mt_link_t *l, mt_demand_t *d,
+                      bool all) {
   bool own = l->domain == S->members.self->domain;
   mtV_each (&S->edge.queues, i) {
     const mt_queue_t *q = S->edge.queues.vals[i];
     if (!own || q->pool != l->pool) continue;
+    bool quiet = q->n == 0 && q->running == 0;
+    if (quiet && !all && S->now - q->changed > RECENT_MS) continue;
     fillrow(S, q, mtV_push(d->rows, d->nrows, d->rows_cap));
   }
   mtV_each (&S->edge.running, i) {
@@ -291,9 +304,11 @@
   }
 }
 
-static void fillchanges (mt_state_t *S, const mt_link_t *l, mt_demand_t *d) {
+static void fillchanges (mt_state_t *S, const mt_link_t *l, mt_demand_t *d,
+                         bool lot) {
   for (size_t i = 0; i < l->nqueues; i++)
-    fillrow(S, l->queues[i], mtV_push(d->rows, d->nrows, d->rows_cap));
+    if (lot || l->queues[i]->atonce)
+      fillrow(S, l->queues[i], mtV_push(d->rows, d->nrows, d->rows_cap));
   for (size_t i = 0; i < l->ntargets; i++) addrunning(S, d, l->targets[i]);
 }
 
@@ -303,14 +318,15 @@
   return d->nrunning == 0;
 }
 
-static void sendone (mt_state_t *S, mt_link_t *l, int rank, bool full) {
+static void sendone (mt_state_t *S, mt_link_t *l, int rank, bool full,
+                     bool lot) {
   bool alone = S->set.nosharing || S->set.fifo;
   mt_id_t to = alone ? (rank ? 0 : S->members.self->id)
                      : mtM_ranked(S, l->domain, MT_ROLE_POOL(l->pool), rank);
   if (to == 0 || (rank > 0 && to == l->told[0])) return;
-  bool news = l->nqueues > 0 || l->ntargets > 0 || l->ntaken > 0;
-  full |= l->told[rank] != to;
-  if (!full && !news) return;
+  bool fresh = l->told[rank] != to;
+  full |= fresh;
+  if (!full && rank > 0) return; /* the second one gets full reports only */
   mt_msg_t m = {.kind = MT_M_DEMAND};
   mt_demand_t *d = &m.u.demand;
   *d = (mt_demand_t){.domain = l->domain,
@@ -318,9 +334,9 @@
                      .full = full,
                      .boot = S->members.self->node.boot};
   if (full)
-    fillfull(S, l, d);
+    fillfull(S, l, d, fresh);
   else
-    fillchanges(S, l, d);
+    fillchanges(S, l, d, lot);
   if (rank == 0) {
     d->taken = l->taken;
     d->ntaken = l->ntaken;
@@ -334,19 +350,36 @@
   free(d->running);
 }
 
-static void sendlink (mt_state_t *S, mt_link_t *l, bool full) {
+/* Drops from the list what has been told; the rest waits for the next lot. */
+static void cleartold (mt_link_t *l, bool all) {
+  size_t kept = 0;
+  for (size_t i = 0; i < l->nqueues; i++) {
+    mt_queue_t *q = l->queues[i];
+    if (!all && !q->atonce) {
+      l->queues[kept++] = q;
+      continue;
+    }
+    q->dirty = q->atonce = false;
+  }
+  l->nqueues = kept;
+  l->ntargets = l->ntaken = 0;
+  l->atonce = false;
+}
+
+static void sendlink (mt_state_t *S, mt_link_t *l, bool full, bool lot) {
   if (S->fleet == NULL) return;
-  for (int rank = 0; rank < MT_REPLICAS; rank++) sendone(S, l, rank, full);
-  for (size_t i = 0; i < l->nqueues; i++) l->queues[i]->dirty = false;
-  l->nqueues = l->ntargets = l->ntaken = 0;
+  for (int rank = 0; rank < MT_REPLICAS; rank++)
+    sendone(S, l, rank, full, lot);
+  cleartold(l, full || lot);
   if (full) l->lastfull = S->now;
+  if (full || lot) l->lastlot = S->now;
 }
 
 void mtQ_report (mt_state_t *S) {
   mtV_each (&S->edge.links, i) {
     mt_link_t *l = S->edge.links.vals[i];
-    if (l->nqueues > 0 || l->ntargets > 0 || l->ntaken > 0)
-      sendlink(S, l, false);
+    if (l->atonce || l->ntargets > 0 || l->ntaken > 0)
+      sendlink(S, l, false, false);
   }
 }
 
@@ -357,7 +390,8 @@
     bool moved = first != 0 && first != l->told[0] && l->told[0] != 0;
     if (moved) l->idlefulls = IDLE_FULLS;
     bool due = l->idlefulls > 0 && S->now - l->lastfull >= MT_DEMAND_MS;
-    if (moved || due) sendlink(S, l, true);
+    bool lot = l->nqueues > 0 && S->now - l->lastlot >= MT_LOT_MS;
+    if (moved || due || lot) sendlink(S, l, moved || due, lot);
   }
 }
 
--- a/src/mtsched.c
+++ b/src/mtsched.c
@@ -295,7 +295,8 @@
   mtV_each (&S->scheds, i) {
     mt_sched_t *G = S->scheds.vals[i];
     if (G->dirty) runone(S, G);
-    if (G->urgent && G->primary && S->now - G->lasttold >= TELL_GAP_MS)
+    if (G->urgent && G->primary &&
+        S->now - G->lasttold >= TELL_GAP_MS + G->interval / 8)
       mtS_tell(S, G, false);
   }
 }
@@ -403,8 +404,8 @@
     if (!G->primary || alone(S) || S->now < G->nextexchange) continue;
     bool full = S->now >= G->nextfull;
     if (full) G->nextfull = S->now + FULL_MS;
-    G->nextexchange = S->now + MT_EXCHANGE_MS;
     mtS_tell(S, G, full);
+    G->nextexchange = S->now + G->interval;
   }
 }
 
--- a/src/mtstate.h
+++ b/src/mtstate.h
@@ -107,8 +107,9 @@
   size_t nunseen, unseen_cap;
   mt_map_t held; /* target -> time until which it is not granted */
   mt_ms_t nextexchange, nextfull, lasttold;
-  bool urgent; /* waiting work appeared that has no room here */
-  bool dirty;  /* something changed since the last run */
+  mt_ms_t interval; /* between exchanges, as the bytes allow */
+  bool urgent;      /* waiting work appeared that has no room here */
+  bool dirty;       /* something changed since the last run */
 } mt_sched_t;
 
 /* }== */
@@ -163,7 +164,9 @@
   mt_units_t pending;
   mt_costs_t costs; /* of its ended requests */
   int32_t running;
-  bool dirty;
+  mt_ms_t changed;
+  bool dirty;  /* in its link's list */
+  bool atonce; /* to be told at once */
   mt_budget_t budget;
 } mt_queue_t;
 
@@ -171,7 +174,8 @@
 typedef struct mt_link_t {
   mt_id_t domain, pool;
   mt_id_t told[MT_REPLICAS]; /* routers that have had a full report */
-  mt_ms_t lastfull;
+  mt_ms_t lastfull, lastlot;
+  bool atonce;
   int idlefulls;       /* full reports still due after work has ended */
   mt_queue_t **queues; /* that changed since the last report */
   size_t nqueues, queues_cap;
