--- a/bench/bbmain.c
+++ b/bench/bbmain.c
@@ -26,6 +26,8 @@
      "control cost over routers, workspaces, engines, requests"},
     {"failover", bb_failover,
      "time until grants flow after a scheduler is killed"},
+    {"faults", bb_faults,
+     "seeded faults under load, promises checked; --repeat RUNS"},
 };
 
 static int usage (void) {
--- a/bench/bbrun.h
+++ b/bench/bbrun.h
@@ -25,5 +25,6 @@
 int bb_overhead (const bb_options_t *o);
 int bb_scale (const bb_options_t *o);
 int bb_failover (const bb_options_t *o);
+int bb_faults (const bb_options_t *o);
 
 #endif
--- a/src/mtcall.c
+++ b/src/mtcall.c
@@ -38,6 +38,7 @@
   h2o_socket_cb paused; /* the reading callback while paused */
   mt_ms_t begun;
   bool connected, head, silent;
+  mt_said_t outcome;
   bool busy;      /* inside its own callback */
   bool cancelled; /* from there: nothing more is wanted */
   bool starting, failedearly;
@@ -69,8 +70,10 @@
 }
 
 static void finish (mt_call_t *c, mt_callkind_t kind) {
-  mt_callev_t ev = {
-      .kind = kind, .notsent = !c->connected, .silent = c->silent};
+  mt_callev_t ev = {.kind = kind,
+                    .notsent = !c->connected,
+                    .silent = c->silent,
+                    .outcome = c->outcome};
   c->client = NULL;
   deliver(c, &ev);
   freecall(c);
@@ -121,6 +124,10 @@
     mt_bytes_t v = {headers[i].value.base, headers[i].value.len};
     if (named(&headers[i], "content-type")) ev.type = v;
     if (named(&headers[i], "x-revision")) ev.revision = v;
+    if (named(&headers[i], "x-outcome"))
+      c->outcome = v.n == 7 && memcmp(v.p, "not-run", 7) == 0
+                       ? MT_SAID_NOTRUN
+                       : MT_SAID_UNKNOWN;
   }
   c->head = true;
   if (!deliver(c, &ev)) {
--- a/src/mtcall.h
+++ b/src/mtcall.h
@@ -19,12 +19,19 @@
   MT_CALL_FAILED
 } mt_callkind_t;
 
+typedef enum mt_said_t {
+  MT_SAID_NOTHING,
+  MT_SAID_NOTRUN,
+  MT_SAID_UNKNOWN
+} mt_said_t;
+
 /* What becomes of a call. END and FAILED are the last; texts are borrowed. */
 typedef struct mt_callev_t {
   mt_callkind_t kind;
   int status;
   mt_bytes_t type;     /* HEAD: content type */
   mt_bytes_t revision; /* HEAD: x-revision */
+  mt_said_t outcome;   /* END: what the head's x-outcome said */
   mt_bytes_t data;     /* BODY */
   bool notsent;        /* FAILED: no byte of the request went out */
   bool silent;         /* FAILED: nothing came in time */
--- a/src/mtops.c
+++ b/src/mtops.c
@@ -76,6 +76,12 @@
         (int)q->n);
     put(t, "martentiller_running{workspace=\"%s\",pool=\"%s\"} %d\n", w, p,
         (int)q->running);
+    put(t, "martentiller_wait_ms_sum{workspace=\"%s\",pool=\"%s\"} %llu\n", w,
+        p, (unsigned long long)q->waitsum);
+    put(t, "martentiller_wait_ms_count{workspace=\"%s\",pool=\"%s\"} %llu\n",
+        w, p, (unsigned long long)q->waits);
+    put(t, "martentiller_wait_ms_most{workspace=\"%s\",pool=\"%s\"} %llu\n",
+        w, p, (unsigned long long)q->waitmost);
   }
 }
 
--- a/src/mtqueue.c
+++ b/src/mtqueue.c
@@ -145,6 +145,10 @@
   if (best == NULL) return NULL;
   for (mt_req_t *r = q->head; r != best; r = r->next) r->skipped++;
   mtQ_remove(S, best);
+  mt_ms_t wait = S->now - best->arrived;
+  q->waits++;
+  q->waitsum += wait;
+  q->waitmost = mt_max(q->waitmost, wait);
   return best;
 }
 
--- a/src/mtstate.h
+++ b/src/mtstate.h
@@ -165,8 +165,9 @@
   mt_costs_t costs; /* of its ended requests */
   int32_t running;
   mt_ms_t changed;
-  bool dirty;  /* in its link's list */
-  bool atonce; /* to be told at once */
+  uint64_t waits, waitsum, waitmost; /* granted ones; their waits in ms */
+  bool dirty;                        /* in its link's list */
+  bool atonce;                       /* to be told at once */
   mt_budget_t budget;
 } mt_queue_t;
 
