A stream that its engine cuts off is no longer passed on as whole

Change: a stream must have said [DONE], an answer must be whole JSON, else the attempt has failed; lengths told by targets are passed on, so callers can tell as well. Ports of labs are taken below the range that the system hands out (two labs at once took the same one).

--- a/Makefile
+++ b/Makefile
@@ -70,6 +70,25 @@
 spec:
 	sh spec/run.sh
 
+FUZZRUNS = 20000
+FUZZFLAGS = -std=gnu11 -O1 -g -D_GNU_SOURCE -Isrc -Wno-format-truncation \
+  $(shell pkg-config --cflags lua5.4 2>/dev/null) -fsanitize=fuzzer,address,undefined -fno-sanitize-recover=all
+FUZZSRC = tests/fuzz/fuzz.c $(addprefix src/,mtmem.c mtlog.c mtcount.c mtjson.c mtset.c mtfleet.c mtmsg.c \
+  mtcrypt.c mtpolicy.c mtcost.c mtmember.c mtledger.c mtsched.c mtqueue.c mtedge.c mtconf.c mtcore.c)
+
+$(B)/fuzz: $(FUZZSRC) | $(B)
+	clang $(FUZZFLAGS) -o $@ $(FUZZSRC) -lmsgpackc -ljansson -llua5.4 -lcrypto -lm
+
+# A short run from the committed corpus, the same every time.
+fuzzcheck: $(B)/fuzz
+	mkdir -p $(B)/corpus
+	$(B)/fuzz -runs=$(FUZZRUNS) -seed=1 -max_len=4096 -timeout=20 -print_final_stats=0 -verbosity=0 $(B)/corpus tests/corpus
+
+# A long one; what it finds goes to tests/corpus with its fix.
+fuzz: $(B)/fuzz
+	mkdir -p $(B)/corpus
+	$(B)/fuzz -max_total_time=600 -max_len=8192 $(B)/corpus tests/corpus
+
 FORMATTED = $(wildcard src/*.[ch] standin/*.[ch] bench/*.[ch] tests/*.cc tests/*.h tests/fuzz/*.c)
 
 format:
@@ -86,4 +105,4 @@
 clean:
 	rm -rf build
 
-.PHONY: all deps demo check bench spec format formatcheck lint clean
+.PHONY: fuzz fuzzcheck all deps demo check bench spec format formatcheck lint clean
--- a/bench/bbcost.c
+++ b/bench/bbcost.c
@@ -157,7 +157,34 @@
   }
 }
 
+/* Slopes of one axis. */
+typedef struct slopes_t {
+  double bytes, core, memory;
+} slopes_t;
+
+/*
+** The point that all axes share, carried along each axis to the size in two
+** years: 370 routers in 20 domains, 2,500 workspaces and engines, 2,000
+** requests per second.
+*/
+static void extrapolate (const bb_control_t *base, const slopes_t *s) {
+  static const double steps[] = {18.5 - 3, 20 - 4, 2500 - 50, 2500 - 24,
+                                 5.4 - 2};
+  double bytes = base->meanbytes, core = base->meancore,
+         memory = base->memory;
+  for (size_t k = 0; k < mt_countof(steps); k++) {
+    bytes += s[k].bytes * steps[k];
+    core += s[k].core * steps[k];
+    memory += s[k].memory * steps[k];
+  }
+  bb_line("control_bytes_370", bytes, "bytes/s");
+  bb_line("control_core_370", core, "share");
+  bb_line("control_memory_370", memory, "bytes");
+}
+
 int bb_scale (const bb_options_t *o) {
+  static bb_control_t base;
+  slopes_t slopes[5] = {{0}};
   static const axis_t axes[] = {
       {"nodes_in_a_domain",
        {{3, 1, 50, 24, 2, 2},
@@ -205,22 +232,29 @@
     for (int i = 0; i < x->n; i++) {
       static bb_control_t c;
       scalepoint(o, x->name, &x->points[i], &c);
+      bool shared = x->name[0] == 'r' && x->points[i].rate == 2;
+      if (shared) base = c;
       xs[i] = coordinate(x, i);
       bytes[i] = c.meanbytes;
       core[i] = c.meancore;
       memory[i] = c.memory;
     }
     rms = fit(xs, bytes, x->n, &a, &b);
+    slopes[k].bytes = b;
     printf("fit %-20s bytes/s = %.1f + %.4f x (rms %.1f), at %g: %.0f\n",
            x->name, a, b, rms, x->target, a + b * x->target);
     rms = fit(xs, core, x->n, &a, &b);
+    slopes[k].core = b;
     printf("fit %-20s core    = %.5f + %.7f x (rms %.5f), at %g: %.4f\n",
            x->name, a, b, rms, x->target, a + b * x->target);
     rms = fit(xs, memory, x->n, &a, &b);
+    slopes[k].memory = b;
     printf("fit %-20s memory  = %.0f + %.1f x (rms %.0f), at %g: %.0f\n",
            x->name, a, b, rms, x->target, a + b * x->target);
     fflush(stdout);
   }
+  if (o->only == NULL) extrapolate(&base, slopes);
+  bb_summary(o);
   return 0;
 }
 
--- a/bench/bbfault.c
+++ b/bench/bbfault.c
@@ -134,8 +134,7 @@
 
 static void checkanswer (call_t *c) {
   char *want = expected(c), *got = contents(c->text ? c->text : "");
-  bool done = c->kind != STREAM || (c->text && strstr(c->text, "[DONE]"));
-  if (!done || strcmp(want, got) != 0)
+  if (strcmp(want, got) != 0)
     breach(c->T, OWN_ANSWER, "an answer that ended well is not the right one",
            c->id);
   free(want);
@@ -149,16 +148,15 @@
   bool service = c->kind == ONCE || c->kind == ONCE_KEYED;
   c->busy = false;
   T->open--;
+  bool marked = c->kind != STREAM || (c->text && strstr(c->text, "[DONE]"));
+  if (c->status == 200 && !marked) c->whole = false; /* a caller can tell */
   if (c->whole && c->status == 200 && !service) checkanswer(c);
   if (c->whole && c->status == 200) c->answered++;
-  bool notrun = c->whole && c->text && strstr(c->text, "\"martentiller\"") &&
-                c->notruns > 0;
   if (c->whole && c->status != 200) T->refused++;
   if (!c->whole) T->failed++;
   if (!c->whole && c->head && T->draining[c->router] &&
       T->boots[c->router] == c->boot)
     breach(T, CLEAN_STOP, "an answer was cut off by a planned stop", c->id);
-  (void)notrun;
   if (c->answered || c->tries >= TRIES || c->kind == ONCE) return;
   c->router = rnd(T, ROUTERS);
   ask(c);
@@ -322,7 +320,10 @@
       T->up[f->a] = false;
       bb_end(r->proc, SIGKILL);
       break;
-    case F_PAUSE: kill(r->proc->pid, SIGSTOP); break;
+    case F_PAUSE:
+      T->up[f->a] = false; /* it does not answer for a while */
+      kill(r->proc->pid, SIGSTOP);
+      break;
     case F_CUT: pairlinks(T, f->a, f->b, "cut", true); break;
     case F_BLACKHOLE: pairlinks(T, f->a, f->b, "blackhole", true); break;
     case F_ONEWAY: pairlinks(T, f->a, f->b, "up", false); break;
@@ -354,7 +355,10 @@
   bb_router_t *r = &T->lab->routers[f->a];
   switch (f->kind) {
     case F_KILL: restart(T, f->a); break;
-    case F_PAUSE: kill(r->proc->pid, SIGCONT); break;
+    case F_PAUSE:
+      kill(r->proc->pid, SIGCONT);
+      T->up[f->a] = true;
+      break;
     case F_CUT:
     case F_BLACKHOLE:
     case F_ONEWAY: pairlinks(T, f->a, f->b, "pass", true); break;
--- a/bench/bblab.c
+++ b/bench/bblab.c
@@ -17,6 +17,8 @@
 
 #define READY_MS 60000
 #define LINE_BYTES 262144
+#define PORT_FIRST 10000
+#define PORTS 20000
 
 extern char **environ;
 
@@ -245,16 +247,23 @@
 
 /* {== Routers ========================================================== */
 
-/* A port that is free now; the router takes it when it starts. */
+/*
+** A port that is free now; the router takes it when it starts. It is below
+** the range that the system hands out, so that nobody gets it meanwhile.
+*/
 static uint16_t freeport (void) {
-  struct sockaddr_in a = {.sin_family = AF_INET};
-  socklen_t n = sizeof a;
-  int fd = socket(AF_INET, SOCK_STREAM, 0);
-  a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  bind(fd, (struct sockaddr *)&a, sizeof a);
-  getsockname(fd, (struct sockaddr *)&a, &n);
-  close(fd);
-  return ntohs(a.sin_port);
+  static uint64_t state;
+  if (state == 0) state = mtV_mix(uv_hrtime(), (uint64_t)getpid());
+  for (;;) {
+    struct sockaddr_in a = {.sin_family = AF_INET};
+    uint16_t port = (uint16_t)(PORT_FIRST + mtV_random(&state) % PORTS);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    a.sin_port = htons(port);
+    int rc = bind(fd, (struct sockaddr *)&a, sizeof a);
+    close(fd);
+    if (rc == 0) return port;
+  }
 }
 
 static void writesettings (bb_lab_t *lab, size_t i) {
--- a/src/mtcall.c
+++ b/src/mtcall.c
@@ -104,6 +104,16 @@
          strncasecmp(h->name->base, name, h->name->len) == 0;
 }
 
+/* A header's number; -1 when it is none. */
+static int64_t number (mt_bytes_t v) {
+  int64_t n = 0;
+  for (size_t i = 0; i < v.n; i++) {
+    if (v.p[i] < '0' || v.p[i] > '9' || n > INT64_MAX / 16) return -1;
+    n = n * 10 + (v.p[i] - '0');
+  }
+  return v.n > 0 ? n : -1;
+}
+
 static h2o_http1client_body_cb
 onhead (h2o_http1client_t *client, const char *errstr, int minor, int status,
         h2o_iovec_t msg, h2o_header_t *headers, size_t nheaders, int rlen) {
@@ -120,10 +130,12 @@
                     .status = status,
                     .type = {"", 0},
                     .revision = {"", 0}};
+  ev.length = -1;
   for (size_t i = 0; i < nheaders; i++) {
     mt_bytes_t v = {headers[i].value.base, headers[i].value.len};
     if (named(&headers[i], "content-type")) ev.type = v;
     if (named(&headers[i], "x-revision")) ev.revision = v;
+    if (named(&headers[i], "content-length")) ev.length = number(v);
     if (named(&headers[i], "x-outcome"))
       c->outcome = v.n == 7 && memcmp(v.p, "not-run", 7) == 0
                        ? MT_SAID_NOTRUN
--- a/src/mtcall.h
+++ b/src/mtcall.h
@@ -31,6 +31,7 @@
   int status;
   mt_bytes_t type;     /* HEAD: content type */
   mt_bytes_t revision; /* HEAD: x-revision */
+  int64_t length;      /* HEAD: bytes that will come, -1: not told */
   mt_said_t outcome;   /* END: what the head's x-outcome said */
   mt_bytes_t data;     /* BODY */
   bool notsent;        /* FAILED: no byte of the request went out */
--- a/src/mtfront.c
+++ b/src/mtfront.c
@@ -33,6 +33,7 @@
   mt_attempt_t *attempt;
   uint32_t number; /* of the attempt */
   int status;
+  int64_t length; /* of the answer, -1: not told */
   char ctype[128];
   char *record; /* the answer so far, for those that join */
   size_t nrecord, record_cap;
@@ -168,6 +169,7 @@
   }
   const mt_target_t *t = mtF_target(c->O->X->S->fleet, from->token.target);
   if (t != NULL) h[n++] = (mt_header_t){"x-served-by", t->name};
+  if (from->length >= 0) mtB_length(c->r, (size_t)from->length);
   mtB_begin(c->r, from->status, h, n);
 }
 
@@ -215,6 +217,7 @@
   switch (ev->kind) {
     case MT_ATT_HEAD:
       c->status = ev->status;
+      c->length = ev->length;
       snprintf(c->ctype, sizeof c->ctype, "%.*s", (int)ev->type.n,
                ev->type.p);
       beginanswer(c, c);
--- a/src/mtops.c
+++ b/src/mtops.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <unistd.h>
 
 #include "mtmember.h"
 #include "mtops.h"
@@ -85,6 +86,16 @@
   }
 }
 
+/* What this process holds now; the most it held would count its parent's. */
+static long residentbytes (void) {
+  long total = 0, resident = 0;
+  FILE *f = fopen("/proc/self/statm", "r");
+  if (f == NULL) return 0;
+  if (fscanf(f, "%ld %ld", &total, &resident) != 2) resident = 0;
+  fclose(f);
+  return resident * sysconf(_SC_PAGESIZE);
+}
+
 static void putgauges (text_t *t, const mt_router_t *X) {
   const mt_state_t *S = X->S;
   struct rusage ru;
@@ -97,7 +108,7 @@
   put(t, "martentiller_requests_waiting %zu\n", S->edge.waiting);
   put(t, "martentiller_requests_running %zu\n", S->edge.inprogress);
   put(t, "martentiller_cpu_seconds_total %.3f\n", cpu);
-  put(t, "martentiller_memory_bytes %ld\n", ru.ru_maxrss * 1024L);
+  put(t, "martentiller_memory_bytes %ld\n", residentbytes());
   put(t, "martentiller_boot %llu\n", (unsigned long long)X->boot);
 }
 
--- a/src/mttarget.c
+++ b/src/mttarget.c
@@ -21,22 +21,27 @@
   mt_addr_t addr;
   uint64_t id;
   mt_poolkind_t kind;
+  bool done;           /* the stream has said that it is whole */
   bool stream, events; /* the answer is a stream of events */
   int64_t prompt, output;
+  int status;
   char *line; /* the event line, or the whole answer, so far */
   size_t n, cap;
 };
 
 /* {== Reading answers ================================================== */
 
-static void readusage (mt_attempt_t *a, const char *p, size_t n) {
+/* Learns the usage; false when the text is not whole. */
+static bool readusage (mt_attempt_t *a, const char *p, size_t n) {
   json_t *doc = json_loadb(p, n, 0, NULL);
   const json_t *usage = json_object_get(doc, "usage");
   if (json_is_object(usage)) {
     a->prompt = mtJ_int(usage, "prompt_tokens", -1);
     a->output = mtJ_int(usage, "completion_tokens", -1);
   }
+  bool whole = doc != NULL;
   json_decref(doc);
+  return whole;
 }
 
 static bool contains (const char *p, size_t n, const char *what) {
@@ -50,6 +55,7 @@
     return 0;
   const char *p = a->line + sizeof head - 1;
   size_t n = a->n - (sizeof head - 1);
+  if (contains(p, n, "[DONE]")) a->done = true;
   if (contains(p, n, "\"usage\":{")) {
     readusage(a, p, n);
     return 0;
@@ -102,10 +108,13 @@
     freeattempt(a);
     return;
   }
+  a->status = ev->status;
   a->events =
       ev->type.n >= 17 && memcmp(ev->type.p, "text/event-stream", 17) == 0;
-  mt_attev_t out = {
-      .kind = MT_ATT_HEAD, .status = ev->status, .type = ev->type};
+  mt_attev_t out = {.kind = MT_ATT_HEAD,
+                    .status = ev->status,
+                    .type = ev->type,
+                    .length = ev->length};
   a->fn(a->ud, &out);
 }
 
@@ -118,6 +127,15 @@
   a->fn(a->ud, &out);
 }
 
+/*
+** h2o takes a connection that closes between two chunks for a whole answer.
+** So a stream must have said that it is done, and an answer must be JSON.
+*/
+static bool complete (mt_attempt_t *a) {
+  if (a->kind != MT_POOL_MODEL || a->status != 200) return true;
+  return a->events ? a->done : a->n == 0 || readusage(a, a->line, a->n);
+}
+
 static void oncall (void *ud, mt_call_t *call, const mt_callev_t *ev) {
   (void)call;
   mt_attempt_t *a = ud;
@@ -126,8 +144,10 @@
     case MT_CALL_HEAD: onhead(a, ev); return;
     case MT_CALL_BODY: onbody(a, ev); return;
     case MT_CALL_END:
-      if (!a->events && a->kind == MT_POOL_MODEL && a->n > 0)
-        readusage(a, a->line, a->n);
+      if (!complete(a)) {
+        out = (mt_attev_t){.kind = MT_ATT_FAILED};
+        break;
+      }
       out.prompt = a->prompt;
       out.output = a->output;
       break;
--- a/src/mttarget.h
+++ b/src/mttarget.h
@@ -21,6 +21,7 @@
   mt_attkind_t kind;
   int status;             /* HEAD */
   mt_bytes_t type;        /* HEAD */
+  int64_t length;         /* HEAD: bytes that will come, or -1 */
   mt_bytes_t data;        /* CHUNK */
   int64_t tokens;         /* CHUNK */
   int64_t prompt, output; /* END: as the target reports, or -1 */
--- a/src/mtweb.c
+++ b/src/mtweb.c
@@ -108,6 +108,10 @@
   h2o_start_response(r->req, &r->generator);
 }
 
+void mtB_length (mt_webreq_t *r, size_t n) {
+  r->req->res.content_length = n;
+}
+
 void mtB_write (mt_webreq_t *r, const char *p, size_t n) {
   if (r->ending || r->ended || n == 0) return;
   append(r, p, n);
--- a/src/mtweb.h
+++ b/src/mtweb.h
@@ -61,6 +61,9 @@
 void mtB_reply (mt_webreq_t *r, int status, const mt_header_t *h, size_t n,
                 const char *body, size_t size);
 
+/* Says how long the answer will be; before mtB_begin. */
+void mtB_length (mt_webreq_t *r, size_t n);
+
 /* An answer in parts. */
 void mtB_begin (mt_webreq_t *r, int status, const mt_header_t *h, size_t n);
 void mtB_write (mt_webreq_t *r, const char *p, size_t n);
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -331,6 +331,25 @@
             403);
 }
 
+// h2o takes a connection that closes between two chunks for a whole answer.
+TEST(Fleet, AStreamThatItsEngineCutsOffIsNotPassedOnAsWhole) {
+  Lab f(spec(1, 1, 1));
+  bb_load_t *L = bb_load(f.lab, 1);
+  bb_flow_t flow{};
+  flow.workspace = 1;
+  flow.concurrency = 4;
+  flow.shorttokens = 400;
+  bb_flow(L, &flow);
+  ASSERT_TRUE(f.until([&] { return bb_seen(L, 0)->tokens > 40; }));
+  bb_stopflow(L, -1);
+  bb_end(f->engines[0].proc, SIGKILL);
+  ASSERT_TRUE(bb_idle(L, 30000));
+  EXPECT_LT(bb_seen(L, 0)->tokens, 1600);
+  EXPECT_EQ(bb_metric(f.lab, 0, "answers_total"), 0);
+  EXPECT_EQ(bb_metric(f.lab, 0, "refusals_total{reason=\"target_lost\"}"), 4);
+  bb_endload(L);
+}
+
 TEST(Fleet, APlannedStopCutsNothingOff) {
   Lab f(spec(2, 1, 1));
   bb_load_t *L = bb_load(f.lab, 1);
