Watches name the store's own revision

Cause (found by 'bench config'): a watch asked for anything newer than the configuration's revision, but the store counts its own, which is larger; so every watch came back at once and was asked again 20 times a second. Change: the store's revision of the head is kept and named.

--- a/bench/bbcost.c
+++ b/bench/bbcost.c
@@ -260,6 +260,68 @@
 
 /* }== */
 
+/* {== config =========================================================== */
+
+/* Calls that the store has counted. */
+static double storecalls (bb_lab_t *lab) {
+  json_t *c = bb_json(lab, &lab->store, "/counts");
+  double n = (double)(mtJ_int(c, "reads", 0) + mtJ_int(c, "writes", 0) +
+                      mtJ_int(c, "watches", 0));
+  json_decref(c);
+  return n;
+}
+
+/* Time from the end of a publication until it is in force on every router. */
+static double inforce (bb_lab_t *lab, int64_t revision) {
+  char file[300], name[32], *out;
+  snprintf(file, sizeof file, "%s/p.lua", lab->dir);
+  FILE *f = fopen(file, "w");
+  fprintf(f, "function order(r) return 1 end\n");
+  fclose(f);
+  snprintf(name, sizeof name, "x%lld", (long long)revision);
+  const char *args[] = {"policy", "publish", name, file, NULL};
+  if (bb_cli(lab, args, &out) != 0) printf("%s", out);
+  free(out);
+  uint64_t begun = uv_hrtime();
+  for (size_t i = 0; i < lab->nrouters;) {
+    if (bb_metric(lab, i, "config_revision") >= (double)revision)
+      i++;
+    else
+      bb_run(lab, 10);
+  }
+  return (double)(uv_hrtime() - begun) / 1e9;
+}
+
+int bb_config (const bb_options_t *o) {
+  static const int sizes[][2] = {{8, 4}, {24, 8}, {60, 20}};
+  for (size_t k = 0; k < mt_countof(sizes); k++) {
+    bb_spec_t spec = {.domains = sizes[k][1],
+                      .routers = sizes[k][0],
+                      .engines = 24,
+                      .slots = 4,
+                      .rate = 100};
+    spec.workspaces = 2500;
+    bb_lab_t *lab = bb_start(o->bin, &spec);
+    double took[8];
+    char name[64];
+    for (int i = 0; i < 8; i++) took[i] = inforce(lab, i + 2);
+    double before = storecalls(lab);
+    bb_run(lab, 10000);
+    double calls = (storecalls(lab) - before) / 10;
+    snprintf(name, sizeof name, "in_force_most_%d", sizes[k][0]);
+    bb_line(name, bb_percentile(took, 8, 1), "s");
+    snprintf(name, sizeof name, "in_force_median_%d", sizes[k][0]);
+    bb_line(name, took[4], "s");
+    snprintf(name, sizeof name, "store_calls_quiet_%d", sizes[k][0]);
+    bb_line(name, calls, "calls/s");
+    bb_stop(lab);
+  }
+  bb_summary(o);
+  return 0;
+}
+
+/* }== */
+
 /* {== failover ========================================================= */
 
 /* Tokens that arrive in each slice after the scheduler's router is killed. */
--- a/bench/bbmain.c
+++ b/bench/bbmain.c
@@ -28,6 +28,8 @@
      "time until grants flow after a scheduler is killed"},
     {"faults", bb_faults,
      "seeded faults under load, promises checked; --repeat RUNS"},
+    {"config", bb_config,
+     "time until a change is in force; calls to the store"},
 };
 
 static int usage (void) {
--- a/bench/bbrun.h
+++ b/bench/bbrun.h
@@ -26,5 +26,6 @@
 int bb_scale (const bb_options_t *o);
 int bb_failover (const bb_options_t *o);
 int bb_faults (const bb_options_t *o);
+int bb_config (const bb_options_t *o);
 
 #endif
--- a/src/mtconf.c
+++ b/src/mtconf.c
@@ -235,6 +235,7 @@
   S->conf.nextpoll = S->now;
   if (ev->u.stored.status == 200) {
     S->conf.seen = true;
+    S->conf.written = mt_max(S->conf.written, ev->u.stored.written);
     mtK_head(S, 0, ev->u.stored.revision, ev->u.stored.text);
   } else if (ev->u.stored.status == 0) {
     S->conf.nextpoll =
@@ -306,8 +307,7 @@
   if (S->conf.watching || S->now < S->conf.nextpoll) return;
   if (iswatcher(S) && S->conf.seen) {
     S->conf.watching = true;
-    mtR_effect(S, MT_FX_WATCH, 0)->u.revision =
-        mt_max(S->conf.revision, S->conf.refused);
+    mtR_effect(S, MT_FX_WATCH, 0)->u.revision = S->conf.written;
   } else if (!S->conf.seen || S->conf.revision == 0) {
     S->conf.watching = true;
     mtR_effect(S, MT_FX_GETHEAD, 0);
--- a/src/mtevent.h
+++ b/src/mtevent.h
@@ -75,8 +75,9 @@
       const mt_msg_t *msg;
     } peer;
     struct {
-      int status; /* 200, 404 none yet, 0 out of reach */
-      int64_t revision;
+      int status;       /* 200, 404 none yet, 0 out of reach */
+      int64_t revision; /* of the configuration */
+      int64_t written;  /* the store's own, of the head */
       mt_bytes_t text;
     } stored;
     struct {
@@ -134,7 +135,7 @@
       char *bytes; /* owned by the effect */
       size_t n;
     } send;
-    int64_t revision;               /* WATCH: wait for a newer one */
+    int64_t revision; /* WATCH: the store's own; wait for a newer one */
     char digest[MT_DIGEST_HEX + 1]; /* GETPART */
     uint64_t claim;                 /* CLAIM, RELEASE: its key */
     struct {
--- a/src/mtrouter.c
+++ b/src/mtrouter.c
@@ -43,6 +43,7 @@
   mt_event_t ev = {.kind = MT_EV_STORED};
   ev.u.stored.status = a->status;
   ev.u.stored.text = a->text;
+  ev.u.stored.written = a->revision;
   if (a->status == 200) ev.u.stored.revision = headrevision(a->text);
   mtX_step(k->X, &ev);
   free(k);
--- a/src/mtstate.h
+++ b/src/mtstate.h
@@ -211,6 +211,7 @@
   int64_t wanted;   /* of the head being completed; 0: none */
   char *head, *wantedhead;
   mt_map_t parts;  /* hash of digest -> text, owned */
+  int64_t written; /* the store's own revision of the head last seen */
   int64_t refused; /* the last revision that could not be read */
   mt_id_t wantedfrom;
   mt_ms_t adopted, nextpoll, asked;
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -205,6 +205,22 @@
   EXPECT_EQ(r.S->conf.revision, 7);
 }
 
+// A watch that named the configuration's revision came back at once, always.
+TEST(Config, TheWatchNamesTheStoresOwnRevision) {
+  Router r;
+  mt_event_t ev{};
+  ev.kind = MT_EV_STORED;
+  ev.u.stored.status = 200;
+  ev.u.stored.revision = 3;
+  ev.u.stored.written = 40;
+  std::string head = "{\"revision\":3,\"sections\":{}}";
+  ev.u.stored.text = bytesof(head);
+  r.step(ev);
+  r.tick();
+  ASSERT_NE(r.find(MT_FX_WATCH, 0), nullptr);
+  EXPECT_EQ(r.find(MT_FX_WATCH, 0)->u.revision, 40);
+}
+
 TEST(Leaving, ATargetThatLeavesGetsNothingNew) {
   Fleet f;
   f.target("e1", "d0", 1);
