--- a/Makefile
+++ b/Makefile
@@ -81,7 +81,7 @@
 
 # A short run from the committed corpus, the same every time.
 fuzzcheck: $(B)/fuzz
-	mkdir -p $(B)/corpus
+	rm -rf $(B)/corpus && mkdir -p $(B)/corpus
 	$(B)/fuzz -runs=$(FUZZRUNS) -seed=1 -max_len=4096 -timeout=20 -print_final_stats=0 -verbosity=0 $(B)/corpus tests/corpus
 
 # A long one; what it finds goes to tests/corpus with its fix.
