--- a/src/mtpolicy.c
+++ b/src/mtpolicy.c
@@ -412,20 +412,21 @@
   return F;
 }
 
-static bool tryrequest (mt_program_t *p, mt_call_t *c, int i,
+static bool tryrequest (mt_program_t *p, const mt_call_t *on, int i,
                         mt_fault_t *fault) {
   mt_choice_t choice;
+  mt_call_t c = *on;
   mt_pask_t ask = {.workspace = i % 3 ? "dry-run" : "w",
                    .model = {"dry-run", 7}};
   ask.stream = i & 1;
   ask.session = i & 2;
   ask.promptbytes = i & 4 ? 200000 : 20;
   ask.maxtokens = i & 8 ? 4096 : 0;
-  if (c->F->ntargets > 0)
-    ask.domain = c->F->targets[(size_t)i % c->F->ntargets].domainid;
-  c->ask = &ask;
-  c->out = &choice;
-  return decide(p, c, fault) == MT_P_OK;
+  if (c.F->ntargets > 0)
+    ask.domain = c.F->targets[(size_t)i % c.F->ntargets].domainid;
+  c.ask = &ask;
+  c.out = &choice;
+  return decide(p, &c, fault) == MT_P_OK;
 }
 
 static bool trypools (mt_program_t *p, const mt_fleet_t *F, mt_trial_t trial,
