--- a/src/mtweb.c
+++ b/src/mtweb.c
@@ -69,8 +69,11 @@
   mt_webreq_t *r = (mt_webreq_t *)g;
   r->busy = false;
   r->nsending = 0;
-  flush(r);
-  if (!r->busy && !r->ended && r->drained && r->ud) r->drained(r->ud, r);
+  if (r->npending > 0 || r->ending || r->aborted) {
+    flush(r); /* the last one ends the request, and `r` with it */
+    return;
+  }
+  if (!r->ended && r->drained && r->ud) r->drained(r->ud, r);
 }
 
 static void onstop (h2o_generator_t *g, h2o_req_t *req) {
