A declined offer no longer ends the router that passed it on

Change: only a target of one's own is held back. Before: Leaving.AnOfferOfALeavingTargetIsDeclined ends by the assertion; after: passes.

--- a/src/mtsched.c
+++ b/src/mtsched.c
@@ -316,7 +316,7 @@
   for (size_t i = 0; i < G->nunseen; i++) {
     if (G->unseen[i].id != t->grant) continue;
     if (!t->used) mtR_count(S, MT_C_GRANTS_UNUSED);
-    if (t->used == MT_TAKEN_UNREACHABLE)
+    if (t->used == MT_TAKEN_UNREACHABLE && G->unseen[i].target != 0)
       mtV_put(&G->held, G->unseen[i].target,
               (void *)(uintptr_t)(S->now + MT_HOLD_MS));
     if (t->used == MT_TAKEN_UNUSED)
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -240,6 +240,36 @@
   EXPECT_EQ(used, std::set<mt_id_t>{mtV_id("e1", 2)});
 }
 
+// A slot offered by another domain whose target turns out to be leaving.
+TEST(Leaving, AnOfferOfALeavingTargetIsDeclined) {
+  Fleet f;
+  f.target("e1", "d0", 1);
+  f.target("e9", "d9", 1, "p", true);
+  f.workspace("w1");
+  Router r;
+  r.configure(f, 1);
+  r.tick();
+  r.ask(1, "w1");
+  r.ask(2, "w1"); // waits
+  mt_msg_t m{};
+  m.kind = MT_M_OFFER;
+  m.u.grant.domain = mtV_id("d9", 2);
+  m.u.grant.todomain = mtV_id("d0", 2);
+  m.u.grant.pool = mtV_id("p", 1);
+  m.u.grant.issuer = 999;
+  m.u.grant.target = mtV_id("e9", 2);
+  m.u.grant.ws = mtV_id("w1", 2);
+  m.u.grant.id = 5;
+  mt_event_t ev{};
+  ev.kind = MT_EV_PEER;
+  ev.u.peer.from = 999;
+  ev.u.peer.msg = &m;
+  r.step(ev);
+  EXPECT_EQ(r.find(MT_FX_START, 2), nullptr);
+  r.ended(1, 1, 4);
+  EXPECT_NE(r.find(MT_FX_START, 2), nullptr) << "still served at home";
+}
+
 TEST(Policy, ChoosesTargetsAndAFailureFallsBack) {
   struct Row {
     const char *program;
