--- a/src/mtmsg.c
+++ b/src/mtmsg.c
@@ -316,6 +316,7 @@
   d->pool = getid(c);
   d->full = (uint8_t)getuint(c, 1);
   d->boot = getuint(c, UINT64_MAX);
+  if (d->domain == 0 || d->pool == 0) fail(c, MT_MSG_RANGE);
   getrows(c, &d->rows, &d->nrows);
   cursor_t in = getarray(c, 2 * MT_MAX_TARGETS);
   while (in.left > 0 && in.err == MT_MSG_OK) {
@@ -342,6 +343,7 @@
   g->ws = getid(c);
   g->id = getuint(c, UINT64_MAX);
   g->echo = getuint(c, UINT64_MAX);
+  if (g->domain == 0 || g->pool == 0) fail(c, MT_MSG_RANGE);
 }
 
 static void getexchange (cursor_t *c, mt_exchange_t *x) {
@@ -353,6 +355,8 @@
   x->echo = (uint8_t)getuint(c, 1);
   x->full = (uint8_t)getuint(c, 1);
   x->vtime = getunits(c);
+  if (x->domain == 0 || x->pool == 0 || x->todomain == 0)
+    fail(c, MT_MSG_RANGE);
   getrows(c, &x->rows, &x->nrows);
 }
 
