Read once more: one name for the baselines, one list of domains, plainer names

Cause: the same tests and loops stood twice (baselines without exchange, the enumeration of domains, letting followers go, matching a call in the stand-ins), a parameter was const and written, some names were our own (lot, knock, appointed). Change: one place each; standard names.

--- a/src/mtedge.c
+++ b/src/mtedge.c
@@ -102,7 +102,7 @@
 ** Where a session goes that this router has not seen: the same target at
 ** every router, by rendezvous hashing, in proportion to the speeds.
 */
-static mt_id_t appointed (mt_state_t *S, uint64_t session, mt_id_t pool) {
+static mt_id_t defaulthome (mt_state_t *S, uint64_t session, mt_id_t pool) {
   uint64_t best = 0;
   mt_id_t home = 0;
   for (size_t i = 0; i < S->fleet->ntargets; i++) {
@@ -124,7 +124,7 @@
   mt_id_t known = (mt_id_t)(uintptr_t)mtV_get(&S->edge.sessions, session);
   const mt_target_t *t = known ? mtF_target(S->fleet, known) : NULL;
   if (t != NULL && t->pool == pool && !t->leaving) return known;
-  return appointed(S, session, pool);
+  return defaulthome(S, session, pool);
 }
 
 static uint64_t setdigest (const mt_id_t *ids, size_t n) {
--- a/src/mtfront.c
+++ b/src/mtfront.c
@@ -141,15 +141,17 @@
   answererror(r, why, mtA_refusal(why)->notrun, detail);
 }
 
-static void refuse (conn_t *c, mt_refusal_t why, bool notrun) {
-  while (c->followers != NULL) {
-    conn_t *f = c->followers;
-    mt_webreq_t *r = f->r;
-    freeconn(f);
-    if (r != NULL) answererror(r, why, notrun, NULL);
-  }
+/* Frees a request; its caller, if still there, is left to be answered. */
+static mt_webreq_t *letgo (conn_t *c) {
   mt_webreq_t *r = c->r;
   freeconn(c);
+  return r;
+}
+
+/* Refuses a request and those that wait for the same answer. */
+static void refuse (conn_t *c, mt_refusal_t why, bool notrun) {
+  while (c->followers != NULL) refuse(c->followers, why, notrun);
+  mt_webreq_t *r = letgo(c);
   if (r != NULL) answererror(r, why, notrun, NULL);
 }
 
@@ -194,18 +196,8 @@
 }
 
 static void finish (conn_t *c, bool whole) {
-  while (c->followers != NULL) {
-    conn_t *f = c->followers;
-    mt_webreq_t *r = f->r;
-    freeconn(f);
-    if (r == NULL) continue;
-    if (whole)
-      mtB_end(r);
-    else
-      mtB_abort(r);
-  }
-  mt_webreq_t *r = c->r;
-  freeconn(c);
+  while (c->followers != NULL) finish(c->followers, whole);
+  mt_webreq_t *r = letgo(c);
   if (r == NULL) return;
   if (whole)
     mtB_end(r);
--- a/src/mtlimits.h
+++ b/src/mtlimits.h
@@ -46,7 +46,7 @@
 #define MT_FORGET_MS 600000     /* time a dead member is remembered */
 #define MT_PAUSE_MS 1200        /* gap between ticks that is a pause */
 #define MT_DEMAND_MS 1000       /* full demand report */
-#define MT_LOT_MS 200           /* charges and counts that can wait */
+#define MT_BATCH_MS 200         /* charges and counts that can wait */
 #define MT_EXCHANGE_MIN_MS 50   /* totals between domains, at most */
 #define MT_EXCHANGE_MAX_MS 1000 /* and at least this often */
 #define MT_EXCHANGE_BYTES 4000  /* a second, of one scheduler */
--- a/src/mtmember.c
+++ b/src/mtmember.c
@@ -239,11 +239,13 @@
   return 0;
 }
 
-size_t mtM_domains (mt_state_t *S, mt_id_t *out) {
+/* The domains with members that are no further gone than `worst`. */
+static size_t domainsof (mt_state_t *S, mt_memberstate_t worst,
+                         mt_id_t *out) {
   size_t n = 0;
   mtV_each (&S->members.byid, i) {
     const mt_member_t *m = S->members.byid.vals[i];
-    if (m->node.state >= MT_LEFT) continue;
+    if (m->node.state > worst) continue;
     size_t j = 0;
     while (j < n && out[j] != m->domain) j++;
     if (j == n && n < MT_MAX_DOMAINS) out[n++] = m->domain;
@@ -251,6 +253,10 @@
   return n;
 }
 
+size_t mtM_domains (mt_state_t *S, mt_id_t *out) {
+  return domainsof(S, MT_LEAVING, out);
+}
+
 /* }== */
 
 /* {== Clock ============================================================ */
@@ -341,13 +347,7 @@
     gate |= mtM_ranked(S, self->domain, MT_ROLE_GATE, r) == self->id;
   if (!gate) return;
   mt_id_t domains[MT_MAX_DOMAINS];
-  size_t n = 0;
-  mtV_each (&S->members.byid, i) {
-    const mt_member_t *m = S->members.byid.vals[i];
-    size_t j = 0;
-    while (j < n && domains[j] != m->domain) j++;
-    if (j == n && n < MT_MAX_DOMAINS) domains[n++] = m->domain;
-  }
+  size_t n = domainsof(S, MT_DEAD, domains);
   for (size_t i = 0; i < n; i++) {
     if (domains[i] == self->domain) continue;
     judgedomain(S, domains[i]);
@@ -369,8 +369,8 @@
   }
 }
 
-/* Knocks at the seeds that no known router answers for. */
-static void knock (mt_state_t *S) {
+/* Contacts the seeds that no known router answers for. */
+static void contactseeds (mt_state_t *S) {
   for (size_t i = 0; i < S->set.nseeds; i++) {
     const mt_addr_t *a = &S->set.seeds[i];
     bool known = false;
@@ -401,7 +401,7 @@
             (unsigned long long)gap);
   }
   if (S->now >= S->members.nextcross) {
-    knock(S);
+    contactseeds(S);
     forget(S);
   }
   beatdomain(S);
--- a/src/mtqueue.c
+++ b/src/mtqueue.c
@@ -45,7 +45,7 @@
 
 /*
 ** A queue has changed. Its scheduler hears of it at once when that may lead
-** to a grant, else with the next lot.
+** to a grant, else with the next batch.
 */
 static void touch (mt_state_t *S, mt_queue_t *q, bool atonce) {
   mt_link_t *l = getlink(S, S->members.self->domain, q->pool);
@@ -186,15 +186,14 @@
   return c;
 }
 
-void mtQ_running (mt_state_t *S, const mt_req_t *r, int change) {
+void mtQ_running (mt_state_t *S, mt_req_t *r, int change) {
   mt_queue_t *q = mtQ_get(S, r->ws, r->pool);
-  mt_req_t *w = (mt_req_t *)r;
   if (change > 0) {
-    w->charged = 0;
-    setrest(S, q, w, 0);
+    r->charged = 0;
+    setrest(S, q, r, 0);
   } else {
-    q->pending -= w->rest;
-    w->rest = 0;
+    q->pending -= r->rest;
+    r->rest = 0;
   }
   q->running += change;
   S->edge.inprogress += (size_t)change;
@@ -205,9 +204,8 @@
   else
     mtV_del(&S->edge.running, r->target);
   const mt_target_t *t = mtF_target(S->fleet, r->target);
-  bool alone = S->set.nosharing || S->set.fifo;
   mt_id_t own = S->members.self->domain;
-  mt_link_t *l = getlink(S, t && !alone ? t->domainid : own, r->pool);
+  mt_link_t *l = getlink(S, t && !mtR_alone(S) ? t->domainid : own, r->pool);
   *mtV_push(l->targets, l->ntargets, l->targets_cap) = r->target;
 }
 
@@ -303,15 +301,15 @@
     const mt_target_t *t =
         mtF_target(S->fleet, (mt_id_t)S->edge.running.keys[i]);
     if (t != NULL && t->pool == l->pool &&
-        (t->domainid == l->domain || S->set.nosharing || S->set.fifo))
+        (t->domainid == l->domain || mtR_alone(S)))
       addrunning(S, d, t->id);
   }
 }
 
 static void fillchanges (mt_state_t *S, const mt_link_t *l, mt_demand_t *d,
-                         bool lot) {
+                         bool batch) {
   for (size_t i = 0; i < l->nqueues; i++)
-    if (lot || l->queues[i]->atonce)
+    if (batch || l->queues[i]->atonce)
       fillrow(S, l->queues[i], mtV_push(d->rows, d->nrows, d->rows_cap));
   for (size_t i = 0; i < l->ntargets; i++) addrunning(S, d, l->targets[i]);
 }
@@ -323,10 +321,10 @@
 }
 
 static void sendone (mt_state_t *S, mt_link_t *l, int rank, bool full,
-                     bool lot) {
-  bool alone = S->set.nosharing || S->set.fifo;
-  mt_id_t to = alone ? (rank ? 0 : S->members.self->id)
-                     : mtM_ranked(S, l->domain, MT_ROLE_POOL(l->pool), rank);
+                     bool batch) {
+  mt_id_t to = mtR_alone(S)
+                   ? (rank ? 0 : S->members.self->id)
+                   : mtM_ranked(S, l->domain, MT_ROLE_POOL(l->pool), rank);
   if (to == 0 || (rank > 0 && to == l->told[0])) return;
   bool fresh = l->told[rank] != to;
   full |= fresh;
@@ -340,7 +338,7 @@
   if (full)
     fillfull(S, l, d, fresh);
   else
-    fillchanges(S, l, d, lot);
+    fillchanges(S, l, d, batch);
   if (rank == 0) {
     d->taken = l->taken;
     d->ntaken = l->ntaken;
@@ -354,7 +352,8 @@
   free(d->running);
 }
 
-/* Drops from the list what has been told; the rest waits for the next lot. */
+/* Drops from the list what has been told; the rest waits for the next batch.
+ */
 static void cleartold (mt_link_t *l, bool all) {
   size_t kept = 0;
   for (size_t i = 0; i < l->nqueues; i++) {
@@ -370,13 +369,13 @@
   l->atonce = false;
 }
 
-static void sendlink (mt_state_t *S, mt_link_t *l, bool full, bool lot) {
+static void sendlink (mt_state_t *S, mt_link_t *l, bool full, bool batch) {
   if (S->fleet == NULL) return;
   for (int rank = 0; rank < MT_REPLICAS; rank++)
-    sendone(S, l, rank, full, lot);
-  cleartold(l, full || lot);
+    sendone(S, l, rank, full, batch);
+  cleartold(l, full || batch);
   if (full) l->lastfull = S->now;
-  if (full || lot) l->lastlot = S->now;
+  if (full || batch) l->lastbatch = S->now;
 }
 
 void mtQ_report (mt_state_t *S) {
@@ -394,8 +393,8 @@
     bool moved = first != 0 && first != l->told[0] && l->told[0] != 0;
     if (moved) l->idlefulls = IDLE_FULLS;
     bool due = l->idlefulls > 0 && S->now - l->lastfull >= MT_DEMAND_MS;
-    bool lot = l->nqueues > 0 && S->now - l->lastlot >= MT_LOT_MS;
-    if (moved || due || lot) sendlink(S, l, moved || due, lot);
+    bool batch = l->nqueues > 0 && S->now - l->lastbatch >= MT_BATCH_MS;
+    if (moved || due || batch) sendlink(S, l, moved || due, batch);
   }
 }
 
--- a/src/mtqueue.h
+++ b/src/mtqueue.h
@@ -20,7 +20,7 @@
 mt_req_t *mtQ_take (mt_state_t *S, mt_id_t ws, mt_id_t pool, mt_id_t target);
 
 /* A request begins or stops to occupy a target. */
-void mtQ_running (mt_state_t *S, const mt_req_t *r, int change);
+void mtQ_running (mt_state_t *S, mt_req_t *r, int change);
 
 /* Charges a running request up to `cost` (pool units) in all. */
 void mtQ_charge (mt_state_t *S, mt_req_t *r, int64_t cost);
--- a/src/mtsched.c
+++ b/src/mtsched.c
@@ -31,13 +31,8 @@
   return G;
 }
 
-/* A baseline without exchange: every router decides for itself alone. */
-static bool alone (const mt_state_t *S) {
-  return S->set.nosharing || S->set.fifo;
-}
-
 static bool shouldlead (mt_state_t *S, mt_id_t domain, mt_id_t pool) {
-  if (alone(S)) return true;
+  if (mtR_alone(S)) return true;
   return mtM_ranked(S, domain, MT_ROLE_POOL(pool), 0) == S->members.self->id;
 }
 
@@ -97,7 +92,7 @@
   for (size_t i = 0; i < S->fleet->ntargets && n < MT_POOL_TARGETS; i++) {
     const mt_target_t *t = &S->fleet->targets[i];
     if (t->pool != G->pool || t->leaving) continue;
-    if (t->domainid != G->domain && !alone(S)) continue;
+    if (t->domainid != G->domain && !mtR_alone(S)) continue;
     if (held(S, G, t->id)) continue;
     int r = room(S, G, t);
     if (r < 0) mtA_add(&S->counts, MT_C_OVERCOMMIT, -r);
@@ -253,7 +248,7 @@
 
 /* True once every live router of the domain has reported in full. */
 static bool knows (mt_state_t *S, mt_sched_t *G) {
-  if (G->ready || alone(S)) return true;
+  if (G->ready || mtR_alone(S)) return true;
   if (S->now < S->members.staleuntil) return false;
   if (S->now - G->since >= READY_MS) return true;
   mtV_each (&S->members.byid, i) {
@@ -401,7 +396,7 @@
     expire(S, G);
     mtS_expire(S, G);
     if (G->primary) G->dirty = true;
-    if (!G->primary || alone(S) || S->now < G->nextexchange) continue;
+    if (!G->primary || mtR_alone(S) || S->now < G->nextexchange) continue;
     bool full = S->now >= G->nextfull;
     if (full) G->nextfull = S->now + FULL_MS;
     mtS_tell(S, G, full);
--- a/src/mtstate.h
+++ b/src/mtstate.h
@@ -175,7 +175,7 @@
 typedef struct mt_link_t {
   mt_id_t domain, pool;
   mt_id_t told[MT_REPLICAS]; /* routers that have had a full report */
-  mt_ms_t lastfull, lastlot;
+  mt_ms_t lastfull, lastbatch;
   bool atonce;
   int idlefulls;       /* full reports still due after work has ended */
   mt_queue_t **queues; /* that changed since the last report */
@@ -251,6 +251,8 @@
 /* {== Shared helpers =================================================== */
 
 #define mtR_key(a, b) (((uint64_t)(a) << 32) | (uint64_t)(b))
+/* A baseline without exchange: every router decides for itself. */
+#define mtR_alone(S) ((S)->set.nosharing || (S)->set.fifo)
 #define mtR_count(S, c) mtA_one(&(S)->counts, c)
 
 /* Appends an empty effect of this kind. */
--- a/standin/siengine.c
+++ b/standin/siengine.c
@@ -363,29 +363,23 @@
   si_text(r, 200, "application/json", "{}");
 }
 
-static bool is (mt_webreq_t *r, const char *method, const char *head) {
-  mt_bytes_t m = mtB_method(r), p = mtB_path(r);
-  return m.n == strlen(method) && memcmp(m.p, method, m.n) == 0 &&
-         p.n >= strlen(head) && memcmp(p.p, head, strlen(head)) == 0;
-}
-
 static void handle (void *ud, mt_webreq_t *r) {
   engine_t *e = ud;
-  if (is(r, "POST", "/v1/chat/completions")) {
+  if (si_is(r, "POST", "/v1/chat/completions")) {
     completion(e, r);
-  } else if (is(r, "GET", "/v1/streams/")) {
+  } else if (si_is(r, "GET", "/v1/streams/")) {
     resume(e, r);
-  } else if (is(r, "POST", "/v1/cancel/")) {
+  } else if (si_is(r, "POST", "/v1/cancel/")) {
     cancel(e, r);
-  } else if (is(r, "GET", "/stats")) {
+  } else if (si_is(r, "GET", "/stats")) {
     stats(e, r);
-  } else if (is(r, "GET", "/load")) {
+  } else if (si_is(r, "GET", "/load")) {
     load(e, r);
-  } else if (is(r, "GET", "/cache/events")) {
+  } else if (si_is(r, "GET", "/cache/events")) {
     cacheevents(e, r);
-  } else if (is(r, "POST", "/orders")) {
+  } else if (si_is(r, "POST", "/orders")) {
     order(e, r);
-  } else if (is(r, "POST", "/stall")) {
+  } else if (si_is(r, "POST", "/stall")) {
     e->stall = (long)uv_now(e->loop) + si_param(r, "ms", 0);
     si_text(r, 200, "text/plain", "ok");
   } else {
--- a/standin/sistore.c
+++ b/standin/sistore.c
@@ -206,12 +206,6 @@
 
 /* {== Calls ============================================================ */
 
-static bool is (mt_webreq_t *r, const char *method, const char *head) {
-  mt_bytes_t m = mtB_method(r), p = mtB_path(r);
-  return m.n == strlen(method) && memcmp(m.p, method, m.n) == 0 &&
-         p.n >= strlen(head) && memcmp(p.p, head, strlen(head)) == 0;
-}
-
 static void counts (store_t *s, mt_webreq_t *r) {
   char text[200];
   snprintf(text, sizeof text,
@@ -244,17 +238,17 @@
     mtB_abort(r);
     return;
   }
-  if (is(r, "GET", "/kv/")) {
+  if (si_is(r, "GET", "/kv/")) {
     get(s, r);
-  } else if (is(r, "GET", "/watch/")) {
+  } else if (si_is(r, "GET", "/watch/")) {
     watch(s, r);
-  } else if (is(r, "POST", "/lease")) {
+  } else if (si_is(r, "POST", "/lease")) {
     lease(s, r);
-  } else if (is(r, "PUT", "/lease/")) {
+  } else if (si_is(r, "PUT", "/lease/")) {
     keepalive(s, r);
   } else {
-    int status = is(r, "PUT", "/kv/") ? writevalue(s, r, &revision)
-                                      : deletevalue(s, r);
+    int status = si_is(r, "PUT", "/kv/") ? writevalue(s, r, &revision)
+                                         : deletevalue(s, r);
     bool lost = s->lostack > 0 && status == 200;
     if (lost) s->lostack--;
     if (lost)
@@ -295,15 +289,15 @@
 
 static void handle (void *ud, mt_webreq_t *r) {
   store_t *s = ud;
-  if (is(r, "POST", "/switch")) {
+  if (si_is(r, "POST", "/switch")) {
     switches(s, r);
     return;
   }
-  if (is(r, "GET", "/counts")) {
+  if (si_is(r, "GET", "/counts")) {
     counts(s, r);
     return;
   }
-  bool watching = is(r, "GET", "/watch/"), reads = is(r, "GET", "/");
+  bool watching = si_is(r, "GET", "/watch/"), reads = si_is(r, "GET", "/");
   if (watching)
     s->watchcalls++;
   else if (reads)
--- a/standin/standin.c
+++ b/standin/standin.c
@@ -25,6 +25,13 @@
   return mtB_param(r, name, text, sizeof text) ? atol(text) : otherwise;
 }
 
+bool si_is (const mt_webreq_t *r, const char *method, const char *head) {
+  mt_bytes_t m = mtB_method(r), p = mtB_path(r);
+  size_t n = strlen(head);
+  return m.n == strlen(method) && memcmp(m.p, method, m.n) == 0 && p.n >= n &&
+         memcmp(p.p, head, n) == 0;
+}
+
 void si_text (mt_webreq_t *r, int status, const char *type,
               const char *text) {
   mt_header_t h = {"content-type", type};
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -17,6 +17,9 @@
 /* A query parameter as a number, or `otherwise`. */
 long si_param (const mt_webreq_t *r, const char *name, long otherwise);
 
+/* True for this method and a path that begins so. */
+bool si_is (const mt_webreq_t *r, const char *method, const char *head);
+
 /* Answers with a text. */
 void si_text (mt_webreq_t *r, int status, const char *type, const char *text);
 
