Test: callers with one key share one run

Cause: joining was tested in the reducer only. Change: three callers, one of them half-way, get the same whole stream from one attempt.

--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -350,6 +350,39 @@
   bb_endload(L);
 }
 
+// Callers with the same key at one router share one run and its whole answer.
+TEST(Fleet, RepeatableCallsWithOneKeyShareOneRun) {
+  Lab f(spec(1, 1, 1));
+  struct Got {
+    std::string text;
+    bool done = false;
+  } got[3];
+  auto onevent = [] (void *ud, mt_call_t *, const mt_callev_t *ev) {
+    Got *g = (Got *)ud;
+    if (ev->kind == MT_CALL_BODY) g->text.append(ev->data.p, ev->data.n);
+    g->done |= ev->kind == MT_CALL_END;
+  };
+  const char *body = "{\"model\":\"m1\",\"stream\":true,\"messages\":[{"
+                     "\"role\":\"user\",\"content\":\"tokens=80\"}]}";
+  mt_callspec_t call{};
+  call.addr = f->routers[0].callers;
+  call.method = "POST";
+  call.path = "/v1/chat/completions";
+  call.headers = "Authorization: Bearer key-w1\r\nIdempotency-Key: k\r\n";
+  call.body = mt_bytes_t{body, strlen(body)};
+  call.fresh = true;
+  mtY_call(f->http, &call, onevent, &got[0]);
+  mtY_call(f->http, &call, onevent, &got[1]);
+  ASSERT_TRUE(f.until([&] { return got[0].text.size() > 2000; }));
+  mtY_call(f->http, &call, onevent, &got[2]); // joins half-way
+  ASSERT_TRUE(
+      f.until([&] { return got[0].done && got[1].done && got[2].done; }));
+  EXPECT_NE(got[0].text.find("[DONE]"), std::string::npos);
+  EXPECT_EQ(got[0].text, got[1].text);
+  EXPECT_EQ(got[0].text, got[2].text);
+  EXPECT_EQ(bb_metric(f.lab, 0, "attempts_total"), 1);
+}
+
 TEST(Fleet, APlannedStopCutsNothingOff) {
   Lab f(spec(2, 1, 1));
   bb_load_t *L = bb_load(f.lab, 1);
