--- a/src/mtcount.h
+++ b/src/mtcount.h
@@ -44,8 +44,7 @@
 #define MT_RETRIES(ROW)                \
   ROW(MT_RT_CONNECT, "connect_failed") \
   ROW(MT_RT_LOST, "target_lost")       \
-  ROW(MT_RT_BUSY, "target_busy")       \
-  ROW(MT_RT_LEAVING, "target_leaving")
+  ROW(MT_RT_BUSY, "target_busy")
 
 typedef enum mt_retry_t {
 #define RETRY_SYMBOL(sym, code) sym,
@@ -75,7 +74,6 @@
   ROW(MT_C_POLICY_FAILED, "policy_failures_total")     \
   ROW(MT_C_CLAIMS, "claims_total")                     \
   ROW(MT_C_RESUMES, "resumes_total")                   \
-  ROW(MT_C_CONTINUED, "streams_continued_total")       \
   ROW(MT_C_SUSPECTS, "members_suspected_total")        \
   ROW(MT_C_DEATHS, "members_dead_total")               \
   ROW(MT_C_PAUSES, "pauses_noticed_total")             \
--- a/src/mtfront.c
+++ b/src/mtfront.c
@@ -567,6 +567,8 @@
   char digest[MT_DIGEST_HEX + 1];
   if (!keydigest(r, digest)) {
     refusenow(O, r, MT_BAD_KEY, "send Authorization: Bearer KEY");
+  } else if (mtB_body(r).n > MT_BODY_MAX) {
+    refusenow(O, r, MT_TOO_LARGE, "the body is larger than 8 MiB");
   } else if (mtB_is(r, "POST", "/v1/chat/completions")) {
     completion(O, r, digest);
   } else if (mtB_is(r, "GET", "/v1/models")) {
--- a/src/mtweb.c
+++ b/src/mtweb.c
@@ -308,7 +308,7 @@
   }
   h2o_config_init(&web->config);
   web->config.server_name = h2o_iovec_init(H2O_STRLIT("martentiller"));
-  web->config.max_request_entity_size = MT_BODY_MAX;
+  web->config.max_request_entity_size = 4 * (size_t)MT_BODY_MAX;
   web->config.http1.req_timeout = IDLE_MS;
   h2o_hostconf_t *host = h2o_config_register_host(
       &web->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -148,6 +148,9 @@
     EXPECT_EQ(a.status, row.status) << row.path << " " << a.text;
     EXPECT_NE(a.text.find(outcome(row.code)), std::string::npos) << a.text;
   }
+  auto large = f.chat(0, std::string(MT_BODY_MAX, 'x'));
+  EXPECT_EQ(large.status, 413);
+  EXPECT_NE(large.text.find(outcome("too_large")), std::string::npos);
   EXPECT_EQ(f.chat(0, "tokens=3").status, 200);
 }
 
