Measure first token, chunks and memory held; fewer requests may wait

Cause: added time was measured on whole calls only, memory per request not at all; 65536 waiting requests would have held 750 MB. Change: paired times to the first token and per chunk, bytes per waiting request and open stream; at most 8192 wait at a router.

--- a/bench/bbcost.c
+++ b/bench/bbcost.c
@@ -12,20 +12,47 @@
 
 /* {== overhead ========================================================= */
 
-/* Times to first token and between chunks of one flow, directly or not. */
-static void latency (bb_lab_t *lab, const mt_addr_t *at, int n, double *first,
-                     double *whole) {
+#define TOKENS 40 /* of a measured call */
+
+/* Time to the first token, and from there per token, of one call. */
+typedef struct timing_t {
+  double first, token;
+} timing_t;
+
+static timing_t timecall (bb_lab_t *lab, const mt_addr_t *at) {
   static const char body[] =
-      "{\"model\":\"m1\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":"
-      "\"tokens=5\"}]}";
+      "{\"model\":\"m1\",\"stream\":true,\"messages\":[{\"role\":\"user\","
+      "\"content\":\"tokens=40\"}]}";
   static const char headers[] =
       "Authorization: Bearer key-w1\r\nContent-Type: application/json\r\n";
-  (void)whole;
-  for (int i = 0; i < n; i++) {
-    uint64_t begun = uv_hrtime();
-    bb_call(lab, at, "POST", "/v1/chat/completions", headers, body, NULL);
-    first[i] = (double)(uv_hrtime() - begun) / 1e6;
-  }
+  uint64_t begun = uv_hrtime();
+  bb_call(lab, at, "POST", "/v1/chat/completions", headers, body, NULL);
+  uint64_t ended = uv_hrtime();
+  timing_t t = {(double)(lab->firstbyte - begun) / 1e6,
+                (double)(ended - lab->firstbyte) / 1e6 / TOKENS};
+  return t;
+}
+
+/* Bytes that one router holds more for each of n requests of a flow. */
+static double heldbytes (const bb_options_t *o, int slots, int n) {
+  bb_spec_t spec = {.domains = 1,
+                    .routers = 1,
+                    .engines = 1,
+                    .slots = slots,
+                    .rate = 1,
+                    .workspaces = 1};
+  bb_lab_t *lab = bb_start(o->bin, &spec);
+  bb_load_t *L = bb_load(lab, o->seed);
+  bb_flow_t f = {
+      .workspace = 1, .router = 0, .concurrency = n, .shorttokens = 4000};
+  double before = bb_metric(lab, 0, "memory_bytes");
+  bb_flow(L, &f);
+  bb_run(lab, 4000);
+  double after = bb_metric(lab, 0, "memory_bytes");
+  double held = bb_metric(lab, 0, "requests_waiting") +
+                bb_metric(lab, 0, "requests_running");
+  bb_stop(lab);
+  return (after - before) / held;
 }
 
 /* Paired: one call to the engine, one through the router, in turn. */
@@ -38,17 +65,22 @@
                     .rate = 20000,
                     .workspaces = 1};
   bb_lab_t *lab = bb_start(o->bin, &spec);
-  double *added = mtV_new((size_t)pairs * sizeof *added);
+  double *first = mtV_new((size_t)pairs * sizeof *first);
+  double *token = mtV_new((size_t)pairs * sizeof *token);
   for (int i = 0; i < pairs; i++) {
-    double direct, routed;
-    latency(lab, &lab->engines[0].addr, 1, &direct, NULL);
-    latency(lab, &lab->routers[0].callers, 1, &routed, NULL);
-    added[i] = routed - direct;
+    timing_t direct = timecall(lab, &lab->engines[0].addr);
+    timing_t routed = timecall(lab, &lab->routers[0].callers);
+    first[i] = routed.first - direct.first;
+    token[i] = routed.token - direct.token;
   }
-  double p99 = bb_percentile(added, (size_t)pairs, 0.99);
-  bb_line("added_whole_call_median", added[pairs / 2], "ms");
-  bb_line("added_whole_call_p99", p99, "ms");
-  free(added);
+  double p99 = bb_percentile(first, (size_t)pairs, 0.99);
+  bb_line("added_first_token_median", first[pairs / 2], "ms");
+  bb_line("added_first_token_p99", p99, "ms");
+  p99 = bb_percentile(token, (size_t)pairs, 0.99);
+  bb_line("added_per_chunk_median", token[pairs / 2], "ms");
+  bb_line("added_per_chunk_p99", p99, "ms");
+  free(first);
+  free(token);
   bb_load_t *L = bb_load(lab, o->seed);
   bb_flow_t f = {.workspace = 1,
                  .router = 0,
@@ -67,6 +99,8 @@
   bb_line("requests_per_second", rate, "1/s");
   bb_line("requests_per_core_second", rate / c1.meancore, "1/s");
   bb_stop(lab);
+  bb_line("bytes_per_waiting", heldbytes(o, 1, 2000), "bytes");
+  bb_line("bytes_per_stream", heldbytes(o, 1000, 1000), "bytes");
   bb_summary(o);
   return 0;
 }
--- a/bench/bblab.c
+++ b/bench/bblab.c
@@ -96,6 +96,7 @@
 
 typedef struct page_t {
   uv_loop_t *loop;
+  uint64_t firstbyte;
   int status;
   bool done;
   char *text;
@@ -108,6 +109,7 @@
   switch (ev->kind) {
     case MT_CALL_HEAD: p->status = ev->status; return;
     case MT_CALL_BODY:
+      if (p->firstbyte == 0) p->firstbyte = uv_hrtime();
       if (p->n + ev->data.n + 1 > p->cap) {
         p->cap = (p->n + ev->data.n + 1) * 2;
         p->text = realloc(p->text, p->cap);
@@ -133,6 +135,7 @@
   uv_update_time(&lab->loop);
   mtY_call(lab->http, &spec, onpage, &p);
   while (!p.done) uv_run(&lab->loop, UV_RUN_DEFAULT);
+  lab->firstbyte = p.firstbyte;
   if (text != NULL)
     *text = p.text ? p.text : strdup("");
   else
--- a/bench/bblab.h
+++ b/bench/bblab.h
@@ -46,7 +46,8 @@
   size_t nrouters;
   bb_engine_t *engines;
   size_t nengines;
-  json_t *doc;  /* pools, targets, workspaces, policies */
+  json_t *doc;        /* pools, targets, workspaces, policies */
+  uint64_t firstbyte; /* when the last call's answer began, ns */
   bool proxied; /* routers reach each other, store and targets through a proxy
                  */
   char sharing[16];
--- a/src/mtlimits.h
+++ b/src/mtlimits.h
@@ -25,7 +25,7 @@
 #define MT_MAX_WORKSPACES 16384
 #define MT_MAX_TARGETS 8192
 #define MT_POOL_TARGETS 512    /* targets of one pool */
-#define MT_MAX_WAITING 65536   /* waiting requests, one router */
+#define MT_MAX_WAITING 8192    /* waiting requests, one router: some 94 MB */
 #define MT_MAX_RUNNING 16384   /* requests in progress, one router */
 #define MT_WS_WAITING 4096     /* default waiting of a workspace */
 #define MT_AFFINITY_WINDOW 256 /* requests looked at for a prefix */
