Test: a caller that leaves ends its work at the engine

Cause: built and untested. Change: six callers leave, four of them running; the engine is idle again and all six are counted. Conclusion: holds.

--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -354,6 +354,36 @@
 }
 
 // Callers with the same key at one router share one run and its whole answer.
+// A caller that leaves ends its work at the engine, running or waiting.
+TEST(Fleet, ACallerThatLeavesCancelsItsWork) {
+  Lab f(spec(1, 1, 1));
+  auto ignore = [] (void *, mt_call_t *, const mt_callev_t *) {};
+  const char *body = "{\"model\":\"m1\",\"stream\":true,\"messages\":[{"
+                     "\"role\":\"user\",\"content\":\"tokens=90000\"}]}";
+  mt_callspec_t call{};
+  call.addr = f->routers[0].callers;
+  call.method = "POST";
+  call.path = "/v1/chat/completions";
+  call.headers = "Authorization: Bearer key-w1\r\n";
+  call.body = mt_bytes_t{body, strlen(body)};
+  call.fresh = true;
+  std::vector<mt_call_t *> calls;
+  for (int i = 0; i < 6; i++) // four run, two wait
+    calls.push_back(mtY_call(f->http, &call, ignore, nullptr));
+  ASSERT_TRUE(f.until([&] {
+    return bb_metric(f.lab, 0, "requests_running") == 4 &&
+           bb_metric(f.lab, 0, "requests_waiting") == 2;
+  }));
+  for (mt_call_t *c : calls) mtY_cancel(c);
+  EXPECT_TRUE(f.until([&] {
+    json_t *s = bb_json(f.lab, &f->engines[0].addr, "/stats");
+    json_int_t active = json_integer_value(json_object_get(s, "active"));
+    json_decref(s);
+    return active == 0 && bb_metric(f.lab, 0, "requests_waiting") == 0;
+  }));
+  EXPECT_EQ(bb_metric(f.lab, 0, "refusals_total{reason=\"caller_left\"}"), 6);
+}
+
 TEST(Fleet, RepeatableCallsWithOneKeyShareOneRun) {
   Lab f(spec(1, 1, 1));
   struct Got {
