--- a/bench/bbcost.c
+++ b/bench/bbcost.c
@@ -9,6 +9,7 @@
 
 #include "bbload.h"
 #include "bbout.h"
+#include "mtpolicy.h"
 
 /* {== overhead ========================================================= */
 
@@ -33,6 +34,39 @@
   return t;
 }
 
+/* Microseconds of one decision of a policy program, on 6 targets. */
+static double decisioncost (void) {
+  static const char text[] =
+      "function place(r, ts) local n = {} for _, t in ipairs(ts) do if "
+      "t.speed >= 2 then table.insert(n, t.name) end end return n end\n"
+      "function order(r) if r.stream then return 10 end return 0 end";
+  enum { DECISIONS = 20000, TARGETS = 6 };
+  json_t *doc = json_pack("{s:{s:{s:s,s:[s]}},s:{}}", "pools", "p", "kind",
+                          "model", "models", "m", "targets");
+  for (int i = 0; i < TARGETS; i++) {
+    char name[8];
+    snprintf(name, sizeof name, "e%d", i);
+    json_object_set_new(json_object_get(doc, "targets"), name,
+                        json_pack("{s:s,s:s,s:s,s:i,s:i}", "pool", "p",
+                                  "domain", "d", "url", "http://127.0.0.1:1",
+                                  "slots", 4, "speed", 1 + i % 4));
+  }
+  mt_faults_t fs = {.n = 0};
+  mt_fault_t fault;
+  mt_choice_t choice;
+  mt_fleet_t *F = mtF_new(doc, 1, &fs);
+  mt_program_t *p = mtP_compile(text, &fault);
+  mt_pask_t ask = {.workspace = "w", .model = {"m", 1}, .stream = true};
+  uint64_t begun = uv_hrtime();
+  for (int i = 0; i < DECISIONS; i++)
+    mtP_decide(p, F, &F->pools[0], &ask, &choice, &fault);
+  double us = (double)(uv_hrtime() - begun) / 1e3 / DECISIONS;
+  mtP_free(p);
+  mtF_free(F);
+  json_decref(doc);
+  return us;
+}
+
 /* Bytes that one router holds more for each of n requests of a flow. */
 static double heldbytes (const bb_options_t *o, int slots, int n) {
   bb_spec_t spec = {.domains = 1,
@@ -99,6 +133,7 @@
   bb_line("requests_per_second", rate, "1/s");
   bb_line("requests_per_core_second", rate / c1.meancore, "1/s");
   bb_stop(lab);
+  bb_line("policy_decision", decisioncost(), "us");
   bb_line("bytes_per_waiting", heldbytes(o, 1, 2000), "bytes");
   bb_line("bytes_per_stream", heldbytes(o, 1000, 1000), "bytes");
   bb_summary(o);
