The demo applies its declarations and prints the addresses

Cause: scripts read demo.json while it was being written; the demo published its policy by hand and named no addresses without KEEP. Change: the file appears whole, 'apply examples/demo' brings the policy, addresses are printed. Checked: make demo and KEEP=1 with a curl call, both end with 0.

--- a/bench/bbdemo.c
+++ b/bench/bbdemo.c
@@ -9,7 +9,7 @@
 
 #include "bbrun.h"
 
-#define POLICY "examples/demo/policies/default.lua"
+#define DECLARATIONS "examples/demo"
 
 static void writefile (bb_lab_t *lab, const char *path) {
   json_t *routers = json_array(), *workspaces = json_array(),
@@ -44,7 +44,10 @@
   json_t *doc = json_pack("{s:o,s:s,s:o,s:o,s:o}", "routers", routers,
                           "store", a, "workspaces", workspaces, "engines",
                           engines, "services", services);
-  json_dump_file(doc, path, JSON_INDENT(1));
+  char part[320];
+  snprintf(part, sizeof part, "%s.part", path);
+  json_dump_file(doc, part, JSON_INDENT(1));
+  rename(part, path); /* readers see all of it or nothing */
   json_decref(doc);
 }
 
@@ -87,6 +90,15 @@
   }
 }
 
+static void addresses (const bb_lab_t *lab) {
+  printf("\nstore http://127.0.0.1:%u, service http://127.0.0.1:%u\n",
+         lab->store.port, lab->service.port);
+  for (size_t i = 0; i < lab->nrouters; i++)
+    printf("%s callers http://127.0.0.1:%u, operators http://127.0.0.1:%u\n",
+           lab->routers[i].name, lab->routers[i].callers.port,
+           lab->routers[i].operators.port);
+}
+
 static volatile sig_atomic_t interrupted;
 
 static void oninterrupt (int signum) {
@@ -130,13 +142,14 @@
   spec.service = true;
   bb_lab_t *lab = bb_start(o->bin, &spec);
   char *out;
-  const char *args[] = {"policy", "publish", "default", POLICY, NULL};
-  if (bb_cli(lab, args, &out) != 0) printf("%s", out);
-  printf("policy default: %s", out);
+  const char *args[] = {"apply", DECLARATIONS, NULL};
+  bb_cli(lab, args, &out);
+  printf("apply %s:\n%s", DECLARATIONS, out);
   free(out);
   int bad = bb_settled(lab, 2, 10000) ? 0 : 1;
   calls(lab);
   status(lab);
+  addresses(lab);
   if (o->keep) keepup(lab);
   bad += drainall(lab);
   bb_stop(lab);
