Read once more: tests and bench say a thing once

Cause: a streamed body and its call stood three times in the fleet tests, the lab of two runs and the fitting of three measures twice or more in the bench; a comment stood above the wrong test.

--- a/bench/bbcost.c
+++ b/bench/bbcost.c
@@ -251,6 +251,16 @@
   bb_line("control_memory_370", memory, "bytes");
 }
 
+/* Fits one measure along an axis, prints the line and returns its slope. */
+static double axisfit (const axis_t *x, const char *what, const double *xs,
+                       const double *ys) {
+  double a, b, rms = fit(xs, ys, x->n, &a, &b);
+  printf("fit %-20s %-8s = %.6g + %.6g x (rms %.3g), at %g: %.6g\n", x->name,
+         what, a, b, rms, x->target, a + b * x->target);
+  fflush(stdout);
+  return b;
+}
+
 int bb_scale (const bb_options_t *o) {
   static bb_control_t base;
   slopes_t slopes[5] = {{0}};
@@ -296,7 +306,7 @@
   };
   for (size_t k = 0; k < mt_countof(axes); k++) {
     const axis_t *x = &axes[k];
-    double xs[6], bytes[6], core[6], memory[6], a, b, rms;
+    double xs[6], bytes[6], core[6], memory[6];
     if (o->only != NULL && strcmp(o->only, x->name) != 0) continue;
     for (int i = 0; i < x->n; i++) {
       static bb_control_t c;
@@ -308,19 +318,9 @@
       core[i] = c.meancore;
       memory[i] = c.memory;
     }
-    rms = fit(xs, bytes, x->n, &a, &b);
-    slopes[k].bytes = b;
-    printf("fit %-20s bytes/s = %.1f + %.4f x (rms %.1f), at %g: %.0f\n",
-           x->name, a, b, rms, x->target, a + b * x->target);
-    rms = fit(xs, core, x->n, &a, &b);
-    slopes[k].core = b;
-    printf("fit %-20s core    = %.5f + %.7f x (rms %.5f), at %g: %.4f\n",
-           x->name, a, b, rms, x->target, a + b * x->target);
-    rms = fit(xs, memory, x->n, &a, &b);
-    slopes[k].memory = b;
-    printf("fit %-20s memory  = %.0f + %.1f x (rms %.0f), at %g: %.0f\n",
-           x->name, a, b, rms, x->target, a + b * x->target);
-    fflush(stdout);
+    slopes[k].bytes = axisfit(x, "bytes/s", xs, bytes);
+    slopes[k].core = axisfit(x, "core", xs, core);
+    slopes[k].memory = axisfit(x, "memory", xs, memory);
   }
   if (o->only == NULL) extrapolate(&base, slopes);
   bb_summary(o);
--- a/bench/bbshare.c
+++ b/bench/bbshare.c
@@ -356,17 +356,22 @@
 
 /* {== wake and skew ==================================================== */
 
+/* The fleet of both runs. */
+static bb_lab_t *eightrouters (const bb_options_t *o, int workspaces) {
+  bb_spec_t spec = {.domains = 4,
+                    .routers = 8,
+                    .engines = ENGINES,
+                    .slots = SLOTS,
+                    .rate = RATE,
+                    .workspaces = workspaces};
+  spec.engineprocs = 2;
+  return bb_start(o->bin, &spec);
+}
+
 /* Idle workspaces return beside one that was served all the time. */
 int bb_wake (const bb_options_t *o) {
   for (int k = 0; k < o->repeat; k++) {
-    bb_spec_t spec = {.domains = 4,
-                      .routers = 8,
-                      .engines = ENGINES,
-                      .slots = SLOTS,
-                      .rate = RATE,
-                      .workspaces = 2};
-    spec.engineprocs = 2;
-    bb_lab_t *lab = bb_start(o->bin, &spec);
+    bb_lab_t *lab = eightrouters(o, 2);
     bb_load_t *L = bb_load(lab, o->seed + (uint64_t)k);
     bb_flow_t f = {.workspace = 1,
                    .router = 0,
@@ -398,14 +403,7 @@
  */
 int bb_skew (const bb_options_t *o) {
   for (int k = 0; k < o->repeat; k++) {
-    bb_spec_t spec = {.domains = 4,
-                      .routers = 8,
-                      .engines = ENGINES,
-                      .slots = SLOTS,
-                      .rate = RATE,
-                      .workspaces = 3};
-    spec.engineprocs = 2;
-    bb_lab_t *lab = bb_start(o->bin, &spec);
+    bb_lab_t *lab = eightrouters(o, 3);
     bb_load_t *L = bb_load(lab, o->seed + (uint64_t)k);
     gap_t g = {.n = 3, .shares = {1, 1, 1}};
     for (int i = 0; i < 3; i++) {
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -112,6 +112,25 @@
   return s;
 }
 
+// The body of a streamed completion of so many tokens.
+std::string streamed (int tokens) {
+  return "{\"model\":\"m1\",\"stream\":true,\"messages\":[{\"role\":\"user\","
+         "\"content\":\"tokens=" +
+         std::to_string(tokens) + "\"}]}";
+}
+
+// A call of it to the first router, for use without waiting; `body` is kept.
+mt_callspec_t asked (Lab &f, const std::string &body, const char *headers) {
+  mt_callspec_t call{};
+  call.addr = f->routers[0].callers;
+  call.method = "POST";
+  call.path = "/v1/chat/completions";
+  call.headers = headers;
+  call.body = mt_bytes_t{body.data(), body.size()};
+  call.fresh = true;
+  return call;
+}
+
 std::string outcome (const std::string &code) {
   return "\"code\":\"" + code + "\"";
 }
@@ -285,8 +304,7 @@
 TEST(Fleet, AStreamIsTakenUpAtAnotherRouterWithItsTokenOnly) {
   Lab f(spec(2, 2, 2));
   // The token is in a header: ask with a raw connection and leave half-way.
-  std::string body = "{\"model\":\"m1\",\"stream\":true,\"messages\":[{"
-                     "\"role\":\"user\",\"content\":\"tokens=120\"}]}";
+  std::string body = streamed(120);
   int fd = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in a{};
   a.sin_family = AF_INET;
@@ -353,20 +371,12 @@
   bb_endload(L);
 }
 
-// Callers with the same key at one router share one run and its whole answer.
 // A caller that leaves ends its work at the engine, running or waiting.
 TEST(Fleet, ACallerThatLeavesCancelsItsWork) {
   Lab f(spec(1, 1, 1));
   auto ignore = [] (void *, mt_call_t *, const mt_callev_t *) {};
-  const char *body = "{\"model\":\"m1\",\"stream\":true,\"messages\":[{"
-                     "\"role\":\"user\",\"content\":\"tokens=90000\"}]}";
-  mt_callspec_t call{};
-  call.addr = f->routers[0].callers;
-  call.method = "POST";
-  call.path = "/v1/chat/completions";
-  call.headers = "Authorization: Bearer key-w1\r\n";
-  call.body = mt_bytes_t{body, strlen(body)};
-  call.fresh = true;
+  std::string body = streamed(90000);
+  mt_callspec_t call = asked(f, body, "Authorization: Bearer key-w1\r\n");
   std::vector<mt_call_t *> calls;
   for (int i = 0; i < 6; i++) // four run, two wait
     calls.push_back(mtY_call(f->http, &call, ignore, nullptr));
@@ -384,6 +394,7 @@
   EXPECT_EQ(bb_metric(f.lab, 0, "refusals_total{reason=\"caller_left\"}"), 6);
 }
 
+// Callers with the same key at one router share one run and its whole answer.
 TEST(Fleet, RepeatableCallsWithOneKeyShareOneRun) {
   Lab f(spec(1, 1, 1));
   struct Got {
@@ -395,15 +406,9 @@
     if (ev->kind == MT_CALL_BODY) g->text.append(ev->data.p, ev->data.n);
     g->done |= ev->kind == MT_CALL_END;
   };
-  const char *body = "{\"model\":\"m1\",\"stream\":true,\"messages\":[{"
-                     "\"role\":\"user\",\"content\":\"tokens=80\"}]}";
-  mt_callspec_t call{};
-  call.addr = f->routers[0].callers;
-  call.method = "POST";
-  call.path = "/v1/chat/completions";
-  call.headers = "Authorization: Bearer key-w1\r\nIdempotency-Key: k\r\n";
-  call.body = mt_bytes_t{body, strlen(body)};
-  call.fresh = true;
+  std::string body = streamed(80);
+  mt_callspec_t call = asked(
+      f, body, "Authorization: Bearer key-w1\r\nIdempotency-Key: k\r\n");
   mtY_call(f->http, &call, onevent, &got[0]);
   mtY_call(f->http, &call, onevent, &got[1]);
   ASSERT_TRUE(f.until([&] { return got[0].text.size() > 2000; }));
