--- a/Makefile
+++ b/Makefile
@@ -3,14 +3,17 @@
 CC = gcc
 CXX = g++
 WARN = -Wall -Wextra -Werror -Wshadow -Wno-unused-parameter -Wno-format-truncation
-CFLAGS = -std=gnu11 -O2 -g -D_GNU_SOURCE $(WARN) $(shell pkg-config --cflags lua5.4 2>/dev/null) -Isrc -Istandin -Ibench
-CXXFLAGS = -std=c++17 -O1 -g $(WARN) $(shell pkg-config --cflags lua5.4 2>/dev/null) -Isrc -Istandin -Ibench
-LDLIBS = -lh2o -luv -lmsgpackc -ljansson -largtable2 -llua5.4 -lssl -lcrypto -lpthread -lm
+INCLUDES = -Isrc -Isrc/net -Isrc/relay -Isrc/gateway -Iplatform -Istandin -Ibench
+CFLAGS = -std=gnu11 -O2 -g -D_GNU_SOURCE $(WARN) $(shell pkg-config --cflags lua5.4 2>/dev/null) $(INCLUDES)
+CXXFLAGS = -std=c++17 -O1 -g $(WARN) $(shell pkg-config --cflags lua5.4 2>/dev/null) $(INCLUDES)
+LDLIBS = -lh2o -luv -lhttp_parser -lmsgpackc -ljansson -largtable2 -llua5.4 -lssl -lcrypto -lpthread -lm
 SAN = -fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer
 
 B = build
-SRC = $(filter-out src/mtcli.c,$(wildcard src/*.c))
-LIB = $(SRC:src/%.c=$(B)/%.o)
+DIRS = src src/net src/relay src/gateway platform
+SRC = $(filter-out src/mtcli.c,$(foreach d,$(DIRS),$(wildcard $(d)/*.c)))
+LIB = $(patsubst %.c,$(B)/%.o,$(notdir $(SRC)))
+VPATH = $(DIRS)
 STANDIN = $(patsubst standin/%.c,$(B)/%.o,$(wildcard standin/*.c))
 BENCH = $(patsubst bench/%.c,$(B)/%.o,$(wildcard bench/*.c))
 TESTS = $(patsubst tests/%.cc,$(B)/%.o,$(wildcard tests/*.cc))
@@ -30,7 +33,7 @@
 $(B)/tests: $(TESTS) $(filter-out $(B)/bbmain.o,$(BENCH)) $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(LDLIBS)
 
-$(B)/%.o: src/%.c | $(B)
+$(B)/%.o: %.c | $(B)
 	$(CC) $(CFLAGS) -MMD -c -o $@ $<
 
 $(B)/%.o: standin/%.c | $(B)
@@ -64,6 +67,10 @@
 	  build/san/tests --gtest_filter=-Fleet.*
 	MT_BIN=build/san ASAN_OPTIONS=detect_leaks=0 build/san/tests --gtest_filter=Fleet.*
 
+# What the users' platform builds: the program alone, under target/.
+release:
+	$(MAKE) -j8 B=target target/martentiller
+
 bench: all
 	sh scripts/bench.sh
 
@@ -89,7 +96,7 @@
 	mkdir -p $(B)/corpus
 	$(B)/fuzz -max_total_time=600 -max_len=8192 $(B)/corpus tests/corpus
 
-FORMATTED = $(wildcard src/*.[ch] standin/*.[ch] bench/*.[ch] tests/*.cc tests/*.h tests/fuzz/*.c)
+FORMATTED = $(wildcard $(addsuffix /*.[ch],$(DIRS)) standin/*.[ch] bench/*.[ch] tests/*.cc tests/*.h tests/fuzz/*.c)
 
 format:
 	clang-format -i $(FORMATTED)
@@ -100,9 +107,9 @@
 lint:
 	cppcheck --quiet --std=c11 --error-exitcode=1 --inline-suppr --suppressions-list=scripts/cppcheck.txt \
 	  --include=scripts/cppcheck.h \
-	  --enable=warning,performance,portability -D_GNU_SOURCE -Isrc src standin bench
+	  --enable=warning,performance,portability -D_GNU_SOURCE $(INCLUDES) $(DIRS) standin bench
 
 clean:
-	rm -rf build
+	rm -rf build target
 
-.PHONY: fuzz fuzzcheck all deps demo check bench spec format formatcheck lint clean
+.PHONY: release fuzz fuzzcheck all deps demo check bench spec format formatcheck lint clean
--- /dev/null
+++ b/src/gateway/gateway.c
@@ -0,0 +1,555 @@
+/*
+** gateway.c - connections around the relay: callers, engines, readiness
+*/
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "gateway.h"
+#include "gateway_metrics.h"
+#include "gateway_peers.h"
+
+#define TICK_MS 25
+#define CONNECT_MS 400
+#define IDLE_MS 20000
+#define USER_TIMEOUT_MS 2000
+#define BACKLOG_MAX (256u << 10) /* of a slow caller, before its engine waits */
+#define LEAVE_MS 2500 /* after the order to stop: nobody new comes any more */
+#define LAST_MS 400   /* of the grace, kept for the last bytes */
+
+/* One request at the gateway: a caller's connection and an engine's. */
+typedef struct passage_t {
+  mt_gateway_t *gateway;
+  uint64_t number;
+  mt_http_exchange_t *exchange;
+  struct attempt_t *attempt; /* the current one */
+  /* The first head that is to be passed on. */
+  int status;
+  mt_text_t head;
+  bool head_kept;
+} passage_t;
+
+/* One call to an engine; it may outlive its passage. */
+typedef struct attempt_t {
+  passage_t *passage; /* NULL: nobody waits for it */
+  mt_gateway_t *gateway;
+  mt_http_call_t *call;
+  int number;
+  char id[64]; /* of the request */
+} attempt_t;
+
+struct mt_gateway_t {
+  uv_loop_t *loop;
+  mt_gateway_settings_t settings;
+  const mt_dialect_t *dialect;
+  mt_relay_t *relay;
+  mt_http_server_t *callers, *ready, *metrics;
+  mt_http_client_t *engines;
+  mt_gateway_peers_t *peers;
+  mt_log_writer_t *log;
+  uv_timer_t tick;
+  mt_map_t passages;
+  uint64_t next_number;
+  mt_ms_t started, stopping; /* 0: not ordered to stop */
+  mt_text_t scratch;
+};
+
+/* {== Effects ========================================================== */
+
+static void step (mt_gateway_t *g, mt_relay_event_t *event);
+
+static void release (mt_gateway_t *g, passage_t *p) {
+  if (p->attempt != NULL) p->attempt->passage = NULL;
+  mtV_del(&g->passages, p->number);
+  mt_text_free(&p->head);
+  free(p);
+}
+
+static void end_attempt (passage_t *p) {
+  attempt_t *a = p->attempt;
+  if (a == NULL) return;
+  p->attempt = NULL;
+  mt_http_call_cancel(a->call);
+  free(a);
+}
+
+static void do_refuse (mt_gateway_t *g, passage_t *p,
+                       const mt_relay_effect_t *fx) {
+  char lines[160], body[96];
+  mt_relay_refusal_t why = fx->u.refuse.why;
+  int n = snprintf(lines, sizeof lines, "Content-Type: application/json\r\n");
+  if (fx->u.refuse.retry_after > 0)
+    n += snprintf(lines + n, sizeof lines - (size_t)n,
+                  "Retry-After: %.3f\r\n",
+                  (double)fx->u.refuse.retry_after / 1000.0);
+  int size = snprintf(body, sizeof body, "{\"error\":\"%s\"}",
+                      mt_relay_refusal_code(why));
+  mt_http_exchange_head(p->exchange, mt_relay_refusal_status(why), lines,
+                        (size_t)n, size);
+  mt_http_exchange_data(p->exchange, body, (size_t)size);
+  mt_http_exchange_end(p->exchange);
+  release(g, p);
+}
+
+static const char *workspace_name (const mt_gateway_t *g, mt_id_t id) {
+  const mt_catalog_t *c = g->relay->catalog;
+  for (size_t i = 0; id != 0 && c != NULL && i < c->workspaces_count; i++)
+    if (c->workspaces[i].id == id) return c->workspaces[i].name;
+  return NULL;
+}
+
+static void write_request (mt_gateway_t *g, passage_t *p,
+                           const mt_engine_t *engine,
+                           const mt_relay_effect_t *fx) {
+  mt_text_t *out = &g->scratch;
+  mt_http_exchange_t *x = p->exchange;
+  mt_bytes_t method = mt_http_exchange_method(x);
+  mt_bytes_t target = mt_http_exchange_target(x);
+  mt_bytes_t body = mt_http_exchange_body(x);
+  mt_dialect_sent_t sent = {
+      .instance = engine->name,
+      .workspace = workspace_name(g, fx->u.start.workspace),
+      .deadline_ms = fx->u.start.deadline_ms,
+      .last_event = fx->u.start.last_event};
+  out->n = 0;
+  mt_text_add(out, method.p, method.n);
+  mt_text_add(out, " ", 1);
+  mt_text_add(out, target.p, target.n);
+  mt_text_add(out, " HTTP/1.1\r\n", 11);
+  g->dialect->write_request(mt_http_exchange_headers(x), &sent, out);
+  if (body.n > 0 || !mt_bytes_same(method, "GET"))
+    mt_text_format(out, "Content-Length: %zu\r\n", body.n);
+  mt_text_add(out, "\r\n", 2);
+}
+
+static void do_start (mt_gateway_t *g, passage_t *p,
+                      const mt_relay_effect_t *fx) {
+  mt_engine_t *engine =
+      mt_engines_get(&g->relay->engines, fx->u.start.engine);
+  if (p->attempt != NULL) p->attempt->passage = NULL; /* it ends by itself */
+  attempt_t *a = mtV_new(sizeof *a);
+  a->gateway = g;
+  a->passage = p;
+  a->number = fx->attempt;
+  mt_bytes_t id = {NULL, 0};
+  mt_relay_request_t *r = mtV_get(&g->relay->requests, p->number);
+  if (r != NULL) id = (mt_bytes_t){r->id, strlen(r->id)};
+  snprintf(a->id, sizeof a->id, "%.*s", (int)id.n, id.p);
+  p->attempt = a;
+  write_request(g, p, engine, fx);
+  mt_http_endpoint_t endpoint = {engine->key, engine->ip, engine->port};
+  a->call = mt_http_client_call(
+      g->engines, &endpoint, (mt_bytes_t){g->scratch.p, g->scratch.n},
+      mt_http_exchange_body(p->exchange), fx->u.start.fresh, a);
+}
+
+static void do_data (passage_t *p, const mt_relay_effect_t *fx) {
+  mt_http_exchange_data(p->exchange, fx->u.data.p, fx->u.data.n);
+  if (p->attempt != NULL &&
+      mt_http_exchange_backlog(p->exchange) > BACKLOG_MAX)
+    mt_http_call_pause(p->attempt->call, true);
+}
+
+static void execute (mt_gateway_t *g, const mt_relay_effect_t *fx) {
+  passage_t *p = mtV_get(&g->passages, fx->request);
+  if (p == NULL) return;
+  switch (fx->kind) {
+    case MT_RELAY_DO_REFUSE: do_refuse(g, p, fx); break;
+    case MT_RELAY_DO_START: do_start(g, p, fx); break;
+    case MT_RELAY_DO_CANCEL: end_attempt(p); break;
+    case MT_RELAY_DO_HEAD:
+      mt_http_exchange_head(p->exchange, p->status, p->head.p, p->head.n,
+                            fx->u.length);
+      p->head_kept = true;
+      break;
+    case MT_RELAY_DO_DATA: do_data(p, fx); break;
+    case MT_RELAY_DO_END:
+      mt_http_exchange_end(p->exchange);
+      release(g, p);
+      break;
+    case MT_RELAY_DO_ABORT:
+      mt_http_exchange_abort(p->exchange);
+      release(g, p);
+      break;
+  }
+}
+
+/* Effects are taken in order; a step never nests in another. */
+static void step (mt_gateway_t *g, mt_relay_event_t *event) {
+  mt_relay_effects_t effects = {0};
+  event->now = uv_now(g->loop);
+  mt_relay_step(g->relay, event, &effects);
+  for (size_t i = 0; i < effects.count; i++) execute(g, &effects.list[i]);
+  free(effects.list);
+}
+
+/* }== */
+
+/* {== Callers ========================================================== */
+
+static mt_bytes_t path_of (mt_bytes_t target) {
+  const char *query = memchr(target.p, '?', target.n);
+  if (query != NULL) target.n = (size_t)(query - target.p);
+  return target;
+}
+
+static void on_request (void *ud, mt_http_exchange_t *x) {
+  mt_gateway_t *g = ud;
+  const mt_http_headers_t *headers = mt_http_exchange_headers(x);
+  mt_relay_ask_t ask = {.deadline_ms = -1, .last_event = -1};
+  passage_t *p = mtV_new(sizeof *p);
+  p->gateway = g;
+  p->number = ++g->next_number;
+  p->exchange = x;
+  mt_http_exchange_set_user(x, p);
+  mtV_put(&g->passages, p->number, p);
+  ask.host = mt_http_headers_find(headers, "host");
+  ask.path = path_of(mt_http_exchange_target(x));
+  g->dialect->read_request(headers, &ask);
+  mt_relay_event_t event = {.kind = MT_RELAY_REQUEST, .request = p->number};
+  event.u.ask = &ask;
+  step(g, &event);
+}
+
+static void on_caller_gone (void *ud, mt_http_exchange_t *x) {
+  mt_gateway_t *g = ud;
+  passage_t *p = mt_http_exchange_user(x);
+  if (p == NULL) return;
+  mt_relay_event_t event = {.kind = MT_RELAY_CALLER_LEFT,
+                            .request = p->number};
+  step(g, &event);
+  end_attempt(p);
+  release(g, p);
+}
+
+static void on_caller_drained (void *ud, mt_http_exchange_t *x) {
+  passage_t *p = mt_http_exchange_user(x);
+  if (p != NULL && p->attempt != NULL)
+    mt_http_call_pause(p->attempt->call, false);
+}
+
+/* }== */
+
+/* {== Engines ========================================================== */
+
+/* Keeps an answer's own header fields, for passing them on. */
+static void keep_head (passage_t *p, int status,
+                       const mt_http_headers_t *headers) {
+  if (p->head_kept) return;
+  p->status = status;
+  p->head.n = 0;
+  for (size_t i = 0; i < headers->count; i++) {
+    if (mt_http_headers_is_hop(headers, i)) continue;
+    mt_bytes_t name = mt_http_headers_name_at(headers, i);
+    mt_bytes_t value = mt_http_headers_value_at(headers, i);
+    mt_text_add(&p->head, name.p, name.n);
+    mt_text_add(&p->head, ": ", 2);
+    mt_text_add(&p->head, value.p, value.n);
+    mt_text_add(&p->head, "\r\n", 2);
+  }
+}
+
+static bool on_head (void *ud, mt_http_call_t *call, int status,
+                     const mt_http_headers_t *headers) {
+  attempt_t *a = ud;
+  mt_gateway_t *g = a->gateway;
+  if (!g->dialect->belongs(headers, (mt_bytes_t){a->id, strlen(a->id)}))
+    return false;
+  passage_t *p = a->passage;
+  if (p == NULL) return true;
+  keep_head(p, status, headers);
+  mt_relay_event_t event = {.kind = MT_RELAY_HEAD, .request = p->number,
+                            .attempt = a->number};
+  event.u.head.status = status;
+  event.u.head.verdict = g->dialect->judge(status, headers);
+  mt_bytes_t type = mt_http_headers_find(headers, "content-type");
+  event.u.head.events = type.n >= 17 && strncasecmp(type.p, "text/event-stream", 17) == 0;
+  step(g, &event);
+  return true;
+}
+
+static void on_data (void *ud, mt_http_call_t *call, const char *bytes,
+                     size_t n) {
+  attempt_t *a = ud;
+  if (a->passage == NULL) return;
+  mt_relay_event_t event = {.kind = MT_RELAY_DATA,
+                            .request = a->passage->number,
+                            .attempt = a->number};
+  event.u.data = (mt_bytes_t){bytes, n};
+  step(a->gateway, &event);
+}
+
+/* The call is over: nothing refers to the attempt any more. */
+static void forget_attempt (attempt_t *a) {
+  if (a->passage != NULL) a->passage->attempt = NULL;
+}
+
+static void on_end (void *ud, mt_http_call_t *call) {
+  attempt_t *a = ud;
+  passage_t *p = a->passage;
+  forget_attempt(a);
+  if (p != NULL) {
+    mt_relay_event_t event = {.kind = MT_RELAY_END, .request = p->number,
+                              .attempt = a->number};
+    step(a->gateway, &event);
+  }
+  free(a);
+}
+
+static void on_failed (void *ud, mt_http_call_t *call,
+                       mt_http_failure_t why) {
+  attempt_t *a = ud;
+  passage_t *p = a->passage;
+  forget_attempt(a);
+  if (p != NULL) {
+    mt_relay_event_t event = {.kind = MT_RELAY_FAILED, .request = p->number,
+                              .attempt = a->number};
+    event.u.not_sent = why == MT_HTTP_NOT_SENT;
+    step(a->gateway, &event);
+  }
+  free(a);
+}
+
+static const mt_http_call_handler_t engine_handler = {
+    .head = on_head, .data = on_data, .end = on_end, .failed = on_failed};
+
+/* }== */
+
+/* {== Declarations and engines ========================================= */
+
+void mt_gateway_declare (mt_gateway_t *g, mt_catalog_t *catalog) {
+  mt_http_server_limits_t limits = {
+      .header_bytes = catalog->limits.header_bytes,
+      .body_bytes = catalog->limits.body_bytes,
+      .header_ms = catalog->limits.header_ms,
+      .idle_ms = catalog->limits.idle_ms};
+  int64_t version = catalog->version;
+  size_t routes = catalog->routes_count;
+  size_t workspaces = catalog->workspaces_count;
+  bool taken = mt_relay_declare(g->relay, catalog);
+  mt_log_line(g->log, MT_LOG_BELIEF, uv_now(g->loop), "configuration",
+              "version=%lld routes=%zu workspaces=%zu outcome=%s",
+              (long long)version, routes, workspaces,
+              taken ? "in-force" : "older");
+  if (taken) mt_http_server_limits(g->callers, &limits);
+}
+
+static const char *state_name (mt_engine_state_t state) {
+  switch (state) {
+    case MT_ENGINE_READY: return "ready";
+    case MT_ENGINE_LEAVING: return "leaving";
+    case MT_ENGINE_GONE: return "gone";
+  }
+  return "";
+}
+
+static void set_state (mt_gateway_t *g, mt_engine_t *e,
+                       mt_engine_state_t state, bool is_new) {
+  if (e->state == state && !is_new) return;
+  e->state = state;
+  mt_log_line(g->log, MT_LOG_BELIEF, uv_now(g->loop), "engine",
+              "engine=%s address=%s:%u running=%d outcome=%s", e->name, e->ip,
+              e->port, e->here.running, state_name(state));
+  if (state == MT_ENGINE_GONE) mt_http_client_forget(g->engines, e->key);
+}
+
+void mt_gateway_engine (mt_gateway_t *g, const char *name,
+                        const mt_gateway_engine_t *engine) {
+  uint64_t key = mt_engine_key(name, strlen(name));
+  mt_engine_t *e = mt_engines_get(&g->relay->engines, key);
+  if (engine == NULL) {
+    if (e != NULL) set_state(g, e, MT_ENGINE_GONE, false);
+    return;
+  }
+  bool is_new = e == NULL;
+  if (is_new) e = mt_engines_add(&g->relay->engines, name);
+  snprintf(e->ip, sizeof e->ip, "%s", engine->ip);
+  e->port = engine->port;
+  e->slots = engine->slots;
+  e->service = mtV_id(engine->service, strlen(engine->service));
+  if (e->domain == NULL || strcmp(e->domain, engine->domain) != 0) {
+    free(e->domain);
+    e->domain = strdup(engine->domain);
+  }
+  set_state(g, e, engine->leaving ? MT_ENGINE_LEAVING : MT_ENGINE_READY,
+            is_new);
+}
+
+void mt_gateway_set_unsure (mt_gateway_t *g, bool unsure) {
+  g->relay->unsure = unsure;
+}
+
+/* }== */
+
+/* {== Readiness and the clock ========================================== */
+
+static bool is_ready (const mt_gateway_t *g) {
+  return g->stopping == 0 && g->relay->catalog != NULL &&
+         g->relay->engines.count > 0;
+}
+
+static void on_ready_asked (void *ud, mt_http_exchange_t *x) {
+  mt_gateway_t *g = ud;
+  mt_http_exchange_head(x, is_ready(g) ? 200 : 503, "", 0, 0);
+  mt_http_exchange_end(x);
+}
+
+static void on_metrics_asked (void *ud, mt_http_exchange_t *x) {
+  mt_gateway_t *g = ud;
+  static const char type[] = "Content-Type: text/plain; version=0.0.4\r\n";
+  g->scratch.n = 0;
+  mt_gateway_metrics(g->relay, g->engines, g->log, &g->scratch);
+  mt_http_exchange_head(x, 200, type, sizeof type - 1, (int64_t)g->scratch.n);
+  mt_http_exchange_data(x, g->scratch.p, g->scratch.n);
+  mt_http_exchange_end(x);
+}
+
+static void on_nothing (void *ud, mt_http_exchange_t *x) {
+}
+
+static void finish (mt_gateway_t *g, const char *why) {
+  mt_log_line(g->log, MT_LOG_BELIEF, uv_now(g->loop), "stop",
+              "requests=%zu outcome=%s", g->relay->count, why);
+  mt_log_writer_flush(g->log);
+  uv_stop(g->loop);
+}
+
+/* A stop goes in steps: out of the balancer, idle connections, the end. */
+static void go_on_stopping (mt_gateway_t *g) {
+  mt_ms_t since = uv_now(g->loop) - g->stopping;
+  if (since > LEAVE_MS) {
+    mt_http_server_close_idle(g->callers);
+    if (mt_http_server_connections(g->callers) == 0) {
+      finish(g, "finished");
+      return;
+    }
+  }
+  if (since + LAST_MS > g->settings.grace) finish(g, "out-of-time");
+}
+
+static void on_tick (uv_timer_t *timer) {
+  mt_gateway_t *g = timer->data;
+  mt_relay_event_t event = {.kind = MT_RELAY_TICK};
+  step(g, &event);
+  g->relay->routers = mt_gateway_peers_tick(g->peers);
+  mt_http_client_tick(g->engines);
+  mt_http_server_tick(g->callers);
+  mt_log_writer_flush(g->log);
+  if (g->stopping != 0) go_on_stopping(g);
+}
+
+/* }== */
+
+/* {== Opening and closing ============================================== */
+
+static const mt_http_server_handler_t caller_handler = {
+    .request = on_request, .gone = on_caller_gone,
+    .drained = on_caller_drained};
+static const mt_http_server_handler_t ready_handler = {
+    .request = on_ready_asked, .gone = on_nothing, .drained = on_nothing};
+static const mt_http_server_handler_t metrics_handler = {
+    .request = on_metrics_asked, .gone = on_nothing, .drained = on_nothing};
+
+/* One line for each request that did not simply go well. */
+static void log_request (void *ud, const mt_relay_request_t *r,
+                         const char *outcome, const char *why) {
+  mt_gateway_t *g = ud;
+  bool well = strcmp(outcome, "answered") == 0 && r->attempt == 1;
+  mt_log_line(g->log, well ? MT_LOG_DETAIL : MT_LOG_FAILURE, g->relay->now,
+              "request",
+              "id=%s route=%08x workspace=%08x engine=%s attempt=%d age=%llu "
+              "status=%d wait=%.0f tokens=%lld last=%lld version=%lld "
+              "outcome=%s why=%s",
+              r->id, r->route, r->workspace,
+              r->engine ? r->engine->name : "-", r->attempt,
+              (unsigned long long)(g->relay->now - r->arrived), r->status,
+              r->wait_expected, (long long)r->tokens_in,
+              (long long)r->last_event,
+              (long long)(g->relay->catalog ? g->relay->catalog->version : 0),
+              outcome, why);
+}
+
+static mt_http_server_t *listen_on (mt_gateway_t *g, const mt_addr_t *addr,
+                                    const mt_http_server_handler_t *handler,
+                                    char *reason, size_t size) {
+  return mt_http_server_open(g->loop, addr->ip, addr->port, handler, g,
+                             reason, size);
+}
+
+mt_gateway_t *mt_gateway_open (uv_loop_t *loop,
+                               const mt_gateway_settings_t *settings,
+                               const mt_dialect_t *dialect, char *reason,
+                               size_t size) {
+  static const mt_http_client_options_t options = {
+      .connect_ms = CONNECT_MS, .idle_ms = IDLE_MS,
+      .user_timeout = USER_TIMEOUT_MS};
+  mt_gateway_t *g = mtV_new(sizeof *g);
+  g->loop = loop;
+  g->settings = *settings;
+  g->dialect = dialect;
+  g->started = uv_now(loop);
+  g->log = mt_log_writer_open(STDOUT_FILENO, settings->node,
+                              settings->lines_per_s);
+  g->relay = mt_relay_new(settings->domain, &settings->terms);
+  g->relay->log = log_request;
+  g->relay->log_ud = g;
+  g->engines = mt_http_client_open(loop, &options, &engine_handler);
+  g->callers = listen_on(g, &settings->callers, &caller_handler, reason, size);
+  if (g->callers == NULL) return NULL;
+  g->ready = listen_on(g, &settings->ready, &ready_handler, reason, size);
+  if (g->ready == NULL) return NULL;
+  g->metrics =
+      listen_on(g, &settings->metrics, &metrics_handler, reason, size);
+  if (g->metrics == NULL) return NULL;
+  g->peers = mt_gateway_peers_open(loop, settings, g->relay, g->log);
+  uv_timer_init(loop, &g->tick);
+  g->tick.data = g;
+  uv_timer_start(&g->tick, on_tick, TICK_MS, TICK_MS);
+  mt_log_line(g->log, MT_LOG_BELIEF, g->started, "start",
+              "domain=%s callers=%s:%u outcome=started", settings->domain,
+              settings->callers.ip, mt_http_server_port(g->callers));
+  return g;
+}
+
+void mt_gateway_stop (mt_gateway_t *g) {
+  if (g->stopping != 0) return;
+  g->stopping = uv_now(g->loop);
+  mt_relay_event_t event = {.kind = MT_RELAY_STOP};
+  step(g, &event);
+  mt_http_server_drain(g->callers);
+  mt_log_line(g->log, MT_LOG_BELIEF, g->stopping, "stopping",
+              "requests=%zu outcome=draining", g->relay->count);
+}
+
+mt_log_writer_t *mt_gateway_log (mt_gateway_t *g) {
+  return g->log;
+}
+
+mt_relay_t *mt_gateway_relay (mt_gateway_t *g) {
+  return g->relay;
+}
+
+/* The process ends: sockets go with it, memory is given back for checkers. */
+void mt_gateway_close (mt_gateway_t *g) {
+  uv_close((uv_handle_t *)&g->tick, NULL);
+  mt_gateway_peers_close(g->peers);
+  mt_http_server_close(g->metrics);
+  mt_http_server_close(g->ready);
+  mt_http_server_close(g->callers);
+  mt_http_client_close(g->engines);
+  uv_run(g->loop, UV_RUN_NOWAIT);
+  mtV_each (&g->passages, i) {
+    passage_t *p = g->passages.vals[i];
+    if (p->attempt) free(p->attempt);
+    mt_text_free(&p->head);
+    free(p);
+  }
+  mtV_free(&g->passages);
+  mt_relay_free(g->relay);
+  mt_log_writer_close(g->log);
+  mt_text_free(&g->scratch);
+  free(g);
+}
+
+/* }== */
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,65 @@
+/*
+** gateway.h - connections around the relay: callers, engines, readiness,
+** metrics
+**
+** The gateway turns what happens on sockets into the relay's events and the
+** relay's effects into bytes. Where declarations and engines come from is the
+** business of whoever opens it.
+*/
+#ifndef gateway_h
+#define gateway_h
+
+#include <uv.h>
+
+#include "dialect.h"
+#include "http_client.h"
+#include "http_server.h"
+#include "log_writer.h"
+#include "mtset.h"
+
+typedef struct mt_gateway_t mt_gateway_t;
+
+typedef struct mt_gateway_settings_t {
+  mt_name_t node, domain;
+  mt_addr_t callers, ready, metrics, peers;
+  mt_addr_t seeds[MT_MAX_SEEDS]; /* routers to begin with; port of `peers` */
+  size_t seeds_count;
+  mt_ms_t grace; /* from the order to stop until the process is killed */
+  int lines_per_s;
+  mt_relay_terms_t terms;
+} mt_gateway_settings_t;
+
+/* An engine as its listing says. */
+typedef struct mt_gateway_engine_t {
+  const char *name, *domain, *ip;
+  uint16_t port;
+  const char *service;
+  int slots;
+  bool leaving;
+} mt_gateway_engine_t;
+
+/* NULL and a reason when it cannot listen. */
+mt_gateway_t *mt_gateway_open (uv_loop_t *loop,
+                               const mt_gateway_settings_t *settings,
+                               const mt_dialect_t *dialect, char *reason,
+                               size_t size);
+
+/* Takes a newer version of the declarations, which it then owns. */
+void mt_gateway_declare (mt_gateway_t *gateway, mt_catalog_t *catalog);
+
+/* Takes what a listing says of an engine; NULL engine: it is gone. */
+void mt_gateway_engine (mt_gateway_t *gateway, const char *name,
+                        const mt_gateway_engine_t *engine);
+
+/* Whether newer declarations may exist that cannot be seen from here. */
+void mt_gateway_set_unsure (mt_gateway_t *gateway, bool unsure);
+
+/* Takes no role any more, finishes what is at hand, then stops the loop. */
+void mt_gateway_stop (mt_gateway_t *gateway);
+
+mt_log_writer_t *mt_gateway_log (mt_gateway_t *gateway);
+mt_relay_t *mt_gateway_relay (mt_gateway_t *gateway);
+
+void mt_gateway_close (mt_gateway_t *gateway);
+
+#endif
--- /dev/null
+++ b/src/gateway/gateway_metrics.c
@@ -0,0 +1,83 @@
+/*
+** gateway_metrics.c - counters as Prometheus text
+*/
+#include <time.h>
+
+#include "gateway_metrics.h"
+
+#define PREFIX "martentiller_gateway_"
+
+static void describe (mt_text_t *out, const char *name, const char *type,
+                      const char *help) {
+  mt_text_format(out, "# HELP " PREFIX "%s %s\n# TYPE " PREFIX "%s %s\n",
+                 name, help, name, type);
+}
+
+static void number (mt_text_t *out, const char *name, const char *type,
+                    const char *help, double value) {
+  describe(out, name, type, help);
+  mt_text_format(out, PREFIX "%s %.10g\n", name, value);
+}
+
+static void reasons (const mt_relay_counters_t *c, mt_text_t *out) {
+  describe(out, "refusals_total", "counter", "Requests refused, by reason.");
+  for (int i = 0; i < MT_RELAY_REFUSAL_COUNT; i++)
+    mt_text_format(out, PREFIX "refusals_total{reason=\"%s\"} %llu\n",
+                   mt_relay_refusal_code((mt_relay_refusal_t)i),
+                   (unsigned long long)c->refusals[i]);
+  describe(out, "retries_total", "counter", "Further attempts, by reason.");
+  for (int i = 0; i < MT_RELAY_RETRY_COUNT; i++)
+    mt_text_format(out, PREFIX "retries_total{reason=\"%s\"} %llu\n",
+                   mt_relay_retry_code((mt_relay_retry_t)i),
+                   (unsigned long long)c->retries[i]);
+}
+
+static double processor_seconds (void) {
+  struct timespec ts;
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
+  return (double)ts.tv_sec + (double)ts.tv_nsec / 1e9;
+}
+
+void mt_gateway_metrics (const mt_relay_t *relay,
+                         const mt_http_client_t *engines,
+                         const mt_log_writer_t *log, mt_text_t *out) {
+  const mt_relay_counters_t *c = &relay->counters;
+  number(out, "requests_total", "counter", "Requests taken from callers.",
+         (double)c->requests);
+  number(out, "answers_total", "counter", "Whole answers passed on.",
+         (double)c->answers);
+  number(out, "aborted_total", "counter", "Answers cut off midway.",
+         (double)c->aborted);
+  number(out, "callers_left_total", "counter",
+         "Callers that left before their answer.", (double)c->callers_left);
+  number(out, "attempts_total", "counter", "Requests sent to engines.",
+         (double)c->attempts);
+  number(out, "events_total", "counter", "Stream events passed on.",
+         (double)c->events);
+  number(out, "prompt_tokens_total", "counter", "Prompt tokens sent.",
+         (double)c->tokens_wanted);
+  number(out, "prompt_tokens_unkept_total", "counter",
+         "Prompt tokens that the engine probably had to read.",
+         (double)c->tokens_missed);
+  number(out, "retries_denied_total", "counter",
+         "Retries that the budget did not allow.",
+         (double)c->retries_denied);
+  reasons(c, out);
+  number(out, "requests", "gauge", "Requests in progress.",
+         (double)relay->count);
+  number(out, "engines", "gauge", "Engines known.",
+         (double)relay->engines.count);
+  number(out, "routers", "gauge", "Routers heard of, this one included.",
+         relay->routers);
+  number(out, "configuration_version", "gauge", "Version in force.",
+         relay->catalog ? (double)relay->catalog->version : 0);
+  number(out, "engine_connections_total", "counter",
+         "Connections opened to engines.",
+         (double)mt_http_client_opened(engines));
+  number(out, "engine_connections", "gauge", "Connections to engines.",
+         (double)mt_http_client_connections(engines));
+  number(out, "log_lines_dropped_total", "counter", "Log lines left out.",
+         (double)mt_log_writer_dropped(log));
+  number(out, "processor_seconds_total", "counter", "Processor time used.",
+         processor_seconds());
+}
--- /dev/null
+++ b/src/gateway/gateway_settings.c
@@ -0,0 +1,82 @@
+/*
+** gateway_settings.c - a gateway's settings, from one JSON object
+*/
+#include <stdio.h>
+#include <string.h>
+
+#include "gateway_settings.h"
+
+#define GRACE_MS 10000
+#define LINES_PER_S 100
+#define RETRY_RATIO 0.1
+#define RETRY_WINDOW_MS 10000
+#define RETRY_SLACK 20
+#define WAIT_PART 0.6
+#define OVER_POWER 2.0
+#define MISS_WEIGHT 1.5
+
+static const mt_field_t fields[] = {
+    {"node", MT_F_STRING, true, 1, MT_NAME_MAX},
+    {"domain", MT_F_STRING, true, 1, MT_NAME_MAX},
+    {"callers", MT_F_ADDRESS, true, 0, 0},
+    {"ready", MT_F_ADDRESS, true, 0, 0},
+    {"metrics", MT_F_ADDRESS, true, 0, 0},
+    {"peers", MT_F_ADDRESS, true, 0, 0},
+    {"seeds", MT_F_STRINGS, false, 1, 64},
+    {"grace_ms", MT_F_INT, false, 0, 3600000},
+    {"log_lines_per_s", MT_F_INT, false, 1, 100000},
+    {"retry", MT_F_OBJECT, false, 0, 0},
+    {"relay", MT_F_OBJECT, false, 0, 0},
+    {"source", MT_F_OBJECT, false, 0, 0},
+};
+
+static void read_address (const json_t *doc, const char *name,
+                          mt_addr_t *addr) {
+  mtJ_address(mtJ_str(doc, name, ""), addr->ip, &addr->port);
+}
+
+static double real (const json_t *doc, const char *name, double otherwise) {
+  const json_t *value = json_object_get(doc, name);
+  return json_is_number(value) ? json_number_value(value) : otherwise;
+}
+
+static void read_seeds (const json_t *doc, mt_gateway_settings_t *set) {
+  size_t i;
+  json_t *seed;
+  json_array_foreach (json_object_get(doc, "seeds"), i, seed) {
+    if (set->seeds_count >= MT_MAX_SEEDS) return;
+    mt_addr_t *addr = &set->seeds[set->seeds_count];
+    set->seeds_count +=
+        mtJ_address(json_string_value(seed), addr->ip, &addr->port);
+  }
+}
+
+static void read_terms (const json_t *doc, mt_relay_terms_t *terms) {
+  const json_t *retry = json_object_get(doc, "retry");
+  const json_t *relay = json_object_get(doc, "relay");
+  terms->retry.ratio = real(retry, "ratio", RETRY_RATIO);
+  terms->retry.window =
+      (mt_ms_t)mtJ_int(retry, "window_ms", RETRY_WINDOW_MS);
+  terms->retry.slack = (int)mtJ_int(retry, "slack", RETRY_SLACK);
+  terms->wait_part = real(relay, "wait_part", WAIT_PART);
+  terms->over_power = real(relay, "over_power", OVER_POWER);
+  terms->miss_weight = real(relay, "miss_weight", MISS_WEIGHT);
+}
+
+bool mt_gateway_settings_read (const json_t *doc, mt_gateway_settings_t *set,
+                               mt_faults_t *faults) {
+  *set = (mt_gateway_settings_t){.grace = GRACE_MS};
+  mtJ_check(doc, "", fields, mt_countof(fields), faults);
+  if (faults->n > 0) return false;
+  snprintf(set->node, sizeof set->node, "%s", mtJ_str(doc, "node", ""));
+  snprintf(set->domain, sizeof set->domain, "%s", mtJ_str(doc, "domain", ""));
+  read_address(doc, "callers", &set->callers);
+  read_address(doc, "ready", &set->ready);
+  read_address(doc, "metrics", &set->metrics);
+  read_address(doc, "peers", &set->peers);
+  read_seeds(doc, set);
+  set->grace = (mt_ms_t)mtJ_int(doc, "grace_ms", GRACE_MS);
+  set->lines_per_s = (int)mtJ_int(doc, "log_lines_per_s", LINES_PER_S);
+  read_terms(doc, &set->terms);
+  return true;
+}
--- a/src/mtcli.c
+++ b/src/mtcli.c
@@ -13,6 +13,7 @@
 #include "mtpolicy.h"
 #include "mtpublish.h"
 #include "mtrouter.h"
+#include "platform.h"
 
 #define VERSION "0.1.0"
 #define PROGRAM "martentiller"
@@ -601,8 +602,28 @@
   return choose("settings ", settings, mt_countof(settings), argc, argv);
 }
 
+/* Settings come from the file that is named, or from the environment. */
+static int cmdgateway (int argc, char **argv) {
+  struct arg_file *file = arg_file0(NULL, "settings", "FILE",
+                                    "settings; else $" MT_PLATFORM_VARIABLE);
+  struct arg_lit *help = arg_lit0("h", "help", "print this help");
+  struct arg_end *end = arg_end(10);
+  void *table[] = {file, help, end};
+  int code = parse("gateway", "Runs a gateway until it is told to stop.",
+                   argc, argv, table, help, end);
+  const char *name = getenv(MT_PLATFORM_VARIABLE);
+  if (code == DONE && file->count > 0) name = file->filename[0];
+  if (code == DONE && name == NULL) {
+    fprintf(stderr, PROGRAM ": name the settings\n");
+    code = USAGE;
+  }
+  if (code == DONE) code = mt_platform_run(name) == 0 ? DONE : FAILED;
+  return finish(table, mt_countof(table), code);
+}
+
 static const row_t commands[] = {
     {"router", "run a router", cmdrouter},
+    {"gateway", "run a gateway on the platform", cmdgateway},
     {"settings", "check settings", cmdsettings},
     {"policy", "work on policy programs", cmdpolicy},
     {"plan", "print what 'apply' would change", cmdplan},
--- /dev/null
+++ b/src/net/http_client.c
@@ -0,0 +1,415 @@
+/*
+** http_client.c - HTTP/1.1 calls with kept connections, on http-parser
+*/
+#include <http_parser.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "http_client.h"
+#include "mtmem.h"
+
+#define READ_BYTES 65536
+#define SURPLUS_MAX 3       /* answers passed over on one call */
+#define IDLE_MARGIN_MS 1000 /* kept less long than the server says */
+
+/* A connection; it serves one call at a time and is the call. */
+struct mt_http_call_t {
+  uv_tcp_t tcp;
+  uv_connect_t connect;
+  mt_http_client_t *client;
+  mt_http_call_t *prev, *next; /* all */
+  mt_http_call_t *idle_next;   /* resting ones of the endpoint */
+  uint64_t key;
+  void *ud;
+  bool busy, connected, closing, keep, skipping, closed_framing, paused;
+  int surplus;
+  size_t writing;
+  char *request; /* until the connection is up */
+  size_t request_size;
+  mt_ms_t since;      /* connecting or resting since */
+  mt_ms_t idle_limit; /* how long it may rest */
+  http_parser parser;
+  mt_http_headers_t headers;
+};
+
+struct mt_http_client_t {
+  uv_loop_t *loop;
+  mt_http_client_options_t options;
+  mt_http_call_handler_t handler;
+  mt_http_call_t *all;
+  mt_map_t idle; /* endpoint -> its last used resting connection */
+  size_t count;
+  uint64_t opened;
+  char input[READ_BYTES];
+};
+
+typedef struct pending_write_t {
+  uv_write_t req;
+  mt_http_call_t *call;
+  char bytes[];
+} pending_write_t;
+
+/* {== Connections ====================================================== */
+
+static void on_closed (uv_handle_t *h) {
+  mt_http_call_t *c = h->data;
+  mt_http_headers_free(&c->headers);
+  free(c->request);
+  free(c);
+}
+
+static void leave_idle (mt_http_call_t *c) {
+  mt_http_call_t *first = mtV_get(&c->client->idle, c->key);
+  if (first == c) {
+    if (c->idle_next) mtV_put(&c->client->idle, c->key, c->idle_next);
+    else mtV_del(&c->client->idle, c->key);
+    return;
+  }
+  while (first != NULL && first->idle_next != c) first = first->idle_next;
+  if (first != NULL) first->idle_next = c->idle_next;
+}
+
+static void close_connection (mt_http_call_t *c) {
+  if (c->closing) return;
+  if (!c->busy) leave_idle(c);
+  c->closing = true;
+  if (c->prev) c->prev->next = c->next;
+  else c->client->all = c->next;
+  if (c->next) c->next->prev = c->prev;
+  c->client->count--;
+  uv_close((uv_handle_t *)&c->tcp, on_closed);
+}
+
+static void fail (mt_http_call_t *c, mt_http_failure_t why) {
+  bool busy = c->busy && !c->closing;
+  close_connection(c);
+  if (busy) c->client->handler.failed(c->ud, c, why);
+}
+
+static void rest (mt_http_call_t *c) {
+  c->busy = false;
+  c->ud = NULL;
+  c->since = uv_now(c->client->loop);
+  c->idle_next = mtV_get(&c->client->idle, c->key);
+  mtV_put(&c->client->idle, c->key, c);
+}
+
+/* The answer is whole: keeps the connection if nothing speaks against it. */
+static void finish (mt_http_call_t *c) {
+  void *ud = c->ud;
+  if (c->keep && c->writing == 0 && !c->paused) {
+    rest(c);
+  } else {
+    close_connection(c);
+  }
+  c->client->handler.end(ud, c);
+}
+
+/* }== */
+
+/* {== Parsing ========================================================== */
+
+static int on_begin (http_parser *parser) {
+  mt_http_call_t *c = parser->data;
+  mt_http_headers_reset(&c->headers);
+  c->skipping = false;
+  return 0;
+}
+
+static int on_name (http_parser *parser, const char *p, size_t n) {
+  mt_http_call_t *c = parser->data;
+  mt_http_headers_name(&c->headers, p, n);
+  return 0;
+}
+
+static int on_value (http_parser *parser, const char *p, size_t n) {
+  mt_http_call_t *c = parser->data;
+  mt_http_headers_value(&c->headers, p, n);
+  return 0;
+}
+
+/* How long the server keeps a resting connection, less a margin. */
+static mt_ms_t idle_limit (const mt_http_call_t *c) {
+  mt_ms_t limit = c->client->options.idle_ms;
+  mt_bytes_t text = mt_http_headers_find(&c->headers, "keep-alive");
+  static const char key[] = "timeout=";
+  for (size_t i = 0; i + sizeof key - 1 < text.n; i++) {
+    if (memcmp(text.p + i, key, sizeof key - 1) != 0) continue;
+    mt_ms_t told = 1000 * (mt_ms_t)atoi(text.p + i + sizeof key - 1);
+    told = told > IDLE_MARGIN_MS ? told - IDLE_MARGIN_MS : told / 2;
+    limit = mt_min(limit, told);
+  }
+  return limit;
+}
+
+static int on_headers (http_parser *parser) {
+  mt_http_call_t *c = parser->data;
+  if (parser->status_code < 200) return 0;
+  c->idle_limit = idle_limit(c);
+  c->closed_framing = !(parser->flags & (F_CHUNKED | F_CONTENTLENGTH));
+  c->skipping = !c->client->handler.head(c->ud, c, parser->status_code,
+                                         &c->headers);
+  if (c->closing) return 1;
+  if (c->skipping && ++c->surplus > SURPLUS_MAX) return -1;
+  return 0;
+}
+
+static int on_body (http_parser *parser, const char *p, size_t n) {
+  mt_http_call_t *c = parser->data;
+  if (!c->skipping && !c->closing) c->client->handler.data(c->ud, c, p, n);
+  return 0;
+}
+
+static int on_complete (http_parser *parser) {
+  mt_http_call_t *c = parser->data;
+  if (c->closing) return 0;
+  if (parser->status_code < 200 || c->skipping) return 0;
+  c->keep = http_should_keep_alive(parser);
+  http_parser_pause(parser, 1);
+  return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_message_begin = on_begin,
+    .on_header_field = on_name,
+    .on_header_value = on_value,
+    .on_headers_complete = on_headers,
+    .on_body = on_body,
+    .on_message_complete = on_complete};
+
+/* Takes in bytes of the answer; bytes beyond its end spoil the connection. */
+static void parse (mt_http_call_t *c, const char *p, size_t n) {
+  size_t used = http_parser_execute(&c->parser, &parser_settings, p, n);
+  if (c->closing) return;
+  switch (HTTP_PARSER_ERRNO(&c->parser)) {
+    case HPE_OK: return;
+    case HPE_PAUSED:
+      http_parser_pause(&c->parser, 0);
+      if (used < n) c->keep = false;
+      finish(c);
+      return;
+    default: fail(c, MT_HTTP_GARBLED); return;
+  }
+}
+
+/* }== */
+
+/* {== Reading and writing ============================================== */
+
+static void on_alloc (uv_handle_t *h, size_t hint, uv_buf_t *buf) {
+  mt_http_call_t *c = h->data;
+  *buf = uv_buf_init(c->client->input, READ_BYTES);
+}
+
+/* The server closed its side: that ends an answer that has no other end. */
+static void on_end_of_input (mt_http_call_t *c) {
+  if (c->busy && c->closed_framing && !c->skipping) {
+    http_parser_execute(&c->parser, &parser_settings, "", 0);
+    if (c->closing) return;
+    if (HTTP_PARSER_ERRNO(&c->parser) == HPE_PAUSED) {
+      c->keep = false;
+      finish(c);
+      return;
+    }
+  }
+  fail(c, MT_HTTP_CLOSED);
+}
+
+static void on_read (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf) {
+  mt_http_call_t *c = stream->data;
+  if (n == 0) return;
+  if (n == UV_EOF) on_end_of_input(c);
+  else if (n < 0) fail(c, MT_HTTP_CLOSED);
+  else if (!c->busy) close_connection(c); /* nothing was asked */
+  else parse(c, buf->base, (size_t)n);
+}
+
+static void on_written (uv_write_t *req, int status) {
+  pending_write_t *w = (pending_write_t *)req;
+  mt_http_call_t *c = w->call;
+  free(w);
+  c->writing--;
+  if (status < 0 && !c->closing) fail(c, MT_HTTP_CLOSED);
+}
+
+static void write_later (mt_http_call_t *c, const char *p, size_t n) {
+  pending_write_t *w = malloc(sizeof *w + n);
+  if (w == NULL) abort();
+  w->call = c;
+  memcpy(w->bytes, p, n);
+  uv_buf_t buf = uv_buf_init(w->bytes, (unsigned)n);
+  c->writing++;
+  if (uv_write(&w->req, (uv_stream_t *)&c->tcp, &buf, 1, on_written) == 0)
+    return;
+  c->writing--;
+  free(w);
+}
+
+static void send_request (mt_http_call_t *c, mt_bytes_t head,
+                          mt_bytes_t body) {
+  uv_buf_t bufs[2] = {uv_buf_init((char *)head.p, (unsigned)head.n),
+                      uv_buf_init((char *)body.p, (unsigned)body.n)};
+  int written = uv_try_write((uv_stream_t *)&c->tcp, bufs, body.n ? 2 : 1);
+  size_t done = written > 0 ? (size_t)written : 0;
+  if (done < head.n) {
+    write_later(c, head.p + done, head.n - done);
+    done = head.n;
+  }
+  if (done < head.n + body.n)
+    write_later(c, body.p + (done - head.n), head.n + body.n - done);
+}
+
+static void begin_answer (mt_http_call_t *c) {
+  http_parser_init(&c->parser, HTTP_RESPONSE);
+  c->parser.data = c;
+  c->surplus = 0;
+  c->skipping = false;
+  c->closed_framing = false;
+  c->keep = false;
+}
+
+static void on_connected (uv_connect_t *req, int status) {
+  mt_http_call_t *c = req->data;
+  if (c->closing) return;
+  if (status < 0) {
+    fail(c, MT_HTTP_NOT_SENT);
+    return;
+  }
+  c->connected = true;
+  uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+  send_request(c, (mt_bytes_t){c->request, c->request_size},
+               (mt_bytes_t){"", 0});
+  free(c->request);
+  c->request = NULL;
+}
+
+/* }== */
+
+/* {== Calls ============================================================ */
+
+static mt_http_call_t *take_idle (mt_http_client_t *client, uint64_t key) {
+  mt_ms_t now = uv_now(client->loop);
+  mt_http_call_t *c = mtV_get(&client->idle, key);
+  if (c == NULL || now - c->since > c->idle_limit) return NULL;
+  leave_idle(c);
+  return c;
+}
+
+/* Sockets' own options: small writes go out at once, lost peers end it. */
+static void tune (mt_http_call_t *c) {
+  uv_os_fd_t fd;
+  int timeout = (int)c->client->options.user_timeout;
+  uv_tcp_nodelay(&c->tcp, 1);
+  if (uv_fileno((uv_handle_t *)&c->tcp, &fd) != 0) return;
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+}
+
+/* A connect that fails at once is reported by the next tick. */
+static mt_http_call_t *connect_to (mt_http_client_t *client,
+                                   const mt_http_endpoint_t *endpoint) {
+  struct sockaddr_in addr;
+  mt_http_call_t *c = mtV_new(sizeof *c);
+  c->client = client;
+  c->key = endpoint->key;
+  c->next = client->all;
+  if (c->next) c->next->prev = c;
+  client->all = c;
+  client->count++;
+  client->opened++;
+  c->since = uv_now(client->loop);
+  uv_tcp_init(client->loop, &c->tcp);
+  c->tcp.data = c;
+  c->connect.data = c;
+  if (uv_ip4_addr(endpoint->ip, endpoint->port, &addr) == 0 &&
+      uv_tcp_connect(&c->connect, &c->tcp, (const struct sockaddr *)&addr,
+                     on_connected) == 0)
+    tune(c);
+  else
+    c->since = 0;
+  return c;
+}
+
+static void keep_request (mt_http_call_t *c, mt_bytes_t head,
+                          mt_bytes_t body) {
+  c->request_size = head.n + body.n;
+  c->request = malloc(c->request_size + 1);
+  if (c->request == NULL) abort();
+  memcpy(c->request, head.p, head.n);
+  if (body.n > 0) memcpy(c->request + head.n, body.p, body.n);
+}
+
+mt_http_call_t *mt_http_client_call (mt_http_client_t *client,
+                                     const mt_http_endpoint_t *endpoint,
+                                     mt_bytes_t head, mt_bytes_t body,
+                                     bool fresh, void *ud) {
+  mt_http_call_t *c = fresh ? NULL : take_idle(client, endpoint->key);
+  bool kept = c != NULL;
+  if (!kept) c = connect_to(client, endpoint);
+  c->busy = true;
+  c->ud = ud;
+  begin_answer(c);
+  if (kept) send_request(c, head, body);
+  else keep_request(c, head, body);
+  return c;
+}
+
+void mt_http_call_cancel (mt_http_call_t *c) {
+  close_connection(c);
+}
+
+void mt_http_call_pause (mt_http_call_t *c, bool pause) {
+  if (c->closing || !c->connected || c->paused == pause) return;
+  c->paused = pause;
+  if (pause) uv_read_stop((uv_stream_t *)&c->tcp);
+  else uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+}
+
+/* }== */
+
+/* {== The client ======================================================= */
+
+mt_http_client_t *
+mt_http_client_open (uv_loop_t *loop, const mt_http_client_options_t *options,
+                     const mt_http_call_handler_t *handler) {
+  mt_http_client_t *client = mtV_new(sizeof *client);
+  client->loop = loop;
+  client->options = *options;
+  client->handler = *handler;
+  return client;
+}
+
+/* Connections free themselves in the loop's next turns. */
+void mt_http_client_close (mt_http_client_t *client) {
+  while (client->all != NULL) close_connection(client->all);
+  mtV_free(&client->idle);
+  free(client);
+}
+
+void mt_http_client_forget (mt_http_client_t *client, uint64_t key) {
+  mt_http_call_t *c;
+  while ((c = mtV_get(&client->idle, key)) != NULL) close_connection(c);
+}
+
+void mt_http_client_tick (mt_http_client_t *client) {
+  mt_ms_t now = uv_now(client->loop);
+  mt_http_call_t *next;
+  for (mt_http_call_t *c = client->all; c != NULL; c = next) {
+    next = c->next;
+    if (!c->busy && now - c->since > c->idle_limit) close_connection(c);
+    else if (c->busy && !c->connected &&
+             now - c->since > client->options.connect_ms)
+      fail(c, MT_HTTP_NOT_SENT);
+  }
+}
+
+uint64_t mt_http_client_opened (const mt_http_client_t *client) {
+  return client->opened;
+}
+
+size_t mt_http_client_connections (const mt_http_client_t *client) {
+  return client->count;
+}
+
+/* }== */
--- /dev/null
+++ b/src/net/http_headers.h
@@ -0,0 +1,56 @@
+/*
+** http_headers.h - the header fields of one HTTP message
+*/
+#ifndef http_headers_h
+#define http_headers_h
+
+#include "mtobject.h"
+
+/* One field; texts are offsets into the list's buffer, zero-terminated. */
+typedef struct mt_http_field_t {
+  uint32_t name, name_size;
+  uint32_t value, value_size;
+} mt_http_field_t;
+
+/* Fields in the order of arrival. An all-zero list is empty and valid. */
+typedef struct mt_http_headers_t {
+  char *text;
+  size_t used, text_cap;
+  mt_http_field_t *fields;
+  size_t count, fields_cap;
+  bool in_value; /* the parser's last piece belonged to a value */
+} mt_http_headers_t;
+
+/* Empties the list and keeps its memory. */
+void mt_http_headers_reset (mt_http_headers_t *headers);
+void mt_http_headers_free (mt_http_headers_t *headers);
+
+/* Take a piece of a name or value, as an incremental parser gives them. */
+void mt_http_headers_name (mt_http_headers_t *headers, const char *p,
+                           size_t n);
+void mt_http_headers_value (mt_http_headers_t *headers, const char *p,
+                            size_t n);
+
+/* The value of the first field of that name, in any case; n 0: none. */
+mt_bytes_t mt_http_headers_find (const mt_http_headers_t *headers,
+                                 const char *name);
+
+/* Name and value of the field with this index. */
+mt_bytes_t mt_http_headers_name_at (const mt_http_headers_t *headers,
+                                    size_t index);
+mt_bytes_t mt_http_headers_value_at (const mt_http_headers_t *headers,
+                                     size_t index);
+
+/*
+** True for a field that concerns one connection only and never travels on:
+** the fixed ones and those that the message's Connection field names.
+*/
+bool mt_http_headers_is_hop (const mt_http_headers_t *headers, size_t index);
+
+/* True when both are the same text, whatever the case. */
+bool mt_bytes_same (mt_bytes_t a, const char *b);
+
+/* A number of milliseconds or another whole number; -1 when it is none. */
+int64_t mt_bytes_number (mt_bytes_t text);
+
+#endif
--- /dev/null
+++ b/src/net/http_server.c
@@ -0,0 +1,552 @@
+/*
+** http_server.c - an HTTP/1.1 listener, on http-parser over libuv
+*/
+#include <http_parser.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "http_server.h"
+#include "mtmem.h"
+
+#define READ_BYTES 65536      /* one read; shared by all connections */
+#define AHEAD_MAX (64u << 10) /* bytes kept that were sent ahead */
+#define BACKLOG 511
+#define USER_TIMEOUT_MS 10000 /* unacknowledged bytes end a connection */
+#define TARGET_MAX 8192       /* bytes of a request's target */
+
+typedef enum mt_exchange_state_t {
+  STATE_IDLE,     /* no byte of a request yet */
+  STATE_READING,  /* some bytes of one */
+  STATE_WAITING,  /* handed over, no answer yet */
+  STATE_ANSWERING /* the head of the answer is out */
+} mt_exchange_state_t;
+
+/* Bytes that grow and are cut from the front. */
+typedef struct buffer_t {
+  char *p;
+  size_t n, cap;
+} buffer_t;
+
+struct mt_http_exchange_t {
+  uv_tcp_t tcp;
+  mt_http_server_t *server;
+  mt_http_exchange_t *prev, *next;             /* all connections */
+  mt_http_exchange_t *dirty_prev, *dirty_next; /* those with bytes to write */
+  bool dirty, closing, close_after, chunked, headless, keep_alive, too_large;
+  bool told; /* the handler has it and has not ended it */
+  mt_exchange_state_t state;
+  http_parser parser;
+  mt_http_headers_t headers;
+  buffer_t target, body, ahead, out;
+  size_t writing; /* bytes handed to libuv and not yet written */
+  mt_ms_t since;  /* of the state IDLE or READING */
+  void *user;
+};
+
+struct mt_http_server_t {
+  uv_loop_t *loop;
+  uv_tcp_t listener;
+  uv_prepare_t flusher;
+  mt_http_server_handler_t handler;
+  void *ud;
+  mt_http_server_limits_t limits;
+  mt_http_exchange_t *all, *dirty;
+  size_t count;
+  bool draining;
+  char input[READ_BYTES];
+};
+
+/* A write that libuv has not finished. */
+typedef struct pending_write_t {
+  uv_write_t req;
+  mt_http_exchange_t *exchange;
+  size_t n;
+  char bytes[];
+} pending_write_t;
+
+static const mt_http_server_limits_t default_limits = {
+    .header_bytes = 16384, .body_bytes = MT_BODY_MAX, .header_ms = 10000,
+    .idle_ms = 60000};
+
+/* {== Buffers ========================================================== */
+
+static void buffer_add (buffer_t *b, const char *p, size_t n) {
+  if (n == 0) return;
+  if (b->n + n > b->cap) {
+    size_t cap = mt_max(b->cap * 2, (size_t)1024);
+    while (cap < b->n + n) cap *= 2;
+    char *grown = realloc(b->p, cap);
+    if (grown == NULL) abort();
+    b->p = grown;
+    b->cap = cap;
+  }
+  memcpy(b->p + b->n, p, n);
+  b->n += n;
+}
+
+static void buffer_free (buffer_t *b) {
+  free(b->p);
+  *b = (buffer_t){0};
+}
+
+/* }== */
+
+/* {== Connections ====================================================== */
+
+static void unlink_dirty (mt_http_exchange_t *x) {
+  if (!x->dirty) return;
+  x->dirty = false;
+  if (x->dirty_prev) x->dirty_prev->dirty_next = x->dirty_next;
+  else x->server->dirty = x->dirty_next;
+  if (x->dirty_next) x->dirty_next->dirty_prev = x->dirty_prev;
+}
+
+static void mark_dirty (mt_http_exchange_t *x) {
+  if (x->dirty || x->closing) return;
+  x->dirty = true;
+  x->dirty_prev = NULL;
+  x->dirty_next = x->server->dirty;
+  if (x->dirty_next) x->dirty_next->dirty_prev = x;
+  x->server->dirty = x;
+}
+
+static void on_closed (uv_handle_t *h) {
+  mt_http_exchange_t *x = h->data;
+  mt_http_headers_free(&x->headers);
+  buffer_free(&x->target);
+  buffer_free(&x->body);
+  buffer_free(&x->ahead);
+  buffer_free(&x->out);
+  free(x);
+}
+
+/* Ends a connection; the handler hears of it when it holds a request. */
+static void close_connection (mt_http_exchange_t *x) {
+  if (x->closing) return;
+  mt_http_server_t *server = x->server;
+  unlink_dirty(x);
+  x->closing = true;
+  if (x->prev) x->prev->next = x->next;
+  else server->all = x->next;
+  if (x->next) x->next->prev = x->prev;
+  server->count--;
+  bool told = x->told;
+  x->told = false;
+  if (told) server->handler.gone(server->ud, x);
+  uv_close((uv_handle_t *)&x->tcp, on_closed);
+}
+
+static void settle (mt_http_exchange_t *x);
+
+static void on_written (uv_write_t *req, int status) {
+  pending_write_t *w = (pending_write_t *)req;
+  mt_http_exchange_t *x = w->exchange;
+  x->writing -= w->n;
+  free(w);
+  if (x->closing) return;
+  if (status < 0) {
+    close_connection(x);
+    return;
+  }
+  if (x->writing > 0) return;
+  if (x->told) x->server->handler.drained(x->server->ud, x);
+  settle(x);
+}
+
+static void write_later (mt_http_exchange_t *x, const char *p, size_t n) {
+  pending_write_t *w = malloc(sizeof *w + n);
+  if (w == NULL) abort();
+  w->exchange = x;
+  w->n = n;
+  memcpy(w->bytes, p, n);
+  x->writing += n;
+  uv_buf_t buf = uv_buf_init(w->bytes, (unsigned)n);
+  if (uv_write(&w->req, (uv_stream_t *)&x->tcp, &buf, 1, on_written) < 0) {
+    x->writing -= n;
+    free(w);
+    close_connection(x);
+  }
+}
+
+static void flush (mt_http_exchange_t *x) {
+  unlink_dirty(x);
+  size_t done = 0;
+  if (x->out.n > 0 && x->writing == 0) {
+    uv_buf_t buf = uv_buf_init(x->out.p, (unsigned)x->out.n);
+    int written = uv_try_write((uv_stream_t *)&x->tcp, &buf, 1);
+    if (written < 0 && written != UV_EAGAIN) {
+      close_connection(x);
+      return;
+    }
+    if (written > 0) done = (size_t)written;
+  }
+  if (done < x->out.n) write_later(x, x->out.p + done, x->out.n - done);
+  x->out.n = 0;
+  if (!x->closing) settle(x);
+}
+
+static void on_prepare (uv_prepare_t *prepare) {
+  mt_http_server_t *server = prepare->data;
+  while (server->dirty != NULL) flush(server->dirty);
+}
+
+/* }== */
+
+/* {== Parsing ========================================================== */
+
+static int on_target (http_parser *parser, const char *p, size_t n) {
+  mt_http_exchange_t *x = parser->data;
+  if (x->target.n + n > TARGET_MAX) return 1;
+  buffer_add(&x->target, p, n);
+  return 0;
+}
+
+static bool headers_too_large (const mt_http_exchange_t *x) {
+  return x->headers.used + x->target.n > x->server->limits.header_bytes;
+}
+
+static int on_name (http_parser *parser, const char *p, size_t n) {
+  mt_http_exchange_t *x = parser->data;
+  mt_http_headers_name(&x->headers, p, n);
+  return headers_too_large(x);
+}
+
+static int on_value (http_parser *parser, const char *p, size_t n) {
+  mt_http_exchange_t *x = parser->data;
+  mt_http_headers_value(&x->headers, p, n);
+  return headers_too_large(x);
+}
+
+static int on_headers (http_parser *parser) {
+  mt_http_exchange_t *x = parser->data;
+  uint64_t length = parser->content_length;
+  bool counted = parser->flags & F_CONTENTLENGTH;
+  x->too_large = counted && length > x->server->limits.body_bytes;
+  if (x->too_large) return -1;
+  mt_bytes_t expect = mt_http_headers_find(&x->headers, "expect");
+  if (mt_bytes_same(expect, "100-continue")) {
+    static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
+    buffer_add(&x->out, go_on, sizeof go_on - 1);
+    mark_dirty(x);
+  }
+  return 0;
+}
+
+static int on_body (http_parser *parser, const char *p, size_t n) {
+  mt_http_exchange_t *x = parser->data;
+  x->too_large = x->body.n + n > x->server->limits.body_bytes;
+  if (x->too_large) return 1;
+  buffer_add(&x->body, p, n);
+  return 0;
+}
+
+static int on_complete (http_parser *parser) {
+  mt_http_exchange_t *x = parser->data;
+  x->keep_alive = http_should_keep_alive(parser) && !parser->upgrade;
+  x->state = STATE_WAITING;
+  http_parser_pause(parser, 1);
+  return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_url = on_target,
+    .on_header_field = on_name,
+    .on_header_value = on_value,
+    .on_headers_complete = on_headers,
+    .on_body = on_body,
+    .on_message_complete = on_complete};
+
+static void begin_reading (mt_http_exchange_t *x) {
+  http_parser_init(&x->parser, HTTP_REQUEST);
+  x->parser.data = x;
+  mt_http_headers_reset(&x->headers);
+  x->target.n = 0;
+  x->body.n = 0;
+  x->state = STATE_IDLE;
+  x->since = uv_now(x->server->loop);
+  x->user = NULL;
+}
+
+/* Answers what could not be read and ends the connection. */
+static void refuse_input (mt_http_exchange_t *x, int status) {
+  x->keep_alive = false;
+  x->state = STATE_WAITING;
+  mt_http_exchange_head(x, status, "", 0, 0);
+  mt_http_exchange_end(x);
+}
+
+/* Parses bytes of a request; what is left over is kept for after it. */
+static void parse (mt_http_exchange_t *x, const char *p, size_t n) {
+  if (x->state == STATE_IDLE) {
+    x->state = STATE_READING;
+    x->since = uv_now(x->server->loop);
+  }
+  size_t used = http_parser_execute(&x->parser, &parser_settings, p, n);
+  if (x->state == STATE_WAITING) {
+    http_parser_pause(&x->parser, 0);
+    buffer_add(&x->ahead, p + used, n - used);
+    x->told = true;
+    x->server->handler.request(x->server->ud, x);
+    return;
+  }
+  if (HTTP_PARSER_ERRNO(&x->parser) == HPE_OK) return;
+  if (x->too_large) refuse_input(x, 413);
+  else if (headers_too_large(x)) refuse_input(x, 431);
+  else refuse_input(x, 400);
+}
+
+/* }== */
+
+/* {== Reading ========================================================== */
+
+static void on_alloc (uv_handle_t *h, size_t hint, uv_buf_t *buf) {
+  mt_http_exchange_t *x = h->data;
+  *buf = uv_buf_init(x->server->input, READ_BYTES);
+}
+
+static void on_read (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf) {
+  mt_http_exchange_t *x = stream->data;
+  if (n == 0) return;
+  if (n < 0) {
+    close_connection(x);
+    return;
+  }
+  if (x->state == STATE_IDLE || x->state == STATE_READING) {
+    parse(x, buf->base, (size_t)n);
+    return;
+  }
+  buffer_add(&x->ahead, buf->base, (size_t)n);
+  if (x->ahead.n > AHEAD_MAX) uv_read_stop(stream);
+}
+
+/* An answer is out: goes on with the next request or ends the connection. */
+static void settle (mt_http_exchange_t *x) {
+  if (x->told || x->state == STATE_IDLE || x->state == STATE_READING) return;
+  if (x->writing > 0 || x->out.n > 0) return;
+  if (x->close_after) {
+    close_connection(x);
+    return;
+  }
+  begin_reading(x);
+  buffer_t ahead = x->ahead;
+  x->ahead = (buffer_t){0};
+  uv_read_start((uv_stream_t *)&x->tcp, on_alloc, on_read);
+  if (ahead.n > 0) parse(x, ahead.p, ahead.n);
+  buffer_free(&ahead);
+}
+
+static void on_connection (uv_stream_t *listener, int status) {
+  mt_http_server_t *server = listener->data;
+  if (status < 0) return;
+  mt_http_exchange_t *x = mtV_new(sizeof *x);
+  x->server = server;
+  uv_tcp_init(server->loop, &x->tcp);
+  x->tcp.data = x;
+  x->next = server->all;
+  if (x->next) x->next->prev = x;
+  server->all = x;
+  server->count++;
+  begin_reading(x);
+  if (uv_accept(listener, (uv_stream_t *)&x->tcp) < 0) {
+    close_connection(x);
+    return;
+  }
+  uv_tcp_nodelay(&x->tcp, 1);
+  uv_os_fd_t fd;
+  int timeout = USER_TIMEOUT_MS;
+  if (uv_fileno((uv_handle_t *)&x->tcp, &fd) == 0)
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+  uv_read_start((uv_stream_t *)&x->tcp, on_alloc, on_read);
+}
+
+/* }== */
+
+/* {== The request and its answer ======================================= */
+
+mt_bytes_t mt_http_exchange_method (const mt_http_exchange_t *x) {
+  const char *name = http_method_str((enum http_method)x->parser.method);
+  return (mt_bytes_t){name, strlen(name)};
+}
+
+mt_bytes_t mt_http_exchange_target (const mt_http_exchange_t *x) {
+  return (mt_bytes_t){x->target.p, x->target.n};
+}
+
+mt_bytes_t mt_http_exchange_body (const mt_http_exchange_t *x) {
+  return (mt_bytes_t){x->body.p, x->body.n};
+}
+
+const mt_http_headers_t *
+mt_http_exchange_headers (const mt_http_exchange_t *x) {
+  return &x->headers;
+}
+
+void *mt_http_exchange_user (const mt_http_exchange_t *x) {
+  return x->user;
+}
+
+void mt_http_exchange_set_user (mt_http_exchange_t *x, void *user) {
+  x->user = user;
+}
+
+static const char *reason_of (int status) {
+  switch (status) {
+#define STATUS_NAME(number, name, text) \
+  case number: return #text;
+    HTTP_STATUS_MAP(STATUS_NAME)
+#undef STATUS_NAME
+    default: return "Other";
+  }
+}
+
+static bool has_body (const mt_http_exchange_t *x, int status) {
+  return x->parser.method != HTTP_HEAD && status != 204 && status != 304;
+}
+
+void mt_http_exchange_head (mt_http_exchange_t *x, int status,
+                            const char *lines, size_t lines_size,
+                            int64_t length) {
+  char text[128];
+  if (x->closing) return;
+  x->state = STATE_ANSWERING;
+  x->headless = !has_body(x, status);
+  x->chunked = length == MT_HTTP_CHUNKED && !x->headless;
+  x->close_after = !x->keep_alive || x->server->draining;
+  int n = snprintf(text, sizeof text, "HTTP/1.1 %d %s\r\n", status,
+                   reason_of(status));
+  buffer_add(&x->out, text, (size_t)n);
+  buffer_add(&x->out, lines, lines_size);
+  n = 0;
+  if (x->chunked)
+    n = snprintf(text, sizeof text, "Transfer-Encoding: chunked\r\n");
+  else if (length >= 0 && status != 204)
+    n = snprintf(text, sizeof text, "Content-Length: %lld\r\n",
+                 (long long)length);
+  buffer_add(&x->out, text, (size_t)n);
+  if (x->close_after) buffer_add(&x->out, "Connection: close\r\n", 19);
+  buffer_add(&x->out, "\r\n", 2);
+  mark_dirty(x);
+}
+
+void mt_http_exchange_data (mt_http_exchange_t *x, const char *p, size_t n) {
+  char size[24];
+  if (x->closing || x->headless || n == 0) return;
+  if (x->chunked) {
+    int digits = snprintf(size, sizeof size, "%zx\r\n", n);
+    buffer_add(&x->out, size, (size_t)digits);
+  }
+  buffer_add(&x->out, p, n);
+  if (x->chunked) buffer_add(&x->out, "\r\n", 2);
+  mark_dirty(x);
+}
+
+void mt_http_exchange_end (mt_http_exchange_t *x) {
+  if (x->closing) return;
+  if (x->chunked) buffer_add(&x->out, "0\r\n\r\n", 5);
+  x->told = false;
+  x->user = NULL;
+  mark_dirty(x);
+}
+
+void mt_http_exchange_abort (mt_http_exchange_t *x) {
+  x->told = false;
+  close_connection(x);
+}
+
+size_t mt_http_exchange_backlog (const mt_http_exchange_t *x) {
+  return x->out.n + x->writing;
+}
+
+/* }== */
+
+/* {== The listener ===================================================== */
+
+mt_http_server_t *mt_http_server_open (uv_loop_t *loop, const char *ip,
+                                       uint16_t port,
+                                       const mt_http_server_handler_t *handler,
+                                       void *ud, char *reason, size_t size) {
+  mt_http_server_t *server = mtV_new(sizeof *server);
+  struct sockaddr_in addr;
+  server->loop = loop;
+  server->handler = *handler;
+  server->ud = ud;
+  server->limits = default_limits;
+  uv_tcp_init(loop, &server->listener);
+  server->listener.data = server;
+  int err = uv_ip4_addr(ip, port, &addr);
+  if (err == 0)
+    err = uv_tcp_bind(&server->listener, (const struct sockaddr *)&addr, 0);
+  if (err == 0)
+    err = uv_listen((uv_stream_t *)&server->listener, BACKLOG, on_connection);
+  if (err != 0) {
+    snprintf(reason, size, "cannot listen on %s:%u: %s", ip, port,
+             uv_strerror(err));
+    uv_close((uv_handle_t *)&server->listener, NULL);
+    return NULL; /* the handle still belongs to the loop */
+  }
+  uv_prepare_init(loop, &server->flusher);
+  server->flusher.data = server;
+  uv_prepare_start(&server->flusher, on_prepare);
+  return server;
+}
+
+uint16_t mt_http_server_port (const mt_http_server_t *server) {
+  struct sockaddr_in addr;
+  int size = sizeof addr;
+  uv_tcp_getsockname(&server->listener, (struct sockaddr *)&addr, &size);
+  return ntohs(addr.sin_port);
+}
+
+void mt_http_server_limits (mt_http_server_t *server,
+                            const mt_http_server_limits_t *limits) {
+  server->limits = *limits;
+}
+
+size_t mt_http_server_connections (const mt_http_server_t *server) {
+  return server->count;
+}
+
+void mt_http_server_drain (mt_http_server_t *server) {
+  server->draining = true;
+}
+
+void mt_http_server_close_idle (mt_http_server_t *server) {
+  mt_http_exchange_t *next;
+  for (mt_http_exchange_t *x = server->all; x != NULL; x = next) {
+    next = x->next;
+    if (x->state == STATE_IDLE) close_connection(x);
+  }
+}
+
+void mt_http_server_tick (mt_http_server_t *server) {
+  mt_ms_t now = uv_now(server->loop);
+  mt_http_exchange_t *next;
+  for (mt_http_exchange_t *x = server->all; x != NULL; x = next) {
+    next = x->next;
+    mt_ms_t age = now - x->since;
+    if (x->state == STATE_IDLE && age > server->limits.idle_ms)
+      close_connection(x);
+    else if (x->state == STATE_READING && age > server->limits.header_ms)
+      refuse_input(x, 408);
+  }
+}
+
+static void on_server_closed (uv_handle_t *h) {
+  free(h->data);
+}
+
+static void on_listener_closed (uv_handle_t *h) {
+  mt_http_server_t *server = h->data;
+  uv_prepare_stop(&server->flusher);
+  uv_close((uv_handle_t *)&server->flusher, on_server_closed);
+}
+
+void mt_http_server_close (mt_http_server_t *server) {
+  while (server->all != NULL) close_connection(server->all);
+  uv_close((uv_handle_t *)&server->listener, on_listener_closed);
+}
+
+/* }== */
--- /dev/null
+++ b/src/relay/engine.c
@@ -0,0 +1,67 @@
+/*
+** engine.c - the table of engines
+*/
+#include <stdlib.h>
+#include <string.h>
+
+#include "engine.h"
+
+#define HOLD_FIRST_MS 200
+#define HOLD_MAX_MS 3200
+#define FREE_FAILURES 1 /* in a row that do not rest it yet */
+
+uint64_t mt_engine_key (const char *name, size_t size) {
+  return mtV_hash(name, size) | 1;
+}
+
+mt_engine_t *mt_engines_add (mt_engines_t *engines, const char *name) {
+  uint64_t key = mt_engine_key(name, strlen(name));
+  mt_engine_t *e = mtV_get(&engines->by_key, key);
+  if (e != NULL) return e;
+  e = mtV_new(sizeof *e);
+  e->key = key;
+  e->name = strdup(name);
+  e->slowness = 1.0;
+  mtV_put(&engines->by_key, key, e);
+  *mtV_push(engines->list, engines->count, engines->cap) = e;
+  return e;
+}
+
+mt_engine_t *mt_engines_get (const mt_engines_t *engines, uint64_t key) {
+  return mtV_get(&engines->by_key, key);
+}
+
+static void free_engine (mt_engine_t *e) {
+  mt_prefix_cache_free(&e->kept);
+  free(e->name);
+  free(e->domain);
+  free(e);
+}
+
+void mt_engines_remove (mt_engines_t *engines, mt_engine_t *e) {
+  for (size_t i = 0; i < engines->count; i++)
+    if (engines->list[i] == e)
+      engines->list[i] = engines->list[--engines->count];
+  mtV_del(&engines->by_key, e->key);
+  free_engine(e);
+}
+
+void mt_engines_free (mt_engines_t *engines) {
+  for (size_t i = 0; i < engines->count; i++) free_engine(engines->list[i]);
+  free(engines->list);
+  mtV_free(&engines->by_key);
+}
+
+void mt_engine_failed (mt_engine_t *e, mt_ms_t now) {
+  e->failures++;
+  if (e->failures <= FREE_FAILURES) return;
+  int doublings = mt_min(e->failures - FREE_FAILURES - 1, 8);
+  mt_ms_t rest = mt_min((mt_ms_t)HOLD_FIRST_MS << doublings, HOLD_MAX_MS);
+  e->hold = now + rest;
+}
+
+void mt_engine_worked (mt_engine_t *e, mt_ms_t now) {
+  e->failures = 0;
+  e->hold = 0;
+  e->heard = now;
+}
--- /dev/null
+++ b/src/relay/engine.h
@@ -0,0 +1,61 @@
+/*
+** engine.h - the table of engines: what is known of each and of its load
+**
+** An engine here is one incarnation: a start of a server. Loads are what this
+** router sent and what the other routers say they sent.
+*/
+#ifndef engine_h
+#define engine_h
+
+#include "prefix_cache.h"
+
+typedef enum mt_engine_state_t {
+  MT_ENGINE_READY,
+  MT_ENGINE_LEAVING, /* finishes its work, gets none */
+  MT_ENGINE_GONE     /* no longer listed */
+} mt_engine_state_t;
+
+/* Work at an engine. */
+typedef struct mt_engine_load_t {
+  int64_t unread; /* prompt tokens sent and not yet answered by an event */
+  int64_t held;   /* tokens that running requests may come to hold */
+  int32_t running;
+} mt_engine_load_t;
+
+typedef struct mt_engine_t {
+  uint64_t key; /* hash of the incarnation's name; never 0 */
+  char *name, *domain;
+  char ip[46];
+  uint16_t port;
+  mt_id_t service;
+  int slots;
+  mt_engine_state_t state;
+  int64_t seen; /* revision of the listing that said so */
+  mt_engine_load_t here, peers;
+  double slowness;  /* time to first event, seen over expected; 1: usual */
+  int failures;     /* in a row */
+  mt_ms_t hold;     /* gets no work before this time */
+  mt_ms_t heard;    /* last byte of any answer */
+  mt_prefix_cache_t kept;
+} mt_engine_t;
+
+typedef struct mt_engines_t {
+  mt_map_t by_key;
+  mt_engine_t **list;
+  size_t count, cap;
+} mt_engines_t;
+
+uint64_t mt_engine_key (const char *name, size_t size);
+
+/* The engine of that name, made if it is new. */
+mt_engine_t *mt_engines_add (mt_engines_t *engines, const char *name);
+mt_engine_t *mt_engines_get (const mt_engines_t *engines, uint64_t key);
+/* Forgets one for good; nothing may refer to it any more. */
+void mt_engines_remove (mt_engines_t *engines, mt_engine_t *engine);
+void mt_engines_free (mt_engines_t *engines);
+
+/* Notes a failure of the engine itself: it rests for a growing while. */
+void mt_engine_failed (mt_engine_t *engine, mt_ms_t now);
+void mt_engine_worked (mt_engine_t *engine, mt_ms_t now);
+
+#endif
--- /dev/null
+++ b/src/relay/event_stream.c
@@ -0,0 +1,76 @@
+/*
+** event_stream.c - cuts a text/event-stream into whole events
+*/
+#include <stdlib.h>
+#include <string.h>
+
+#include "event_stream.h"
+
+bool mt_event_stream_feed (mt_event_stream_t *s, const char *p, size_t n) {
+  if (s->taken > 0) {
+    memmove(s->bytes, s->bytes + s->taken, s->used - s->taken);
+    s->used -= s->taken;
+    s->taken = 0;
+  }
+  if (s->used + n > MT_EVENT_MAX) return false;
+  if (s->used + n > s->cap) {
+    size_t cap = mt_max(s->cap * 2, (size_t)256);
+    while (cap < s->used + n) cap *= 2;
+    char *grown = realloc(s->bytes, cap);
+    if (grown == NULL) abort();
+    s->bytes = grown;
+    s->cap = cap;
+  }
+  memcpy(s->bytes + s->used, p, n);
+  s->used += n;
+  return true;
+}
+
+/* Offset just behind the empty line that ends an event; 0: not there yet. */
+static size_t event_end (const char *p, size_t n) {
+  for (size_t i = 0; i + 1 < n; i++) {
+    if (p[i] != '\n') continue;
+    if (p[i + 1] == '\n') return i + 2;
+    if (p[i + 1] == '\r' && i + 2 < n && p[i + 2] == '\n') return i + 3;
+  }
+  return 0;
+}
+
+/* The number in the event's line "id: N"; -1 when there is none. */
+static int64_t event_id (const char *p, size_t n) {
+  const char *end = p + n;
+  while (p < end) {
+    const char *line = p;
+    const char *stop = memchr(p, '\n', (size_t)(end - p));
+    if (stop == NULL) stop = end;
+    p = stop + 1;
+    if (stop - line < 4 || memcmp(line, "id:", 3) != 0) continue;
+    line += 3;
+    while (line < stop && *line == ' ') line++;
+    int64_t id = 0;
+    if (line == stop || *line < '0' || *line > '9') return -1;
+    while (line < stop && *line >= '0' && *line <= '9')
+      id = id * 10 + (*line++ - '0');
+    return id;
+  }
+  return -1;
+}
+
+bool mt_event_stream_next (mt_event_stream_t *s, mt_stream_event_t *event) {
+  const char *p = s->bytes + s->taken;
+  size_t size = s->bytes ? event_end(p, s->used - s->taken) : 0;
+  if (size == 0) return false;
+  event->text = (mt_bytes_t){p, size};
+  event->id = event_id(p, size);
+  s->taken += size;
+  return true;
+}
+
+bool mt_event_stream_partial (const mt_event_stream_t *s) {
+  return s->used > s->taken;
+}
+
+void mt_event_stream_free (mt_event_stream_t *s) {
+  free(s->bytes);
+  *s = (mt_event_stream_t){0};
+}
--- /dev/null
+++ b/src/relay/fair_share.c
@@ -0,0 +1,95 @@
+/*
+** fair_share.c - who has had its share: max-min over the whole fleet
+*/
+#include <math.h>
+#include <stdlib.h>
+
+#include "fair_share.h"
+
+#define FADE_MS 1000.0   /* time constant of the rates */
+#define SHORT_PART 0.97  /* served below this part of asked: some are short */
+#define FORGET_RATE 0.01 /* tokens a second that count as none */
+
+void mt_fair_share_free (mt_fair_share_t *s) {
+  for (size_t i = 0; i < s->count; i++) free(s->list[i]);
+  free(s->list);
+  mtV_free(&s->by_id);
+}
+
+mt_share_t *mt_fair_share_get (mt_fair_share_t *s, mt_id_t workspace) {
+  mt_share_t *w = mtV_get(&s->by_id, workspace);
+  if (w != NULL) return w;
+  w = mtV_new(sizeof *w);
+  w->workspace = workspace;
+  mtV_put(&s->by_id, workspace, w);
+  *mtV_push(s->list, s->count, s->cap) = w;
+  return w;
+}
+
+/* An amount as an addition to a rate that fades with FADE_MS. */
+static double as_rate (int64_t tokens) {
+  return (double)tokens * 1000.0 / FADE_MS;
+}
+
+void mt_fair_share_asked (mt_fair_share_t *s, mt_id_t workspace,
+                          int64_t tokens) {
+  mt_fair_share_get(s, workspace)->here.asked += as_rate(tokens);
+}
+
+void mt_fair_share_served (mt_fair_share_t *s, mt_id_t workspace,
+                           int64_t tokens) {
+  mt_fair_share_get(s, workspace)->here.served += as_rate(tokens);
+}
+
+static void fade (mt_fair_share_t *s, mt_ms_t now) {
+  double factor = exp(-(double)(now - s->faded) / FADE_MS);
+  s->faded = now;
+  for (size_t i = 0; i < s->count; i++) {
+    s->list[i]->here.asked *= factor;
+    s->list[i]->here.served *= factor;
+  }
+}
+
+static double asked (const mt_share_t *w) {
+  return w->here.asked + w->peers.asked;
+}
+
+static double served (const mt_share_t *w) {
+  return w->here.served + w->peers.served;
+}
+
+static int by_asked (const void *a, const void *b) {
+  double x = asked(*(mt_share_t *const *)a);
+  double y = asked(*(mt_share_t *const *)b);
+  return (x > y) - (x < y);
+}
+
+/* Fills up from the least: who asks for less than an even part gets all. */
+static double water_level (mt_fair_share_t *s, double capacity) {
+  qsort(s->list, s->count, sizeof *s->list, by_asked);
+  size_t left = 0;
+  for (size_t i = 0; i < s->count; i++)
+    left += asked(s->list[i]) > FORGET_RATE;
+  for (size_t i = s->count - left; i < s->count; i++, left--) {
+    double even = capacity / (double)left;
+    if (asked(s->list[i]) > even) return even;
+    capacity -= asked(s->list[i]);
+  }
+  return 0;
+}
+
+void mt_fair_share_update (mt_fair_share_t *s, mt_ms_t now) {
+  double all_asked = 0, all_served = 0;
+  fade(s, now);
+  for (size_t i = 0; i < s->count; i++) {
+    all_asked += asked(s->list[i]);
+    all_served += served(s->list[i]);
+  }
+  bool scarce = all_served < SHORT_PART * all_asked;
+  s->level = scarce ? water_level(s, all_served) : 0;
+}
+
+double mt_fair_share_standing (mt_fair_share_t *s, mt_id_t workspace) {
+  if (s->level <= 0) return 0;
+  return served(mt_fair_share_get(s, workspace)) / s->level;
+}
--- /dev/null
+++ b/src/relay/fair_share.h
@@ -0,0 +1,48 @@
+/*
+** fair_share.h - who has had its share: max-min over the whole fleet
+**
+** Each router keeps what its workspaces asked for and got, as rates that fade;
+** the other routers tell theirs. The level is the rate at which backlogged
+** workspaces share what the engines give: whoever asks for less gets all.
+*/
+#ifndef fair_share_h
+#define fair_share_h
+
+#include "mtmem.h"
+
+/* Rates of one workspace, in tokens a second. */
+typedef struct mt_share_rates_t {
+  double asked, served;
+} mt_share_rates_t;
+
+typedef struct mt_share_t {
+  mt_id_t workspace;
+  mt_share_rates_t here, peers;
+} mt_share_t;
+
+typedef struct mt_fair_share_t {
+  mt_map_t by_id;
+  mt_share_t **list;
+  size_t count, cap;
+  mt_ms_t faded; /* when rates were last made to fade */
+  double level;  /* a backlogged workspace's share; 0: nobody is short */
+} mt_fair_share_t;
+
+void mt_fair_share_free (mt_fair_share_t *shares);
+mt_share_t *mt_fair_share_get (mt_fair_share_t *shares, mt_id_t workspace);
+
+void mt_fair_share_asked (mt_fair_share_t *shares, mt_id_t workspace,
+                          int64_t tokens);
+void mt_fair_share_served (mt_fair_share_t *shares, mt_id_t workspace,
+                           int64_t tokens);
+
+/* Lets rates fade up to now and works out the level anew. */
+void mt_fair_share_update (mt_fair_share_t *shares, mt_ms_t now);
+
+/*
+** What the workspace got, as a multiple of the level; below 1 it is owed
+** more. Always 0 while nobody is short.
+*/
+double mt_fair_share_standing (mt_fair_share_t *shares, mt_id_t workspace);
+
+#endif
--- /dev/null
+++ b/src/relay/placement.c
@@ -0,0 +1,148 @@
+/*
+** placement.c - which engine a request goes to, and whether it should
+*/
+#include <math.h>
+#include <string.h>
+
+#include "placement.h"
+
+#define FULL_PENALTY_MS 2000.0   /* a slot has to be waited for */
+#define MEMORY_PENALTY_MS 1000.0 /* running requests would be preempted */
+#define FAILING_PENALTY_MS 50.0  /* one failure in a row */
+#define RUNNING_MS 1.0 /* each running request slows all others a little */
+#define RETURN_BONUS 1.5 /* a request that was refused before may wait more */
+
+static bool was_tried (const mt_relay_request_t *r, uint64_t key) {
+  for (int i = 0; i < r->tried_count; i++)
+    if (r->tried[i] == key) return true;
+  return false;
+}
+
+static bool usable (const mt_relay_t *relay, const mt_relay_request_t *r,
+                    const mt_engine_t *e) {
+  if (e->service != r->service || e->state != MT_ENGINE_READY) return false;
+  return e->hold <= relay->now && !was_tried(r, e->key);
+}
+
+static int running (const mt_engine_t *e) {
+  return e->here.running + e->peers.running;
+}
+
+static int64_t unread (const mt_engine_t *e) {
+  return e->here.unread + e->peers.unread;
+}
+
+/* The part that others share and that is most worth finding kept. */
+static uint64_t home_part (const mt_relay_request_t *r) {
+  size_t n = r->parts_count;
+  if (n == 0) return 0;
+  return r->parts[n > 1 ? n - 2 : 0].id;
+}
+
+/*
+** Every router finds the same home for a part without being told: the engine
+** with the greatest hash of both.
+*/
+static mt_engine_t *find_home (mt_relay_t *relay,
+                               const mt_relay_request_t *r) {
+  uint64_t part = home_part(r), best_weight = 0;
+  mt_engine_t *best = NULL;
+  for (size_t i = 0; part != 0 && i < relay->engines.count; i++) {
+    mt_engine_t *e = relay->engines.list[i];
+    if (e->service != r->service || e->state != MT_ENGINE_READY) continue;
+    uint64_t weight = mtV_mix(part, e->key);
+    if (best != NULL && weight <= best_weight) continue;
+    best = e;
+    best_weight = weight;
+  }
+  return best;
+}
+
+/* Tokens that the engine has to read; its home is taken to keep the shared. */
+static int64_t misses (const mt_relay_request_t *r, const mt_engine_t *e,
+                       bool home) {
+  int64_t kept = mt_prefix_cache_match(&e->kept, r->parts, r->parts_count);
+  if (home && r->parts_count > 1) {
+    int64_t shared = 0;
+    for (size_t i = 0; i + 1 < r->parts_count; i++)
+      shared += r->parts[i].tokens;
+    kept = mt_max(kept, shared);
+  }
+  return mt_max(r->tokens_in - kept, 1);
+}
+
+static mt_placement_t choose_model (mt_relay_t *relay,
+                                    const mt_relay_request_t *r) {
+  mt_placement_t best = {NULL, 0, 0, false};
+  double best_cost = 0;
+  double rate = mt_relay_rate(relay, r->service);
+  mt_engine_t *home = find_home(relay, r);
+  const mt_catalog_service_t *service =
+      mt_catalog_service(relay->catalog, r->service);
+  int64_t memory = service ? service->memory : 0;
+  for (size_t i = 0; i < relay->engines.count; i++) {
+    mt_engine_t *e = relay->engines.list[i];
+    if (!usable(relay, r, e)) continue;
+    int64_t miss = misses(r, e, e == home);
+    double wait = (double)unread(e) / rate * e->slowness;
+    bool full = running(e) >= e->slots;
+    int64_t held = e->here.held + e->peers.held + r->tokens_in;
+    double cost = wait + (double)miss / rate * e->slowness *
+                             relay->terms.miss_weight;
+    cost += running(e) * RUNNING_MS;
+    if (full) cost += FULL_PENALTY_MS;
+    if (memory > 0 && held > memory) cost += MEMORY_PENALTY_MS;
+    cost += e->failures * FAILING_PENALTY_MS;
+    if (best.engine != NULL && cost >= best_cost) continue;
+    best = (mt_placement_t){e, miss, wait, full};
+    best_cost = cost;
+  }
+  return best;
+}
+
+static mt_placement_t choose_plain (mt_relay_t *relay,
+                                    const mt_relay_request_t *r) {
+  mt_placement_t best = {NULL, 0, 0, false};
+  double best_cost = 0;
+  for (size_t i = 0; i < relay->engines.count; i++) {
+    mt_engine_t *e = relay->engines.list[i];
+    if (!usable(relay, r, e)) continue;
+    bool near = e->domain != NULL && strcmp(e->domain, relay->domain) == 0;
+    double cost = (double)(running(e) + 1) / mt_max(e->slots, 1);
+    cost += near ? 0 : 0.5 / mt_max(e->slots, 1);
+    cost += e->failures;
+    if (best.engine != NULL && cost >= best_cost) continue;
+    best = (mt_placement_t){e, 0, 0, running(e) >= e->slots};
+    best_cost = cost;
+  }
+  return best;
+}
+
+mt_placement_t mt_placement_choose (mt_relay_t *relay,
+                                    const mt_relay_request_t *r) {
+  const mt_catalog_service_t *service =
+      mt_catalog_service(relay->catalog, r->service);
+  if (service != NULL && service->model) return choose_model(relay, r);
+  return choose_plain(relay, r);
+}
+
+bool mt_placement_admits (mt_relay_t *relay, const mt_relay_request_t *r,
+                          const mt_placement_t *p, bool returning,
+                          mt_relay_refusal_t *why) {
+  const mt_catalog_service_t *service =
+      mt_catalog_service(relay->catalog, r->service);
+  *why = MT_RELAY_BUSY;
+  if (service == NULL || !service->model) return true; /* it sheds itself */
+  if (p->full) return false;
+  mt_ms_t objective = service->objective ? service->objective : r->objective;
+  if (objective == 0) return true;
+  double limit = (double)objective * relay->terms.wait_part;
+  double standing = 0;
+  if (r->workspace != 0)
+    standing = mt_fair_share_standing(&relay->shares, r->workspace);
+  if (returning) limit *= RETURN_BONUS;
+  if (p->wait_ms > limit) return false;
+  if (standing <= 1) return true;
+  *why = MT_RELAY_OVER_SHARE;
+  return p->wait_ms <= limit / pow(standing, relay->terms.over_power);
+}
--- /dev/null
+++ b/src/relay/placement.h
@@ -0,0 +1,30 @@
+/*
+** placement.h - which engine a request goes to, and whether it should
+*/
+#ifndef placement_h
+#define placement_h
+
+#include "relay.h"
+
+typedef struct mt_placement_t {
+  mt_engine_t *engine; /* NULL: there is none to be had */
+  int64_t miss;   /* prompt tokens that it probably has to read */
+  double wait_ms; /* expected until it begins to read this prompt */
+  bool full;      /* all its slots are taken */
+} mt_placement_t;
+
+/*
+** The best engine for the request. Language models: the least expected time
+** to the first event, reading of unkept parts weighed more; else the least
+** used share of slots, those of the router's own domain first.
+*/
+mt_placement_t mt_placement_choose (mt_relay_t *relay,
+                                    const mt_relay_request_t *request);
+
+/* True when the request should go there now rather than be refused. */
+bool mt_placement_admits (mt_relay_t *relay,
+                          const mt_relay_request_t *request,
+                          const mt_placement_t *placement, bool returning,
+                          mt_relay_refusal_t *why);
+
+#endif
--- /dev/null
+++ b/src/relay/prefix_cache.c
@@ -0,0 +1,67 @@
+/*
+** prefix_cache.c - which parts of prompts one engine probably still keeps
+*/
+#include <stdlib.h>
+
+#include "prefix_cache.h"
+
+typedef struct mt_prefix_entry_t {
+  struct mt_prefix_entry_t *newer, *older;
+  mt_prefix_part_t part;
+} mt_prefix_entry_t;
+
+static void detach (mt_prefix_cache_t *c, mt_prefix_entry_t *e) {
+  if (e->newer) e->newer->older = e->older;
+  else c->newest = e->older;
+  if (e->older) e->older->newer = e->newer;
+  else c->oldest = e->newer;
+}
+
+static void attach (mt_prefix_cache_t *c, mt_prefix_entry_t *e) {
+  e->newer = NULL;
+  e->older = c->newest;
+  if (e->older) e->older->newer = e;
+  else c->oldest = e;
+  c->newest = e;
+}
+
+static void drop_oldest (mt_prefix_cache_t *c) {
+  mt_prefix_entry_t *e = c->oldest;
+  detach(c, e);
+  mtV_del(&c->entries, e->part.id);
+  c->tokens -= e->part.tokens;
+  free(e);
+}
+
+void mt_prefix_cache_free (mt_prefix_cache_t *c) {
+  while (c->oldest != NULL) drop_oldest(c);
+  mtV_free(&c->entries);
+}
+
+int64_t mt_prefix_cache_match (const mt_prefix_cache_t *c,
+                               const mt_prefix_part_t *parts, size_t count) {
+  int64_t tokens = 0;
+  for (size_t i = 0; i < count; i++) {
+    if (mtV_get(&c->entries, parts[i].id) == NULL) break;
+    tokens += parts[i].tokens;
+  }
+  return tokens;
+}
+
+void mt_prefix_cache_use (mt_prefix_cache_t *c, const mt_prefix_part_t *parts,
+                          size_t count, int64_t capacity) {
+  /* The first part last: a part is of no use without those before it. */
+  for (size_t i = count; i-- > 0;) {
+    mt_prefix_entry_t *e = mtV_get(&c->entries, parts[i].id);
+    if (e != NULL) {
+      detach(c, e);
+    } else {
+      e = mtV_new(sizeof *e);
+      e->part = parts[i];
+      mtV_put(&c->entries, e->part.id, e);
+      c->tokens += e->part.tokens;
+    }
+    attach(c, e);
+  }
+  while (c->tokens > capacity && c->oldest != NULL) drop_oldest(c);
+}
--- /dev/null
+++ b/src/relay/relay.c
@@ -0,0 +1,689 @@
+/*
+** relay.c - the life of relayed requests: one reducer over all events
+*/
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "placement.h"
+#include "relay.h"
+
+#define HOLD_BODY_MAX (256u << 10) /* a longer answer is passed on as it comes */
+#define UPDATE_MS 100              /* between updates of shares */
+#define SHED_HOLD_MS 30            /* rest of an engine that refused */
+#define LAST_CHANCE_MS 20          /* less time left: no new attempt */
+#define RATE_FADE 0.98             /* of the sums behind a service's rate */
+#define RATE_START_MS 500.0        /* weight of the declared rate */
+#define RATE_UNKNOWN 20.0          /* tokens per ms before anything is known */
+#define SLOWNESS_FADE 0.9
+#define SLOWNESS_LEAST 0.7
+#define SLOWNESS_MOST 8.0
+#define SLOWNESS_REST 0.998 /* per update, back towards 1 */
+#define RETURNING_PART 0.97 /* of the usual deadline: it came back */
+#define ENGINE_SILENT_MS 700
+#define RETRY_SOON_MS 200
+
+/* {== Names ============================================================ */
+
+static const struct {
+  const char *code;
+  int status;
+} refusals[] = {
+#define ROW(symbol, code, status) {code, status},
+    MT_RELAY_REFUSALS(ROW)
+#undef ROW
+};
+
+static const char *const retries[] = {
+#define ROW(symbol, code) code,
+    MT_RELAY_RETRIES(ROW)
+#undef ROW
+};
+
+const char *mt_relay_refusal_code (mt_relay_refusal_t why) {
+  return refusals[why].code;
+}
+
+int mt_relay_refusal_status (mt_relay_refusal_t why) {
+  return refusals[why].status;
+}
+
+const char *mt_relay_retry_code (mt_relay_retry_t why) {
+  return retries[why];
+}
+
+/* }== */
+
+/* {== Effects ========================================================== */
+
+static mt_relay_effect_t *effect (mt_relay_t *relay,
+                                  mt_relay_effect_kind_t kind,
+                                  const mt_relay_request_t *r) {
+  mt_relay_effects_t *all = relay->effects;
+  mt_relay_effect_t *fx = mtV_push(all->list, all->count, all->cap);
+  *fx = (mt_relay_effect_t){.kind = kind};
+  fx->request = r->number;
+  fx->attempt = r->attempt;
+  return fx;
+}
+
+static void note (mt_relay_t *relay, const mt_relay_request_t *r,
+                  const char *outcome, const char *why) {
+  if (relay->log != NULL) relay->log(relay->log_ud, r, outcome, why);
+}
+
+/* }== */
+
+/* {== Services ========================================================= */
+
+mt_relay_service_t *mt_relay_service (mt_relay_t *relay, mt_id_t id) {
+  mt_relay_service_t *s = mtV_get(&relay->services, id);
+  if (s != NULL) return s;
+  s = mtV_new(sizeof *s);
+  s->id = id;
+  mtV_put(&relay->services, id, s);
+  return s;
+}
+
+/* What the operators declared that one engine reads, or a guess. */
+static double declared_rate (const mt_relay_t *relay,
+                             const mt_relay_service_t *s) {
+  int64_t total = relay->catalog ? relay->catalog->limits.tokens_per_s : 0;
+  if (total <= 0 || s->ready == 0) return RATE_UNKNOWN;
+  return (double)total / 1000.0 / s->ready;
+}
+
+double mt_relay_rate (mt_relay_t *relay, mt_id_t service) {
+  mt_relay_service_t *s = mt_relay_service(relay, service);
+  double start = declared_rate(relay, s);
+  return (s->work + start * RATE_START_MS) / (s->time + RATE_START_MS);
+}
+
+/* A prompt was read: learns how long that took for the work ahead of it. */
+static void learn_rate (mt_relay_t *relay, mt_relay_request_t *r) {
+  mt_relay_service_t *s = mt_relay_service(relay, r->service);
+  double took = mt_max((double)(relay->now - r->sent), 1.0);
+  double expected = (double)r->work_ahead / mt_relay_rate(relay, r->service);
+  s->work = s->work * RATE_FADE + (double)r->work_ahead;
+  s->time = s->time * RATE_FADE + took;
+  double seen = took / mt_max(expected, 1.0);
+  if (expected < (double)r->objective / 8) return; /* mostly fixed costs */
+  mt_engine_t *e = r->engine;
+  e->slowness = e->slowness * SLOWNESS_FADE + seen * (1 - SLOWNESS_FADE);
+  e->slowness = fmin(fmax(e->slowness, SLOWNESS_LEAST), SLOWNESS_MOST);
+}
+
+/* }== */
+
+/* {== Load at engines ================================================== */
+
+static void engage (mt_relay_t *relay, mt_relay_request_t *r,
+                    const mt_placement_t *p) {
+  mt_engine_t *e = p->engine;
+  const mt_catalog_service_t *s =
+      mt_catalog_service(relay->catalog, r->service);
+  r->engine = e;
+  r->unread = p->miss;
+  r->held = r->tokens_in + r->tokens_out;
+  r->awaiting_event = true;
+  r->work_ahead = e->here.unread + e->peers.unread + p->miss;
+  r->wait_expected = p->wait_ms;
+  e->here.running++;
+  e->here.unread += r->unread;
+  e->here.held += r->held;
+  if (s != NULL && s->memory > 0 && r->parts_count > 0)
+    mt_prefix_cache_use(&e->kept, r->parts, r->parts_count, s->memory);
+}
+
+static void prompt_read (mt_relay_request_t *r) {
+  if (r->engine == NULL || !r->awaiting_event) return;
+  r->awaiting_event = false;
+  r->engine->here.unread -= r->unread;
+}
+
+static void disengage (mt_relay_request_t *r) {
+  if (r->engine == NULL) return;
+  prompt_read(r);
+  r->engine->here.running--;
+  r->engine->here.held -= r->held;
+  r->engine = NULL;
+}
+
+/* }== */
+
+/* {== Requests ========================================================= */
+
+static mt_relay_request_t *add_request (mt_relay_t *relay, uint64_t number) {
+  mt_relay_request_t *r = mtV_new(sizeof *r);
+  r->number = number;
+  r->index = relay->count;
+  r->arrived = relay->now;
+  r->outcome = MT_RELAY_REFUSAL_COUNT;
+  *mtV_push(relay->list, relay->count, relay->cap) = r;
+  mtV_put(&relay->requests, number, r);
+  return r;
+}
+
+static void free_finished (mt_relay_t *relay) {
+  while (relay->finished != NULL) {
+    mt_relay_request_t *r = relay->finished;
+    relay->finished = r->finished_next;
+    mt_event_stream_free(&r->stream);
+    free(r->body);
+    free(r);
+  }
+}
+
+/* Its texts stay until the next step: effects may have borrowed them. */
+static void remove_request (mt_relay_t *relay, mt_relay_request_t *r) {
+  disengage(r);
+  relay->list[r->index] = relay->list[--relay->count];
+  relay->list[r->index]->index = r->index;
+  mtV_del(&relay->requests, r->number);
+  r->finished_next = relay->finished;
+  relay->finished = r;
+}
+
+/* A moment to come back at, spread so that not all come at once. */
+static mt_ms_t come_back (const mt_relay_request_t *r,
+                          mt_relay_refusal_t why) {
+  if (mt_relay_refusal_status(why) != 503) return 0;
+  mt_ms_t base = RETRY_SOON_MS;
+  if (why == MT_RELAY_BUSY || why == MT_RELAY_OVER_SHARE)
+    base = mt_max(r->objective, RETRY_SOON_MS);
+  return base / 2 + mtV_mix(r->number, r->arrived) % base;
+}
+
+static void refuse (mt_relay_t *relay, mt_relay_request_t *r,
+                    mt_relay_refusal_t why) {
+  mt_relay_effect_t *fx = effect(relay, MT_RELAY_DO_REFUSE, r);
+  fx->u.refuse.why = why;
+  fx->u.refuse.retry_after = come_back(r, why);
+  relay->counters.refusals[why]++;
+  note(relay, r, "refused", mt_relay_refusal_code(why));
+  remove_request(relay, r);
+}
+
+static void cancel_attempt (mt_relay_t *relay, mt_relay_request_t *r) {
+  if (r->engine == NULL) return;
+  effect(relay, MT_RELAY_DO_CANCEL, r);
+  disengage(r);
+}
+
+/* Nothing more can be done for it. */
+static void give_up (mt_relay_t *relay, mt_relay_request_t *r,
+                     mt_relay_refusal_t why) {
+  cancel_attempt(relay, r);
+  if (r->phase != MT_RELAY_STREAMING) {
+    refuse(relay, r, why);
+    return;
+  }
+  effect(relay, MT_RELAY_DO_ABORT, r);
+  relay->counters.aborted++;
+  note(relay, r, "aborted", mt_relay_refusal_code(why));
+  remove_request(relay, r);
+}
+
+static void start_attempt (mt_relay_t *relay, mt_relay_request_t *r,
+                           const mt_placement_t *p) {
+  r->attempt++;
+  r->arrivals++;
+  r->tried[r->tried_count++ % MT_RELAY_TRIES_MAX] = p->engine->key;
+  r->sent = r->heard = relay->now;
+  r->status = 0;
+  r->body_size = 0;
+  mt_event_stream_free(&r->stream);
+  if (r->phase == MT_RELAY_HOLDING) r->phase = MT_RELAY_SENT;
+  engage(relay, r, p);
+  relay->counters.attempts++;
+  relay->counters.tokens_wanted += (uint64_t)r->tokens_in;
+  relay->counters.tokens_missed += (uint64_t)p->miss;
+  if (!r->served && r->workspace != 0 && r->parts_count > 0) {
+    mt_fair_share_served(&relay->shares, r->workspace, r->cost);
+    r->served = true;
+  }
+  mt_relay_effect_t *fx = effect(relay, MT_RELAY_DO_START, r);
+  fx->u.start.engine = p->engine->key;
+  fx->u.start.deadline_ms = r->expires - relay->now;
+  fx->u.start.last_event = r->last_event;
+  fx->u.start.workspace = r->workspace;
+  fx->u.start.fresh = !r->repeatable;
+}
+
+/* }== */
+
+/* {== Attempts that failed ============================================= */
+
+/* True when the attempt at hand may be followed by another. */
+static bool may_retry (mt_relay_t *relay, const mt_relay_request_t *r,
+                       bool ran) {
+  if (r->tried_count >= MT_RELAY_TRIES_MAX) return false;
+  if (r->arrivals >= r->attempts_max) return false;
+  if ((ran || r->may_have_run) && !r->repeatable) return false;
+  if (r->phase == MT_RELAY_STREAMING && !r->resumable) return false;
+  return relay->now + LAST_CHANCE_MS < r->expires;
+}
+
+/* Takes the retry from the budget; the first arrival is no retry. */
+static bool take_budget (mt_relay_t *relay, const mt_relay_request_t *r) {
+  mt_relay_service_t *s = mt_relay_service(relay, r->service);
+  if (r->arrivals == 0) return true;
+  if (mt_retry_budget_take(&s->budget, &relay->terms.retry, relay->routers,
+                           relay->now))
+    return true;
+  relay->counters.retries_denied++;
+  return false;
+}
+
+static mt_relay_refusal_t last_word (const mt_relay_request_t *r,
+                                     mt_relay_retry_t reason) {
+  if (r->may_have_run) return MT_RELAY_ENGINE_LOST;
+  if (reason == MT_RELAY_RETRY_SHED) return MT_RELAY_SHED;
+  return MT_RELAY_UNREACHABLE;
+}
+
+/* Starts anew elsewhere; false when there is no engine or budget for it. */
+static bool retry (mt_relay_t *relay, mt_relay_request_t *r,
+                   mt_relay_retry_t reason) {
+  mt_placement_t p = mt_placement_choose(relay, r);
+  if (p.engine == NULL || !take_budget(relay, r)) return false;
+  relay->counters.retries[reason]++;
+  note(relay, r, "retried", mt_relay_retry_code(reason));
+  start_attempt(relay, r, &p);
+  return true;
+}
+
+/* The attempt is over; goes on elsewhere or gives the request up. */
+static void attempt_failed (mt_relay_t *relay, mt_relay_request_t *r,
+                            mt_relay_retry_t reason, bool ran) {
+  disengage(r);
+  if (reason == MT_RELAY_RETRY_CONNECT) r->arrivals--;
+  bool again = may_retry(relay, r, ran);
+  if (ran) r->may_have_run = true;
+  if (again && retry(relay, r, reason)) return;
+  give_up(relay, r, last_word(r, reason));
+}
+
+/* }== */
+
+/* {== Callers' events ================================================== */
+
+static mt_id_t choose_service (const mt_catalog_route_t *route,
+                               mt_bytes_t id) {
+  int total = 0;
+  for (int i = 0; i < route->splits; i++) total += route->split[i].weight;
+  if (total <= 0) return route->splits ? route->split[0].service : 0;
+  int at = (int)(mtV_hash(id.p, id.n) % (uint64_t)total);
+  for (int i = 0; i < route->splits; i++) {
+    at -= route->split[i].weight;
+    if (at < 0) return route->split[i].service;
+  }
+  return route->split[0].service;
+}
+
+/* A caller that has less time than usual was refused before. */
+static bool is_returning (mt_relay_t *relay, const mt_relay_request_t *r,
+                          int64_t deadline_ms) {
+  if (deadline_ms <= 0) return false;
+  int64_t usual =
+      (int64_t)(uintptr_t)mtV_get(&relay->usual_deadlines, r->route);
+  if (deadline_ms > usual)
+    mtV_put(&relay->usual_deadlines, r->route,
+            (void *)(uintptr_t)deadline_ms);
+  return (double)deadline_ms < RETURNING_PART * (double)usual;
+}
+
+static void take_route (mt_relay_request_t *r, const mt_catalog_route_t *route,
+                        const mt_relay_ask_t *ask) {
+  r->kind = route->kind;
+  r->resumable = route->kind == MT_ROUTE_STREAM && route->resumable;
+  r->repeatable = route->kind == MT_ROUTE_REPEATABLE || r->resumable;
+  r->attempts_max = route->attempts;
+  r->route = route->id;
+  r->service = choose_service(route, ask->id);
+  r->objective = route->objective;
+  r->pause = route->pause;
+  r->expires = r->arrived + (route->timeout ? route->timeout : MT_WAIT_MS);
+  if (ask->deadline_ms >= 0)
+    r->expires = mt_min(r->expires, r->arrived + (mt_ms_t)ask->deadline_ms);
+}
+
+static void take_prompt (mt_relay_request_t *r, const mt_relay_ask_t *ask) {
+  r->tokens_in = ask->tokens_in;
+  r->tokens_out = ask->tokens_out;
+  r->last_event = ask->last_event;
+  r->parts_count = ask->parts_count;
+  memcpy(r->parts, ask->parts, ask->parts_count * sizeof *r->parts);
+  int64_t out = ask->tokens_hint > 0 ? ask->tokens_hint : ask->tokens_out;
+  if (ask->tokens_out > 0) out = mt_min(out, ask->tokens_out);
+  int64_t own = ask->tokens_in;
+  if (r->parts_count > 0) own = r->parts[r->parts_count - 1].tokens;
+  r->cost = mt_max(own + 2 * out, 1);
+}
+
+/* Finds route and workspace; false when the request was refused. */
+static bool identify (mt_relay_t *relay, mt_relay_request_t *r,
+                      const mt_relay_ask_t *ask) {
+  mt_catalog_t *c = relay->catalog;
+  if (c == NULL) {
+    refuse(relay, r, MT_RELAY_NO_CATALOG);
+    return false;
+  }
+  const mt_catalog_route_t *route = mt_catalog_route(c, ask->host, ask->path);
+  if (route == NULL) {
+    refuse(relay, r, relay->unsure ? MT_RELAY_UNSURE : MT_RELAY_NO_ROUTE);
+    return false;
+  }
+  take_route(r, route, ask);
+  if (c->workspaces_count == 0 || (route->open && ask->key.n == 0))
+    return true;
+  const mt_catalog_workspace_t *w = mt_catalog_key(c, ask->key);
+  if (w != NULL) {
+    r->workspace = w->id;
+    return true;
+  }
+  if (route->open) return true;
+  refuse(relay, r, relay->unsure ? MT_RELAY_UNSURE : MT_RELAY_BAD_KEY);
+  return false;
+}
+
+static void on_request (mt_relay_t *relay, uint64_t number,
+                        const mt_relay_ask_t *ask) {
+  mt_relay_request_t *r = add_request(relay, number);
+  mt_relay_refusal_t why;
+  relay->counters.requests++;
+  snprintf(r->id, sizeof r->id, "%.*s", (int)ask->id.n, ask->id.p);
+  if (!identify(relay, r, ask)) return;
+  take_prompt(r, ask);
+  if (relay->count > MT_MAX_RUNNING) {
+    refuse(relay, r, MT_RELAY_FULL);
+    return;
+  }
+  mt_relay_service_t *s = mt_relay_service(relay, r->service);
+  mt_retry_budget_request(&s->budget, &relay->terms.retry, relay->now);
+  if (r->workspace != 0 && r->parts_count > 0)
+    mt_fair_share_asked(&relay->shares, r->workspace, r->cost);
+  bool returning = is_returning(relay, r, ask->deadline_ms);
+  mt_placement_t p = mt_placement_choose(relay, r);
+  if (p.engine == NULL) {
+    refuse(relay, r, MT_RELAY_NO_ENGINE);
+    return;
+  }
+  if (!mt_placement_admits(relay, r, &p, returning, &why)) {
+    refuse(relay, r, why);
+    return;
+  }
+  start_attempt(relay, r, &p);
+}
+
+static void on_caller_left (mt_relay_t *relay, mt_relay_request_t *r) {
+  cancel_attempt(relay, r);
+  relay->counters.callers_left++;
+  note(relay, r, "left", "caller");
+  remove_request(relay, r);
+}
+
+/* }== */
+
+/* {== Engines' events ================================================== */
+
+static void on_head (mt_relay_t *relay, mt_relay_request_t *r,
+                     const mt_relay_event_t *ev) {
+  mt_engine_t *e = r->engine;
+  r->status = ev->u.head.status;
+  r->events = ev->u.head.events && r->status / 100 == 2;
+  r->heard = relay->now;
+  switch (ev->u.head.verdict) {
+    case MT_RELAY_MOVED:
+      e->state = MT_ENGINE_GONE;
+      effect(relay, MT_RELAY_DO_CANCEL, r);
+      attempt_failed(relay, r, MT_RELAY_RETRY_MOVED, false);
+      return;
+    case MT_RELAY_NOT_RUN:
+      e->hold = mt_max(e->hold, relay->now + SHED_HOLD_MS);
+      e->heard = relay->now;
+      /* Its short answer is read to the end; the connection stays. */
+      attempt_failed(relay, r, MT_RELAY_RETRY_SHED, false);
+      return;
+    case MT_RELAY_RAN: break;
+  }
+  if (r->status < 500) {
+    mt_engine_worked(e, relay->now);
+    return;
+  }
+  mt_engine_failed(e, relay->now);
+  if (!may_retry(relay, r, true)) return;
+  attempt_failed(relay, r, MT_RELAY_RETRY_ERROR, true);
+}
+
+static void pass_head (mt_relay_t *relay, mt_relay_request_t *r,
+                       int64_t length) {
+  if (r->phase == MT_RELAY_STREAMING) return;
+  r->phase = MT_RELAY_STREAMING;
+  effect(relay, MT_RELAY_DO_HEAD, r)->u.length = length;
+}
+
+static void pass_data (mt_relay_t *relay, mt_relay_request_t *r,
+                       mt_bytes_t data) {
+  if (data.n > 0) effect(relay, MT_RELAY_DO_DATA, r)->u.data = data;
+}
+
+/* The engine's answer ended, or must end, before it was whole. */
+static void attempt_lost (mt_relay_t *relay, mt_relay_request_t *r,
+                          mt_relay_retry_t reason) {
+  mt_engine_failed(r->engine, relay->now);
+  attempt_failed(relay, r, reason, true);
+}
+
+static void on_event_data (mt_relay_t *relay, mt_relay_request_t *r,
+                           mt_bytes_t data) {
+  mt_stream_event_t event;
+  if (!mt_event_stream_feed(&r->stream, data.p, data.n)) {
+    effect(relay, MT_RELAY_DO_CANCEL, r);
+    attempt_lost(relay, r, MT_RELAY_RETRY_LOST);
+    return;
+  }
+  while (mt_event_stream_next(&r->stream, &event)) {
+    if (r->awaiting_event) {
+      learn_rate(relay, r);
+      prompt_read(r);
+    }
+    relay->counters.events++;
+    if (event.id >= 0 && event.id <= r->last_event) continue;
+    if (event.id >= 0) r->last_event = event.id;
+    pass_head(relay, r, -1);
+    pass_data(relay, r, event.text);
+  }
+}
+
+/* Gathers a short answer, so that a broken one can still be replaced. */
+static void on_plain_data (mt_relay_t *relay, mt_relay_request_t *r,
+                           mt_bytes_t data) {
+  if (r->phase == MT_RELAY_STREAMING) {
+    pass_data(relay, r, data);
+    return;
+  }
+  r->phase = MT_RELAY_HOLDING;
+  if (r->body_size + data.n > r->body_cap) {
+    r->body_cap = mt_max(r->body_size + data.n, r->body_cap * 2);
+    r->body = realloc(r->body, r->body_cap);
+    if (r->body == NULL) abort();
+  }
+  memcpy(r->body + r->body_size, data.p, data.n);
+  r->body_size += data.n;
+  if (r->body_size < HOLD_BODY_MAX) return;
+  pass_head(relay, r, -1);
+  pass_data(relay, r, (mt_bytes_t){r->body, r->body_size});
+}
+
+static void on_data (mt_relay_t *relay, mt_relay_request_t *r,
+                     mt_bytes_t data) {
+  r->heard = relay->now;
+  r->engine->heard = relay->now;
+  if (r->events) on_event_data(relay, r, data);
+  else on_plain_data(relay, r, data);
+}
+
+static void on_end (mt_relay_t *relay, mt_relay_request_t *r) {
+  if (r->events && mt_event_stream_partial(&r->stream)) {
+    attempt_lost(relay, r, MT_RELAY_RETRY_LOST);
+    return;
+  }
+  if (r->phase != MT_RELAY_STREAMING) {
+    pass_head(relay, r, (int64_t)r->body_size);
+    pass_data(relay, r, (mt_bytes_t){r->body, r->body_size});
+  }
+  if (r->status < 500) mt_engine_worked(r->engine, relay->now);
+  effect(relay, MT_RELAY_DO_END, r);
+  relay->counters.answers++;
+  note(relay, r, "answered", "");
+  remove_request(relay, r);
+}
+
+static void on_failed (mt_relay_t *relay, mt_relay_request_t *r,
+                       bool not_sent) {
+  if (!not_sent) {
+    attempt_lost(relay, r, MT_RELAY_RETRY_LOST);
+    return;
+  }
+  mt_engine_failed(r->engine, relay->now);
+  mt_engine_failed(r->engine, relay->now); /* no doubt: it rests at once */
+  attempt_failed(relay, r, MT_RELAY_RETRY_CONNECT, false);
+}
+
+/* }== */
+
+/* {== Time ============================================================= */
+
+/* How long this request's engine may say nothing before it is left. */
+static mt_ms_t patience (const mt_relay_request_t *r) {
+  if (r->kind != MT_ROUTE_STREAM) return 4 * r->objective;
+  if (r->awaiting_event)
+    return 2 * r->objective + (mt_ms_t)(2 * r->wait_expected);
+  return mt_max(5 * r->pause, ENGINE_SILENT_MS);
+}
+
+/* True when nothing at all comes from the engine any more. */
+static bool is_silent (const mt_relay_t *relay, const mt_relay_request_t *r) {
+  mt_ms_t waited = relay->now - r->heard;
+  if (waited > patience(r)) return true;
+  if (r->kind != MT_ROUTE_STREAM || waited < ENGINE_SILENT_MS) return false;
+  mt_ms_t engine_waited = relay->now - r->engine->heard;
+  return engine_waited > ENGINE_SILENT_MS &&
+         relay->now - r->sent > ENGINE_SILENT_MS + (mt_ms_t)r->wait_expected;
+}
+
+static void check_request (mt_relay_t *relay, mt_relay_request_t *r) {
+  if (relay->now >= r->expires) {
+    bool ran = r->may_have_run || r->engine != NULL;
+    give_up(relay, r, ran ? MT_RELAY_TIMEOUT : MT_RELAY_TIMEOUT_UNRUN);
+    return;
+  }
+  if (r->engine == NULL || !is_silent(relay, r)) return;
+  if (!may_retry(relay, r, true)) return;
+  mt_engine_t *e = r->engine;
+  mt_placement_t other = mt_placement_choose(relay, r);
+  if (other.engine == NULL) return;
+  cancel_attempt(relay, r);
+  mt_engine_failed(e, relay->now);
+  attempt_failed(relay, r, MT_RELAY_RETRY_SILENT, true);
+}
+
+static void update_engines (mt_relay_t *relay) {
+  mtV_each (&relay->services, i)
+    ((mt_relay_service_t *)relay->services.vals[i])->ready = 0;
+  for (size_t i = relay->engines.count; i-- > 0;) {
+    mt_engine_t *e = relay->engines.list[i];
+    e->slowness = 1 + (e->slowness - 1) * SLOWNESS_REST;
+    if (e->state == MT_ENGINE_READY)
+      mt_relay_service(relay, e->service)->ready++;
+    if (e->state == MT_ENGINE_GONE && e->here.running == 0)
+      mt_engines_remove(&relay->engines, e);
+  }
+}
+
+static void on_tick (mt_relay_t *relay) {
+  for (size_t i = relay->count; i-- > 0;)
+    if (i < relay->count) check_request(relay, relay->list[i]);
+  if (relay->now < relay->next_update) return;
+  relay->next_update = relay->now + UPDATE_MS;
+  mt_fair_share_update(&relay->shares, relay->now);
+  update_engines(relay);
+}
+
+/* }== */
+
+/* {== The reducer ====================================================== */
+
+static void on_attempt_event (mt_relay_t *relay, mt_relay_request_t *r,
+                              const mt_relay_event_t *ev) {
+  if (r->engine == NULL || ev->attempt != r->attempt) return; /* too late */
+  switch (ev->kind) {
+    case MT_RELAY_HEAD: on_head(relay, r, ev); break;
+    case MT_RELAY_DATA: on_data(relay, r, ev->u.data); break;
+    case MT_RELAY_FAILED: on_failed(relay, r, ev->u.not_sent); break;
+    case MT_RELAY_END: on_end(relay, r); break;
+    default: break;
+  }
+}
+
+void mt_relay_step (mt_relay_t *relay, const mt_relay_event_t *ev,
+                    mt_relay_effects_t *effects) {
+  relay->now = ev->now;
+  relay->effects = effects;
+  free_finished(relay);
+  mt_relay_request_t *r = NULL;
+  if (ev->request != 0) r = mtV_get(&relay->requests, ev->request);
+  switch (ev->kind) {
+    case MT_RELAY_TICK: on_tick(relay); break;
+    case MT_RELAY_STOP: relay->stopping = true; break;
+    case MT_RELAY_REQUEST: on_request(relay, ev->request, ev->u.ask); break;
+    case MT_RELAY_CALLER_LEFT:
+      if (r != NULL) on_caller_left(relay, r);
+      break;
+    case MT_RELAY_HEAD:
+    case MT_RELAY_DATA:
+    case MT_RELAY_END:
+    case MT_RELAY_FAILED:
+      if (r != NULL) on_attempt_event(relay, r, ev);
+      break;
+  }
+  relay->effects = NULL;
+}
+
+bool mt_relay_declare (mt_relay_t *relay, mt_catalog_t *catalog) {
+  if (relay->catalog && catalog->version <= relay->catalog->version) {
+    mt_catalog_free(catalog);
+    return false;
+  }
+  mt_catalog_free(relay->catalog);
+  relay->catalog = catalog;
+  return true;
+}
+
+mt_relay_t *mt_relay_new (const char *domain,
+                          const mt_relay_terms_t *terms) {
+  mt_relay_t *relay = mtV_new(sizeof *relay);
+  snprintf(relay->domain, sizeof relay->domain, "%s", domain);
+  relay->terms = *terms;
+  relay->routers = 1;
+  return relay;
+}
+
+void mt_relay_free (mt_relay_t *relay) {
+  if (relay == NULL) return;
+  while (relay->count > 0) remove_request(relay, relay->list[0]);
+  free_finished(relay);
+  free(relay->list);
+  mtV_free(&relay->requests);
+  mtV_free(&relay->usual_deadlines);
+  mtV_each (&relay->services, i) free(relay->services.vals[i]);
+  mtV_free(&relay->services);
+  mt_fair_share_free(&relay->shares);
+  mt_engines_free(&relay->engines);
+  mt_catalog_free(relay->catalog);
+  free(relay);
+}
+
+/* }== */
--- /dev/null
+++ b/src/relay/relay.h
@@ -0,0 +1,267 @@
+/*
+** relay.h - the life of relayed requests: one reducer over all events
+**
+** Callers' requests, engines' answers, the clock, declarations and the other
+** routers' loads come in as events; what is to be done comes out as effects.
+** The reducer reads no clock, opens no socket and draws no random number.
+*/
+#ifndef relay_h
+#define relay_h
+
+#include "catalog.h"
+#include "engine.h"
+#include "event_stream.h"
+#include "fair_share.h"
+#include "retry_budget.h"
+
+/* {== Refusals ========================================================= */
+
+/* Answers of the router itself: symbol, code in logs and counters, status. */
+#define MT_RELAY_REFUSALS(ROW)                          \
+  ROW(MT_RELAY_BAD_REQUEST, "bad_request", 400)         \
+  ROW(MT_RELAY_BAD_KEY, "bad_key", 401)                 \
+  ROW(MT_RELAY_NO_ROUTE, "no_route", 404)               \
+  ROW(MT_RELAY_NO_CATALOG, "no_configuration", 503)     \
+  ROW(MT_RELAY_UNSURE, "configuration_unsure", 503)     \
+  ROW(MT_RELAY_NO_ENGINE, "no_engine", 503)             \
+  ROW(MT_RELAY_BUSY, "engines_busy", 503)               \
+  ROW(MT_RELAY_OVER_SHARE, "over_share", 503)           \
+  ROW(MT_RELAY_SHED, "engines_refused", 503)            \
+  ROW(MT_RELAY_UNREACHABLE, "engines_unreachable", 503) \
+  ROW(MT_RELAY_TIMEOUT_UNRUN, "timeout_not_run", 503)   \
+  ROW(MT_RELAY_FULL, "router_full", 503)                \
+  ROW(MT_RELAY_STOPPING, "router_stopping", 503)        \
+  ROW(MT_RELAY_ENGINE_LOST, "engine_lost", 502)         \
+  ROW(MT_RELAY_TIMEOUT, "timeout", 504)
+
+typedef enum mt_relay_refusal_t {
+#define MT_RELAY_SYMBOL(symbol, code, status) symbol,
+  MT_RELAY_REFUSALS(MT_RELAY_SYMBOL)
+#undef MT_RELAY_SYMBOL
+      MT_RELAY_REFUSAL_COUNT
+} mt_relay_refusal_t;
+
+/* Why a request went to another engine. */
+#define MT_RELAY_RETRIES(ROW)                  \
+  ROW(MT_RELAY_RETRY_CONNECT, "connect_failed") \
+  ROW(MT_RELAY_RETRY_SHED, "engine_refused")    \
+  ROW(MT_RELAY_RETRY_MOVED, "engine_replaced")  \
+  ROW(MT_RELAY_RETRY_ERROR, "engine_error")     \
+  ROW(MT_RELAY_RETRY_LOST, "engine_lost")       \
+  ROW(MT_RELAY_RETRY_SILENT, "engine_silent")
+
+typedef enum mt_relay_retry_t {
+#define MT_RELAY_SYMBOL(symbol, code) symbol,
+  MT_RELAY_RETRIES(MT_RELAY_SYMBOL)
+#undef MT_RELAY_SYMBOL
+      MT_RELAY_RETRY_COUNT
+} mt_relay_retry_t;
+
+typedef struct mt_relay_counters_t {
+  uint64_t requests, answers, aborted, callers_left, attempts, events;
+  uint64_t tokens_wanted, tokens_missed; /* of prompts; believed unkept */
+  uint64_t refusals[MT_RELAY_REFUSAL_COUNT];
+  uint64_t retries[MT_RELAY_RETRY_COUNT];
+  uint64_t retries_denied;
+} mt_relay_counters_t;
+
+const char *mt_relay_refusal_code (mt_relay_refusal_t why);
+int mt_relay_refusal_status (mt_relay_refusal_t why);
+const char *mt_relay_retry_code (mt_relay_retry_t why);
+
+/* }== */
+
+/* {== Events =========================================================== */
+
+#define MT_RELAY_PARTS_MAX 16
+
+/* A request as its adapter read it; texts are borrowed for the step. */
+typedef struct mt_relay_ask_t {
+  mt_bytes_t id, host, path, key;
+  int64_t deadline_ms; /* the caller waits this long; -1: not told */
+  int64_t last_event;  /* the caller has the events up to this; -1: none */
+  int64_t tokens_in, tokens_out; /* 0: not told */
+  int64_t tokens_hint;           /* guess of the tokens out; 0: none */
+  mt_prefix_part_t parts[MT_RELAY_PARTS_MAX];
+  size_t parts_count;
+} mt_relay_ask_t;
+
+typedef enum mt_relay_event_kind_t {
+  MT_RELAY_TICK,
+  MT_RELAY_REQUEST,
+  MT_RELAY_CALLER_LEFT,
+  MT_RELAY_HEAD,   /* an engine's answer begins */
+  MT_RELAY_DATA,   /* bytes of its body */
+  MT_RELAY_END,    /* it is whole */
+  MT_RELAY_FAILED, /* it ended otherwise */
+  MT_RELAY_STOP    /* finish what is at hand */
+} mt_relay_event_kind_t;
+
+/* What an engine's head says of the request. */
+typedef enum mt_relay_verdict_t {
+  MT_RELAY_RAN,     /* it ran, or may have */
+  MT_RELAY_NOT_RUN, /* the engine says it did not and will not */
+  MT_RELAY_MOVED    /* another engine has the address; not run */
+} mt_relay_verdict_t;
+
+typedef struct mt_relay_event_t {
+  mt_relay_event_kind_t kind;
+  mt_ms_t now;
+  uint64_t request; /* the adapter's number */
+  int attempt;
+  union {
+    const mt_relay_ask_t *ask;
+    struct {
+      int status;
+      mt_relay_verdict_t verdict;
+      bool events; /* its body is a series of events */
+    } head;
+    mt_bytes_t data;
+    bool not_sent; /* FAILED */
+  } u;
+} mt_relay_event_t;
+
+/* }== */
+
+/* {== Effects ========================================================== */
+
+typedef enum mt_relay_effect_kind_t {
+  MT_RELAY_DO_REFUSE, /* answer in place of an engine */
+  MT_RELAY_DO_START,  /* send the request to an engine */
+  MT_RELAY_DO_CANCEL, /* end the attempt and its connection */
+  MT_RELAY_DO_HEAD,   /* pass on the head that came first */
+  MT_RELAY_DO_DATA,   /* pass on bytes */
+  MT_RELAY_DO_END,    /* the caller's answer is whole */
+  MT_RELAY_DO_ABORT   /* cut the caller's connection */
+} mt_relay_effect_kind_t;
+
+typedef struct mt_relay_effect_t {
+  mt_relay_effect_kind_t kind;
+  uint64_t request;
+  int attempt;
+  union {
+    struct {
+      mt_relay_refusal_t why;
+      mt_ms_t retry_after; /* 0: not told */
+    } refuse;
+    struct {
+      uint64_t engine;
+      mt_ms_t deadline_ms; /* what is left */
+      int64_t last_event;  /* -1: from the start */
+      mt_id_t workspace;   /* 0: none */
+      bool fresh;          /* on a connection of its own */
+    } start;
+    int64_t length; /* HEAD: of the body, -1: not known yet */
+    mt_bytes_t data; /* borrowed until the next step */
+  } u;
+} mt_relay_effect_t;
+
+typedef struct mt_relay_effects_t {
+  mt_relay_effect_t *list;
+  size_t count, cap;
+} mt_relay_effects_t;
+
+/* }== */
+
+/* {== State ============================================================ */
+
+#define MT_RELAY_TRIES_MAX 6 /* engines tried, failed connections included */
+
+typedef enum mt_relay_phase_t {
+  MT_RELAY_SENT,     /* no event or end of an answer yet */
+  MT_RELAY_HOLDING,  /* a short answer is gathered before it is passed on */
+  MT_RELAY_STREAMING /* the head has been passed on */
+} mt_relay_phase_t;
+
+typedef struct mt_relay_request_t {
+  uint64_t number;
+  char id[40]; /* the caller's, for logs */
+  size_t index; /* in the list */
+  struct mt_relay_request_t *finished_next;
+  mt_relay_phase_t phase;
+  mt_relay_refusal_t outcome;
+  /* What its route said when it came. */
+  mt_route_kind_t kind;
+  bool repeatable, resumable;
+  int attempts_max;
+  mt_id_t route, service, workspace;
+  mt_ms_t objective, pause;
+  mt_ms_t arrived, expires, deadline; /* deadline: the caller's; 0: none */
+  /* What it brings. */
+  int64_t tokens_in, tokens_out, cost, last_event;
+  mt_prefix_part_t parts[MT_RELAY_PARTS_MAX];
+  size_t parts_count;
+  /* Its current attempt. */
+  mt_engine_t *engine;
+  int attempt, arrivals; /* attempts that may have reached an engine */
+  bool awaiting_event, may_have_run, events, served;
+  int64_t unread, held; /* its part of the engine's load */
+  int64_t work_ahead;   /* unread there when it was sent, itself included */
+  double wait_expected;
+  mt_ms_t sent, heard;
+  int status;
+  uint64_t tried[MT_RELAY_TRIES_MAX];
+  int tried_count;
+  mt_event_stream_t stream;
+  char *body; /* HOLDING */
+  size_t body_size, body_cap;
+} mt_relay_request_t;
+
+/* What is learnt of a service's engines. */
+typedef struct mt_relay_service_t {
+  mt_id_t id;
+  double work, time; /* fading sums of prompt tokens and of ms for them */
+  mt_retry_budget_t budget;
+  int ready; /* engines, counted by the tick */
+} mt_relay_service_t;
+
+/* Everything that tunes decisions, in one place. */
+typedef struct mt_relay_terms_t {
+  mt_retry_terms_t retry;
+  mt_ms_t kept_ms;
+  double wait_part;    /* of the objective that a request may wait */
+  double over_power;   /* how fast this falls beyond the share */
+  double miss_weight;  /* of a token read again, beside its own time */
+} mt_relay_terms_t;
+
+typedef struct mt_relay_t {
+  mt_ms_t now;
+  char domain[MT_NAME_MAX + 1];
+  mt_relay_terms_t terms;
+  mt_catalog_t *catalog; /* NULL: none yet */
+  bool unsure; /* a newer one may exist that this router cannot see */
+  bool stopping;
+  int routers; /* that are believed to serve, this one included */
+  mt_engines_t engines;
+  mt_fair_share_t shares;
+  mt_map_t services; /* id -> mt_relay_service_t, owned */
+  mt_map_t usual_deadlines; /* route -> longest deadline seen */
+  mt_map_t requests; /* number -> mt_relay_request_t, owned */
+  mt_relay_request_t **list;
+  size_t count, cap;
+  mt_relay_request_t *finished; /* freed by the next step */
+  mt_ms_t next_update;
+  mt_relay_counters_t counters;
+  mt_relay_effects_t *effects; /* of the step being taken */
+  void (*log) (void *ud, const mt_relay_request_t *request,
+               const char *outcome, const char *why);
+  void *log_ud;
+} mt_relay_t;
+
+/* }== */
+
+mt_relay_t *mt_relay_new (const char *domain, const mt_relay_terms_t *terms);
+void mt_relay_free (mt_relay_t *relay);
+
+/* Takes one event; appends what is to be done. */
+void mt_relay_step (mt_relay_t *relay, const mt_relay_event_t *event,
+                    mt_relay_effects_t *effects);
+
+/* Puts a newer version in force; takes it over. Older ones are refused. */
+bool mt_relay_declare (mt_relay_t *relay, mt_catalog_t *catalog);
+
+/* Tokens per ms at which one engine of the service reads prompts. */
+double mt_relay_rate (mt_relay_t *relay, mt_id_t service);
+mt_relay_service_t *mt_relay_service (mt_relay_t *relay, mt_id_t id);
+
+#endif
