A stopping router refuses streams that it could not finish

Ruled out: leaving sooner (long streams in hand are still running), closing the listener (the caller's one retry would be spent on a refused connection without a time to come back).

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -516,6 +516,7 @@
   if (g->stopping != 0) return;
   g->stopping = uv_now(g->loop);
   mt_relay_event_t event = {.kind = MT_RELAY_STOP};
+  event.u.stop_ms = g->settings.grace - LAST_MS;
   step(g, &event);
   mt_http_server_drain(g->callers);
   mt_log_line(g->log, MT_LOG_BELIEF, g->stopping, "stopping",
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -23,6 +23,7 @@
 #define RETURNING_PART 0.97 /* of the usual deadline: it came back */
 #define ENGINE_SILENT_MS 700
 #define RETRY_SOON_MS 200
+#define LEAVE_MS 2000 /* after the order to stop, long streams are refused */
 
 /* {== Names ============================================================ */
 
@@ -388,6 +389,17 @@
   return false;
 }
 
+/*
+** A router that is to stop takes streams only while the balancer may still
+** send callers, and other requests only if they can end in time.
+*/
+static bool too_late (const mt_relay_t *relay, const mt_relay_request_t *r) {
+  if (relay->stop_since == 0) return false;
+  if (r->kind == MT_ROUTE_STREAM)
+    return relay->now - relay->stop_since > LEAVE_MS;
+  return r->expires > relay->stop_until;
+}
+
 static void on_request (mt_relay_t *relay, uint64_t number,
                         const mt_relay_ask_t *ask) {
   mt_relay_request_t *r = add_request(relay, number);
@@ -396,6 +408,10 @@
   snprintf(r->id, sizeof r->id, "%.*s", (int)ask->id.n, ask->id.p);
   if (!identify(relay, r, ask)) return;
   take_prompt(r, ask);
+  if (too_late(relay, r)) {
+    refuse(relay, r, MT_RELAY_STOPPING);
+    return;
+  }
   if (relay->count > MT_MAX_RUNNING) {
     refuse(relay, r, MT_RELAY_FULL);
     return;
@@ -637,7 +653,10 @@
   if (ev->request != 0) r = mtV_get(&relay->requests, ev->request);
   switch (ev->kind) {
     case MT_RELAY_TICK: on_tick(relay); break;
-    case MT_RELAY_STOP: relay->stopping = true; break;
+    case MT_RELAY_STOP:
+      relay->stop_since = relay->now;
+      relay->stop_until = relay->now + ev->u.stop_ms;
+      break;
     case MT_RELAY_REQUEST: on_request(relay, ev->request, ev->u.ask); break;
     case MT_RELAY_CALLER_LEFT:
       if (r != NULL) on_caller_left(relay, r);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -117,7 +117,8 @@
       bool events; /* its body is a series of events */
     } head;
     mt_bytes_t data;
-    bool not_sent; /* FAILED */
+    bool not_sent;   /* FAILED */
+    mt_ms_t stop_ms; /* STOP: the process ends after this long */
   } u;
 } mt_relay_event_t;
 
@@ -230,7 +231,7 @@
   mt_relay_terms_t terms;
   mt_catalog_t *catalog; /* NULL: none yet */
   bool unsure; /* a newer one may exist that this router cannot see */
-  bool stopping;
+  mt_ms_t stop_since, stop_until; /* 0: not stopping */
   int routers; /* that are believed to serve, this one included */
   mt_engines_t engines;
   mt_fair_share_t shares;
