An answer that its engine did not frame is not framed for the caller

Nothing in such an answer tells a cut from the end, so the router must not vouch for it: the caller's answer ends with its connection too. Ruled out: a reset mistaken for an end. A resumed stream whose later engine is unframed counts as lost.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -265,6 +265,7 @@
   event.u.head.verdict = g->dialect->judge(status, headers);
   mt_bytes_t type = mt_http_headers_find(headers, "content-type");
   event.u.head.events = type.n >= 17 && strncasecmp(type.p, "text/event-stream", 17) == 0;
+  event.u.head.framed = mt_http_call_is_framed(call);
   step(g, &event);
   return true;
 }
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -359,6 +359,10 @@
   close_connection(c);
 }
 
+bool mt_http_call_is_framed (const mt_http_call_t *c) {
+  return !c->closed_framing;
+}
+
 void mt_http_call_pause (mt_http_call_t *c, bool pause) {
   if (c->closing || !c->connected || c->paused == pause) return;
   c->paused = pause;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -65,6 +65,12 @@
 /* Ends a call at once and its connection with it; no further callback. */
 void mt_http_call_cancel (mt_http_call_t *call);
 
+/*
+** False when only the end of the connection ends the answer at hand: whether
+** it is whole cannot be told then.
+*/
+bool mt_http_call_is_framed (const mt_http_call_t *call);
+
 /* Stops and resumes reading the answer, for a slow reader behind it. */
 void mt_http_call_pause (mt_http_call_t *call, bool pause);
 
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -414,7 +414,8 @@
   x->state = STATE_ANSWERING;
   x->headless = !has_body(x, status);
   x->chunked = length == MT_HTTP_CHUNKED && !x->headless;
-  x->close_after = !x->keep_alive || x->server->draining;
+  x->close_after = !x->keep_alive || x->server->draining ||
+                   length == MT_HTTP_UNTIL_CLOSE;
   int n = snprintf(text, sizeof text, "HTTP/1.1 %d %s\r\n", status,
                    reason_of(status));
   buffer_add(&x->out, text, (size_t)n);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -72,10 +72,11 @@
 /* {== The answer ======================================================= */
 
 #define MT_HTTP_CHUNKED (-1)
+#define MT_HTTP_UNTIL_CLOSE (-2) /* the end of the connection ends the body */
 
 /*
 ** Starts an answer. `lines` are whole header lines, each with CRLF; `length`
-** is that of the body, or MT_HTTP_CHUNKED.
+** is that of the body, or one of the above.
 */
 void mt_http_exchange_head (mt_http_exchange_t *exchange, int status,
                             const char *lines, size_t lines_size,
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -449,6 +449,7 @@
   mt_engine_t *e = r->engine;
   r->status = ev->u.head.status;
   r->events = ev->u.head.events && r->status / 100 == 2;
+  r->framed = ev->u.head.framed;
   r->heard = relay->now;
   switch (ev->u.head.verdict) {
     case MT_RELAY_MOVED:
@@ -473,11 +474,14 @@
   attempt_failed(relay, r, MT_RELAY_RETRY_ERROR, true);
 }
 
+/* What the engine did not frame is not framed for the caller either. */
 static void pass_head (mt_relay_t *relay, mt_relay_request_t *r,
                        int64_t length) {
   if (r->phase == MT_RELAY_STREAMING) return;
   r->phase = MT_RELAY_STREAMING;
-  effect(relay, MT_RELAY_DO_HEAD, r)->u.length = length;
+  r->vouched = r->framed;
+  effect(relay, MT_RELAY_DO_HEAD, r)->u.length =
+      r->framed ? length : MT_RELAY_LENGTH_UNFRAMED;
 }
 
 static void pass_data (mt_relay_t *relay, mt_relay_request_t *r,
@@ -508,7 +512,7 @@
     relay->counters.events++;
     if (event.id >= 0 && event.id <= r->last_event) continue;
     if (event.id >= 0) r->last_event = event.id;
-    pass_head(relay, r, -1);
+    pass_head(relay, r, MT_RELAY_LENGTH_UNKNOWN);
     pass_data(relay, r, event.text);
   }
 }
@@ -529,7 +533,7 @@
   memcpy(r->body + r->body_size, data.p, data.n);
   r->body_size += data.n;
   if (r->body_size < HOLD_BODY_MAX) return;
-  pass_head(relay, r, -1);
+  pass_head(relay, r, MT_RELAY_LENGTH_UNKNOWN);
   pass_data(relay, r, (mt_bytes_t){r->body, r->body_size});
 }
 
@@ -542,7 +546,8 @@
 }
 
 static void on_end (mt_relay_t *relay, mt_relay_request_t *r) {
-  if (r->events && mt_event_stream_partial(&r->stream)) {
+  bool doubtful = r->vouched && !r->framed; /* a later engine's end */
+  if (doubtful || (r->events && mt_event_stream_partial(&r->stream))) {
     attempt_lost(relay, r, MT_RELAY_RETRY_LOST);
     return;
   }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -115,6 +115,7 @@
       int status;
       mt_relay_verdict_t verdict;
       bool events; /* its body is a series of events */
+      bool framed; /* its end can be told from a cut */
     } head;
     mt_bytes_t data;
     bool not_sent;   /* FAILED */
@@ -136,6 +137,9 @@
   MT_RELAY_DO_ABORT   /* cut the caller's connection */
 } mt_relay_effect_kind_t;
 
+#define MT_RELAY_LENGTH_UNKNOWN (-1)
+#define MT_RELAY_LENGTH_UNFRAMED (-2) /* the engine did not vouch for it */
+
 typedef struct mt_relay_effect_t {
   mt_relay_effect_kind_t kind;
   uint64_t request;
@@ -152,7 +156,7 @@
       mt_id_t workspace;   /* 0: none */
       bool fresh;          /* on a connection of its own */
     } start;
-    int64_t length; /* HEAD: of the body, -1: not known yet */
+    int64_t length; /* HEAD: of the body, or one of the below */
     mt_bytes_t data; /* borrowed until the next step */
   } u;
 } mt_relay_effect_t;
@@ -195,7 +199,7 @@
   /* Its current attempt. */
   mt_engine_t *engine;
   int attempt, arrivals; /* attempts that may have reached an engine */
-  bool awaiting_event, may_have_run, events, served;
+  bool awaiting_event, may_have_run, events, framed, vouched, served;
   int64_t unread, held; /* its part of the engine's load */
   int64_t work_ahead;   /* unread there when it was sent, itself included */
   double wait_expected;
