--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -58,6 +58,7 @@
 /* {== Effects ========================================================== */
 
 static void step (mt_gateway_t *g, mt_relay_event_t *event);
+static void tell_sent (attempt_t *a);
 
 static void release (mt_gateway_t *g, passage_t *p) {
   if (p->attempt != NULL) p->attempt->passage = NULL;
@@ -142,6 +143,7 @@
   a->call = mt_http_client_call(
       g->engines, &endpoint, (mt_bytes_t){g->scratch.p, g->scratch.n},
       mt_http_exchange_body(p->exchange), fx->u.start.fresh, a);
+  if (mt_http_call_is_sent(a->call)) tell_sent(a);
 }
 
 static void do_data (passage_t *p, const mt_relay_effect_t *fx) {
@@ -175,7 +177,7 @@
   }
 }
 
-/* Effects are taken in order; a step never nests in another. */
+/* Effects are taken in order; only GONE_OUT, which has none, nests. */
 static void step (mt_gateway_t *g, mt_relay_event_t *event) {
   mt_relay_effects_t effects = {0};
   event->now = uv_now(g->loop);
@@ -250,6 +252,18 @@
   }
 }
 
+static void tell_sent (attempt_t *a) {
+  if (a->passage == NULL) return;
+  mt_relay_event_t event = {.kind = MT_RELAY_GONE_OUT,
+                            .request = a->passage->number,
+                            .attempt = a->number};
+  step(a->gateway, &event);
+}
+
+static void on_sent (void *ud, mt_http_call_t *call) {
+  tell_sent(ud);
+}
+
 static bool on_head (void *ud, mt_http_call_t *call, int status,
                      const mt_http_headers_t *headers) {
   attempt_t *a = ud;
@@ -313,7 +327,7 @@
 }
 
 static const mt_http_call_handler_t engine_handler = {
-    .head = on_head, .data = on_data, .end = on_end, .failed = on_failed};
+    .sent = on_sent, .head = on_head, .data = on_data, .end = on_end, .failed = on_failed};
 
 /* }== */
 
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -283,6 +283,7 @@
                (mt_bytes_t){"", 0});
   free(c->request);
   c->request = NULL;
+  if (c->client->handler.sent != NULL) c->client->handler.sent(c->ud, c);
 }
 
 /* }== */
@@ -359,6 +360,10 @@
   close_connection(c);
 }
 
+bool mt_http_call_is_sent (const mt_http_call_t *c) {
+  return c->connected;
+}
+
 bool mt_http_call_is_framed (const mt_http_call_t *c) {
   return !c->closed_framing;
 }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -24,6 +24,8 @@
 } mt_http_failure_t;
 
 typedef struct mt_http_call_handler_t {
+  /* The connection is up and the request goes out on it; may be NULL. */
+  void (*sent)(void *ud, mt_http_call_t *call);
   /*
   ** Status and header fields; false: the answer is not this call's, but a
   ** surplus one of an earlier call, and is passed over.
@@ -55,7 +57,8 @@
 
 /*
 ** Begins a call; head and body are copied. No callback comes before this
-** returns. `fresh` asks for a connection of its own.
+** returns, nor `sent` for a call on a kept connection. `fresh` asks for a
+** connection of its own.
 */
 mt_http_call_t *mt_http_client_call (mt_http_client_t *client,
                                      const mt_http_endpoint_t *endpoint,
@@ -65,6 +68,9 @@
 /* Ends a call at once and its connection with it; no further callback. */
 void mt_http_call_cancel (mt_http_call_t *call);
 
+/* True when bytes of the request may have gone out. */
+bool mt_http_call_is_sent (const mt_http_call_t *call);
+
 /*
 ** False when only the end of the connection ends the answer at hand: whether
 ** it is whole cannot be told then.
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -233,6 +233,7 @@
   r->tried[r->tried_count++ % MT_RELAY_TRIES_MAX] = p->engine->key;
   r->sent = r->heard = relay->now;
   r->status = 0;
+  r->gone_out = false;
   r->body_size = 0;
   mt_event_stream_free(&r->stream);
   if (r->phase == MT_RELAY_HOLDING) r->phase = MT_RELAY_SENT;
@@ -597,18 +598,18 @@
 
 static void check_request (mt_relay_t *relay, mt_relay_request_t *r) {
   if (relay->now >= r->expires) {
-    bool ran = r->may_have_run || r->engine != NULL;
+    bool ran = r->may_have_run || r->gone_out;
     give_up(relay, r, ran ? MT_RELAY_TIMEOUT : MT_RELAY_TIMEOUT_UNRUN);
     return;
   }
   if (r->engine == NULL || !is_silent(relay, r)) return;
-  if (!may_retry(relay, r, true)) return;
+  if (!may_retry(relay, r, r->gone_out)) return;
   mt_engine_t *e = r->engine;
   mt_placement_t other = mt_placement_choose(relay, r);
   if (other.engine == NULL) return;
   cancel_attempt(relay, r);
   mt_engine_failed(e, relay->now);
-  attempt_failed(relay, r, MT_RELAY_RETRY_SILENT, true);
+  attempt_failed(relay, r, MT_RELAY_RETRY_SILENT, r->gone_out);
 }
 
 static void update_engines (mt_relay_t *relay) {
@@ -641,6 +642,7 @@
                               const mt_relay_event_t *ev) {
   if (r->engine == NULL || ev->attempt != r->attempt) return; /* too late */
   switch (ev->kind) {
+    case MT_RELAY_GONE_OUT: r->gone_out = true; break;
     case MT_RELAY_HEAD: on_head(relay, r, ev); break;
     case MT_RELAY_DATA: on_data(relay, r, ev->u.data); break;
     case MT_RELAY_FAILED: on_failed(relay, r, ev->u.not_sent); break;
@@ -666,6 +668,7 @@
     case MT_RELAY_CALLER_LEFT:
       if (r != NULL) on_caller_left(relay, r);
       break;
+    case MT_RELAY_GONE_OUT:
     case MT_RELAY_HEAD:
     case MT_RELAY_DATA:
     case MT_RELAY_END:
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -90,6 +90,7 @@
   MT_RELAY_TICK,
   MT_RELAY_REQUEST,
   MT_RELAY_CALLER_LEFT,
+  MT_RELAY_GONE_OUT, /* the request is on its way to the engine */
   MT_RELAY_HEAD,   /* an engine's answer begins */
   MT_RELAY_DATA,   /* bytes of its body */
   MT_RELAY_END,    /* it is whole */
@@ -199,6 +200,7 @@
   /* Its current attempt. */
   mt_engine_t *engine;
   int attempt, arrivals; /* attempts that may have reached an engine */
+  bool gone_out; /* bytes of it may have reached the engine */
   bool awaiting_event, may_have_run, events, framed, vouched, served;
   int64_t unread, held; /* its part of the engine's load */
   int64_t work_ahead;   /* unread there when it was sent, itself included */
