Parts of prompts stay where they are kept; lateness yields to that under load

Waiting weighed as much as reading, so requests left the engine that keeps their parts for one that had to read 6300 tokens.

Reading a prompt now weighs ten times a wait, a first event beyond 0.6 of the objective weighs six times, and this last weight fades as work is refused: then leaving home only makes more requests late.

--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -13,7 +13,9 @@
 #define RETRY_SLACK 20
 #define WAIT_PART 0.6
 #define OVER_POWER 2.0
-#define MISS_WEIGHT 1.5
+#define MISS_WEIGHT 10.0
+#define LATE_PART 0.6
+#define LATE_WEIGHT 6.0
 
 static const mt_field_t fields[] = {
     {"node", MT_F_STRING, true, 1, MT_NAME_MAX},
@@ -61,6 +63,8 @@
   terms->wait_part = real(relay, "wait_part", WAIT_PART);
   terms->over_power = real(relay, "over_power", OVER_POWER);
   terms->miss_weight = real(relay, "miss_weight", MISS_WEIGHT);
+  terms->late_part = real(relay, "late_part", LATE_PART);
+  terms->late_weight = real(relay, "late_weight", LATE_WEIGHT);
 }
 
 bool mt_gateway_settings_read (const json_t *doc, mt_gateway_settings_t *set,
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -10,6 +10,7 @@
 #define MEMORY_PENALTY_MS 1000.0 /* running requests would be preempted */
 #define FAILING_PENALTY_MS 50.0  /* one failure in a row */
 #define RUNNING_MS 1.0 /* each running request slows all others a little */
+#define SHORTAGE_STEEP 5 /* short by a fifth: lateness no longer counts */
 #define RETURN_BONUS 1.5 /* a request that was refused before may wait more */
 
 static bool was_tried (const mt_relay_request_t *r, uint64_t key) {
@@ -71,6 +72,15 @@
   return mt_max(r->tokens_in - kept, 1);
 }
 
+/*
+** A late first event is avoided at the cost of reading shared parts again,
+** but not when work is refused anyway: then that would only make more late.
+*/
+static double late_weight (const mt_relay_t *relay) {
+  double ease = 1 - relay->shares.shortage * SHORTAGE_STEEP;
+  return ease > 0 ? ease * relay->terms.late_weight : 0;
+}
+
 static mt_placement_t choose_model (mt_relay_t *relay,
                                     const mt_relay_request_t *r) {
   mt_placement_t best = {NULL, 0, 0, false};
@@ -87,8 +97,10 @@
     double wait = (double)unread(e) / rate * e->slowness;
     bool full = running(e) >= e->slots;
     int64_t held = e->here.held + e->peers.held + r->tokens_in;
-    double cost = wait + (double)miss / rate * e->slowness *
-                             relay->terms.miss_weight;
+    double read = (double)miss / rate * e->slowness;
+    double late = wait + read - (double)r->objective * relay->terms.late_part;
+    double cost = wait + read * relay->terms.miss_weight;
+    if (late > 0) cost += late * late_weight(relay);
     cost += running(e) * RUNNING_MS;
     if (full) cost += FULL_PENALTY_MS;
     if (memory > 0 && held > memory) cost += MEMORY_PENALTY_MS;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -228,7 +228,9 @@
   mt_ms_t kept_ms;
   double wait_part;    /* of the objective that a request may wait */
   double over_power;   /* how fast this falls beyond the share */
-  double miss_weight;  /* of a token read again, beside its own time */
+  double miss_weight;  /* of the time to read a prompt, beside a wait */
+  double late_part;    /* of the objective; beyond it a first event is late */
+  double late_weight;  /* of time beyond that */
 } mt_relay_terms_t;
 
 typedef struct mt_relay_t {
