Requests that may run once use connections that have rested under 2 s

A new connection costs its price, a round trip and, for a moment, a slot. What is to be feared is a connection that the engine closes just then, and it closes those that have rested: Keep-Alive tells 10 s here.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -142,7 +142,7 @@
   mt_http_endpoint_t endpoint = {engine->key, engine->ip, engine->port};
   a->call = mt_http_client_call(
       g->engines, &endpoint, (mt_bytes_t){g->scratch.p, g->scratch.n},
-      mt_http_exchange_body(p->exchange), fx->u.start.fresh, a);
+      mt_http_exchange_body(p->exchange), fx->u.start.rested_ms, a);
   if (mt_http_call_is_sent(a->call)) tell_sent(a);
 }
 
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -290,10 +290,13 @@
 
 /* {== Calls ============================================================ */
 
-static mt_http_call_t *take_idle (mt_http_client_t *client, uint64_t key) {
+/* The one used last: it is the least likely to be closed just now. */
+static mt_http_call_t *take_idle (mt_http_client_t *client, uint64_t key,
+                                  mt_ms_t rested_ms) {
   mt_ms_t now = uv_now(client->loop);
   mt_http_call_t *c = mtV_get(&client->idle, key);
-  if (c == NULL || now - c->since > c->idle_limit) return NULL;
+  if (c == NULL || now - c->since >= mt_min(c->idle_limit, rested_ms))
+    return NULL;
   leave_idle(c);
   return c;
 }
@@ -344,8 +347,8 @@
 mt_http_call_t *mt_http_client_call (mt_http_client_t *client,
                                      const mt_http_endpoint_t *endpoint,
                                      mt_bytes_t head, mt_bytes_t body,
-                                     bool fresh, void *ud) {
-  mt_http_call_t *c = fresh ? NULL : take_idle(client, endpoint->key);
+                                     mt_ms_t rested_ms, void *ud) {
+  mt_http_call_t *c = take_idle(client, endpoint->key, rested_ms);
   bool kept = c != NULL;
   if (!kept) c = connect_to(client, endpoint);
   c->busy = true;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -57,13 +57,13 @@
 
 /*
 ** Begins a call; head and body are copied. No callback comes before this
-** returns, nor `sent` for a call on a kept connection. `fresh` asks for a
-** connection of its own.
+** returns, nor `sent` for a call on a kept connection. A kept one is taken only
+** if it has rested for less than `rested_ms`.
 */
 mt_http_call_t *mt_http_client_call (mt_http_client_t *client,
                                      const mt_http_endpoint_t *endpoint,
                                      mt_bytes_t head, mt_bytes_t body,
-                                     bool fresh, void *ud);
+                                     mt_ms_t rested_ms, void *ud);
 
 /* Ends a call at once and its connection with it; no further callback. */
 void mt_http_call_cancel (mt_http_call_t *call);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -23,6 +23,8 @@
 #define RETURNING_PART 0.97 /* of the usual deadline: it came back */
 #define ENGINE_SILENT_MS 700
 #define RETRY_SOON_MS 200
+#define RESTED_MS 60000
+#define RESTED_ONCE_MS 2000 /* what may run once shuns what may be closed */
 #define LEAVE_MS 2000 /* after the order to stop, long streams are refused */
 
 /* {== Names ============================================================ */
@@ -250,7 +252,7 @@
   fx->u.start.deadline_ms = r->expires - relay->now;
   fx->u.start.last_event = r->last_event;
   fx->u.start.workspace = r->workspace;
-  fx->u.start.fresh = !r->repeatable;
+  fx->u.start.rested_ms = r->repeatable ? RESTED_MS : RESTED_ONCE_MS;
 }
 
 /* }== */
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -155,7 +155,7 @@
       mt_ms_t deadline_ms; /* what is left */
       int64_t last_event;  /* -1: from the start */
       mt_id_t workspace;   /* 0: none */
-      bool fresh;          /* on a connection of its own */
+      mt_ms_t rested_ms;   /* a kept connection may have rested so long */
     } start;
     int64_t length; /* HEAD: of the body, or one of the below */
     mt_bytes_t data; /* borrowed until the next step */
