Routers tell each other where shared parts went and what engines read

Cause: a router sees a sixth of what an engine reads, so its memory of kept parts lived six times too long, and a part that another router sent to a second engine was unknown to it. Messages now carry placements away from home and, in every fourth one, memory held and tokens read; kept parts age by the engine's tokens, whoever sent them.

A term urgency_power is added, 0 for now.

--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -20,10 +20,15 @@
 #define ENGINES_TOLD 320
 #define SHARES_TOLD 320
 #define DATAGRAM_MAX 16384
+#define MEMBERS 8        /* of a message */
+#define LOAD_NUMBERS 3   /* of an engine's row: key, unread, running */
+#define USE_NUMBERS 3    /* of its other row: key, held, read */
+#define WHOLE_EVERY 4    /* messages; the others leave out what can wait */
+#define PLACED_TOLD 24   /* in one message */
 
 typedef struct engine_row_t {
   uint64_t key;
-  int64_t unread;
+  int64_t unread, held, read;
   int32_t running;
 } engine_row_t;
 
@@ -70,6 +75,7 @@
     mt_engine_t *e = mt_engines_get(&peers->relay->engines, row->key);
     if (e == NULL) continue;
     e->peers.unread += sign * row->unread;
+    e->peers.held += sign * row->held;
     e->peers.running += sign * row->running;
   }
   for (size_t i = 0; i < peer->shares_count; i++) {
@@ -154,7 +160,7 @@
   size_t n = 0;
   for (size_t i = 0; i < relay->engines.count && n < ENGINES_TOLD; i++)
     n += has_load(relay->engines.list[i]);
-  msgpack_pack_array(pk, n * 3);
+  msgpack_pack_array(pk, n * LOAD_NUMBERS);
   for (size_t i = 0; i < relay->engines.count && n > 0; i++) {
     const mt_engine_t *e = relay->engines.list[i];
     if (!has_load(e)) continue;
@@ -165,6 +171,18 @@
   }
 }
 
+/* What changes more slowly: memory held, and all that was read so far. */
+static void pack_use (const mt_relay_t *relay, msgpack_packer *pk) {
+  size_t n = mt_min(relay->engines.count, (size_t)ENGINES_TOLD);
+  msgpack_pack_array(pk, n * USE_NUMBERS);
+  for (size_t i = 0; i < n; i++) {
+    const mt_engine_t *e = relay->engines.list[i];
+    msgpack_pack_uint64(pk, e->key);
+    msgpack_pack_int64(pk, e->here.held);
+    msgpack_pack_int64(pk, e->read);
+  }
+}
+
 static void pack_shares (const mt_relay_t *relay, msgpack_packer *pk) {
   size_t n = 0;
   for (size_t i = 0; i < relay->shares.count && n < SHARES_TOLD; i++)
@@ -180,16 +198,43 @@
   }
 }
 
+/* Each as engine, number of parts, then each part's hash and tokens. */
+static void pack_placed (mt_relay_t *relay, msgpack_packer *pk) {
+  size_t n = mt_min(relay->placed_count, (size_t)PLACED_TOLD), numbers = 0;
+  for (size_t i = 0; i < n; i++)
+    numbers += 2 + 2 * relay->placed[i].parts_count;
+  msgpack_pack_array(pk, numbers);
+  for (size_t i = 0; i < n; i++) {
+    const mt_relay_placed_t *placed = &relay->placed[i];
+    msgpack_pack_uint64(pk, placed->engine);
+    msgpack_pack_uint64(pk, placed->parts_count);
+    for (size_t k = 0; k < placed->parts_count; k++) {
+      msgpack_pack_uint64(pk, placed->parts[k].id);
+      msgpack_pack_int64(pk, placed->parts[k].tokens);
+    }
+  }
+  relay->placed_count -= n;
+  memmove(relay->placed, relay->placed + n,
+          relay->placed_count * sizeof *relay->placed);
+}
+
 static void pack (mt_gateway_peers_t *peers, msgpack_sbuffer *out) {
   msgpack_packer pk;
   msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
-  msgpack_pack_array(&pk, 6);
+  msgpack_pack_array(&pk, MEMBERS);
   msgpack_pack_int(&pk, FORMAT_VERSION);
   msgpack_pack_uint64(&pk, peers->boot);
   msgpack_pack_uint64(&pk, ++peers->number);
   pack_addresses(peers, &pk);
   pack_engines(peers->relay, &pk);
-  pack_shares(peers->relay, &pk);
+  pack_placed(peers->relay, &pk);
+  if (peers->number % WHOLE_EVERY == 0) {
+    pack_shares(peers->relay, &pk);
+    pack_use(peers->relay, &pk);
+  } else {
+    msgpack_pack_array(&pk, 0);
+    msgpack_pack_array(&pk, 0);
+  }
 }
 
 static uint64_t number_of (const msgpack_object *o) {
@@ -197,14 +242,67 @@
   return o->via.u64;
 }
 
-static void take_engines (peer_t *peer, const msgpack_object_array *rows) {
-  peer->engines_count = 0;
-  for (uint32_t i = 0; i + 2 < rows->size; i += 3) {
-    if (peer->engines_count >= ENGINES_TOLD) return;
-    peer->engines[peer->engines_count++] =
-        (engine_row_t){.key = number_of(&rows->ptr[i]),
-                       .unread = (int64_t)number_of(&rows->ptr[i + 1]),
-                       .running = (int32_t)number_of(&rows->ptr[i + 2])};
+/* The peer's row of an engine; `hint` is where it probably is. */
+static engine_row_t *row_of (peer_t *peer, uint64_t key, size_t hint) {
+  for (size_t i = 0; i < peer->engines_count; i++) {
+    engine_row_t *row = &peer->engines[(hint + i) % peer->engines_count];
+    if (row->key == key) return row;
+  }
+  if (peer->engines_count == ENGINES_TOLD) return NULL;
+  engine_row_t *row = &peer->engines[peer->engines_count++];
+  *row = (engine_row_t){.key = key, .read = -1};
+  return row;
+}
+
+/* Rows that are not told have no load. */
+static void take_load (peer_t *peer, const msgpack_object_array *rows) {
+  for (size_t i = 0; i < peer->engines_count; i++)
+    peer->engines[i].unread = peer->engines[i].running = 0;
+  for (uint32_t i = 0; i + LOAD_NUMBERS <= rows->size; i += LOAD_NUMBERS) {
+    const msgpack_object *at = &rows->ptr[i];
+    engine_row_t *row = row_of(peer, number_of(&at[0]), i / LOAD_NUMBERS);
+    if (row == NULL) return;
+    row->unread = (int64_t)number_of(&at[1]);
+    row->running = (int32_t)number_of(&at[2]);
+  }
+}
+
+/* Engines' clocks move on by what the peer had read since it last told. */
+static void take_use (mt_gateway_peers_t *peers, peer_t *peer,
+                      const msgpack_object_array *rows) {
+  for (uint32_t i = 0; i + USE_NUMBERS <= rows->size; i += USE_NUMBERS) {
+    const msgpack_object *at = &rows->ptr[i];
+    engine_row_t *row = row_of(peer, number_of(&at[0]), i / USE_NUMBERS);
+    if (row == NULL) return;
+    int64_t read = (int64_t)number_of(&at[2]);
+    mt_engine_t *e = mt_engines_get(&peers->relay->engines, row->key);
+    if (e != NULL && row->read >= 0 && read > row->read)
+      e->kept.clock += read - row->read;
+    row->held = (int64_t)number_of(&at[1]);
+    row->read = read;
+  }
+}
+
+/* Drops the rows of engines that are no longer known. */
+static void drop_rows (mt_gateway_peers_t *peers, peer_t *peer) {
+  for (size_t i = peer->engines_count; i-- > 0;)
+    if (mt_engines_get(&peers->relay->engines, peer->engines[i].key) == NULL)
+      peer->engines[i] = peer->engines[--peer->engines_count];
+}
+
+static void take_placed (mt_gateway_peers_t *peers,
+                         const msgpack_object_array *rows) {
+  uint32_t i = 0;
+  while (i + 2 <= rows->size) {
+    mt_relay_placed_t placed = {.engine = number_of(&rows->ptr[i])};
+    uint64_t n = number_of(&rows->ptr[i + 1]);
+    i += 2;
+    if (n > MT_RELAY_PARTS_MAX || i + 2 * n > rows->size) return;
+    for (uint64_t k = 0; k < n; k++, i += 2)
+      placed.parts[placed.parts_count++] =
+          (mt_prefix_part_t){number_of(&rows->ptr[i]) | 1,
+                             (int64_t)number_of(&rows->ptr[i + 1])};
+    mt_relay_heard_placed(peers->relay, &placed);
   }
 }
 
@@ -229,10 +327,11 @@
 
 /* True when the message has the expected shape and version. */
 static bool well_formed (const msgpack_object *o) {
-  if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != 6) return false;
+  if (o->type != MSGPACK_OBJECT_ARRAY) return false;
+  if (o->via.array.size != MEMBERS) return false;
   const msgpack_object *at = o->via.array.ptr;
   if (number_of(&at[0]) != FORMAT_VERSION) return false;
-  for (int i = 3; i < 6; i++)
+  for (int i = 3; i < MEMBERS; i++)
     if (at[i].type != MSGPACK_OBJECT_ARRAY) return false;
   return true;
 }
@@ -245,12 +344,16 @@
   if (peer == NULL) return;
   if (boot == peer->boot && number <= peer->number) return; /* overtaken */
   if (peer->heard == 0 || now - peer->heard > LOST_MS) say(peers, ip, "heard");
+  if (boot != peer->boot) peer->engines_count = 0;
   peer->boot = boot;
   peer->number = number;
   peer->heard = now;
   take_addresses(peers, &at[3].via.array);
-  take_engines(peer, &at[4].via.array);
-  take_shares(peer, &at[5].via.array);
+  drop_rows(peers, peer);
+  take_load(peer, &at[4].via.array);
+  take_placed(peers, &at[5].via.array);
+  if (at[6].via.array.size > 0) take_shares(peer, &at[6].via.array);
+  take_use(peers, peer, &at[7].via.array);
 }
 
 static void on_message (uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -12,6 +12,7 @@
 #define RETRY_WINDOW_MS 10000
 #define RETRY_SLACK 20
 #define WAIT_PART 0.6
+#define URGENCY_POWER 0.0
 #define OVER_POWER 2.0
 #define MISS_WEIGHT 10.0
 #define LATE_PART 0.6
@@ -61,6 +62,7 @@
       (mt_ms_t)mtJ_int(retry, "window_ms", RETRY_WINDOW_MS);
   terms->retry.slack = (int)mtJ_int(retry, "slack", RETRY_SLACK);
   terms->wait_part = real(relay, "wait_part", WAIT_PART);
+  terms->urgency_power = real(relay, "urgency_power", URGENCY_POWER);
   terms->over_power = real(relay, "over_power", OVER_POWER);
   terms->miss_weight = real(relay, "miss_weight", MISS_WEIGHT);
   terms->late_part = real(relay, "late_part", LATE_PART);
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -18,7 +18,7 @@
 /* Work at an engine. */
 typedef struct mt_engine_load_t {
   int64_t unread; /* prompt tokens sent and not yet answered by an event */
-  int64_t held;   /* tokens that running requests may come to hold */
+  int64_t held;   /* tokens that running requests hold for themselves */
   int32_t running;
 } mt_engine_load_t;
 
@@ -37,6 +37,7 @@
   mt_ms_t hold;     /* gets no work before this time */
   mt_ms_t heard;    /* last byte of any answer */
   mt_prefix_cache_t kept;
+  int64_t read; /* tokens read or made there for this router, ever */
 } mt_engine_t;
 
 typedef struct mt_engines_t {
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -59,10 +59,16 @@
   return best;
 }
 
+int64_t mt_placement_room (const mt_engine_t *e, int64_t memory) {
+  return mt_max(memory - e->here.held - e->peers.held, memory / 8);
+}
+
 /* Tokens that the engine has to read; its home is taken to keep the shared. */
 static int64_t misses (const mt_relay_request_t *r, const mt_engine_t *e,
-                       bool home) {
-  int64_t kept = mt_prefix_cache_match(&e->kept, r->parts, r->parts_count);
+                       bool home, int64_t memory) {
+  int64_t room = mt_placement_room(e, memory);
+  int64_t kept =
+      mt_prefix_cache_match(&e->kept, r->parts, r->parts_count, room);
   if (home && r->parts_count > 1) {
     int64_t shared = 0;
     for (size_t i = 0; i + 1 < r->parts_count; i++)
@@ -83,7 +89,7 @@
 
 static mt_placement_t choose_model (mt_relay_t *relay,
                                     const mt_relay_request_t *r) {
-  mt_placement_t best = {NULL, 0, 0, false};
+  mt_placement_t best = {NULL, 0, 0, false, false};
   double best_cost = 0;
   double rate = mt_relay_rate(relay, r->service);
   mt_engine_t *home = find_home(relay, r);
@@ -93,10 +99,10 @@
   for (size_t i = 0; i < relay->engines.count; i++) {
     mt_engine_t *e = relay->engines.list[i];
     if (!usable(relay, r, e)) continue;
-    int64_t miss = misses(r, e, e == home);
+    int64_t miss = misses(r, e, e == home, memory);
     double wait = (double)unread(e) / rate * e->slowness;
     bool full = running(e) >= e->slots;
-    int64_t held = e->here.held + e->peers.held + r->tokens_in;
+    int64_t held = e->here.held + e->peers.held + miss;
     double read = (double)miss / rate * e->slowness;
     double late = wait + read - (double)r->objective * relay->terms.late_part;
     double cost = wait + read * relay->terms.miss_weight;
@@ -106,7 +112,7 @@
     if (memory > 0 && held > memory) cost += MEMORY_PENALTY_MS;
     cost += e->failures * FAILING_PENALTY_MS;
     if (best.engine != NULL && cost >= best_cost) continue;
-    best = (mt_placement_t){e, miss, wait, full};
+    best = (mt_placement_t){e, miss, wait, full, e == home};
     best_cost = cost;
   }
   return best;
@@ -114,7 +120,7 @@
 
 static mt_placement_t choose_plain (mt_relay_t *relay,
                                     const mt_relay_request_t *r) {
-  mt_placement_t best = {NULL, 0, 0, false};
+  mt_placement_t best = {NULL, 0, 0, false, false};
   double best_cost = 0;
   for (size_t i = 0; i < relay->engines.count; i++) {
     mt_engine_t *e = relay->engines.list[i];
@@ -124,7 +130,7 @@
     cost += near ? 0 : 0.5 / mt_max(e->slots, 1);
     cost += e->failures;
     if (best.engine != NULL && cost >= best_cost) continue;
-    best = (mt_placement_t){e, 0, 0, running(e) >= e->slots};
+    best = (mt_placement_t){e, 0, 0, running(e) >= e->slots, false};
     best_cost = cost;
   }
   return best;
@@ -149,6 +155,9 @@
   mt_ms_t objective = service->objective ? service->objective : r->objective;
   if (objective == 0) return true;
   double limit = (double)objective * relay->terms.wait_part;
+  if (r->objective > objective)
+    limit *= pow((double)objective / (double)r->objective,
+                 relay->terms.urgency_power);
   double standing = 0;
   if (r->workspace != 0)
     standing = mt_fair_share_standing(&relay->shares, r->workspace);
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -11,6 +11,7 @@
   int64_t miss;   /* prompt tokens that it probably has to read */
   double wait_ms; /* expected until it begins to read this prompt */
   bool full;      /* all its slots are taken */
+  bool home;      /* every router expects the parts there */
 } mt_placement_t;
 
 /*
@@ -21,6 +22,9 @@
 mt_placement_t mt_placement_choose (mt_relay_t *relay,
                                     const mt_relay_request_t *request);
 
+/* Tokens that an engine can keep beside what is running there. */
+int64_t mt_placement_room (const mt_engine_t *engine, int64_t memory);
+
 /* True when the request should go there now rather than be refused. */
 bool mt_placement_admits (mt_relay_t *relay,
                           const mt_relay_request_t *request,
--- a/src/relay/prefix_cache.c
+++ b/src/relay/prefix_cache.c
@@ -8,6 +8,7 @@
 typedef struct mt_prefix_entry_t {
   struct mt_prefix_entry_t *newer, *older;
   mt_prefix_part_t part;
+  int64_t used; /* the cache's clock then */
 } mt_prefix_entry_t;
 
 static void detach (mt_prefix_cache_t *c, mt_prefix_entry_t *e) {
@@ -29,7 +30,6 @@
   mt_prefix_entry_t *e = c->oldest;
   detach(c, e);
   mtV_del(&c->entries, e->part.id);
-  c->tokens -= e->part.tokens;
   free(e);
 }
 
@@ -39,10 +39,12 @@
 }
 
 int64_t mt_prefix_cache_match (const mt_prefix_cache_t *c,
-                               const mt_prefix_part_t *parts, size_t count) {
+                               const mt_prefix_part_t *parts, size_t count,
+                               int64_t capacity) {
   int64_t tokens = 0;
   for (size_t i = 0; i < count; i++) {
-    if (mtV_get(&c->entries, parts[i].id) == NULL) break;
+    const mt_prefix_entry_t *e = mtV_get(&c->entries, parts[i].id);
+    if (e == NULL || c->clock - e->used > capacity) break;
     tokens += parts[i].tokens;
   }
   return tokens;
@@ -59,9 +61,10 @@
       e = mtV_new(sizeof *e);
       e->part = parts[i];
       mtV_put(&c->entries, e->part.id, e);
-      c->tokens += e->part.tokens;
     }
+    e->used = c->clock;
     attach(c, e);
   }
-  while (c->tokens > capacity && c->oldest != NULL) drop_oldest(c);
+  while (c->oldest != NULL && c->clock - c->oldest->used > capacity)
+    drop_oldest(c);
 }
--- a/src/relay/prefix_cache.h
+++ b/src/relay/prefix_cache.h
@@ -1,8 +1,9 @@
 /*
 ** prefix_cache.h - which parts of prompts one engine probably still keeps
 **
-** A bounded memory, least recently used first out, of what was sent there.
-** It is a belief: the engine may have dropped a part or read it for others.
+** The engine drops the parts that were used longest ago. Its clock here is the
+** number of tokens that were read or made there by anybody: a part that was
+** used more of them ago than the engine holds is gone. It is a belief.
 */
 #ifndef prefix_cache_h
 #define prefix_cache_h
@@ -17,16 +18,20 @@
 typedef struct mt_prefix_cache_t {
   mt_map_t entries; /* part -> entry, owned */
   struct mt_prefix_entry_t *newest, *oldest;
-  int64_t tokens;
+  int64_t clock; /* tokens read or made there since it is known */
 } mt_prefix_cache_t;
 
 void mt_prefix_cache_free (mt_prefix_cache_t *cache);
 
-/* Tokens of the longest run of leading parts that are kept. */
+/*
+** Tokens of the longest run of leading parts that are kept by an engine with
+** room for `capacity` tokens beside what is running.
+*/
 int64_t mt_prefix_cache_match (const mt_prefix_cache_t *cache,
-                               const mt_prefix_part_t *parts, size_t count);
+                               const mt_prefix_part_t *parts, size_t count,
+                               int64_t capacity);
 
-/* The engine reads these parts; forgets the oldest beyond `capacity`. */
+/* The engine uses these parts; forgets what was used too long ago. */
 void mt_prefix_cache_use (mt_prefix_cache_t *cache,
                           const mt_prefix_part_t *parts, size_t count,
                           int64_t capacity);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -121,6 +121,20 @@
 
 /* {== Load at engines ================================================== */
 
+/* Notes what the other routers cannot know; the oldest gives way. */
+static void remember_placed (mt_relay_t *relay, const mt_relay_request_t *r) {
+  if (r->parts_count < 2) return;
+  if (relay->placed_count == MT_RELAY_PLACED_MAX) {
+    relay->placed_count--;
+    memmove(relay->placed, relay->placed + 1,
+            relay->placed_count * sizeof *relay->placed);
+  }
+  mt_relay_placed_t *placed = &relay->placed[relay->placed_count++];
+  placed->engine = r->engine->key;
+  placed->parts_count = r->parts_count - 1;
+  memcpy(placed->parts, r->parts, placed->parts_count * sizeof *r->parts);
+}
+
 static void engage (mt_relay_t *relay, mt_relay_request_t *r,
                     const mt_placement_t *p) {
   mt_engine_t *e = p->engine;
@@ -128,15 +142,20 @@
       mt_catalog_service(relay->catalog, r->service);
   r->engine = e;
   r->unread = p->miss;
-  r->held = r->tokens_in + r->tokens_out;
+  int64_t own = r->tokens_in;
+  if (r->parts_count > 0) own = r->parts[r->parts_count - 1].tokens;
+  r->held = own + r->tokens_out;
   r->awaiting_event = true;
   r->work_ahead = e->here.unread + e->peers.unread + p->miss;
   r->wait_expected = p->wait_ms;
   e->here.running++;
   e->here.unread += r->unread;
   e->here.held += r->held;
-  if (s != NULL && s->memory > 0 && r->parts_count > 0)
-    mt_prefix_cache_use(&e->kept, r->parts, r->parts_count, s->memory);
+  e->read += p->miss + r->tokens_out;
+  e->kept.clock += p->miss + r->tokens_out;
+  if (s == NULL || s->memory == 0 || r->parts_count == 0) return;
+  mt_prefix_cache_use(&e->kept, r->parts, r->parts_count, s->memory);
+  if (!p->home) remember_placed(relay, r);
 }
 
 static void prompt_read (mt_relay_request_t *r) {
@@ -681,6 +700,17 @@
   relay->effects = NULL;
 }
 
+void mt_relay_heard_placed (mt_relay_t *relay,
+                            const mt_relay_placed_t *placed) {
+  mt_engine_t *e = mt_engines_get(&relay->engines, placed->engine);
+  if (e == NULL || relay->catalog == NULL) return;
+  const mt_catalog_service_t *s =
+      mt_catalog_service(relay->catalog, e->service);
+  if (s == NULL) return;
+  mt_prefix_cache_use(&e->kept, placed->parts, placed->parts_count,
+                      s->memory);
+}
+
 bool mt_relay_declare (mt_relay_t *relay, mt_catalog_t *catalog) {
   if (relay->catalog && catalog->version <= relay->catalog->version) {
     mt_catalog_free(catalog);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -214,6 +214,15 @@
   size_t body_size, body_cap;
 } mt_relay_request_t;
 
+#define MT_RELAY_PLACED_MAX 64
+
+/* Shared parts that were sent to an engine where nobody would expect them. */
+typedef struct mt_relay_placed_t {
+  uint64_t engine;
+  mt_prefix_part_t parts[MT_RELAY_PARTS_MAX];
+  size_t parts_count;
+} mt_relay_placed_t;
+
 /* What is learnt of a service's engines. */
 typedef struct mt_relay_service_t {
   mt_id_t id;
@@ -227,6 +236,7 @@
   mt_retry_terms_t retry;
   mt_ms_t kept_ms;
   double wait_part;    /* of the objective that a request may wait */
+  double urgency_power; /* how much less a longer objective may wait */
   double over_power;   /* how fast this falls beyond the share */
   double miss_weight;  /* of the time to read a prompt, beside a wait */
   double late_part;    /* of the objective; beyond it a first event is late */
@@ -249,6 +259,8 @@
   mt_relay_request_t **list;
   size_t count, cap;
   mt_relay_request_t *finished; /* freed by the next step */
+  mt_relay_placed_t placed[MT_RELAY_PLACED_MAX]; /* to be told to the others */
+  size_t placed_count;
   mt_ms_t next_update;
   mt_relay_counters_t counters;
   mt_relay_effects_t *effects; /* of the step being taken */
@@ -269,6 +281,10 @@
 /* Puts a newer version in force; takes it over. Older ones are refused. */
 bool mt_relay_declare (mt_relay_t *relay, mt_catalog_t *catalog);
 
+/* Another router sent these shared parts to an engine. */
+void mt_relay_heard_placed (mt_relay_t *relay,
+                            const mt_relay_placed_t *placed);
+
 /* Tokens per ms at which one engine of the service reads prompts. */
 double mt_relay_rate (mt_relay_t *relay, mt_id_t service);
 mt_relay_service_t *mt_relay_service (mt_relay_t *relay, mt_id_t id);
