Waits: half of the shortest objective, less for longer ones; spill while it is easy

Engines beyond the limit are now avoided while little is refused, and a longer objective may wait less: it has time for another try.

--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -11,8 +11,8 @@
 #define RETRY_RATIO 0.1
 #define RETRY_WINDOW_MS 10000
 #define RETRY_SLACK 20
-#define WAIT_PART 0.6
-#define URGENCY_POWER 0.0
+#define WAIT_PART 0.5
+#define URGENCY_POWER 1.0
 #define OVER_POWER 2.0
 #define MISS_WEIGHT 10.0
 #define LATE_PART 0.6
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -11,6 +11,7 @@
 #define FAILING_PENALTY_MS 50.0  /* one failure in a row */
 #define RUNNING_MS 1.0 /* each running request slows all others a little */
 #define SHORTAGE_STEEP 5 /* short by a fifth: lateness no longer counts */
+#define OVER_LIMIT_MS 2000.0 /* there it would be refused */
 #define RETURN_BONUS 1.5 /* a request that was refused before may wait more */
 
 static bool was_tried (const mt_relay_request_t *r, uint64_t key) {
@@ -82,20 +83,30 @@
 ** A late first event is avoided at the cost of reading shared parts again,
 ** but not when work is refused anyway: then that would only make more late.
 */
-static double late_weight (const mt_relay_t *relay) {
-  double ease = 1 - relay->shares.shortage * SHORTAGE_STEEP;
-  return ease > 0 ? ease * relay->terms.late_weight : 0;
+static double ease_of (const mt_relay_t *relay) {
+  return fmax(1 - relay->shares.shortage * SHORTAGE_STEEP, 0);
+}
+
+/* How long a request may wait at an engine, whoever asks. */
+static double wait_limit (const mt_relay_t *relay, const mt_relay_request_t *r,
+                          const mt_catalog_service_t *service) {
+  mt_ms_t shortest = service->objective ? service->objective : r->objective;
+  double limit = (double)shortest * relay->terms.wait_part;
+  if (r->objective > shortest)
+    limit *= pow((double)shortest / (double)r->objective,
+                 relay->terms.urgency_power);
+  return limit;
 }
 
 static mt_placement_t choose_model (mt_relay_t *relay,
-                                    const mt_relay_request_t *r) {
+                                    const mt_relay_request_t *r,
+                                    const mt_catalog_service_t *service) {
   mt_placement_t best = {NULL, 0, 0, false, false};
   double best_cost = 0;
   double rate = mt_relay_rate(relay, r->service);
   mt_engine_t *home = find_home(relay, r);
-  const mt_catalog_service_t *service =
-      mt_catalog_service(relay->catalog, r->service);
-  int64_t memory = service ? service->memory : 0;
+  int64_t memory = service->memory;
+  double limit = wait_limit(relay, r, service), ease = ease_of(relay);
   for (size_t i = 0; i < relay->engines.count; i++) {
     mt_engine_t *e = relay->engines.list[i];
     if (!usable(relay, r, e)) continue;
@@ -106,7 +117,8 @@
     double read = (double)miss / rate * e->slowness;
     double late = wait + read - (double)r->objective * relay->terms.late_part;
     double cost = wait + read * relay->terms.miss_weight;
-    if (late > 0) cost += late * late_weight(relay);
+    if (late > 0) cost += late * ease * relay->terms.late_weight;
+    if (wait > limit) cost += ease * OVER_LIMIT_MS;
     cost += running(e) * RUNNING_MS;
     if (full) cost += FULL_PENALTY_MS;
     if (memory > 0 && held > memory) cost += MEMORY_PENALTY_MS;
@@ -140,7 +152,7 @@
                                     const mt_relay_request_t *r) {
   const mt_catalog_service_t *service =
       mt_catalog_service(relay->catalog, r->service);
-  if (service != NULL && service->model) return choose_model(relay, r);
+  if (service != NULL && service->model) return choose_model(relay, r, service);
   return choose_plain(relay, r);
 }
 
@@ -152,12 +164,8 @@
   *why = MT_RELAY_BUSY;
   if (service == NULL || !service->model) return true; /* it sheds itself */
   if (p->full) return false;
-  mt_ms_t objective = service->objective ? service->objective : r->objective;
-  if (objective == 0) return true;
-  double limit = (double)objective * relay->terms.wait_part;
-  if (r->objective > objective)
-    limit *= pow((double)objective / (double)r->objective,
-                 relay->terms.urgency_power);
+  double limit = wait_limit(relay, r, service);
+  if (limit <= 0) return true;
   double standing = 0;
   if (r->workspace != 0)
     standing = mt_fair_share_standing(&relay->shares, r->workspace);
