--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -487,6 +487,12 @@
       return;
     case MT_RELAY_RAN: break;
   }
+  if (r->phase == MT_RELAY_STREAMING && !r->events) {
+    /* Not the rest of the stream that the caller has begun to get. */
+    if (r->status >= 500) mt_engine_failed(e, relay->now);
+    attempt_failed(relay, r, MT_RELAY_RETRY_ERROR, true);
+    return;
+  }
   if (r->status < 500) {
     mt_engine_worked(e, relay->now);
     return;
