--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -14,8 +14,10 @@
 #define CONNECT_MS 400
 #define IDLE_MS 20000
 #define USER_TIMEOUT_MS 2000
-#define BACKLOG_MAX (256u << 10) /* of a slow caller, before its engine waits */
-#define LEAVE_MS 2500 /* after the order to stop: nobody new comes any more */
+#define BACKLOG_MAX \
+  (256u << 10)        /* of a slow caller, before its engine waits */
+#define LEAVE_MS 2500 /* after the order to stop: nobody new comes any more \
+                       */
 #define LAST_MS 400   /* of the grace, kept for the last bytes */
 
 /* One request at the gateway: a caller's connection and an engine's. */
@@ -81,9 +83,9 @@
   mt_relay_refusal_t why = fx->u.refuse.why;
   int n = snprintf(lines, sizeof lines, "Content-Type: application/json\r\n");
   if (fx->u.refuse.retry_after > 0)
-    n += snprintf(lines + n, sizeof lines - (size_t)n,
-                  "Retry-After: %.3f\r\n",
-                  (double)fx->u.refuse.retry_after / 1000.0);
+    n +=
+        snprintf(lines + n, sizeof lines - (size_t)n, "Retry-After: %.3f\r\n",
+                 (double)fx->u.refuse.retry_after / 1000.0);
   int size = snprintf(body, sizeof body, "{\"error\":\"%s\"}",
                       mt_relay_refusal_code(why));
   mt_http_exchange_head(p->exchange, mt_relay_refusal_status(why), lines,
@@ -108,11 +110,11 @@
   mt_bytes_t method = mt_http_exchange_method(x);
   mt_bytes_t target = mt_http_exchange_target(x);
   mt_bytes_t body = mt_http_exchange_body(x);
-  mt_dialect_sent_t sent = {
-      .instance = engine->name,
-      .workspace = workspace_name(g, fx->u.start.workspace),
-      .deadline_ms = fx->u.start.deadline_ms,
-      .last_event = fx->u.start.last_event};
+  mt_dialect_sent_t sent = {.instance = engine->name,
+                            .workspace =
+                                workspace_name(g, fx->u.start.workspace),
+                            .deadline_ms = fx->u.start.deadline_ms,
+                            .last_event = fx->u.start.last_event};
   out->n = 0;
   mt_text_add(out, method.p, method.n);
   mt_text_add(out, " ", 1);
@@ -273,12 +275,13 @@
   passage_t *p = a->passage;
   if (p == NULL) return true;
   keep_head(p, status, headers);
-  mt_relay_event_t event = {.kind = MT_RELAY_HEAD, .request = p->number,
-                            .attempt = a->number};
+  mt_relay_event_t event = {
+      .kind = MT_RELAY_HEAD, .request = p->number, .attempt = a->number};
   event.u.head.status = status;
   event.u.head.verdict = g->dialect->judge(status, headers);
   mt_bytes_t type = mt_http_headers_find(headers, "content-type");
-  event.u.head.events = type.n >= 17 && strncasecmp(type.p, "text/event-stream", 17) == 0;
+  event.u.head.events =
+      type.n >= 17 && strncasecmp(type.p, "text/event-stream", 17) == 0;
   event.u.head.framed = mt_http_call_is_framed(call);
   step(g, &event);
   return true;
@@ -305,8 +308,8 @@
   passage_t *p = a->passage;
   forget_attempt(a);
   if (p != NULL) {
-    mt_relay_event_t event = {.kind = MT_RELAY_END, .request = p->number,
-                              .attempt = a->number};
+    mt_relay_event_t event = {
+        .kind = MT_RELAY_END, .request = p->number, .attempt = a->number};
     step(a->gateway, &event);
   }
   free(a);
@@ -318,27 +321,30 @@
   passage_t *p = a->passage;
   forget_attempt(a);
   if (p != NULL) {
-    mt_relay_event_t event = {.kind = MT_RELAY_FAILED, .request = p->number,
-                              .attempt = a->number};
+    mt_relay_event_t event = {
+        .kind = MT_RELAY_FAILED, .request = p->number, .attempt = a->number};
     event.u.not_sent = why == MT_HTTP_NOT_SENT;
     step(a->gateway, &event);
   }
   free(a);
 }
 
-static const mt_http_call_handler_t engine_handler = {
-    .sent = on_sent, .head = on_head, .data = on_data, .end = on_end, .failed = on_failed};
+static const mt_http_call_handler_t engine_handler = {.sent = on_sent,
+                                                      .head = on_head,
+                                                      .data = on_data,
+                                                      .end = on_end,
+                                                      .failed = on_failed};
 
 /* }== */
 
 /* {== Declarations and engines ========================================= */
 
 void mt_gateway_declare (mt_gateway_t *g, mt_catalog_t *catalog) {
-  mt_http_server_limits_t limits = {
-      .header_bytes = catalog->limits.header_bytes,
-      .body_bytes = catalog->limits.body_bytes,
-      .header_ms = catalog->limits.header_ms,
-      .idle_ms = catalog->limits.idle_ms};
+  mt_http_server_limits_t limits = {.header_bytes =
+                                        catalog->limits.header_bytes,
+                                    .body_bytes = catalog->limits.body_bytes,
+                                    .header_ms = catalog->limits.header_ms,
+                                    .idle_ms = catalog->limits.idle_ms};
   int64_t version = catalog->version;
   size_t routes = catalog->routes_count;
   size_t workspaces = catalog->workspaces_count;
@@ -459,7 +465,8 @@
 /* {== Opening and closing ============================================== */
 
 static const mt_http_server_handler_t caller_handler = {
-    .request = on_request, .gone = on_caller_gone,
+    .request = on_request,
+    .gone = on_caller_gone,
     .drained = on_caller_drained};
 static const mt_http_server_handler_t ready_handler = {
     .request = on_ready_asked, .gone = on_nothing, .drained = on_nothing};
@@ -471,18 +478,16 @@
                          const char *outcome, const char *why) {
   mt_gateway_t *g = ud;
   bool well = strcmp(outcome, "answered") == 0 && r->attempt == 1;
-  mt_log_line(g->log, well ? MT_LOG_DETAIL : MT_LOG_FAILURE, g->relay->now,
-              "request",
-              "id=%s route=%08x workspace=%08x engine=%s attempt=%d age=%llu "
-              "status=%d wait=%.0f tokens=%lld last=%lld version=%lld "
-              "outcome=%s why=%s",
-              r->id, r->route, r->workspace,
-              r->engine ? r->engine->name : "-", r->attempt,
-              (unsigned long long)(g->relay->now - r->arrived), r->status,
-              r->wait_expected, (long long)r->tokens_in,
-              (long long)r->last_event,
-              (long long)(g->relay->catalog ? g->relay->catalog->version : 0),
-              outcome, why);
+  mt_log_line(
+      g->log, well ? MT_LOG_DETAIL : MT_LOG_FAILURE, g->relay->now, "request",
+      "id=%s route=%08x workspace=%08x engine=%s attempt=%d age=%llu "
+      "status=%d wait=%.0f tokens=%lld last=%lld version=%lld "
+      "outcome=%s why=%s",
+      r->id, r->route, r->workspace, r->engine ? r->engine->name : "-",
+      r->attempt, (unsigned long long)(g->relay->now - r->arrived), r->status,
+      r->wait_expected, (long long)r->tokens_in, (long long)r->last_event,
+      (long long)(g->relay->catalog ? g->relay->catalog->version : 0),
+      outcome, why);
 }
 
 static mt_http_server_t *listen_on (mt_gateway_t *g, const mt_addr_t *addr,
@@ -496,9 +501,10 @@
                                const mt_gateway_settings_t *settings,
                                const mt_dialect_t *dialect, char *reason,
                                size_t size) {
-  static const mt_http_client_options_t options = {
-      .connect_ms = CONNECT_MS, .idle_ms = IDLE_MS,
-      .user_timeout = USER_TIMEOUT_MS};
+  static const mt_http_client_options_t options = {.connect_ms = CONNECT_MS,
+                                                   .idle_ms = IDLE_MS,
+                                                   .user_timeout =
+                                                       USER_TIMEOUT_MS};
   mt_gateway_t *g = mtV_new(sizeof *g);
   g->loop = loop;
   g->settings = *settings;
@@ -510,7 +516,8 @@
   g->relay->log = log_request;
   g->relay->log_ud = g;
   g->engines = mt_http_client_open(loop, &options, &engine_handler);
-  g->callers = listen_on(g, &settings->callers, &caller_handler, reason, size);
+  g->callers =
+      listen_on(g, &settings->callers, &caller_handler, reason, size);
   if (g->callers == NULL) return NULL;
   g->ready = listen_on(g, &settings->ready, &ready_handler, reason, size);
   if (g->ready == NULL) return NULL;
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -60,8 +60,7 @@
          "Prompt tokens that the engine probably had to read.",
          (double)c->tokens_missed);
   number(out, "retries_denied_total", "counter",
-         "Retries that the budget did not allow.",
-         (double)c->retries_denied);
+         "Retries that the budget did not allow.", (double)c->retries_denied);
   reasons(c, out);
   number(out, "requests", "gauge", "Requests in progress.",
          (double)relay->count);
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -9,22 +9,22 @@
 #include "gateway_peers.h"
 
 #define FORMAT_VERSION 1
-#define INTERVAL_MIN_MS 100  /* between two messages to a peer, at least */
-#define BYTES_PER_S 14000    /* sent to all peers together, at most */
-#define PROBE_MS 1000        /* between messages to who has not answered */
-#define SILENT_MS 800        /* what an older message said is left out */
-#define LOST_MS 3000         /* no longer counted as a router */
-#define FORGET_MS 60000      /* an address is not tried any more */
+#define INTERVAL_MIN_MS 100 /* between two messages to a peer, at least */
+#define BYTES_PER_S 14000   /* sent to all peers together, at most */
+#define PROBE_MS 1000       /* between messages to who has not answered */
+#define SILENT_MS 800       /* what an older message said is left out */
+#define LOST_MS 3000        /* no longer counted as a router */
+#define FORGET_MS 60000     /* an address is not tried any more */
 #define ADDRESSES_MAX 1024
-#define ADDRESSES_TOLD 8     /* of other routers, in each message */
+#define ADDRESSES_TOLD 8 /* of other routers, in each message */
 #define ENGINES_TOLD 320
 #define SHARES_TOLD 320
 #define DATAGRAM_MAX 16384
-#define MEMBERS 8        /* of a message */
-#define LOAD_NUMBERS 3   /* of an engine's row: key, unread, running */
-#define USE_NUMBERS 3    /* of its other row: key, held, read */
-#define WHOLE_EVERY 4    /* messages; the others leave out what can wait */
-#define PLACED_TOLD 24   /* in one message */
+#define MEMBERS 8      /* of a message */
+#define LOAD_NUMBERS 3 /* of an engine's row: key, unread, running */
+#define USE_NUMBERS 3  /* of its other row: key, held, read */
+#define WHOLE_EVERY 4  /* messages; the others leave out what can wait */
+#define PLACED_TOLD 24 /* in one message */
 
 typedef struct engine_row_t {
   uint64_t key;
@@ -106,7 +106,8 @@
 
 /* {== Addresses ======================================================== */
 
-static void say (mt_gateway_peers_t *peers, uint32_t ip, const char *outcome) {
+static void say (mt_gateway_peers_t *peers, uint32_t ip,
+                 const char *outcome) {
   char text[INET_ADDRSTRLEN];
   inet_ntop(AF_INET, &ip, text, sizeof text);
   mt_log_line(peers->log, MT_LOG_BELIEF, uv_now(peers->loop), "peer",
@@ -343,7 +344,8 @@
   mt_ms_t now = uv_now(peers->loop);
   if (peer == NULL) return;
   if (boot == peer->boot && number <= peer->number) return; /* overtaken */
-  if (peer->heard == 0 || now - peer->heard > LOST_MS) say(peers, ip, "heard");
+  if (peer->heard == 0 || now - peer->heard > LOST_MS)
+    say(peers, ip, "heard");
   if (boot != peer->boot) peer->engines_count = 0;
   peer->boot = boot;
   peer->number = number;
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -58,8 +58,7 @@
   const json_t *retry = json_object_get(doc, "retry");
   const json_t *relay = json_object_get(doc, "relay");
   terms->retry.ratio = real(retry, "ratio", RETRY_RATIO);
-  terms->retry.window =
-      (mt_ms_t)mtJ_int(retry, "window_ms", RETRY_WINDOW_MS);
+  terms->retry.window = (mt_ms_t)mtJ_int(retry, "window_ms", RETRY_WINDOW_MS);
   terms->retry.slack = (int)mtJ_int(retry, "slack", RETRY_SLACK);
   terms->wait_part = real(relay, "wait_part", WAIT_PART);
   terms->urgency_power = real(relay, "urgency_power", URGENCY_POWER);
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -63,8 +63,10 @@
 static void leave_idle (mt_http_call_t *c) {
   mt_http_call_t *first = mtV_get(&c->client->idle, c->key);
   if (first == c) {
-    if (c->idle_next) mtV_put(&c->client->idle, c->key, c->idle_next);
-    else mtV_del(&c->client->idle, c->key);
+    if (c->idle_next)
+      mtV_put(&c->client->idle, c->key, c->idle_next);
+    else
+      mtV_del(&c->client->idle, c->key);
     return;
   }
   while (first != NULL && first->idle_next != c) first = first->idle_next;
@@ -75,8 +77,10 @@
   if (c->closing) return;
   if (!c->busy) leave_idle(c);
   c->closing = true;
-  if (c->prev) c->prev->next = c->next;
-  else c->client->all = c->next;
+  if (c->prev)
+    c->prev->next = c->next;
+  else
+    c->client->all = c->next;
   if (c->next) c->next->prev = c->prev;
   c->client->count--;
   uv_close((uv_handle_t *)&c->tcp, on_closed);
@@ -149,8 +153,8 @@
   if (parser->status_code < 200) return 0;
   c->idle_limit = idle_limit(c);
   c->closed_framing = !(parser->flags & (F_CHUNKED | F_CONTENTLENGTH));
-  c->skipping = !c->client->handler.head(c->ud, c, parser->status_code,
-                                         &c->headers);
+  c->skipping =
+      !c->client->handler.head(c->ud, c, parser->status_code, &c->headers);
   if (c->closing) return 1;
   if (c->skipping && ++c->surplus > SURPLUS_MAX) return -1;
   return 0;
@@ -220,10 +224,14 @@
 static void on_read (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf) {
   mt_http_call_t *c = stream->data;
   if (n == 0) return;
-  if (n == UV_EOF) on_end_of_input(c);
-  else if (n < 0) fail(c, MT_HTTP_CLOSED);
-  else if (!c->busy) close_connection(c); /* nothing was asked */
-  else parse(c, buf->base, (size_t)n);
+  if (n == UV_EOF)
+    on_end_of_input(c);
+  else if (n < 0)
+    fail(c, MT_HTTP_CLOSED);
+  else if (!c->busy)
+    close_connection(c); /* nothing was asked */
+  else
+    parse(c, buf->base, (size_t)n);
 }
 
 static void on_written (uv_write_t *req, int status) {
@@ -354,8 +362,10 @@
   c->busy = true;
   c->ud = ud;
   begin_answer(c);
-  if (kept) send_request(c, head, body);
-  else keep_request(c, head, body);
+  if (kept)
+    send_request(c, head, body);
+  else
+    keep_request(c, head, body);
   return c;
 }
 
@@ -374,8 +384,10 @@
 void mt_http_call_pause (mt_http_call_t *c, bool pause) {
   if (c->closing || !c->connected || c->paused == pause) return;
   c->paused = pause;
-  if (pause) uv_read_stop((uv_stream_t *)&c->tcp);
-  else uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+  if (pause)
+    uv_read_stop((uv_stream_t *)&c->tcp);
+  else
+    uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
 }
 
 /* }== */
@@ -409,7 +421,8 @@
   mt_http_call_t *next;
   for (mt_http_call_t *c = client->all; c != NULL; c = next) {
     next = c->next;
-    if (!c->busy && now - c->since > c->idle_limit) close_connection(c);
+    if (!c->busy && now - c->since > c->idle_limit)
+      close_connection(c);
     else if (c->busy && !c->connected &&
              now - c->since > client->options.connect_ms)
       fail(c, MT_HTTP_NOT_SENT);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -50,14 +50,15 @@
   unsigned user_timeout; /* ms that sent bytes may stay unacknowledged */
 } mt_http_client_options_t;
 
-mt_http_client_t *mt_http_client_open (uv_loop_t *loop,
-                                       const mt_http_client_options_t *options,
-                                       const mt_http_call_handler_t *handler);
+mt_http_client_t *
+mt_http_client_open (uv_loop_t *loop, const mt_http_client_options_t *options,
+                     const mt_http_call_handler_t *handler);
 void mt_http_client_close (mt_http_client_t *client);
 
 /*
 ** Begins a call; head and body are copied. No callback comes before this
-** returns, nor `sent` for a call on a kept connection. A kept one is taken only
+** returns, nor `sent` for a call on a kept connection. A kept one is taken
+*only
 ** if it has rested for less than `rested_ms`.
 */
 mt_http_call_t *mt_http_client_call (mt_http_client_t *client,
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -67,9 +67,11 @@
   char bytes[];
 } pending_write_t;
 
-static const mt_http_server_limits_t default_limits = {
-    .header_bytes = 16384, .body_bytes = MT_BODY_MAX, .header_ms = 10000,
-    .idle_ms = 60000};
+static const mt_http_server_limits_t default_limits = {.header_bytes = 16384,
+                                                       .body_bytes =
+                                                           MT_BODY_MAX,
+                                                       .header_ms = 10000,
+                                                       .idle_ms = 60000};
 
 /* {== Buffers ========================================================== */
 
@@ -99,8 +101,10 @@
 static void unlink_dirty (mt_http_exchange_t *x) {
   if (!x->dirty) return;
   x->dirty = false;
-  if (x->dirty_prev) x->dirty_prev->dirty_next = x->dirty_next;
-  else x->server->dirty = x->dirty_next;
+  if (x->dirty_prev)
+    x->dirty_prev->dirty_next = x->dirty_next;
+  else
+    x->server->dirty = x->dirty_next;
   if (x->dirty_next) x->dirty_next->dirty_prev = x->dirty_prev;
 }
 
@@ -129,8 +133,10 @@
   mt_http_server_t *server = x->server;
   unlink_dirty(x);
   x->closing = true;
-  if (x->prev) x->prev->next = x->next;
-  else server->all = x->next;
+  if (x->prev)
+    x->prev->next = x->next;
+  else
+    server->all = x->next;
   if (x->next) x->next->prev = x->prev;
   server->count--;
   bool told = x->told;
@@ -293,9 +299,12 @@
     return;
   }
   if (HTTP_PARSER_ERRNO(&x->parser) == HPE_OK) return;
-  if (x->too_large) refuse_input(x, 413);
-  else if (headers_too_large(x)) refuse_input(x, 431);
-  else refuse_input(x, 400);
+  if (x->too_large)
+    refuse_input(x, 413);
+  else if (headers_too_large(x))
+    refuse_input(x, 431);
+  else
+    refuse_input(x, 400);
 }
 
 /* }== */
@@ -414,8 +423,8 @@
   x->state = STATE_ANSWERING;
   x->headless = !has_body(x, status);
   x->chunked = length == MT_HTTP_CHUNKED && !x->headless;
-  x->close_after = !x->keep_alive || x->server->draining ||
-                   length == MT_HTTP_UNTIL_CLOSE;
+  x->close_after =
+      !x->keep_alive || x->server->draining || length == MT_HTTP_UNTIL_CLOSE;
   int n = snprintf(text, sizeof text, "HTTP/1.1 %d %s\r\n", status,
                    reason_of(status));
   buffer_add(&x->out, text, (size_t)n);
@@ -465,10 +474,10 @@
 
 /* {== The listener ===================================================== */
 
-mt_http_server_t *mt_http_server_open (uv_loop_t *loop, const char *ip,
-                                       uint16_t port,
-                                       const mt_http_server_handler_t *handler,
-                                       void *ud, char *reason, size_t size) {
+mt_http_server_t *
+mt_http_server_open (uv_loop_t *loop, const char *ip, uint16_t port,
+                     const mt_http_server_handler_t *handler, void *ud,
+                     char *reason, size_t size) {
   mt_http_server_t *server = mtV_new(sizeof *server);
   struct sockaddr_in addr;
   server->loop = loop;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -35,10 +35,10 @@
 } mt_http_server_handler_t;
 
 /* Listens; NULL and a reason when that fails. Port 0 takes a free one. */
-mt_http_server_t *mt_http_server_open (uv_loop_t *loop, const char *ip,
-                                       uint16_t port,
-                                       const mt_http_server_handler_t *handler,
-                                       void *ud, char *reason, size_t size);
+mt_http_server_t *
+mt_http_server_open (uv_loop_t *loop, const char *ip, uint16_t port,
+                     const mt_http_server_handler_t *handler, void *ud,
+                     char *reason, size_t size);
 uint16_t mt_http_server_port (const mt_http_server_t *server);
 void mt_http_server_limits (mt_http_server_t *server,
                             const mt_http_server_limits_t *limits);
@@ -72,7 +72,8 @@
 /* {== The answer ======================================================= */
 
 #define MT_HTTP_CHUNKED (-1)
-#define MT_HTTP_UNTIL_CLOSE (-2) /* the end of the connection ends the body */
+#define MT_HTTP_UNTIL_CLOSE (-2) /* the end of the connection ends the body \
+                                  */
 
 /*
 ** Starts an answer. `lines` are whole header lines, each with CRLF; `length`
--- a/src/relay/catalog.c
+++ b/src/relay/catalog.c
@@ -118,9 +118,8 @@
   set_objectives(c);
 }
 
-const mt_catalog_route_t *mt_catalog_route (const mt_catalog_t *c,
-                                            mt_bytes_t host,
-                                            mt_bytes_t path) {
+const mt_catalog_route_t *
+mt_catalog_route (const mt_catalog_t *c, mt_bytes_t host, mt_bytes_t path) {
   const mt_catalog_route_t *best = NULL;
   size_t i = (size_t)(uintptr_t)mtV_get(&c->hosts, host_hash(host));
   for (; i != 0; i = c->next_of_host[i - 1]) {
--- a/src/relay/catalog.h
+++ b/src/relay/catalog.h
@@ -26,13 +26,13 @@
   size_t prefix_size;
   mt_id_t id;
   mt_route_kind_t kind;
-  bool resumable;       /* streams: may be taken up at another engine */
-  bool open;            /* needs no key */
-  mt_ms_t timeout;      /* longest that a request is held */
-  mt_ms_t objective;    /* time within which an answer is wanted */
-  mt_ms_t pause;        /* streams: longest pause between events */
-  int priority;         /* 0 is the most urgent */
-  int attempts;         /* engines that one request may be sent to */
+  bool resumable;    /* streams: may be taken up at another engine */
+  bool open;         /* needs no key */
+  mt_ms_t timeout;   /* longest that a request is held */
+  mt_ms_t objective; /* time within which an answer is wanted */
+  mt_ms_t pause;     /* streams: longest pause between events */
+  int priority;      /* 0 is the most urgent */
+  int attempts;      /* engines that one request may be sent to */
   mt_split_t split[MT_SPLIT_MAX];
   int splits;
 } mt_catalog_route_t;
@@ -41,10 +41,10 @@
 typedef struct mt_catalog_service_t {
   char *name;
   mt_id_t id;
-  int connections;    /* that one engine takes from all callers */
-  bool model;         /* a language model: prompts, kept prefixes */
-  int64_t memory;     /* tokens that one engine holds */
-  mt_ms_t objective;  /* the shortest of its stream routes; 0: none */
+  int connections;   /* that one engine takes from all callers */
+  bool model;        /* a language model: prompts, kept prefixes */
+  int64_t memory;    /* tokens that one engine holds */
+  mt_ms_t objective; /* the shortest of its stream routes; 0: none */
 } mt_catalog_service_t;
 
 typedef struct mt_catalog_workspace_t {
@@ -67,8 +67,8 @@
   size_t services_count, services_cap;
   mt_catalog_workspace_t *workspaces;
   size_t workspaces_count, workspaces_cap;
-  mt_map_t keys; /* hash of a key -> workspace's index + 1 */
-  mt_map_t hosts; /* hash of a host -> first route's index + 1 */
+  mt_map_t keys;        /* hash of a key -> workspace's index + 1 */
+  mt_map_t hosts;       /* hash of a host -> first route's index + 1 */
   size_t *next_of_host; /* per route: the next of its host + 1 */
   mt_catalog_limits_t limits;
 } mt_catalog_t;
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -32,10 +32,10 @@
   mt_engine_state_t state;
   int64_t seen; /* revision of the listing that said so */
   mt_engine_load_t here, peers;
-  double slowness;  /* time to first event, seen over expected; 1: usual */
-  int failures;     /* in a row */
-  mt_ms_t hold;     /* gets no work before this time */
-  mt_ms_t heard;    /* last byte of any answer */
+  double slowness; /* time to first event, seen over expected; 1: usual */
+  int failures;    /* in a row */
+  mt_ms_t hold;    /* gets no work before this time */
+  mt_ms_t heard;   /* last byte of any answer */
   mt_prefix_cache_t kept;
   int64_t read; /* tokens read or made there for this router, ever */
 } mt_engine_t;
--- a/src/relay/fair_share.h
+++ b/src/relay/fair_share.h
@@ -1,7 +1,8 @@
 /*
 ** fair_share.h - who has had its share: max-min over the whole fleet
 **
-** Each router keeps what its workspaces asked for and got, as rates that fade;
+** Each router keeps what its workspaces asked for and got, as rates that
+*fade;
 ** the other routers tell theirs. The level is the rate at which backlogged
 ** workspaces share what the engines give: whoever asks for less gets all.
 */
@@ -24,8 +25,8 @@
   mt_map_t by_id;
   mt_share_t **list;
   size_t count, cap;
-  mt_ms_t faded; /* when rates were last made to fade */
-  double level;  /* a backlogged workspace's share; 0: nobody is short */
+  mt_ms_t faded;   /* when rates were last made to fade */
+  double level;    /* a backlogged workspace's share; 0: nobody is short */
   double shortage; /* part of what was asked for that was not served */
 } mt_fair_share_t;
 
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -9,10 +9,11 @@
 #define FULL_PENALTY_MS 2000.0   /* a slot has to be waited for */
 #define MEMORY_PENALTY_MS 1000.0 /* running requests would be preempted */
 #define FAILING_PENALTY_MS 50.0  /* one failure in a row */
-#define RUNNING_MS 1.0 /* each running request slows all others a little */
+#define RUNNING_MS 1.0   /* each running request slows all others a little */
 #define SHORTAGE_STEEP 5 /* short by a fifth: lateness no longer counts */
 #define OVER_LIMIT_MS 2000.0 /* there it would be refused */
-#define RETURN_BONUS 1.5 /* a request that was refused before may wait more */
+#define RETURN_BONUS 1.5 /* a request that was refused before may wait more \
+                          */
 
 static bool was_tried (const mt_relay_request_t *r, uint64_t key) {
   for (int i = 0; i < r->tried_count; i++)
@@ -64,7 +65,8 @@
   return mt_max(memory - e->here.held - e->peers.held, memory / 8);
 }
 
-/* Tokens that the engine has to read; its home is taken to keep the shared. */
+/* Tokens that the engine has to read; its home is taken to keep the shared.
+ */
 static int64_t misses (const mt_relay_request_t *r, const mt_engine_t *e,
                        bool home, int64_t memory) {
   int64_t room = mt_placement_room(e, memory);
@@ -88,7 +90,8 @@
 }
 
 /* How long a request may wait at an engine, whoever asks. */
-static double wait_limit (const mt_relay_t *relay, const mt_relay_request_t *r,
+static double wait_limit (const mt_relay_t *relay,
+                          const mt_relay_request_t *r,
                           const mt_catalog_service_t *service) {
   mt_ms_t shortest = service->objective ? service->objective : r->objective;
   double limit = (double)shortest * relay->terms.wait_part;
@@ -152,7 +155,8 @@
                                     const mt_relay_request_t *r) {
   const mt_catalog_service_t *service =
       mt_catalog_service(relay->catalog, r->service);
-  if (service != NULL && service->model) return choose_model(relay, r, service);
+  if (service != NULL && service->model)
+    return choose_model(relay, r, service);
   return choose_plain(relay, r);
 }
 
--- a/src/relay/prefix_cache.c
+++ b/src/relay/prefix_cache.c
@@ -12,17 +12,23 @@
 } mt_prefix_entry_t;
 
 static void detach (mt_prefix_cache_t *c, mt_prefix_entry_t *e) {
-  if (e->newer) e->newer->older = e->older;
-  else c->newest = e->older;
-  if (e->older) e->older->newer = e->newer;
-  else c->oldest = e->newer;
+  if (e->newer)
+    e->newer->older = e->older;
+  else
+    c->newest = e->older;
+  if (e->older)
+    e->older->newer = e->newer;
+  else
+    c->oldest = e->newer;
 }
 
 static void attach (mt_prefix_cache_t *c, mt_prefix_entry_t *e) {
   e->newer = NULL;
   e->older = c->newest;
-  if (e->older) e->older->newer = e;
-  else c->oldest = e;
+  if (e->older)
+    e->older->newer = e;
+  else
+    c->oldest = e;
   c->newest = e;
 }
 
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -9,13 +9,14 @@
 #include "placement.h"
 #include "relay.h"
 
-#define HOLD_BODY_MAX (256u << 10) /* a longer answer is passed on as it comes */
-#define UPDATE_MS 100              /* between updates of shares */
-#define SHED_HOLD_MS 30            /* rest of an engine that refused */
-#define LAST_CHANCE_MS 20          /* less time left: no new attempt */
-#define RATE_FADE 0.98             /* of the sums behind a service's rate */
-#define RATE_START_MS 500.0        /* weight of the declared rate */
-#define RATE_UNKNOWN 20.0          /* tokens per ms before anything is known */
+#define HOLD_BODY_MAX \
+  (256u << 10)              /* a longer answer is passed on as it comes */
+#define UPDATE_MS 100       /* between updates of shares */
+#define SHED_HOLD_MS 30     /* rest of an engine that refused */
+#define LAST_CHANCE_MS 20   /* less time left: no new attempt */
+#define RATE_FADE 0.98      /* of the sums behind a service's rate */
+#define RATE_START_MS 500.0 /* weight of the declared rate */
+#define RATE_UNKNOWN 20.0   /* tokens per ms before anything is known */
 #define SLOWNESS_FADE 0.9
 #define SLOWNESS_LEAST 0.7
 #define SLOWNESS_MOST 8.0
@@ -25,7 +26,8 @@
 #define RETRY_SOON_MS 200
 #define RESTED_MS 60000
 #define RESTED_ONCE_MS 2000 /* what may run once shuns what may be closed */
-#define LEAVE_MS 2000 /* after the order to stop, long streams are refused */
+#define LEAVE_MS 2000 /* after the order to stop, long streams are refused \
+                       */
 
 /* {== Names ============================================================ */
 
@@ -357,7 +359,8 @@
   return (double)deadline_ms < RETURNING_PART * (double)usual;
 }
 
-static void take_route (mt_relay_request_t *r, const mt_catalog_route_t *route,
+static void take_route (mt_relay_request_t *r,
+                        const mt_catalog_route_t *route,
                         const mt_relay_ask_t *ask) {
   r->kind = route->kind;
   r->resumable = route->kind == MT_ROUTE_STREAM && route->resumable;
@@ -569,8 +572,10 @@
                      mt_bytes_t data) {
   r->heard = relay->now;
   r->engine->heard = relay->now;
-  if (r->events) on_event_data(relay, r, data);
-  else on_plain_data(relay, r, data);
+  if (r->events)
+    on_event_data(relay, r, data);
+  else
+    on_plain_data(relay, r, data);
 }
 
 static void on_end (mt_relay_t *relay, mt_relay_request_t *r) {
@@ -727,8 +732,7 @@
   return true;
 }
 
-mt_relay_t *mt_relay_new (const char *domain,
-                          const mt_relay_terms_t *terms) {
+mt_relay_t *mt_relay_new (const char *domain, const mt_relay_terms_t *terms) {
   mt_relay_t *relay = mtV_new(sizeof *relay);
   snprintf(relay->domain, sizeof relay->domain, "%s", domain);
   relay->terms = *terms;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -42,7 +42,7 @@
 } mt_relay_refusal_t;
 
 /* Why a request went to another engine. */
-#define MT_RELAY_RETRIES(ROW)                  \
+#define MT_RELAY_RETRIES(ROW)                   \
   ROW(MT_RELAY_RETRY_CONNECT, "connect_failed") \
   ROW(MT_RELAY_RETRY_SHED, "engine_refused")    \
   ROW(MT_RELAY_RETRY_MOVED, "engine_replaced")  \
@@ -91,11 +91,11 @@
   MT_RELAY_REQUEST,
   MT_RELAY_CALLER_LEFT,
   MT_RELAY_GONE_OUT, /* the request is on its way to the engine */
-  MT_RELAY_HEAD,   /* an engine's answer begins */
-  MT_RELAY_DATA,   /* bytes of its body */
-  MT_RELAY_END,    /* it is whole */
-  MT_RELAY_FAILED, /* it ended otherwise */
-  MT_RELAY_STOP    /* finish what is at hand */
+  MT_RELAY_HEAD,     /* an engine's answer begins */
+  MT_RELAY_DATA,     /* bytes of its body */
+  MT_RELAY_END,      /* it is whole */
+  MT_RELAY_FAILED,   /* it ended otherwise */
+  MT_RELAY_STOP      /* finish what is at hand */
 } mt_relay_event_kind_t;
 
 /* What an engine's head says of the request. */
@@ -157,7 +157,7 @@
       mt_id_t workspace;   /* 0: none */
       mt_ms_t rested_ms;   /* a kept connection may have rested so long */
     } start;
-    int64_t length; /* HEAD: of the body, or one of the below */
+    int64_t length;  /* HEAD: of the body, or one of the below */
     mt_bytes_t data; /* borrowed until the next step */
   } u;
 } mt_relay_effect_t;
@@ -171,7 +171,8 @@
 
 /* {== State ============================================================ */
 
-#define MT_RELAY_TRIES_MAX 6 /* engines tried, failed connections included */
+#define MT_RELAY_TRIES_MAX 6 /* engines tried, failed connections included \
+                              */
 
 typedef enum mt_relay_phase_t {
   MT_RELAY_SENT,     /* no event or end of an answer yet */
@@ -181,7 +182,7 @@
 
 typedef struct mt_relay_request_t {
   uint64_t number;
-  char id[40]; /* the caller's, for logs */
+  char id[40];  /* the caller's, for logs */
   size_t index; /* in the list */
   struct mt_relay_request_t *finished_next;
   mt_relay_phase_t phase;
@@ -200,7 +201,7 @@
   /* Its current attempt. */
   mt_engine_t *engine;
   int attempt, arrivals; /* attempts that may have reached an engine */
-  bool gone_out; /* bytes of it may have reached the engine */
+  bool gone_out;         /* bytes of it may have reached the engine */
   bool awaiting_event, may_have_run, events, framed, vouched, served;
   int64_t unread, held; /* its part of the engine's load */
   int64_t work_ahead;   /* unread there when it was sent, itself included */
@@ -235,12 +236,12 @@
 typedef struct mt_relay_terms_t {
   mt_retry_terms_t retry;
   mt_ms_t kept_ms;
-  double wait_part;    /* of the objective that a request may wait */
+  double wait_part;     /* of the objective that a request may wait */
   double urgency_power; /* how much less a longer objective may wait */
-  double over_power;   /* how fast this falls beyond the share */
-  double miss_weight;  /* of the time to read a prompt, beside a wait */
-  double late_part;    /* of the objective; beyond it a first event is late */
-  double late_weight;  /* of time beyond that */
+  double over_power;    /* how fast this falls beyond the share */
+  double miss_weight;   /* of the time to read a prompt, beside a wait */
+  double late_part;   /* of the objective; beyond it a first event is late */
+  double late_weight; /* of time beyond that */
 } mt_relay_terms_t;
 
 typedef struct mt_relay_t {
@@ -253,19 +254,20 @@
   int routers; /* that are believed to serve, this one included */
   mt_engines_t engines;
   mt_fair_share_t shares;
-  mt_map_t services; /* id -> mt_relay_service_t, owned */
+  mt_map_t services;        /* id -> mt_relay_service_t, owned */
   mt_map_t usual_deadlines; /* route -> longest deadline seen */
-  mt_map_t requests; /* number -> mt_relay_request_t, owned */
+  mt_map_t requests;        /* number -> mt_relay_request_t, owned */
   mt_relay_request_t **list;
   size_t count, cap;
   mt_relay_request_t *finished; /* freed by the next step */
-  mt_relay_placed_t placed[MT_RELAY_PLACED_MAX]; /* to be told to the others */
+  mt_relay_placed_t
+      placed[MT_RELAY_PLACED_MAX]; /* to be told to the others */
   size_t placed_count;
   mt_ms_t next_update;
   mt_relay_counters_t counters;
   mt_relay_effects_t *effects; /* of the step being taken */
-  void (*log) (void *ud, const mt_relay_request_t *request,
-               const char *outcome, const char *why);
+  void (*log)(void *ud, const mt_relay_request_t *request,
+              const char *outcome, const char *why);
   void *log_ud;
 } mt_relay_t;
 
--- a/src/relay/retry_budget.h
+++ b/src/relay/retry_budget.h
@@ -13,9 +13,9 @@
 #define MT_RETRY_SLICES 10
 
 typedef struct mt_retry_terms_t {
-  double ratio;      /* retries per request */
+  double ratio; /* retries per request */
   mt_ms_t window;
-  int slack;         /* of the whole fleet, in one window */
+  int slack; /* of the whole fleet, in one window */
 } mt_retry_terms_t;
 
 /* Requests and retries of one service, by slices of the window. */
--- /dev/null
+++ b/tests/relay_test.cc
@@ -0,0 +1,559 @@
+// relay_test.cc - relayed requests: refusals, retries, streams, stops.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+
+#include "relay.h"
+
+namespace {
+
+TEST(RelayAdmission, RefusesAtTheDoorWithTheReason) {
+  struct Row {
+    const char *path, *key, *host;
+    bool declared, unsure;
+    mt_relay_refusal_t why;
+  } rows[] = {
+      {"/again/x", "key-w1", "h.example", false, false, MT_RELAY_NO_CATALOG},
+      {"/none/x", "key-w1", "h.example", true, false, MT_RELAY_NO_ROUTE},
+      {"/again/x", "key-w1", "x.example", true, false, MT_RELAY_NO_ROUTE},
+      {"/none/x", "key-w1", "h.example", true, true, MT_RELAY_UNSURE},
+      {"/again/x", "wrong", "h.example", true, false, MT_RELAY_BAD_KEY},
+      {"/again/x", "", "h.example", true, false, MT_RELAY_BAD_KEY},
+      {"/again/x", "wrong", "h.example", true, true, MT_RELAY_UNSURE},
+      {"/open/x", "", "h.example", true, false, MT_RELAY_REFUSAL_COUNT},
+      {"/again/x", "other-key-w1", "H.EXAMPLE:80", true, false,
+       MT_RELAY_REFUSAL_COUNT},
+  };
+  for (const Row &row : rows) {
+    Relay r;
+    if (row.declared) r.declare();
+    r.relay->unsure = row.unsure;
+    r.ask(1, row.path, row.key, 5000, 1000, row.host);
+    EXPECT_EQ(r.refusal(), row.why) << row.path << " " << row.key;
+    bool started = r.find(MT_RELAY_DO_START) != nullptr;
+    EXPECT_EQ(started, row.why == MT_RELAY_REFUSAL_COUNT);
+  }
+}
+
+TEST(RelayAdmission, TheLongestPrefixWins) {
+  Relay r;
+  r.declare();
+  struct Row {
+    const char *path, *route;
+  } rows[] = {{"/again/x", "/again/"},
+              {"/again/deep/x", "/again/deep/"},
+              {"/again/deeper/x", "/again/"},
+              {"/again", nullptr}};
+  for (const Row &row : rows) {
+    const mt_catalog_route_t *found = mt_catalog_route(
+        r.relay->catalog, {"h.example", 9}, {row.path, strlen(row.path)});
+    EXPECT_STREQ(found ? found->name : nullptr, row.route) << row.path;
+  }
+}
+
+TEST(RelayAdmission, AnOlderVersionIsNotTaken) {
+  Relay r;
+  EXPECT_TRUE(mt_relay_declare(r.relay, declared(5)));
+  EXPECT_FALSE(mt_relay_declare(r.relay, declared(4)));
+  EXPECT_FALSE(mt_relay_declare(r.relay, declared(5)));
+  EXPECT_TRUE(mt_relay_declare(r.relay, declared(9)));
+  EXPECT_EQ(r.relay->catalog->version, 9);
+}
+
+// What ends an attempt, and what may follow it.
+enum Failure { NOT_SENT, LOST, SHED, MOVED, ERROR };
+
+void fail_so (Relay &r, Failure how) {
+  if (how != NOT_SENT) r.sent(1);
+  switch (how) {
+    case NOT_SENT: r.fail(1, true); break;
+    case LOST: r.fail(1); break;
+    case SHED: r.head(1, 503, false, MT_RELAY_NOT_RUN); break;
+    case MOVED: r.head(1, 421, false, MT_RELAY_MOVED); break;
+    case ERROR: r.head(1, 500); break;
+  }
+}
+
+TEST(RelayAttempts, WhatMayFollowAFailure) {
+  struct Row {
+    const char *path;
+    Failure how;
+    bool again;
+    mt_relay_refusal_t why; // when not again
+  } rows[] = {
+      {"/once/x", NOT_SENT, true, MT_RELAY_REFUSAL_COUNT},
+      {"/once/x", SHED, true, MT_RELAY_REFUSAL_COUNT},
+      {"/once/x", MOVED, true, MT_RELAY_REFUSAL_COUNT},
+      {"/once/x", LOST, false, MT_RELAY_ENGINE_LOST},
+      {"/again/x", NOT_SENT, true, MT_RELAY_REFUSAL_COUNT},
+      {"/again/x", LOST, true, MT_RELAY_REFUSAL_COUNT},
+      {"/again/x", ERROR, true, MT_RELAY_REFUSAL_COUNT},
+      {"/stream/x", LOST, true, MT_RELAY_REFUSAL_COUNT},
+      {"/events/x", LOST, false, MT_RELAY_ENGINE_LOST},
+      {"/events/x", SHED, false, MT_RELAY_SHED},
+      {"/events/x", NOT_SENT, true, MT_RELAY_REFUSAL_COUNT},
+  };
+  for (const Row &row : rows) {
+    Relay r;
+    r.declare();
+    r.ask(1, row.path);
+    uint64_t first = r.find(MT_RELAY_DO_START)->u.start.engine;
+    fail_so(r, row.how);
+    const mt_relay_effect_t *fx = r.find(MT_RELAY_DO_START);
+    EXPECT_EQ(fx != nullptr, row.again) << row.path << row.how;
+    if (fx) {
+      EXPECT_NE(fx->u.start.engine, first) << row.path << row.how;
+    }
+    EXPECT_EQ(r.refusal(), row.why) << row.path << row.how;
+    EXPECT_TRUE(row.again || r.idle());
+  }
+}
+
+TEST(RelayAttempts, AnEnginesOwnErrorIsPassedOnWhenNothingMayFollow) {
+  Relay r;
+  r.declare();
+  r.ask(1, "/once/x");
+  r.sent(1);
+  r.head(1, 500);
+  EXPECT_EQ(r.find(MT_RELAY_DO_START), nullptr);
+  r.data(1, "failed");
+  r.end(1);
+  EXPECT_NE(r.find(MT_RELAY_DO_HEAD), nullptr);
+  EXPECT_NE(r.find(MT_RELAY_DO_END), nullptr);
+}
+
+TEST(RelayAttempts, EventsOfAnEarlierAttemptAreDropped) {
+  Relay r;
+  r.declare();
+  r.ask(1, "/again/x");
+  r.sent(1);
+  r.fail(1);
+  mt_relay_event_t late = r.of(MT_RELAY_END, 1, 1);
+  r.step(late);
+  EXPECT_EQ(r.effects.count, 0u);
+  EXPECT_EQ(r.attempt(1), 2);
+}
+
+TEST(RelayAttempts, TheBudgetBoundsRetries) {
+  Relay r;
+  r.declare();
+  r.relay->terms.retry.slack = 0;
+  r.relay->terms.retry.ratio = 0;
+  r.ask(1, "/again/x");
+  r.sent(1);
+  r.fail(1);
+  EXPECT_EQ(r.refusal(), MT_RELAY_ENGINE_LOST);
+  EXPECT_EQ(r.relay->counters.retries_denied, 1u);
+}
+
+// An engine that closes its connection in the ordinary way may have broken
+// off: what it did not frame is not framed for the caller (found by MIXED).
+TEST(RelayAnswers, FramingIsTheEngines) {
+  struct Row {
+    bool framed;
+    int64_t length;
+  } rows[] = {{true, 4}, {false, MT_RELAY_LENGTH_UNFRAMED}};
+  for (const Row &row : rows) {
+    Relay r;
+    r.declare();
+    r.ask(1, "/again/x");
+    r.sent(1);
+    r.head(1, 200, false, MT_RELAY_RAN, row.framed);
+    r.data(1, "body");
+    r.end(1);
+    ASSERT_NE(r.find(MT_RELAY_DO_HEAD), nullptr);
+    EXPECT_EQ(r.find(MT_RELAY_DO_HEAD)->u.length, row.length);
+  }
+}
+
+TEST(RelayStreams, AreTakenUpElsewhereBehindTheLastWholeEvent) {
+  Relay r;
+  r.declare();
+  r.ask(1, "/stream/x");
+  r.sent(1);
+  r.head(1, 200, true);
+  r.event(1, 1);
+  EXPECT_NE(r.find(MT_RELAY_DO_HEAD), nullptr);
+  r.event(1, 2);
+  r.data(1, "id: 3\nda"); // cut inside the third
+  EXPECT_EQ(r.find(MT_RELAY_DO_DATA), nullptr);
+  r.fail(1);
+  ASSERT_NE(r.find(MT_RELAY_DO_START), nullptr);
+  EXPECT_EQ(r.find(MT_RELAY_DO_START)->u.start.last_event, 2);
+  r.sent(1);
+  r.head(1, 200, true);
+  r.event(1, 2); // an engine that begins too early
+  EXPECT_EQ(r.find(MT_RELAY_DO_DATA), nullptr);
+  r.event(1, 3);
+  EXPECT_EQ(r.find(MT_RELAY_DO_HEAD), nullptr);
+  EXPECT_NE(r.find(MT_RELAY_DO_DATA), nullptr);
+  r.end(1);
+  EXPECT_NE(r.find(MT_RELAY_DO_END), nullptr);
+  EXPECT_TRUE(r.idle());
+}
+
+// The body of an error once followed the first engine's events (ORDER).
+TEST(RelayStreams, AnErrorIsNotTheRestOfAStream) {
+  Relay r;
+  r.declare();
+  r.ask(1, "/stream/x");
+  r.sent(1);
+  r.head(1, 200, true);
+  r.event(1, 1);
+  r.fail(1);
+  r.sent(1);
+  r.head(1, 500);
+  EXPECT_NE(r.find(MT_RELAY_DO_ABORT), nullptr);
+  EXPECT_EQ(r.find(MT_RELAY_DO_DATA), nullptr);
+  EXPECT_EQ(r.find(MT_RELAY_DO_END), nullptr);
+}
+
+TEST(RelayStreams, EndingInsideAnEventIsNoEnd) {
+  Relay r;
+  r.declare();
+  r.ask(1, "/events/x");
+  r.sent(1);
+  r.head(1, 200, true);
+  r.event(1, 1);
+  r.data(1, "id: 2\n");
+  r.end(1);
+  EXPECT_EQ(r.find(MT_RELAY_DO_END), nullptr);
+  EXPECT_NE(r.find(MT_RELAY_DO_ABORT), nullptr);
+}
+
+TEST(RelayStreams, ASilentEngineIsLeft) {
+  Relay r;
+  r.declare();
+  r.ask(1, "/stream/x");
+  uint64_t first = r.find(MT_RELAY_DO_START)->u.start.engine;
+  r.sent(1);
+  r.head(1, 200, true);
+  r.event(1, 1);
+  r.pass(3000);
+  EXPECT_NE(r.find(MT_RELAY_DO_CANCEL), nullptr);
+  ASSERT_NE(r.find(MT_RELAY_DO_START), nullptr);
+  EXPECT_NE(r.find(MT_RELAY_DO_START)->u.start.engine, first);
+}
+
+TEST(RelayTime, WhatIsSaidWhenTimeIsUp) {
+  struct Row {
+    const char *path;
+    bool sent, event;
+    mt_relay_refusal_t why; // REFUSAL_COUNT: the connection is cut
+  } rows[] = {{"/once/x", false, false, MT_RELAY_TIMEOUT_UNRUN},
+              {"/once/x", true, false, MT_RELAY_TIMEOUT},
+              {"/events/x", true, true, MT_RELAY_REFUSAL_COUNT}};
+  for (const Row &row : rows) {
+    Relay r;
+    r.declare();
+    r.ask(1, row.path, "key-w1", 300);
+    EXPECT_EQ(r.find(MT_RELAY_DO_START)->u.start.deadline_ms, 300u);
+    if (row.sent) r.sent(1);
+    if (row.event) {
+      r.head(1, 200, true);
+      r.event(1, 1);
+    }
+    r.pass(400);
+    EXPECT_EQ(r.refusal(), row.why) << row.path;
+    EXPECT_EQ(r.find(MT_RELAY_DO_ABORT) != nullptr,
+              row.why == MT_RELAY_REFUSAL_COUNT);
+    EXPECT_NE(r.find(MT_RELAY_DO_CANCEL), nullptr);
+    EXPECT_TRUE(r.idle());
+  }
+}
+
+// A stream taken long after the order to stop was cut (LOST).
+TEST(RelayStop, TakesOnlyWhatCanEnd) {
+  struct Row {
+    const char *path;
+    mt_ms_t after;
+    mt_relay_refusal_t why;
+  } rows[] = {{"/stream/x", 0, MT_RELAY_REFUSAL_COUNT},
+              {"/stream/x", 1900, MT_RELAY_REFUSAL_COUNT},
+              {"/stream/x", 2100, MT_RELAY_STOPPING},
+              {"/again/x", 2100, MT_RELAY_REFUSAL_COUNT},
+              {"/again/x", 7500, MT_RELAY_STOPPING}};
+  for (const Row &row : rows) {
+    Relay r;
+    r.declare();
+    mt_relay_event_t stop{};
+    stop.kind = MT_RELAY_STOP;
+    stop.u.stop_ms = 8000;
+    r.step(stop);
+    r.pass(row.after);
+    r.ask(1, row.path, "key-w1", 1000);
+    EXPECT_EQ(r.refusal(), row.why) << row.path << row.after;
+  }
+}
+
+TEST(RelayCallers, LeavingEndsTheWork) {
+  Relay r;
+  r.declare();
+  r.ask(1, "/stream/x");
+  r.sent(1);
+  r.step(r.of(MT_RELAY_CALLER_LEFT, 1));
+  EXPECT_NE(r.find(MT_RELAY_DO_CANCEL), nullptr);
+  EXPECT_TRUE(r.idle());
+  EXPECT_EQ(r.relay->count, 0u);
+}
+
+TEST(RelayPlacement, OnlyReadyEnginesGetWork) {
+  for (mt_engine_state_t state : {MT_ENGINE_LEAVING, MT_ENGINE_GONE}) {
+    Relay r(2);
+    r.declare();
+    r.find("p1")->state = state;
+    for (uint64_t i = 1; i <= 20; i++) {
+      r.ask(i, "/again/x");
+      ASSERT_NE(r.find(MT_RELAY_DO_START), nullptr);
+      EXPECT_EQ(r.find(MT_RELAY_DO_START)->u.start.engine,
+                mt_engine_key("p2", 2));
+    }
+    r.find("p2")->state = state;
+    r.ask(21, "/again/x");
+    EXPECT_EQ(r.refusal(), MT_RELAY_NO_ENGINE);
+  }
+}
+
+TEST(RelayPlacement, RequestsWithOnePartGoToOneEngine) {
+  Relay a, b; // two routers that have heard nothing of each other
+  std::set<uint64_t> used;
+  a.declare();
+  b.declare();
+  for (uint64_t i = 1; i <= 10; i++) {
+    Relay &r = i % 2 ? a : b;
+    r.ask(i, "/stream/x", "key-w1", 5000, 400);
+    used.insert(r.find(MT_RELAY_DO_START)->u.start.engine);
+    r.sent(i);
+    r.head(i, 200, true);
+    r.event(i, 1);
+  }
+  EXPECT_EQ(used.size(), 1u);
+}
+
+TEST(RelayPlacement, ABusyHomeIsLeftAndBusyEnginesRefuse) {
+  Relay r(2);
+  r.declare();
+  std::set<uint64_t> used;
+  uint64_t i = 1;
+  for (; i < 200; i++) {
+    r.ask(i, "/stream/x", "key-w1", 5000, 4000);
+    const mt_relay_effect_t *fx = r.find(MT_RELAY_DO_START);
+    if (fx == nullptr) break;
+    used.insert(fx->u.start.engine);
+  }
+  EXPECT_EQ(used.size(), 2u);
+  EXPECT_EQ(r.refusal(), MT_RELAY_BUSY);
+  EXPECT_GT(r.find(MT_RELAY_DO_REFUSE)->u.refuse.retry_after, 0u);
+}
+
+TEST(PrefixCache, PartsAgeByWhatTheEngineReads) {
+  mt_prefix_cache_t cache{};
+  mt_prefix_part_t chain[] = {{1, 100}, {2, 200}, {3, 300}};
+  mt_prefix_cache_use(&cache, chain, 3, 1000);
+  EXPECT_EQ(mt_prefix_cache_match(&cache, chain, 3, 1000), 600);
+  EXPECT_EQ(mt_prefix_cache_match(&cache, chain + 1, 2, 1000), 500);
+  cache.clock += 900;
+  mt_prefix_cache_use(&cache, chain, 2, 1000); // 3 was used 900 ago
+  cache.clock += 200;
+  EXPECT_EQ(mt_prefix_cache_match(&cache, chain, 3, 1000), 300);
+  cache.clock += 900;
+  EXPECT_EQ(mt_prefix_cache_match(&cache, chain, 3, 1000), 0);
+  mt_prefix_cache_free(&cache);
+}
+
+TEST(FairShare, TheLevelIsMaxMin) {
+  struct Row {
+    std::vector<int64_t> asked, served;
+    double level; // 0: nobody is short
+  } rows[] = {
+      {{100, 200, 300}, {100, 200, 300}, 0},
+      {{1000, 1000}, {500, 100}, 300},
+      {{100, 1000, 1000}, {100, 300, 200}, 250},
+      {{10, 20, 900}, {10, 20, 300}, 300},
+  };
+  for (const Row &row : rows) {
+    mt_fair_share_t s{};
+    mt_fair_share_update(&s, 1000);
+    for (size_t i = 0; i < row.asked.size(); i++) {
+      mt_fair_share_asked(&s, (mt_id_t)i + 1, row.asked[i]);
+      mt_fair_share_served(&s, (mt_id_t)i + 1, row.served[i]);
+    }
+    mt_fair_share_update(&s, 1000);
+    EXPECT_NEAR(s.level, row.level, 0.5);
+    mt_fair_share_free(&s);
+  }
+}
+
+TEST(FairShare, WhoHadMoreThanItsShareWaitsLess) {
+  Relay r(1);
+  r.declare();
+  mt_share_t *rich = mt_fair_share_get(&r.relay->shares, mtV_id("w1", 2));
+  mt_share_t *poor = mt_fair_share_get(&r.relay->shares, mtV_id("w2", 2));
+  rich->peers = {100000, 50000};
+  poor->peers = {100000, 5000};
+  r.pass(200);
+  int taken[2] = {0, 0};
+  const char *keys[] = {"key-w1", "key-w2"};
+  for (uint64_t i = 1; i <= 40; i++) {
+    r.ask(i, "/stream/x", keys[i % 2], 5000, 2000);
+    taken[i % 2] += r.find(MT_RELAY_DO_START) != nullptr;
+  }
+  EXPECT_GT(taken[1], taken[0]);
+}
+
+TEST(RetryBudget, HoldsOverEveryWindow) {
+  mt_retry_terms_t terms = {0.2, 10000, 40};
+  mt_retry_budget_t budget{};
+  std::vector<mt_ms_t> taken;
+  mt_ms_t now = 50000;
+  for (int i = 0; i < 4000; i++, now += 10) {
+    mt_retry_budget_request(&budget, &terms, now);
+    if (mt_retry_budget_take(&budget, &terms, 4, now)) taken.push_back(now);
+  }
+  for (size_t i = 0; i < taken.size(); i++) {
+    auto last = std::upper_bound(taken.begin(), taken.end(), taken[i] + 10000);
+    EXPECT_LE(last - taken.begin() - (long)i, 1000 * 0.2 + 40 / 4);
+  }
+  EXPECT_GT(taken.size(), 200u);
+}
+
+TEST(EventStream, CutsAtEveryByte) {
+  const std::string text =
+      "id: 1\ndata: a\n\nx-weights: 2\nid:22\r\ndata: b\r\n\r\ndata: c\n\n";
+  for (size_t step = 1; step <= text.size(); step++) {
+    mt_event_stream_t s{};
+    mt_stream_event_t e;
+    std::vector<int64_t> ids;
+    std::string out;
+    for (size_t at = 0; at < text.size(); at += step) {
+      size_t n = std::min(step, text.size() - at);
+      ASSERT_TRUE(mt_event_stream_feed(&s, text.data() + at, n));
+      while (mt_event_stream_next(&s, &e)) {
+        ids.push_back(e.id);
+        out.append(e.text.p, e.text.n);
+      }
+    }
+    EXPECT_EQ(ids, (std::vector<int64_t>{1, 22, -1})) << step;
+    EXPECT_EQ(out, text);
+    EXPECT_FALSE(mt_event_stream_partial(&s));
+    mt_event_stream_free(&s);
+  }
+}
+
+// Any order of events: each request has one final word; what may run once is
+// never sent again after bytes of it went out; loads return to nothing.
+TEST(RelayProperties, HoldUnderAnyOrderOfEvents) {
+  const char *paths[] = {"/once/x", "/again/x", "/stream/x", "/events/x"};
+  for (unsigned seed = 1; seed <= 300; seed++) {
+    std::mt19937 random(seed);
+    Relay r;
+    r.declare();
+    std::map<uint64_t, int> finals;
+    std::map<uint64_t, bool> once, went_out;
+    std::set<uint64_t> open;
+    uint64_t next = 0;
+    auto look = [&] {
+      for (size_t i = 0; i < r.effects.count; i++) {
+        const mt_relay_effect_t &fx = r.effects.list[i];
+        EXPECT_EQ(finals[fx.request], 0) << "seed " << seed;
+        if (fx.kind == MT_RELAY_DO_REFUSE || fx.kind == MT_RELAY_DO_END ||
+            fx.kind == MT_RELAY_DO_ABORT) {
+          finals[fx.request]++;
+          open.erase(fx.request);
+        }
+        bool ran = once[fx.request] && went_out[fx.request];
+        if (fx.kind == MT_RELAY_DO_REFUSE) {
+          EXPECT_FALSE(ran && mt_relay_refusal_status(fx.u.refuse.why) == 503)
+              << "seed " << seed;
+        }
+        if (fx.kind == MT_RELAY_DO_START) {
+          EXPECT_FALSE(once[fx.request] && went_out[fx.request])
+              << "seed " << seed;
+          mt_engine_t *e =
+              mt_engines_get(&r.relay->engines, fx.u.start.engine);
+          ASSERT_NE(e, nullptr);
+          EXPECT_EQ(e->state, MT_ENGINE_READY);
+        }
+      }
+    };
+    for (int i = 0; i < 400; i++) {
+      r.now += random() % 40;
+      r.effects.count = 0; // what was looked at
+      int what = (int)(random() % 12);
+      if (open.size() < 8 && what < 4) {
+        int path = (int)(random() % 4);
+        uint64_t number = ++next;
+        once[number] = path == 0 || path == 3;
+        open.insert(number);
+        r.ask(number, paths[path], random() % 2 ? "key-w1" : "key-w2",
+              200 + (int64_t)(random() % 3000), 200 + (int64_t)(random() % 3000));
+        look();
+        continue;
+      }
+      if (what == 11) {
+        r.pass(random() % 200);
+        look();
+        continue;
+      }
+      if (what == 10) {
+        mt_engine_t *e =
+            r.relay->engines.list[random() % r.relay->engines.count];
+        e->state = random() % 3 ? MT_ENGINE_READY : MT_ENGINE_LEAVING;
+        continue;
+      }
+      if (open.empty()) continue;
+      auto it = open.begin();
+      std::advance(it, (long)(random() % open.size()));
+      uint64_t number = *it;
+      auto *q = (mt_relay_request_t *)mtV_get(&r.relay->requests, number);
+      if (q == nullptr) continue;
+      bool told_not_run = false;
+      switch (what) {
+        case 4:
+          if (!q->gone_out) {
+            r.sent(number);
+            went_out[number] = true;
+          }
+          break;
+        case 5:
+          if (q->status == 0) r.head(number, 200, q->kind == MT_ROUTE_STREAM);
+          break;
+        case 6:
+          if (q->status != 0) r.event(number, (int)q->last_event + 1);
+          break;
+        case 7:
+          if (q->status != 0) r.end(number);
+          break;
+        case 8:
+          if (q->gone_out && q->status == 0) {
+            told_not_run = random() % 2;
+            if (told_not_run) went_out[number] = false;
+            r.head(number, told_not_run ? 503 : 500, false,
+                   told_not_run ? MT_RELAY_NOT_RUN : MT_RELAY_RAN);
+          }
+          break;
+        case 9:
+          if (random() % 4 == 0) {
+            r.step(r.of(MT_RELAY_CALLER_LEFT, number));
+            open.erase(number);
+          } else {
+            r.fail(number, !q->gone_out);
+          }
+          break;
+        default: continue;
+      }
+      look();
+    }
+    while (r.relay->count > 0) {
+      r.effects.count = 0;
+      r.pass(7000);
+      look();
+    }
+    EXPECT_TRUE(r.idle()) << "seed " << seed;
+  }
+}
+
+} // namespace
