--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -15,10 +15,11 @@
 #define IDLE_MS 20000
 #define USER_TIMEOUT_MS 2000
 #define BACKLOG_MAX \
-  (256u << 10)        /* of a slow caller, before its engine waits */
-#define LEAVE_MS 2500 /* after the order to stop: nobody new comes any more \
-                       */
-#define LAST_MS 400   /* of the grace, kept for the last bytes */
+  (256u << 10) /* of a slow caller, before its engine waits */
+#define LEAVE_MS                                                          \
+  2500              /* after the order to stop: nobody new comes any more \
+                     */
+#define LAST_MS 400 /* of the grace, kept for the last bytes */
 
 /* One request at the gateway: a caller's connection and an engine's. */
 typedef struct passage_t {
@@ -529,8 +530,12 @@
   g->tick.data = g;
   uv_timer_start(&g->tick, on_tick, TICK_MS, TICK_MS);
   mt_log_line(g->log, MT_LOG_BELIEF, g->started, "start",
-              "domain=%s callers=%s:%u outcome=started", settings->domain,
-              settings->callers.ip, mt_http_server_port(g->callers));
+              "domain=%s callers=%s:%u ready=%s:%u metrics=%s:%u "
+              "outcome=started",
+              settings->domain, settings->callers.ip,
+              mt_http_server_port(g->callers), settings->ready.ip,
+              mt_http_server_port(g->ready), settings->metrics.ip,
+              mt_http_server_port(g->metrics));
   return g;
 }
 
--- a/src/relay/fair_share.c
+++ b/src/relay/fair_share.c
@@ -6,8 +6,9 @@
 
 #include "fair_share.h"
 
-#define FADE_MS 1000.0   /* time constant of the rates */
-#define SHORT_PART 0.97  /* served below this part of asked: some are short \
+#define FADE_MS 1000.0 /* time constant of the rates */
+#define SHORT_PART                                                          \
+  0.97                   /* served below this part of asked: some are short \
                           */
 #define FORGET_RATE 0.01 /* tokens a second that count as none */
 
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -12,8 +12,9 @@
 #define RUNNING_MS 1.0   /* each running request slows all others a little */
 #define SHORTAGE_STEEP 5 /* short by a fifth: lateness no longer counts */
 #define OVER_LIMIT_MS 2000.0 /* there it would be refused */
-#define RETURN_BONUS 1.5 /* a request that was refused before may wait more \
-                          */
+#define RETURN_BONUS                                     \
+  1.5 /* a request that was refused before may wait more \
+       */
 
 static bool was_tried (const mt_relay_request_t *r, uint64_t key) {
   for (int i = 0; i < r->tried_count; i++)
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -26,8 +26,9 @@
 #define RETRY_SOON_MS 200
 #define RESTED_MS 60000
 #define RESTED_ONCE_MS 2000 /* what may run once shuns what may be closed */
-#define LEAVE_MS 2000 /* after the order to stop, long streams are refused \
-                       */
+#define LEAVE_MS                                            \
+  2000 /* after the order to stop, long streams are refused \
+        */
 
 /* {== Names ============================================================ */
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -171,8 +171,9 @@
 
 /* {== State ============================================================ */
 
-#define MT_RELAY_TRIES_MAX 6 /* engines tried, failed connections included \
-                              */
+#define MT_RELAY_TRIES_MAX                        \
+  6 /* engines tried, failed connections included \
+     */
 
 typedef enum mt_relay_phase_t {
   MT_RELAY_SENT,     /* no event or end of an answer yet */
--- a/tests/relay.h
+++ b/tests/relay.h
@@ -57,7 +57,7 @@
   mt_ms_t now = 1000000;
   mt_relay_effects_t effects{};
 
-  explicit Relay (int engines = 3) {
+  explicit Relay(int engines = 3) {
     mt_relay_terms_t terms{};
     terms.retry = {0.2, 10000, 50};
     terms.wait_part = 0.5;
@@ -72,11 +72,11 @@
       engine("p" + std::to_string(i), "plain", 4);
     }
   }
-  ~Relay () {
+  ~Relay() {
     mt_relay_free(relay);
     free(effects.list);
   }
-  Relay (const Relay &) = delete;
+  Relay(const Relay &) = delete;
 
   mt_engine_t *engine (const std::string &name, const char *service,
                        int slots) {
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -414,7 +414,8 @@
     if (mt_retry_budget_take(&budget, &terms, 4, now)) taken.push_back(now);
   }
   for (size_t i = 0; i < taken.size(); i++) {
-    auto last = std::upper_bound(taken.begin(), taken.end(), taken[i] + 10000);
+    auto last =
+        std::upper_bound(taken.begin(), taken.end(), taken[i] + 10000);
     EXPECT_LE(last - taken.begin() - (long)i, 1000 * 0.2 + 40 / 4);
   }
   EXPECT_GT(taken.size(), 200u);
@@ -489,7 +490,8 @@
         once[number] = path == 0 || path == 3;
         open.insert(number);
         r.ask(number, paths[path], random() % 2 ? "key-w1" : "key-w2",
-              200 + (int64_t)(random() % 3000), 200 + (int64_t)(random() % 3000));
+              200 + (int64_t)(random() % 3000),
+              200 + (int64_t)(random() % 3000));
         look();
         continue;
       }
