--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -11,6 +11,7 @@
 #define FAILING_PENALTY_MS 50.0  /* one failure in a row */
 #define RUNNING_MS 1.0   /* each running request slows all others a little */
 #define SHORTAGE_STEEP 5 /* short by a fifth: lateness no longer counts */
+#define OWED_STEEP 2 /* with half of its share: it may go anywhere */
 #define OVER_LIMIT_MS 2000.0 /* there it would be refused */
 #define RETURN_BONUS                                     \
   1.5 /* a request that was refused before may wait more \
@@ -82,12 +83,21 @@
   return mt_max(r->tokens_in - kept, 1);
 }
 
+/* What the request's workspace got, as a multiple of its share. */
+static double standing_of (mt_relay_t *relay, const mt_relay_request_t *r) {
+  if (r->workspace == 0) return 0;
+  return mt_fair_share_standing(&relay->shares, r->workspace);
+}
+
 /*
-** A late first event is avoided at the cost of reading shared parts again,
-** but not when work is refused anyway: then that would only make more late.
+** How far a request may leave the engine that keeps its parts, 0 to 1. When
+** work is refused anyway, reading shared parts again only makes more late;
+** but a workspace that got less than its share may go anywhere.
 */
-static double ease_of (const mt_relay_t *relay) {
-  return fmax(1 - relay->shares.shortage * SHORTAGE_STEEP, 0);
+static double ease_of (mt_relay_t *relay, const mt_relay_request_t *r) {
+  double ease = 1 - relay->shares.shortage * SHORTAGE_STEEP;
+  double owed = OWED_STEEP * (1 - standing_of(relay, r));
+  return fmin(fmax(fmax(ease, owed), 0), 1);
 }
 
 /* How long a request may wait at an engine, whoever asks. */
@@ -110,7 +120,7 @@
   double rate = mt_relay_rate(relay, r->service);
   mt_engine_t *home = find_home(relay, r);
   int64_t memory = service->memory;
-  double limit = wait_limit(relay, r, service), ease = ease_of(relay);
+  double limit = wait_limit(relay, r, service), ease = ease_of(relay, r);
   for (size_t i = 0; i < relay->engines.count; i++) {
     mt_engine_t *e = relay->engines.list[i];
     if (!usable(relay, r, e)) continue;
@@ -171,9 +181,7 @@
   if (p->full) return false;
   double limit = wait_limit(relay, r, service);
   if (limit <= 0) return true;
-  double standing = 0;
-  if (r->workspace != 0)
-    standing = mt_fair_share_standing(&relay->shares, r->workspace);
+  double standing = standing_of(relay, r);
   if (returning) limit *= RETURN_BONUS;
   if (p->wait_ms > limit) return false;
   if (standing <= 1) return true;
