Shares bind: power 10 beyond the share, and they count whole prompts

Cause: work beyond a workspace's share earns nothing, yet a workspace with twice its share was still admitted at a quarter of the usual wait. What counts in a share is the prompt with its shared parts and twice what is made; the router left the shared parts out.

--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -13,8 +13,8 @@
 #define RETRY_SLACK 20
 #define WAIT_PART 0.5
 #define URGENCY_POWER 1.0
-#define OVER_POWER 2.0
-#define MISS_WEIGHT 10.0
+#define OVER_POWER 10.0
+#define MISS_WEIGHT 16.0
 #define LATE_PART 0.6
 #define LATE_WEIGHT 6.0
 
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -11,7 +11,7 @@
 #define FAILING_PENALTY_MS 50.0  /* one failure in a row */
 #define RUNNING_MS 1.0   /* each running request slows all others a little */
 #define SHORTAGE_STEEP 5 /* short by a fifth: lateness no longer counts */
-#define OWED_STEEP 2 /* with half of its share: it may go anywhere */
+#define OWED_STEEP 1     /* with nothing of its share: it may go anywhere */
 #define OVER_LIMIT_MS 2000.0 /* there it would be refused */
 #define RETURN_BONUS                                     \
   1.5 /* a request that was refused before may wait more \
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -23,6 +23,7 @@
 #define SLOWNESS_REST 0.998 /* per update, back towards 1 */
 #define RETURNING_PART 0.97 /* of the usual deadline: it came back */
 #define ENGINE_SILENT_MS 700
+#define MADE_WEIGHT 2 /* of a token made, beside one that is read */
 #define RETRY_SOON_MS 200
 #define RESTED_MS 60000
 #define RESTED_ONCE_MS 2000 /* what may run once shuns what may be closed */
@@ -384,9 +385,7 @@
   memcpy(r->parts, ask->parts, ask->parts_count * sizeof *r->parts);
   int64_t out = ask->tokens_hint > 0 ? ask->tokens_hint : ask->tokens_out;
   if (ask->tokens_out > 0) out = mt_min(out, ask->tokens_out);
-  int64_t own = ask->tokens_in;
-  if (r->parts_count > 0) own = r->parts[r->parts_count - 1].tokens;
-  r->cost = mt_max(own + 2 * out, 1);
+  r->cost = mt_max(ask->tokens_in + MADE_WEIGHT * out, 1);
 }
 
 /* Finds route and workspace; false when the request was refused. */
