--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -13,6 +13,7 @@
 #define RETRY_SLACK 20
 #define WAIT_PART 0.5
 #define URGENCY_POWER 1.0
+#define ROOM_PART 0.1
 #define OVER_POWER 10.0
 #define MISS_WEIGHT 16.0
 #define LATE_PART 0.6
@@ -62,6 +63,7 @@
   terms->retry.slack = (int)mtJ_int(retry, "slack", RETRY_SLACK);
   terms->wait_part = real(relay, "wait_part", WAIT_PART);
   terms->urgency_power = real(relay, "urgency_power", URGENCY_POWER);
+  terms->room_part = real(relay, "room_part", ROOM_PART);
   terms->over_power = real(relay, "over_power", OVER_POWER);
   terms->miss_weight = real(relay, "miss_weight", MISS_WEIGHT);
   terms->late_part = real(relay, "late_part", LATE_PART);
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -186,5 +186,6 @@
   if (p->wait_ms > limit) return false;
   if (standing <= 1) return true;
   *why = MT_RELAY_OVER_SHARE;
-  return p->wait_ms <= limit / pow(standing, relay->terms.over_power);
+  double part = pow(standing, -relay->terms.over_power);
+  return p->wait_ms <= limit * fmax(part, relay->terms.room_part);
 }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -239,6 +239,7 @@
   mt_ms_t kept_ms;
   double wait_part;     /* of the objective that a request may wait */
   double urgency_power; /* how much less a longer objective may wait */
+  double room_part; /* of the wait limit: an engine below it has room for all */
   double over_power;    /* how fast this falls beyond the share */
   double miss_weight;   /* of the time to read a prompt, beside a wait */
   double late_part;   /* of the objective; beyond it a first event is late */
