--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -14,8 +14,10 @@
 #define WAIT_PART 0.5
 #define URGENCY_POWER 1.0
 #define ROOM_PART 0.1
+#define PRESSURE_STEEP 2.0
 #define OVER_POWER 10.0
 #define MISS_WEIGHT 16.0
+#define MISS_WEIGHT_EASY 5.0
 #define LATE_PART 0.6
 #define LATE_WEIGHT 6.0
 
@@ -64,8 +66,10 @@
   terms->wait_part = real(relay, "wait_part", WAIT_PART);
   terms->urgency_power = real(relay, "urgency_power", URGENCY_POWER);
   terms->room_part = real(relay, "room_part", ROOM_PART);
+  terms->pressure_steep = real(relay, "pressure_steep", PRESSURE_STEEP);
   terms->over_power = real(relay, "over_power", OVER_POWER);
   terms->miss_weight = real(relay, "miss_weight", MISS_WEIGHT);
+  terms->miss_weight_easy = real(relay, "miss_weight_easy", MISS_WEIGHT_EASY);
   terms->late_part = real(relay, "late_part", LATE_PART);
   terms->late_weight = real(relay, "late_weight", LATE_WEIGHT);
 }
--- a/src/relay/fair_share.c
+++ b/src/relay/fair_share.c
@@ -87,7 +87,6 @@
     all_asked += asked(s->list[i]);
     all_served += served(s->list[i]);
   }
-  s->shortage = all_asked > 0 ? fmax(1 - all_served / all_asked, 0) : 0;
   bool scarce = all_served < SHORT_PART * all_asked;
   s->level = scarce ? water_level(s, all_served) : 0;
 }
--- a/src/relay/fair_share.h
+++ b/src/relay/fair_share.h
@@ -25,9 +25,8 @@
   mt_map_t by_id;
   mt_share_t **list;
   size_t count, cap;
-  mt_ms_t faded;   /* when rates were last made to fade */
-  double level;    /* a backlogged workspace's share; 0: nobody is short */
-  double shortage; /* part of what was asked for that was not served */
+  mt_ms_t faded; /* when rates were last made to fade */
+  double level;  /* a backlogged workspace's share; 0: nobody is short */
 } mt_fair_share_t;
 
 void mt_fair_share_free (mt_fair_share_t *shares);
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -9,9 +9,8 @@
 #define FULL_PENALTY_MS 2000.0   /* a slot has to be waited for */
 #define MEMORY_PENALTY_MS 1000.0 /* running requests would be preempted */
 #define FAILING_PENALTY_MS 50.0  /* one failure in a row */
-#define RUNNING_MS 1.0   /* each running request slows all others a little */
-#define SHORTAGE_STEEP 5 /* short by a fifth: lateness no longer counts */
-#define OWED_STEEP 1     /* with nothing of its share: it may go anywhere */
+#define RUNNING_MS 1.0 /* each running request slows all others a little */
+#define OWED_STEEP 1   /* with nothing of its share: it may go anywhere */
 #define OVER_LIMIT_MS 2000.0 /* there it would be refused */
 #define RETURN_BONUS                                     \
   1.5 /* a request that was refused before may wait more \
@@ -91,24 +90,33 @@
 
 /*
 ** How far a request may leave the engine that keeps its parts, 0 to 1. When
-** work is refused anyway, reading shared parts again only makes more late;
-** but a workspace that got less than its share may go anywhere.
+** the pool is full, reading shared parts again only makes more work late; but
+** a workspace that got less than its share may go anywhere.
 */
 static double ease_of (mt_relay_t *relay, const mt_relay_request_t *r) {
-  double ease = 1 - relay->shares.shortage * SHORTAGE_STEEP;
+  double pressure = mt_relay_service(relay, r->service)->pressure;
+  double ease = 1 - pressure * relay->terms.pressure_steep;
   double owed = OWED_STEEP * (1 - standing_of(relay, r));
   return fmin(fmax(fmax(ease, owed), 0), 1);
 }
 
-/* How long a request may wait at an engine, whoever asks. */
-static double wait_limit (const mt_relay_t *relay,
-                          const mt_relay_request_t *r,
+/*
+** How long the request may wait at an engine: a part of the service's
+*shortest
+** objective, less for a longer objective, and less the more its workspace has
+** had beyond its share; but an engine below the last limit has room for all.
+*/
+static double wait_limit (mt_relay_t *relay, const mt_relay_request_t *r,
                           const mt_catalog_service_t *service) {
+  const mt_relay_terms_t *terms = &relay->terms;
   mt_ms_t shortest = service->objective ? service->objective : r->objective;
-  double limit = (double)shortest * relay->terms.wait_part;
+  double limit = (double)shortest * terms->wait_part;
+  double standing = standing_of(relay, r);
   if (r->objective > shortest)
-    limit *= pow((double)shortest / (double)r->objective,
-                 relay->terms.urgency_power);
+    limit *=
+        pow((double)shortest / (double)r->objective, terms->urgency_power);
+  if (standing > 1)
+    limit *= fmax(pow(standing, -terms->over_power), terms->room_part);
   return limit;
 }
 
@@ -121,6 +129,8 @@
   mt_engine_t *home = find_home(relay, r);
   int64_t memory = service->memory;
   double limit = wait_limit(relay, r, service), ease = ease_of(relay, r);
+  double reading = relay->terms.miss_weight * (1 - ease) +
+                   relay->terms.miss_weight_easy * ease;
   for (size_t i = 0; i < relay->engines.count; i++) {
     mt_engine_t *e = relay->engines.list[i];
     if (!usable(relay, r, e)) continue;
@@ -130,7 +140,7 @@
     int64_t held = e->here.held + e->peers.held + miss;
     double read = (double)miss / rate * e->slowness;
     double late = wait + read - (double)r->objective * relay->terms.late_part;
-    double cost = wait + read * relay->terms.miss_weight;
+    double cost = wait + read * reading;
     if (late > 0) cost += late * ease * relay->terms.late_weight;
     if (wait > limit) cost += ease * OVER_LIMIT_MS;
     cost += running(e) * RUNNING_MS;
@@ -176,16 +186,10 @@
                           mt_relay_refusal_t *why) {
   const mt_catalog_service_t *service =
       mt_catalog_service(relay->catalog, r->service);
-  *why = MT_RELAY_BUSY;
+  *why = standing_of(relay, r) > 1 ? MT_RELAY_OVER_SHARE : MT_RELAY_BUSY;
   if (service == NULL || !service->model) return true; /* it sheds itself */
   if (p->full) return false;
   double limit = wait_limit(relay, r, service);
-  if (limit <= 0) return true;
-  double standing = standing_of(relay, r);
   if (returning) limit *= RETURN_BONUS;
-  if (p->wait_ms > limit) return false;
-  if (standing <= 1) return true;
-  *why = MT_RELAY_OVER_SHARE;
-  double part = pow(standing, -relay->terms.over_power);
-  return p->wait_ms <= limit * fmax(part, relay->terms.room_part);
+  return limit <= 0 || p->wait_ms <= limit;
 }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -644,6 +644,25 @@
   attempt_failed(relay, r, MT_RELAY_RETRY_SILENT, r->gone_out);
 }
 
+/* How full a service's engines are, as requests would find them. */
+static void update_pressure (mt_relay_t *relay, mt_relay_service_t *s) {
+  const mt_catalog_service_t *declared =
+      relay->catalog ? mt_catalog_service(relay->catalog, s->id) : NULL;
+  double limit = declared && declared->objective
+                     ? (double)declared->objective * relay->terms.wait_part
+                     : 0;
+  double unread = 0;
+  s->pressure = 0;
+  if (limit <= 0 || s->ready == 0) return;
+  for (size_t i = 0; i < relay->engines.count; i++) {
+    const mt_engine_t *e = relay->engines.list[i];
+    if (e->service != s->id || e->state != MT_ENGINE_READY) continue;
+    unread += (double)(e->here.unread + e->peers.unread);
+  }
+  double wait = unread / s->ready / mt_relay_rate(relay, s->id);
+  s->pressure = wait / limit;
+}
+
 static void update_engines (mt_relay_t *relay) {
   mtV_each (&relay->services, i)
     ((mt_relay_service_t *)relay->services.vals[i])->ready = 0;
@@ -664,6 +683,8 @@
   relay->next_update = relay->now + UPDATE_MS;
   mt_fair_share_update(&relay->shares, relay->now);
   update_engines(relay);
+  mtV_each (&relay->services, i)
+    update_pressure(relay, relay->services.vals[i]);
 }
 
 /* }== */
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -230,18 +230,22 @@
   mt_id_t id;
   double work, time; /* fading sums of prompt tokens and of ms for them */
   mt_retry_budget_t budget;
-  int ready; /* engines, counted by the tick */
+  int ready;       /* engines, counted by the tick */
+  double pressure; /* mean wait at them, as a part of the usual limit */
 } mt_relay_service_t;
 
 /* Everything that tunes decisions, in one place. */
 typedef struct mt_relay_terms_t {
   mt_retry_terms_t retry;
   mt_ms_t kept_ms;
-  double wait_part;     /* of the objective that a request may wait */
-  double urgency_power; /* how much less a longer objective may wait */
-  double room_part; /* of the wait limit: an engine below it has room for all */
-  double over_power;    /* how fast this falls beyond the share */
-  double miss_weight;   /* of the time to read a prompt, beside a wait */
+  double wait_part;      /* of the objective that a request may wait */
+  double urgency_power;  /* how much less a longer objective may wait */
+  double pressure_steep; /* at 1 / this, all stay where their parts are */
+  double
+      room_part; /* of the wait limit: an engine below it has room for all */
+  double over_power;       /* how fast this falls beyond the share */
+  double miss_weight;      /* of the time to read a prompt, beside a wait */
+  double miss_weight_easy; /* the same while the pool has room */
   double late_part;   /* of the objective; beyond it a first event is late */
   double late_weight; /* of time beyond that */
 } mt_relay_terms_t;
