An engine that vanishes from the list without a word serves on for a while

Ruled out: crashes (no attempt failed). An engine that had not said that it leaves now gets work for 0.6 of the drain time after its entry is gone, and what it kept is remembered for 10 s.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -366,14 +366,31 @@
   return "";
 }
 
+static void log_engine (mt_gateway_t *g, const mt_engine_t *e,
+                        const char *outcome) {
+  mt_log_line(g->log, MT_LOG_BELIEF, uv_now(g->loop), "engine",
+              "engine=%s address=%s:%u running=%d outcome=%s", e->name, e->ip,
+              e->port, e->here.running, outcome);
+}
+
 static void set_state (mt_gateway_t *g, mt_engine_t *e,
                        mt_engine_state_t state, bool is_new) {
-  if (e->state == state && !is_new) return;
+  bool changed = e->state != state || e->vanished != 0 || is_new;
   e->state = state;
-  mt_log_line(g->log, MT_LOG_BELIEF, uv_now(g->loop), "engine",
-              "engine=%s address=%s:%u running=%d outcome=%s", e->name, e->ip,
-              e->port, e->here.running, state_name(state));
-  if (state == MT_ENGINE_GONE) mt_http_client_forget(g->engines, e->key);
+  e->vanished = 0;
+  if (changed) log_engine(g, e, state_name(state));
+}
+
+static void on_engine_gone (void *ud, const mt_engine_t *e) {
+  mt_gateway_t *g = ud;
+  log_engine(g, e, state_name(e->state));
+  mt_http_client_forget(g->engines, e->key);
+}
+
+static void engine_left (mt_gateway_t *g, mt_engine_t *e) {
+  bool told = e->vanished != 0 || e->state == MT_ENGINE_GONE;
+  mt_relay_engine_left(g->relay, e, uv_now(g->loop));
+  if (!told && e->vanished != 0) log_engine(g, e, "vanished");
 }
 
 void mt_gateway_engine (mt_gateway_t *g, const char *name,
@@ -381,7 +398,7 @@
   uint64_t key = mt_engine_key(name, strlen(name));
   mt_engine_t *e = mt_engines_get(&g->relay->engines, key);
   if (engine == NULL) {
-    if (e != NULL) set_state(g, e, MT_ENGINE_GONE, false);
+    if (e != NULL) engine_left(g, e);
     return;
   }
   bool is_new = e == NULL;
@@ -515,6 +532,7 @@
                               settings->lines_per_s);
   g->relay = mt_relay_new(settings->domain, &settings->terms);
   g->relay->log = log_request;
+  g->relay->log_engine = on_engine_gone;
   g->relay->log_ud = g;
   g->engines = mt_http_client_open(loop, &options, &engine_handler);
   g->callers =
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -7,6 +7,8 @@
 #include "gateway_settings.h"
 
 #define GRACE_MS 10000
+#define DRAIN_MS 2000   /* an engine that leaves serves on at least so long */
+#define VANISH_PART 0.6 /* of that: an unlisted engine still gets work */
 #define LINES_PER_S 100
 #define RETRY_RATIO 0.1
 #define RETRY_WINDOW_MS 10000
@@ -31,6 +33,7 @@
     {"seeds", MT_F_STRINGS, false, 1, 64},
     {"grace_ms", MT_F_INT, false, 0, 3600000},
     {"log_lines_per_s", MT_F_INT, false, 1, 100000},
+    {"drain_ms", MT_F_INT, false, 0, 3600000},
     {"retry", MT_F_OBJECT, false, 0, 0},
     {"relay", MT_F_OBJECT, false, 0, 0},
     {"source", MT_F_OBJECT, false, 0, 0},
@@ -89,5 +92,7 @@
   set->grace = (mt_ms_t)mtJ_int(doc, "grace_ms", GRACE_MS);
   set->lines_per_s = (int)mtJ_int(doc, "log_lines_per_s", LINES_PER_S);
   read_terms(doc, &set->terms);
+  set->terms.vanish_ms =
+      (mt_ms_t)((double)mtJ_int(doc, "drain_ms", DRAIN_MS) * VANISH_PART);
   return true;
 }
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -30,7 +30,8 @@
   mt_id_t service;
   int slots;
   mt_engine_state_t state;
-  int64_t seen; /* revision of the listing that said so */
+  mt_ms_t vanished; /* it left the list without a word then; 0: it did not */
+  mt_ms_t gone;     /* gone since */
   mt_engine_load_t here, peers;
   double slowness; /* time to first event, seen over expected; 1: usual */
   int failures;    /* in a row */
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -25,6 +25,7 @@
 #define ENGINE_SILENT_MS 700
 #define MADE_WEIGHT 2 /* of a token made, beside one that is read */
 #define RETRY_SOON_MS 200
+#define FORGET_MS 10000 /* what a gone engine kept is remembered so long */
 #define RESTED_MS 60000
 #define RESTED_ONCE_MS 2000 /* what may run once shuns what may be closed */
 #define LEAVE_MS                                            \
@@ -162,6 +163,13 @@
   if (!p->home) remember_placed(relay, r);
 }
 
+static void engine_gone (mt_relay_t *relay, mt_engine_t *e) {
+  if (e->state == MT_ENGINE_GONE) return;
+  e->state = MT_ENGINE_GONE;
+  e->gone = relay->now;
+  if (relay->log_engine != NULL) relay->log_engine(relay->log_ud, e);
+}
+
 static void prompt_read (mt_relay_request_t *r) {
   if (r->engine == NULL || !r->awaiting_event) return;
   r->awaiting_event = false;
@@ -478,7 +486,7 @@
   r->heard = relay->now;
   switch (ev->u.head.verdict) {
     case MT_RELAY_MOVED:
-      e->state = MT_ENGINE_GONE;
+      engine_gone(relay, e);
       effect(relay, MT_RELAY_DO_CANCEL, r);
       attempt_failed(relay, r, MT_RELAY_RETRY_MOVED, false);
       return;
@@ -671,7 +679,11 @@
     e->slowness = 1 + (e->slowness - 1) * SLOWNESS_REST;
     if (e->state == MT_ENGINE_READY)
       mt_relay_service(relay, e->service)->ready++;
-    if (e->state == MT_ENGINE_GONE && e->here.running == 0)
+    if (e->vanished != 0 && e->state == MT_ENGINE_READY &&
+        relay->now - e->vanished >= relay->terms.vanish_ms)
+      engine_gone(relay, e);
+    if (e->state == MT_ENGINE_GONE && e->here.running == 0 &&
+        relay->now - e->gone > FORGET_MS)
       mt_engines_remove(&relay->engines, e);
   }
 }
@@ -743,6 +755,14 @@
                       s->memory);
 }
 
+void mt_relay_engine_left (mt_relay_t *relay, mt_engine_t *e, mt_ms_t now) {
+  relay->now = mt_max(relay->now, now);
+  if (e->state == MT_ENGINE_READY && relay->terms.vanish_ms > 0)
+    e->vanished = e->vanished ? e->vanished : now;
+  else
+    engine_gone(relay, e);
+}
+
 bool mt_relay_declare (mt_relay_t *relay, mt_catalog_t *catalog) {
   if (relay->catalog && catalog->version <= relay->catalog->version) {
     mt_catalog_free(catalog);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -237,7 +237,7 @@
 /* Everything that tunes decisions, in one place. */
 typedef struct mt_relay_terms_t {
   mt_retry_terms_t retry;
-  mt_ms_t kept_ms;
+  mt_ms_t vanish_ms;     /* an engine that left the list serves on so long */
   double wait_part;      /* of the objective that a request may wait */
   double urgency_power;  /* how much less a longer objective may wait */
   double pressure_steep; /* at 1 / this, all stay where their parts are */
@@ -274,6 +274,7 @@
   mt_relay_effects_t *effects; /* of the step being taken */
   void (*log)(void *ud, const mt_relay_request_t *request,
               const char *outcome, const char *why);
+  void (*log_engine)(void *ud, const mt_engine_t *engine);
   void *log_ud;
 } mt_relay_t;
 
@@ -289,6 +290,15 @@
 /* Puts a newer version in force; takes it over. Older ones are refused. */
 bool mt_relay_declare (mt_relay_t *relay, mt_catalog_t *catalog);
 
+/*
+** An engine is no longer listed. One that had said that it leaves is gone;
+*one
+** that had not may be back at once (a list can lose entries while its keeper
+** is in trouble), so it gets work for `vanish_ms` more.
+*/
+void mt_relay_engine_left (mt_relay_t *relay, mt_engine_t *engine,
+                           mt_ms_t now);
+
 /* Another router sent these shared parts to an engine. */
 void mt_relay_heard_placed (mt_relay_t *relay,
                             const mt_relay_placed_t *placed);
--- a/tests/relay.h
+++ b/tests/relay.h
@@ -66,6 +66,10 @@
     terms.miss_weight = 10;
     terms.late_part = 0.6;
     terms.late_weight = 6;
+    terms.room_part = 0.2;
+    terms.pressure_steep = 2;
+    terms.miss_weight_easy = 5;
+    terms.vanish_ms = 1200;
     relay = mt_relay_new("d1", &terms);
     for (int i = 1; i <= engines; i++) {
       engine("m" + std::to_string(i), "model", 64);
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -317,6 +317,30 @@
   }
 }
 
+// All entries of a list can vanish while its keeper is in trouble (incident).
+TEST(RelayPlacement, AnEngineThatVanishesServesOnForAWhile) {
+  struct Row {
+    mt_engine_state_t before;
+    mt_ms_t later;
+    bool back, used;
+  } rows[] = {{MT_ENGINE_READY, 0, false, true},
+              {MT_ENGINE_READY, 1000, false, true},
+              {MT_ENGINE_READY, 1400, false, false},
+              {MT_ENGINE_READY, 1400, true, true},
+              {MT_ENGINE_LEAVING, 0, false, false}};
+  for (const Row &row : rows) {
+    Relay r(1);
+    r.declare();
+    mt_engine_t *e = r.find("p1");
+    e->state = row.before;
+    mt_relay_engine_left(r.relay, e, r.now);
+    if (row.back) e->vanished = 0;
+    r.pass(row.later);
+    r.ask(1, "/again/x");
+    EXPECT_EQ(r.find(MT_RELAY_DO_START) != nullptr, row.used) << row.later;
+  }
+}
+
 TEST(RelayPlacement, RequestsWithOnePartGoToOneEngine) {
   Relay a, b; // two routers that have heard nothing of each other
   std::set<uint64_t> used;
