--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -13,6 +13,7 @@
 #define BYTES_PER_S 14000   /* sent to all peers together, at most */
 #define PROBE_MS 1000       /* between messages to who has not answered */
 #define SILENT_MS 800       /* what an older message said is left out */
+#define SILENT_PACES 3      /* or so many of the sender's intervals */
 #define LOST_MS 3000        /* no longer counted as a router */
 #define FORGET_MS 60000     /* an address is not tried any more */
 #define ADDRESSES_MAX 1024
@@ -20,7 +21,7 @@
 #define ENGINES_TOLD 320
 #define SHARES_TOLD 320
 #define DATAGRAM_MAX 16384
-#define MEMBERS 8      /* of a message */
+#define MEMBERS 9      /* of a message */
 #define LOAD_NUMBERS 3 /* of an engine's row: key, unread, running */
 #define USE_NUMBERS 3  /* of its other row: key, held, read */
 #define WHOLE_EVERY 4  /* messages; the others leave out what can wait */
@@ -42,7 +43,7 @@
   uint32_t ip; /* network order */
   mt_ms_t known, heard, asked;
   uint64_t boot, number;
-  bool counted; /* its rows are part of the sums */
+  mt_ms_t valid; /* what it said counts for so long */
   engine_row_t engines[ENGINES_TOLD];
   size_t engines_count;
   share_row_t shares[SHARES_TOLD];
@@ -60,11 +61,16 @@
   mt_map_t by_ip; /* peer_t, owned */
   peer_t **list;
   size_t count, cap, next_told;
-  mt_ms_t next_send;
+  mt_ms_t next_send, pace;
   size_t last_size;
   char input[DATAGRAM_MAX];
 };
 
+/* A router that said nothing for so long is no longer counted as one. */
+static mt_ms_t lost_after (const peer_t *peer) {
+  return mt_max(peer->valid, (mt_ms_t)LOST_MS);
+}
+
 /* {== Sums over peers ================================================== */
 
 /* Adds (sign 1) or takes off (sign -1) what a peer said. */
@@ -97,7 +103,7 @@
     relay->shares.list[i]->peers = (mt_share_rates_t){0};
   for (size_t i = 0; i < peers->count; i++) {
     const peer_t *peer = peers->list[i];
-    if (peer->heard != 0 && now - peer->heard < SILENT_MS)
+    if (peer->heard != 0 && now - peer->heard < peer->valid)
       count_rows(peers, peer, 1);
   }
 }
@@ -146,7 +152,7 @@
   mt_ms_t now = uv_now(peers->loop);
   for (size_t i = 0; i < n; i++) {
     const peer_t *peer = peers->list[peers->next_told++ % peers->count];
-    if (peer->heard != 0 && now - peer->heard < LOST_MS)
+    if (peer->heard != 0 && now - peer->heard < lost_after(peer))
       told[used++] = peer->ip;
   }
   msgpack_pack_array(pk, used);
@@ -226,6 +232,7 @@
   msgpack_pack_int(&pk, FORMAT_VERSION);
   msgpack_pack_uint64(&pk, peers->boot);
   msgpack_pack_uint64(&pk, ++peers->number);
+  msgpack_pack_uint64(&pk, peers->pace);
   pack_addresses(peers, &pk);
   pack_engines(peers->relay, &pk);
   pack_placed(peers->relay, &pk);
@@ -332,7 +339,7 @@
   if (o->via.array.size != MEMBERS) return false;
   const msgpack_object *at = o->via.array.ptr;
   if (number_of(&at[0]) != FORMAT_VERSION) return false;
-  for (int i = 3; i < MEMBERS; i++)
+  for (int i = 4; i < MEMBERS; i++)
     if (at[i].type != MSGPACK_OBJECT_ARRAY) return false;
   return true;
 }
@@ -344,18 +351,19 @@
   mt_ms_t now = uv_now(peers->loop);
   if (peer == NULL) return;
   if (boot == peer->boot && number <= peer->number) return; /* overtaken */
-  if (peer->heard == 0 || now - peer->heard > LOST_MS)
+  if (peer->heard == 0 || now - peer->heard > lost_after(peer))
     say(peers, ip, "heard");
   if (boot != peer->boot) peer->engines_count = 0;
   peer->boot = boot;
   peer->number = number;
   peer->heard = now;
-  take_addresses(peers, &at[3].via.array);
+  peer->valid = mt_max(SILENT_PACES * number_of(&at[3]), SILENT_MS);
+  take_addresses(peers, &at[4].via.array);
   drop_rows(peers, peer);
-  take_load(peer, &at[4].via.array);
-  take_placed(peers, &at[5].via.array);
-  if (at[6].via.array.size > 0) take_shares(peer, &at[6].via.array);
-  take_use(peers, peer, &at[7].via.array);
+  take_load(peer, &at[5].via.array);
+  take_placed(peers, &at[6].via.array);
+  if (at[7].via.array.size > 0) take_shares(peer, &at[7].via.array);
+  take_use(peers, peer, &at[8].via.array);
 }
 
 static void on_message (uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
@@ -399,7 +407,7 @@
   pack(peers, &out);
   for (size_t i = 0; i < peers->count; i++) {
     peer_t *peer = peers->list[i];
-    bool alive = peer->heard != 0 && now - peer->heard < LOST_MS;
+    bool alive = peer->heard != 0 && now - peer->heard < lost_after(peer);
     live += alive;
     if (!alive && now - peer->asked < PROBE_MS) continue;
     peer->asked = now;
@@ -416,14 +424,15 @@
   sum_up(peers);
   for (size_t i = peers->count; i-- > 0;) {
     peer_t *peer = peers->list[i];
-    bool alive = peer->heard != 0 && now - peer->heard < LOST_MS;
+    bool alive = peer->heard != 0 && now - peer->heard < lost_after(peer);
     routers += alive;
     if (!alive && now - peer->known > FORGET_MS) forget(peers, i);
   }
   if (now < peers->next_send) return routers;
   size_t live = send_all(peers);
   mt_ms_t pace = 1000 * live * peers->last_size / BYTES_PER_S;
-  peers->next_send = now + mt_max(pace, (mt_ms_t)INTERVAL_MIN_MS);
+  peers->pace = mt_max(pace, (mt_ms_t)INTERVAL_MIN_MS);
+  peers->next_send = now + peers->pace;
   return routers;
 }
 
