martentiller explain: a request's story from the logs; keys compared whole

Log lines carry the time of day beside the steady clock, so that those of several machines can be merged, and a line for each failed attempt with its engine. 'explain ID FILE...' prints the request's lines and what its routers came to believe of its engines, the store and the configuration meanwhile; a table of three kinds of failure is played by real processes and the line that names the cause is asserted.

Keys were known by a 64-bit hash alone; they are now compared whole, in constant time.

--- a/src/mtcli.c
+++ b/src/mtcli.c
@@ -8,6 +8,7 @@
 
 #include <argtable2.h>
 
+#include "explain.h"
 #include "mtcall.h"
 #include "mtconf.h"
 #include "mtpolicy.h"
@@ -621,9 +622,27 @@
   return finish(table, mt_countof(table), code);
 }
 
+#define FILES_MAX 512
+
+static int cmdexplain (int argc, char **argv) {
+  struct arg_str *id = arg_str1(NULL, NULL, "ID", "of the request");
+  struct arg_file *files =
+      arg_filen(NULL, NULL, "FILE", 1, FILES_MAX, "logs of gateways");
+  struct arg_lit *help = arg_lit0("h", "help", "print this help");
+  struct arg_end *end = arg_end(10);
+  void *table[] = {id, files, help, end};
+  int code = parse("explain", "Tells a request's story from the logs.", argc,
+                   argv, table, help, end);
+  if (code == DONE)
+    code = mt_explain(id->sval[0], (const char *const *)files->filename,
+                      (size_t)files->count);
+  return finish(table, mt_countof(table), code);
+}
+
 static const row_t commands[] = {
     {"router", "run a router", cmdrouter},
     {"gateway", "run a gateway on the platform", cmdgateway},
+    {"explain", "tell a request's story from logs", cmdexplain},
     {"settings", "check settings", cmdsettings},
     {"policy", "work on policy programs", cmdpolicy},
     {"plan", "print what 'apply' would change", cmdplan},
--- a/src/net/log_writer.c
+++ b/src/net/log_writer.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "log_writer.h"
@@ -62,13 +63,26 @@
   log->used += n;
 }
 
+/*
+** Time of day, so that lines of several machines can be merged, and the
+*steady
+** clock of this one, which no step of the time of day changes.
+*/
+static int start_line (const mt_log_writer_t *log, char *line, size_t size,
+                       mt_ms_t now, const char *event) {
+  struct timespec day;
+  clock_gettime(CLOCK_REALTIME, &day);
+  return snprintf(line, size, "t=%lld.%03ld ms=%llu node=%s event=%s ",
+                  (long long)day.tv_sec, day.tv_nsec / 1000000,
+                  (unsigned long long)now, log->node, event);
+}
+
 static void say_dropped (mt_log_writer_t *log, mt_ms_t now) {
   char line[LINE_BYTES];
   if (log->dropped == log->dropped_told) return;
-  int n = snprintf(line, sizeof line,
-                   "ms=%llu node=%s event=log-lines-dropped total=%llu\n",
-                   (unsigned long long)now, log->node,
-                   (unsigned long long)log->dropped);
+  int n = start_line(log, line, sizeof line, now, "log-lines-dropped");
+  n += snprintf(line + n, sizeof line - (size_t)n, "total=%llu\n",
+                (unsigned long long)log->dropped);
   log->dropped_told = log->dropped;
   append(log, line, (size_t)n);
 }
@@ -81,8 +95,7 @@
     log->dropped++;
     return;
   }
-  int n = snprintf(line, sizeof line, "ms=%llu node=%s event=%s ",
-                   (unsigned long long)now, log->node, event);
+  int n = start_line(log, line, sizeof line, now, event);
   va_start(ap, format);
   n += vsnprintf(line + n, sizeof line - (size_t)n, format, ap);
   va_end(ap);
--- a/src/relay/catalog.c
+++ b/src/relay/catalog.c
@@ -38,6 +38,14 @@
   return c;
 }
 
+static void free_keys (mt_catalog_key_t *key) {
+  while (key != NULL) {
+    mt_catalog_key_t *next = key->next;
+    free(key);
+    key = next;
+  }
+}
+
 void mt_catalog_free (mt_catalog_t *c) {
   if (c == NULL) return;
   for (size_t i = 0; i < c->routes_count; i++) {
@@ -52,6 +60,7 @@
   free(c->services);
   free(c->workspaces);
   free(c->next_of_host);
+  mtV_each (&c->keys, i) free_keys(c->keys.vals[i]);
   mtV_free(&c->keys);
   mtV_free(&c->hosts);
   free(c);
@@ -88,9 +97,24 @@
   return w;
 }
 
-void mt_catalog_add_key (mt_catalog_t *c, const char *key) {
-  mtV_put(&c->keys, key_hash(bytes_of(key)),
-          (void *)(uintptr_t)c->workspaces_count);
+void mt_catalog_add_key (mt_catalog_t *c, const char *text) {
+  size_t size = strlen(text);
+  uint64_t hash = key_hash(bytes_of(text));
+  mt_catalog_key_t *key = mtV_new(sizeof *key + size + 1);
+  key->next = mtV_get(&c->keys, hash);
+  key->workspace = c->workspaces_count - 1;
+  key->size = size;
+  memcpy(key->text, text, size);
+  mtV_put(&c->keys, hash, key);
+}
+
+/* Takes the same time whatever the difference. */
+static bool same_secret (const mt_catalog_key_t *key, mt_bytes_t given) {
+  unsigned char difference = 0;
+  if (key->size != given.n) return false;
+  for (size_t i = 0; i < given.n; i++)
+    difference |= (unsigned char)(key->text[i] ^ given.p[i]);
+  return difference == 0;
 }
 
 /* The shortest objective of the stream routes to each service. */
@@ -133,8 +157,9 @@
 
 const mt_catalog_workspace_t *mt_catalog_key (const mt_catalog_t *c,
                                               mt_bytes_t key) {
-  size_t i = (size_t)(uintptr_t)mtV_get(&c->keys, key_hash(key));
-  return i == 0 ? NULL : &c->workspaces[i - 1];
+  const mt_catalog_key_t *k = mtV_get(&c->keys, key_hash(key));
+  while (k != NULL && !same_secret(k, key)) k = k->next;
+  return k == NULL ? NULL : &c->workspaces[k->workspace];
 }
 
 const mt_catalog_service_t *mt_catalog_service (const mt_catalog_t *c,
--- a/src/relay/catalog.h
+++ b/src/relay/catalog.h
@@ -53,6 +53,14 @@
   int priority; /* -1: the route's */
 } mt_catalog_workspace_t;
 
+/* A caller's key; several whose hashes are the same hang together. */
+typedef struct mt_catalog_key_t {
+  struct mt_catalog_key_t *next;
+  size_t workspace; /* its index */
+  size_t size;
+  char text[];
+} mt_catalog_key_t;
+
 typedef struct mt_catalog_limits_t {
   uint32_t header_bytes, body_bytes;
   mt_ms_t header_ms, idle_ms;
@@ -67,7 +75,7 @@
   size_t services_count, services_cap;
   mt_catalog_workspace_t *workspaces;
   size_t workspaces_count, workspaces_cap;
-  mt_map_t keys;        /* hash of a key -> workspace's index + 1 */
+  mt_map_t keys;        /* hash of a key -> mt_catalog_key_t, owned */
   mt_map_t hosts;       /* hash of a host -> first route's index + 1 */
   size_t *next_of_host; /* per route: the next of its host + 1 */
   mt_catalog_limits_t limits;
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -146,6 +146,7 @@
   const mt_catalog_service_t *s =
       mt_catalog_service(relay->catalog, r->service);
   r->engine = e;
+  snprintf(r->engine_name, sizeof r->engine_name, "%s", e->name);
   r->unread = p->miss;
   int64_t own = r->tokens_in;
   if (r->parts_count > 0) own = r->parts[r->parts_count - 1].tokens;
@@ -332,6 +333,7 @@
 /* The attempt is over; goes on elsewhere or gives the request up. */
 static void attempt_failed (mt_relay_t *relay, mt_relay_request_t *r,
                             mt_relay_retry_t reason, bool ran) {
+  note(relay, r, "attempt-failed", mt_relay_retry_code(reason));
   disengage(r);
   if (reason == MT_RELAY_RETRY_CONNECT) r->arrivals--;
   bool again = may_retry(relay, r, ran);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -183,8 +183,9 @@
 
 typedef struct mt_relay_request_t {
   uint64_t number;
-  char id[40];  /* the caller's, for logs */
-  size_t index; /* in the list */
+  char id[40];          /* the caller's, for logs */
+  char engine_name[48]; /* of the last attempt, for logs */
+  size_t index;         /* in the list */
   struct mt_relay_request_t *finished_next;
   mt_relay_phase_t phase;
   mt_relay_refusal_t outcome;
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -652,6 +652,45 @@
   EXPECT_EQ(status, 0);
 }
 
+// From the id of a failed request to its cause, by the command alone.
+TEST(Gateway, ExplainNamesTheCause) {
+  struct Row {
+    const char *name;
+    Handler misbehave;
+    const char *line;
+  } rows[] = {{"lost", [] (Conn &c, const Request &r) { c.abort(); },
+               "outcome=refused why=engine_lost"},
+              {"refused",
+               [] (Conn &c, const Request &r) {
+                 c.send(answer(503, "X-Not-Executed: 1\r\n", ""));
+               },
+               "outcome=refused why=engines_refused"},
+              {"late", [] (Conn &c, const Request &r) {},
+               "outcome=refused why=timeout"}};
+  for (const Row &row : rows) {
+    World w;
+    w.engine("i-1", "plain", w.listen(row.misbehave));
+    w.start();
+    w.call(World::ask("/once/x", "id-failed"));
+    ASSERT_TRUE(w.until([&] { return w.log.find(row.line) != w.log.npos; }))
+        << row.name;
+    std::string file = w.dir + "/log",
+                bin = getenv("MT_BIN") ? getenv("MT_BIN") : "build";
+    std::ofstream(file) << w.log;
+    std::string command =
+        bin + "/martentiller explain id-failed " + file + " 2>&1";
+    FILE *pipe = popen(command.c_str(), "r");
+    std::string told;
+    char buf[4096];
+    while (fgets(buf, sizeof buf, pipe)) told += buf;
+    EXPECT_EQ(pclose(pipe), 0);
+    EXPECT_NE(told.find(row.line), told.npos) << row.name;
+    EXPECT_NE(told.find("event=engine engine=i-1"), told.npos) << row.name;
+    EXPECT_NE(told.find("event=configuration version=7"), told.npos);
+    unlink(file.c_str());
+  }
+}
+
 TEST(Gateway, ServesWhenNobodyReadsItsLog) {
   World w;
   Listener *e =
