Room at engines falls beyond the share; loads have a module of their own

The part now falls with the third power beyond the share, and a workspace may leave home the further the more the best served one has had. Ruled out by logs of every decision: views of routers that differ (levels agreed within 10 %), lost messages, prompts counted twice.

Requests' log lines name the engine of the last attempt and the workspace's standing.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -499,11 +499,12 @@
   mt_log_line(
       g->log, well ? MT_LOG_DETAIL : MT_LOG_FAILURE, g->relay->now, "request",
       "id=%s route=%08x workspace=%08x engine=%s attempt=%d age=%llu "
-      "status=%d wait=%.0f tokens=%lld last=%lld version=%lld "
+      "status=%d wait=%.0f standing=%.2f tokens=%lld last=%lld version=%lld "
       "outcome=%s why=%s",
       r->id, r->route, r->workspace, r->engine_name[0] ? r->engine_name : "-",
       r->attempt, (unsigned long long)(g->relay->now - r->arrived), r->status,
-      r->wait_expected, (long long)r->tokens_in, (long long)r->last_event,
+      r->wait_expected, r->standing, (long long)r->tokens_in,
+      (long long)r->last_event,
       (long long)(g->relay->catalog ? g->relay->catalog->version : 0),
       outcome, why);
 }
--- a/src/relay/fair_share.c
+++ b/src/relay/fair_share.c
@@ -80,6 +80,17 @@
   return 0;
 }
 
+/* Who got most of those that ask for more than the level. */
+static void find_top (mt_fair_share_t *s) {
+  s->top = 1;
+  if (s->level <= 0) return;
+  for (size_t i = 0; i < s->count; i++) {
+    if (asked(s->list[i]) <= s->level) continue;
+    double standing = served(s->list[i]) / s->level;
+    s->top = fmax(s->top, standing);
+  }
+}
+
 void mt_fair_share_update (mt_fair_share_t *s, mt_ms_t now) {
   double all_asked = 0, all_served = 0;
   fade(s, now);
@@ -89,6 +100,7 @@
   }
   bool scarce = all_served < SHORT_PART * all_asked;
   s->level = scarce ? water_level(s, all_served) : 0;
+  find_top(s);
 }
 
 double mt_fair_share_standing (mt_fair_share_t *s, mt_id_t workspace) {
--- a/src/relay/fair_share.h
+++ b/src/relay/fair_share.h
@@ -27,6 +27,7 @@
   size_t count, cap;
   mt_ms_t faded; /* when rates were last made to fade */
   double level;  /* a backlogged workspace's share; 0: nobody is short */
+  double top; /* standing of the backlogged one that got most, at least 1 */
 } mt_fair_share_t;
 
 void mt_fair_share_free (mt_fair_share_t *shares);
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -10,6 +10,7 @@
 #define MEMORY_PENALTY_MS 1000.0 /* running requests would be preempted */
 #define FAILING_PENALTY_MS 50.0  /* one failure in a row */
 #define RUNNING_MS 1.0 /* each running request slows all others a little */
+#define ROOM_POWER 3   /* how fast room falls beyond the share */
 #define OWED_STEEP 1   /* with nothing of its share: it may go anywhere */
 #define OVER_LIMIT_MS 2000.0 /* there it would be refused */
 #define RETURN_BONUS                                     \
@@ -91,12 +92,13 @@
 /*
 ** How far a request may leave the engine that keeps its parts, 0 to 1. When
 ** the pool is full, reading shared parts again only makes more work late; but
-** a workspace that got less than its share may go anywhere.
+** a workspace that got less than the one that got most may go further.
 */
 static double ease_of (mt_relay_t *relay, const mt_relay_request_t *r) {
   double pressure = mt_relay_service(relay, r->service)->pressure;
   double ease = 1 - pressure * relay->terms.pressure_steep;
-  double owed = OWED_STEEP * (1 - standing_of(relay, r));
+  double top = fmax(relay->shares.top, 1);
+  double owed = OWED_STEEP * (1 - standing_of(relay, r) / top);
   return fmin(fmax(fmax(ease, owed), 0), 1);
 }
 
@@ -104,7 +106,8 @@
 ** How long the request may wait at an engine: a part of the service's
 *shortest
 ** objective, less for a longer objective, and less the more its workspace has
-** had beyond its share; but an engine below the last limit has room for all.
+** had beyond its share. An engine with little wait has room for all, yet more
+** for whoever had less: else who asks most often would get most of the room.
 */
 static double wait_limit (mt_relay_t *relay, const mt_relay_request_t *r,
                           const mt_catalog_service_t *service) {
@@ -116,7 +119,8 @@
     limit *=
         pow((double)shortest / (double)r->objective, terms->urgency_power);
   if (standing > 1)
-    limit *= fmax(pow(standing, -terms->over_power), terms->room_part);
+    limit *= fmax(pow(standing, -terms->over_power),
+                  terms->room_part * pow(standing, -ROOM_POWER));
   return limit;
 }
 
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -8,24 +8,17 @@
 
 #include "placement.h"
 #include "relay.h"
+#include "relay_load.h"
 
 #define HOLD_BODY_MAX \
   (256u << 10)              /* a longer answer is passed on as it comes */
 #define UPDATE_MS 100       /* between updates of shares */
 #define SHED_HOLD_MS 30     /* rest of an engine that refused */
 #define LAST_CHANCE_MS 20   /* less time left: no new attempt */
-#define RATE_FADE 0.98      /* of the sums behind a service's rate */
-#define RATE_START_MS 500.0 /* weight of the declared rate */
-#define RATE_UNKNOWN 20.0   /* tokens per ms before anything is known */
-#define SLOWNESS_FADE 0.9
-#define SLOWNESS_LEAST 0.7
-#define SLOWNESS_MOST 8.0
-#define SLOWNESS_REST 0.998 /* per update, back towards 1 */
 #define RETURNING_PART 0.97 /* of the usual deadline: it came back */
 #define ENGINE_SILENT_MS 700
 #define MADE_WEIGHT 2 /* of a token made, beside one that is read */
 #define RETRY_SOON_MS 200
-#define FORGET_MS 10000 /* what a gone engine kept is remembered so long */
 #define RESTED_MS 60000
 #define RESTED_ONCE_MS 2000 /* what may run once shuns what may be closed */
 #define LEAVE_MS                                            \
@@ -83,110 +76,6 @@
 
 /* }== */
 
-/* {== Services ========================================================= */
-
-mt_relay_service_t *mt_relay_service (mt_relay_t *relay, mt_id_t id) {
-  mt_relay_service_t *s = mtV_get(&relay->services, id);
-  if (s != NULL) return s;
-  s = mtV_new(sizeof *s);
-  s->id = id;
-  mtV_put(&relay->services, id, s);
-  return s;
-}
-
-/* What the operators declared that one engine reads, or a guess. */
-static double declared_rate (const mt_relay_t *relay,
-                             const mt_relay_service_t *s) {
-  int64_t total = relay->catalog ? relay->catalog->limits.tokens_per_s : 0;
-  if (total <= 0 || s->ready == 0) return RATE_UNKNOWN;
-  return (double)total / 1000.0 / s->ready;
-}
-
-double mt_relay_rate (mt_relay_t *relay, mt_id_t service) {
-  mt_relay_service_t *s = mt_relay_service(relay, service);
-  double start = declared_rate(relay, s);
-  return (s->work + start * RATE_START_MS) / (s->time + RATE_START_MS);
-}
-
-/* A prompt was read: learns how long that took for the work ahead of it. */
-static void learn_rate (mt_relay_t *relay, mt_relay_request_t *r) {
-  mt_relay_service_t *s = mt_relay_service(relay, r->service);
-  double took = mt_max((double)(relay->now - r->sent), 1.0);
-  double expected = (double)r->work_ahead / mt_relay_rate(relay, r->service);
-  s->work = s->work * RATE_FADE + (double)r->work_ahead;
-  s->time = s->time * RATE_FADE + took;
-  double seen = took / mt_max(expected, 1.0);
-  if (expected < (double)r->objective / 8) return; /* mostly fixed costs */
-  mt_engine_t *e = r->engine;
-  e->slowness = e->slowness * SLOWNESS_FADE + seen * (1 - SLOWNESS_FADE);
-  e->slowness = fmin(fmax(e->slowness, SLOWNESS_LEAST), SLOWNESS_MOST);
-}
-
-/* }== */
-
-/* {== Load at engines ================================================== */
-
-/* Notes what the other routers cannot know; the oldest gives way. */
-static void remember_placed (mt_relay_t *relay, const mt_relay_request_t *r) {
-  if (r->parts_count < 2) return;
-  if (relay->placed_count == MT_RELAY_PLACED_MAX) {
-    relay->placed_count--;
-    memmove(relay->placed, relay->placed + 1,
-            relay->placed_count * sizeof *relay->placed);
-  }
-  mt_relay_placed_t *placed = &relay->placed[relay->placed_count++];
-  placed->engine = r->engine->key;
-  placed->parts_count = r->parts_count - 1;
-  memcpy(placed->parts, r->parts, placed->parts_count * sizeof *r->parts);
-}
-
-static void engage (mt_relay_t *relay, mt_relay_request_t *r,
-                    const mt_placement_t *p) {
-  mt_engine_t *e = p->engine;
-  const mt_catalog_service_t *s =
-      mt_catalog_service(relay->catalog, r->service);
-  r->engine = e;
-  snprintf(r->engine_name, sizeof r->engine_name, "%s", e->name);
-  r->unread = p->miss;
-  int64_t own = r->tokens_in;
-  if (r->parts_count > 0) own = r->parts[r->parts_count - 1].tokens;
-  r->held = own + r->tokens_out;
-  r->awaiting_event = true;
-  r->work_ahead = e->here.unread + e->peers.unread + p->miss;
-  r->wait_expected = p->wait_ms;
-  e->here.running++;
-  e->here.unread += r->unread;
-  e->here.held += r->held;
-  e->read += p->miss + r->tokens_out;
-  e->kept.clock += p->miss + r->tokens_out;
-  if (s == NULL || s->memory == 0 || r->parts_count == 0) return;
-  mt_prefix_cache_use(&e->kept, r->parts, r->parts_count, s->memory);
-  if (!p->home) remember_placed(relay, r);
-}
-
-static void engine_gone (mt_relay_t *relay, mt_engine_t *e) {
-  if (e->state == MT_ENGINE_GONE) return;
-  e->state = MT_ENGINE_GONE;
-  e->gone = relay->now;
-  if (relay->log_engine != NULL) relay->log_engine(relay->log_ud, e);
-}
-
-static void prompt_read (mt_relay_request_t *r) {
-  if (r->engine == NULL || !r->awaiting_event) return;
-  r->awaiting_event = false;
-  r->engine->here.unread -= r->unread;
-}
-
-static void disengage (mt_relay_request_t *r) {
-  if (r->engine == NULL) return;
-  prompt_read(r);
-  r->engine->here.running--;
-  r->engine->here.held -= r->held;
-  r->engine = NULL;
-}
-
-/* }== */
-
 /* {== Requests ========================================================= */
 
 static mt_relay_request_t *add_request (mt_relay_t *relay, uint64_t number) {
@@ -212,7 +101,7 @@
 
 /* Its texts stay until the next step: effects may have borrowed them. */
 static void remove_request (mt_relay_t *relay, mt_relay_request_t *r) {
-  disengage(r);
+  mt_relay_disengage(r);
   relay->list[r->index] = relay->list[--relay->count];
   relay->list[r->index]->index = r->index;
   mtV_del(&relay->requests, r->number);
@@ -243,7 +132,7 @@
 static void cancel_attempt (mt_relay_t *relay, mt_relay_request_t *r) {
   if (r->engine == NULL) return;
   effect(relay, MT_RELAY_DO_CANCEL, r);
-  disengage(r);
+  mt_relay_disengage(r);
 }
 
 /* Nothing more can be done for it. */
@@ -271,7 +160,7 @@
   r->body_size = 0;
   mt_event_stream_free(&r->stream);
   if (r->phase == MT_RELAY_HOLDING) r->phase = MT_RELAY_SENT;
-  engage(relay, r, p);
+  mt_relay_engage(relay, r, p);
   relay->counters.attempts++;
   relay->counters.tokens_wanted += (uint64_t)r->tokens_in;
   relay->counters.tokens_missed += (uint64_t)p->miss;
@@ -334,7 +223,7 @@
 static void attempt_failed (mt_relay_t *relay, mt_relay_request_t *r,
                             mt_relay_retry_t reason, bool ran) {
   note(relay, r, "attempt-failed", mt_relay_retry_code(reason));
-  disengage(r);
+  mt_relay_disengage(r);
   if (reason == MT_RELAY_RETRY_CONNECT) r->arrivals--;
   bool again = may_retry(relay, r, ran);
   if (ran) r->may_have_run = true;
@@ -455,12 +344,15 @@
   mt_retry_budget_request(&s->budget, &relay->terms.retry, relay->now);
   if (r->workspace != 0 && r->parts_count > 0)
     mt_fair_share_asked(&relay->shares, r->workspace, r->cost);
+  if (r->workspace != 0)
+    r->standing = mt_fair_share_standing(&relay->shares, r->workspace);
   bool returning = is_returning(relay, r, ask->deadline_ms);
   mt_placement_t p = mt_placement_choose(relay, r);
   if (p.engine == NULL) {
     refuse(relay, r, MT_RELAY_NO_ENGINE);
     return;
   }
+  r->wait_expected = p.wait_ms;
   if (!mt_placement_admits(relay, r, &p, returning, &why)) {
     refuse(relay, r, why);
     return;
@@ -488,7 +380,7 @@
   r->heard = relay->now;
   switch (ev->u.head.verdict) {
     case MT_RELAY_MOVED:
-      engine_gone(relay, e);
+      mt_relay_engine_gone(relay, e);
       effect(relay, MT_RELAY_DO_CANCEL, r);
       attempt_failed(relay, r, MT_RELAY_RETRY_MOVED, false);
       return;
@@ -547,8 +439,8 @@
   }
   while (mt_event_stream_next(&r->stream, &event)) {
     if (r->awaiting_event) {
-      learn_rate(relay, r);
-      prompt_read(r);
+      mt_relay_learn_rate(relay, r);
+      mt_relay_prompt_read(r);
     }
     relay->counters.events++;
     if (event.id >= 0 && event.id <= r->last_event) continue;
@@ -654,51 +546,13 @@
   attempt_failed(relay, r, MT_RELAY_RETRY_SILENT, r->gone_out);
 }
 
-/* How full a service's engines are, as requests would find them. */
-static void update_pressure (mt_relay_t *relay, mt_relay_service_t *s) {
-  const mt_catalog_service_t *declared =
-      relay->catalog ? mt_catalog_service(relay->catalog, s->id) : NULL;
-  double limit = declared && declared->objective
-                     ? (double)declared->objective * relay->terms.wait_part
-                     : 0;
-  double unread = 0;
-  s->pressure = 0;
-  if (limit <= 0 || s->ready == 0) return;
-  for (size_t i = 0; i < relay->engines.count; i++) {
-    const mt_engine_t *e = relay->engines.list[i];
-    if (e->service != s->id || e->state != MT_ENGINE_READY) continue;
-    unread += (double)(e->here.unread + e->peers.unread);
-  }
-  double wait = unread / s->ready / mt_relay_rate(relay, s->id);
-  s->pressure = wait / limit;
-}
-
-static void update_engines (mt_relay_t *relay) {
-  mtV_each (&relay->services, i)
-    ((mt_relay_service_t *)relay->services.vals[i])->ready = 0;
-  for (size_t i = relay->engines.count; i-- > 0;) {
-    mt_engine_t *e = relay->engines.list[i];
-    e->slowness = 1 + (e->slowness - 1) * SLOWNESS_REST;
-    if (e->state == MT_ENGINE_READY)
-      mt_relay_service(relay, e->service)->ready++;
-    if (e->vanished != 0 && e->state == MT_ENGINE_READY &&
-        relay->now - e->vanished >= relay->terms.vanish_ms)
-      engine_gone(relay, e);
-    if (e->state == MT_ENGINE_GONE && e->here.running == 0 &&
-        relay->now - e->gone > FORGET_MS)
-      mt_engines_remove(&relay->engines, e);
-  }
-}
-
 static void on_tick (mt_relay_t *relay) {
   for (size_t i = relay->count; i-- > 0;)
     if (i < relay->count) check_request(relay, relay->list[i]);
   if (relay->now < relay->next_update) return;
   relay->next_update = relay->now + UPDATE_MS;
   mt_fair_share_update(&relay->shares, relay->now);
-  update_engines(relay);
-  mtV_each (&relay->services, i)
-    update_pressure(relay, relay->services.vals[i]);
+  mt_relay_update_engines(relay);
 }
 
 /* }== */
@@ -762,7 +616,7 @@
   if (e->state == MT_ENGINE_READY && relay->terms.vanish_ms > 0)
     e->vanished = e->vanished ? e->vanished : now;
   else
-    engine_gone(relay, e);
+    mt_relay_engine_gone(relay, e);
 }
 
 bool mt_relay_declare (mt_relay_t *relay, mt_catalog_t *catalog) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -207,7 +207,7 @@
   bool awaiting_event, may_have_run, events, framed, vouched, served;
   int64_t unread, held; /* its part of the engine's load */
   int64_t work_ahead;   /* unread there when it was sent, itself included */
-  double wait_expected;
+  double wait_expected, standing; /* when it was decided, for logs */
   mt_ms_t sent, heard;
   int status;
   uint64_t tried[MT_RELAY_TRIES_MAX];
--- /dev/null
+++ b/src/relay/relay_load.c
@@ -0,0 +1,164 @@
+/*
+** relay_load.c - what requests mean to engines: load, speed, kept parts
+*/
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "relay_load.h"
+
+#define RATE_FADE 0.98      /* of the sums behind a service's rate */
+#define RATE_START_MS 500.0 /* weight of the declared rate */
+#define RATE_UNKNOWN 20.0   /* tokens per ms before anything is known */
+#define SLOWNESS_FADE 0.9
+#define SLOWNESS_LEAST 0.7
+#define SLOWNESS_MOST 8.0
+#define SLOWNESS_REST 0.998 /* per update, back towards 1 */
+#define FORGET_MS 10000 /* what a gone engine kept is remembered so long */
+
+/* {== Services ========================================================= */
+
+mt_relay_service_t *mt_relay_service (mt_relay_t *relay, mt_id_t id) {
+  mt_relay_service_t *s = mtV_get(&relay->services, id);
+  if (s != NULL) return s;
+  s = mtV_new(sizeof *s);
+  s->id = id;
+  mtV_put(&relay->services, id, s);
+  return s;
+}
+
+/* What the operators declared that one engine reads, or a guess. */
+static double declared_rate (const mt_relay_t *relay,
+                             const mt_relay_service_t *s) {
+  int64_t total = relay->catalog ? relay->catalog->limits.tokens_per_s : 0;
+  if (total <= 0 || s->ready == 0) return RATE_UNKNOWN;
+  return (double)total / 1000.0 / s->ready;
+}
+
+double mt_relay_rate (mt_relay_t *relay, mt_id_t service) {
+  mt_relay_service_t *s = mt_relay_service(relay, service);
+  double start = declared_rate(relay, s);
+  return (s->work + start * RATE_START_MS) / (s->time + RATE_START_MS);
+}
+
+/* A prompt was read: learns how long that took for the work ahead of it. */
+void mt_relay_learn_rate (mt_relay_t *relay, mt_relay_request_t *r) {
+  mt_relay_service_t *s = mt_relay_service(relay, r->service);
+  double took = mt_max((double)(relay->now - r->sent), 1.0);
+  double expected = (double)r->work_ahead / mt_relay_rate(relay, r->service);
+  s->work = s->work * RATE_FADE + (double)r->work_ahead;
+  s->time = s->time * RATE_FADE + took;
+  double seen = took / mt_max(expected, 1.0);
+  if (expected < (double)r->objective / 8) return; /* mostly fixed costs */
+  mt_engine_t *e = r->engine;
+  e->slowness = e->slowness * SLOWNESS_FADE + seen * (1 - SLOWNESS_FADE);
+  e->slowness = fmin(fmax(e->slowness, SLOWNESS_LEAST), SLOWNESS_MOST);
+}
+
+/* }== */
+
+/* {== Load at engines ================================================== */
+
+/* Notes what the other routers cannot know; the oldest gives way. */
+static void remember_placed (mt_relay_t *relay, const mt_relay_request_t *r) {
+  if (r->parts_count < 2) return;
+  if (relay->placed_count == MT_RELAY_PLACED_MAX) {
+    relay->placed_count--;
+    memmove(relay->placed, relay->placed + 1,
+            relay->placed_count * sizeof *relay->placed);
+  }
+  mt_relay_placed_t *placed = &relay->placed[relay->placed_count++];
+  placed->engine = r->engine->key;
+  placed->parts_count = r->parts_count - 1;
+  memcpy(placed->parts, r->parts, placed->parts_count * sizeof *r->parts);
+}
+
+void mt_relay_engage (mt_relay_t *relay, mt_relay_request_t *r,
+                      const mt_placement_t *p) {
+  mt_engine_t *e = p->engine;
+  const mt_catalog_service_t *s =
+      mt_catalog_service(relay->catalog, r->service);
+  r->engine = e;
+  snprintf(r->engine_name, sizeof r->engine_name, "%s", e->name);
+  r->unread = p->miss;
+  int64_t own = r->tokens_in;
+  if (r->parts_count > 0) own = r->parts[r->parts_count - 1].tokens;
+  r->held = own + r->tokens_out;
+  r->awaiting_event = true;
+  r->work_ahead = e->here.unread + e->peers.unread + p->miss;
+  r->wait_expected = p->wait_ms;
+  e->here.running++;
+  e->here.unread += r->unread;
+  e->here.held += r->held;
+  e->read += p->miss + r->tokens_out;
+  e->kept.clock += p->miss + r->tokens_out;
+  if (s == NULL || s->memory == 0 || r->parts_count == 0) return;
+  mt_prefix_cache_use(&e->kept, r->parts, r->parts_count, s->memory);
+  if (!p->home) remember_placed(relay, r);
+}
+
+void mt_relay_engine_gone (mt_relay_t *relay, mt_engine_t *e) {
+  if (e->state == MT_ENGINE_GONE) return;
+  e->state = MT_ENGINE_GONE;
+  e->gone = relay->now;
+  if (relay->log_engine != NULL) relay->log_engine(relay->log_ud, e);
+}
+
+void mt_relay_prompt_read (mt_relay_request_t *r) {
+  if (r->engine == NULL || !r->awaiting_event) return;
+  r->awaiting_event = false;
+  r->engine->here.unread -= r->unread;
+}
+
+void mt_relay_disengage (mt_relay_request_t *r) {
+  if (r->engine == NULL) return;
+  mt_relay_prompt_read(r);
+  r->engine->here.running--;
+  r->engine->here.held -= r->held;
+  r->engine = NULL;
+}
+
+/* }== */
+
+/* {== Engines over time ================================================ */
+
+/* How full a service's engines are, as requests would find them. */
+static void update_pressure (mt_relay_t *relay, mt_relay_service_t *s) {
+  const mt_catalog_service_t *declared =
+      relay->catalog ? mt_catalog_service(relay->catalog, s->id) : NULL;
+  double limit = declared && declared->objective
+                     ? (double)declared->objective * relay->terms.wait_part
+                     : 0;
+  double unread = 0;
+  s->pressure = 0;
+  if (limit <= 0 || s->ready == 0) return;
+  for (size_t i = 0; i < relay->engines.count; i++) {
+    const mt_engine_t *e = relay->engines.list[i];
+    if (e->service != s->id || e->state != MT_ENGINE_READY) continue;
+    unread += (double)(e->here.unread + e->peers.unread);
+  }
+  double wait = unread / s->ready / mt_relay_rate(relay, s->id);
+  s->pressure = wait / limit;
+}
+
+void mt_relay_update_engines (mt_relay_t *relay) {
+  mtV_each (&relay->services, i)
+    ((mt_relay_service_t *)relay->services.vals[i])->ready = 0;
+  for (size_t i = relay->engines.count; i-- > 0;) {
+    mt_engine_t *e = relay->engines.list[i];
+    e->slowness = 1 + (e->slowness - 1) * SLOWNESS_REST;
+    if (e->state == MT_ENGINE_READY)
+      mt_relay_service(relay, e->service)->ready++;
+    if (e->vanished != 0 && e->state == MT_ENGINE_READY &&
+        relay->now - e->vanished >= relay->terms.vanish_ms)
+      mt_relay_engine_gone(relay, e);
+    if (e->state == MT_ENGINE_GONE && e->here.running == 0 &&
+        relay->now - e->gone > FORGET_MS)
+      mt_engines_remove(&relay->engines, e);
+  }
+  mtV_each (&relay->services, k)
+    update_pressure(relay, relay->services.vals[k]);
+}
+
+/* }== */
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -428,6 +428,30 @@
   EXPECT_GT(taken[1], taken[0]);
 }
 
+// Room at idle engines went to whoever asked most often (FAIR, a hunted day).
+TEST(FairShare, RoomIsMoreForWhoHadLess) {
+  struct Row {
+    const char *key;
+    double served;
+    bool taken;
+  } rows[] = {
+      {"key-w1", 3.0, false}, {"key-w1", 1.2, true}, {"key-w1", 0.5, true}};
+  for (const Row &row : rows) {
+    Relay r(1);
+    r.declare();
+    mt_share_t *one = mt_fair_share_get(&r.relay->shares, mtV_id("w1", 2));
+    mt_share_t *other = mt_fair_share_get(&r.relay->shares, mtV_id("w2", 2));
+    one->peers = {1e6, row.served * 1e4};
+    other->peers = {1e6, (2 - row.served) * 1e4 + 1};
+    r.pass(200);
+    r.relay->shares.level = 1e4;
+    r.find("m1")->peers.unread =
+        (int64_t)(15 * mt_relay_rate(r.relay, mtV_id("model", 5)));
+    r.ask(1, "/stream/x", row.key);
+    EXPECT_EQ(r.find(MT_RELAY_DO_START) != nullptr, row.taken) << row.served;
+  }
+}
+
 TEST(RetryBudget, HoldsOverEveryWindow) {
   mt_retry_terms_t terms = {0.2, 10000, 40};
   mt_retry_budget_t budget{};
