--- a/tests/relay.h
+++ b/tests/relay.h
@@ -62,7 +62,7 @@
     terms.retry = {0.2, 10000, 50};
     terms.wait_part = 0.5;
     terms.urgency_power = 1;
-    terms.over_power = 2;
+    terms.over_power = 10;
     terms.miss_weight = 10;
     terms.late_part = 0.6;
     terms.late_weight = 6;
