--- a/src/net/log_writer.c
+++ b/src/net/log_writer.c
@@ -44,16 +44,6 @@
   free(log);
 }
 
-/* True when a line of this weight may be written in this second. */
-static bool within_budget (mt_log_writer_t *log, mt_log_weight_t weight,
-                           mt_ms_t now) {
-  if (now / SECOND_MS != log->second) {
-    log->second = now / SECOND_MS;
-    memset(log->lines, 0, sizeof log->lines);
-  }
-  return log->lines[weight]++ < log->lines_per_s;
-}
-
 static void append (mt_log_writer_t *log, const char *line, size_t n) {
   if (log->used + n > sizeof log->buffer) {
     log->dropped++;
@@ -87,6 +77,17 @@
   append(log, line, (size_t)n);
 }
 
+/* True when a line of this weight may be written in this second. */
+static bool within_budget (mt_log_writer_t *log, mt_log_weight_t weight,
+                           mt_ms_t now) {
+  if (now / SECOND_MS != log->second) {
+    say_dropped(log, now);
+    log->second = now / SECOND_MS;
+    memset(log->lines, 0, sizeof log->lines);
+  }
+  return log->lines[weight]++ < log->lines_per_s;
+}
+
 void mt_log_line (mt_log_writer_t *log, mt_log_weight_t weight, mt_ms_t now,
                   const char *event, const char *format, ...) {
   char line[LINE_BYTES];
@@ -107,7 +108,6 @@
 }
 
 void mt_log_writer_flush (mt_log_writer_t *log) {
-  say_dropped(log, log->second * SECOND_MS);
   if (log->used == 0) return;
   ssize_t n = write(log->fd, log->buffer, log->used);
   if (n <= 0) return;
