--- a/src/mtlog.h
+++ b/src/mtlog.h
@@ -11,7 +11,7 @@
   MT_DEBUG = 7
 } mt_level_t;
 
-/* The parts that log; each has a fixed prefix (see docs/OPERATING.md). */
+/* The parts that log; each has a fixed prefix (see docs/OPERATIONS.md). */
 typedef enum mt_part_t {
   MT_L_ROUTER,
   MT_L_PEER,
