Datagrams from anybody neither end nor mislead a gateway

Cause: a message with a workspace of handle 0, one flipped bit away from a good one, ended the process by an assertion; numbers were taken as they came, so one datagram could make every engine look full for good or overflow a sum. Rows of handle 0 are passed over, numbers are bounded. The test (cut, oversized and hostile messages, each followed by a request) failed first, by that assertion.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -549,12 +549,13 @@
   g->tick.data = g;
   uv_timer_start(&g->tick, on_tick, TICK_MS, TICK_MS);
   mt_log_line(g->log, MT_LOG_BELIEF, g->started, "start",
-              "domain=%s callers=%s:%u ready=%s:%u metrics=%s:%u "
+              "domain=%s callers=%s:%u ready=%s:%u metrics=%s:%u peers=%s:%u "
               "outcome=started",
               settings->domain, settings->callers.ip,
               mt_http_server_port(g->callers), settings->ready.ip,
               mt_http_server_port(g->ready), settings->metrics.ip,
-              mt_http_server_port(g->metrics));
+              mt_http_server_port(g->metrics), settings->peers.ip,
+              mt_gateway_peers_port(g->peers));
   return g;
 }
 
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -27,6 +27,12 @@
 #define WHOLE_EVERY 4  /* messages; the others leave out what can wait */
 #define PLACED_TOLD 24 /* in one message */
 
+/* What one router can claim at most. */
+#define TOKENS_MOST 1000000000
+#define RUNNING_MOST 1000000
+#define READ_MOST ((int64_t)1 << 52)
+#define PACE_MOST 60000 /* ms */
+
 typedef struct engine_row_t {
   uint64_t key;
   int64_t unread, held, read;
@@ -250,6 +256,12 @@
   return o->via.u64;
 }
 
+/* Numbers out of a datagram that anybody may have sent: none is larger. */
+static int64_t bounded (const msgpack_object *o, int64_t most) {
+  uint64_t number = number_of(o);
+  return number > (uint64_t)most ? most : (int64_t)number;
+}
+
 /* The peer's row of an engine; `hint` is where it probably is. */
 static engine_row_t *row_of (peer_t *peer, uint64_t key, size_t hint) {
   for (size_t i = 0; i < peer->engines_count; i++) {
@@ -270,8 +282,8 @@
     const msgpack_object *at = &rows->ptr[i];
     engine_row_t *row = row_of(peer, number_of(&at[0]), i / LOAD_NUMBERS);
     if (row == NULL) return;
-    row->unread = (int64_t)number_of(&at[1]);
-    row->running = (int32_t)number_of(&at[2]);
+    row->unread = bounded(&at[1], TOKENS_MOST);
+    row->running = (int32_t)bounded(&at[2], RUNNING_MOST);
   }
 }
 
@@ -282,11 +294,11 @@
     const msgpack_object *at = &rows->ptr[i];
     engine_row_t *row = row_of(peer, number_of(&at[0]), i / USE_NUMBERS);
     if (row == NULL) return;
-    int64_t read = (int64_t)number_of(&at[2]);
+    int64_t read = bounded(&at[2], READ_MOST);
     mt_engine_t *e = mt_engines_get(&peers->relay->engines, row->key);
     if (e != NULL && row->read >= 0 && read > row->read)
       e->kept.clock += read - row->read;
-    row->held = (int64_t)number_of(&at[1]);
+    row->held = bounded(&at[1], TOKENS_MOST);
     row->read = read;
   }
 }
@@ -309,7 +321,7 @@
     for (uint64_t k = 0; k < n; k++, i += 2)
       placed.parts[placed.parts_count++] =
           (mt_prefix_part_t){number_of(&rows->ptr[i]) | 1,
-                             (int64_t)number_of(&rows->ptr[i + 1])};
+                             bounded(&rows->ptr[i + 1], TOKENS_MOST)};
     mt_relay_heard_placed(peers->relay, &placed);
   }
 }
@@ -317,11 +329,13 @@
 static void take_shares (peer_t *peer, const msgpack_object_array *rows) {
   peer->shares_count = 0;
   for (uint32_t i = 0; i + 2 < rows->size; i += 3) {
+    mt_id_t workspace = (mt_id_t)number_of(&rows->ptr[i]);
+    if (workspace == 0) continue; /* no workspace has this handle */
     if (peer->shares_count >= SHARES_TOLD) return;
     share_row_t *row = &peer->shares[peer->shares_count++];
-    row->workspace = (mt_id_t)number_of(&rows->ptr[i]);
-    row->rates.asked = (double)number_of(&rows->ptr[i + 1]);
-    row->rates.served = (double)number_of(&rows->ptr[i + 2]);
+    row->workspace = workspace;
+    row->rates.asked = (double)bounded(&rows->ptr[i + 1], TOKENS_MOST);
+    row->rates.served = (double)bounded(&rows->ptr[i + 2], TOKENS_MOST);
   }
 }
 
@@ -357,7 +371,8 @@
   peer->boot = boot;
   peer->number = number;
   peer->heard = now;
-  peer->valid = mt_max(SILENT_PACES * number_of(&at[3]), SILENT_MS);
+  peer->valid =
+      mt_max((mt_ms_t)(SILENT_PACES * bounded(&at[3], PACE_MOST)), SILENT_MS);
   take_addresses(peers, &at[4].via.array);
   drop_rows(peers, peer);
   take_load(peer, &at[5].via.array);
@@ -460,6 +475,13 @@
   return peers;
 }
 
+uint16_t mt_gateway_peers_port (const mt_gateway_peers_t *peers) {
+  struct sockaddr_in addr = {.sin_port = 0};
+  int size = sizeof addr;
+  uv_udp_getsockname(&peers->udp, (struct sockaddr *)&addr, &size);
+  return ntohs(addr.sin_port);
+}
+
 static void on_closed (uv_handle_t *h) {
   mt_gateway_peers_t *peers = h->data;
   for (size_t i = 0; i < peers->count; i++) free(peers->list[i]);
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -18,6 +18,9 @@
 /* Tells and forgets, when it is time; the number of routers, this one too. */
 int mt_gateway_peers_tick (mt_gateway_peers_t *peers);
 
+/* The port that it listens on, also where the settings leave it open. */
+uint16_t mt_gateway_peers_port (const mt_gateway_peers_t *peers);
+
 void mt_gateway_peers_close (mt_gateway_peers_t *peers);
 
 #endif
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -3,6 +3,7 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <msgpack.h>
 #include <openssl/evp.h>
 #include <poll.h>
 #include <signal.h>
@@ -652,6 +653,60 @@
   EXPECT_EQ(status, 0);
 }
 
+// Datagrams come from anybody: none may end or mislead a gateway.
+TEST(Gateway, OutlivesAnyDatagram) {
+  World w;
+  Listener *e =
+      w.listen([&] (Conn &c, const Request &r) { c.send(good(r, "x")); });
+  w.engine("i-1", "plain", e);
+  w.start();
+  auto message = [] (std::vector<uint64_t> shares,
+                     std::vector<uint64_t> engines) {
+    msgpack_sbuffer out;
+    msgpack_packer pk;
+    msgpack_sbuffer_init(&out);
+    msgpack_packer_init(&pk, &out, msgpack_sbuffer_write);
+    msgpack_pack_array(&pk, 9);
+    for (uint64_t head : {1, 7, 1, 1 << 30}) msgpack_pack_uint64(&pk, head);
+    for (int member = 4; member < 9; member++) {
+      const auto &rows = member == 7 ? shares : engines;
+      msgpack_pack_array(&pk, rows.size());
+      for (uint64_t n : rows) msgpack_pack_uint64(&pk, n);
+    }
+    std::string text(out.data, out.size);
+    msgpack_sbuffer_destroy(&out);
+    return text;
+  };
+  const uint64_t most = UINT64_MAX;
+  std::string whole = message({1, 2, 3}, {1, 2, 3});
+  std::vector<std::string> datagrams = {
+      "",
+      "x",
+      std::string(1000, '\xc1'),
+      std::string("\xdd\xff\xff\xff\xff", 5),
+      message({0, 5, 5}, {0, 0, 0}),
+      message({most, most, most}, {most, most, most}),
+      message({1}, {1, 2}),
+      message(std::vector<uint64_t>(3000, 9), std::vector<uint64_t>(999, 9)),
+      whole};
+  for (size_t n = 1; n < whole.size(); n++)
+    datagrams.push_back(whole.substr(0, n));
+  int fd = socket(AF_INET, SOCK_DGRAM, 0);
+  sockaddr_in from{}; // another address than the gateway's own
+  from.sin_family = AF_INET;
+  inet_pton(AF_INET, "127.0.0.2", &from.sin_addr);
+  ASSERT_EQ(bind(fd, (sockaddr *)&from, sizeof from), 0);
+  sockaddr_in to = loopback(w.port("peers="));
+  for (const std::string &d : datagrams) {
+    sendto(fd, d.data(), d.size(), 0, (sockaddr *)&to, sizeof to);
+    EXPECT_EQ(World::status_of(w.call(World::ask("/safe/x", "id1"))), 200);
+  }
+  EXPECT_TRUE(w.until([&] {
+    return w.log.find("peer=127.0.0.2 outcome=heard") != w.log.npos;
+  }));
+  close(fd);
+}
+
 // From the id of a failed request to its cause, by the command alone.
 TEST(Gateway, ExplainNamesTheCause) {
   struct Row {
