A datagram's counts are checked before it is unpacked

Cause (make check, sanitizers): five bytes that claim four billion elements made the library ask for 128 GB; with sanitizers the gateway ended, elsewhere it would have asked for the memory. The check that frames between routers already have now serves datagrams, too. Gateway.OutlivesAnyDatagram failed first.

--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "gateway_peers.h"
+#include "mtmsg.h"
 
 #define FORMAT_VERSION 1
 #define INTERVAL_MIN_MS 100 /* between two messages to a peer, at least */
@@ -386,6 +387,7 @@
   mt_gateway_peers_t *peers = udp->data;
   msgpack_unpacked message;
   if (n <= 0 || from == NULL) return;
+  if (!mtW_wellsized(buf->base, (size_t)n)) return;
   uint32_t ip = ((const struct sockaddr_in *)from)->sin_addr.s_addr;
   msgpack_unpacked_init(&message);
   if (msgpack_unpack_next(&message, buf->base, (size_t)n, NULL) ==
--- a/src/mtmsg.c
+++ b/src/mtmsg.c
@@ -452,7 +452,7 @@
   return true;
 }
 
-static bool wellsized (const char *bytes, size_t n) {
+bool mtW_wellsized (const char *bytes, size_t n) {
   const unsigned char *p = (const unsigned char *)bytes;
   uint64_t open = 1; /* objects that must still come */
   size_t at = 0;
@@ -470,7 +470,7 @@
 
 mt_msgerr_t mtW_unpack (const char *p, size_t n, mt_msg_t *m) {
   memset(m, 0, sizeof *m);
-  if (!wellsized(p, n)) return MT_MSG_SYNTAX;
+  if (!mtW_wellsized(p, n)) return MT_MSG_SYNTAX;
   msgpack_unpacked un;
   msgpack_unpacked_init(&un);
   size_t off = 0;
--- a/src/mtmsg.h
+++ b/src/mtmsg.h
@@ -155,6 +155,12 @@
 mt_msgerr_t mtW_unpack (const char *p, size_t n, mt_msg_t *m);
 void mtW_clear (mt_msg_t *m);
 
+/*
+** True when the bytes are one whole msgpack object whose counts its own size
+** bears out. The library trusts them: five bytes can ask for 128 GB.
+*/
+bool mtW_wellsized (const char *bytes, size_t n);
+
 const char *mtW_kind (mt_msgkind_t kind);
 const char *mtW_error (mt_msgerr_t err);
 
