One HTTP layer: the router's callers and calls stand on src/net, h2o goes

Found on the way: an exchange whose backlog was written at once never said so, so an engine's answer that had been paused for it would have stayed paused; 'drained' now comes whenever all is handed to the system. An empty body is an empty text, not NULL (sanitizers, Fleet.BadInputIsRefused...).

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 INCLUDES = -Isrc -Isrc/net -Isrc/relay -Isrc/gateway -Iplatform -Istandin -Ibench
 CFLAGS = -std=gnu11 -O2 -g -D_GNU_SOURCE $(WARN) $(shell pkg-config --cflags lua5.4 2>/dev/null) $(INCLUDES)
 CXXFLAGS = -std=c++17 -O1 -g $(WARN) $(shell pkg-config --cflags lua5.4 2>/dev/null) $(INCLUDES)
-LDLIBS = -lh2o -luv -lhttp_parser -lmsgpackc -ljansson -largtable2 -llua5.4 -lssl -lcrypto -lpthread -lm
+LDLIBS = -luv -lhttp_parser -lmsgpackc -ljansson -largtable2 -llua5.4 -lssl -lcrypto -lpthread -lm
 SAN = -fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer
 
 B = build
--- a/scripts/deps.sh
+++ b/scripts/deps.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Installs what the build and the tests need, when something is missing.
 set -eu
-packages="gcc g++ make pkg-config libuv1-dev libhttp-parser-dev libh2o-dev libmsgpack-dev libjansson-dev libargtable2-dev
+packages="gcc g++ make pkg-config libuv1-dev libhttp-parser-dev libmsgpack-dev libjansson-dev libargtable2-dev
   liblua5.4-dev libssl-dev libgtest-dev spin clang clang-format cppcheck libclang-rt-14-dev"
 missing=""
 for p in $packages; do
--- a/src/mtcall.h
+++ b/src/mtcall.h
@@ -1,5 +1,5 @@
 /*
-** mtcall.h - HTTP calls, on h2o's client over libuv
+** mtcall.h - HTTP calls of the router, on src/net
 */
 #ifndef mtcall_h
 #define mtcall_h
--- a/src/mttarget.c
+++ b/src/mttarget.c
@@ -128,8 +128,8 @@
 }
 
 /*
-** h2o takes a connection that closes between two chunks for a whole answer.
-** So a stream must have said that it is done, and an answer must be JSON.
+** An answer without a length ends with its connection, cut or whole. So a
+** stream must have said that it is done, and an answer must be JSON.
 */
 static bool complete (mt_attempt_t *a) {
   if (a->kind != MT_POOL_MODEL || a->status != 200) return true;
--- a/src/mtweb.c
+++ b/src/mtweb.c
@@ -1,234 +1,151 @@
 /*
-** mtweb.c - an HTTP listener, on h2o over libuv
+** mtweb.c - an HTTP listener for callers and operators, on src/net
 */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
-
-#include <h2o.h>
 
+#include "http_server.h"
 #include "mtmem.h"
 #include "mtweb.h"
 
-#define BACKLOG 1024
-#define ABORTED 502    /* never seen: the connection is shut by then */
 #define IDLE_MS 300000 /* an idle connection is kept this long */
+#define TICK_MS 500
+#define HEADER_BYTES 65536
+#define LINES_MAX 2048 /* bytes of an answer's own header lines */
 
 struct mt_web_t {
-  uv_tcp_t listener;
-  h2o_globalconf_t config;
-  h2o_context_t ctx;
-  h2o_accept_ctx_t accept;
+  mt_http_server_t *server;
+  uv_timer_t tick;
   mt_webfn_t fn;
   void *ud;
   uint16_t port;
+  mt_webreq_t *ended; /* freed by the tick: their handlers may still look */
 };
 
 struct mt_webreq_t {
-  h2o_generator_t generator; /* first: h2o hands it back */
-  h2o_req_t *req;
+  mt_web_t *web;
+  mt_http_exchange_t *exchange; /* NULL: the answer is out, or nobody waits */
+  mt_webreq_t *next;            /* in the list of ended ones */
   void *ud;
   mt_webgone_t gone;
   mt_webdrained_t drained;
-  char *pending, *sending;
-  size_t npending, pending_cap, nsending, sending_cap;
-  bool begun, ending, ended, busy, aborted;
+  int64_t length;
+  bool begun;
 };
 
-/* A handler that knows its listener. */
-typedef struct handler_t {
-  h2o_handler_t super;
-  mt_web_t *web;
-} handler_t;
-
-/* {== Sending ========================================================== */
-
-static void flush (mt_webreq_t *r) {
-  if (r->busy || r->ended) return;
-  if (r->npending == 0 && !r->ending && !r->aborted) return;
-  char *p = r->sending;
-  size_t cap = r->sending_cap;
-  r->sending = r->pending;
-  r->sending_cap = r->pending_cap;
-  r->nsending = r->npending;
-  r->pending = p;
-  r->pending_cap = cap;
-  r->npending = 0;
-  r->busy = true;
-  h2o_iovec_t buf = h2o_iovec_init(r->sending, r->nsending);
-  h2o_send_state_t state = H2O_SEND_STATE_IN_PROGRESS;
-  if (r->ending) state = H2O_SEND_STATE_FINAL;
-  if (r->aborted) state = H2O_SEND_STATE_ERROR;
-  r->ended = r->ending || r->aborted;
-  h2o_send(r->req, &buf, r->nsending > 0 ? 1 : 0, state);
-}
+static const mt_http_server_limits_t limits = {.header_bytes = HEADER_BYTES,
+                                               .body_bytes = 4 * MT_BODY_MAX,
+                                               .header_ms = IDLE_MS,
+                                               .idle_ms = IDLE_MS};
 
-static void onproceed (h2o_generator_t *g, h2o_req_t *req) {
-  (void)req;
-  mt_webreq_t *r = (mt_webreq_t *)g;
-  r->busy = false;
-  r->nsending = 0;
-  if (r->npending > 0 || r->ending || r->aborted) {
-    flush(r); /* the last one ends the request, and `r` with it */
-    return;
-  }
-  if (!r->ended && r->drained && r->ud) r->drained(r->ud, r);
-}
-
-static void onstop (h2o_generator_t *g, h2o_req_t *req) {
-  (void)req;
-  mt_webreq_t *r = (mt_webreq_t *)g;
-  r->ended = true;
-  void *ud = r->ud;
+static void finish (mt_webreq_t *r) {
+  r->exchange = NULL;
   r->ud = NULL;
-  if (r->gone && ud) r->gone(ud, r);
+  r->next = r->web->ended;
+  r->web->ended = r;
 }
 
-static void append (mt_webreq_t *r, const char *p, size_t n) {
-  if (r->npending + n > r->pending_cap) {
-    size_t cap = mt_max(r->pending_cap * 2, r->npending + n);
-    char *q = realloc(r->pending, cap);
-    if (q == NULL) abort();
-    r->pending = q;
-    r->pending_cap = cap;
-  }
-  if (n > 0) memcpy(r->pending + r->npending, p, n);
-  r->npending += n;
-}
+/* {== Sending ========================================================== */
 
 void mtB_begin (mt_webreq_t *r, int status, const mt_header_t *h, size_t n) {
-  if (r->begun) return;
+  char lines[LINES_MAX];
+  size_t used = 0;
+  if (r->begun || r->exchange == NULL) return;
   r->begun = true;
-  r->req->res.status = status;
-  r->req->res.reason = status < 400 ? "OK" : "Refused";
   for (size_t i = 0; i < n; i++) {
-    h2o_iovec_t name = h2o_strdup(&r->req->pool, h[i].name, SIZE_MAX);
-    h2o_iovec_t value = h2o_strdup(&r->req->pool, h[i].value, SIZE_MAX);
-    h2o_add_header_by_str(&r->req->pool, &r->req->res.headers, name.base,
-                          name.len, 1, NULL, value.base, value.len);
+    int size = snprintf(lines + used, sizeof lines - used, "%s: %s\r\n",
+                        h[i].name, h[i].value);
+    if (size < 0 || (size_t)size >= sizeof lines - used) break;
+    used += (size_t)size;
   }
-  h2o_start_response(r->req, &r->generator);
+  mt_http_exchange_head(r->exchange, status, lines, used, r->length);
 }
 
 void mtB_length (mt_webreq_t *r, size_t n) {
-  r->req->res.content_length = n;
+  r->length = (int64_t)n;
 }
 
 void mtB_write (mt_webreq_t *r, const char *p, size_t n) {
-  if (r->ending || r->ended || n == 0) return;
-  append(r, p, n);
-  flush(r);
+  if (r->exchange != NULL) mt_http_exchange_data(r->exchange, p, n);
 }
 
 void mtB_end (mt_webreq_t *r) {
-  if (r->ended || r->ending) return;
-  r->ending = true;
-  r->ud = NULL;
-  flush(r);
+  if (r->exchange == NULL) return;
+  mt_http_exchange_end(r->exchange);
+  finish(r);
 }
 
 void mtB_abort (mt_webreq_t *r) {
-  if (r->ended || r->ending) return;
-  if (!r->begun) {
-    h2o_socket_t *sock = r->req->conn->callbacks->get_socket(r->req->conn);
-    if (sock != NULL) shutdown(h2o_socket_get_fd(sock), SHUT_RDWR);
-    mtB_begin(r, ABORTED, NULL, 0);
-  }
-  r->aborted = true;
-  r->ud = NULL;
-  r->req->http1_is_persistent = 0;
-  flush(r);
+  if (r->exchange == NULL) return;
+  mt_http_exchange_abort(r->exchange);
+  finish(r);
 }
 
 void mtB_reply (mt_webreq_t *r, int status, const mt_header_t *h, size_t n,
                 const char *body, size_t size) {
-  r->req->res.content_length = size;
+  mtB_length(r, size);
   mtB_begin(r, status, h, n);
-  append(r, body, size);
+  mtB_write(r, body, size);
   mtB_end(r);
 }
 
 size_t mtB_backlog (const mt_webreq_t *r) {
-  return r->npending + r->nsending;
+  return r->exchange ? mt_http_exchange_backlog(r->exchange) : 0;
 }
 
 /* }== */
 
 /* {== Receiving ======================================================== */
 
-static void ondispose (void *p) {
-  mt_webreq_t *r = p;
-  void *ud = r->ud;
-  r->ud = NULL;
-  r->ended = true;
-  if (r->gone && ud) r->gone(ud, r);
-  free(r->pending);
-  free(r->sending);
-}
-
-static int onrequest (h2o_handler_t *self, h2o_req_t *req) {
-  mt_web_t *web = ((handler_t *)self)->web;
-  mt_webreq_t *r = h2o_mem_alloc_shared(&req->pool, sizeof *r, ondispose);
-  memset(r, 0, sizeof *r);
-  r->generator.proceed = onproceed;
-  r->generator.stop = onstop;
-  r->req = req;
+static void on_request (void *ud, mt_http_exchange_t *exchange) {
+  mt_web_t *web = ud;
+  mt_webreq_t *r = mtV_new(sizeof *r);
+  r->web = web;
+  r->exchange = exchange;
+  r->length = MT_HTTP_CHUNKED;
+  mt_http_exchange_set_user(exchange, r);
   web->fn(web->ud, r);
-  return 0;
 }
 
-static void onclosed (uv_handle_t *h) {
-  free(h);
+static void on_gone (void *ud, mt_http_exchange_t *exchange) {
+  mt_webreq_t *r = mt_http_exchange_user(exchange);
+  if (r == NULL) return;
+  void *watcher = r->ud;
+  mt_webgone_t gone = r->gone;
+  finish(r);
+  if (gone != NULL && watcher != NULL) gone(watcher, r);
 }
 
-static void onconnection (uv_stream_t *listener, int status) {
-  mt_web_t *web = listener->data;
-  if (status != 0) return;
-  uv_tcp_t *conn = mtV_new(sizeof *conn);
-  uv_tcp_init(listener->loop, conn);
-  if (uv_accept(listener, (uv_stream_t *)conn) != 0) {
-    uv_close((uv_handle_t *)conn, onclosed);
-    return;
-  }
-  uv_tcp_nodelay(conn, 1);
-  h2o_socket_t *sock = h2o_uv_socket_create((uv_stream_t *)conn, onclosed);
-  h2o_accept(&web->accept, sock);
-}
-
-static mt_bytes_t bytes (h2o_iovec_t v) {
-  return (mt_bytes_t){v.base, v.len};
+static void on_drained (void *ud, mt_http_exchange_t *exchange) {
+  mt_webreq_t *r = mt_http_exchange_user(exchange);
+  if (r != NULL && r->drained != NULL && r->ud != NULL) r->drained(r->ud, r);
 }
 
 mt_bytes_t mtB_method (const mt_webreq_t *r) {
-  return bytes(r->req->method);
+  return mt_http_exchange_method(r->exchange);
 }
 
 mt_bytes_t mtB_path (const mt_webreq_t *r) {
-  mt_bytes_t p = bytes(r->req->path);
-  if (r->req->query_at != SIZE_MAX) p.n = r->req->query_at;
-  return p;
+  mt_bytes_t target = mt_http_exchange_target(r->exchange);
+  const char *query = memchr(target.p, '?', target.n);
+  if (query != NULL) target.n = (size_t)(query - target.p);
+  return target;
 }
 
 mt_bytes_t mtB_query (const mt_webreq_t *r) {
-  mt_bytes_t p = bytes(r->req->path);
-  if (r->req->query_at == SIZE_MAX) return (mt_bytes_t){"", 0};
-  return (mt_bytes_t){p.p + r->req->query_at + 1, p.n - r->req->query_at - 1};
+  mt_bytes_t target = mt_http_exchange_target(r->exchange);
+  size_t path = mtB_path(r).n;
+  if (path == target.n) return (mt_bytes_t){"", 0};
+  return (mt_bytes_t){target.p + path + 1, target.n - path - 1};
 }
 
 mt_bytes_t mtB_body (const mt_webreq_t *r) {
-  return bytes(r->req->entity);
+  return mt_http_exchange_body(r->exchange);
 }
 
 mt_bytes_t mtB_header (const mt_webreq_t *r, const char *name) {
-  const h2o_headers_t *hs = &r->req->headers;
-  size_t n = strlen(name);
-  for (size_t i = 0; i < hs->size; i++) {
-    const h2o_header_t *h = &hs->entries[i];
-    if (h->name->len == n && memcmp(h->name->base, name, n) == 0)
-      return bytes(h->value);
-  }
-  return (mt_bytes_t){"", 0};
+  return mt_http_headers_find(mt_http_exchange_headers(r->exchange), name);
 }
 
 bool mtB_param (const mt_webreq_t *r, const char *name, char *out,
@@ -263,36 +180,30 @@
   r->drained = drained;
 }
 
+/* Whoever leaves is noticed at once: its exchange is over then. */
 bool mtB_left (const mt_webreq_t *r) {
-  h2o_socket_t *sock = r->req->conn->callbacks->get_socket(r->req->conn);
-  if (sock == NULL) return false;
-  char c;
-  int fd = h2o_socket_get_fd(sock);
-  return fd >= 0 && recv(fd, &c, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+  return r->exchange == NULL;
 }
 
 /* }== */
 
 /* {== Listener ========================================================= */
 
-uint16_t mtB_port (const mt_web_t *web) {
-  return web->port;
+static const mt_http_server_handler_t handler = {
+    .request = on_request, .gone = on_gone, .drained = on_drained};
+
+static void on_tick (uv_timer_t *timer) {
+  mt_web_t *web = timer->data;
+  mt_http_server_tick(web->server);
+  while (web->ended != NULL) {
+    mt_webreq_t *r = web->ended;
+    web->ended = r->next;
+    free(r);
+  }
 }
 
-static int listenon (mt_web_t *web, uv_loop_t *loop, const char *ip,
-                     uint16_t port) {
-  struct sockaddr_in a;
-  int len = sizeof a;
-  uv_tcp_init(loop, &web->listener);
-  web->listener.data = web;
-  int rc = uv_ip4_addr(ip, port, &a);
-  if (rc == 0) rc = uv_tcp_bind(&web->listener, (struct sockaddr *)&a, 0);
-  if (rc == 0)
-    rc = uv_listen((uv_stream_t *)&web->listener, BACKLOG, onconnection);
-  if (rc == 0)
-    rc = uv_tcp_getsockname(&web->listener, (struct sockaddr *)&a, &len);
-  web->port = ntohs(a.sin_port);
-  return rc;
+uint16_t mtB_port (const mt_web_t *web) {
+  return web->port;
 }
 
 mt_web_t *mtB_open (uv_loop_t *loop, const char *ip, uint16_t port,
@@ -300,31 +211,23 @@
   mt_web_t *web = mtV_new(sizeof *web);
   web->fn = fn;
   web->ud = ud;
-  int rc = listenon(web, loop, ip, port);
-  if (rc != 0) {
-    snprintf(reason, size, "cannot listen on %s:%u: %s", ip, port,
-             uv_strerror(rc));
-    return NULL; /* the handle still belongs to the loop, which now ends */
+  web->server =
+      mt_http_server_open(loop, ip, port, &handler, web, reason, size);
+  if (web->server == NULL) {
+    free(web);
+    return NULL;
   }
-  h2o_config_init(&web->config);
-  web->config.server_name = h2o_iovec_init(H2O_STRLIT("martentiller"));
-  web->config.max_request_entity_size = 4 * (size_t)MT_BODY_MAX;
-  web->config.http1.req_timeout = IDLE_MS;
-  h2o_hostconf_t *host = h2o_config_register_host(
-      &web->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
-  h2o_pathconf_t *path = h2o_config_register_path(host, "/", 0);
-  handler_t *h = (handler_t *)h2o_create_handler(path, sizeof *h);
-  h->super.on_req = onrequest;
-  h->web = web;
-  h2o_context_init(&web->ctx, loop, &web->config);
-  web->accept.ctx = &web->ctx;
-  web->accept.hosts = web->config.hosts;
+  web->port = mt_http_server_port(web->server);
+  mt_http_server_limits(web->server, &limits);
+  uv_timer_init(loop, &web->tick);
+  web->tick.data = web;
+  uv_timer_start(&web->tick, on_tick, TICK_MS, TICK_MS);
+  uv_unref((uv_handle_t *)&web->tick);
   return web;
 }
 
 void mtB_close (mt_web_t *web) {
-  if (!uv_is_closing((uv_handle_t *)&web->listener))
-    uv_close((uv_handle_t *)&web->listener, NULL);
+  mt_http_server_stop(web->server);
 }
 
 /* }== */
--- a/src/mtweb.h
+++ b/src/mtweb.h
@@ -1,5 +1,5 @@
 /*
-** mtweb.h - an HTTP listener, on h2o over libuv
+** mtweb.h - an HTTP listener for callers and operators, on src/net
 */
 #ifndef mtweb_h
 #define mtweb_h
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -177,6 +177,7 @@
   }
 }
 
+/* Writes what the system takes at once; the rest is written later. */
 static void flush (mt_http_exchange_t *x) {
   unlink_dirty(x);
   size_t done = 0;
@@ -191,6 +192,8 @@
   }
   if (done < x->out.n) write_later(x, x->out.p + done, x->out.n - done);
   x->out.n = 0;
+  if (!x->closing && x->writing == 0 && x->told)
+    x->server->handler.drained(x->server->ud, x);
   if (!x->closing) settle(x);
 }
 
@@ -385,6 +388,7 @@
 }
 
 mt_bytes_t mt_http_exchange_body (const mt_http_exchange_t *x) {
+  if (x->body.n == 0) return (mt_bytes_t){"", 0};
   return (mt_bytes_t){x->body.p, x->body.n};
 }
 
@@ -554,9 +558,17 @@
   uv_close((uv_handle_t *)&server->flusher, on_server_closed);
 }
 
+void mt_http_server_stop (mt_http_server_t *server) {
+  if (!uv_is_closing((uv_handle_t *)&server->listener))
+    uv_close((uv_handle_t *)&server->listener, NULL);
+}
+
 void mt_http_server_close (mt_http_server_t *server) {
   while (server->all != NULL) close_connection(server->all);
-  uv_close((uv_handle_t *)&server->listener, on_listener_closed);
+  if (uv_is_closing((uv_handle_t *)&server->listener))
+    on_listener_closed((uv_handle_t *)&server->listener);
+  else
+    uv_close((uv_handle_t *)&server->listener, on_listener_closed);
 }
 
 /* }== */
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -30,7 +30,7 @@
   void (*request)(void *ud, mt_http_exchange_t *exchange);
   /* The caller left before its answer was through; never used again. */
   void (*gone)(void *ud, mt_http_exchange_t *exchange);
-  /* The backlog of a slow caller has fallen to nothing. */
+  /* All that was written has been handed to the system. */
   void (*drained)(void *ud, mt_http_exchange_t *exchange);
 } mt_http_server_handler_t;
 
@@ -50,6 +50,9 @@
 /* Closes the connections that hold no request and no part of one. */
 void mt_http_server_close_idle (mt_http_server_t *server);
 
+/* Takes no more connections; those at hand are finished. */
+void mt_http_server_stop (mt_http_server_t *server);
+
 /* Enforces the time limits; to be called some times a second. */
 void mt_http_server_tick (mt_http_server_t *server);
 
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -352,7 +352,7 @@
             403);
 }
 
-// h2o takes a connection that closes between two chunks for a whole answer.
+// An engine may break off between two chunks, in the ordinary way.
 TEST(Fleet, AStreamThatItsEngineCutsOffIsNotPassedOnAsWhole) {
   Lab f(spec(1, 1, 1));
   bb_load_t *L = bb_load(f.lab, 1);
