--- /dev/null
+++ b/tests/gateway_world.h
@@ -0,0 +1,420 @@
+// gateway_world.h - a gateway's surroundings, by hand: callers, engines,
+// store.
+#ifndef tests_gateway_world_h
+#define tests_gateway_world_h
+
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <openssl/evp.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstring>
+#include <fstream>
+#include <functional>
+#include <list>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace {
+
+// {== Sockets by hand ======================================================
+
+// A connection; `in` holds what came and was not taken.
+struct Conn {
+  int fd;
+  std::string in;
+  bool closed = false, reset = false;
+  bool answered = false; // before the body was there
+  void *listener = nullptr;
+
+  void send (const std::string &text) {
+    for (size_t at = 0; at < text.size();) {
+      ssize_t n =
+          ::send(fd, text.data() + at, text.size() - at, MSG_NOSIGNAL);
+      if (n <= 0) return;
+      at += (size_t)n;
+    }
+  }
+  void close () {
+    if (fd >= 0) ::close(fd);
+    fd = -1;
+    closed = true;
+  }
+  void abort () { // ends with a reset
+    struct linger l = {1, 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &l, sizeof l);
+    close();
+  }
+};
+
+struct Request {
+  std::string head, body;
+  std::string field (const std::string &name) const {
+    size_t at = head.find("\r\n" + name + ": ");
+    if (at == std::string::npos) return "";
+    at += name.size() + 4;
+    return head.substr(at, head.find("\r\n", at) - at);
+  }
+  std::string line () const {
+    return head.substr(0, head.find("\r\n"));
+  }
+};
+
+using Handler = std::function<void(Conn &, const Request &)>;
+
+struct Listener {
+  int fd, port;
+  Handler handler;
+  int taken = 0; // connections
+  Handler early; // called as soon as a head is there, before its body
+};
+
+std::string encode (const std::string &text) {
+  std::string out((text.size() + 2) / 3 * 4 + 1, '\0');
+  int n =
+      EVP_EncodeBlock((unsigned char *)out.data(),
+                      (const unsigned char *)text.data(), (int)text.size());
+  out.resize((size_t)n);
+  return out;
+}
+
+std::string answer (int status, const std::string &fields,
+                    const std::string &body) {
+  return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + fields +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+sockaddr_in loopback (int port) {
+  sockaddr_in a{};
+  a.sin_family = AF_INET;
+  a.sin_port = htons((uint16_t)port);
+  inet_pton(AF_INET, "127.0.0.1", &a.sin_addr);
+  return a;
+}
+
+// }==
+
+// {== The world around one gateway =========================================
+
+struct Item {
+  std::string value;
+  long rev;
+};
+
+struct World {
+  std::list<Conn> conns;
+  std::list<Listener> listeners;
+  std::map<std::string, Item> items;
+  long rev = 10;
+  struct Watch {
+    Conn *conn;
+    std::string prefix;
+    long since;
+  };
+  std::vector<Watch> watches;
+  Listener *store;
+  pid_t pid = -1;
+  int out = -1;
+  std::string log, dir;
+  int callers = 0, ready = 0, metrics = 0;
+
+  World() {
+    char name[] = "/tmp/mt-gateway-XXXXXX";
+    dir = mkdtemp(name);
+    store = listen([this] (Conn &c, const Request &r) { serve_store(c, r); });
+    put("op/config", config(7, "key-w1"));
+  }
+  ~World() {
+    if (pid > 0) {
+      kill(pid, SIGKILL);
+      waitpid(pid, nullptr, 0);
+    }
+    for (Conn &c : conns) c.close();
+    for (Listener &l : listeners) ::close(l.fd);
+    if (out >= 0) ::close(out);
+    unlink((dir + "/settings.json").c_str());
+    rmdir(dir.c_str());
+  }
+  World(const World &) = delete;
+
+  static std::string config (int version, const std::string &key,
+                             const std::string &more = "") {
+    return "{\"version\":" + std::to_string(version) +
+           ",\"routes\":["
+           "{\"name\":\"a\",\"host\":\"h.example\",\"path_prefix\":\"/safe/\","
+           "\"route_kind\":\"safe\",\"timeout_ms\":3000,\"goal_ms\":500,"
+           "\"service\":\"plain\",\"max_attempts\":2},"
+           "{\"name\":\"b\",\"host\":\"h.example\",\"path_prefix\":\"/once/\","
+           "\"route_kind\":\"unsafe\",\"timeout_ms\":3000,\"goal_ms\":500,"
+           "\"service\":\"plain\",\"max_attempts\":1},"
+           "{\"name\":\"c\",\"host\":\"h.example\",\"path_prefix\":\"/gen/\","
+           "\"route_kind\":\"stream\",\"timeout_ms\":9000,\"goal_ms\":900,"
+           "\"resumable\":true,\"gap_aim_ms\":500,\"sticky\":true,"
+           "\"service\":\"model\",\"max_attempts\":2}" +
+           more +
+           "],\"services\":[{\"name\":\"plain\",\"max_conns\":50},"
+           "{\"name\":\"model\",\"max_conns\":50,\"engine\":{\"slots\":8,"
+           "\"kv_tokens\":90000}}],\"limits\":{\"max_header_bytes\":4096,"
+           "\"max_body_bytes\":100000,\"header_timeout_ms\":3000,"
+           "\"idle_timeout_ms\":15000,\"tokens_per_s\":100000},"
+           "\"tenants\":[{\"name\":\"w1\",\"api_keys\":[\"" +
+           key + "\"]}]}";
+  }
+
+  Listener *listen (Handler handler) {
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in a = loopback(0);
+    bind(fd, (sockaddr *)&a, sizeof a);
+    ::listen(fd, 64);
+    socklen_t n = sizeof a;
+    getsockname(fd, (sockaddr *)&a, &n);
+    listeners.push_back({fd, ntohs(a.sin_port), handler, 0, nullptr});
+    return &listeners.back();
+  }
+  Conn *connect (int port) {
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in a = loopback(port);
+    if (::connect(fd, (sockaddr *)&a, sizeof a) != 0) {
+      ::close(fd);
+      return nullptr;
+    }
+    conns.push_back({fd, ""});
+    return &conns.back();
+  }
+  void engine (const std::string &id, const std::string &service,
+               const Listener *l, const char *state = "ready") {
+    put("servers/" + id,
+        "{\"service\":\"" + service +
+            "\",\"addr\":\"127.0.0.1:" + std::to_string(l->port) +
+            "\",\"zone\":\"d1\",\"slots\":8,\"state\":\"" + state + "\"}");
+  }
+
+  // Sockets that are ready are read; whole requests go to their handlers.
+  void pump () {
+    std::vector<pollfd> fds;
+    std::vector<void *> owners;
+    for (Listener &l : listeners) {
+      fds.push_back({l.fd, POLLIN, 0});
+      owners.push_back(&l);
+    }
+    size_t first = fds.size();
+    for (Conn &c : conns) {
+      if (c.fd < 0) continue;
+      fds.push_back({c.fd, POLLIN, 0});
+      owners.push_back(&c);
+    }
+    if (out >= 0) fds.push_back({out, POLLIN, 0});
+    poll(fds.data(), fds.size(), 20);
+    for (size_t i = 0; i < first; i++)
+      if (fds[i].revents) accept_one(*(Listener *)owners[i]);
+    for (size_t i = first; i < owners.size(); i++)
+      if (fds[i].revents) read_one(*(Conn *)owners[i]);
+    if (out >= 0 && fds.back().revents) read_log();
+  }
+  void accept_one (Listener &l) {
+    int fd = accept(l.fd, nullptr, nullptr);
+    if (fd < 0) return;
+    l.taken++;
+    conns.push_back({fd, ""});
+    conns.back().listener = &l;
+  }
+  void read_one (Conn &c) {
+    char buf[65536];
+    if (c.fd < 0) return;
+    ssize_t n = recv(c.fd, buf, sizeof buf, 0);
+    if (n <= 0) {
+      c.reset = n < 0;
+      c.close();
+      return;
+    }
+    c.in.append(buf, (size_t)n);
+    if (c.listener == nullptr) return;
+    Listener *l = (Listener *)c.listener;
+    Request r;
+    size_t end = c.in.find("\r\n\r\n");
+    if (l->early && !c.answered && end != std::string::npos) {
+      r.head = c.in.substr(0, end + 2);
+      c.answered = true;
+      l->early(c, r);
+    }
+    while (c.fd >= 0 && take(c.in, r)) {
+      if (l->early && !c.answered) l->early(c, r);
+      l->handler(c, r);
+      c.answered = false;
+    }
+  }
+  void read_log () {
+    char buf[65536];
+    ssize_t n = read(out, buf, sizeof buf);
+    if (n > 0) {
+      log.append(buf, (size_t)n);
+      return;
+    }
+    ::close(out);
+    out = -1;
+  }
+  static bool take (std::string &in, Request &r) {
+    size_t end = in.find("\r\n\r\n");
+    if (end == std::string::npos) return false;
+    r.head = in.substr(0, end + 2);
+    std::string length = r.field("Content-Length");
+    size_t n = length.empty() ? 0 : std::stoul(length);
+    if (in.size() < end + 4 + n) return false;
+    r.body = in.substr(end + 4, n);
+    in.erase(0, end + 4 + n);
+    return true;
+  }
+
+  // Waits for a condition; the bound only ends a test that has failed.
+  bool until (const std::function<bool()> &cond) {
+    for (int i = 0; i < 1500; i++) {
+      if (cond()) return true;
+      pump();
+    }
+    return false;
+  }
+
+  // {== Store
+
+  std::string item (const std::string &key) {
+    const Item &i = items[key];
+    return "{\"key\":\"" + key + "\",\"value\":\"" + encode(i.value) +
+           "\",\"rev\":" + std::to_string(i.rev) + "}";
+  }
+  void serve_store (Conn &c, const Request &r) {
+    std::string line = r.line();
+    size_t at = line.find("path_prefix=") + 12;
+    std::string prefix = line.substr(at, line.find_first_of("& ", at) - at);
+    if (line.find("/-/kv-watch") != std::string::npos) {
+      at = line.find("since_rev=") + 10;
+      watches.push_back({&c, prefix, std::stol(line.substr(at))});
+      tell();
+      return;
+    }
+    std::string all;
+    for (auto &i : items)
+      if (i.first.compare(0, prefix.size(), prefix) == 0)
+        all += (all.empty() ? "" : ",") + item(i.first);
+    c.send(answer(200, "Content-Type: application/json\r\n",
+                  "{\"items\":[" + all + "],\"more\":false,\"at\":" +
+                      std::to_string(rev) + "}"));
+  }
+  void tell () {
+    for (size_t w = watches.size(); w-- > 0;) {
+      std::string all;
+      for (auto &i : items)
+        if (i.second.rev > watches[w].since &&
+            i.first.compare(0, watches[w].prefix.size(), watches[w].prefix) ==
+                0)
+          all += (all.empty() ? "" : ",") + item(i.first);
+      if (all.empty()) continue;
+      if (watches[w].conn->fd >= 0)
+        watches[w].conn->send(answer(
+            200, "",
+            "{\"events\":[" + all + "],\"at\":" + std::to_string(rev) + "}"));
+      watches.erase(watches.begin() + (long)w);
+    }
+  }
+  void put (const std::string &key, const std::string &value) {
+    items[key] = {value, ++rev};
+    tell();
+  }
+
+  // }==
+
+  // {== The gateway
+
+  void start (bool keep_log = true) {
+    std::string file = dir + "/settings.json";
+    std::ofstream(file)
+        << "{\"node\":\"g1\",\"domain\":\"d1\",\"callers\":\"127.0.0.1:0\","
+           "\"ready\":\"127.0.0.1:0\",\"metrics\":\"127.0.0.1:0\","
+           "\"peers\":\"127.0.0.1:0\",\"grace_ms\":8000,"
+           "\"log_lines_per_s\":100000,\"source\":{\"store\":\"127.0.0.1:"
+        << store->port << "\"}}";
+    int fds[2];
+    ASSERT_EQ(pipe(fds), 0);
+    fcntl(fds[1], F_SETPIPE_SZ, 4096);
+    const char *bin = getenv("MT_BIN");
+    std::string program = std::string(bin ? bin : "build") + "/martentiller";
+    pid = fork();
+    if (pid == 0) {
+      dup2(fds[1], 1);
+      execl(program.c_str(), program.c_str(), "gateway", "--settings",
+            file.c_str(), (char *)nullptr);
+      _exit(127);
+    }
+    ::close(fds[1]);
+    out = fds[0];
+    ASSERT_TRUE(until([&] { return log.find("event=start") != log.npos; }));
+    callers = port("callers=");
+    ready = port("ready=");
+    metrics = port("metrics=");
+    ASSERT_TRUE(until([&] { return ask_ready() == 200; }));
+    if (!keep_log) { // nobody reads it any more, nor is it closed
+      unread = out;
+      out = -1;
+    }
+  }
+  int unread = -1;
+  int port (const std::string &name) {
+    size_t at = log.find(name);
+    at = log.find(':', at) + 1;
+    return atoi(log.c_str() + at);
+  }
+  int ask_ready () {
+    Conn *c = connect(ready);
+    if (c == nullptr) return 0;
+    c->send("GET /-/readyz HTTP/1.1\r\nHost: x\r\n\r\n");
+    until([&] { return c->closed || c->in.find("\r\n\r\n") != c->in.npos; });
+    int status = status_of(c->in);
+    c->close();
+    return status;
+  }
+  static int status_of (const std::string &in) {
+    return in.size() > 12 ? atoi(in.c_str() + 9) : 0;
+  }
+  static std::string ask (const std::string &path, const std::string &id,
+                          const std::string &body = "",
+                          const std::string &fields = "",
+                          const std::string &key = "key-w1") {
+    return "POST " + path +
+           " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + id +
+           "\r\nX-Deadline-Ms: 3000\r\nAuthorization: Token " + key + "\r\n" +
+           fields + "Content-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+  }
+  // A whole exchange on a connection of its own, until its end.
+  std::string call (const std::string &text) {
+    Conn *c = connect(callers);
+    if (c == nullptr) return "";
+    c->send(text);
+    until([&] { return c->closed || whole(c->in); });
+    std::string in = c->in;
+    c->close();
+    return in;
+  }
+  static bool whole (const std::string &in) {
+    size_t end = in.find("\r\n\r\n");
+    if (end == std::string::npos) return false;
+    size_t at = in.find("Content-Length: ");
+    if (at != std::string::npos && at < end)
+      return in.size() >= end + 4 + (size_t)atoi(in.c_str() + at + 16);
+    if (in.find("chunked") < end)
+      return in.find("\r\n0\r\n\r\n", end) != std::string::npos;
+    return false;
+  }
+
+  // }==
+};
+
+} // namespace
+
+#endif
