--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -147,6 +147,12 @@
       g->engines, &endpoint, (mt_bytes_t){g->scratch.p, g->scratch.n},
       mt_http_exchange_body(p->exchange), fx->u.start.rested_ms, a);
   if (mt_http_call_is_sent(a->call)) tell_sent(a);
+  if (r != NULL) mt_gateway_peers_placed(g->peers, r);
+}
+
+static void do_ask (mt_gateway_t *g, const mt_relay_effect_t *fx) {
+  const mt_relay_request_t *r = mtV_get(&g->relay->requests, fx->request);
+  if (r != NULL) mt_gateway_peers_ask(g->peers, r);
 }
 
 static void do_data (passage_t *p, const mt_relay_effect_t *fx) {
@@ -161,6 +167,7 @@
   if (p == NULL) return;
   switch (fx->kind) {
     case MT_RELAY_DO_REFUSE: do_refuse(g, p, fx); break;
+    case MT_RELAY_DO_ASK: do_ask(g, fx); break;
     case MT_RELAY_DO_START: do_start(g, p, fx); break;
     case MT_RELAY_DO_CANCEL: end_attempt(p); break;
     case MT_RELAY_DO_HEAD:
@@ -180,7 +187,10 @@
   }
 }
 
-/* Effects are taken in order; only GONE_OUT, which has none, nests. */
+/*
+** Effects are taken in order. Only two events nest: GONE_OUT has no effects,
+** and those of QUOTED are of the one request that asked.
+*/
 static void step (mt_gateway_t *g, mt_relay_event_t *event) {
   mt_relay_effects_t effects = {0};
   event->now = uv_now(g->loop);
@@ -191,6 +201,14 @@
 
 /* }== */
 
+static void on_quoted (void *ud, uint64_t request,
+                       const mt_relay_quote_t *quotes, size_t count) {
+  mt_relay_event_t event = {.kind = MT_RELAY_QUOTED, .request = request};
+  event.u.quotes.list = quotes;
+  event.u.quotes.count = count;
+  step(ud, &event);
+}
+
 /* {== Callers ========================================================== */
 
 static mt_bytes_t path_of (mt_bytes_t target) {
@@ -419,6 +437,27 @@
   g->relay->unsure = unsure;
 }
 
+mt_peer_feed_t mt_gateway_feed (const mt_gateway_t *g, mt_feed_kind_t kind) {
+  return mt_gateway_peers_feed(g->peers, kind);
+}
+
+void mt_gateway_set_feed (mt_gateway_t *g, mt_feed_kind_t kind,
+                          int64_t newest, int64_t at) {
+  mt_gateway_peers_set_feed(g->peers, kind, newest, at);
+}
+
+void mt_gateway_set_source (mt_gateway_t *g, bool reachable) {
+  mt_gateway_peers_set_source(g->peers, reachable);
+}
+
+bool mt_gateway_watches (const mt_gateway_t *g) {
+  return mt_gateway_peers_watches(g->peers);
+}
+
+bool mt_gateway_leads (const mt_gateway_t *g) {
+  return mt_gateway_peers_leads(g->peers);
+}
+
 /* }== */
 
 /* {== Readiness and the clock ========================================== */
@@ -544,7 +583,8 @@
   g->metrics =
       listen_on(g, &settings->metrics, &metrics_handler, reason, size);
   if (g->metrics == NULL) return NULL;
-  g->peers = mt_gateway_peers_open(loop, settings, g->relay, g->log);
+  g->peers =
+      mt_gateway_peers_open(loop, settings, g->relay, g->log, on_quoted, g);
   uv_timer_init(loop, &g->tick);
   g->tick.data = g;
   uv_timer_start(&g->tick, on_tick, TICK_MS, TICK_MS);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -16,6 +16,7 @@
 #include "http_server.h"
 #include "log_writer.h"
 #include "mtset.h"
+#include "peer_message.h"
 
 typedef struct mt_gateway_t mt_gateway_t;
 
@@ -54,6 +55,19 @@
 /* Whether newer declarations may exist that cannot be seen from here. */
 void mt_gateway_set_unsure (mt_gateway_t *gateway, bool unsure);
 
+/*
+** The source of declarations, as this router and the others see it: what is
+** known of a feed; what the source said of it just now; whether it answers
+** here; whether this router is to watch it, and whether others rely on that.
+*/
+mt_peer_feed_t mt_gateway_feed (const mt_gateway_t *gateway,
+                                mt_feed_kind_t kind);
+void mt_gateway_set_feed (mt_gateway_t *gateway, mt_feed_kind_t kind,
+                          int64_t newest, int64_t at);
+void mt_gateway_set_source (mt_gateway_t *gateway, bool reachable);
+bool mt_gateway_watches (const mt_gateway_t *gateway);
+bool mt_gateway_leads (const mt_gateway_t *gateway);
+
 /* Takes no role any more, finishes what is at hand, then stops the loop. */
 void mt_gateway_stop (mt_gateway_t *gateway);
 
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -2,399 +2,537 @@
 ** gateway_peers.c - what routers tell each other, as datagrams
 */
 #include <arpa/inet.h>
-#include <msgpack.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "gateway_peers.h"
-#include "mtmsg.h"
+#include "load_teller.h"
 
-#define FORMAT_VERSION 1
-#define INTERVAL_MIN_MS 100 /* between two messages to a peer, at least */
-#define BYTES_PER_S 14000   /* sent to all peers together, at most */
+#define INTERVAL_MIN_MS 150 /* between two messages to a peer, at least */
+#define BYTES_PER_S 8000    /* of greetings and summaries together, at most */
 #define PROBE_MS 1000       /* between messages to who has not answered */
-#define SILENT_MS 800       /* what an older message said is left out */
-#define SILENT_PACES 3      /* or so many of the sender's intervals */
-#define LOST_MS 3000        /* no longer counted as a router */
-#define FORGET_MS 60000     /* an address is not tried any more */
-#define ADDRESSES_MAX 1024
-#define ADDRESSES_TOLD 8 /* of other routers, in each message */
-#define ENGINES_TOLD 320
-#define SHARES_TOLD 320
-#define DATAGRAM_MAX 16384
-#define MEMBERS 9      /* of a message */
-#define LOAD_NUMBERS 3 /* of an engine's row: key, unread, running */
-#define USE_NUMBERS 3  /* of its other row: key, held, read */
-#define WHOLE_EVERY 4  /* messages; the others leave out what can wait */
-#define PLACED_TOLD 24 /* in one message */
-
-/* What one router can claim at most. */
-#define TOKENS_MOST 1000000000
-#define RUNNING_MOST 1000000
-#define READ_MOST ((int64_t)1 << 52)
-#define PACE_MOST 60000 /* ms */
-
-typedef struct engine_row_t {
-  uint64_t key;
-  int64_t unread, held, read;
-  int32_t running;
-} engine_row_t;
-
-typedef struct share_row_t {
-  mt_id_t workspace;
-  mt_share_rates_t rates;
-} share_row_t;
-
-/* An address where a router is or may be, and what it said last. */
-typedef struct peer_t {
-  uint32_t ip; /* network order */
-  mt_ms_t known, heard, asked;
-  uint64_t boot, number;
-  mt_ms_t valid; /* what it said counts for so long */
-  engine_row_t engines[ENGINES_TOLD];
-  size_t engines_count;
-  share_row_t shares[SHARES_TOLD];
-  size_t shares_count;
-} peer_t;
+#define PACES_VALID 3       /* a message counts for so many paces */
+#define VALID_MIN_MS 1000   /* and for so long at least */
+#define ADDRESSES_TOLD 8    /* in a greeting, outside the own group */
+#define GROUPS_MAX 64
+#define ROW_VALID_MS 2500 /* a load that is not repeated */
+#define SHARE_LEAST 1.0   /* tokens a second; less is not told */
+
+/* What a group's members asked for and got, as one of them summed it up. */
+typedef struct group_sum_t {
+  mt_ms_t valid_until;
+  uint32_t groups; /* into how many groups routers were divided then */
+  mt_peer_share_t *shares;
+  size_t shares_count, shares_cap;
+} group_sum_t;
+
+/* What is known of a feed, and since when. */
+typedef struct feed_state_t {
+  int64_t newest, at;
+  mt_ms_t confirmed; /* 0: never */
+} feed_state_t;
 
 struct mt_gateway_peers_t {
   uv_loop_t *loop;
   uv_udp_t udp;
   mt_relay_t *relay;
   mt_log_writer_t *log;
-  uint32_t own_ip;
+  mt_gateway_quoted_t quoted;
+  void *ud;
   uint16_t port;
   uint64_t boot, number;
-  mt_map_t by_ip; /* peer_t, owned */
-  peer_t **list;
-  size_t count, cap, next_told;
+  mt_membership_t members;
+  mt_load_teller_t teller;
+  group_sum_t sums[GROUPS_MAX];
+  feed_state_t feeds[MT_FEEDS];
+  size_t next_told;
   mt_ms_t next_send, pace;
-  size_t last_size;
-  char input[DATAGRAM_MAX];
+  mt_peer_message_t in, out;
+  char input[MT_PEER_DATAGRAM_MAX], output[MT_PEER_DATAGRAM_MAX];
 };
 
-/* A router that said nothing for so long is no longer counted as one. */
-static mt_ms_t lost_after (const peer_t *peer) {
-  return mt_max(peer->valid, (mt_ms_t)LOST_MS);
-}
-
-/* {== Sums over peers ================================================== */
+/* {== Sending ========================================================== */
 
-/* Adds (sign 1) or takes off (sign -1) what a peer said. */
-static void count_rows (mt_gateway_peers_t *peers, const peer_t *peer,
-                        int sign) {
-  for (size_t i = 0; i < peer->engines_count; i++) {
-    const engine_row_t *row = &peer->engines[i];
-    mt_engine_t *e = mt_engines_get(&peers->relay->engines, row->key);
-    if (e == NULL) continue;
-    e->peers.unread += sign * row->unread;
-    e->peers.held += sign * row->held;
-    e->peers.running += sign * row->running;
-  }
-  for (size_t i = 0; i < peer->shares_count; i++) {
-    const share_row_t *row = &peer->shares[i];
-    mt_share_t *share =
-        mt_fair_share_get(&peers->relay->shares, row->workspace);
-    share->peers.asked += sign * row->rates.asked;
-    share->peers.served += sign * row->rates.served;
-  }
+static void say (mt_gateway_peers_t *peers, uint32_t ip,
+                 const char *outcome) {
+  char text[INET_ADDRSTRLEN];
+  inet_ntop(AF_INET, &ip, text, sizeof text);
+  mt_log_line(peers->log, MT_LOG_BELIEF, uv_now(peers->loop), "peer",
+              "peer=%s routers=%d outcome=%s", text, peers->members.live,
+              outcome);
 }
 
-/* Engines come and go between messages, so sums are made anew. */
-static void sum_up (mt_gateway_peers_t *peers) {
-  mt_relay_t *relay = peers->relay;
+static mt_peer_message_t *begin (mt_gateway_peers_t *peers,
+                                 mt_peer_kind_t kind) {
   mt_ms_t now = uv_now(peers->loop);
-  for (size_t i = 0; i < relay->engines.count; i++)
-    relay->engines.list[i]->peers = (mt_engine_load_t){0};
-  for (size_t i = 0; i < relay->shares.count; i++)
-    relay->shares.list[i]->peers = (mt_share_rates_t){0};
-  for (size_t i = 0; i < peers->count; i++) {
-    const peer_t *peer = peers->list[i];
-    if (peer->heard != 0 && now - peer->heard < peer->valid)
-      count_rows(peers, peer, 1);
+  mt_peer_message_begin(&peers->out, kind);
+  peers->out.boot = peers->boot;
+  peers->out.number = ++peers->number;
+  peers->out.pace = peers->pace;
+  peers->out.groups = peers->members.groups;
+  for (int i = 0; i < MT_FEEDS; i++) {
+    const feed_state_t *feed = &peers->feeds[i];
+    if (feed->confirmed == 0) continue;
+    peers->out.feeds[i] =
+        (mt_peer_feed_t){feed->newest, feed->at, now - feed->confirmed};
   }
+  return &peers->out;
 }
 
-/* }== */
+static void send_bytes (mt_gateway_peers_t *peers, uint32_t ip, size_t n) {
+  struct sockaddr_in addr = {.sin_family = AF_INET,
+                             .sin_port = htons(peers->port)};
+  addr.sin_addr.s_addr = ip;
+  uv_buf_t buf = uv_buf_init(peers->output, (unsigned)n);
+  uv_udp_try_send(&peers->udp, &buf, 1, (const struct sockaddr *)&addr);
+}
 
-/* {== Addresses ======================================================== */
+static size_t pack (mt_gateway_peers_t *peers) {
+  return mt_peer_message_pack(&peers->out, peers->output,
+                              sizeof peers->output);
+}
 
-static void say (mt_gateway_peers_t *peers, uint32_t ip,
-                 const char *outcome) {
-  char text[INET_ADDRSTRLEN];
-  inet_ntop(AF_INET, &ip, text, sizeof text);
-  mt_log_line(peers->log, MT_LOG_BELIEF, uv_now(peers->loop), "peer",
-              "peer=%s outcome=%s", text, outcome);
-}
-
-static peer_t *know (mt_gateway_peers_t *peers, uint32_t ip) {
-  if (ip == 0 || ip == peers->own_ip) return NULL;
-  peer_t *peer = mtV_get(&peers->by_ip, ip);
-  if (peer == NULL) {
-    if (peers->count >= ADDRESSES_MAX) return NULL;
-    peer = mtV_new(sizeof *peer);
-    peer->ip = ip;
-    mtV_put(&peers->by_ip, ip, peer);
-    *mtV_push(peers->list, peers->count, peers->cap) = peer;
-  }
-  peer->known = uv_now(peers->loop);
-  return peer;
+/* Sends the message that was begun; its size. */
+static size_t send_out (mt_gateway_peers_t *peers, uint32_t ip) {
+  size_t n = pack(peers);
+  if (n > 0) send_bytes(peers, ip, n);
+  return n;
 }
 
-static void forget (mt_gateway_peers_t *peers, size_t index) {
-  peer_t *peer = peers->list[index];
-  peers->list[index] = peers->list[--peers->count];
-  mtV_del(&peers->by_ip, peer->ip);
-  free(peer);
+static void add_member (mt_peer_message_t *m, uint32_t ip, mt_id_t domain,
+                        bool source) {
+  if (m->members_count >= MT_PEER_MEMBERS_MAX) return;
+  m->members[m->members_count++] = (mt_peer_member_t){ip, domain, source};
+}
+
+static void add_self (mt_gateway_peers_t *peers, mt_peer_message_t *m) {
+  const mt_membership_t *members = &peers->members;
+  add_member(m, members->own_ip, members->own_domain, members->own_source);
+}
+
+static void add_peer (mt_peer_message_t *m, const mt_peer_t *peer) {
+  add_member(m, peer->ip, peer->domain, peer->source);
+}
+
+/* Tells a router that has just come who else there is. */
+static void welcome (mt_gateway_peers_t *peers, uint32_t ip) {
+  mt_peer_message_t *m = begin(peers, MT_PEER_WELCOME);
+  add_self(peers, m);
+  for (size_t i = 0; i < peers->members.count; i++)
+    if (mt_membership_is_live(&peers->members, peers->members.list[i]))
+      add_peer(m, peers->members.list[i]);
+  send_out(peers, ip);
 }
 
 /* }== */
 
-/* {== Messages ========================================================= */
+/* {== Shares =========================================================== */
 
-static void pack_addresses (mt_gateway_peers_t *peers, msgpack_packer *pk) {
-  size_t n = mt_min(peers->count, (size_t)ADDRESSES_TOLD);
-  uint32_t told[ADDRESSES_TOLD];
-  size_t used = 0;
+static void add_rates (mt_gateway_peers_t *peers, const mt_peer_share_t *rows,
+                       size_t count) {
+  for (size_t i = 0; i < count; i++) {
+    mt_share_t *share =
+        mt_fair_share_get(&peers->relay->shares, rows[i].workspace);
+    share->peers.asked += rows[i].rates.asked;
+    share->peers.served += rows[i].rates.served;
+  }
+}
+
+static bool in_own_group (const mt_gateway_peers_t *peers, uint32_t ip) {
+  const mt_membership_t *members = &peers->members;
+  return mt_membership_group(members, ip) ==
+         mt_membership_group(members, members->own_ip);
+}
+
+/* What the routers of this one's group told, besides itself. */
+static void sum_group (mt_gateway_peers_t *peers) {
+  mt_fair_share_t *shares = &peers->relay->shares;
   mt_ms_t now = uv_now(peers->loop);
-  for (size_t i = 0; i < n; i++) {
-    const peer_t *peer = peers->list[peers->next_told++ % peers->count];
-    if (peer->heard != 0 && now - peer->heard < lost_after(peer))
-      told[used++] = peer->ip;
+  for (size_t i = 0; i < shares->count; i++)
+    shares->list[i]->peers = (mt_share_rates_t){0};
+  for (size_t i = 0; i < peers->members.count; i++) {
+    const mt_peer_t *peer = peers->members.list[i];
+    if (!in_own_group(peers, peer->ip)) continue;
+    if (now - peer->shares_heard < peer->valid)
+      add_rates(peers, peer->shares, peer->shares_count);
   }
-  msgpack_pack_array(pk, used);
-  for (size_t i = 0; i < used; i++) msgpack_pack_uint32(pk, told[i]);
-}
-
-static bool has_load (const mt_engine_t *e) {
-  return e->here.running > 0 || e->here.unread > 0;
-}
-
-static void pack_engines (const mt_relay_t *relay, msgpack_packer *pk) {
-  size_t n = 0;
-  for (size_t i = 0; i < relay->engines.count && n < ENGINES_TOLD; i++)
-    n += has_load(relay->engines.list[i]);
-  msgpack_pack_array(pk, n * LOAD_NUMBERS);
-  for (size_t i = 0; i < relay->engines.count && n > 0; i++) {
-    const mt_engine_t *e = relay->engines.list[i];
-    if (!has_load(e)) continue;
-    msgpack_pack_uint64(pk, e->key);
-    msgpack_pack_int64(pk, e->here.unread);
-    msgpack_pack_int32(pk, e->here.running);
-    n--;
+}
+
+static void sum_other_groups (mt_gateway_peers_t *peers) {
+  uint32_t own = mt_membership_group(&peers->members, peers->members.own_ip);
+  mt_ms_t now = uv_now(peers->loop);
+  for (uint32_t i = 0; i < peers->members.groups && i < GROUPS_MAX; i++) {
+    const group_sum_t *sum = &peers->sums[i];
+    if (i == own || sum->valid_until <= now) continue;
+    if (sum->groups == peers->members.groups)
+      add_rates(peers, sum->shares, sum->shares_count);
   }
 }
 
-/* What changes more slowly: memory held, and all that was read so far. */
-static void pack_use (const mt_relay_t *relay, msgpack_packer *pk) {
-  size_t n = mt_min(relay->engines.count, (size_t)ENGINES_TOLD);
-  msgpack_pack_array(pk, n * USE_NUMBERS);
-  for (size_t i = 0; i < n; i++) {
-    const mt_engine_t *e = relay->engines.list[i];
-    msgpack_pack_uint64(pk, e->key);
-    msgpack_pack_int64(pk, e->here.held);
-    msgpack_pack_int64(pk, e->read);
+/* Own rates alone, or with those of the group. */
+static void pack_shares (mt_gateway_peers_t *peers, mt_peer_message_t *m,
+                         bool whole_group) {
+  const mt_fair_share_t *shares = &peers->relay->shares;
+  for (size_t i = 0; i < shares->count; i++) {
+    const mt_share_t *share = shares->list[i];
+    mt_share_rates_t rates = share->here;
+    if (whole_group) {
+      rates.asked += share->peers.asked;
+      rates.served += share->peers.served;
+    }
+    if (rates.asked < SHARE_LEAST && rates.served < SHARE_LEAST) continue;
+    if (m->shares_count >= MT_PEER_SHARES_MAX) return;
+    m->shares[m->shares_count++] = (mt_peer_share_t){share->workspace, rates};
   }
 }
 
-static void pack_shares (const mt_relay_t *relay, msgpack_packer *pk) {
-  size_t n = 0;
-  for (size_t i = 0; i < relay->shares.count && n < SHARES_TOLD; i++)
-    n += relay->shares.list[i]->here.asked >= 1;
-  msgpack_pack_array(pk, n * 3);
-  for (size_t i = 0; i < relay->shares.count && n > 0; i++) {
-    const mt_share_t *s = relay->shares.list[i];
-    if (s->here.asked < 1) continue;
-    msgpack_pack_uint32(pk, s->workspace);
-    msgpack_pack_uint64(pk, (uint64_t)s->here.asked);
-    msgpack_pack_uint64(pk, (uint64_t)s->here.served);
-    n--;
+static void keep_shares (mt_peer_share_t **to, size_t *count, size_t *cap,
+                         const mt_peer_message_t *m) {
+  if (*cap < m->shares_count) {
+    *to = realloc(*to, m->shares_count * sizeof **to);
+    if (*to == NULL) abort();
+    *cap = m->shares_count;
   }
+  if (m->shares_count > 0)
+    memcpy(*to, m->shares, m->shares_count * sizeof **to);
+  *count = m->shares_count;
 }
 
-/* Each as engine, number of parts, then each part's hash and tokens. */
-static void pack_placed (mt_relay_t *relay, msgpack_packer *pk) {
-  size_t n = mt_min(relay->placed_count, (size_t)PLACED_TOLD), numbers = 0;
-  for (size_t i = 0; i < n; i++)
-    numbers += 2 + 2 * relay->placed[i].parts_count;
-  msgpack_pack_array(pk, numbers);
+/* }== */
+
+/* {== Greetings and summaries ========================================== */
+
+/* Some others in turn, so that nobody stays unknown. */
+static void pack_others (mt_gateway_peers_t *peers, mt_peer_message_t *m) {
+  size_t n = mt_min(peers->members.count, (size_t)ADDRESSES_TOLD);
   for (size_t i = 0; i < n; i++) {
-    const mt_relay_placed_t *placed = &relay->placed[i];
-    msgpack_pack_uint64(pk, placed->engine);
-    msgpack_pack_uint64(pk, placed->parts_count);
-    for (size_t k = 0; k < placed->parts_count; k++) {
-      msgpack_pack_uint64(pk, placed->parts[k].id);
-      msgpack_pack_int64(pk, placed->parts[k].tokens);
-    }
+    const mt_peer_t *peer =
+        peers->members.list[peers->next_told++ % peers->members.count];
+    if (mt_membership_is_live(&peers->members, peer)) add_peer(m, peer);
+  }
+}
+
+/* To the own group; now and then to addresses where nobody answers. */
+static size_t greet (mt_gateway_peers_t *peers) {
+  mt_ms_t now = uv_now(peers->loop);
+  size_t bytes = 0;
+  mt_peer_message_t *m = begin(peers, MT_PEER_HELLO);
+  add_self(peers, m);
+  pack_others(peers, m);
+  pack_shares(peers, m, false);
+  size_t n = pack(peers);
+  for (size_t i = 0; i < peers->members.count && n > 0; i++) {
+    mt_peer_t *peer = peers->members.list[i];
+    bool live = mt_membership_is_live(&peers->members, peer);
+    if (live && !in_own_group(peers, peer->ip)) continue;
+    if (!live && now - peer->probed < PROBE_MS) continue;
+    peer->probed = now;
+    if (live) bytes += n;
+    send_bytes(peers, peer->ip, n);
+  }
+  return bytes;
+}
+
+/* The own group's sum, to those of other groups that hear it from here. */
+static size_t summarize (mt_gateway_peers_t *peers) {
+  size_t bytes = 0;
+  mt_peer_message_t *m = begin(peers, MT_PEER_SUMMARY);
+  m->group = mt_membership_group(&peers->members, peers->members.own_ip);
+  add_self(peers, m);
+  for (size_t i = 0; i < peers->members.count; i++) {
+    const mt_peer_t *peer = peers->members.list[i];
+    if (in_own_group(peers, peer->ip) && peer->heard != 0 &&
+        uv_now(peers->loop) - peer->heard < peer->valid)
+      add_peer(m, peer);
   }
-  relay->placed_count -= n;
-  memmove(relay->placed, relay->placed + n,
-          relay->placed_count * sizeof *relay->placed);
-}
-
-static void pack (mt_gateway_peers_t *peers, msgpack_sbuffer *out) {
-  msgpack_packer pk;
-  msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
-  msgpack_pack_array(&pk, MEMBERS);
-  msgpack_pack_int(&pk, FORMAT_VERSION);
-  msgpack_pack_uint64(&pk, peers->boot);
-  msgpack_pack_uint64(&pk, ++peers->number);
-  msgpack_pack_uint64(&pk, peers->pace);
-  pack_addresses(peers, &pk);
-  pack_engines(peers->relay, &pk);
-  pack_placed(peers->relay, &pk);
-  if (peers->number % WHOLE_EVERY == 0) {
-    pack_shares(peers->relay, &pk);
-    pack_use(peers->relay, &pk);
-  } else {
-    msgpack_pack_array(&pk, 0);
-    msgpack_pack_array(&pk, 0);
+  pack_shares(peers, m, true);
+  size_t n = pack(peers);
+  for (size_t i = 0; i < peers->members.count && n > 0; i++) {
+    const mt_peer_t *peer = peers->members.list[i];
+    if (in_own_group(peers, peer->ip)) continue;
+    if (!mt_membership_is_live(&peers->members, peer)) continue;
+    if (!mt_membership_tells(&peers->members, peer->ip)) continue;
+    send_bytes(peers, peer->ip, n);
+    bytes += n;
   }
+  return bytes;
 }
 
-static uint64_t number_of (const msgpack_object *o) {
-  if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER) return 0;
-  return o->via.u64;
+/* }== */
+
+/* {== The source of declarations ======================================= */
+
+mt_peer_feed_t mt_gateway_peers_feed (const mt_gateway_peers_t *peers,
+                                      mt_feed_kind_t kind) {
+  const feed_state_t *feed = &peers->feeds[kind];
+  mt_peer_feed_t known = {feed->newest, feed->at, UINT32_MAX};
+  if (feed->confirmed != 0) known.age = uv_now(peers->loop) - feed->confirmed;
+  return known;
+}
+
+/* Takes what is newer; true when the feed has changed. */
+static bool merge_feed (feed_state_t *feed, int64_t newest, int64_t at,
+                        mt_ms_t confirmed) {
+  bool changed = newest > feed->newest;
+  if (at > feed->at) feed->at = at;
+  if (changed) feed->newest = newest;
+  feed->confirmed = mt_max(feed->confirmed, confirmed);
+  return changed;
+}
+
+/* Tells the routers of the own failure domain. */
+static void tell_news (mt_gateway_peers_t *peers) {
+  const mt_membership_t *members = &peers->members;
+  begin(peers, MT_PEER_NEWS);
+  size_t n = pack(peers);
+  for (size_t i = 0; i < members->count; i++) {
+    const mt_peer_t *peer = members->list[i];
+    if (peer->domain != members->own_domain) continue;
+    if (mt_membership_is_live(members, peer)) send_bytes(peers, peer->ip, n);
+  }
 }
 
-/* Numbers out of a datagram that anybody may have sent: none is larger. */
-static int64_t bounded (const msgpack_object *o, int64_t most) {
-  uint64_t number = number_of(o);
-  return number > (uint64_t)most ? most : (int64_t)number;
+void mt_gateway_peers_set_feed (mt_gateway_peers_t *peers,
+                                mt_feed_kind_t kind, int64_t newest,
+                                int64_t at) {
+  mt_ms_t now = uv_now(peers->loop);
+  if (merge_feed(&peers->feeds[kind], newest, at, now) &&
+      mt_gateway_peers_watches(peers))
+    tell_news(peers);
 }
 
-/* The peer's row of an engine; `hint` is where it probably is. */
-static engine_row_t *row_of (peer_t *peer, uint64_t key, size_t hint) {
-  for (size_t i = 0; i < peer->engines_count; i++) {
-    engine_row_t *row = &peer->engines[(hint + i) % peer->engines_count];
-    if (row->key == key) return row;
-  }
-  if (peer->engines_count == ENGINES_TOLD) return NULL;
-  engine_row_t *row = &peer->engines[peer->engines_count++];
-  *row = (engine_row_t){.key = key, .read = -1};
-  return row;
-}
-
-/* Rows that are not told have no load. */
-static void take_load (peer_t *peer, const msgpack_object_array *rows) {
-  for (size_t i = 0; i < peer->engines_count; i++)
-    peer->engines[i].unread = peer->engines[i].running = 0;
-  for (uint32_t i = 0; i + LOAD_NUMBERS <= rows->size; i += LOAD_NUMBERS) {
-    const msgpack_object *at = &rows->ptr[i];
-    engine_row_t *row = row_of(peer, number_of(&at[0]), i / LOAD_NUMBERS);
-    if (row == NULL) return;
-    row->unread = bounded(&at[1], TOKENS_MOST);
-    row->running = (int32_t)bounded(&at[2], RUNNING_MOST);
+void mt_gateway_peers_set_source (mt_gateway_peers_t *peers, bool reachable) {
+  peers->members.own_source = reachable;
+}
+
+bool mt_gateway_peers_watches (const mt_gateway_peers_t *peers) {
+  return mt_membership_watches(&peers->members);
+}
+
+bool mt_gateway_peers_leads (const mt_gateway_peers_t *peers) {
+  return mt_membership_leads(&peers->members);
+}
+
+static void take_feeds (mt_gateway_peers_t *peers,
+                        const mt_peer_message_t *m) {
+  mt_ms_t now = uv_now(peers->loop);
+  for (int i = 0; i < MT_FEEDS; i++) {
+    const mt_peer_feed_t *told = &m->feeds[i];
+    if (told->at == 0 || told->age > now) continue;
+    merge_feed(&peers->feeds[i], told->newest, told->at, now - told->age);
   }
 }
 
-/* Engines' clocks move on by what the peer had read since it last told. */
-static void take_use (mt_gateway_peers_t *peers, peer_t *peer,
-                      const msgpack_object_array *rows) {
-  for (uint32_t i = 0; i + USE_NUMBERS <= rows->size; i += USE_NUMBERS) {
-    const msgpack_object *at = &rows->ptr[i];
-    engine_row_t *row = row_of(peer, number_of(&at[0]), i / USE_NUMBERS);
-    if (row == NULL) return;
-    int64_t read = bounded(&at[2], READ_MOST);
-    mt_engine_t *e = mt_engines_get(&peers->relay->engines, row->key);
-    if (e != NULL && row->read >= 0 && read > row->read)
-      e->kept.clock += read - row->read;
-    row->held = bounded(&at[1], TOKENS_MOST);
-    row->read = read;
+/* }== */
+
+/* {== Loads and quotes ================================================= */
+
+static uint32_t keeper_of (const mt_gateway_peers_t *peers,
+                           const mt_engine_t *e) {
+  mt_id_t domain = e->domain ? mtV_id(e->domain, strlen(e->domain)) : 0;
+  return mt_membership_keeper(&peers->members, e->key, domain);
+}
+
+static void pack_load (mt_gateway_peers_t *peers, mt_peer_message_t *m,
+                       mt_engine_t *e) {
+  m->engines[m->engines_count++] =
+      (mt_peer_engine_t){e->key, e->here, e->read};
+  e->untold = false;
+  e->told = uv_now(peers->loop);
+}
+
+void mt_gateway_peers_placed (mt_gateway_peers_t *peers,
+                              const mt_relay_request_t *r) {
+  if (r->engine == NULL) return;
+  uint32_t keeper = keeper_of(peers, r->engine);
+  if (keeper == peers->members.own_ip) return;
+  mt_peer_message_t *m = begin(peers, MT_PEER_LOAD);
+  pack_load(peers, m, r->engine);
+  m->parts_count = r->parts_count;
+  memcpy(m->parts, r->parts, r->parts_count * sizeof *r->parts);
+  send_out(peers, keeper);
+}
+
+/* Sends rows that go to one keeper. */
+static void tell_loads (void *ud, uint32_t keeper, mt_engine_t **engines,
+                        size_t count) {
+  mt_gateway_peers_t *peers = ud;
+  mt_peer_message_t *m = begin(peers, MT_PEER_LOAD);
+  for (size_t i = 0; i < count; i++) pack_load(peers, m, engines[i]);
+  if (keeper != peers->members.own_ip) send_out(peers, keeper);
+}
+
+static uint32_t find_keeper (void *ud, const mt_engine_t *e) {
+  return keeper_of(ud, e);
+}
+
+static void ask_keeper (mt_gateway_peers_t *peers, uint32_t keeper,
+                        const mt_relay_request_t *r) {
+  mt_peer_t *peer = mt_membership_know(&peers->members, keeper);
+  if (peer == NULL || peers->out.engines_count == 0) return;
+  peers->out.token = r->number;
+  peers->out.parts_count = r->parts_count;
+  memcpy(peers->out.parts, r->parts, r->parts_count * sizeof *r->parts);
+  if (peer->asked == 0) peer->asked = uv_now(peers->loop);
+  send_out(peers, keeper);
+}
+
+void mt_gateway_peers_ask (mt_gateway_peers_t *peers,
+                           const mt_relay_request_t *r) {
+  uint32_t keepers[MT_RELAY_CANDIDATES_MAX];
+  mt_relay_quote_t own[MT_RELAY_CANDIDATES_MAX];
+  size_t own_count = 0, first = r->round_first, end = r->candidates_count;
+  for (size_t i = first; i < end; i++) {
+    uint64_t key = r->candidates[i].engine;
+    const mt_engine_t *e = mt_engines_get(&peers->relay->engines, key);
+    keepers[i] = e ? keeper_of(peers, e) : 0;
+    if (keepers[i] == peers->members.own_ip)
+      own[own_count++] =
+          mt_relay_quote(peers->relay, key, 0, r->parts, r->parts_count);
+  }
+  for (size_t i = first; i < end; i++) {
+    uint32_t keeper = keepers[i];
+    if (keeper == 0 || keeper == peers->members.own_ip) continue;
+    mt_peer_message_t *m = begin(peers, MT_PEER_ASK);
+    for (size_t k = i; k < end; k++) {
+      if (keepers[k] != keeper) continue;
+      m->engines[m->engines_count++].key = r->candidates[k].engine;
+      keepers[k] = 0;
+    }
+    ask_keeper(peers, keeper, r);
+  }
+  if (own_count > 0) peers->quoted(peers->ud, r->number, own, own_count);
+}
+
+static void on_ask (mt_gateway_peers_t *peers, uint32_t ip,
+                    const mt_peer_message_t *ask) {
+  mt_peer_message_t *m = begin(peers, MT_PEER_QUOTE);
+  m->token = ask->token;
+  for (size_t i = 0; i < ask->engines_count; i++) {
+    mt_relay_quote_t quote = mt_relay_quote(peers->relay, ask->engines[i].key,
+                                            ip, ask->parts, ask->parts_count);
+    m->engines[m->engines_count++] =
+        (mt_peer_engine_t){quote.engine, quote.peers, quote.kept};
   }
+  send_out(peers, ip);
 }
 
-/* Drops the rows of engines that are no longer known. */
-static void drop_rows (mt_gateway_peers_t *peers, peer_t *peer) {
-  for (size_t i = peer->engines_count; i-- > 0;)
-    if (mt_engines_get(&peers->relay->engines, peer->engines[i].key) == NULL)
-      peer->engines[i] = peer->engines[--peer->engines_count];
-}
-
-static void take_placed (mt_gateway_peers_t *peers,
-                         const msgpack_object_array *rows) {
-  uint32_t i = 0;
-  while (i + 2 <= rows->size) {
-    mt_relay_placed_t placed = {.engine = number_of(&rows->ptr[i])};
-    uint64_t n = number_of(&rows->ptr[i + 1]);
-    i += 2;
-    if (n > MT_RELAY_PARTS_MAX || i + 2 * n > rows->size) return;
-    for (uint64_t k = 0; k < n; k++, i += 2)
-      placed.parts[placed.parts_count++] =
-          (mt_prefix_part_t){number_of(&rows->ptr[i]) | 1,
-                             bounded(&rows->ptr[i + 1], TOKENS_MOST)};
-    mt_relay_heard_placed(peers->relay, &placed);
+static void on_quote (mt_gateway_peers_t *peers, mt_peer_t *peer,
+                      const mt_peer_message_t *m) {
+  mt_relay_quote_t quotes[MT_PEER_ENGINES_MAX];
+  for (size_t i = 0; i < m->engines_count; i++)
+    quotes[i] = (mt_relay_quote_t){m->engines[i].key, m->engines[i].load,
+                                   m->engines[i].tokens};
+  peer->asked = 0;
+  peer->suspect = 0;
+  peers->quoted(peers->ud, m->token, quotes, m->engines_count);
+}
+
+static void on_load (mt_gateway_peers_t *peers, uint32_t ip,
+                     const mt_peer_message_t *m) {
+  mt_ms_t now = uv_now(peers->loop);
+  peers->relay->now = mt_max(peers->relay->now, now);
+  for (size_t i = 0; i < m->engines_count; i++) {
+    const mt_peer_engine_t *e = &m->engines[i];
+    mt_load_row_t row = {.router = ip,
+                         .load = e->load,
+                         .read = e->tokens,
+                         .valid_until = now + ROW_VALID_MS};
+    mt_relay_heard_load(peers->relay, e->key, &row, m->parts, m->parts_count);
   }
 }
 
-static void take_shares (peer_t *peer, const msgpack_object_array *rows) {
-  peer->shares_count = 0;
-  for (uint32_t i = 0; i + 2 < rows->size; i += 3) {
-    mt_id_t workspace = (mt_id_t)number_of(&rows->ptr[i]);
-    if (workspace == 0) continue; /* no workspace has this handle */
-    if (peer->shares_count >= SHARES_TOLD) return;
-    share_row_t *row = &peer->shares[peer->shares_count++];
-    row->workspace = workspace;
-    row->rates.asked = (double)bounded(&rows->ptr[i + 1], TOKENS_MOST);
-    row->rates.served = (double)bounded(&rows->ptr[i + 2], TOKENS_MOST);
+/* }== */
+
+/* {== Receiving ======================================================== */
+
+static mt_ms_t valid_for (const mt_peer_message_t *m) {
+  return mt_max(PACES_VALID * m->pace, (mt_ms_t)VALID_MIN_MS);
+}
+
+/* Addresses that somebody named; `vouched`: they serve, says their group. */
+static void take_members (mt_gateway_peers_t *peers,
+                          const mt_peer_message_t *m, bool vouched) {
+  mt_ms_t now = uv_now(peers->loop);
+  for (size_t i = 0; i < m->members_count; i++) {
+    const mt_peer_member_t *member = &m->members[i];
+    mt_peer_t *peer = mt_membership_know(&peers->members, member->ip);
+    if (peer == NULL) continue;
+    if (peer->domain == 0) peer->domain = member->domain;
+    if (!vouched) continue;
+    peer->domain = member->domain;
+    peer->source = member->source;
+    peer->told = now;
   }
 }
 
-static void take_addresses (mt_gateway_peers_t *peers,
-                            const msgpack_object_array *rows) {
-  for (uint32_t i = 0; i < rows->size; i++) {
-    uint32_t ip = (uint32_t)number_of(&rows->ptr[i]);
-    if (mtV_get(&peers->by_ip, ip) == NULL) know(peers, ip);
+static void on_hello (mt_gateway_peers_t *peers, mt_peer_t *peer,
+                      const mt_peer_message_t *m) {
+  peer->valid = valid_for(m);
+  peer->shares_heard = uv_now(peers->loop);
+  keep_shares(&peer->shares, &peer->shares_count, &peer->shares_cap, m);
+  if (m->members_count > 0) { /* the first is the sender */
+    peer->domain = m->members[0].domain;
+    peer->source = m->members[0].source;
   }
+  take_members(peers, m, false);
 }
 
-/* True when the message has the expected shape and version. */
-static bool well_formed (const msgpack_object *o) {
-  if (o->type != MSGPACK_OBJECT_ARRAY) return false;
-  if (o->via.array.size != MEMBERS) return false;
-  const msgpack_object *at = o->via.array.ptr;
-  if (number_of(&at[0]) != FORMAT_VERSION) return false;
-  for (int i = 4; i < MEMBERS; i++)
-    if (at[i].type != MSGPACK_OBJECT_ARRAY) return false;
+static void on_summary (mt_gateway_peers_t *peers,
+                        const mt_peer_message_t *m) {
+  take_members(peers, m, true);
+  if (m->group >= GROUPS_MAX) return;
+  group_sum_t *sum = &peers->sums[m->group];
+  sum->groups = m->groups;
+  sum->valid_until = uv_now(peers->loop) + valid_for(m);
+  keep_shares(&sum->shares, &sum->shares_count, &sum->shares_cap, m);
+}
+
+/* False for one that a newer message of its sender has overtaken. */
+static bool is_newest (mt_peer_t *peer, const mt_peer_message_t *m) {
+  if (m->boot == peer->boot && m->number <= peer->number) return false;
+  peer->boot = m->boot;
+  peer->number = m->number;
   return true;
 }
 
-static void take (mt_gateway_peers_t *peers, uint32_t ip,
-                  const msgpack_object *at) {
-  peer_t *peer = know(peers, ip);
-  uint64_t boot = number_of(&at[1]), number = number_of(&at[2]);
-  mt_ms_t now = uv_now(peers->loop);
-  if (peer == NULL) return;
-  if (boot == peer->boot && number <= peer->number) return; /* overtaken */
-  if (peer->heard == 0 || now - peer->heard > lost_after(peer))
-    say(peers, ip, "heard");
-  if (boot != peer->boot) peer->engines_count = 0;
-  peer->boot = boot;
-  peer->number = number;
-  peer->heard = now;
-  peer->valid =
-      mt_max((mt_ms_t)(SILENT_PACES * bounded(&at[3], PACE_MOST)), SILENT_MS);
-  take_addresses(peers, &at[4].via.array);
-  drop_rows(peers, peer);
-  take_load(peer, &at[5].via.array);
-  take_placed(peers, &at[6].via.array);
-  if (at[7].via.array.size > 0) take_shares(peer, &at[7].via.array);
-  take_use(peers, peer, &at[8].via.array);
-}
-
-static void on_message (uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
-                        const struct sockaddr *from, unsigned flags) {
+static void dispatch (mt_gateway_peers_t *peers, mt_peer_t *peer,
+                      const mt_peer_message_t *m) {
+  switch (m->kind) {
+    case MT_PEER_HELLO:
+      if (is_newest(peer, m)) on_hello(peers, peer, m);
+      break;
+    case MT_PEER_SUMMARY:
+      if (is_newest(peer, m)) on_summary(peers, m);
+      break;
+    case MT_PEER_LOAD:
+      if (is_newest(peer, m)) on_load(peers, peer->ip, m);
+      break;
+    case MT_PEER_WELCOME: take_members(peers, m, true); break;
+    case MT_PEER_ASK: on_ask(peers, peer->ip, m); break;
+    case MT_PEER_QUOTE: on_quote(peers, peer, m); break;
+    case MT_PEER_NEWS:
+    case MT_PEER_KINDS: break;
+  }
+}
+
+static void on_datagram (uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
+                         const struct sockaddr *from, unsigned flags) {
   mt_gateway_peers_t *peers = udp->data;
-  msgpack_unpacked message;
+  mt_peer_message_t *m = &peers->in;
   if (n <= 0 || from == NULL) return;
-  if (!mtW_wellsized(buf->base, (size_t)n)) return;
+  if (!mt_peer_message_unpack(m, buf->base, (size_t)n)) return;
   uint32_t ip = ((const struct sockaddr_in *)from)->sin_addr.s_addr;
-  msgpack_unpacked_init(&message);
-  if (msgpack_unpack_next(&message, buf->base, (size_t)n, NULL) ==
-          MSGPACK_UNPACK_SUCCESS &&
-      well_formed(&message.data))
-    take(peers, ip, message.data.via.array.ptr);
-  msgpack_unpacked_destroy(&message);
+  peers->members.now = uv_now(peers->loop);
+  mt_peer_t *peer = mt_membership_know(&peers->members, ip);
+  if (peer == NULL) return;
+  bool is_new = !mt_membership_is_live(&peers->members, peer);
+  peer->heard = peers->members.now;
+  take_feeds(peers, m);
+  dispatch(peers, peer, m);
+  if (!is_new) return;
+  say(peers, ip, "heard");
+  if (m->kind == MT_PEER_HELLO) welcome(peers, ip);
 }
 
 static void on_alloc (uv_handle_t *h, size_t hint, uv_buf_t *buf) {
@@ -404,76 +542,50 @@
 
 /* }== */
 
-/* {== Sending ========================================================== */
-
-static void send_to (mt_gateway_peers_t *peers, uint32_t ip, char *bytes,
-                     size_t n) {
-  struct sockaddr_in addr = {.sin_family = AF_INET,
-                             .sin_port = htons(peers->port)};
-  addr.sin_addr.s_addr = ip;
-  uv_buf_t buf = uv_buf_init(bytes, (unsigned)n);
-  uv_udp_try_send(&peers->udp, &buf, 1, (const struct sockaddr *)&addr);
-}
-
-/* Tells everybody; returns how many are told at every interval. */
-static size_t send_all (mt_gateway_peers_t *peers) {
-  msgpack_sbuffer out;
-  mt_ms_t now = uv_now(peers->loop);
-  size_t live = 0;
-  msgpack_sbuffer_init(&out);
-  pack(peers, &out);
-  for (size_t i = 0; i < peers->count; i++) {
-    peer_t *peer = peers->list[i];
-    bool alive = peer->heard != 0 && now - peer->heard < lost_after(peer);
-    live += alive;
-    if (!alive && now - peer->asked < PROBE_MS) continue;
-    peer->asked = now;
-    send_to(peers, peer->ip, out.data, out.size);
-  }
-  peers->last_size = out.size;
-  msgpack_sbuffer_destroy(&out);
-  return live;
-}
-
 int mt_gateway_peers_tick (mt_gateway_peers_t *peers) {
   mt_ms_t now = uv_now(peers->loop);
-  int routers = 1;
-  sum_up(peers);
-  for (size_t i = peers->count; i-- > 0;) {
-    peer_t *peer = peers->list[i];
-    bool alive = peer->heard != 0 && now - peer->heard < lost_after(peer);
-    routers += alive;
-    if (!alive && now - peer->known > FORGET_MS) forget(peers, i);
+  const mt_load_teller_calls_t calls = {find_keeper, tell_loads, peers};
+  mt_membership_update(&peers->members, now);
+  mt_load_teller_tick(&peers->teller, &peers->relay->engines, now, &calls);
+  bool send = now >= peers->next_send;
+  sum_group(peers);
+  if (send) {
+    size_t bytes = greet(peers) + summarize(peers);
+    mt_ms_t pace = 1000 * bytes / BYTES_PER_S;
+    peers->pace = mt_max(pace, (mt_ms_t)INTERVAL_MIN_MS);
+    peers->next_send = now + peers->pace;
   }
-  if (now < peers->next_send) return routers;
-  size_t live = send_all(peers);
-  mt_ms_t pace = 1000 * live * peers->last_size / BYTES_PER_S;
-  peers->pace = mt_max(pace, (mt_ms_t)INTERVAL_MIN_MS);
-  peers->next_send = now + peers->pace;
-  return routers;
+  sum_other_groups(peers);
+  return peers->members.live;
 }
 
-/* }== */
-
 mt_gateway_peers_t *
 mt_gateway_peers_open (uv_loop_t *loop, const mt_gateway_settings_t *settings,
-                       mt_relay_t *relay, mt_log_writer_t *log) {
+                       mt_relay_t *relay, mt_log_writer_t *log,
+                       mt_gateway_quoted_t quoted, void *ud) {
   mt_gateway_peers_t *peers = mtV_new(sizeof *peers);
+  mt_membership_t *members = &peers->members;
   struct sockaddr_in addr;
   peers->loop = loop;
   peers->relay = relay;
   peers->log = log;
+  peers->quoted = quoted;
+  peers->ud = ud;
   peers->port = settings->peers.port;
   peers->boot = uv_hrtime();
+  peers->pace = INTERVAL_MIN_MS;
   uv_ip4_addr(settings->peers.ip, settings->peers.port, &addr);
-  peers->own_ip = addr.sin_addr.s_addr;
+  members->own_ip = addr.sin_addr.s_addr;
+  members->own_domain = mtV_id(settings->domain, strlen(settings->domain));
+  members->own_source = true;
+  mt_membership_update(members, uv_now(loop));
   uv_udp_init(loop, &peers->udp);
   peers->udp.data = peers;
   if (uv_udp_bind(&peers->udp, (const struct sockaddr *)&addr, 0) == 0)
-    uv_udp_recv_start(&peers->udp, on_alloc, on_message);
+    uv_udp_recv_start(&peers->udp, on_alloc, on_datagram);
   for (size_t i = 0; i < settings->seeds_count; i++)
     if (uv_ip4_addr(settings->seeds[i].ip, peers->port, &addr) == 0)
-      know(peers, addr.sin_addr.s_addr);
+      mt_membership_know(members, addr.sin_addr.s_addr);
   return peers;
 }
 
@@ -486,9 +598,9 @@
 
 static void on_closed (uv_handle_t *h) {
   mt_gateway_peers_t *peers = h->data;
-  for (size_t i = 0; i < peers->count; i++) free(peers->list[i]);
-  free(peers->list);
-  mtV_free(&peers->by_ip);
+  mt_membership_free(&peers->members);
+  mt_load_teller_free(&peers->teller);
+  for (size_t i = 0; i < GROUPS_MAX; i++) free(peers->sums[i].shares);
   free(peers);
 }
 
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -1,23 +1,56 @@
 /*
 ** gateway_peers.h - what routers tell each other, as datagrams
 **
-** Every message is absolute: the sender's whole load and rates. A lost or
-** repeated one does no harm, and one that is too old is left out.
+** Shares go round in groups (membership.h); loads go to the keepers of the
+** engines, who answer what a request asks; news of the source of declarations
+** goes from its watchers to the routers of their failure domain.
 */
 #ifndef gateway_peers_h
 #define gateway_peers_h
 
 #include "gateway.h"
+#include "membership.h"
 
 typedef struct mt_gateway_peers_t mt_gateway_peers_t;
 
+/* Keepers' answers to what a request asked. */
+typedef void (*mt_gateway_quoted_t)(void *ud, uint64_t request,
+                                    const mt_relay_quote_t *quotes,
+                                    size_t count);
+
 mt_gateway_peers_t *
 mt_gateway_peers_open (uv_loop_t *loop, const mt_gateway_settings_t *settings,
-                       mt_relay_t *relay, mt_log_writer_t *log);
+                       mt_relay_t *relay, mt_log_writer_t *log,
+                       mt_gateway_quoted_t quoted, void *ud);
 
 /* Tells and forgets, when it is time; the number of routers, this one too. */
 int mt_gateway_peers_tick (mt_gateway_peers_t *peers);
 
+/*
+** Asks the keepers of the request's candidates of this round. What this
+*router
+** keeps itself is answered before the call returns.
+*/
+void mt_gateway_peers_ask (mt_gateway_peers_t *peers,
+                           const mt_relay_request_t *request);
+
+/* A request went to an engine: its keeper is told at once. */
+void mt_gateway_peers_placed (mt_gateway_peers_t *peers,
+                              const mt_relay_request_t *request);
+
+/* What is known of a feed, also from others. */
+mt_peer_feed_t mt_gateway_peers_feed (const mt_gateway_peers_t *peers,
+                                      mt_feed_kind_t kind);
+/* The source itself said so just now. */
+void mt_gateway_peers_set_feed (mt_gateway_peers_t *peers,
+                                mt_feed_kind_t kind, int64_t newest,
+                                int64_t at);
+/* Whether this router reaches the source. */
+void mt_gateway_peers_set_source (mt_gateway_peers_t *peers, bool reachable);
+/* Whether this router should watch the source, and for others, too. */
+bool mt_gateway_peers_watches (const mt_gateway_peers_t *peers);
+bool mt_gateway_peers_leads (const mt_gateway_peers_t *peers);
+
 /* The port that it listens on, also where the settings leave it open. */
 uint16_t mt_gateway_peers_port (const mt_gateway_peers_t *peers);
 
--- /dev/null
+++ b/src/gateway/load_teller.c
@@ -0,0 +1,50 @@
+/*
+** load_teller.c - which loads have to be told to which keepers
+*/
+#include <stdlib.h>
+
+#include "load_teller.h"
+
+#define REPEAT_MS 800 /* a load that stands is told again */
+
+static bool is_due (const mt_engine_t *e, mt_ms_t now) {
+  if (e->untold) return true;
+  return e->here.running > 0 && now - e->told >= REPEAT_MS;
+}
+
+static int by_keeper (const void *a, const void *b) {
+  uint32_t x = ((const mt_load_due_t *)a)->keeper;
+  uint32_t y = ((const mt_load_due_t *)b)->keeper;
+  return (x > y) - (x < y);
+}
+
+/* Tells the loads of one keeper; returns how many rows that were. */
+static size_t tell_run (const mt_load_due_t *due, size_t left,
+                        const mt_load_teller_calls_t *calls) {
+  mt_engine_t *engines[MT_LOADS_TOLD];
+  size_t n = 0;
+  while (n < left && n < MT_LOADS_TOLD && due[n].keeper == due[0].keeper) {
+    engines[n] = due[n].engine;
+    n++;
+  }
+  calls->tell(calls->ud, due[0].keeper, engines, n);
+  return n;
+}
+
+void mt_load_teller_tick (mt_load_teller_t *t, mt_engines_t *engines,
+                          mt_ms_t now, const mt_load_teller_calls_t *calls) {
+  t->count = 0;
+  for (size_t i = 0; i < engines->count; i++) {
+    mt_engine_t *e = engines->list[i];
+    if (!is_due(e, now)) continue;
+    *mtV_push(t->due, t->count, t->cap) =
+        (mt_load_due_t){calls->keeper(calls->ud, e), e};
+  }
+  qsort(t->due, t->count, sizeof *t->due, by_keeper);
+  for (size_t i = 0; i < t->count;)
+    i += tell_run(&t->due[i], t->count - i, calls);
+}
+
+void mt_load_teller_free (mt_load_teller_t *t) {
+  free(t->due);
+}
--- /dev/null
+++ b/src/gateway/membership.h
@@ -0,0 +1,80 @@
+/*
+** membership.h - which routers serve, in which groups, and who keeps what
+**
+** Routers are divided into groups by a hash of their address. Each hears the
+** routers of its own group directly, and of every other group through one of
+** that group's members. All arithmetic here is the same at every router, so
+** nobody has to be appointed.
+*/
+#ifndef membership_h
+#define membership_h
+
+#include "peer_message.h"
+
+/* An address where a router is or may be. */
+typedef struct mt_peer_t {
+  uint32_t ip;    /* network order */
+  mt_id_t domain; /* 0: not known */
+  bool source;    /* it reaches where declarations come from */
+  mt_ms_t known;  /* last named by anybody */
+  mt_ms_t heard;  /* last message of its own; 0: never */
+  mt_ms_t told;   /* last listed by its group; 0: never */
+  mt_ms_t valid;  /* a message counts for so long */
+  mt_ms_t probed; /* last message to it */
+  uint64_t boot, number;
+  mt_ms_t asked;   /* the oldest question it has not answered; 0: none */
+  mt_ms_t suspect; /* keeps no engine until then */
+  mt_ms_t shares_heard;
+  mt_peer_share_t *shares; /* of its own, for its group */
+  size_t shares_count, shares_cap;
+} mt_peer_t;
+
+typedef struct mt_membership_t {
+  uint32_t own_ip;
+  mt_id_t own_domain;
+  bool own_source;
+  mt_map_t by_ip; /* mt_peer_t, owned */
+  mt_peer_t **list;
+  size_t count, cap;
+  mt_ms_t now;
+  uint32_t groups; /* a power of two */
+  int live;        /* routers that serve, this one included */
+} mt_membership_t;
+
+void mt_membership_free (mt_membership_t *members);
+
+/* The peer at that address, made if it is new; NULL for this router itself.
+ */
+mt_peer_t *mt_membership_know (mt_membership_t *members, uint32_t ip);
+
+bool mt_membership_is_live (const mt_membership_t *members,
+                            const mt_peer_t *peer);
+
+/* Counts who serves, forgets addresses of long ago; some times a second. */
+void mt_membership_update (mt_membership_t *members, mt_ms_t now);
+
+/* The group of a router. */
+uint32_t mt_membership_group (const mt_membership_t *members, uint32_t ip);
+
+/* True when this router is the one of its group that tells `ip`. */
+bool mt_membership_tells (const mt_membership_t *members, uint32_t ip);
+
+/*
+** The router that keeps an engine: one of the engine's failure domain if any
+** serves there. The own address when it is this one.
+*/
+uint32_t mt_membership_keeper (const mt_membership_t *members,
+                               uint64_t engine, mt_id_t domain);
+
+/*
+** True when this router watches the source of declarations: all do in a small
+** fleet; in a larger one some of each failure domain, and the others hear
+*from
+** them.
+*/
+bool mt_membership_watches (const mt_membership_t *members);
+
+/* True when it does so for others, too. */
+bool mt_membership_leads (const mt_membership_t *members);
+
+#endif
--- /dev/null
+++ b/src/gateway/peer_message.c
@@ -0,0 +1,236 @@
+/*
+** peer_message.c - what routers tell each other: typed, and as msgpack
+*/
+#include <msgpack.h>
+
+#include "mtmsg.h"
+#include "peer_message.h"
+
+#define FORMAT_VERSION 2
+#define NUMBERS 14 /* before the lists */
+#define LISTS 4
+#define MEMBER_NUMBERS 3
+#define SHARE_NUMBERS 3
+#define ENGINE_NUMBERS 5
+#define PART_NUMBERS 2
+
+/* What one router can claim at most. */
+#define TOKENS_MOST 1000000000
+#define RUNNING_MOST 1000000
+#define READ_MOST ((int64_t)1 << 52)
+#define MS_MOST 600000
+
+void mt_peer_message_begin (mt_peer_message_t *m, mt_peer_kind_t kind) {
+  m->kind = kind;
+  m->boot = m->number = m->token = 0;
+  m->pace = 0;
+  m->groups = m->group = 0;
+  for (int i = 0; i < MT_FEEDS; i++) m->feeds[i] = (mt_peer_feed_t){0};
+  m->members_count = m->shares_count = 0;
+  m->engines_count = m->parts_count = 0;
+}
+
+/* {== Packing ========================================================== */
+
+/* A rate or load as a whole number that is not negative. */
+static uint64_t whole (double value) {
+  return value > 0 ? (uint64_t)value : 0;
+}
+
+static void pack_members (const mt_peer_message_t *m, msgpack_packer *pk) {
+  msgpack_pack_array(pk, m->members_count * MEMBER_NUMBERS);
+  for (size_t i = 0; i < m->members_count; i++) {
+    msgpack_pack_uint32(pk, m->members[i].ip);
+    msgpack_pack_uint32(pk, m->members[i].domain);
+    msgpack_pack_uint32(pk, m->members[i].source);
+  }
+}
+
+static void pack_shares (const mt_peer_message_t *m, msgpack_packer *pk) {
+  msgpack_pack_array(pk, m->shares_count * SHARE_NUMBERS);
+  for (size_t i = 0; i < m->shares_count; i++) {
+    msgpack_pack_uint32(pk, m->shares[i].workspace);
+    msgpack_pack_uint64(pk, whole(m->shares[i].rates.asked));
+    msgpack_pack_uint64(pk, whole(m->shares[i].rates.served));
+  }
+}
+
+static void pack_engines (const mt_peer_message_t *m, msgpack_packer *pk) {
+  msgpack_pack_array(pk, m->engines_count * ENGINE_NUMBERS);
+  for (size_t i = 0; i < m->engines_count; i++) {
+    const mt_peer_engine_t *e = &m->engines[i];
+    msgpack_pack_uint64(pk, e->key);
+    msgpack_pack_uint64(pk, whole((double)e->load.unread));
+    msgpack_pack_uint64(pk, whole((double)e->load.held));
+    msgpack_pack_uint64(pk, whole(e->load.running));
+    msgpack_pack_uint64(pk, whole((double)e->tokens));
+  }
+}
+
+static void pack_parts (const mt_peer_message_t *m, msgpack_packer *pk) {
+  msgpack_pack_array(pk, m->parts_count * PART_NUMBERS);
+  for (size_t i = 0; i < m->parts_count; i++) {
+    msgpack_pack_uint64(pk, m->parts[i].id);
+    msgpack_pack_uint64(pk, whole((double)m->parts[i].tokens));
+  }
+}
+
+static int write_bytes (void *to, const char *bytes, size_t n) {
+  mt_bytes_t *room = to;
+  if (n > room->n) return -1;
+  memcpy((char *)room->p, bytes, n);
+  room->p += n;
+  room->n -= n;
+  return 0;
+}
+
+size_t mt_peer_message_pack (const mt_peer_message_t *m, char *out,
+                             size_t size) {
+  mt_bytes_t room = {out, size};
+  msgpack_packer pk;
+  msgpack_packer_init(&pk, &room, write_bytes);
+  const uint64_t numbers[NUMBERS] = {
+      FORMAT_VERSION,
+      m->kind,
+      m->boot,
+      m->number,
+      m->token,
+      m->pace,
+      m->groups,
+      m->group,
+      (uint64_t)m->feeds[0].newest,
+      (uint64_t)m->feeds[0].at,
+      m->feeds[0].age,
+      (uint64_t)m->feeds[1].newest,
+      (uint64_t)m->feeds[1].at,
+      m->feeds[1].age,
+  };
+  msgpack_pack_array(&pk, NUMBERS + LISTS);
+  for (int i = 0; i < NUMBERS; i++) msgpack_pack_uint64(&pk, numbers[i]);
+  pack_members(m, &pk);
+  pack_shares(m, &pk);
+  pack_engines(m, &pk);
+  if (room.n < MT_PEER_PARTS_MAX * 20) return 0;
+  pack_parts(m, &pk);
+  return size - room.n;
+}
+
+/* }== */
+
+/* {== Unpacking ======================================================== */
+
+static uint64_t number_of (const msgpack_object *o) {
+  if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER) return 0;
+  return o->via.u64;
+}
+
+static int64_t bounded (const msgpack_object *o, int64_t most) {
+  uint64_t number = number_of(o);
+  return number > (uint64_t)most ? most : (int64_t)number;
+}
+
+/* How many rows of a list are there, and no more than there is room for. */
+static size_t rows_of (const msgpack_object *list, size_t numbers,
+                       size_t most) {
+  return mt_min(list->via.array.size / numbers, most);
+}
+
+static void unpack_members (mt_peer_message_t *m, const msgpack_object *o) {
+  size_t n = rows_of(o, MEMBER_NUMBERS, MT_PEER_MEMBERS_MAX);
+  for (size_t i = 0; i < n; i++) {
+    const msgpack_object *at = &o->via.array.ptr[i * MEMBER_NUMBERS];
+    m->members[i] = (mt_peer_member_t){(uint32_t)number_of(&at[0]),
+                                       (mt_id_t)number_of(&at[1]),
+                                       (uint32_t)bounded(&at[2], 1)};
+  }
+  m->members_count = n;
+}
+
+/* No workspace has the handle 0. */
+static void unpack_shares (mt_peer_message_t *m, const msgpack_object *o) {
+  size_t n = rows_of(o, SHARE_NUMBERS, MT_PEER_SHARES_MAX);
+  for (size_t i = 0; i < n; i++) {
+    const msgpack_object *at = &o->via.array.ptr[i * SHARE_NUMBERS];
+    mt_id_t workspace = (mt_id_t)number_of(&at[0]);
+    if (workspace == 0) continue;
+    mt_peer_share_t *share = &m->shares[m->shares_count++];
+    share->workspace = workspace;
+    share->rates.asked = (double)bounded(&at[1], TOKENS_MOST);
+    share->rates.served = (double)bounded(&at[2], TOKENS_MOST);
+  }
+}
+
+static void unpack_engines (mt_peer_message_t *m, const msgpack_object *o) {
+  size_t n = rows_of(o, ENGINE_NUMBERS, MT_PEER_ENGINES_MAX);
+  for (size_t i = 0; i < n; i++) {
+    const msgpack_object *at = &o->via.array.ptr[i * ENGINE_NUMBERS];
+    uint64_t key = number_of(&at[0]);
+    if (key == 0) continue;
+    mt_peer_engine_t *e = &m->engines[m->engines_count++];
+    e->key = key;
+    e->load.unread = bounded(&at[1], TOKENS_MOST);
+    e->load.held = bounded(&at[2], TOKENS_MOST);
+    e->load.running = (int32_t)bounded(&at[3], RUNNING_MOST);
+    e->tokens = bounded(&at[4], READ_MOST);
+  }
+}
+
+static void unpack_parts (mt_peer_message_t *m, const msgpack_object *o) {
+  m->parts_count = rows_of(o, PART_NUMBERS, MT_PEER_PARTS_MAX);
+  for (size_t i = 0; i < m->parts_count; i++) {
+    const msgpack_object *at = &o->via.array.ptr[i * PART_NUMBERS];
+    m->parts[i] = (mt_prefix_part_t){number_of(&at[0]) | 1,
+                                     bounded(&at[1], TOKENS_MOST)};
+  }
+}
+
+static void unpack_numbers (mt_peer_message_t *m, const msgpack_object *at) {
+  m->boot = number_of(&at[2]);
+  m->number = number_of(&at[3]);
+  m->token = number_of(&at[4]);
+  m->pace = (mt_ms_t)bounded(&at[5], MS_MOST);
+  m->groups = (uint32_t)bounded(&at[6], MT_PEER_MEMBERS_MAX);
+  m->group = (uint32_t)bounded(&at[7], MT_PEER_MEMBERS_MAX);
+  for (int i = 0; i < MT_FEEDS; i++) {
+    m->feeds[i].newest = bounded(&at[8 + 3 * i], INT64_MAX);
+    m->feeds[i].at = bounded(&at[9 + 3 * i], INT64_MAX);
+    m->feeds[i].age = (mt_ms_t)bounded(&at[10 + 3 * i], MS_MOST);
+  }
+}
+
+/* True when the message has the expected shape and version. */
+static bool well_formed (const msgpack_object *o) {
+  if (o->type != MSGPACK_OBJECT_ARRAY) return false;
+  if (o->via.array.size != NUMBERS + LISTS) return false;
+  const msgpack_object *at = o->via.array.ptr;
+  if (number_of(&at[0]) != FORMAT_VERSION) return false;
+  if (number_of(&at[1]) >= MT_PEER_KINDS) return false;
+  for (int i = NUMBERS; i < NUMBERS + LISTS; i++)
+    if (at[i].type != MSGPACK_OBJECT_ARRAY) return false;
+  return true;
+}
+
+bool mt_peer_message_unpack (mt_peer_message_t *m, const char *bytes,
+                             size_t size) {
+  msgpack_unpacked unpacked;
+  bool good = false;
+  if (!mtW_wellsized(bytes, size)) return false;
+  msgpack_unpacked_init(&unpacked);
+  if (msgpack_unpack_next(&unpacked, bytes, size, NULL) !=
+      MSGPACK_UNPACK_SUCCESS)
+    goto done;
+  good = well_formed(&unpacked.data);
+  if (!good) goto done;
+  const msgpack_object *at = unpacked.data.via.array.ptr;
+  mt_peer_message_begin(m, (mt_peer_kind_t)number_of(&at[1]));
+  unpack_numbers(m, at);
+  unpack_members(m, &at[NUMBERS]);
+  unpack_shares(m, &at[NUMBERS + 1]);
+  unpack_engines(m, &at[NUMBERS + 2]);
+  unpack_parts(m, &at[NUMBERS + 3]);
+done:
+  msgpack_unpacked_destroy(&unpacked);
+  return good;
+}
+
+/* }== */
--- /dev/null
+++ b/src/gateway/peer_message.h
@@ -0,0 +1,94 @@
+/*
+** peer_message.h - what routers tell each other: typed, and as msgpack
+**
+** One datagram is one message. Everything in it is absolute, so a lost or
+** repeated one does no harm. Anybody may have sent it: whatever is unpacked
+** is bounded.
+*/
+#ifndef peer_message_h
+#define peer_message_h
+
+#include "fair_share.h"
+#include "load_book.h"
+
+#define MT_PEER_DATAGRAM_MAX 16384
+#define MT_PEER_MEMBERS_MAX 512
+#define MT_PEER_SHARES_MAX 700
+#define MT_PEER_ENGINES_MAX 64
+#define MT_PEER_PARTS_MAX 16
+
+typedef enum mt_peer_kind_t {
+  MT_PEER_HELLO,   /* a router's own shares, to the routers of its group */
+  MT_PEER_SUMMARY, /* the members and shares of a group, to other groups */
+  MT_PEER_WELCOME, /* all members, to a router that was not known */
+  MT_PEER_NEWS,    /* the source has something new */
+  MT_PEER_ASK,     /* what do these engines, kept by you, have? */
+  MT_PEER_QUOTE,   /* the answer */
+  MT_PEER_LOAD,    /* what the sender has at engines kept by you */
+  MT_PEER_KINDS
+} mt_peer_kind_t;
+
+/* A router that is believed to serve. */
+typedef struct mt_peer_member_t {
+  uint32_t ip;     /* network order */
+  mt_id_t domain;  /* failure domain */
+  uint32_t source; /* 1: it reaches where declarations come from */
+} mt_peer_member_t;
+
+typedef struct mt_peer_share_t {
+  mt_id_t workspace;
+  mt_share_rates_t rates;
+} mt_peer_share_t;
+
+typedef struct mt_peer_engine_t {
+  uint64_t key;
+  mt_engine_load_t load;
+  int64_t tokens; /* QUOTE: kept of the prompt; LOAD: read or made so far */
+} mt_peer_engine_t;
+
+/* The two feeds that come from the source of declarations. */
+typedef enum mt_feed_kind_t {
+  MT_FEED_DECLARATIONS,
+  MT_FEED_ENGINES,
+  MT_FEEDS
+} mt_feed_kind_t;
+
+/*
+** What some router heard of a feed: when the source stood at revision `at`,
+** the feed's last change was `newest`. That was `age` ms ago.
+*/
+typedef struct mt_peer_feed_t {
+  int64_t newest, at;
+  mt_ms_t age;
+} mt_peer_feed_t;
+
+/* Lists that a kind does not use are empty. */
+typedef struct mt_peer_message_t {
+  mt_peer_kind_t kind;
+  uint64_t boot, number; /* of the sender's process and message */
+  uint64_t token;        /* ASK, QUOTE: of the request */
+  mt_ms_t pace;          /* HELLO, SUMMARY: the next comes after so long */
+  uint32_t groups, group;
+  mt_peer_feed_t feeds[MT_FEEDS];
+  mt_peer_member_t members[MT_PEER_MEMBERS_MAX];
+  size_t members_count;
+  mt_peer_share_t shares[MT_PEER_SHARES_MAX];
+  size_t shares_count;
+  mt_peer_engine_t engines[MT_PEER_ENGINES_MAX];
+  size_t engines_count;
+  mt_prefix_part_t parts[MT_PEER_PARTS_MAX];
+  size_t parts_count;
+} mt_peer_message_t;
+
+/* Starts a message of a kind: all numbers 0, all lists empty. */
+void mt_peer_message_begin (mt_peer_message_t *message, mt_peer_kind_t kind);
+
+/* Packs into `out`; the size, or 0 when it does not fit. */
+size_t mt_peer_message_pack (const mt_peer_message_t *message, char *out,
+                             size_t size);
+
+/* False for bytes that are no message of this version. */
+bool mt_peer_message_unpack (mt_peer_message_t *message, const char *bytes,
+                             size_t size);
+
+#endif
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -33,6 +33,9 @@
   mt_ms_t vanished; /* it left the list without a word then; 0: it did not */
   mt_ms_t gone;     /* gone since */
   mt_engine_load_t here, peers;
+  mt_ms_t quoted;  /* its keeper last told `peers` then; 0: never */
+  bool untold;     /* `here` has changed since its keeper was told */
+  mt_ms_t told;    /* its keeper was told last then */
   double slowness; /* time to first event, seen over expected; 1: usual */
   int failures;    /* in a row */
   mt_ms_t hold;    /* gets no work before this time */
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "placement.h"
+#include "quotes.h"
 
 #define FULL_PENALTY_MS 2000.0   /* a slot has to be waited for */
 #define MEMORY_PENALTY_MS 1000.0 /* running requests would be preempted */
@@ -46,15 +47,16 @@
 
 /*
 ** Every router finds the same home for a part without being told: the engine
-** with the greatest hash of both.
+** with the greatest hash of both. `but` leaves one out: the second home.
 */
-static mt_engine_t *find_home (mt_relay_t *relay,
-                               const mt_relay_request_t *r) {
+static mt_engine_t *find_home (mt_relay_t *relay, const mt_relay_request_t *r,
+                               const mt_engine_t *but) {
   uint64_t part = home_part(r), best_weight = 0;
   mt_engine_t *best = NULL;
   for (size_t i = 0; part != 0 && i < relay->engines.count; i++) {
     mt_engine_t *e = relay->engines.list[i];
     if (e->service != r->service || e->state != MT_ENGINE_READY) continue;
+    if (e == but) continue;
     uint64_t weight = mtV_mix(part, e->key);
     if (best != NULL && weight <= best_weight) continue;
     best = e;
@@ -71,6 +73,9 @@
  */
 static int64_t misses (const mt_relay_request_t *r, const mt_engine_t *e,
                        bool home, int64_t memory) {
+  const mt_relay_candidate_t *told = mt_quotes_find(r, e->key);
+  if (told != NULL && told->quoted)
+    return mt_max(r->tokens_in - told->kept, 1);
   int64_t room = mt_placement_room(e, memory);
   int64_t kept =
       mt_prefix_cache_match(&e->kept, r->parts, r->parts_count, room);
@@ -124,20 +129,39 @@
   return limit;
 }
 
+/* Which engines are looked at. */
+typedef enum pick_t {
+  PICK_ANY,
+  PICK_QUOTED, /* those whose keepers answered */
+  PICK_UNASKED /* those whose keepers were not asked */
+} pick_t;
+
+static bool picked (pick_t pick, const mt_relay_request_t *r,
+                    const mt_engine_t *e) {
+  const mt_relay_candidate_t *told = mt_quotes_find(r, e->key);
+  switch (pick) {
+    case PICK_ANY: return true;
+    case PICK_QUOTED: return told != NULL && told->quoted;
+    case PICK_UNASKED: return told == NULL;
+  }
+  return true;
+}
+
 static mt_placement_t choose_model (mt_relay_t *relay,
                                     const mt_relay_request_t *r,
-                                    const mt_catalog_service_t *service) {
+                                    const mt_catalog_service_t *service,
+                                    pick_t pick) {
   mt_placement_t best = {NULL, 0, 0, false, false};
   double best_cost = 0;
   double rate = mt_relay_rate(relay, r->service);
-  mt_engine_t *home = find_home(relay, r);
+  mt_engine_t *home = find_home(relay, r, NULL);
   int64_t memory = service->memory;
   double limit = wait_limit(relay, r, service), ease = ease_of(relay, r);
   double reading = relay->terms.miss_weight * (1 - ease) +
                    relay->terms.miss_weight_easy * ease;
   for (size_t i = 0; i < relay->engines.count; i++) {
     mt_engine_t *e = relay->engines.list[i];
-    if (!usable(relay, r, e)) continue;
+    if (!usable(relay, r, e) || !picked(pick, r, e)) continue;
     int64_t miss = misses(r, e, e == home, memory);
     double wait = (double)unread(e) / rate * e->slowness;
     bool full = running(e) >= e->slots;
@@ -158,13 +182,13 @@
   return best;
 }
 
-static mt_placement_t choose_plain (mt_relay_t *relay,
-                                    const mt_relay_request_t *r) {
+static mt_placement_t
+choose_plain (mt_relay_t *relay, const mt_relay_request_t *r, pick_t pick) {
   mt_placement_t best = {NULL, 0, 0, false, false};
   double best_cost = 0;
   for (size_t i = 0; i < relay->engines.count; i++) {
     mt_engine_t *e = relay->engines.list[i];
-    if (!usable(relay, r, e)) continue;
+    if (!usable(relay, r, e) || !picked(pick, r, e)) continue;
     bool near = e->domain != NULL && strcmp(e->domain, relay->domain) == 0;
     double cost = (double)(running(e) + 1) / mt_max(e->slots, 1);
     cost += near ? 0 : 0.5 / mt_max(e->slots, 1);
@@ -176,13 +200,34 @@
   return best;
 }
 
-mt_placement_t mt_placement_choose (mt_relay_t *relay,
-                                    const mt_relay_request_t *r) {
+static mt_placement_t choose (mt_relay_t *relay, const mt_relay_request_t *r,
+                              pick_t pick) {
   const mt_catalog_service_t *service =
       mt_catalog_service(relay->catalog, r->service);
   if (service != NULL && service->model)
-    return choose_model(relay, r, service);
-  return choose_plain(relay, r);
+    return choose_model(relay, r, service, pick);
+  return choose_plain(relay, r, pick);
+}
+
+mt_placement_t mt_placement_choose (mt_relay_t *relay,
+                                    const mt_relay_request_t *r) {
+  if (mt_quotes_any(r)) {
+    mt_placement_t told = choose(relay, r, PICK_QUOTED);
+    if (told.engine != NULL) return told;
+  }
+  return choose(relay, r, PICK_ANY);
+}
+
+const mt_engine_t *mt_placement_candidate (mt_relay_t *relay,
+                                           const mt_relay_request_t *r) {
+  const mt_engine_t *home = NULL;
+  if (r->parts_count > 0 && r->candidates_count < 2)
+    home = find_home(relay, r, NULL);
+  if (home != NULL && r->candidates_count == 1)
+    home = find_home(relay, r, home);
+  if (home != NULL && usable(relay, r, home) && !mt_quotes_find(r, home->key))
+    return home;
+  return choose(relay, r, PICK_UNASKED).engine;
 }
 
 bool mt_placement_admits (mt_relay_t *relay, const mt_relay_request_t *r,
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -22,6 +22,14 @@
 mt_placement_t mt_placement_choose (mt_relay_t *relay,
                                     const mt_relay_request_t *request);
 
+/*
+** The next engine whose keeper should be asked for the request, or NULL:
+** first the two that all routers would choose for its shared parts, then
+** those that this router believes to be the best. None is named twice.
+*/
+const mt_engine_t *mt_placement_candidate (mt_relay_t *relay,
+                                           const mt_relay_request_t *request);
+
 /* Tokens that an engine can keep beside what is running there. */
 int64_t mt_placement_room (const mt_engine_t *engine, int64_t memory);
 
--- /dev/null
+++ b/src/relay/quotes.c
@@ -0,0 +1,95 @@
+/*
+** quotes.c - asks the keepers of a few engines before a request is placed
+*/
+#include "placement.h"
+#include "quotes.h"
+
+#define WAIT_MS 20       /* for answers of keepers */
+#define USUAL_FADE 0.95  /* per answer of a home's keeper */
+#define FRESH_MS 250     /* an answer is taken as it is for so long */
+#define FADE_PART 0.2    /* of the difference, per update */
+#define SECOND_ROUND 0.9 /* pressure above which the pool has no room */
+
+const mt_relay_candidate_t *mt_quotes_find (const mt_relay_request_t *r,
+                                            uint64_t engine) {
+  for (size_t i = 0; i < r->candidates_count; i++)
+    if (r->candidates[i].engine == engine) return &r->candidates[i];
+  return NULL;
+}
+
+bool mt_quotes_any (const mt_relay_request_t *r) {
+  for (size_t i = 0; i < r->candidates_count; i++)
+    if (r->candidates[i].quoted) return true;
+  return false;
+}
+
+static void add_candidate (mt_relay_request_t *r, const mt_engine_t *e) {
+  r->candidates[r->candidates_count++] =
+      (mt_relay_candidate_t){.engine = e->key};
+}
+
+bool mt_quotes_ask (mt_relay_t *relay, mt_relay_request_t *r) {
+  if (relay->routers < 2) return false;
+  if (r->rounds >= MT_RELAY_ROUNDS) return false;
+  double pressure = mt_relay_service(relay, r->service)->pressure;
+  if (r->rounds > 0 && pressure > SECOND_ROUND) return false;
+  r->round_first = r->candidates_count;
+  for (int i = 0; i < MT_RELAY_ASKED_AT_ONCE; i++) {
+    const mt_engine_t *e = mt_placement_candidate(relay, r);
+    if (e == NULL) break;
+    add_candidate(r, e);
+  }
+  if (r->candidates_count == r->round_first) return false;
+  r->rounds++;
+  r->asked = relay->now;
+  return true;
+}
+
+/* Homes are chosen by a hash, so what is told of them is a fair sample. */
+static void learn_usual (mt_relay_t *relay, const mt_relay_request_t *r,
+                         const mt_engine_load_t *load) {
+  mt_relay_service_t *s = mt_relay_service(relay, r->service);
+  double unread = (double)load->unread, running = load->running;
+  s->usual_unread = s->usual_unread * USUAL_FADE + unread * (1 - USUAL_FADE);
+  s->usual_running =
+      s->usual_running * USUAL_FADE + running * (1 - USUAL_FADE);
+}
+
+bool mt_quotes_take (mt_relay_t *relay, mt_relay_request_t *r,
+                     const mt_relay_quote_t *quotes, size_t count) {
+  for (size_t i = 0; i < count; i++) {
+    const mt_relay_quote_t *quote = &quotes[i];
+    mt_engine_t *e = mt_engines_get(&relay->engines, quote->engine);
+    if (e != NULL) {
+      e->peers = quote->peers;
+      e->quoted = relay->now;
+    }
+    for (size_t k = 0; k < r->candidates_count; k++) {
+      mt_relay_candidate_t *candidate = &r->candidates[k];
+      if (candidate->engine != quote->engine) continue;
+      candidate->quoted = true;
+      candidate->kept = quote->kept;
+      if (k == 0) learn_usual(relay, r, &quote->peers);
+    }
+  }
+  for (size_t k = r->round_first; k < r->candidates_count; k++)
+    if (!r->candidates[k].quoted) return false;
+  return true;
+}
+
+bool mt_quotes_overdue (const mt_relay_t *relay,
+                        const mt_relay_request_t *r) {
+  return relay->now - r->asked >= WAIT_MS;
+}
+
+void mt_quotes_fade (mt_relay_t *relay) {
+  for (size_t i = 0; i < relay->engines.count; i++) {
+    mt_engine_t *e = relay->engines.list[i];
+    if (e->quoted == 0 || relay->now - e->quoted < FRESH_MS) continue;
+    const mt_relay_service_t *s = mt_relay_service(relay, e->service);
+    double unread = (double)e->peers.unread;
+    double running = e->peers.running;
+    e->peers.unread += (int64_t)((s->usual_unread - unread) * FADE_PART);
+    e->peers.running += (int32_t)((s->usual_running - running) * FADE_PART);
+  }
+}
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "placement.h"
+#include "quotes.h"
 #include "relay.h"
 #include "relay_load.h"
 
@@ -159,7 +160,7 @@
   r->gone_out = false;
   r->body_size = 0;
   mt_event_stream_free(&r->stream);
-  if (r->phase == MT_RELAY_HOLDING) r->phase = MT_RELAY_SENT;
+  if (r->phase != MT_RELAY_STREAMING) r->phase = MT_RELAY_SENT;
   mt_relay_engage(relay, r, p);
   relay->counters.attempts++;
   relay->counters.tokens_wanted += (uint64_t)r->tokens_in;
@@ -324,10 +325,30 @@
   return r->expires > relay->stop_until;
 }
 
+/* Asks the keepers of the next engines; false when there are none to ask. */
+static bool ask_keepers (mt_relay_t *relay, mt_relay_request_t *r) {
+  if (!mt_quotes_ask(relay, r)) return false;
+  r->phase = MT_RELAY_ASKING;
+  effect(relay, MT_RELAY_DO_ASK, r);
+  return true;
+}
+
+/* Sends the request to the best engine or refuses it. */
+static void place (mt_relay_t *relay, mt_relay_request_t *r) {
+  mt_relay_refusal_t why = MT_RELAY_NO_ENGINE;
+  mt_placement_t p = mt_placement_choose(relay, r);
+  r->wait_expected = p.wait_ms;
+  if (p.engine != NULL &&
+      mt_placement_admits(relay, r, &p, r->returning, &why)) {
+    start_attempt(relay, r, &p);
+    return;
+  }
+  if (!ask_keepers(relay, r)) refuse(relay, r, why);
+}
+
 static void on_request (mt_relay_t *relay, uint64_t number,
                         const mt_relay_ask_t *ask) {
   mt_relay_request_t *r = add_request(relay, number);
-  mt_relay_refusal_t why;
   relay->counters.requests++;
   snprintf(r->id, sizeof r->id, "%.*s", (int)ask->id.n, ask->id.p);
   if (!identify(relay, r, ask)) return;
@@ -346,18 +367,14 @@
     mt_fair_share_asked(&relay->shares, r->workspace, r->cost);
   if (r->workspace != 0)
     r->standing = mt_fair_share_standing(&relay->shares, r->workspace);
-  bool returning = is_returning(relay, r, ask->deadline_ms);
-  mt_placement_t p = mt_placement_choose(relay, r);
-  if (p.engine == NULL) {
-    refuse(relay, r, MT_RELAY_NO_ENGINE);
-    return;
-  }
-  r->wait_expected = p.wait_ms;
-  if (!mt_placement_admits(relay, r, &p, returning, &why)) {
-    refuse(relay, r, why);
-    return;
-  }
-  start_attempt(relay, r, &p);
+  r->returning = is_returning(relay, r, ask->deadline_ms);
+  if (!ask_keepers(relay, r)) place(relay, r);
+}
+
+static void on_quoted (mt_relay_t *relay, mt_relay_request_t *r,
+                       const mt_relay_event_t *ev) {
+  bool all = mt_quotes_take(relay, r, ev->u.quotes.list, ev->u.quotes.count);
+  if (all && r->phase == MT_RELAY_ASKING) place(relay, r);
 }
 
 static void on_caller_left (mt_relay_t *relay, mt_relay_request_t *r) {
@@ -536,6 +553,10 @@
     give_up(relay, r, ran ? MT_RELAY_TIMEOUT : MT_RELAY_TIMEOUT_UNRUN);
     return;
   }
+  if (r->phase == MT_RELAY_ASKING) {
+    if (mt_quotes_overdue(relay, r)) place(relay, r);
+    return;
+  }
   if (r->engine == NULL || !is_silent(relay, r)) return;
   if (!may_retry(relay, r, r->gone_out)) return;
   mt_engine_t *e = r->engine;
@@ -553,6 +574,7 @@
   relay->next_update = relay->now + UPDATE_MS;
   mt_fair_share_update(&relay->shares, relay->now);
   mt_relay_update_engines(relay);
+  mt_load_book_expire(&relay->book, relay->now);
 }
 
 /* }== */
@@ -589,6 +611,9 @@
     case MT_RELAY_CALLER_LEFT:
       if (r != NULL) on_caller_left(relay, r);
       break;
+    case MT_RELAY_QUOTED:
+      if (r != NULL) on_quoted(relay, r, ev);
+      break;
     case MT_RELAY_GONE_OUT:
     case MT_RELAY_HEAD:
     case MT_RELAY_DATA:
@@ -600,17 +625,6 @@
   relay->effects = NULL;
 }
 
-void mt_relay_heard_placed (mt_relay_t *relay,
-                            const mt_relay_placed_t *placed) {
-  mt_engine_t *e = mt_engines_get(&relay->engines, placed->engine);
-  if (e == NULL || relay->catalog == NULL) return;
-  const mt_catalog_service_t *s =
-      mt_catalog_service(relay->catalog, e->service);
-  if (s == NULL) return;
-  mt_prefix_cache_use(&e->kept, placed->parts, placed->parts_count,
-                      s->memory);
-}
-
 void mt_relay_engine_left (mt_relay_t *relay, mt_engine_t *e, mt_ms_t now) {
   relay->now = mt_max(relay->now, now);
   if (e->state == MT_ENGINE_READY && relay->terms.vanish_ms > 0)
@@ -646,6 +660,7 @@
   mtV_free(&relay->usual_deadlines);
   mtV_each (&relay->services, i) free(relay->services.vals[i]);
   mtV_free(&relay->services);
+  mt_load_book_free(&relay->book);
   mt_fair_share_free(&relay->shares);
   mt_engines_free(&relay->engines);
   mt_catalog_free(relay->catalog);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -12,6 +12,7 @@
 #include "engine.h"
 #include "event_stream.h"
 #include "fair_share.h"
+#include "load_book.h"
 #include "retry_budget.h"
 
 /* {== Refusals ========================================================= */
@@ -95,9 +96,17 @@
   MT_RELAY_DATA,     /* bytes of its body */
   MT_RELAY_END,      /* it is whole */
   MT_RELAY_FAILED,   /* it ended otherwise */
+  MT_RELAY_QUOTED,   /* keepers say what their engines have */
   MT_RELAY_STOP      /* finish what is at hand */
 } mt_relay_event_kind_t;
 
+/* What an engine's keeper says of it, when a request asked. */
+typedef struct mt_relay_quote_t {
+  uint64_t engine;
+  mt_engine_load_t peers; /* of all routers but the one that asked */
+  int64_t kept;           /* leading tokens of the prompt, probably there */
+} mt_relay_quote_t;
+
 /* What an engine's head says of the request. */
 typedef enum mt_relay_verdict_t {
   MT_RELAY_RAN,     /* it ran, or may have */
@@ -119,6 +128,10 @@
       bool framed; /* its end can be told from a cut */
     } head;
     mt_bytes_t data;
+    struct {
+      const mt_relay_quote_t *list;
+      size_t count;
+    } quotes;
     bool not_sent;   /* FAILED */
     mt_ms_t stop_ms; /* STOP: the process ends after this long */
   } u;
@@ -130,6 +143,7 @@
 
 typedef enum mt_relay_effect_kind_t {
   MT_RELAY_DO_REFUSE, /* answer in place of an engine */
+  MT_RELAY_DO_ASK,    /* ask the keepers of the request's candidates */
   MT_RELAY_DO_START,  /* send the request to an engine */
   MT_RELAY_DO_CANCEL, /* end the attempt and its connection */
   MT_RELAY_DO_HEAD,   /* pass on the head that came first */
@@ -176,11 +190,23 @@
      */
 
 typedef enum mt_relay_phase_t {
-  MT_RELAY_SENT,     /* no event or end of an answer yet */
-  MT_RELAY_HOLDING,  /* a short answer is gathered before it is passed on */
-  MT_RELAY_STREAMING /* the head has been passed on */
+  MT_RELAY_SENT,      /* no event or end of an answer yet */
+  MT_RELAY_HOLDING,   /* a short answer is gathered before it is passed on */
+  MT_RELAY_STREAMING, /* the head has been passed on */
+  MT_RELAY_ASKING     /* not placed: keepers of engines were asked */
 } mt_relay_phase_t;
 
+#define MT_RELAY_ASKED_AT_ONCE 4 /* engines, in one round */
+#define MT_RELAY_ROUNDS 2
+#define MT_RELAY_CANDIDATES_MAX (MT_RELAY_ASKED_AT_ONCE * MT_RELAY_ROUNDS)
+
+/* An engine that a request may go to, if its keeper says that it has room. */
+typedef struct mt_relay_candidate_t {
+  uint64_t engine;
+  bool quoted;
+  int64_t kept; /* leading tokens of the prompt, probably there */
+} mt_relay_candidate_t;
+
 typedef struct mt_relay_request_t {
   uint64_t number;
   char id[40];          /* the caller's, for logs */
@@ -200,6 +226,12 @@
   int64_t tokens_in, tokens_out, cost, last_event;
   mt_prefix_part_t parts[MT_RELAY_PARTS_MAX];
   size_t parts_count;
+  /* Where it may go; those of the last round begin at `round_first`. */
+  mt_relay_candidate_t candidates[MT_RELAY_CANDIDATES_MAX];
+  size_t candidates_count, round_first;
+  int rounds;
+  mt_ms_t asked;
+  bool returning; /* it was refused before */
   /* Its current attempt. */
   mt_engine_t *engine;
   int attempt, arrivals; /* attempts that may have reached an engine */
@@ -217,21 +249,13 @@
   size_t body_size, body_cap;
 } mt_relay_request_t;
 
-#define MT_RELAY_PLACED_MAX 64
-
-/* Shared parts that were sent to an engine where nobody would expect them. */
-typedef struct mt_relay_placed_t {
-  uint64_t engine;
-  mt_prefix_part_t parts[MT_RELAY_PARTS_MAX];
-  size_t parts_count;
-} mt_relay_placed_t;
-
 /* What is learnt of a service's engines. */
 typedef struct mt_relay_service_t {
   mt_id_t id;
   double work, time; /* fading sums of prompt tokens and of ms for them */
   mt_retry_budget_t budget;
-  int ready;       /* engines, counted by the tick */
+  int ready;                          /* engines, counted by the tick */
+  double usual_unread, usual_running; /* at homes, as keepers told lately */
   double pressure; /* mean wait at them, as a part of the usual limit */
 } mt_relay_service_t;
 
@@ -260,6 +284,7 @@
   mt_ms_t stop_since, stop_until; /* 0: not stopping */
   int routers; /* that are believed to serve, this one included */
   mt_engines_t engines;
+  mt_load_book_t book; /* of the engines that this router keeps */
   mt_fair_share_t shares;
   mt_map_t services;        /* id -> mt_relay_service_t, owned */
   mt_map_t usual_deadlines; /* route -> longest deadline seen */
@@ -267,9 +292,6 @@
   mt_relay_request_t **list;
   size_t count, cap;
   mt_relay_request_t *finished; /* freed by the next step */
-  mt_relay_placed_t
-      placed[MT_RELAY_PLACED_MAX]; /* to be told to the others */
-  size_t placed_count;
   mt_ms_t next_update;
   mt_relay_counters_t counters;
   mt_relay_effects_t *effects; /* of the step being taken */
@@ -300,9 +322,18 @@
 void mt_relay_engine_left (mt_relay_t *relay, mt_engine_t *engine,
                            mt_ms_t now);
 
-/* Another router sent these shared parts to an engine. */
-void mt_relay_heard_placed (mt_relay_t *relay,
-                            const mt_relay_placed_t *placed);
+/*
+** Another router's load at an engine that this one keeps, and the shared
+** parts of the prompt that it sent there just now (none: count 0).
+*/
+void mt_relay_heard_load (mt_relay_t *relay, uint64_t engine,
+                          const mt_load_row_t *row,
+                          const mt_prefix_part_t *parts, size_t count);
+
+/* What this router, as the engine's keeper, tells a router that asks. */
+mt_relay_quote_t mt_relay_quote (mt_relay_t *relay, uint64_t engine,
+                                 uint64_t router,
+                                 const mt_prefix_part_t *parts, size_t count);
 
 /* Tokens per ms at which one engine of the service reads prompts. */
 double mt_relay_rate (mt_relay_t *relay, mt_id_t service);
--- a/src/relay/relay_load.c
+++ b/src/relay/relay_load.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "quotes.h"
 #include "relay_load.h"
 
 #define RATE_FADE 0.98      /* of the sums behind a service's rate */
@@ -60,20 +61,6 @@
 
 /* {== Load at engines ================================================== */
 
-/* Notes what the other routers cannot know; the oldest gives way. */
-static void remember_placed (mt_relay_t *relay, const mt_relay_request_t *r) {
-  if (r->parts_count < 2) return;
-  if (relay->placed_count == MT_RELAY_PLACED_MAX) {
-    relay->placed_count--;
-    memmove(relay->placed, relay->placed + 1,
-            relay->placed_count * sizeof *relay->placed);
-  }
-  mt_relay_placed_t *placed = &relay->placed[relay->placed_count++];
-  placed->engine = r->engine->key;
-  placed->parts_count = r->parts_count - 1;
-  memcpy(placed->parts, r->parts, placed->parts_count * sizeof *r->parts);
-}
-
 void mt_relay_engage (mt_relay_t *relay, mt_relay_request_t *r,
                       const mt_placement_t *p) {
   mt_engine_t *e = p->engine;
@@ -93,9 +80,9 @@
   e->here.held += r->held;
   e->read += p->miss + r->tokens_out;
   e->kept.clock += p->miss + r->tokens_out;
+  e->untold = true;
   if (s == NULL || s->memory == 0 || r->parts_count == 0) return;
   mt_prefix_cache_use(&e->kept, r->parts, r->parts_count, s->memory);
-  if (!p->home) remember_placed(relay, r);
 }
 
 void mt_relay_engine_gone (mt_relay_t *relay, mt_engine_t *e) {
@@ -109,6 +96,7 @@
   if (r->engine == NULL || !r->awaiting_event) return;
   r->awaiting_event = false;
   r->engine->here.unread -= r->unread;
+  r->engine->untold = true;
 }
 
 void mt_relay_disengage (mt_relay_request_t *r) {
@@ -116,6 +104,7 @@
   mt_relay_prompt_read(r);
   r->engine->here.running--;
   r->engine->here.held -= r->held;
+  r->engine->untold = true;
   r->engine = NULL;
 }
 
@@ -130,19 +119,21 @@
   double limit = declared && declared->objective
                      ? (double)declared->objective * relay->terms.wait_part
                      : 0;
-  double unread = 0;
+  double unread = s->usual_unread * s->ready;
   s->pressure = 0;
   if (limit <= 0 || s->ready == 0) return;
   for (size_t i = 0; i < relay->engines.count; i++) {
     const mt_engine_t *e = relay->engines.list[i];
     if (e->service != s->id || e->state != MT_ENGINE_READY) continue;
-    unread += (double)(e->here.unread + e->peers.unread);
+    unread += (double)e->here.unread;
+    if (relay->routers < 2) unread += (double)e->peers.unread;
   }
   double wait = unread / s->ready / mt_relay_rate(relay, s->id);
   s->pressure = wait / limit;
 }
 
 void mt_relay_update_engines (mt_relay_t *relay) {
+  mt_quotes_fade(relay);
   mtV_each (&relay->services, i)
     ((mt_relay_service_t *)relay->services.vals[i])->ready = 0;
   for (size_t i = relay->engines.count; i-- > 0;) {
@@ -162,3 +153,44 @@
 }
 
 /* }== */
+
+/* {== Books of engines ================================================= */
+
+void mt_relay_heard_load (mt_relay_t *relay, uint64_t engine,
+                          const mt_load_row_t *row,
+                          const mt_prefix_part_t *parts, size_t count) {
+  mt_engine_t *e = mt_engines_get(&relay->engines, engine);
+  int64_t read = mt_load_book_take(&relay->book, engine, row);
+  if (e == NULL) return;
+  e->kept.clock += read;
+  if (count == 0 || relay->catalog == NULL) return;
+  const mt_catalog_service_t *s =
+      mt_catalog_service(relay->catalog, e->service);
+  if (s != NULL && s->memory > 0)
+    mt_prefix_cache_use(&e->kept, parts, count, s->memory);
+}
+
+mt_relay_quote_t mt_relay_quote (mt_relay_t *relay, uint64_t engine,
+                                 uint64_t router,
+                                 const mt_prefix_part_t *parts,
+                                 size_t count) {
+  mt_relay_quote_t quote = {.engine = engine};
+  mt_engine_t *e = mt_engines_get(&relay->engines, engine);
+  quote.peers = mt_load_book_sum(&relay->book, engine, router, relay->now);
+  if (e == NULL || relay->catalog == NULL) return quote;
+  const mt_catalog_service_t *s =
+      mt_catalog_service(relay->catalog, e->service);
+  mt_engine_load_t all =
+      mt_load_book_sum(&relay->book, engine, 0, relay->now);
+  if (router != 0) { /* the keeper's own is another's, too */
+    quote.peers.unread += e->here.unread;
+    quote.peers.held += e->here.held;
+    quote.peers.running += e->here.running;
+  }
+  if (s == NULL || s->memory == 0) return quote;
+  int64_t room = mt_max(s->memory - e->here.held - all.held, s->memory / 8);
+  quote.kept = mt_prefix_cache_match(&e->kept, parts, count, room);
+  return quote;
+}
+
+/* }== */
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -297,16 +297,18 @@
       w.listen([&] (Conn &c, const Request &r) { c.send(good(r, "x")); });
   w.engine("i-1", "plain", e);
   w.start();
-  auto message = [] (std::vector<uint64_t> shares,
-                     std::vector<uint64_t> engines) {
+  // Fourteen numbers, then the lists of members, shares, engines and parts.
+  auto message = [] (uint64_t kind, const std::vector<uint64_t> &rows,
+                     uint64_t rest = 1, size_t lists = 4) {
     msgpack_sbuffer out;
     msgpack_packer pk;
     msgpack_sbuffer_init(&out);
     msgpack_packer_init(&pk, &out, msgpack_sbuffer_write);
-    msgpack_pack_array(&pk, 9);
-    for (uint64_t head : {1, 7, 1, 1 << 30}) msgpack_pack_uint64(&pk, head);
-    for (int member = 4; member < 9; member++) {
-      const auto &rows = member == 7 ? shares : engines;
+    msgpack_pack_array(&pk, 14 + lists);
+    msgpack_pack_uint64(&pk, 2);
+    msgpack_pack_uint64(&pk, kind);
+    for (int i = 2; i < 14; i++) msgpack_pack_uint64(&pk, rest);
+    for (size_t list = 0; list < lists; list++) {
       msgpack_pack_array(&pk, rows.size());
       for (uint64_t n : rows) msgpack_pack_uint64(&pk, n);
     }
@@ -315,17 +317,19 @@
     return text;
   };
   const uint64_t most = UINT64_MAX;
-  std::string whole = message({1, 2, 3}, {1, 2, 3});
+  std::string whole = message(0, {1, 2, 3, 4, 5, 6});
   std::vector<std::string> datagrams = {
-      "",
-      "x",
-      std::string(1000, '\xc1'),
-      std::string("\xdd\xff\xff\xff\xff", 5),
-      message({0, 5, 5}, {0, 0, 0}),
-      message({most, most, most}, {most, most, most}),
-      message({1}, {1, 2}),
-      message(std::vector<uint64_t>(3000, 9), std::vector<uint64_t>(999, 9)),
-      whole};
+      "", "x", std::string(1000, '\xc1'),
+      std::string("\xdd\xff\xff\xff\xff", 5), whole};
+  for (uint64_t kind = 0; kind < 9; kind++) { // two of them unknown
+    datagrams.push_back(message(kind, {}));
+    datagrams.push_back(message(kind, {0, 0, 0, 0, 0, 5}));
+    datagrams.push_back(message(kind, {0, 0, 0, 0, 0, 5}, most));
+    datagrams.push_back(message(kind, std::vector<uint64_t>(10, most), most));
+    datagrams.push_back(message(kind, std::vector<uint64_t>(3, 9), 60000));
+    datagrams.push_back(message(kind, std::vector<uint64_t>(1500, 9)));
+    datagrams.push_back(message(kind, {1, 2, 3}, 1, 3));
+  }
   for (size_t n = 1; n < whole.size(); n++)
     datagrams.push_back(whole.substr(0, n));
   int fd = socket(AF_INET, SOCK_DGRAM, 0);
@@ -339,7 +343,9 @@
     EXPECT_EQ(World::status_of(w.call(World::ask("/safe/x", "id1"))), 200);
   }
   EXPECT_TRUE(w.until([&] {
-    return w.log.find("peer=127.0.0.2 outcome=heard") != w.log.npos;
+    size_t at = w.log.find("peer=127.0.0.2 ");
+    if (at == w.log.npos) return false;
+    return w.log.find("outcome=heard", at) < w.log.find('\n', at);
   }));
   close(fd);
 }
