A gateway out of descriptors serves on; limits count what was read, not the clock

Now callers' connections are bounded by a part of the descriptors (settings, else the system's limit), the one idle longest gives way, and a spare descriptor ends the retries. Connections to engines and requests in progress are bounded likewise.

Besides: a tick comes first in each turn of the loop, so on a busy machine answers that had arrived were judged late. Limits on silence now count time up to the tick before. What a workspace was counted as served is taken back when it did not run. A workspace far beyond its share is refused without asking keepers.

Test: Gateway.ServesBeyondItsDescriptors, fails on the commit before.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -16,10 +16,12 @@
 #define USER_TIMEOUT_MS 2000
 #define BACKLOG_MAX \
   (256u << 10) /* of a slow caller, before its engine waits */
-#define LEAVE_MS                                                          \
-  2500              /* after the order to stop: nobody new comes any more \
-                     */
-#define LAST_MS 400 /* of the grace, kept for the last bytes */
+#define LEAVE_MS                                             \
+  2500 /* after the order to stop: nobody new comes any more \
+        */
+#define CALLERS_PART 0.55 /* of the descriptors, for callers' connections */
+#define ENGINES_PART 0.35 /* for those to engines */
+#define LAST_MS 400       /* of the grace, kept for the last bytes */
 
 /* One request at the gateway: a caller's connection and an engine's. */
 typedef struct passage_t {
@@ -559,10 +561,12 @@
                                const mt_gateway_settings_t *settings,
                                const mt_dialect_t *dialect, char *reason,
                                size_t size) {
-  static const mt_http_client_options_t options = {.connect_ms = CONNECT_MS,
-                                                   .idle_ms = IDLE_MS,
-                                                   .user_timeout =
-                                                       USER_TIMEOUT_MS};
+  size_t descriptors = settings->descriptors;
+  const mt_http_client_options_t options = {
+      .connect_ms = CONNECT_MS,
+      .idle_ms = IDLE_MS,
+      .connections = (size_t)(ENGINES_PART * descriptors),
+      .user_timeout = USER_TIMEOUT_MS};
   mt_gateway_t *g = mtV_new(sizeof *g);
   g->loop = loop;
   g->settings = *settings;
@@ -578,6 +582,7 @@
   g->callers =
       listen_on(g, &settings->callers, &caller_handler, reason, size);
   if (g->callers == NULL) return NULL;
+  mt_http_server_set_most(g->callers, (size_t)(CALLERS_PART * descriptors));
   g->ready = listen_on(g, &settings->ready, &ready_handler, reason, size);
   if (g->ready == NULL) return NULL;
   g->metrics =
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -27,6 +27,7 @@
   size_t seeds_count;
   mt_ms_t grace; /* from the order to stop until the process is killed */
   int lines_per_s;
+  size_t descriptors; /* that the process may open */
   mt_relay_terms_t terms;
 } mt_gateway_settings_t;
 
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -3,6 +3,7 @@
 */
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include "gateway_settings.h"
 
@@ -10,9 +11,12 @@
 #define DRAIN_MS 2000   /* an engine that leaves serves on at least so long */
 #define VANISH_PART 0.6 /* of that: an unlisted engine still gets work */
 #define LINES_PER_S 100
+#define DESCRIPTORS 1024
+#define DESCRIPTORS_MOST 65536
 #define RETRY_RATIO 0.1
 #define RETRY_WINDOW_MS 10000
 #define RETRY_SLACK 20
+#define RUNNING_PART 0.3 /* of the descriptors: requests in progress */
 #define WAIT_PART 0.5
 #define URGENCY_POWER 1.0
 #define ROOM_PART 0.1
@@ -34,6 +38,7 @@
     {"grace_ms", MT_F_INT, false, 0, 3600000},
     {"log_lines_per_s", MT_F_INT, false, 1, 100000},
     {"drain_ms", MT_F_INT, false, 0, 3600000},
+    {"descriptors", MT_F_INT, false, 64, 1 << 20},
     {"retry", MT_F_OBJECT, false, 0, 0},
     {"relay", MT_F_OBJECT, false, 0, 0},
     {"source", MT_F_OBJECT, false, 0, 0},
@@ -60,6 +65,13 @@
   }
 }
 
+/* What the system allows the process, where the settings do not say. */
+static int64_t system_descriptors (void) {
+  struct rlimit limit;
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return DESCRIPTORS;
+  return (int64_t)mt_min(limit.rlim_cur, (rlim_t)DESCRIPTORS_MOST);
+}
+
 static void read_terms (const json_t *doc, mt_relay_terms_t *terms) {
   const json_t *retry = json_object_get(doc, "retry");
   const json_t *relay = json_object_get(doc, "relay");
@@ -91,7 +103,11 @@
   read_seeds(doc, set);
   set->grace = (mt_ms_t)mtJ_int(doc, "grace_ms", GRACE_MS);
   set->lines_per_s = (int)mtJ_int(doc, "log_lines_per_s", LINES_PER_S);
+  set->descriptors =
+      (size_t)mtJ_int(doc, "descriptors", system_descriptors());
   read_terms(doc, &set->terms);
+  set->terms.running_most = mt_min((size_t)MT_MAX_RUNNING,
+                                   (size_t)(RUNNING_PART * set->descriptors));
   set->terms.vanish_ms =
       (mt_ms_t)((double)mtJ_int(doc, "drain_ms", DRAIN_MS) * VANISH_PART);
   return true;
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -41,6 +41,7 @@
   mt_http_call_t *all;
   mt_map_t idle; /* endpoint -> its last used resting connection */
   size_t count;
+  mt_ms_t ticked; /* the last tick */
   uint64_t opened;
   char input[READ_BYTES];
 };
@@ -343,6 +344,21 @@
   return c;
 }
 
+/* Closes the connection that has rested longest, to any endpoint. */
+static void close_oldest_idle (mt_http_client_t *client) {
+  mt_http_call_t *oldest = NULL;
+  for (mt_http_call_t *c = client->all; c != NULL; c = c->next) {
+    if (c->busy) continue;
+    if (oldest == NULL || c->since <= oldest->since) oldest = c;
+  }
+  if (oldest != NULL) close_connection(oldest);
+}
+
+static void make_room (mt_http_client_t *client) {
+  size_t most = client->options.connections;
+  if (most > 0 && client->count >= most) close_oldest_idle(client);
+}
+
 static void keep_request (mt_http_call_t *c, mt_bytes_t head,
                           mt_bytes_t body) {
   c->request_size = head.n + body.n;
@@ -358,7 +374,10 @@
                                      mt_ms_t rested_ms, void *ud) {
   mt_http_call_t *c = take_idle(client, endpoint->key, rested_ms);
   bool kept = c != NULL;
-  if (!kept) c = connect_to(client, endpoint);
+  if (!kept) {
+    make_room(client);
+    c = connect_to(client, endpoint);
+  }
   c->busy = true;
   c->ud = ud;
   begin_answer(c);
@@ -418,15 +437,17 @@
 
 void mt_http_client_tick (mt_http_client_t *client) {
   mt_ms_t now = uv_now(client->loop);
+  mt_ms_t seen = client->ticked; /* what came up to then has been taken */
   mt_http_call_t *next;
   for (mt_http_call_t *c = client->all; c != NULL; c = next) {
     next = c->next;
     if (!c->busy && now - c->since > c->idle_limit)
       close_connection(c);
     else if (c->busy && !c->connected &&
-             now - c->since > client->options.connect_ms)
+             seen > c->since + client->options.connect_ms)
       fail(c, MT_HTTP_NOT_SENT);
   }
+  client->ticked = now;
 }
 
 uint64_t mt_http_client_opened (const mt_http_client_t *client) {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -45,8 +45,10 @@
 } mt_http_endpoint_t;
 
 typedef struct mt_http_client_options_t {
-  mt_ms_t connect_ms;    /* longest wait for a connection */
-  mt_ms_t idle_ms;       /* a kept connection rests no longer than this */
+  mt_ms_t connect_ms; /* longest wait for a connection */
+  mt_ms_t idle_ms;    /* a kept connection rests no longer than this */
+  size_t
+      connections; /* beyond so many a resting one gives way; 0: no bound */
   unsigned user_timeout; /* ms that sent bytes may stay unacknowledged */
 } mt_http_client_options_t;
 
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "http_server.h"
 #include "mtmem.h"
@@ -54,7 +55,8 @@
   void *ud;
   mt_http_server_limits_t limits;
   mt_http_exchange_t *all, *dirty;
-  size_t count;
+  size_t count, most; /* connections; most: 0 for no bound */
+  int spare;          /* a descriptor to give up when there is no other */
   bool draining;
   char input[READ_BYTES];
 };
@@ -350,9 +352,40 @@
   buffer_free(&ahead);
 }
 
-static void on_connection (uv_stream_t *listener, int status) {
-  mt_http_server_t *server = listener->data;
-  if (status < 0) return;
+/* Closes the connection that has been idle longest; false if none is. */
+static bool close_oldest_idle (mt_http_server_t *server) {
+  mt_http_exchange_t *oldest = NULL;
+  for (mt_http_exchange_t *x = server->all; x != NULL; x = x->next) {
+    if (x->state != STATE_IDLE) continue;
+    if (oldest == NULL || x->since <= oldest->since) oldest = x;
+  }
+  if (oldest != NULL) close_connection(oldest);
+  return oldest != NULL;
+}
+
+static int spare_descriptor (void) {
+  return socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+}
+
+/*
+** No descriptor is left to take a connection with. The loop tries again at
+** once and for ever, so one must be freed here; the connection that gets the
+** spare one is closed.
+*/
+static void free_descriptor (mt_http_server_t *server) {
+  if (close_oldest_idle(server) || server->spare < 0) return;
+  close(server->spare);
+  server->spare = -1;
+}
+
+/* True when the connection that was just taken may stay. */
+static bool make_room (mt_http_server_t *server) {
+  if (server->spare < 0) return false;
+  if (server->most == 0 || server->count < server->most) return true;
+  return close_oldest_idle(server);
+}
+
+static mt_http_exchange_t *add_connection (mt_http_server_t *server) {
   mt_http_exchange_t *x = mtV_new(sizeof *x);
   x->server = server;
   uv_tcp_init(server->loop, &x->tcp);
@@ -362,8 +395,18 @@
   server->all = x;
   server->count++;
   begin_reading(x);
-  if (uv_accept(listener, (uv_stream_t *)&x->tcp) < 0) {
+  return x;
+}
+
+static void on_connection (uv_stream_t *listener, int status) {
+  mt_http_server_t *server = listener->data;
+  if (status == UV_EMFILE || status == UV_ENFILE) free_descriptor(server);
+  if (status < 0) return;
+  bool stays = make_room(server);
+  mt_http_exchange_t *x = add_connection(server);
+  if (uv_accept(listener, (uv_stream_t *)&x->tcp) < 0 || !stays) {
     close_connection(x);
+    if (server->spare < 0) server->spare = spare_descriptor();
     return;
   }
   uv_tcp_nodelay(&x->tcp, 1);
@@ -488,6 +531,7 @@
   server->handler = *handler;
   server->ud = ud;
   server->limits = default_limits;
+  server->spare = spare_descriptor();
   uv_tcp_init(loop, &server->listener);
   server->listener.data = server;
   int err = uv_ip4_addr(ip, port, &addr);
@@ -523,6 +567,10 @@
   return server->count;
 }
 
+void mt_http_server_set_most (mt_http_server_t *server, size_t connections) {
+  server->most = connections;
+}
+
 void mt_http_server_drain (mt_http_server_t *server) {
   server->draining = true;
 }
@@ -564,6 +612,8 @@
 }
 
 void mt_http_server_close (mt_http_server_t *server) {
+  if (server->spare >= 0) close(server->spare);
+  server->spare = -1;
   while (server->all != NULL) close_connection(server->all);
   if (uv_is_closing((uv_handle_t *)&server->listener))
     on_listener_closed((uv_handle_t *)&server->listener);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -44,6 +44,12 @@
                             const mt_http_server_limits_t *limits);
 size_t mt_http_server_connections (const mt_http_server_t *server);
 
+/*
+** Holds at most so many connections: a further one takes the place of that
+** which has been idle longest; where none is idle it is closed unread.
+*/
+void mt_http_server_set_most (mt_http_server_t *server, size_t connections);
+
 /* From now on each answer ends its connection. */
 void mt_http_server_drain (mt_http_server_t *server);
 
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -14,6 +14,7 @@
 #define ROOM_POWER 3   /* how fast room falls beyond the share */
 #define OWED_STEEP 1   /* with nothing of its share: it may go anywhere */
 #define OVER_LIMIT_MS 2000.0 /* there it would be refused */
+#define HOPELESS_PART 0.2    /* of the usual wait; no engine is that idle */
 #define RETURN_BONUS                                     \
   1.5 /* a request that was refused before may wait more \
        */
@@ -230,6 +231,17 @@
   return choose(relay, r, PICK_UNASKED).engine;
 }
 
+bool mt_placement_is_hopeless (mt_relay_t *relay,
+                               const mt_relay_request_t *r) {
+  const mt_catalog_service_t *service =
+      mt_catalog_service(relay->catalog, r->service);
+  if (service == NULL || !service->model) return false;
+  if (standing_of(relay, r) <= 1) return false;
+  double usual = mt_relay_service(relay, r->service)->usual_unread /
+                 mt_relay_rate(relay, r->service);
+  return wait_limit(relay, r, service) < usual * HOPELESS_PART;
+}
+
 bool mt_placement_admits (mt_relay_t *relay, const mt_relay_request_t *r,
                           const mt_placement_t *p, bool returning,
                           mt_relay_refusal_t *why) {
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -30,6 +30,14 @@
 const mt_engine_t *mt_placement_candidate (mt_relay_t *relay,
                                            const mt_relay_request_t *request);
 
+/*
+** True when the request's workspace is so far beyond its share that no engine
+** of this service will have as little work as it would need: asking is
+*spared.
+*/
+bool mt_placement_is_hopeless (mt_relay_t *relay,
+                               const mt_relay_request_t *request);
+
 /* Tokens that an engine can keep beside what is running there. */
 int64_t mt_placement_room (const mt_engine_t *engine, int64_t memory);
 
--- a/src/relay/quotes.c
+++ b/src/relay/quotes.c
@@ -29,7 +29,7 @@
 }
 
 bool mt_quotes_ask (mt_relay_t *relay, mt_relay_request_t *r) {
-  if (relay->routers < 2) return false;
+  if (relay->routers < 2 || mt_placement_is_hopeless(relay, r)) return false;
   if (r->rounds >= MT_RELAY_ROUNDS) return false;
   double pressure = mt_relay_service(relay, r->service)->pressure;
   if (r->rounds > 0 && pressure > SECOND_ROUND) return false;
@@ -79,7 +79,7 @@
 
 bool mt_quotes_overdue (const mt_relay_t *relay,
                         const mt_relay_request_t *r) {
-  return relay->now - r->asked >= WAIT_MS;
+  return relay->seen >= r->asked + WAIT_MS;
 }
 
 void mt_quotes_fade (mt_relay_t *relay) {
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -136,11 +136,19 @@
   mt_relay_disengage(r);
 }
 
+/* What was counted as served has not run, or for nobody. */
+static void take_back (mt_relay_t *relay, mt_relay_request_t *r) {
+  if (!r->served) return;
+  mt_fair_share_served(&relay->shares, r->workspace, -r->cost);
+  r->served = false;
+}
+
 /* Nothing more can be done for it. */
 static void give_up (mt_relay_t *relay, mt_relay_request_t *r,
                      mt_relay_refusal_t why) {
   cancel_attempt(relay, r);
   if (r->phase != MT_RELAY_STREAMING) {
+    if (!r->may_have_run) take_back(relay, r);
     refuse(relay, r, why);
     return;
   }
@@ -357,7 +365,7 @@
     refuse(relay, r, MT_RELAY_STOPPING);
     return;
   }
-  if (relay->count > MT_MAX_RUNNING) {
+  if (relay->count > relay->terms.running_most) {
     refuse(relay, r, MT_RELAY_FULL);
     return;
   }
@@ -378,6 +386,7 @@
 }
 
 static void on_caller_left (mt_relay_t *relay, mt_relay_request_t *r) {
+  if (r->awaiting_event) take_back(relay, r);
   cancel_attempt(relay, r);
   relay->counters.callers_left++;
   note(relay, r, "left", "caller");
@@ -537,14 +546,25 @@
   return mt_max(5 * r->pause, ENGINE_SILENT_MS);
 }
 
-/* True when nothing at all comes from the engine any more. */
+/* From one time to another; 0 if they are the other way round. */
+static mt_ms_t since (mt_ms_t from, mt_ms_t to) {
+  return to > from ? to - from : 0;
+}
+
+/*
+** True when nothing at all comes from the engine any more. On a busy machine
+** turns of the loop are long and the tick comes first in each: only time up
+*to
+** the last tick is known to have been silent.
+*/
 static bool is_silent (const mt_relay_t *relay, const mt_relay_request_t *r) {
-  mt_ms_t waited = relay->now - r->heard;
+  mt_ms_t waited = since(r->heard, relay->seen);
   if (waited > patience(r)) return true;
   if (r->kind != MT_ROUTE_STREAM || waited < ENGINE_SILENT_MS) return false;
-  mt_ms_t engine_waited = relay->now - r->engine->heard;
+  mt_ms_t engine_waited = since(r->engine->heard, relay->seen);
+  mt_ms_t sent = since(r->sent, relay->seen);
   return engine_waited > ENGINE_SILENT_MS &&
-         relay->now - r->sent > ENGINE_SILENT_MS + (mt_ms_t)r->wait_expected;
+         sent > ENGINE_SILENT_MS + (mt_ms_t)r->wait_expected;
 }
 
 static void check_request (mt_relay_t *relay, mt_relay_request_t *r) {
@@ -570,6 +590,7 @@
 static void on_tick (mt_relay_t *relay) {
   for (size_t i = relay->count; i-- > 0;)
     if (i < relay->count) check_request(relay, relay->list[i]);
+  relay->seen = relay->now;
   if (relay->now < relay->next_update) return;
   relay->next_update = relay->now + UPDATE_MS;
   mt_fair_share_update(&relay->shares, relay->now);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -262,6 +262,7 @@
 /* Everything that tunes decisions, in one place. */
 typedef struct mt_relay_terms_t {
   mt_retry_terms_t retry;
+  size_t running_most;   /* requests in progress; beyond: refused */
   mt_ms_t vanish_ms;     /* an engine that left the list serves on so long */
   double wait_part;      /* of the objective that a request may wait */
   double urgency_power;  /* how much less a longer objective may wait */
@@ -277,6 +278,7 @@
 
 typedef struct mt_relay_t {
   mt_ms_t now;
+  mt_ms_t seen; /* all that came in before has been taken: the last tick */
   char domain[MT_NAME_MAX + 1];
   mt_relay_terms_t terms;
   mt_catalog_t *catalog; /* NULL: none yet */
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -290,6 +290,30 @@
   EXPECT_EQ(status, 0);
 }
 
+// More callers than descriptors: idle connections give way to new ones.
+TEST(Gateway, ServesBeyondItsDescriptors) {
+  World w;
+  w.descriptors = 100;
+  Listener *e =
+      w.listen([&] (Conn &c, const Request &r) { c.send(good(r, "x")); });
+  w.engine("i-1", "plain", e);
+  w.start();
+  std::vector<Conn *> idle;
+  for (int i = 0; i < 150; i++) {
+    Conn *c = w.connect(w.callers);
+    ASSERT_NE(c, nullptr);
+    idle.push_back(c);
+  }
+  EXPECT_TRUE(w.until([&] {
+    size_t closed = 0;
+    for (Conn *c : idle) closed += c->closed;
+    return closed >= 50;
+  }));
+  for (int i = 0; i < 5; i++)
+    EXPECT_EQ(World::status_of(w.call(World::ask("/safe/x", "id1"))), 200);
+  EXPECT_FALSE(idle.back()->closed); // the one that rested least
+}
+
 // Datagrams come from anybody: none may end or mislead a gateway.
 TEST(Gateway, OutlivesAnyDatagram) {
   World w;
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -10,6 +10,7 @@
 #include <openssl/evp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -331,6 +332,8 @@
 
   // {== The gateway
 
+  rlim_t descriptors = 0; // that the gateway may open; 0: as usual
+
   void start (bool keep_log = true) {
     std::string file = dir + "/settings.json";
     std::ofstream(file)
@@ -347,6 +350,11 @@
     pid = fork();
     if (pid == 0) {
       dup2(fds[1], 1);
+      if (descriptors > 0) {
+        struct rlimit limit = {descriptors, descriptors};
+        for (int fd = 3; fd < 1024; fd++) ::close(fd);
+        setrlimit(RLIMIT_NOFILE, &limit);
+      }
       execl(program.c_str(), program.c_str(), "gateway", "--settings",
             file.c_str(), (char *)nullptr);
       _exit(127);
--- a/tests/relay.h
+++ b/tests/relay.h
@@ -60,6 +60,7 @@
   explicit Relay(int engines = 3) {
     mt_relay_terms_t terms{};
     terms.retry = {0.2, 10000, 50};
+    terms.running_most = 8192;
     terms.wait_part = 0.5;
     terms.urgency_power = 1;
     terms.over_power = 10;
