An overloaded gateway leaves the balancer until it can keep up

Cause: the balancer chooses a gateway by a hash of the client, so one with 0.12 of a core gets some 1,000 requests a second of one workspace. Now a smoothed lag of turns beyond 90 ms makes it answer readiness with 503 and end connections with their answers, until the lag is under 25 ms; its clients spread over the failure domain.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -9,6 +9,7 @@
 #include "gateway.h"
 #include "gateway_metrics.h"
 #include "gateway_peers.h"
+#include "overload.h"
 
 #define TICK_MS 25
 #define CONNECT_MS 400
@@ -57,6 +58,8 @@
   mt_map_t passages;
   uint64_t next_number;
   mt_ms_t started, stopping; /* 0: not ordered to stop */
+  mt_ms_t ticked;            /* the last tick */
+  mt_overload_t overload;
   mt_text_t scratch;
 };
 
@@ -465,6 +468,7 @@
 /* {== Readiness and the clock ========================================== */
 
 static bool is_ready (const mt_gateway_t *g) {
+  if (g->overload.overloaded) return false;
   return g->stopping == 0 && g->relay->catalog != NULL &&
          g->relay->engines.count > 0;
 }
@@ -508,8 +512,24 @@
   if (since + LAST_MS > g->settings.grace) finish(g, "out-of-time");
 }
 
+/* Whoever cannot keep up sends its callers elsewhere until it can. */
+static void judge_load (mt_gateway_t *g) {
+  mt_ms_t now = uv_now(g->loop);
+  mt_ms_t took = g->ticked ? now - g->ticked : TICK_MS;
+  g->ticked = now;
+  if (!mt_overload_turn(&g->overload, took, TICK_MS)) return;
+  bool overloaded = g->overload.overloaded;
+  mt_http_server_drain(g->callers, overloaded || g->stopping != 0);
+  mt_log_line(g->log, MT_LOG_BELIEF, now, "overload",
+              "lag=%.0f requests=%zu connections=%zu outcome=%s",
+              g->overload.lag, g->relay->count,
+              mt_http_server_connections(g->callers),
+              overloaded ? "begun" : "over");
+}
+
 static void on_tick (uv_timer_t *timer) {
   mt_gateway_t *g = timer->data;
+  judge_load(g);
   mt_relay_event_t event = {.kind = MT_RELAY_TICK};
   step(g, &event);
   g->relay->routers = mt_gateway_peers_tick(g->peers);
@@ -610,7 +630,7 @@
   mt_relay_event_t event = {.kind = MT_RELAY_STOP};
   event.u.stop_ms = g->settings.grace - LAST_MS;
   step(g, &event);
-  mt_http_server_drain(g->callers);
+  mt_http_server_drain(g->callers, true);
   mt_log_line(g->log, MT_LOG_BELIEF, g->stopping, "stopping",
               "requests=%zu outcome=draining", g->relay->count);
 }
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -571,8 +571,8 @@
   server->most = connections;
 }
 
-void mt_http_server_drain (mt_http_server_t *server) {
-  server->draining = true;
+void mt_http_server_drain (mt_http_server_t *server, bool drain) {
+  server->draining = drain;
 }
 
 void mt_http_server_close_idle (mt_http_server_t *server) {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -50,8 +50,8 @@
 */
 void mt_http_server_set_most (mt_http_server_t *server, size_t connections);
 
-/* From now on each answer ends its connection. */
-void mt_http_server_drain (mt_http_server_t *server);
+/* Whether each answer ends its connection from now on. */
+void mt_http_server_drain (mt_http_server_t *server, bool drain);
 
 /* Closes the connections that hold no request and no part of one. */
 void mt_http_server_close_idle (mt_http_server_t *server);
