Watchers tell what changed among engines; tests of peers without sockets

A watcher now tells the changes themselves with the revision they build on; who has all before them takes them without a call, whoever misses some reads the store.

Log lines of requests tell the time to the first event, expected and seen.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -416,8 +416,8 @@
   if (!told && e->vanished != 0) log_engine(g, e, "vanished");
 }
 
-void mt_gateway_engine (mt_gateway_t *g, const char *name,
-                        const mt_gateway_engine_t *engine) {
+static void take_engine (mt_gateway_t *g, const char *name,
+                         const mt_gateway_engine_t *engine) {
   uint64_t key = mt_engine_key(name, strlen(name));
   mt_engine_t *e = mt_engines_get(&g->relay->engines, key);
   if (engine == NULL) {
@@ -438,6 +438,34 @@
             is_new);
 }
 
+/* What the source itself says is told to the others, too. */
+void mt_gateway_engine (mt_gateway_t *g, const char *name,
+                        const mt_gateway_engine_t *engine) {
+  mt_peer_entry_t entry = {.gone = engine == NULL};
+  snprintf(entry.name, sizeof entry.name, "%s", name);
+  if (engine != NULL) {
+    snprintf(entry.domain, sizeof entry.domain, "%s", engine->domain);
+    snprintf(entry.ip, sizeof entry.ip, "%s", engine->ip);
+    snprintf(entry.service, sizeof entry.service, "%s", engine->service);
+    entry.port = engine->port;
+    entry.slots = (uint16_t)engine->slots;
+    entry.leaving = engine->leaving;
+  }
+  mt_gateway_peers_changed(g->peers, &entry);
+  take_engine(g, name, engine);
+}
+
+static void on_entry (void *ud, const mt_peer_entry_t *entry) {
+  const mt_gateway_engine_t engine = {.name = entry->name,
+                                      .domain = entry->domain,
+                                      .ip = entry->ip,
+                                      .port = entry->port,
+                                      .service = entry->service,
+                                      .slots = entry->slots,
+                                      .leaving = entry->leaving};
+  take_engine(ud, entry->name, entry->gone ? NULL : &engine);
+}
+
 void mt_gateway_set_unsure (mt_gateway_t *g, bool unsure) {
   g->relay->unsure = unsure;
 }
@@ -446,6 +474,10 @@
   return mt_gateway_peers_feed(g->peers, kind);
 }
 
+int64_t mt_gateway_taken (const mt_gateway_t *g, mt_feed_kind_t kind) {
+  return mt_gateway_peers_taken(g->peers, kind);
+}
+
 void mt_gateway_set_feed (mt_gateway_t *g, mt_feed_kind_t kind,
                           int64_t newest, int64_t at) {
   mt_gateway_peers_set_feed(g->peers, kind, newest, at);
@@ -560,12 +592,12 @@
   mt_log_line(
       g->log, well ? MT_LOG_DETAIL : MT_LOG_FAILURE, g->relay->now, "request",
       "id=%s route=%08x workspace=%08x engine=%s attempt=%d age=%llu "
-      "status=%d wait=%.0f standing=%.2f tokens=%lld last=%lld version=%lld "
+      "status=%d wait=%.0f expected=%.0f first=%llu standing=%.2f tokens=%lld last=%lld version=%lld "
       "outcome=%s why=%s",
       r->id, r->route, r->workspace, r->engine_name[0] ? r->engine_name : "-",
       r->attempt, (unsigned long long)(g->relay->now - r->arrived), r->status,
-      r->wait_expected, r->standing, (long long)r->tokens_in,
-      (long long)r->last_event,
+      r->wait_expected, r->first_expected, (unsigned long long)r->first,
+      r->standing, (long long)r->tokens_in, (long long)r->last_event,
       (long long)(g->relay->catalog ? g->relay->catalog->version : 0),
       outcome, why);
 }
@@ -608,8 +640,8 @@
   g->metrics =
       listen_on(g, &settings->metrics, &metrics_handler, reason, size);
   if (g->metrics == NULL) return NULL;
-  g->peers =
-      mt_gateway_peers_open(loop, settings, g->relay, g->log, on_quoted, g);
+  const mt_gateway_peers_calls_t calls = {on_quoted, on_entry, g};
+  g->peers = mt_gateway_peers_open(loop, settings, g->relay, g->log, &calls);
   uv_timer_init(loop, &g->tick);
   g->tick.data = g;
   uv_timer_start(&g->tick, on_tick, TICK_MS, TICK_MS);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -65,6 +65,8 @@
                                 mt_feed_kind_t kind);
 void mt_gateway_set_feed (mt_gateway_t *gateway, mt_feed_kind_t kind,
                           int64_t newest, int64_t at);
+/* Up to which revision all changes of a feed are known here. */
+int64_t mt_gateway_taken (const mt_gateway_t *gateway, mt_feed_kind_t kind);
 void mt_gateway_set_source (mt_gateway_t *gateway, bool reachable);
 bool mt_gateway_watches (const mt_gateway_t *gateway);
 bool mt_gateway_leads (const mt_gateway_t *gateway);
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -29,6 +29,7 @@
 /* What is known of a feed, and since when. */
 typedef struct feed_state_t {
   int64_t newest, at;
+  int64_t taken;     /* all changes up to there are known here */
   mt_ms_t confirmed; /* 0: never */
 } feed_state_t;
 
@@ -37,14 +38,15 @@
   uv_udp_t udp;
   mt_relay_t *relay;
   mt_log_writer_t *log;
-  mt_gateway_quoted_t quoted;
-  void *ud;
+  mt_gateway_peers_calls_t calls;
   uint16_t port;
   uint64_t boot, number;
   mt_membership_t members;
   mt_load_teller_t teller;
   group_sum_t sums[GROUPS_MAX];
   feed_state_t feeds[MT_FEEDS];
+  mt_peer_entry_t changes[MT_PEER_ENTRIES_MAX]; /* to be told as news */
+  size_t changes_count;
   size_t next_told;
   mt_ms_t next_send, pace;
   mt_peer_message_t in, out;
@@ -280,25 +282,59 @@
   return changed;
 }
 
-/* Tells the routers of the own failure domain. */
-static void tell_news (mt_gateway_peers_t *peers) {
+/*
+** Tells the routers of the own failure domain what is new since `base`. With
+** more changes than fit the others have to read for themselves.
+*/
+static void tell_news (mt_gateway_peers_t *peers, int64_t base) {
   const mt_membership_t *members = &peers->members;
-  begin(peers, MT_PEER_NEWS);
+  mt_peer_message_t *m = begin(peers, MT_PEER_NEWS);
+  if (peers->changes_count < MT_PEER_ENTRIES_MAX) {
+    m->base = base;
+    m->entries_count = peers->changes_count;
+    memcpy(m->entries, peers->changes, m->entries_count * sizeof *m->entries);
+  }
   size_t n = pack(peers);
-  for (size_t i = 0; i < members->count; i++) {
+  for (size_t i = 0; i < members->count && n > 0; i++) {
     const mt_peer_t *peer = members->list[i];
     if (peer->domain != members->own_domain) continue;
     if (mt_membership_is_live(members, peer)) send_bytes(peers, peer->ip, n);
   }
 }
 
+void mt_gateway_peers_changed (mt_gateway_peers_t *peers,
+                               const mt_peer_entry_t *entry) {
+  if (peers->changes_count < MT_PEER_ENTRIES_MAX)
+    peers->changes[peers->changes_count++] = *entry;
+}
+
 void mt_gateway_peers_set_feed (mt_gateway_peers_t *peers,
                                 mt_feed_kind_t kind, int64_t newest,
                                 int64_t at) {
-  mt_ms_t now = uv_now(peers->loop);
-  if (merge_feed(&peers->feeds[kind], newest, at, now) &&
-      mt_gateway_peers_watches(peers))
-    tell_news(peers);
+  feed_state_t *feed = &peers->feeds[kind];
+  int64_t base = feed->taken;
+  feed->taken = mt_max(feed->taken, at);
+  bool changed = merge_feed(feed, newest, at, uv_now(peers->loop));
+  if (changed && mt_gateway_peers_leads(peers)) tell_news(peers, base);
+  if (kind == MT_FEED_ENGINES) peers->changes_count = 0;
+}
+
+int64_t mt_gateway_peers_taken (const mt_gateway_peers_t *peers,
+                                mt_feed_kind_t kind) {
+  return peers->feeds[kind].taken;
+}
+
+/*
+** Takes changes that a watcher told, if none is missing in between; then what
+** is known here reaches as far as the watcher's own knowledge.
+*/
+static void on_news (mt_gateway_peers_t *peers, const mt_peer_message_t *m) {
+  feed_state_t *feed = &peers->feeds[MT_FEED_ENGINES];
+  int64_t newest = m->feeds[MT_FEED_ENGINES].newest;
+  if (m->base == 0 || feed->taken < m->base || feed->taken >= newest) return;
+  for (size_t i = 0; i < m->entries_count; i++)
+    peers->calls.entry(peers->calls.ud, &m->entries[i]);
+  feed->taken = newest;
 }
 
 void mt_gateway_peers_set_source (mt_gateway_peers_t *peers, bool reachable) {
@@ -401,7 +437,8 @@
     }
     ask_keeper(peers, keeper, r);
   }
-  if (own_count > 0) peers->quoted(peers->ud, r->number, own, own_count);
+  if (own_count > 0)
+    peers->calls.quoted(peers->calls.ud, r->number, own, own_count);
 }
 
 static void on_ask (mt_gateway_peers_t *peers, uint32_t ip,
@@ -425,7 +462,7 @@
                                    m->engines[i].tokens};
   peer->asked = 0;
   peer->suspect = 0;
-  peers->quoted(peers->ud, m->token, quotes, m->engines_count);
+  peers->calls.quoted(peers->calls.ud, m->token, quotes, m->engines_count);
 }
 
 static void on_load (mt_gateway_peers_t *peers, uint32_t ip,
@@ -511,7 +548,7 @@
     case MT_PEER_WELCOME: take_members(peers, m, true); break;
     case MT_PEER_ASK: on_ask(peers, peer->ip, m); break;
     case MT_PEER_QUOTE: on_quote(peers, peer, m); break;
-    case MT_PEER_NEWS:
+    case MT_PEER_NEWS: on_news(peers, m); break;
     case MT_PEER_KINDS: break;
   }
 }
@@ -562,15 +599,14 @@
 mt_gateway_peers_t *
 mt_gateway_peers_open (uv_loop_t *loop, const mt_gateway_settings_t *settings,
                        mt_relay_t *relay, mt_log_writer_t *log,
-                       mt_gateway_quoted_t quoted, void *ud) {
+                       const mt_gateway_peers_calls_t *calls) {
   mt_gateway_peers_t *peers = mtV_new(sizeof *peers);
   mt_membership_t *members = &peers->members;
   struct sockaddr_in addr;
   peers->loop = loop;
   peers->relay = relay;
   peers->log = log;
-  peers->quoted = quoted;
-  peers->ud = ud;
+  peers->calls = *calls;
   peers->port = settings->peers.port;
   peers->boot = uv_hrtime();
   peers->pace = INTERVAL_MIN_MS;
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -18,10 +18,19 @@
                                     const mt_relay_quote_t *quotes,
                                     size_t count);
 
+/* A change in the list of engines that a watcher told. */
+typedef void (*mt_gateway_entry_t)(void *ud, const mt_peer_entry_t *entry);
+
+typedef struct mt_gateway_peers_calls_t {
+  mt_gateway_quoted_t quoted;
+  mt_gateway_entry_t entry;
+  void *ud;
+} mt_gateway_peers_calls_t;
+
 mt_gateway_peers_t *
 mt_gateway_peers_open (uv_loop_t *loop, const mt_gateway_settings_t *settings,
                        mt_relay_t *relay, mt_log_writer_t *log,
-                       mt_gateway_quoted_t quoted, void *ud);
+                       const mt_gateway_peers_calls_t *calls);
 
 /* Tells and forgets, when it is time; the number of routers, this one too. */
 int mt_gateway_peers_tick (mt_gateway_peers_t *peers);
@@ -41,10 +50,16 @@
 /* What is known of a feed, also from others. */
 mt_peer_feed_t mt_gateway_peers_feed (const mt_gateway_peers_t *peers,
                                       mt_feed_kind_t kind);
-/* The source itself said so just now. */
+/* The source itself said so just now; all up to there is known here. */
 void mt_gateway_peers_set_feed (mt_gateway_peers_t *peers,
                                 mt_feed_kind_t kind, int64_t newest,
                                 int64_t at);
+/* The source itself told of this change, before the next set_feed. */
+void mt_gateway_peers_changed (mt_gateway_peers_t *peers,
+                               const mt_peer_entry_t *entry);
+/* Up to which revision everything is known here, by whomever. */
+int64_t mt_gateway_peers_taken (const mt_gateway_peers_t *peers,
+                                mt_feed_kind_t kind);
 /* Whether this router reaches the source. */
 void mt_gateway_peers_set_source (mt_gateway_peers_t *peers, bool reachable);
 /* Whether this router should watch the source, and for others, too. */
--- a/src/gateway/overload.c
+++ b/src/gateway/overload.c
@@ -5,8 +5,8 @@
 
 #define SMOOTH_MS 1000.0 /* time constant */
 #define LAG_MOST 400.0   /* one long pause is not yet an overload */
-#define BEGIN_LAG 90.0
-#define END_LAG 25.0
+#define BEGIN_LAG 60.0
+#define END_LAG 15.0
 
 bool mt_overload_turn (mt_overload_t *o, mt_ms_t took, mt_ms_t usual) {
   double lag = took > usual ? (double)(took - usual) : 0;
--- a/src/gateway/peer_message.c
+++ b/src/gateway/peer_message.c
@@ -2,17 +2,20 @@
 ** peer_message.c - what routers tell each other: typed, and as msgpack
 */
 #include <msgpack.h>
+#include <stdio.h>
+#include <string.h>
 
 #include "mtmsg.h"
 #include "peer_message.h"
 
 #define FORMAT_VERSION 2
-#define NUMBERS 14 /* before the lists */
-#define LISTS 4
+#define NUMBERS 15 /* before the lists */
+#define LISTS 5
 #define MEMBER_NUMBERS 3
 #define SHARE_NUMBERS 3
 #define ENGINE_NUMBERS 5
 #define PART_NUMBERS 2
+#define ENTRY_MEMBERS 7
 
 /* What one router can claim at most. */
 #define TOKENS_MOST 1000000000
@@ -27,7 +30,8 @@
   m->groups = m->group = 0;
   for (int i = 0; i < MT_FEEDS; i++) m->feeds[i] = (mt_peer_feed_t){0};
   m->members_count = m->shares_count = 0;
-  m->engines_count = m->parts_count = 0;
+  m->engines_count = m->parts_count = m->entries_count = 0;
+  m->base = 0;
 }
 
 /* {== Packing ========================================================== */
@@ -75,9 +79,28 @@
   }
 }
 
+static void pack_text (msgpack_packer *pk, const char *text) {
+  msgpack_pack_str_with_body(pk, text, strlen(text));
+}
+
+static void pack_entries (const mt_peer_message_t *m, msgpack_packer *pk) {
+  msgpack_pack_array(pk, m->entries_count * ENTRY_MEMBERS);
+  for (size_t i = 0; i < m->entries_count; i++) {
+    const mt_peer_entry_t *e = &m->entries[i];
+    pack_text(pk, e->name);
+    pack_text(pk, e->gone ? "" : e->domain);
+    pack_text(pk, e->gone ? "" : e->ip);
+    pack_text(pk, e->gone ? "" : e->service);
+    msgpack_pack_uint16(pk, e->port);
+    msgpack_pack_uint16(pk, e->slots);
+    msgpack_pack_uint8(pk, (uint8_t)(e->gone ? 2 : e->leaving));
+  }
+}
+
 static int write_bytes (void *to, const char *bytes, size_t n) {
   mt_bytes_t *room = to;
-  if (n > room->n) return -1;
+  if (room->p != NULL && n > room->n) room->p = NULL;
+  if (room->p == NULL) return -1;
   memcpy((char *)room->p, bytes, n);
   room->p += n;
   room->n -= n;
@@ -104,14 +127,16 @@
       (uint64_t)m->feeds[1].newest,
       (uint64_t)m->feeds[1].at,
       m->feeds[1].age,
+      (uint64_t)m->base,
   };
   msgpack_pack_array(&pk, NUMBERS + LISTS);
   for (int i = 0; i < NUMBERS; i++) msgpack_pack_uint64(&pk, numbers[i]);
   pack_members(m, &pk);
   pack_shares(m, &pk);
   pack_engines(m, &pk);
-  if (room.n < MT_PEER_PARTS_MAX * 20) return 0;
   pack_parts(m, &pk);
+  pack_entries(m, &pk);
+  if (room.p == NULL) return 0; /* something did not fit */
   return size - room.n;
 }
 
@@ -184,6 +209,31 @@
   }
 }
 
+/* A text that fits; empty for anything else. */
+static void unpack_text (const msgpack_object *o, char *to, size_t size) {
+  to[0] = '\0';
+  if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= size) return;
+  memcpy(to, o->via.str.ptr, o->via.str.size);
+  to[o->via.str.size] = '\0';
+}
+
+static void unpack_entries (mt_peer_message_t *m, const msgpack_object *o) {
+  size_t n = rows_of(o, ENTRY_MEMBERS, MT_PEER_ENTRIES_MAX);
+  for (size_t i = 0; i < n; i++) {
+    const msgpack_object *at = &o->via.array.ptr[i * ENTRY_MEMBERS];
+    mt_peer_entry_t *e = &m->entries[m->entries_count];
+    unpack_text(&at[0], e->name, sizeof e->name);
+    unpack_text(&at[1], e->domain, sizeof e->domain);
+    unpack_text(&at[2], e->ip, sizeof e->ip);
+    unpack_text(&at[3], e->service, sizeof e->service);
+    e->port = (uint16_t)bounded(&at[4], UINT16_MAX);
+    e->slots = (uint16_t)bounded(&at[5], UINT16_MAX);
+    e->leaving = number_of(&at[6]) == 1;
+    e->gone = number_of(&at[6]) == 2;
+    m->entries_count += e->name[0] != '\0';
+  }
+}
+
 static void unpack_numbers (mt_peer_message_t *m, const msgpack_object *at) {
   m->boot = number_of(&at[2]);
   m->number = number_of(&at[3]);
@@ -196,6 +246,7 @@
     m->feeds[i].at = bounded(&at[9 + 3 * i], INT64_MAX);
     m->feeds[i].age = (mt_ms_t)bounded(&at[10 + 3 * i], MS_MOST);
   }
+  m->base = bounded(&at[NUMBERS - 1], INT64_MAX);
 }
 
 /* True when the message has the expected shape and version. */
@@ -228,6 +279,7 @@
   unpack_shares(m, &at[NUMBERS + 1]);
   unpack_engines(m, &at[NUMBERS + 2]);
   unpack_parts(m, &at[NUMBERS + 3]);
+  unpack_entries(m, &at[NUMBERS + 4]);
 done:
   msgpack_unpacked_destroy(&unpacked);
   return good;
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -16,6 +16,7 @@
 #define MT_PEER_SHARES_MAX 700
 #define MT_PEER_ENGINES_MAX 64
 #define MT_PEER_PARTS_MAX 16
+#define MT_PEER_ENTRIES_MAX 24
 
 typedef enum mt_peer_kind_t {
   MT_PEER_HELLO,   /* a router's own shares, to the routers of its group */
@@ -62,6 +63,14 @@
   mt_ms_t age;
 } mt_peer_feed_t;
 
+/* A change in the list of engines; texts are kept within. */
+typedef struct mt_peer_entry_t {
+  char name[64], domain[64], ip[46], service[64];
+  uint16_t port;
+  uint16_t slots;
+  bool leaving, gone; /* gone: only the name counts */
+} mt_peer_entry_t;
+
 /* Lists that a kind does not use are empty. */
 typedef struct mt_peer_message_t {
   mt_peer_kind_t kind;
@@ -78,6 +87,10 @@
   size_t engines_count;
   mt_prefix_part_t parts[MT_PEER_PARTS_MAX];
   size_t parts_count;
+  /* NEWS: what changed in the list of engines after revision `base`. */
+  int64_t base;
+  mt_peer_entry_t entries[MT_PEER_ENTRIES_MAX];
+  size_t entries_count;
 } mt_peer_message_t;
 
 /* Starts a message of a kind: all numbers 0, all lists empty. */
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -152,7 +152,7 @@
                                     const mt_relay_request_t *r,
                                     const mt_catalog_service_t *service,
                                     pick_t pick) {
-  mt_placement_t best = {NULL, 0, 0, false, false};
+  mt_placement_t best = {.engine = NULL};
   double best_cost = 0;
   double rate = mt_relay_rate(relay, r->service);
   mt_engine_t *home = find_home(relay, r, NULL);
@@ -177,7 +177,7 @@
     if (memory > 0 && held > memory) cost += MEMORY_PENALTY_MS;
     cost += e->failures * FAILING_PENALTY_MS;
     if (best.engine != NULL && cost >= best_cost) continue;
-    best = (mt_placement_t){e, miss, wait, full, e == home};
+    best = (mt_placement_t){e, miss, wait, wait + read, full, e == home};
     best_cost = cost;
   }
   return best;
@@ -185,7 +185,7 @@
 
 static mt_placement_t
 choose_plain (mt_relay_t *relay, const mt_relay_request_t *r, pick_t pick) {
-  mt_placement_t best = {NULL, 0, 0, false, false};
+  mt_placement_t best = {.engine = NULL};
   double best_cost = 0;
   for (size_t i = 0; i < relay->engines.count; i++) {
     mt_engine_t *e = relay->engines.list[i];
@@ -195,7 +195,7 @@
     cost += near ? 0 : 0.5 / mt_max(e->slots, 1);
     cost += e->failures;
     if (best.engine != NULL && cost >= best_cost) continue;
-    best = (mt_placement_t){e, 0, 0, running(e) >= e->slots, false};
+    best = (mt_placement_t){.engine = e, .full = running(e) >= e->slots};
     best_cost = cost;
   }
   return best;
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -10,6 +10,7 @@
   mt_engine_t *engine; /* NULL: there is none to be had */
   int64_t miss;        /* prompt tokens that it probably has to read */
   double wait_ms;      /* expected until it begins to read this prompt */
+  double first_ms;     /* expected until its first event */
   bool full;           /* all its slots are taken */
   bool home;           /* every router expects the parts there */
 } mt_placement_t;
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -465,6 +465,7 @@
   }
   while (mt_event_stream_next(&r->stream, &event)) {
     if (r->awaiting_event) {
+      r->first = mt_max(relay->now - r->sent, (mt_ms_t)1);
       mt_relay_learn_rate(relay, r);
       mt_relay_prompt_read(r);
     }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -240,6 +240,8 @@
   int64_t unread, held; /* its part of the engine's load */
   int64_t work_ahead;   /* unread there when it was sent, itself included */
   double wait_expected, standing; /* when it was decided, for logs */
+  double first_expected; /* ms from sending to the first event, likewise */
+  mt_ms_t first;         /* the same as it came; 0: not yet */
   mt_ms_t sent, heard;
   int status;
   uint64_t tried[MT_RELAY_TRIES_MAX];
--- a/src/relay/relay_load.c
+++ b/src/relay/relay_load.c
@@ -75,6 +75,7 @@
   r->awaiting_event = true;
   r->work_ahead = e->here.unread + e->peers.unread + p->miss;
   r->wait_expected = p->wait_ms;
+  r->first_expected = p->first_ms;
   e->here.running++;
   e->here.unread += r->unread;
   e->here.held += r->held;
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -6,6 +6,12 @@
 
 #include "gateway_world.h"
 
+#include <memory>
+
+extern "C" {
+#include "peer_message.h"
+}
+
 namespace {
 
 std::string body_of (const std::string &in) {
@@ -321,17 +327,17 @@
       w.listen([&] (Conn &c, const Request &r) { c.send(good(r, "x")); });
   w.engine("i-1", "plain", e);
   w.start();
-  // Fourteen numbers, then the lists of members, shares, engines and parts.
+  // Fifteen numbers, then lists: members, shares, engines, parts, entries.
   auto message = [] (uint64_t kind, const std::vector<uint64_t> &rows,
-                     uint64_t rest = 1, size_t lists = 4) {
+                     uint64_t rest = 1, size_t lists = 5) {
     msgpack_sbuffer out;
     msgpack_packer pk;
     msgpack_sbuffer_init(&out);
     msgpack_packer_init(&pk, &out, msgpack_sbuffer_write);
-    msgpack_pack_array(&pk, 14 + lists);
+    msgpack_pack_array(&pk, 15 + lists);
     msgpack_pack_uint64(&pk, 2);
     msgpack_pack_uint64(&pk, kind);
-    for (int i = 2; i < 14; i++) msgpack_pack_uint64(&pk, rest);
+    for (int i = 2; i < 15; i++) msgpack_pack_uint64(&pk, rest);
     for (size_t list = 0; list < lists; list++) {
       msgpack_pack_array(&pk, rows.size());
       for (uint64_t n : rows) msgpack_pack_uint64(&pk, n);
@@ -374,6 +380,54 @@
   close(fd);
 }
 
+// Watchers tell of engines; news that leave a gap are not taken.
+TEST(Gateway, HearsOfEnginesFromWatchers) {
+  World w;
+  Listener *e =
+      w.listen([&] (Conn &c, const Request &r) { c.send(good(r, "x")); });
+  w.start(true, false);
+  sockaddr_in to = loopback(w.port("peers="));
+  uint64_t number = 0;
+  int fd = socket(AF_INET, SOCK_DGRAM, 0);
+  sockaddr_in from = loopback(0);
+  inet_pton(AF_INET, "127.0.0.2", &from.sin_addr);
+  ASSERT_EQ(bind(fd, (sockaddr *)&from, sizeof from), 0);
+  auto tell = [&] (int64_t base, int64_t newest, mt_peer_entry_t entry) {
+    auto m = std::make_unique<mt_peer_message_t>();
+    char bytes[MT_PEER_DATAGRAM_MAX];
+    mt_peer_message_begin(m.get(), MT_PEER_NEWS);
+    m->number = ++number;
+    m->feeds[MT_FEED_ENGINES] = {newest, newest, 0};
+    m->base = base;
+    m->entries[m->entries_count++] = entry;
+    size_t n = mt_peer_message_pack(m.get(), bytes, sizeof bytes);
+    sendto(fd, bytes, n, 0, (sockaddr *)&to, sizeof to);
+  };
+  auto said = [&] (const std::string &name, const std::string &outcome) {
+    size_t at = w.log.find("engine=" + name + " ");
+    if (at == w.log.npos) return false;
+    return w.log.find(outcome, at) < w.log.find('\n', at);
+  };
+  mt_peer_entry_t entry{};
+  snprintf(entry.name, sizeof entry.name, "i-late");
+  snprintf(entry.domain, sizeof entry.domain, "d1");
+  snprintf(entry.ip, sizeof entry.ip, "127.0.0.1");
+  snprintf(entry.service, sizeof entry.service, "plain");
+  entry.port = (uint16_t)e->port;
+  entry.slots = 4;
+  tell(w.rev + 5, w.rev + 6, entry); // something is missing in between
+  snprintf(entry.name, sizeof entry.name, "i-new");
+  tell(w.rev, w.rev + 1, entry);
+  EXPECT_TRUE(w.until([&] { return said("i-new", "outcome=ready"); }));
+  EXPECT_FALSE(said("i-late", "outcome="));
+  EXPECT_EQ(World::status_of(w.call(World::ask("/safe/x", "id1"))), 200);
+  entry.gone = true;
+  tell(w.rev + 1, w.rev + 2, entry);
+  EXPECT_TRUE(
+      w.until([&] { return w.log.find("outcome=vanished") != w.log.npos; }));
+  close(fd);
+}
+
 // From the id of a failed request to its cause, by the command alone.
 TEST(Gateway, ExplainNamesTheCause) {
   struct Row {
--- /dev/null
+++ b/tests/peers_test.cc
@@ -0,0 +1,491 @@
+// peers_test.cc - what routers tell each other, without sockets
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+#include "relay.h"
+
+extern "C" {
+#include "load_teller.h"
+#include "membership.h"
+#include "overload.h"
+#include "peer_message.h"
+}
+
+namespace {
+
+// {== Messages =============================================================
+
+std::unique_ptr<mt_peer_message_t> message_of (mt_peer_kind_t kind) {
+  auto m = std::make_unique<mt_peer_message_t>();
+  mt_peer_message_begin(m.get(), kind);
+  return m;
+}
+
+TEST(PeerMessage, ComesOutAsItWentIn) {
+  char bytes[MT_PEER_DATAGRAM_MAX];
+  for (int kind = 0; kind < MT_PEER_KINDS; kind++) {
+    auto in = message_of((mt_peer_kind_t)kind), out = message_of(MT_PEER_ASK);
+    in->boot = UINT64_MAX;
+    in->number = 7;
+    in->token = 1ull << 40;
+    in->pace = 150;
+    in->groups = 8;
+    in->group = 3;
+    in->feeds[MT_FEED_ENGINES] = {5, 9, 200};
+    in->members[in->members_count++] = {0x0a000001, 77, 1};
+    in->shares[in->shares_count++] = {12, {1000, 500}};
+    in->engines[in->engines_count++] = {99, {10, 20, 3}, 400};
+    in->parts[in->parts_count++] = {5, 600};
+    in->base = 4;
+    in->entries[in->entries_count++] = {"i-1", "d1", "10.0.0.1", "s",
+                                        80,    64,   true,       false};
+    in->entries[in->entries_count++] = {"i-2", "", "", "", 0, 0, false, true};
+    size_t n = mt_peer_message_pack(in.get(), bytes, sizeof bytes);
+    ASSERT_GT(n, 0u);
+    ASSERT_TRUE(mt_peer_message_unpack(out.get(), bytes, n));
+    EXPECT_EQ(out->kind, kind);
+    EXPECT_EQ(out->boot, in->boot);
+    EXPECT_EQ(out->token, in->token);
+    EXPECT_EQ(out->groups, 8u);
+    EXPECT_EQ(out->group, 3u);
+    EXPECT_EQ(out->feeds[MT_FEED_ENGINES].newest, 5);
+    EXPECT_EQ(out->feeds[MT_FEED_ENGINES].at, 9);
+    EXPECT_EQ(out->feeds[MT_FEED_ENGINES].age, 200u);
+    ASSERT_EQ(out->members_count, 1u);
+    EXPECT_EQ(out->members[0].domain, 77u);
+    ASSERT_EQ(out->shares_count, 1u);
+    EXPECT_EQ(out->shares[0].rates.served, 500);
+    ASSERT_EQ(out->engines_count, 1u);
+    EXPECT_EQ(out->engines[0].load.running, 3);
+    EXPECT_EQ(out->engines[0].tokens, 400);
+    ASSERT_EQ(out->parts_count, 1u);
+    EXPECT_EQ(out->parts[0].tokens, 600);
+    EXPECT_EQ(out->base, 4);
+    ASSERT_EQ(out->entries_count, 2u);
+    EXPECT_STREQ(out->entries[0].ip, "10.0.0.1");
+    EXPECT_STREQ(out->entries[0].service, "s");
+    EXPECT_EQ(out->entries[0].port, 80);
+    EXPECT_TRUE(out->entries[0].leaving && !out->entries[0].gone);
+    EXPECT_STREQ(out->entries[1].name, "i-2");
+    EXPECT_TRUE(out->entries[1].gone);
+  }
+}
+
+TEST(PeerMessage, NoBytesHarm) {
+  char bytes[MT_PEER_DATAGRAM_MAX];
+  auto in = message_of(MT_PEER_SUMMARY), out = message_of(MT_PEER_ASK);
+  for (int i = 0; i < 20; i++)
+    in->shares[in->shares_count++] = {(mt_id_t)i + 1, {1e12, -5}};
+  size_t n = mt_peer_message_pack(in.get(), bytes, sizeof bytes);
+  ASSERT_TRUE(mt_peer_message_unpack(out.get(), bytes, n));
+  EXPECT_EQ(out->shares[0].rates.asked, 1000000000); // as much as may be
+  EXPECT_EQ(out->shares[0].rates.served, 0);
+  for (size_t cut = 0; cut < n; cut++)
+    EXPECT_FALSE(mt_peer_message_unpack(out.get(), bytes, cut));
+  std::mt19937 random(1);
+  for (int i = 0; i < 20000; i++) {
+    char spoiled[2048];
+    memcpy(spoiled, bytes, n);
+    for (int k = 0; k < 3; k++) spoiled[random() % n] = (char)random();
+    mt_peer_message_unpack(out.get(), spoiled, n);
+    ASSERT_LE(out->shares_count, (size_t)MT_PEER_SHARES_MAX);
+  }
+}
+
+// }==
+
+// {== Membership ===========================================================
+
+// Routers that all know each other, in failure domains 1, 2, ...
+struct Fleet {
+  std::vector<mt_membership_t> routers;
+  mt_ms_t now = 100000;
+
+  Fleet(int count, int domains) : routers((size_t)count) {
+    for (int i = 0; i < count; i++) {
+      mt_membership_t &m = routers[(size_t)i];
+      m = mt_membership_t{};
+      m.own_ip = ip(i);
+      m.own_domain = (mt_id_t)(1 + i % domains);
+      m.own_source = true;
+      m.now = now;
+      for (int k = 0; k < count; k++) {
+        mt_peer_t *peer = mt_membership_know(&m, ip(k));
+        if (peer == nullptr) continue;
+        peer->domain = (mt_id_t)(1 + k % domains);
+        peer->source = true;
+        peer->heard = now;
+      }
+      mt_membership_update(&m, now);
+    }
+  }
+  ~Fleet() {
+    for (mt_membership_t &m : routers) mt_membership_free(&m);
+  }
+  static uint32_t ip (int i) {
+    return 0x0a000001u + (uint32_t)i * 0x101u;
+  }
+  mt_peer_t *peer (mt_membership_t &m, uint32_t who) {
+    return (mt_peer_t *)mtV_get(&m.by_ip, who);
+  }
+};
+
+TEST(Membership, EachHearsEveryOtherGroupOnce) {
+  for (int count : {2, 6, 8, 58, 300}) {
+    Fleet fleet(count, 3);
+    for (mt_membership_t &to : fleet.routers) {
+      std::map<uint32_t, int> heard;
+      for (mt_membership_t &from : fleet.routers) {
+        if (from.own_ip == to.own_ip) continue;
+        uint32_t group = mt_membership_group(&from, from.own_ip);
+        if (group == mt_membership_group(&from, to.own_ip)) continue;
+        heard[group] += mt_membership_tells(&from, to.own_ip);
+      }
+      for (auto &group : heard) EXPECT_EQ(group.second, 1) << count;
+    }
+  }
+}
+
+TEST(Membership, AllAgreeOnKeepersWithinTheFailureDomain) {
+  for (int count : {6, 58, 300}) {
+    Fleet fleet(count, 5);
+    std::map<uint32_t, int> kept;
+    for (uint64_t engine = 1; engine <= 500; engine++) {
+      mt_id_t domain = (mt_id_t)(1 + engine % 5);
+      uint32_t keeper =
+          mt_membership_keeper(&fleet.routers[0], engine, domain);
+      kept[keeper]++;
+      for (mt_membership_t &m : fleet.routers)
+        ASSERT_EQ(mt_membership_keeper(&m, engine, domain), keeper);
+      for (mt_membership_t &m : fleet.routers)
+        EXPECT_TRUE(m.own_ip != keeper || m.own_domain == domain);
+    }
+    for (auto &k : kept)
+      EXPECT_LE(k.second, 500 / count * 3 + 12); // evenly, about
+  }
+}
+
+TEST(Membership, KeepersThatDoNotAnswerAreLeft) {
+  Fleet fleet(12, 3);
+  mt_membership_t &m = fleet.routers[0];
+  uint64_t engine = 1;
+  while (mt_membership_keeper(&m, engine, 2) == m.own_ip) engine++;
+  uint32_t first = mt_membership_keeper(&m, engine, 2);
+  fleet.peer(m, first)->asked = fleet.now;
+  mt_membership_update(&m, fleet.now + 50);
+  EXPECT_EQ(mt_membership_keeper(&m, engine, 2), first); // it still may
+  mt_membership_update(&m, fleet.now + 100);
+  uint32_t second = mt_membership_keeper(&m, engine, 2);
+  EXPECT_NE(second, first);
+  EXPECT_EQ(fleet.peer(m, second)->domain, 2u);
+  mt_membership_update(&m, fleet.now + 1000); // it gets another chance
+  EXPECT_EQ(mt_membership_keeper(&m, engine, 2), first);
+  for (size_t i = 0; i < m.count; i++)
+    if (m.list[i]->domain == 2) m.list[i]->heard = 1; // all of them lost
+  uint32_t other = mt_membership_keeper(&m, engine, 2);
+  EXPECT_NE(other, 0u);
+  EXPECT_TRUE(other == m.own_ip || fleet.peer(m, other)->domain != 2);
+}
+
+TEST(Membership, SomeOfEachFailureDomainWatch) {
+  struct Row {
+    int count, domains, watchers;
+  } rows[] = {{1, 1, 1},  {6, 3, 6},   {8, 4, 8},    {9, 3, 6},
+              {58, 3, 6}, {64, 5, 10}, {300, 20, 40}};
+  for (const Row &row : rows) {
+    Fleet fleet(row.count, row.domains);
+    int watchers = 0;
+    for (mt_membership_t &m : fleet.routers)
+      watchers += mt_membership_watches(&m);
+    EXPECT_EQ(watchers, row.watchers) << row.count;
+  }
+  // Who does not reach the source is followed by another.
+  Fleet fleet(30, 3);
+  std::set<uint32_t> before, after;
+  for (mt_membership_t &m : fleet.routers)
+    if (mt_membership_watches(&m)) before.insert(m.own_ip);
+  for (mt_membership_t &m : fleet.routers)
+    for (uint32_t cut : before)
+      if (mt_peer_t *peer = fleet.peer(m, cut)) peer->source = false;
+  for (mt_membership_t &m : fleet.routers)
+    if (before.count(m.own_ip) == 0 && mt_membership_watches(&m))
+      after.insert(m.own_ip);
+  EXPECT_EQ(after.size(), 6u);
+}
+
+// }==
+
+// {== Loads ================================================================
+
+TEST(LoadBook, SumsWhatOthersHave) {
+  mt_load_book_t book{};
+  mt_load_row_t a{}, b{};
+  a.router = 1;
+  a.load = {100, 200, 3};
+  a.read = 1000;
+  a.valid_until = 50;
+  b.router = 2;
+  b.load = {10, 20, 1};
+  b.valid_until = 90;
+  EXPECT_EQ(mt_load_book_take(&book, 7, &a), 0); // the first tells nothing
+  a.read = 1500;
+  EXPECT_EQ(mt_load_book_take(&book, 7, &a), 500);
+  a.read = 100; // it was started anew
+  EXPECT_EQ(mt_load_book_take(&book, 7, &a), 0);
+  mt_load_book_take(&book, 7, &b);
+  mt_load_book_take(&book, 8, &b);
+  EXPECT_EQ(mt_load_book_sum(&book, 7, 0, 40).unread, 110);
+  EXPECT_EQ(mt_load_book_sum(&book, 7, 1, 40).unread, 10);
+  EXPECT_EQ(mt_load_book_sum(&book, 7, 2, 40).running, 3);
+  EXPECT_EQ(mt_load_book_sum(&book, 9, 0, 40).held, 0);
+  EXPECT_EQ(mt_load_book_sum(&book, 7, 0, 60).unread, 10); // a: too old
+  mt_load_book_expire(&book, 60);
+  EXPECT_EQ(mt_load_book_sum(&book, 7, 0, 40).unread, 10);
+  mt_load_book_expire(&book, 100);
+  EXPECT_EQ(book.engines.used, 0u);
+  mt_load_book_free(&book);
+}
+
+struct Told {
+  std::map<uint32_t, std::vector<uint64_t>> rows;
+  static uint32_t keeper (void *, const mt_engine_t *e) {
+    return (uint32_t)(e->key % 2) + 1;
+  }
+  static void tell (void *ud, uint32_t to, mt_engine_t **engines,
+                    size_t count) {
+    for (size_t i = 0; i < count; i++) {
+      ((Told *)ud)->rows[to].push_back(engines[i]->key);
+      engines[i]->untold = false;
+      engines[i]->told = 1000;
+    }
+  }
+};
+
+TEST(LoadTeller, TellsChangesAndRepeatsWhatStands) {
+  mt_engines_t engines{};
+  for (int i = 0; i < 100; i++)
+    mt_engines_add(&engines, std::to_string(i).c_str())->untold = i < 80;
+  Told told;
+  mt_load_teller_t teller{};
+  const mt_load_teller_calls_t calls = {Told::keeper, Told::tell, &told};
+  mt_load_teller_tick(&teller, &engines, 1000, &calls);
+  EXPECT_EQ(told.rows[1].size() + told.rows[2].size(), 80u);
+  for (auto &to : told.rows)
+    for (uint64_t key : to.second) EXPECT_EQ(key % 2 + 1, to.first);
+  told.rows.clear();
+  engines.list[0]->here.running = 1;
+  mt_load_teller_tick(&teller, &engines, 1100, &calls);
+  EXPECT_TRUE(told.rows.empty());
+  mt_load_teller_tick(&teller, &engines, 2000, &calls);
+  EXPECT_EQ(told.rows[1].size() + told.rows[2].size(), 1u);
+  mt_load_teller_free(&teller);
+  mt_engines_free(&engines);
+}
+
+// }==
+
+// {== Placement by quotes ==================================================
+
+std::vector<uint64_t> asked (Relay &w, uint64_t number) {
+  std::vector<uint64_t> keys;
+  auto *r = (mt_relay_request_t *)mtV_get(&w.relay->requests, number);
+  if (r == nullptr || !w.find(MT_RELAY_DO_ASK, number)) return keys;
+  for (size_t i = r->round_first; i < r->candidates_count; i++)
+    keys.push_back(r->candidates[i].engine);
+  return keys;
+}
+
+void quote (Relay &w, uint64_t number,
+            const std::vector<mt_relay_quote_t> &quotes) {
+  mt_relay_event_t event{};
+  event.kind = MT_RELAY_QUOTED;
+  event.request = number;
+  event.u.quotes.list = quotes.data();
+  event.u.quotes.count = quotes.size();
+  w.step(event);
+}
+
+mt_relay_quote_t quote_of (uint64_t engine, int64_t unread,
+                           int64_t kept = 0) {
+  mt_relay_quote_t q{};
+  q.engine = engine;
+  q.peers.unread = unread;
+  q.kept = kept;
+  return q;
+}
+
+TEST(RelayQuotes, ARequestGoesWhereKeepersSayThereIsRoom) {
+  Relay w(8);
+  w.declare();
+  w.relay->routers = 2;
+  w.ask(1, "/stream/x");
+  std::vector<uint64_t> keys = asked(w, 1);
+  ASSERT_EQ(keys.size(), (size_t)MT_RELAY_ASKED_AT_ONCE);
+  EXPECT_EQ(std::set<uint64_t>(keys.begin(), keys.end()).size(), keys.size());
+  std::vector<mt_relay_quote_t> quotes;
+  for (uint64_t key : keys) quotes.push_back(quote_of(key, 500000));
+  quotes[2] = quote_of(keys[2], 0);
+  quote(w, 1, {quotes[0], quotes[1]});
+  EXPECT_EQ(w.effects.count, 0u); // two answers are awaited
+  quote(w, 1, {quotes[2], quotes[3]});
+  const mt_relay_effect_t *fx = w.find(MT_RELAY_DO_START, 1);
+  ASSERT_NE(fx, nullptr);
+  EXPECT_EQ(fx->u.start.engine, keys[2]);
+}
+
+TEST(RelayQuotes, TheEngineThatKeepsThePartsIsPreferred) {
+  Relay w(8);
+  w.declare();
+  w.relay->routers = 2;
+  w.ask(1, "/stream/x", "key-w1", 5000, 8000);
+  std::vector<uint64_t> keys = asked(w, 1);
+  std::vector<mt_relay_quote_t> quotes;
+  for (uint64_t key : keys) quotes.push_back(quote_of(key, 200));
+  quotes[3].kept = 4000;
+  quote(w, 1, quotes);
+  ASSERT_NE(w.find(MT_RELAY_DO_START, 1), nullptr);
+  EXPECT_EQ(w.find(MT_RELAY_DO_START, 1)->u.start.engine, keys[3]);
+}
+
+TEST(RelayQuotes, SilentKeepersHoldNothingUp) {
+  Relay w(8);
+  w.declare();
+  w.relay->routers = 2;
+  w.pass(25);
+  w.ask(1, "/stream/x");
+  ASSERT_FALSE(asked(w, 1).empty());
+  w.pass(100);
+  EXPECT_NE(w.find(MT_RELAY_DO_START, 1), nullptr);
+}
+
+TEST(RelayQuotes, OtherEnginesAreAskedBeforeARefusal) {
+  Relay w(8);
+  w.declare();
+  w.relay->routers = 2;
+  w.ask(1, "/stream/x");
+  std::vector<uint64_t> first = asked(w, 1);
+  std::vector<mt_relay_quote_t> quotes;
+  for (uint64_t key : first) quotes.push_back(quote_of(key, 500000));
+  w.relay->shares.level = 0;
+  mt_relay_service(w.relay, mtV_id("model", 5))->pressure = 0.5;
+  quote(w, 1, quotes);
+  std::vector<uint64_t> second = asked(w, 1);
+  ASSERT_FALSE(second.empty());
+  for (uint64_t key : second)
+    EXPECT_EQ(std::count(first.begin(), first.end(), key), 0);
+  quotes.clear();
+  for (uint64_t key : second) quotes.push_back(quote_of(key, 500000));
+  quote(w, 1, quotes);
+  EXPECT_EQ(w.refusal(), MT_RELAY_BUSY);
+}
+
+TEST(RelayQuotes, AloneNobodyIsAsked) {
+  Relay w(8);
+  w.declare();
+  w.ask(1, "/stream/x");
+  EXPECT_TRUE(asked(w, 1).empty());
+  EXPECT_NE(w.find(MT_RELAY_DO_START, 1), nullptr);
+}
+
+TEST(RelayQuotes, ACallerMayLeaveMeanwhile) {
+  Relay w(8);
+  w.declare();
+  w.relay->routers = 2;
+  w.ask(1, "/stream/x");
+  std::vector<uint64_t> keys = asked(w, 1);
+  w.step(w.of(MT_RELAY_CALLER_LEFT, 1));
+  EXPECT_EQ(w.relay->count, 0u);
+  quote(w, 1, {quote_of(keys[0], 0)}); // too late, and no harm
+  EXPECT_EQ(w.effects.count, 0u);
+  EXPECT_TRUE(w.idle());
+}
+
+TEST(RelayQuotes, AKeeperTellsWhatOthersHaveAndWhatIsKept) {
+  Relay w(1);
+  w.declare();
+  mt_engine_t *e = w.find("m1");
+  const mt_prefix_part_t parts[] = {{11, 300}, {13, 200}};
+  mt_load_row_t row{};
+  row.router = 5;
+  row.load = {700, 50, 2};
+  row.valid_until = w.now + 1000;
+  w.relay->now = w.now;
+  mt_relay_heard_load(w.relay, e->key, &row, parts, 2);
+  e->here = {30, 0, 1};
+  mt_relay_quote_t own = mt_relay_quote(w.relay, e->key, 0, parts, 2);
+  EXPECT_EQ(own.peers.unread, 700);
+  EXPECT_EQ(own.kept, 500);
+  mt_relay_quote_t other = mt_relay_quote(w.relay, e->key, 5, parts, 1);
+  EXPECT_EQ(other.peers.unread, 30);
+  EXPECT_EQ(other.peers.running, 1);
+  EXPECT_EQ(other.kept, 300);
+  mt_relay_quote_t third = mt_relay_quote(w.relay, e->key, 6, parts, 0);
+  EXPECT_EQ(third.peers.unread, 730);
+  e->here = {};
+}
+
+TEST(RelayShares, WhatDidNotRunIsNotServed) {
+  struct Row {
+    const char *name;
+    std::function<void(Relay &)> end;
+    bool served;
+  } rows[] = {
+      {"left before an event",
+       [] (Relay &w) { w.step(w.of(MT_RELAY_CALLER_LEFT, 1)); }, false},
+      {"left after an event",
+       [] (Relay &w) {
+         w.head(1, 200, true);
+         w.event(1, 0);
+         w.step(w.of(MT_RELAY_CALLER_LEFT, 1));
+       },
+       true},
+      {"refused by all",
+       [] (Relay &w) { w.head(1, 503, false, MT_RELAY_NOT_RUN); }, false},
+  };
+  for (const Row &row : rows) {
+    Relay w(1);
+    w.declare();
+    w.ask(1, "/stream/x");
+    w.sent(1);
+    row.end(w);
+    mt_share_t *share = mt_fair_share_get(&w.relay->shares, mtV_id("w1", 2));
+    EXPECT_EQ(share->here.served > 1, row.served) << row.name;
+    EXPECT_GT(share->here.asked, 1) << row.name;
+  }
+}
+
+// }==
+
+// {== Overload =============================================================
+
+TEST(Overload, BeginsAndEndsWithTheLengthOfTurns) {
+  struct Row {
+    const char *name;
+    std::vector<std::pair<int, mt_ms_t>> turns; // how many, of how many ms
+    bool overloaded;
+  } rows[] = {{"idle", {{100, 25}}, false},
+              {"one long pause", {{10, 25}, {1, 60}, {10, 25}}, false},
+              {"long turns", {{30, 150}}, true},
+              {"a little late", {{100, 60}}, false},
+              {"late, then well", {{30, 150}, {200, 25}}, false},
+              {"late, then a little", {{30, 150}, {5, 50}}, true}};
+  for (const Row &row : rows) {
+    mt_overload_t overload{};
+    int changes = 0;
+    for (auto &turns : row.turns)
+      for (int i = 0; i < turns.first; i++)
+        changes += mt_overload_turn(&overload, turns.second, 25);
+    EXPECT_EQ(overload.overloaded, row.overloaded) << row.name;
+    EXPECT_EQ(changes % 2 == 1, row.overloaded) << row.name;
+  }
+}
+
+// }==
+
+} // namespace
