Parts gather at their home again; lines tell what an engine has to read

Cause: since keepers tell what is kept, a home that did not hold a part yet looked no better than any other engine, so parts were read wherever it was idle and never gathered: 18 % of the dearest requests went home. What is read at home is now not held against it.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -592,12 +592,15 @@
   mt_log_line(
       g->log, well ? MT_LOG_DETAIL : MT_LOG_FAILURE, g->relay->now, "request",
       "id=%s route=%08x workspace=%08x engine=%s attempt=%d age=%llu "
-      "status=%d wait=%.0f expected=%.0f first=%llu standing=%.2f tokens=%lld last=%lld version=%lld "
+      "status=%d wait=%.0f expected=%.0f first=%llu standing=%.2f "
+      "tokens=%lld own=%lld unread=%lld home=%d last=%lld version=%lld "
       "outcome=%s why=%s",
       r->id, r->route, r->workspace, r->engine_name[0] ? r->engine_name : "-",
       r->attempt, (unsigned long long)(g->relay->now - r->arrived), r->status,
       r->wait_expected, r->first_expected, (unsigned long long)r->first,
-      r->standing, (long long)r->tokens_in, (long long)r->last_event,
+      r->standing, (long long)r->tokens_in,
+      r->parts_count ? (long long)r->parts[r->parts_count - 1].tokens : 0,
+      (long long)r->unread, r->home, (long long)r->last_event,
       (long long)(g->relay->catalog ? g->relay->catalog->version : 0),
       outcome, why);
 }
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -70,22 +70,25 @@
   return mt_max(memory - e->here.held - e->peers.held, memory / 8);
 }
 
-/* Tokens that the engine has to read; its home is taken to keep the shared.
+/* Tokens of the parts that others share. */
+static int64_t shared_tokens (const mt_relay_request_t *r) {
+  int64_t shared = 0;
+  for (size_t i = 0; i + 1 < r->parts_count; i++)
+    shared += r->parts[i].tokens;
+  return shared;
+}
+
+/* Tokens that the engine has to read, as its keeper says or as is believed.
  */
 static int64_t misses (const mt_relay_request_t *r, const mt_engine_t *e,
-                       bool home, int64_t memory) {
+                       int64_t memory) {
   const mt_relay_candidate_t *told = mt_quotes_find(r, e->key);
+  int64_t kept = 0;
   if (told != NULL && told->quoted)
-    return mt_max(r->tokens_in - told->kept, 1);
-  int64_t room = mt_placement_room(e, memory);
-  int64_t kept =
-      mt_prefix_cache_match(&e->kept, r->parts, r->parts_count, room);
-  if (home && r->parts_count > 1) {
-    int64_t shared = 0;
-    for (size_t i = 0; i + 1 < r->parts_count; i++)
-      shared += r->parts[i].tokens;
-    kept = mt_max(kept, shared);
-  }
+    kept = told->kept;
+  else
+    kept = mt_prefix_cache_match(&e->kept, r->parts, r->parts_count,
+                                 mt_placement_room(e, memory));
   return mt_max(r->tokens_in - kept, 1);
 }
 
@@ -157,19 +160,23 @@
   double rate = mt_relay_rate(relay, r->service);
   mt_engine_t *home = find_home(relay, r, NULL);
   int64_t memory = service->memory;
+  /* What is read at home is read for all that follow: it isn't held against
+     the home, or parts would never gather there. */
+  int64_t unshared = mt_max(r->tokens_in - shared_tokens(r), 1);
   double limit = wait_limit(relay, r, service), ease = ease_of(relay, r);
   double reading = relay->terms.miss_weight * (1 - ease) +
                    relay->terms.miss_weight_easy * ease;
   for (size_t i = 0; i < relay->engines.count; i++) {
     mt_engine_t *e = relay->engines.list[i];
     if (!usable(relay, r, e) || !picked(pick, r, e)) continue;
-    int64_t miss = misses(r, e, e == home, memory);
+    int64_t miss = misses(r, e, memory);
+    int64_t weighed = e == home ? mt_min(miss, unshared) : miss;
     double wait = (double)unread(e) / rate * e->slowness;
     bool full = running(e) >= e->slots;
     int64_t held = e->here.held + e->peers.held + miss;
     double read = (double)miss / rate * e->slowness;
     double late = wait + read - (double)r->objective * relay->terms.late_part;
-    double cost = wait + read * reading;
+    double cost = wait + (double)weighed / rate * e->slowness * reading;
     if (late > 0) cost += late * ease * relay->terms.late_weight;
     if (wait > limit) cost += ease * OVER_LIMIT_MS;
     cost += running(e) * RUNNING_MS;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -238,6 +238,7 @@
   bool gone_out;         /* bytes of it may have reached the engine */
   bool awaiting_event, may_have_run, events, framed, vouched, served;
   int64_t unread, held; /* its part of the engine's load */
+  bool home;            /* all routers would look for its parts there */
   int64_t work_ahead;   /* unread there when it was sent, itself included */
   double wait_expected, standing; /* when it was decided, for logs */
   double first_expected; /* ms from sending to the first event, likewise */
