--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -515,7 +515,12 @@
   mt_gateway_t *g = ud;
   static const char type[] = "Content-Type: text/plain; version=0.0.4\r\n";
   g->scratch.n = 0;
-  mt_gateway_metrics(g->relay, g->engines, g->log, &g->scratch);
+  const mt_gateway_metrics_t from = {.relay = g->relay,
+                                     .engines = g->engines,
+                                     .callers = g->callers,
+                                     .overload = &g->overload,
+                                     .log = g->log};
+  mt_gateway_metrics(&from, &g->scratch);
   mt_http_exchange_head(x, 200, type, sizeof type - 1, (int64_t)g->scratch.n);
   mt_http_exchange_data(x, g->scratch.p, g->scratch.n);
   mt_http_exchange_end(x);
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -38,9 +38,8 @@
   return (double)ts.tv_sec + (double)ts.tv_nsec / 1e9;
 }
 
-void mt_gateway_metrics (const mt_relay_t *relay,
-                         const mt_http_client_t *engines,
-                         const mt_log_writer_t *log, mt_text_t *out) {
+void mt_gateway_metrics (const mt_gateway_metrics_t *from, mt_text_t *out) {
+  const mt_relay_t *relay = from->relay;
   const mt_relay_counters_t *c = &relay->counters;
   number(out, "requests_total", "counter", "Requests taken from callers.",
          (double)c->requests);
@@ -61,6 +60,12 @@
          (double)c->tokens_missed);
   number(out, "retries_denied_total", "counter",
          "Retries that the budget did not allow.", (double)c->retries_denied);
+  number(out, "quote_rounds_total", "counter",
+         "Questions to the keepers of engines, in rounds.",
+         (double)c->quotes_asked);
+  number(out, "quote_rounds_late_total", "counter",
+         "Rounds that some keeper did not answer in time.",
+         (double)c->quotes_late);
   reasons(c, out);
   number(out, "requests", "gauge", "Requests in progress.",
          (double)relay->count);
@@ -72,11 +77,17 @@
          relay->catalog ? (double)relay->catalog->version : 0);
   number(out, "engine_connections_total", "counter",
          "Connections opened to engines.",
-         (double)mt_http_client_opened(engines));
+         (double)mt_http_client_opened(from->engines));
   number(out, "engine_connections", "gauge", "Connections to engines.",
-         (double)mt_http_client_connections(engines));
+         (double)mt_http_client_connections(from->engines));
+  number(out, "caller_connections", "gauge", "Connections of callers.",
+         (double)mt_http_server_connections(from->callers));
+  number(out, "overloaded", "gauge", "1 while it sends callers elsewhere.",
+         from->overload->overloaded);
+  number(out, "turn_lag_ms", "gauge", "Smoothed lag of the loop's turns.",
+         from->overload->lag);
   number(out, "log_lines_dropped_total", "counter", "Log lines left out.",
-         (double)mt_log_writer_dropped(log));
+         (double)mt_log_writer_dropped(from->log));
   number(out, "processor_seconds_total", "counter", "Processor time used.",
          processor_seconds());
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -6,10 +6,19 @@
 
 #include "dialect.h"
 #include "http_client.h"
+#include "http_server.h"
 #include "log_writer.h"
+#include "overload.h"
 
-void mt_gateway_metrics (const mt_relay_t *relay,
-                         const mt_http_client_t *engines,
-                         const mt_log_writer_t *log, mt_text_t *out);
+/* Where the figures are read from. */
+typedef struct mt_gateway_metrics_t {
+  const mt_relay_t *relay;
+  const mt_http_client_t *engines;
+  const mt_http_server_t *callers;
+  const mt_overload_t *overload;
+  const mt_log_writer_t *log;
+} mt_gateway_metrics_t;
+
+void mt_gateway_metrics (const mt_gateway_metrics_t *from, mt_text_t *out);
 
 #endif
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -17,13 +17,13 @@
 #define RETRY_WINDOW_MS 10000
 #define RETRY_SLACK 20
 #define RUNNING_PART 0.3 /* of the descriptors: requests in progress */
-#define WAIT_PART 0.5
+#define WAIT_PART 0.45
 #define URGENCY_POWER 1.0
 #define ROOM_PART 0.1
-#define PRESSURE_STEEP 2.0
+#define PRESSURE_STEEP 2.5
 #define OVER_POWER 10.0
-#define MISS_WEIGHT 16.0
-#define MISS_WEIGHT_EASY 5.0
+#define MISS_WEIGHT 45.0
+#define MISS_WEIGHT_EASY 18.0
 #define LATE_PART 0.6
 #define LATE_WEIGHT 6.0
 
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -337,6 +337,7 @@
 static bool ask_keepers (mt_relay_t *relay, mt_relay_request_t *r) {
   if (!mt_quotes_ask(relay, r)) return false;
   r->phase = MT_RELAY_ASKING;
+  relay->counters.quotes_asked++;
   effect(relay, MT_RELAY_DO_ASK, r);
   return true;
 }
@@ -575,7 +576,9 @@
     return;
   }
   if (r->phase == MT_RELAY_ASKING) {
-    if (mt_quotes_overdue(relay, r)) place(relay, r);
+    if (!mt_quotes_overdue(relay, r)) return;
+    relay->counters.quotes_late++;
+    place(relay, r);
     return;
   }
   if (r->engine == NULL || !is_silent(relay, r)) return;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -64,6 +64,7 @@
   uint64_t refusals[MT_RELAY_REFUSAL_COUNT];
   uint64_t retries[MT_RELAY_RETRY_COUNT];
   uint64_t retries_denied;
+  uint64_t quotes_asked, quotes_late; /* rounds of questions to keepers */
 } mt_relay_counters_t;
 
 const char *mt_relay_refusal_code (mt_relay_refusal_t why);
