News tell only of engines that are known; weights once more; docs

Cause: datagrams come from anybody, and a told entry decided where members' prompts go. An engine's existence and address are now only taken from the store; news say of known engines that they leave or are gone.

--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -324,6 +324,24 @@
   return peers->feeds[kind].taken;
 }
 
+/*
+** Datagrams come from anybody, and an engine gets members' prompts: that one
+*is
+** there, and where, is only taken from the source itself.
+*/
+static bool all_known (const mt_gateway_peers_t *peers,
+                       const mt_peer_message_t *m) {
+  for (size_t i = 0; i < m->entries_count; i++) {
+    const mt_peer_entry_t *entry = &m->entries[i];
+    uint64_t key = mt_engine_key(entry->name, strlen(entry->name));
+    const mt_engine_t *e = mt_engines_get(&peers->relay->engines, key);
+    if (entry->gone) continue;
+    if (e == NULL || strcmp(e->ip, entry->ip) != 0 || e->port != entry->port)
+      return false;
+  }
+  return true;
+}
+
 /*
 ** Takes changes that a watcher told, if none is missing in between; then what
 ** is known here reaches as far as the watcher's own knowledge.
@@ -332,6 +350,7 @@
   feed_state_t *feed = &peers->feeds[MT_FEED_ENGINES];
   int64_t newest = m->feeds[MT_FEED_ENGINES].newest;
   if (m->base == 0 || feed->taken < m->base || feed->taken >= newest) return;
+  if (!all_known(peers, m)) return;
   for (size_t i = 0; i < m->entries_count; i++)
     peers->calls.entry(peers->calls.ud, &m->entries[i]);
   feed->taken = newest;
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -20,10 +20,10 @@
 #define WAIT_PART 0.45
 #define URGENCY_POWER 1.0
 #define ROOM_PART 0.1
-#define PRESSURE_STEEP 2.5
+#define PRESSURE_STEEP 3.0
 #define OVER_POWER 10.0
-#define MISS_WEIGHT 45.0
-#define MISS_WEIGHT_EASY 18.0
+#define MISS_WEIGHT 50.0
+#define MISS_WEIGHT_EASY 13.0
 #define LATE_PART 0.6
 #define LATE_WEIGHT 6.0
 
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -13,7 +13,7 @@
 #define RUNNING_MS 1.0 /* each running request slows all others a little */
 #define ROOM_POWER 3   /* how fast room falls beyond the share */
 #define OWED_STEEP 1   /* with nothing of its share: it may go anywhere */
-#define OVER_LIMIT_MS 2000.0 /* there it would be refused */
+#define OVER_LIMIT_MS 2500.0 /* there it would be refused */
 #define HOPELESS_PART 0.2    /* of the usual wait; no engine is that idle */
 #define RETURN_BONUS                                     \
   1.5 /* a request that was refused before may wait more \
