--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "gateway.h"
+#include "gateway_log.h"
 #include "gateway_metrics.h"
 #include "gateway_peers.h"
 #include "overload.h"
@@ -380,20 +381,9 @@
   if (taken) mt_http_server_limits(g->callers, &limits);
 }
 
-static const char *state_name (mt_engine_state_t state) {
-  switch (state) {
-    case MT_ENGINE_READY: return "ready";
-    case MT_ENGINE_LEAVING: return "leaving";
-    case MT_ENGINE_GONE: return "gone";
-  }
-  return "";
-}
-
 static void log_engine (mt_gateway_t *g, const mt_engine_t *e,
                         const char *outcome) {
-  mt_log_line(g->log, MT_LOG_BELIEF, uv_now(g->loop), "engine",
-              "engine=%s address=%s:%u running=%d outcome=%s", e->name, e->ip,
-              e->port, e->here.running, outcome);
+  mt_gateway_log_engine(g->log, uv_now(g->loop), e, outcome);
 }
 
 static void set_state (mt_gateway_t *g, mt_engine_t *e,
@@ -401,12 +391,12 @@
   bool changed = e->state != state || e->vanished != 0 || is_new;
   e->state = state;
   e->vanished = 0;
-  if (changed) log_engine(g, e, state_name(state));
+  if (changed) log_engine(g, e, mt_gateway_state_name(state));
 }
 
 static void on_engine_gone (void *ud, const mt_engine_t *e) {
   mt_gateway_t *g = ud;
-  log_engine(g, e, state_name(e->state));
+  log_engine(g, e, mt_gateway_state_name(e->state));
   mt_http_client_forget(g->engines, e->key);
 }
 
@@ -589,25 +579,10 @@
 static const mt_http_server_handler_t metrics_handler = {
     .request = on_metrics_asked, .gone = on_nothing, .drained = on_nothing};
 
-/* One line for each request that did not simply go well. */
-static void log_request (void *ud, const mt_relay_request_t *r,
-                         const char *outcome, const char *why) {
+static void on_request_outcome (void *ud, const mt_relay_request_t *r,
+                                const char *outcome, const char *why) {
   mt_gateway_t *g = ud;
-  bool well = strcmp(outcome, "answered") == 0 && r->attempt == 1;
-  mt_log_line(
-      g->log, well ? MT_LOG_DETAIL : MT_LOG_FAILURE, g->relay->now, "request",
-      "id=%s route=%08x workspace=%08x engine=%s attempt=%d age=%llu "
-      "status=%d wait=%.0f expected=%.0f first=%llu standing=%.2f "
-      "tokens=%lld own=%lld unread=%lld home=%d last=%lld version=%lld "
-      "outcome=%s why=%s",
-      r->id, r->route, r->workspace, r->engine_name[0] ? r->engine_name : "-",
-      r->attempt, (unsigned long long)(g->relay->now - r->arrived), r->status,
-      r->wait_expected, r->first_expected, (unsigned long long)r->first,
-      r->standing, (long long)r->tokens_in,
-      r->parts_count ? (long long)r->parts[r->parts_count - 1].tokens : 0,
-      (long long)r->unread, r->home, (long long)r->last_event,
-      (long long)(g->relay->catalog ? g->relay->catalog->version : 0),
-      outcome, why);
+  mt_gateway_log_request(g->log, g->relay, r, outcome, why);
 }
 
 static mt_http_server_t *listen_on (mt_gateway_t *g, const mt_addr_t *addr,
@@ -635,7 +610,7 @@
   g->log = mt_log_writer_open(STDOUT_FILENO, settings->node,
                               settings->lines_per_s);
   g->relay = mt_relay_new(settings->domain, &settings->terms);
-  g->relay->log = log_request;
+  g->relay->log = on_request_outcome;
   g->relay->log_engine = on_engine_gone;
   g->relay->log_ud = g;
   g->engines = mt_http_client_open(loop, &options, &engine_handler);
--- /dev/null
+++ b/src/gateway/gateway_log.c
@@ -0,0 +1,47 @@
+/*
+** gateway_log.c - the lines of requests and engines
+*/
+#include <string.h>
+
+#include "gateway_log.h"
+
+typedef unsigned long long number_t;
+
+const char *mt_gateway_state_name (mt_engine_state_t state) {
+  switch (state) {
+    case MT_ENGINE_READY: return "ready";
+    case MT_ENGINE_LEAVING: return "leaving";
+    case MT_ENGINE_GONE: return "gone";
+  }
+  return "";
+}
+
+void mt_gateway_log_engine (mt_log_writer_t *log, mt_ms_t now,
+                            const mt_engine_t *e, const char *outcome) {
+  mt_log_line(log, MT_LOG_BELIEF, now, "engine",
+              "engine=%s address=%s:%u running=%d outcome=%s", e->name, e->ip,
+              e->port, e->here.running, outcome);
+}
+
+/* Tokens of the part of the prompt that nobody shares. */
+static int64_t own_tokens (const mt_relay_request_t *r) {
+  return r->parts_count > 0 ? r->parts[r->parts_count - 1].tokens : 0;
+}
+
+void mt_gateway_log_request (mt_log_writer_t *log, const mt_relay_t *relay,
+                             const mt_relay_request_t *r, const char *outcome,
+                             const char *why) {
+  bool well = strcmp(outcome, "answered") == 0 && r->attempt == 1;
+  int64_t version = relay->catalog ? relay->catalog->version : 0;
+  mt_log_line(
+      log, well ? MT_LOG_DETAIL : MT_LOG_FAILURE, relay->now, "request",
+      "id=%s route=%08x workspace=%08x engine=%s attempt=%d age=%llu "
+      "status=%d wait=%.0f expected=%.0f first=%llu standing=%.2f "
+      "tokens=%lld own=%lld unread=%lld home=%d last=%lld version=%lld "
+      "outcome=%s why=%s",
+      r->id, r->route, r->workspace, r->engine_name[0] ? r->engine_name : "-",
+      r->attempt, (number_t)(relay->now - r->arrived), r->status,
+      r->wait_expected, r->first_expected, (number_t)r->first, r->standing,
+      (long long)r->tokens_in, (long long)own_tokens(r), (long long)r->unread,
+      r->home, (long long)r->last_event, (long long)version, outcome, why);
+}
--- /dev/null
+++ b/src/gateway/gateway_log.h
@@ -0,0 +1,21 @@
+/*
+** gateway_log.h - the lines of requests and engines; fields are listed in
+** docs/OPERATIONS.md
+*/
+#ifndef gateway_log_h
+#define gateway_log_h
+
+#include "log_writer.h"
+#include "relay.h"
+
+/* One line for each decision on a request; the usual end weighs least. */
+void mt_gateway_log_request (mt_log_writer_t *log, const mt_relay_t *relay,
+                             const mt_relay_request_t *request,
+                             const char *outcome, const char *why);
+
+void mt_gateway_log_engine (mt_log_writer_t *log, mt_ms_t now,
+                            const mt_engine_t *engine, const char *outcome);
+
+const char *mt_gateway_state_name (mt_engine_state_t state);
+
+#endif
