--- /dev/null
+++ b/tests/soak/checker.h
@@ -0,0 +1,108 @@
+// checker.h - what callers and engines saw, held against the promises
+#ifndef tests_soak_checker_h
+#define tests_soak_checker_h
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace soak {
+
+enum class Kind { Once, Again, Stream };
+
+// One request of a caller, as it saw it.
+struct Asked {
+  Kind kind;
+  std::string workspace;
+  int runs = 0;          // engines that began it
+  bool promised = false; // refused as not run
+};
+
+// Collects breaches of promises; a caller's and an engine's view meet here.
+class Checker {
+public:
+  std::vector<std::string> breaches;
+  std::map<std::string, Asked> asked;
+  long answers = 0, refusals = 0, failures = 0, streams = 0, cuts = 0;
+
+  void ask (const std::string &id, Kind kind, const std::string &workspace) {
+    asked[id] = {kind, workspace};
+  }
+
+  // An engine begins a request.
+  void run (const std::string &id, const std::string &workspace,
+            bool has_key) {
+    auto it = asked.find(id);
+    if (it == asked.end()) {
+      breach("UNASKED", id, "no caller sent it");
+      return;
+    }
+    Asked &a = it->second;
+    a.runs++;
+    if (workspace != a.workspace) breach("UNASKED", id, "wrong workspace");
+    if (has_key) breach("UNASKED", id, "the key was passed on");
+    if (a.kind == Kind::Once && a.runs > 1) breach("TWICE", id, "ran again");
+    if (a.kind == Kind::Once && a.promised)
+      breach("REFUSED", id, "runs after the promise that it does not");
+  }
+
+  // A caller has a whole answer that is no stream.
+  void answered (const std::string &id, int status, const std::string &seal,
+                 const std::string &body) {
+    Asked &a = asked[id];
+    if (status / 100 == 2) {
+      answers++;
+      if (seal.empty()) breach("MIXED", id, "a success without a seal");
+      if (body != body_of(id)) breach("MIXED", id, "another body: " + body);
+      return;
+    }
+    if (status != 503 && status != 429 && status != 408 && status != 421) {
+      failures++;
+      return;
+    }
+    refusals++;
+    a.promised = true;
+    if (a.kind == Kind::Once && a.runs > 0)
+      breach("REFUSED", id, "it had run");
+  }
+
+  // A caller has so much of a stream; `ended`: its end was marked.
+  void streamed (const std::string &id, const std::string &text, bool ended) {
+    streams++;
+    size_t at = 0;
+    int next = 0;
+    bool last = false;
+    while (at < text.size()) {
+      size_t end = text.find("\n\n", at);
+      if (end == std::string::npos) break; // the rest of a cut event
+      std::string event = text.substr(at, end - at);
+      last = event == event_of(id, next) + " end";
+      if (!last && event != event_of(id, next)) {
+        breach("ORDER", id, "event " + std::to_string(next) + ": " + event);
+        return;
+      }
+      at = end + 2;
+      next++;
+    }
+    if (!ended) cuts++;
+    if (ended && (!last || at < text.size()))
+      breach("ORDER", id, "ends as complete after " + std::to_string(next));
+  }
+
+  void breach (const std::string &promise, const std::string &id,
+               const std::string &what) {
+    breaches.push_back(promise + " " + id + ": " + what);
+  }
+
+  static std::string body_of (const std::string &id) {
+    return "answer to " + id + " and to nobody else";
+  }
+  static std::string event_of (const std::string &id, int number) {
+    return "id: " + std::to_string(number) + "\ndata: " + id + " " +
+           std::to_string(number);
+  }
+};
+
+} // namespace soak
+
+#endif
--- /dev/null
+++ b/tests/soak/world.h
@@ -0,0 +1,369 @@
+// world.h - store and engines of a soak, with faults of their own
+#ifndef tests_soak_world_h
+#define tests_soak_world_h
+
+#include <random>
+#include <set>
+
+#include "../gateway_world.h"
+#include "checker.h"
+
+namespace soak {
+
+using Random = std::mt19937;
+
+inline long now_ms () {
+  struct timespec ts;
+  clock_gettime(CLOCK_MONOTONIC, &ts);
+  return ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+inline bool chance (Random &random, double p) {
+  return std::uniform_real_distribution<double>(0, 1)(random) < p;
+}
+
+// How the store and the engines misbehave, until some time.
+struct Trouble {
+  long store_until = 0, engines_until = 0;
+  int store_kind = 0; // 0: 503, 1: silence, 2: resets, 3: history forgotten
+  double engine_part = 0;
+};
+
+// One engine's answer in progress: what is still to be sent, and when.
+struct Sending {
+  Conn *conn;
+  std::string text;
+  long at;
+  int end; // 0: goes on, 1: close, 2: reset
+};
+
+class World {
+public:
+  Random random;
+  Checker checker;
+  Trouble trouble;
+  std::list<Conn> conns;
+  std::list<Listener> listeners;
+  std::map<std::string, Item> items;
+  std::set<std::string> gone;
+  std::map<std::string, long> gone_at; // revision
+  std::vector<Sending> sending;
+  struct Watch {
+    Conn *conn;
+    std::string prefix;
+    long since, until;
+  };
+  std::vector<Watch> watches;
+  long rev = 10, forgotten = 0;
+  int version = 1, engines_made = 0;
+  Listener *store;
+  std::vector<std::string> models, plains;
+
+  explicit World(unsigned seed) : random(seed) {
+    store = listen([this] (Conn &c, const Request &r) { on_store(c, r); });
+    configure();
+    for (int i = 0; i < 4; i++) add_engine("model");
+    for (int i = 0; i < 3; i++) add_engine("plain");
+  }
+  World(const World &) = delete;
+  ~World() {
+    for (Conn &c : conns) c.close();
+    for (Listener &l : listeners) ::close(l.fd);
+  }
+
+  // {== The store
+
+  void put (const std::string &key, const std::string &value) {
+    items[key] = {value, ++rev};
+    gone_at.erase(key);
+    tell();
+  }
+  void drop (const std::string &key) {
+    items.erase(key);
+    gone_at[key] = ++rev;
+    tell();
+  }
+  void configure () {
+    version++;
+    put("op/config",
+        ::World::config(version, "key-w1",
+                        ",{\"name\":\"r" + std::to_string(version) +
+                            "\",\"host\":\"h.example\",\"path_prefix\":\"/v" +
+                            std::to_string(version) +
+                            "/\",\"route_kind\":\"safe\",\"timeout_ms\":3000,"
+                            "\"goal_ms\":500,\"service\":\"plain\","
+                            "\"max_attempts\":2}"));
+  }
+  std::string event (const std::string &key) {
+    if (gone_at.count(key))
+      return "{\"key\":\"" + key +
+             "\",\"rev\":" + std::to_string(gone_at[key]) + ",\"gone\":true}";
+    return "{\"key\":\"" + key + "\",\"value\":\"" +
+           encode(items[key].value) +
+           "\",\"rev\":" + std::to_string(items[key].rev) + "}";
+  }
+  static bool begins (const std::string &key, const std::string &prefix) {
+    return key.compare(0, prefix.size(), prefix) == 0;
+  }
+  // What changed below a prefix after a revision, in order.
+  std::string changes (const std::string &prefix, long since) {
+    std::map<long, std::string> by_rev;
+    for (auto &i : items)
+      if (i.second.rev > since && begins(i.first, prefix))
+        by_rev[i.second.rev] = i.first;
+    for (auto &g : gone_at)
+      if (g.second > since && begins(g.first, prefix))
+        by_rev[g.second] = g.first;
+    std::string all;
+    for (auto &c : by_rev) all += (all.empty() ? "" : ",") + event(c.second);
+    return all;
+  }
+  void tell () {
+    for (size_t i = watches.size(); i-- > 0;) {
+      Watch &w = watches[i];
+      std::string all = changes(w.prefix, w.since);
+      if (all.empty() && now_ms() < w.until) continue;
+      if (w.conn->fd >= 0)
+        w.conn->send(answer(200, "",
+                            "{\"events\":[" + all +
+                                "],\"at\":" + std::to_string(rev) + "}"));
+      watches.erase(watches.begin() + (long)i);
+    }
+  }
+  static std::string query (const std::string &line,
+                            const std::string &name) {
+    size_t at = line.find(name + "=");
+    if (at == std::string::npos) return "";
+    at += name.size() + 1;
+    return line.substr(at, line.find_first_of("& ", at) - at);
+  }
+  void on_store (Conn &c, const Request &r) {
+    std::string line = r.line(), prefix = query(line, "path_prefix");
+    if (now_ms() < trouble.store_until) {
+      switch (trouble.store_kind) {
+        case 0: c.send(answer(503, "", "")); return;
+        case 1: return;
+        case 2: c.abort(); return;
+        default: forgotten = rev; break;
+      }
+    }
+    if (line.find("/-/kv-watch") != std::string::npos) {
+      long since = std::stol("0" + query(line, "since_rev"));
+      if (since < forgotten) {
+        c.send(answer(410, "", ""));
+        return;
+      }
+      long wait = std::stol("0" + query(line, "wait_ms"));
+      watches.push_back({&c, prefix, since, now_ms() + wait});
+      tell();
+      return;
+    }
+    std::string all;
+    for (auto &i : items)
+      if (begins(i.first, prefix))
+        all += (all.empty() ? "" : ",") + event(i.first);
+    c.send(answer(200, "",
+                  "{\"items\":[" + all + "],\"more\":false,\"at\":" +
+                      std::to_string(rev) + "}"));
+  }
+
+  // }==
+
+  // {== Engines
+
+  void add_engine (const std::string &service) {
+    std::string id = "i-" + std::to_string(++engines_made);
+    Listener *l = listen(
+        [this, id] (Conn &c, const Request &r) { on_request(c, r, id); });
+    (service == "model" ? models : plains).push_back(id);
+    announce(id, service, l->port, "ready");
+    ports[id] = l->port;
+  }
+  std::map<std::string, int> ports;
+  void announce (const std::string &id, const std::string &service, int port,
+                 const char *state) {
+    put("servers/" + id,
+        "{\"service\":\"" + service +
+            "\",\"addr\":\"127.0.0.1:" + std::to_string(port) +
+            "\",\"zone\":\"d1\",\"slots\":8,\"state\":\"" + state + "\"}");
+  }
+  // Replaces one engine: it says that it leaves, or crashes without a word.
+  void replace_engine () {
+    bool model = chance(random, 0.5);
+    auto &ids = model ? models : plains;
+    std::string id = ids[random() % ids.size()];
+    ids.erase(std::find(ids.begin(), ids.end(), id));
+    const char *service = model ? "model" : "plain";
+    if (chance(random, 0.5)) {
+      announce(id, service, ports[id], "draining");
+    } else {
+      dead.insert(id);
+      drop("servers/" + id);
+    }
+    add_engine(service);
+  }
+  std::set<std::string> dead;
+
+  void later (Conn &c, const std::string &text, long delay, int end = 0) {
+    sending.push_back({&c, text, now_ms() + delay, end});
+  }
+  void on_request (Conn &c, const Request &r, const std::string &engine) {
+    std::string id = r.field("X-Attempt-Id");
+    bool bad = now_ms() < trouble.engines_until &&
+               chance(random, trouble.engine_part);
+    int kind = (int)(random() % 6);
+    if (dead.count(engine)) {
+      c.abort();
+      return;
+    }
+    std::string echo = "X-Attempt-Id: " + id + "\r\n";
+    if (r.field("X-Expect-Instance") != engine) {
+      c.send(answer(421, echo + "X-Not-Executed: 1\r\n", ""));
+      return;
+    }
+    if (bad && kind == 0) { // full: it does not run
+      c.send(answer(503, echo + "X-Not-Executed: 1\r\n", ""));
+      return;
+    }
+    checker.run(id, r.field("X-Tenant"), !r.field("Authorization").empty());
+    std::string seal = echo + "X-Engine-Seal: s." + id + "\r\n";
+    if (r.line().find("/gen/") != std::string::npos)
+      stream(c, r, id, seal, bad ? kind : 0);
+    else
+      plain(c, id, seal, bad ? kind : 0);
+  }
+  void plain (Conn &c, const std::string &id, const std::string &seal,
+              int fault) {
+    std::string body = Checker::body_of(id);
+    std::string whole = answer(200, seal, body);
+    long delay = (long)(random() % 30);
+    switch (fault) {
+      case 1: later(c, answer(500, seal, "broken"), delay); break;
+      case 2: later(c, "", delay, 2); break; // it ran, its answer is lost
+      case 3: later(c, whole.substr(0, whole.size() - 5), delay, 1); break;
+      case 4: later(c, whole + answer(200, seal, "surplus"), delay); break;
+      case 5: break; // it says nothing
+      default: later(c, whole, delay); break;
+    }
+  }
+  static std::string chunk (const std::string &text) {
+    char size[16];
+    snprintf(size, sizeof size, "%zx\r\n", text.size());
+    return size + text + "\r\n";
+  }
+  void stream (Conn &c, const Request &r, const std::string &id,
+               const std::string &seal, int fault) {
+    std::string from = r.field("Last-Event-Id");
+    int first = from.empty() ? 0 : std::stoi(from) + 1;
+    const int count = 6;
+    later(c,
+          "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + seal +
+              "Transfer-Encoding: chunked\r\n\r\n",
+          1);
+    int broken = fault > 0 ? first + (int)(random() % count) : count + 1;
+    long at = 5;
+    for (int i = first; i < count; i++, at += (long)(random() % 20)) {
+      std::string text = Checker::event_of(id, i);
+      if (i + 1 == count) text += " end";
+      text = chunk(text + "\n\n");
+      if (i < broken) {
+        later(c, text, at);
+        continue;
+      }
+      switch (fault) {
+        case 1: later(c, text.substr(0, text.size() / 2), at, 1); return;
+        case 2: later(c, "", at, 2); return;
+        case 3: later(c, "", at, 1); return;
+        case 4: later(c, text.substr(0, 6), at, 2); return;
+        default: return; // silence
+      }
+    }
+    later(c, "0\r\n\r\n", at);
+  }
+
+  // }==
+
+  // {== Sockets
+
+  Listener *listen (Handler handler) {
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in a = loopback(0);
+    bind(fd, (sockaddr *)&a, sizeof a);
+    ::listen(fd, 256);
+    socklen_t n = sizeof a;
+    getsockname(fd, (sockaddr *)&a, &n);
+    listeners.push_back({fd, ntohs(a.sin_port), handler, 0, nullptr});
+    return &listeners.back();
+  }
+  void send_due () {
+    long now = now_ms();
+    std::vector<Sending> left;
+    for (Sending &s : sending) {
+      if (s.at > now) {
+        left.push_back(s);
+        continue;
+      }
+      if (s.conn->fd < 0) continue;
+      s.conn->send(s.text);
+      if (s.end == 1) s.conn->close();
+      if (s.end == 2) s.conn->abort();
+    }
+    sending.swap(left);
+  }
+  // Reads what has come, answers what is due; waits some ms at most.
+  void pump () {
+    std::vector<pollfd> fds;
+    std::vector<Conn *> open;
+    for (Listener &l : listeners) fds.push_back({l.fd, POLLIN, 0});
+    for (Conn &c : conns)
+      if (c.fd >= 0) {
+        fds.push_back({c.fd, POLLIN, 0});
+        open.push_back(&c);
+      }
+    poll(fds.data(), fds.size(), 3);
+    size_t i = 0;
+    for (Listener &l : listeners)
+      if (fds[i++].revents) accept_one(l);
+    for (Conn *c : open)
+      if (fds[i++].revents && c->fd >= 0) read_one(*c);
+    send_due();
+    tell();
+    forget_closed();
+  }
+  void accept_one (Listener &l) {
+    int fd = accept4(l.fd, nullptr, nullptr, SOCK_CLOEXEC);
+    if (fd < 0) return;
+    conns.push_back({fd, ""});
+    conns.back().listener = &l;
+  }
+  void read_one (Conn &c) {
+    char buf[65536];
+    ssize_t n = recv(c.fd, buf, sizeof buf, 0);
+    if (n <= 0) {
+      c.reset = n < 0;
+      c.close();
+      return;
+    }
+    c.in.append(buf, (size_t)n);
+    if (c.listener == nullptr) return; // a caller's: read elsewhere
+    Request r;
+    while (c.fd >= 0 && ::World::take(c.in, r))
+      ((Listener *)c.listener)->handler(c, r);
+  }
+  // Engines' and the store's connections; callers hold theirs.
+  void forget_closed () {
+    std::set<Conn *> used;
+    for (Sending &s : sending) used.insert(s.conn);
+    for (Watch &w : watches) used.insert(w.conn);
+    for (auto it = conns.begin(); it != conns.end();) {
+      bool done = it->fd < 0 && it->listener != nullptr && !used.count(&*it);
+      it = done ? conns.erase(it) : std::next(it);
+    }
+  }
+
+  // }==
+};
+
+} // namespace soak
+
+#endif
