News say how far they reach: changes that a watcher lacks are not skipped

Ruled out: failed calls (none was logged), lost datagrams, long turns (60 ms).

Test: Gateway.HearsOfEnginesFromWatchers, a row that fails before.

--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -286,11 +286,13 @@
 ** Tells the routers of the own failure domain what is new since `base`. With
 ** more changes than fit the others have to read for themselves.
 */
-static void tell_news (mt_gateway_peers_t *peers, int64_t base) {
+static void tell_news (mt_gateway_peers_t *peers, int64_t base,
+                       int64_t reach) {
   const mt_membership_t *members = &peers->members;
   mt_peer_message_t *m = begin(peers, MT_PEER_NEWS);
   if (peers->changes_count < MT_PEER_ENTRIES_MAX) {
     m->base = base;
+    m->reach = reach;
     m->entries_count = peers->changes_count;
     memcpy(m->entries, peers->changes, m->entries_count * sizeof *m->entries);
   }
@@ -315,7 +317,8 @@
   int64_t base = feed->taken;
   feed->taken = mt_max(feed->taken, at);
   bool changed = merge_feed(feed, newest, at, uv_now(peers->loop));
-  if (changed && mt_gateway_peers_leads(peers)) tell_news(peers, base);
+  if (changed && mt_gateway_peers_leads(peers))
+    tell_news(peers, base, newest);
   if (kind == MT_FEED_ENGINES) peers->changes_count = 0;
 }
 
@@ -344,16 +347,16 @@
 
 /*
 ** Takes changes that a watcher told, if none is missing in between; then what
-** is known here reaches as far as the watcher's own knowledge.
+** is known here reaches as far as they do.
 */
 static void on_news (mt_gateway_peers_t *peers, const mt_peer_message_t *m) {
   feed_state_t *feed = &peers->feeds[MT_FEED_ENGINES];
-  int64_t newest = m->feeds[MT_FEED_ENGINES].newest;
-  if (m->base == 0 || feed->taken < m->base || feed->taken >= newest) return;
+  if (m->base == 0 || feed->taken < m->base) return;
+  if (feed->taken >= m->reach) return;
   if (!all_known(peers, m)) return;
   for (size_t i = 0; i < m->entries_count; i++)
     peers->calls.entry(peers->calls.ud, &m->entries[i]);
-  feed->taken = newest;
+  feed->taken = m->reach;
 }
 
 void mt_gateway_peers_set_source (mt_gateway_peers_t *peers, bool reachable) {
--- a/src/gateway/peer_message.c
+++ b/src/gateway/peer_message.c
@@ -9,7 +9,7 @@
 #include "peer_message.h"
 
 #define FORMAT_VERSION 2
-#define NUMBERS 15 /* before the lists */
+#define NUMBERS 16 /* before the lists */
 #define LISTS 5
 #define MEMBER_NUMBERS 3
 #define SHARE_NUMBERS 3
@@ -31,7 +31,7 @@
   for (int i = 0; i < MT_FEEDS; i++) m->feeds[i] = (mt_peer_feed_t){0};
   m->members_count = m->shares_count = 0;
   m->engines_count = m->parts_count = m->entries_count = 0;
-  m->base = 0;
+  m->base = m->reach = 0;
 }
 
 /* {== Packing ========================================================== */
@@ -128,6 +128,7 @@
       (uint64_t)m->feeds[1].at,
       m->feeds[1].age,
       (uint64_t)m->base,
+      (uint64_t)m->reach,
   };
   msgpack_pack_array(&pk, NUMBERS + LISTS);
   for (int i = 0; i < NUMBERS; i++) msgpack_pack_uint64(&pk, numbers[i]);
@@ -246,7 +247,8 @@
     m->feeds[i].at = bounded(&at[9 + 3 * i], INT64_MAX);
     m->feeds[i].age = (mt_ms_t)bounded(&at[10 + 3 * i], MS_MOST);
   }
-  m->base = bounded(&at[NUMBERS - 1], INT64_MAX);
+  m->base = bounded(&at[NUMBERS - 2], INT64_MAX);
+  m->reach = bounded(&at[NUMBERS - 1], INT64_MAX);
 }
 
 /* True when the message has the expected shape and version. */
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -87,8 +87,10 @@
   size_t engines_count;
   mt_prefix_part_t parts[MT_PEER_PARTS_MAX];
   size_t parts_count;
-  /* NEWS: what changed in the list of engines after revision `base`. */
-  int64_t base;
+  /* NEWS: all that changed in the list of engines after revision `base`, up
+     to `reach`; others may have told the sender of newer ones that it lacks.
+   */
+  int64_t base, reach;
   mt_peer_entry_t entries[MT_PEER_ENTRIES_MAX];
   size_t entries_count;
 } mt_peer_message_t;
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -327,17 +327,17 @@
       w.listen([&] (Conn &c, const Request &r) { c.send(good(r, "x")); });
   w.engine("i-1", "plain", e);
   w.start();
-  // Fifteen numbers, then lists: members, shares, engines, parts, entries.
+  // Sixteen numbers, then lists: members, shares, engines, parts, entries.
   auto message = [] (uint64_t kind, const std::vector<uint64_t> &rows,
                      uint64_t rest = 1, size_t lists = 5) {
     msgpack_sbuffer out;
     msgpack_packer pk;
     msgpack_sbuffer_init(&out);
     msgpack_packer_init(&pk, &out, msgpack_sbuffer_write);
-    msgpack_pack_array(&pk, 15 + lists);
+    msgpack_pack_array(&pk, 16 + lists);
     msgpack_pack_uint64(&pk, 2);
     msgpack_pack_uint64(&pk, kind);
-    for (int i = 2; i < 15; i++) msgpack_pack_uint64(&pk, rest);
+    for (int i = 2; i < 16; i++) msgpack_pack_uint64(&pk, rest);
     for (size_t list = 0; list < lists; list++) {
       msgpack_pack_array(&pk, rows.size());
       for (uint64_t n : rows) msgpack_pack_uint64(&pk, n);
@@ -393,13 +393,16 @@
   sockaddr_in from = loopback(0);
   inet_pton(AF_INET, "127.0.0.2", &from.sin_addr);
   ASSERT_EQ(bind(fd, (sockaddr *)&from, sizeof from), 0);
-  auto tell = [&] (int64_t base, int64_t newest, mt_peer_entry_t entry) {
+  // `newest`: what others told the watcher, beyond what it has itself.
+  auto tell = [&] (int64_t base, int64_t reach, int64_t newest,
+                   mt_peer_entry_t entry) {
     auto m = std::make_unique<mt_peer_message_t>();
     char bytes[MT_PEER_DATAGRAM_MAX];
     mt_peer_message_begin(m.get(), MT_PEER_NEWS);
     m->number = ++number;
     m->feeds[MT_FEED_ENGINES] = {newest, newest, 0};
     m->base = base;
+    m->reach = reach;
     m->entries[m->entries_count++] = entry;
     size_t n = mt_peer_message_pack(m.get(), bytes, sizeof bytes);
     sendto(fd, bytes, n, 0, (sockaddr *)&to, sizeof to);
@@ -416,13 +419,15 @@
   ASSERT_TRUE(w.until([&] { return said("i-1", "outcome=ready"); }));
   struct Row {
     const char *name, *ip;
-    int64_t gap;
+    int64_t base, newest; // beyond the store's revision
     bool leaving;
     const char *heard; // what the gateway makes of it; NULL: nothing
-  } rows[] = {{"i-1", "127.0.0.1", 5, true, nullptr}, // something is missing
-              {"i-new", "127.0.0.1", 0, false, nullptr}, // only the store may
-              {"i-1", "127.0.0.9", 0, false, nullptr},   // nor move one
-              {"i-1", "127.0.0.1", 0, true, "outcome=leaving"}};
+  } rows[] = {
+      {"i-1", "127.0.0.1", 5, 6, true, nullptr},    // something is missing
+      {"i-new", "127.0.0.1", 0, 1, false, nullptr}, // only the store may
+      {"i-1", "127.0.0.9", 0, 1, false, nullptr},   // nor move one
+      {"i-1", "127.0.0.1", 0, 9, false, nullptr},   // the watcher lacks some
+      {"i-1", "127.0.0.1", 1, 9, true, "outcome=leaving"}};
   for (const Row &row : rows) {
     mt_peer_entry_t entry{};
     snprintf(entry.name, sizeof entry.name, "%s", row.name);
@@ -432,7 +437,7 @@
     entry.port = (uint16_t)e->port;
     entry.slots = 8;
     entry.leaving = row.leaving;
-    tell(w.rev + row.gap, w.rev + row.gap + 1, entry);
+    tell(w.rev + row.base, w.rev + row.base + 1, w.rev + row.newest, entry);
     if (row.heard != nullptr) {
       EXPECT_TRUE(w.until([&] { return said(row.name, row.heard); }));
     }
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -43,6 +43,7 @@
     in->engines[in->engines_count++] = {99, {10, 20, 3}, 400};
     in->parts[in->parts_count++] = {5, 600};
     in->base = 4;
+    in->reach = 6;
     in->entries[in->entries_count++] = {"i-1", "d1", "10.0.0.1", "s",
                                         80,    64,   true,       false};
     in->entries[in->entries_count++] = {"i-2", "", "", "", 0, 0, false, true};
@@ -67,6 +68,7 @@
     ASSERT_EQ(out->parts_count, 1u);
     EXPECT_EQ(out->parts[0].tokens, 600);
     EXPECT_EQ(out->base, 4);
+    EXPECT_EQ(out->reach, 6);
     ASSERT_EQ(out->entries_count, 2u);
     EXPECT_STREQ(out->entries[0].ip, "10.0.0.1");
     EXPECT_STREQ(out->entries[0].service, "s");
