A gateway in severe overload refuses streams at once

Over 100 ms of lag new streams get 503 with the time to come back; the retry reaches another gateway.

Test: Overload.StreamsAreRefusedWhenItIsSevere.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -544,7 +544,9 @@
   mt_ms_t now = uv_now(g->loop);
   mt_ms_t took = g->ticked ? now - g->ticked : TICK_MS;
   g->ticked = now;
-  if (!mt_overload_turn(&g->overload, took, TICK_MS)) return;
+  bool changed = mt_overload_turn(&g->overload, took, TICK_MS);
+  g->relay->overloaded = g->overload.severe;
+  if (!changed) return;
   bool overloaded = g->overload.overloaded;
   mt_http_server_drain(g->callers, overloaded || g->stopping != 0);
   mt_log_line(g->log, MT_LOG_BELIEF, now, "overload",
--- a/src/gateway/overload.c
+++ b/src/gateway/overload.c
@@ -7,6 +7,7 @@
 #define LAG_MOST 400.0   /* one long pause is not yet an overload */
 #define BEGIN_LAG 60.0
 #define END_LAG 15.0
+#define SEVERE_LAG 100.0
 
 bool mt_overload_turn (mt_overload_t *o, mt_ms_t took, mt_ms_t usual) {
   double lag = took > usual ? (double)(took - usual) : 0;
@@ -15,5 +16,6 @@
   bool before = o->overloaded;
   if (o->lag > BEGIN_LAG) o->overloaded = true;
   if (o->lag < END_LAG) o->overloaded = false;
+  o->severe = o->lag > SEVERE_LAG;
   return o->overloaded != before;
 }
--- a/src/gateway/overload.h
+++ b/src/gateway/overload.h
@@ -12,6 +12,7 @@
 typedef struct mt_overload_t {
   double lag; /* ms that a turn takes beyond the usual, smoothed */
   bool overloaded;
+  bool severe; /* leaving the balancer does not help soon enough */
 } mt_overload_t;
 
 /*
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -366,7 +366,9 @@
     refuse(relay, r, MT_RELAY_STOPPING);
     return;
   }
-  if (relay->count > relay->terms.running_most) {
+  bool stream = r->kind == MT_ROUTE_STREAM;
+  if (relay->count > relay->terms.running_most ||
+      (stream && relay->overloaded)) {
     refuse(relay, r, MT_RELAY_FULL);
     return;
   }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -286,7 +286,8 @@
   char domain[MT_NAME_MAX + 1];
   mt_relay_terms_t terms;
   mt_catalog_t *catalog; /* NULL: none yet */
-  bool unsure; /* a newer one may exist that this router cannot see */
+  bool unsure;     /* a newer one may exist that this router cannot see */
+  bool overloaded; /* this process cannot carry more streams */
   mt_ms_t stop_since, stop_until; /* 0: not stopping */
   int routers; /* that are believed to serve, this one included */
   mt_engines_t engines;
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -466,6 +466,20 @@
 
 // {== Overload =============================================================
 
+TEST(Overload, StreamsAreRefusedWhenItIsSevere) {
+  Relay w;
+  w.declare();
+  w.relay->overloaded = true;
+  w.ask(1, "/stream/x");
+  EXPECT_EQ(w.refusal(), MT_RELAY_FULL);
+  EXPECT_GT(w.find(MT_RELAY_DO_REFUSE)->u.refuse.retry_after, 0u);
+  w.ask(2, "/once/x"); // costs little
+  EXPECT_NE(w.find(MT_RELAY_DO_START, 2), nullptr);
+  w.relay->overloaded = false;
+  w.ask(3, "/stream/x");
+  EXPECT_NE(w.find(MT_RELAY_DO_START, 3), nullptr);
+}
+
 TEST(Overload, BeginsAndEndsWithTheLengthOfTurns) {
   struct Row {
     const char *name;
