--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -559,6 +559,7 @@
 static void on_tick (uv_timer_t *timer) {
   mt_gateway_t *g = timer->data;
   judge_load(g);
+  mt_gateway_peers_read(g->peers);
   mt_relay_event_t event = {.kind = MT_RELAY_TICK};
   step(g, &event);
   g->relay->routers = mt_gateway_peers_tick(g->peers);
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -16,6 +16,7 @@
 #define ADDRESSES_TOLD 8    /* in a greeting, outside the own group */
 #define GROUPS_MAX 64
 #define ROW_VALID_MS 2500 /* a load that is not repeated */
+#define READ_AT_ONCE 4096 /* datagrams, in one turn of the loop */
 #define SHARE_LEAST 1.0   /* tokens a second; less is not told */
 
 /* What a group's members asked for and got, as one of them summed it up. */
@@ -575,13 +576,10 @@
   }
 }
 
-static void on_datagram (uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
-                         const struct sockaddr *from, unsigned flags) {
-  mt_gateway_peers_t *peers = udp->data;
+static void take_datagram (mt_gateway_peers_t *peers, uint32_t ip,
+                           const char *bytes, size_t n) {
   mt_peer_message_t *m = &peers->in;
-  if (n <= 0 || from == NULL) return;
-  if (!mt_peer_message_unpack(m, buf->base, (size_t)n)) return;
-  uint32_t ip = ((const struct sockaddr_in *)from)->sin_addr.s_addr;
+  if (!mt_peer_message_unpack(m, bytes, n)) return;
   peers->members.now = uv_now(peers->loop);
   mt_peer_t *peer = mt_membership_know(&peers->members, ip);
   if (peer == NULL) return;
@@ -594,6 +592,30 @@
   if (m->kind == MT_PEER_HELLO) welcome(peers, ip);
 }
 
+static void on_datagram (uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
+                         const struct sockaddr *from, unsigned flags) {
+  if (n <= 0 || from == NULL) return;
+  uint32_t ip = ((const struct sockaddr_in *)from)->sin_addr.s_addr;
+  take_datagram(udp->data, ip, buf->base, (size_t)n);
+}
+
+/*
+** The loop reads a few datagrams in each of its turns. Where turns are long
+** that is less than what comes, the queue stays full, and news are lost.
+*/
+void mt_gateway_peers_read (mt_gateway_peers_t *peers) {
+  uv_os_fd_t fd;
+  if (uv_fileno((uv_handle_t *)&peers->udp, &fd) != 0) return;
+  for (int i = 0; i < READ_AT_ONCE; i++) {
+    struct sockaddr_in from = {.sin_port = 0};
+    socklen_t size = sizeof from;
+    ssize_t n = recvfrom(fd, peers->input, sizeof peers->input, MSG_DONTWAIT,
+                         (struct sockaddr *)&from, &size);
+    if (n < 0) return;
+    take_datagram(peers, from.sin_addr.s_addr, peers->input, (size_t)n);
+  }
+}
+
 static void on_alloc (uv_handle_t *h, size_t hint, uv_buf_t *buf) {
   mt_gateway_peers_t *peers = h->data;
   *buf = uv_buf_init(peers->input, sizeof peers->input);
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -32,6 +32,9 @@
                        mt_relay_t *relay, mt_log_writer_t *log,
                        const mt_gateway_peers_calls_t *calls);
 
+/* Takes all datagrams that have come; in each turn of the loop. */
+void mt_gateway_peers_read (mt_gateway_peers_t *peers);
+
 /* Tells and forgets, when it is time; the number of routers, this one too. */
 int mt_gateway_peers_tick (mt_gateway_peers_t *peers);
 
