--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -53,6 +53,7 @@
     log = dir + "/g" + std::to_string(index) + ".log";
     int out =
         open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    before = (size_t)lseek(out, 0, SEEK_END);
     const char *bin = getenv("MT_BIN");
     std::string program = std::string(bin ? bin : "build") + "/martentiller";
     pid = fork();
@@ -74,20 +75,12 @@
     std::ifstream in(log);
     std::string text((std::istreambuf_iterator<char>(in)),
                      std::istreambuf_iterator<char>());
-    std::string mark = "ms=";
-    size_t at = text.rfind("event=start ");
-    if (at == text.npos || starts(text) < lives) return;
+    size_t at = text.find("event=start ", before); // of this life
+    if (at == text.npos) return;
     at = text.find("callers=", at);
     port = atoi(text.c_str() + text.find(':', at) + 1);
   }
-  static int starts (const std::string &text) {
-    int n = 0;
-    for (size_t at = 0; (at = text.find("event=start ", at)) != text.npos;
-         at++)
-      n++;
-    return n;
-  }
-  int lives = 0; // how often it was started
+  size_t before = 0; // bytes of the log that earlier lives wrote
 };
 
 // }==
@@ -206,7 +199,6 @@
     return ntohs(a.sin_port);
   }
   void start (Gateway &g) {
-    g.lives++;
     g.start(peers, world.store->port, options.gateways);
   }
   void await_ports () {
