--- a/src/gateway/load_teller.c
+++ b/src/gateway/load_teller.c
@@ -40,6 +40,7 @@
     *mtV_push(t->due, t->count, t->cap) =
         (mt_load_due_t){calls->keeper(calls->ud, e), e};
   }
+  if (t->count == 0) return;
   qsort(t->due, t->count, sizeof *t->due, by_keeper);
   for (size_t i = 0; i < t->count;)
     i += tell_run(&t->due[i], t->count - i, calls);
