Time to the first event: a fixed part and a part per token, learnt apart

The learnt rate was the ratio of sums, which took it for slow reading: some 40 tokens/ms where engines read 100. Wait, limit, pressure and the choice of an engine stand on it, so requests were refused while engines read a fifth of what they can.

Change: src/relay/read_time fits a line by least squares over fading sums, with the declared rate as a weak prior; first events, slowness and lateness use both parts.

--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -157,7 +157,8 @@
                                     pick_t pick) {
   mt_placement_t best = {.engine = NULL};
   double best_cost = 0;
-  double rate = mt_relay_rate(relay, r->service);
+  mt_read_line_t line = mt_relay_read_line(relay, r->service);
+  double rate = 1 / line.ms_per_token;
   mt_engine_t *home = find_home(relay, r, NULL);
   int64_t memory = service->memory;
   /* What is read at home is read for all that follow: it isn't held against
@@ -175,7 +176,8 @@
     bool full = running(e) >= e->slots;
     int64_t held = e->here.held + e->peers.held + miss;
     double read = (double)miss / rate * e->slowness;
-    double late = wait + read - (double)r->objective * relay->terms.late_part;
+    double first = line.fixed_ms + wait + read;
+    double late = first - (double)r->objective * relay->terms.late_part;
     double cost = wait + (double)weighed / rate * e->slowness * reading;
     if (late > 0) cost += late * ease * relay->terms.late_weight;
     if (wait > limit) cost += ease * OVER_LIMIT_MS;
@@ -184,7 +186,7 @@
     if (memory > 0 && held > memory) cost += MEMORY_PENALTY_MS;
     cost += e->failures * FAILING_PENALTY_MS;
     if (best.engine != NULL && cost >= best_cost) continue;
-    best = (mt_placement_t){e, miss, wait, wait + read, full, e == home};
+    best = (mt_placement_t){e, miss, wait, first, full, e == home};
     best_cost = cost;
   }
   return best;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -13,6 +13,7 @@
 #include "event_stream.h"
 #include "fair_share.h"
 #include "load_book.h"
+#include "read_time.h"
 #include "retry_budget.h"
 
 /* {== Refusals ========================================================= */
@@ -256,7 +257,7 @@
 /* What is learnt of a service's engines. */
 typedef struct mt_relay_service_t {
   mt_id_t id;
-  double work, time; /* fading sums of prompt tokens and of ms for them */
+  mt_read_time_t read_time;
   mt_retry_budget_t budget;
   int ready;                          /* engines, counted by the tick */
   double usual_unread, usual_running; /* at homes, as keepers told lately */
@@ -342,7 +343,9 @@
                                  uint64_t router,
                                  const mt_prefix_part_t *parts, size_t count);
 
-/* Tokens per ms at which one engine of the service reads prompts. */
+/* How long one engine of the service takes to read prompts. */
+mt_read_line_t mt_relay_read_line (mt_relay_t *relay, mt_id_t service);
+/* The same without the fixed part: tokens per ms. */
 double mt_relay_rate (mt_relay_t *relay, mt_id_t service);
 mt_relay_service_t *mt_relay_service (mt_relay_t *relay, mt_id_t id);
 
--- a/src/relay/relay_load.c
+++ b/src/relay/relay_load.c
@@ -9,9 +9,7 @@
 #include "quotes.h"
 #include "relay_load.h"
 
-#define RATE_FADE 0.98      /* of the sums behind a service's rate */
-#define RATE_START_MS 500.0 /* weight of the declared rate */
-#define RATE_UNKNOWN 20.0   /* tokens per ms before anything is known */
+#define RATE_UNKNOWN 20.0 /* tokens per ms before anything is known */
 #define SLOWNESS_FADE 0.9
 #define SLOWNESS_LEAST 0.7
 #define SLOWNESS_MOST 8.0
@@ -37,19 +35,22 @@
   return (double)total / 1000.0 / s->ready;
 }
 
-double mt_relay_rate (mt_relay_t *relay, mt_id_t service) {
+mt_read_line_t mt_relay_read_line (mt_relay_t *relay, mt_id_t service) {
   mt_relay_service_t *s = mt_relay_service(relay, service);
-  double start = declared_rate(relay, s);
-  return (s->work + start * RATE_START_MS) / (s->time + RATE_START_MS);
+  return mt_read_time_line(&s->read_time, declared_rate(relay, s));
+}
+
+double mt_relay_rate (mt_relay_t *relay, mt_id_t service) {
+  return 1 / mt_relay_read_line(relay, service).ms_per_token;
 }
 
 /* A prompt was read: learns how long that took for the work ahead of it. */
 void mt_relay_learn_rate (mt_relay_t *relay, mt_relay_request_t *r) {
   mt_relay_service_t *s = mt_relay_service(relay, r->service);
   double took = mt_max((double)(relay->now - r->sent), 1.0);
-  double expected = (double)r->work_ahead / mt_relay_rate(relay, r->service);
-  s->work = s->work * RATE_FADE + (double)r->work_ahead;
-  s->time = s->time * RATE_FADE + took;
+  mt_read_line_t line = mt_relay_read_line(relay, r->service);
+  double expected = line.fixed_ms + (double)r->work_ahead * line.ms_per_token;
+  mt_read_time_learn(&s->read_time, (double)r->work_ahead, took);
   double seen = took / mt_max(expected, 1.0);
   if (expected < (double)r->objective / 8) return; /* mostly fixed costs */
   mt_engine_t *e = r->engine;
--- /dev/null
+++ b/tests/read_time_test.cc
@@ -0,0 +1,111 @@
+// read_time_test.cc - what is learnt of the time that reading prompts takes.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <vector>
+
+#include "relay.h"
+
+namespace {
+
+struct Seen {
+  double tokens, ms;
+};
+
+mt_read_line_t line_through (const std::vector<Seen> &seen, double declared,
+                             int times) {
+  mt_read_time_t t{};
+  for (int i = 0; i < times; i++)
+    for (const Seen &s : seen) mt_read_time_learn(&t, s.tokens, s.ms);
+  return mt_read_time_line(&t, declared);
+}
+
+TEST(ReadTime, FindsTheFixedPartAndTheRate) {
+  struct Row {
+    const char *what;
+    std::vector<Seen> seen;
+    double fixed, rate, within; // of both, as a part
+  } rows[] = {
+      {"a fixed part of 50 ms, 100 tokens per ms",
+       {{500, 55}, {2000, 70}, {8000, 130}, {20000, 250}},
+       50,
+       100,
+       0.15},
+      {"no fixed part, 40 tokens per ms",
+       {{400, 10}, {4000, 100}, {12000, 300}},
+       0,
+       40,
+       0.1},
+      {"long prompts alone are further from the line, not above it",
+       {{10000, 150}, {30000, 350}},
+       50,
+       100,
+       0.3},
+  };
+  for (const Row &row : rows) {
+    mt_read_line_t line = line_through(row.seen, 50, 60);
+    EXPECT_NEAR(line.fixed_ms, row.fixed,
+                row.within * std::max(row.fixed, 20.0))
+        << row.what;
+    EXPECT_NEAR(1 / line.ms_per_token, row.rate, row.within * row.rate)
+        << row.what;
+  }
+}
+
+TEST(ReadTime, IsUsableWhateverWasSeen) {
+  struct Row {
+    const char *what;
+    std::vector<Seen> seen;
+    double tokens, ms, within; // what the line says of so many tokens
+  } rows[] = {
+      {"nothing: the declared rate", {}, 5000, 100, 1},
+      {"prompts all alike: right for them", {{4000, 90}}, 4000, 90, 5},
+      {"longer prompts took less: never negative",
+       {{100, 300}, {9000, 20}},
+       5000,
+       100,
+       250},
+      {"no time at all", {{1000, 0}, {9000, 0}}, 5000, 0, 20},
+  };
+  for (const Row &row : rows) {
+    mt_read_line_t line = line_through(row.seen, 50, 100);
+    EXPECT_GE(line.fixed_ms, 0) << row.what;
+    EXPECT_GT(line.ms_per_token, 0) << row.what;
+    EXPECT_NEAR(line.fixed_ms + row.tokens * line.ms_per_token, row.ms,
+                row.within)
+        << row.what;
+  }
+}
+
+TEST(ReadTime, FollowsEnginesThatChange) {
+  mt_read_time_t t{};
+  for (int i = 0; i < 500; i++)
+    mt_read_time_learn(&t, 1000 + i % 9 * 1000, 50 + (1 + i % 9) * 10);
+  for (int i = 0; i < 500; i++)
+    mt_read_time_learn(&t, 1000 + i % 9 * 1000, 50 + (1 + i % 9) * 40);
+  mt_read_line_t line = mt_read_time_line(&t, 50);
+  EXPECT_NEAR(line.ms_per_token, 0.04, 0.004);
+  EXPECT_NEAR(line.fixed_ms, 50, 10);
+}
+
+// The same prompts at engines that all begin with a fixed 50 ms: what a
+// router expects must not be a slow engine's, or it refuses for nothing.
+TEST(ReadTime, AFixedPartIsNoSlowReading) {
+  Relay r(1);
+  r.declare();
+  for (uint64_t i = 1; i <= 300; i++) {
+    int64_t tokens = 500 + (int64_t)(i % 10) * 1000;
+    r.ask(i, "/stream/x", i % 2 ? "key-w1" : "key-w2", 5000, tokens);
+    ASSERT_NE(r.find(MT_RELAY_DO_START), nullptr) << i;
+    auto *request = (mt_relay_request_t *)mtV_get(&r.relay->requests, i);
+    r.sent(i);
+    r.now += 50 + (mt_ms_t)request->work_ahead / 100;
+    r.head(i, 200, true);
+    r.event(i, 1);
+    r.end(i);
+    r.pass(25);
+  }
+  EXPECT_NEAR(mt_relay_rate(r.relay, mtV_id("model", 5)), 100, 20);
+}
+
+} // namespace
