The share level stands on what engines are declared to give

Cause: the max-min level was taken from what was served. Whoever is refused is not served, so refusing lowered the level, and a lower level refused more: a workspace was held to a share of what the routers chose to serve, while its due is a share of what the engines give.

Change: the level fills up the greater of what was served and the declared tokens per second.

Test: rows of FairShare.TheLevelIsMaxMin with a declared rate; without it their levels are 300 and 250.

--- a/src/relay/fair_share.c
+++ b/src/relay/fair_share.c
@@ -91,7 +91,7 @@
   }
 }
 
-void mt_fair_share_update (mt_fair_share_t *s, mt_ms_t now) {
+void mt_fair_share_update (mt_fair_share_t *s, double declared, mt_ms_t now) {
   double all_asked = 0, all_served = 0;
   fade(s, now);
   for (size_t i = 0; i < s->count; i++) {
@@ -99,7 +99,7 @@
     all_served += served(s->list[i]);
   }
   bool scarce = all_served < SHORT_PART * all_asked;
-  s->level = scarce ? water_level(s, all_served) : 0;
+  s->level = scarce ? water_level(s, fmax(all_served, declared)) : 0;
   find_top(s);
 }
 
--- a/src/relay/fair_share.h
+++ b/src/relay/fair_share.h
@@ -38,8 +38,14 @@
 void mt_fair_share_served (mt_fair_share_t *shares, mt_id_t workspace,
                            int64_t tokens);
 
-/* Lets rates fade up to now and works out the level anew. */
-void mt_fair_share_update (mt_fair_share_t *shares, mt_ms_t now);
+/*
+** Lets rates fade up to now and works out the level anew. `declared` is what
+** the engines give together by the operators' word, in tokens a second: a
+** router that serves less must not take that for the engines' limit. 0: not
+** told.
+*/
+void mt_fair_share_update (mt_fair_share_t *shares, double declared,
+                           mt_ms_t now);
 
 /*
 ** What the workspace got, as a multiple of the level; below 1 it is owed
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -593,13 +593,18 @@
   attempt_failed(relay, r, MT_RELAY_RETRY_SILENT, r->gone_out);
 }
 
+/* What the engines give together by the operators' word, tokens a second. */
+static double declared_tokens (const mt_relay_t *relay) {
+  return relay->catalog ? (double)relay->catalog->limits.tokens_per_s : 0;
+}
+
 static void on_tick (mt_relay_t *relay) {
   for (size_t i = relay->count; i-- > 0;)
     if (i < relay->count) check_request(relay, relay->list[i]);
   relay->seen = relay->now;
   if (relay->now < relay->next_update) return;
   relay->next_update = relay->now + UPDATE_MS;
-  mt_fair_share_update(&relay->shares, relay->now);
+  mt_fair_share_update(&relay->shares, declared_tokens(relay), relay->now);
   mt_relay_update_engines(relay);
   mt_load_book_expire(&relay->book, relay->now);
 }
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -391,21 +391,27 @@
 TEST(FairShare, TheLevelIsMaxMin) {
   struct Row {
     std::vector<int64_t> asked, served;
-    double level; // 0: nobody is short
+    double declared; // tokens a second that the engines give; 0: not told
+    double level;    // 0: nobody is short
   } rows[] = {
-      {{100, 200, 300}, {100, 200, 300}, 0},
-      {{1000, 1000}, {500, 100}, 300},
-      {{100, 1000, 1000}, {100, 300, 200}, 250},
-      {{10, 20, 900}, {10, 20, 300}, 300},
+      {{100, 200, 300}, {100, 200, 300}, 0, 0},
+      {{1000, 1000}, {500, 100}, 0, 300},
+      {{100, 1000, 1000}, {100, 300, 200}, 0, 250},
+      {{10, 20, 900}, {10, 20, 300}, 0, 300},
+      // Refusing must not lower the level that refusals go by.
+      {{1000, 1000}, {500, 100}, 1500, 750},
+      {{100, 1000, 1000}, {100, 300, 200}, 1000, 450},
+      {{1000, 1000}, {500, 100}, 3000, 0},  // all of it fits
+      {{1000, 1000}, {900, 800}, 500, 850}, // they give more than declared
   };
   for (const Row &row : rows) {
     mt_fair_share_t s{};
-    mt_fair_share_update(&s, 1000);
+    mt_fair_share_update(&s, row.declared, 1000);
     for (size_t i = 0; i < row.asked.size(); i++) {
       mt_fair_share_asked(&s, (mt_id_t)i + 1, row.asked[i]);
       mt_fair_share_served(&s, (mt_id_t)i + 1, row.served[i]);
     }
-    mt_fair_share_update(&s, 1000);
+    mt_fair_share_update(&s, row.declared, 1000);
     EXPECT_NEAR(s.level, row.level, 0.5);
     mt_fair_share_free(&s);
   }
