Engines take kept parts of prompts from each other

The platform moves the same memory in some 3 ms at a twelfth of the price (the header field Kv-Fetch).

Change: src/relay/prompt_memory finds the engine that keeps most of a prompt, as keepers say or as is believed; the placement weighs, for each engine, the move against reading. Engines that leave, failed, vanished or belong to another service give nothing; a move slower than reading is not made. The field of a caller is never passed on.

--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -27,6 +27,7 @@
   const char *workspace; /* NULL: none */
   mt_ms_t deadline_ms;
   int64_t last_event; /* -1: from the start */
+  const char *source; /* IP:PORT to take kept parts from; NULL: none */
 } mt_dialect_sent_t;
 
 typedef struct mt_dialect_t {
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -117,11 +117,17 @@
   mt_bytes_t method = mt_http_exchange_method(x);
   mt_bytes_t target = mt_http_exchange_target(x);
   mt_bytes_t body = mt_http_exchange_body(x);
+  char source[64] = "";
+  const mt_engine_t *giver =
+      mt_engines_get(&g->relay->engines, fx->u.start.source);
+  if (fx->u.start.source != 0 && giver != NULL)
+    snprintf(source, sizeof source, "%s:%u", giver->ip, giver->port);
   mt_dialect_sent_t sent = {.instance = engine->name,
                             .workspace =
                                 workspace_name(g, fx->u.start.workspace),
                             .deadline_ms = fx->u.start.deadline_ms,
-                            .last_event = fx->u.start.last_event};
+                            .last_event = fx->u.start.last_event,
+                            .source = source[0] != '\0' ? source : NULL};
   out->n = 0;
   mt_text_add(out, method.p, method.n);
   mt_text_add(out, " ", 1);
--- a/src/gateway/gateway_log.c
+++ b/src/gateway/gateway_log.c
@@ -37,11 +37,12 @@
       log, well ? MT_LOG_DETAIL : MT_LOG_FAILURE, relay->now, "request",
       "id=%s route=%08x workspace=%08x engine=%s attempt=%d age=%llu "
       "status=%d wait=%.0f expected=%.0f first=%llu standing=%.2f "
-      "tokens=%lld own=%lld unread=%lld home=%d last=%lld version=%lld "
+      "tokens=%lld own=%lld unread=%lld fetched=%lld home=%d last=%lld version=%lld "
       "outcome=%s why=%s",
       r->id, r->route, r->workspace, r->engine_name[0] ? r->engine_name : "-",
       r->attempt, (number_t)(relay->now - r->arrived), r->status,
       r->wait_expected, r->first_expected, (number_t)r->first, r->standing,
       (long long)r->tokens_in, (long long)own_tokens(r), (long long)r->unread,
-      r->home, (long long)r->last_event, (long long)version, outcome, why);
+      (long long)r->fetched, r->home, (long long)r->last_event,
+      (long long)version, outcome, why);
 }
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -58,6 +58,12 @@
   number(out, "prompt_tokens_unkept_total", "counter",
          "Prompt tokens that the engine probably had to read.",
          (double)c->tokens_missed);
+  number(out, "fetches_total", "counter",
+         "Requests whose engine took kept parts from another.",
+         (double)c->fetches);
+  number(out, "prompt_tokens_fetched_total", "counter",
+         "Prompt tokens taken from another engine.",
+         (double)c->tokens_fetched);
   number(out, "retries_denied_total", "counter",
          "Retries that the budget did not allow.", (double)c->retries_denied);
   number(out, "quote_rounds_total", "counter",
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -24,6 +24,7 @@
 #define OVER_POWER 10.0
 #define MISS_WEIGHT 50.0
 #define MISS_WEIGHT_EASY 13.0
+#define MOVE_WEIGHT 3.0
 #define LATE_PART 0.6
 #define LATE_WEIGHT 6.0
 
@@ -85,6 +86,7 @@
   terms->over_power = real(relay, "over_power", OVER_POWER);
   terms->miss_weight = real(relay, "miss_weight", MISS_WEIGHT);
   terms->miss_weight_easy = real(relay, "miss_weight_easy", MISS_WEIGHT_EASY);
+  terms->move_weight = real(relay, "move_weight", MOVE_WEIGHT);
   terms->late_part = real(relay, "late_part", LATE_PART);
   terms->late_weight = real(relay, "late_weight", LATE_WEIGHT);
 }
--- a/src/relay/catalog.h
+++ b/src/relay/catalog.h
@@ -45,6 +45,9 @@
   bool model;        /* a language model: prompts, kept prefixes */
   int64_t memory;    /* tokens that one engine holds */
   mt_ms_t objective; /* the shortest of its stream routes; 0: none */
+  bool moves; /* its engines can take kept parts of prompts from each other */
+  int64_t token_bytes; /* of an engine's memory for one token */
+  double link_mbps;    /* of an engine's link to the others */
 } mt_catalog_service_t;
 
 typedef struct mt_catalog_workspace_t {
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -66,10 +66,6 @@
   return best;
 }
 
-int64_t mt_placement_room (const mt_engine_t *e, int64_t memory) {
-  return mt_max(memory - e->here.held - e->peers.held, memory / 8);
-}
-
 /* Tokens of the parts that others share. */
 static int64_t shared_tokens (const mt_relay_request_t *r) {
   int64_t shared = 0;
@@ -78,20 +74,6 @@
   return shared;
 }
 
-/* Tokens that the engine has to read, as its keeper says or as is believed.
- */
-static int64_t misses (const mt_relay_request_t *r, const mt_engine_t *e,
-                       int64_t memory) {
-  const mt_relay_candidate_t *told = mt_quotes_find(r, e->key);
-  int64_t kept = 0;
-  if (told != NULL && told->quoted)
-    kept = told->kept;
-  else
-    kept = mt_prefix_cache_match(&e->kept, r->parts, r->parts_count,
-                                 mt_placement_room(e, memory));
-  return mt_max(r->tokens_in - kept, 1);
-}
-
 /* What the request's workspace got, as a multiple of its share. */
 static double standing_of (mt_relay_t *relay, const mt_relay_request_t *r) {
   if (r->workspace == 0) return 0;
@@ -160,6 +142,8 @@
   mt_read_line_t line = mt_relay_read_line(relay, r->service);
   double rate = 1 / line.ms_per_token;
   mt_engine_t *home = find_home(relay, r, NULL);
+  int64_t there;
+  mt_engine_t *source = mt_prompt_memory_source(relay, r, service, &there);
   int64_t memory = service->memory;
   /* What is read at home is read for all that follow: it isn't held against
      the home, or parts would never gather there. */
@@ -170,15 +154,19 @@
   for (size_t i = 0; i < relay->engines.count; i++) {
     mt_engine_t *e = relay->engines.list[i];
     if (!usable(relay, r, e) || !picked(pick, r, e)) continue;
-    int64_t miss = misses(r, e, memory);
+    int64_t kept = mt_prompt_memory_kept(r, e, memory);
+    mt_fetch_t fetch = mt_prompt_memory_fetch(service, source, there, e, kept,
+                                              line.ms_per_token);
+    int64_t miss = mt_max(r->tokens_in - kept - fetch.tokens, 1);
     int64_t weighed = e == home ? mt_min(miss, unshared) : miss;
     double wait = (double)unread(e) / rate * e->slowness;
     bool full = running(e) >= e->slots;
     int64_t held = e->here.held + e->peers.held + miss;
     double read = (double)miss / rate * e->slowness;
-    double first = line.fixed_ms + wait + read;
+    double first = line.fixed_ms + wait + read + fetch.ms;
     double late = first - (double)r->objective * relay->terms.late_part;
     double cost = wait + (double)weighed / rate * e->slowness * reading;
+    cost += fetch.ms * relay->terms.move_weight * reading;
     if (late > 0) cost += late * ease * relay->terms.late_weight;
     if (wait > limit) cost += ease * OVER_LIMIT_MS;
     cost += running(e) * RUNNING_MS;
@@ -186,7 +174,7 @@
     if (memory > 0 && held > memory) cost += MEMORY_PENALTY_MS;
     cost += e->failures * FAILING_PENALTY_MS;
     if (best.engine != NULL && cost >= best_cost) continue;
-    best = (mt_placement_t){e, miss, wait, first, full, e == home};
+    best = (mt_placement_t){e, miss, wait, first, full, e == home, fetch};
     best_cost = cost;
   }
   return best;
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -4,7 +4,7 @@
 #ifndef placement_h
 #define placement_h
 
-#include "relay.h"
+#include "prompt_memory.h"
 
 typedef struct mt_placement_t {
   mt_engine_t *engine; /* NULL: there is none to be had */
@@ -13,6 +13,7 @@
   double first_ms;     /* expected until its first event */
   bool full;           /* all its slots are taken */
   bool home;           /* every router expects the parts there */
+  mt_fetch_t fetch;    /* of parts that the engine does not keep */
 } mt_placement_t;
 
 /*
@@ -39,9 +40,6 @@
 bool mt_placement_is_hopeless (mt_relay_t *relay,
                                const mt_relay_request_t *request);
 
-/* Tokens that an engine can keep beside what is running there. */
-int64_t mt_placement_room (const mt_engine_t *engine, int64_t memory);
-
 /* True when the request should go there now rather than be refused. */
 bool mt_placement_admits (mt_relay_t *relay,
                           const mt_relay_request_t *request,
--- /dev/null
+++ b/src/relay/prompt_memory.h
@@ -0,0 +1,50 @@
+/*
+** prompt_memory.h - what engines keep of a prompt, and moving it between them
+**
+** An engine that has to read a prompt can take the part that another engine
+** keeps from there, over the engines' own network: some milliseconds of
+*moving
+** in place of tens of reading.
+*/
+#ifndef prompt_memory_h
+#define prompt_memory_h
+
+#include "relay.h"
+
+/* A move that would spare an engine some reading. */
+typedef struct mt_fetch_t {
+  mt_engine_t *source; /* NULL: nothing to be had */
+  int64_t tokens;      /* more than the engine keeps itself */
+  double ms;           /* that the move takes */
+} mt_fetch_t;
+
+/* Tokens that an engine can keep beside what is running there. */
+int64_t mt_prompt_memory_room (const mt_engine_t *engine, int64_t memory);
+
+/*
+** Leading tokens of the prompt that the engine keeps, as its keeper says or
+** else as this router believes.
+*/
+int64_t mt_prompt_memory_kept (const mt_relay_request_t *request,
+                               const mt_engine_t *engine, int64_t memory);
+
+/*
+** The engine that keeps most of the prompt and can be taken from: one that is
+** ready and has not just failed. `tokens` gets how much it keeps. NULL when
+** the service's engines move nothing or none keeps any.
+*/
+mt_engine_t *mt_prompt_memory_source (mt_relay_t *relay,
+                                      const mt_relay_request_t *request,
+                                      const mt_catalog_service_t *service,
+                                      int64_t *tokens);
+
+/*
+** The move from `source`, which keeps `there` tokens, to an engine that keeps
+** `kept` and reads a token in `ms_per_token`; none if reading is faster.
+*/
+mt_fetch_t mt_prompt_memory_fetch (const mt_catalog_service_t *service,
+                                   mt_engine_t *source, int64_t there,
+                                   const mt_engine_t *to, int64_t kept,
+                                   double ms_per_token);
+
+#endif
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -182,6 +182,11 @@
   fx->u.start.deadline_ms = r->expires - relay->now;
   fx->u.start.last_event = r->last_event;
   fx->u.start.workspace = r->workspace;
+  if (p->fetch.source != NULL) {
+    fx->u.start.source = p->fetch.source->key;
+    relay->counters.fetches++;
+    relay->counters.tokens_fetched += (uint64_t)p->fetch.tokens;
+  }
   fx->u.start.rested_ms = r->repeatable ? RESTED_MS : RESTED_ONCE_MS;
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -65,6 +65,7 @@
   uint64_t refusals[MT_RELAY_REFUSAL_COUNT];
   uint64_t retries[MT_RELAY_RETRY_COUNT];
   uint64_t retries_denied;
+  uint64_t fetches, tokens_fetched;   /* parts moved between engines */
   uint64_t quotes_asked, quotes_late; /* rounds of questions to keepers */
 } mt_relay_counters_t;
 
@@ -171,6 +172,7 @@
       mt_ms_t deadline_ms; /* what is left */
       int64_t last_event;  /* -1: from the start */
       mt_id_t workspace;   /* 0: none */
+      uint64_t source;     /* engine to take kept parts from; 0: none */
       mt_ms_t rested_ms;   /* a kept connection may have rested so long */
     } start;
     int64_t length;  /* HEAD: of the body, or one of the below */
@@ -240,6 +242,7 @@
   bool gone_out;         /* bytes of it may have reached the engine */
   bool awaiting_event, may_have_run, events, framed, vouched, served;
   int64_t unread, held; /* its part of the engine's load */
+  int64_t fetched;      /* tokens that the engine takes from another */
   bool home;            /* all routers would look for its parts there */
   int64_t work_ahead;   /* unread there when it was sent, itself included */
   double wait_expected, standing; /* when it was decided, for logs */
@@ -277,6 +280,7 @@
   double over_power;       /* how fast this falls beyond the share */
   double miss_weight;      /* of the time to read a prompt, beside a wait */
   double miss_weight_easy; /* the same while the pool has room */
+  double move_weight;      /* of the time of a move, times that of reading */
   double late_part;   /* of the objective; beyond it a first event is late */
   double late_weight; /* of time beyond that */
 } mt_relay_terms_t;
--- a/src/relay/relay_load.c
+++ b/src/relay/relay_load.c
@@ -71,6 +71,7 @@
   snprintf(r->engine_name, sizeof r->engine_name, "%s", e->name);
   r->unread = p->miss;
   r->home = p->home;
+  r->fetched = p->fetch.tokens;
   int64_t own = r->tokens_in;
   if (r->parts_count > 0) own = r->parts[r->parts_count - 1].tokens;
   r->held = own + r->tokens_out;
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -162,7 +162,8 @@
            more +
            "],\"services\":[{\"name\":\"plain\",\"max_conns\":50},"
            "{\"name\":\"model\",\"max_conns\":50,\"engine\":{\"slots\":8,"
-           "\"kv_tokens\":90000}}],\"limits\":{\"max_header_bytes\":4096,"
+           "\"kv_tokens\":90000,\"kv_token_bytes\":35000,"
+           "\"link_mbps\":1000000,\"moves\":true}}],\"limits\":{\"max_header_bytes\":4096,"
            "\"max_body_bytes\":100000,\"header_timeout_ms\":3000,"
            "\"idle_timeout_ms\":15000,\"tokens_per_s\":100000},"
            "\"tenants\":[{\"name\":\"w1\",\"api_keys\":[\"" +
--- /dev/null
+++ b/tests/prompt_memory_test.cc
@@ -0,0 +1,123 @@
+// prompt_memory_test.cc - engines take kept parts of prompts from each other.
+#include <gtest/gtest.h>
+
+#include "gateway_world.h"
+#include "relay.h"
+
+namespace {
+
+const mt_prefix_part_t shared_part = {7, 4000};
+
+// Makes an engine keep the part that others share, as its books say.
+void keep (Relay &r, mt_engine_t *e) {
+  mt_prefix_cache_use(&e->kept, &shared_part, 1, 100000);
+}
+
+mt_catalog_service_t *model_of (Relay &r) {
+  return &r.relay->catalog->services[1];
+}
+
+// A request for 8,000 tokens, of which 4,000 are the shared part; m1 keeps
+// that, but has so much to do that no request waits for it.
+TEST(PromptMemory, WhoMayGive) {
+  struct Row {
+    const char *what;
+    void (*change)(Relay &r, mt_engine_t *keeper);
+    bool fetched;
+  } rows[] = {
+      {"a ready engine", [] (Relay &, mt_engine_t *) {}, true},
+      {"one that leaves",
+       [] (Relay &, mt_engine_t *e) { e->state = MT_ENGINE_LEAVING; }, false},
+      {"one that is gone",
+       [] (Relay &, mt_engine_t *e) { e->state = MT_ENGINE_GONE; }, false},
+      {"one that has just failed",
+       [] (Relay &r, mt_engine_t *e) { mt_engine_failed(e, r.now); }, false},
+      {"one that left the list without a word",
+       [] (Relay &r, mt_engine_t *e) { e->vanished = r.now; }, false},
+      {"engines that move nothing",
+       [] (Relay &r, mt_engine_t *) { model_of(r)->moves = false; }, false},
+      {"one of another service",
+       [] (Relay &, mt_engine_t *e) { e->service = mtV_id("plain", 5); },
+       false},
+      {"a link so slow that reading is faster",
+       [] (Relay &r, mt_engine_t *) { model_of(r)->link_mbps = 10; }, false},
+  };
+  for (const Row &row : rows) {
+    Relay r(2);
+    r.declare();
+    mt_engine_t *keeper = r.find("m1");
+    keep(r, keeper);
+    keeper->here.unread = 100000;
+    row.change(r, keeper);
+    r.ask(1, "/stream/x", "key-w1", 5000, 8000);
+    const mt_relay_effect_t *fx = r.find(MT_RELAY_DO_START);
+    ASSERT_NE(fx, nullptr) << row.what;
+    EXPECT_EQ(fx->u.start.engine, r.find("m2")->key) << row.what;
+    EXPECT_EQ(fx->u.start.source, row.fetched ? keeper->key : 0) << row.what;
+    EXPECT_EQ(r.relay->counters.tokens_fetched, row.fetched ? 4000u : 0u)
+        << row.what;
+    // What was moved is not read: it is no load.
+    EXPECT_EQ(r.find("m2")->here.unread, row.fetched ? 4000 : 8000)
+        << row.what;
+    keeper->here.unread = 0;
+  }
+}
+
+TEST(PromptMemory, NothingIsMovedToWhoKeepsIt) {
+  Relay r(2);
+  r.declare();
+  keep(r, r.find("m1"));
+  keep(r, r.find("m2"));
+  r.ask(1, "/stream/x", "key-w1", 5000, 8000);
+  const mt_relay_effect_t *fx = r.find(MT_RELAY_DO_START);
+  ASSERT_NE(fx, nullptr);
+  EXPECT_EQ(fx->u.start.source, 0u);
+}
+
+// A second attempt takes parts from who has them now, not from the first's.
+TEST(PromptMemory, AFurtherAttemptLooksForASourceAnew) {
+  Relay r(3);
+  r.declare();
+  mt_engine_t *keeper = r.find("m1");
+  keep(r, keeper);
+  keeper->here.unread = 100000;
+  r.ask(1, "/stream/x", "key-w1", 5000, 8000);
+  ASSERT_EQ(r.find(MT_RELAY_DO_START)->u.start.source, keeper->key);
+  mt_engine_failed(keeper, r.now);
+  r.fail(1, true);
+  const mt_relay_effect_t *fx = r.find(MT_RELAY_DO_START);
+  ASSERT_NE(fx, nullptr);
+  EXPECT_NE(fx->u.start.source, keeper->key);
+  keeper->here.unread = 0;
+}
+
+// Two engines of a real gateway: the one that keeps a part has a long prompt
+// before it, so the next request goes to the other, which is told the source.
+TEST(PromptMemory, TheOtherEngineIsToldWhereToTakeItFrom) {
+  World w;
+  std::vector<std::pair<int, Request>> seen; // port, request
+  auto silent = [&] (Conn &c, const Request &r) {
+    seen.push_back({((Listener *)c.listener)->port, r});
+  };
+  Listener *a = w.listen(silent), *b = w.listen(silent);
+  w.engine("i-1", "model", a);
+  w.engine("i-2", "model", b);
+  w.start();
+  auto ask = [&] (const char *id, const char *own, const char *tokens) {
+    Conn *c = w.connect(w.callers);
+    c->send(World::ask("/gen/x", id, "",
+                       std::string("Kv-Fetch: 127.0.0.1:1\r\n") +
+                           "X-Prefix-Hash: aa:4000," + own +
+                           "\r\nX-Token-Usage: " + tokens + ",10\r\n"));
+  };
+  ask("id1", "b1:40000", "44000");
+  ASSERT_TRUE(w.until([&] { return seen.size() == 1; }));
+  EXPECT_EQ(seen[0].second.field("Kv-Fetch"), "");
+  ask("id2", "b2:1000", "5000");
+  ASSERT_TRUE(w.until([&] { return seen.size() == 2; }));
+  ASSERT_NE(seen[1].first, seen[0].first);
+  EXPECT_EQ(seen[1].second.field("Kv-Fetch"),
+            "127.0.0.1:" + std::to_string(seen[0].first));
+}
+
+} // namespace
--- a/tests/relay.h
+++ b/tests/relay.h
@@ -30,6 +30,9 @@
   mt_catalog_service_t *model = mt_catalog_add_service(c, "model");
   model->model = true;
   model->memory = 100000;
+  model->moves = true;
+  model->token_bytes = 35000;
+  model->link_mbps = 1000000;
   for (const Row &row : rows) {
     mt_catalog_route_t *r =
         mt_catalog_add_route(c, row.prefix, "h.example", row.prefix);
@@ -70,6 +73,7 @@
     terms.room_part = 0.2;
     terms.pressure_steep = 2;
     terms.miss_weight_easy = 5;
+    terms.move_weight = 3;
     terms.vanish_ms = 1200;
     relay = mt_relay_new("d1", &terms);
     for (int i = 1; i <= engines; i++) {
