Routers that have just started ask for each other at every pace

Change: for 3 s after its start a router asks silent addresses at each pace (150 ms), then each second as before. The judgement moves to membership, where it can be tested.

Test: Membership.ARouterThatHasJustStartedAsksOften, fails before.

--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -10,7 +10,6 @@
 
 #define INTERVAL_MIN_MS 150 /* between two messages to a peer, at least */
 #define BYTES_PER_S 8000    /* of greetings and summaries together, at most */
-#define PROBE_MS 1000       /* between messages to who has not answered */
 #define PACES_VALID 3       /* a message counts for so many paces */
 #define VALID_MIN_MS 1000   /* and for so long at least */
 #define ADDRESSES_TOLD 8    /* in a greeting, outside the own group */
@@ -217,7 +216,6 @@
 
 /* To the own group; now and then to addresses where nobody answers. */
 static size_t greet (mt_gateway_peers_t *peers) {
-  mt_ms_t now = uv_now(peers->loop);
   size_t bytes = 0;
   mt_peer_message_t *m = begin(peers, MT_PEER_HELLO);
   add_self(peers, m);
@@ -228,8 +226,7 @@
     mt_peer_t *peer = peers->members.list[i];
     bool live = mt_membership_is_live(&peers->members, peer);
     if (live && !in_own_group(peers, peer->ip)) continue;
-    if (!live && now - peer->probed < PROBE_MS) continue;
-    peer->probed = now;
+    if (!live && !mt_membership_probes(&peers->members, peer)) continue;
     if (live) bytes += n;
     send_bytes(peers, peer->ip, n);
   }
--- a/src/gateway/membership.c
+++ b/src/gateway/membership.c
@@ -6,6 +6,8 @@
 #include "membership.h"
 
 #define LOST_MS 2500    /* without a word it no longer counts */
+#define PROBE_MS 1000   /* between questions to who does not answer */
+#define YOUNG_MS 3000   /* after the start: at each occasion */
 #define FORGET_MS 60000 /* an address is not tried any more */
 #define ADDRESSES_MAX 1024
 #define ANSWER_MS 80   /* a keeper answers within that */
@@ -67,8 +69,16 @@
   peer->suspect = m->now + SUSPECT_MS;
 }
 
+bool mt_membership_probes (mt_membership_t *m, mt_peer_t *peer) {
+  bool young = m->now - m->opened < YOUNG_MS;
+  if (!young && m->now - peer->probed < PROBE_MS) return false;
+  peer->probed = m->now;
+  return true;
+}
+
 void mt_membership_update (mt_membership_t *m, mt_ms_t now) {
   m->now = now;
+  if (m->opened == 0) m->opened = now;
   m->live = 1;
   for (size_t i = m->count; i-- > 0;) {
     mt_peer_t *peer = m->list[i];
--- a/src/gateway/membership.h
+++ b/src/gateway/membership.h
@@ -20,7 +20,7 @@
   mt_ms_t heard;  /* last message of its own; 0: never */
   mt_ms_t told;   /* last listed by its group; 0: never */
   mt_ms_t valid;  /* a message counts for so long */
-  mt_ms_t probed; /* last message to it */
+  mt_ms_t probed; /* last message to it while it did not serve */
   uint64_t boot, number;
   mt_ms_t asked;   /* the oldest question it has not answered; 0: none */
   mt_ms_t suspect; /* keeps no engine until then */
@@ -36,9 +36,9 @@
   mt_map_t by_ip; /* mt_peer_t, owned */
   mt_peer_t **list;
   size_t count, cap;
-  mt_ms_t now;
-  uint32_t groups; /* a power of two */
-  int live;        /* routers that serve, this one included */
+  mt_ms_t now, opened; /* opened: of the first update */
+  uint32_t groups;     /* a power of two */
+  int live;            /* routers that serve, this one included */
 } mt_membership_t;
 
 void mt_membership_free (mt_membership_t *members);
@@ -50,6 +50,15 @@
 bool mt_membership_is_live (const mt_membership_t *members,
                             const mt_peer_t *peer);
 
+/*
+** True when it is time to ask an address where nobody is known to serve;
+*notes
+** that it is asked. A router that has just started asks often: all may have
+** lost power together, and until they know each other each of them fills
+** engines as if it were alone.
+*/
+bool mt_membership_probes (mt_membership_t *members, mt_peer_t *peer);
+
 /* Counts who serves, forgets addresses of long ago; some times a second. */
 void mt_membership_update (mt_membership_t *members, mt_ms_t now);
 
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -173,6 +173,26 @@
   }
 }
 
+TEST(Membership, ARouterThatHasJustStartedAsksOften) {
+  struct Row {
+    mt_ms_t started, asked; // ago
+    bool asks;
+  } rows[] = {{0, 0, true},       {300, 150, true},   {2900, 150, true},
+              {3100, 150, false}, {9000, 999, false}, {9000, 1000, true}};
+  for (const Row &row : rows) {
+    mt_membership_t m{};
+    m.own_ip = 1;
+    mt_membership_update(&m, 100000 - row.started);
+    mt_peer_t *seed = mt_membership_know(&m, 2);
+    seed->probed = 100000 - row.asked;
+    mt_membership_update(&m, 100000);
+    EXPECT_EQ(mt_membership_probes(&m, seed), row.asks)
+        << row.started << " " << row.asked;
+    EXPECT_EQ(seed->probed == m.now, row.asks || row.asked == 0);
+    mt_membership_free(&m);
+  }
+}
+
 TEST(Membership, KeepersThatDoNotAnswerAreLeft) {
   Fleet fleet(12, 3);
   mt_membership_t &m = fleet.routers[0];
