Engines that cannot be reached are probed by the router, not by requests

An engine that was back waited up to 3.2 s for its next request.

Change: after one connection that did not come up an engine gets no work; the router tries to connect every 200 ms, and a connection that comes up is kept and serves. A connection is awaited 150 ms: a lost packet is sent again after 1 s only, so nothing comes between.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -13,7 +13,9 @@
 #include "overload.h"
 
 #define TICK_MS 25
-#define CONNECT_MS 400
+#define CONNECT_MS                                         \
+  150 /* some trips; a lost packet is sent again after 1 s \
+       */
 #define IDLE_MS 20000
 #define USER_TIMEOUT_MS 2000
 #define BACKLOG_MAX \
@@ -174,7 +176,18 @@
     mt_http_call_pause(p->attempt->call, true);
 }
 
+static void do_probe (mt_gateway_t *g, const mt_relay_effect_t *fx) {
+  const mt_engine_t *e = mt_engines_get(&g->relay->engines, fx->u.probe);
+  if (e == NULL) return;
+  mt_http_endpoint_t endpoint = {e->key, e->ip, e->port};
+  mt_http_client_probe(g->engines, &endpoint, g);
+}
+
 static void execute (mt_gateway_t *g, const mt_relay_effect_t *fx) {
+  if (fx->kind == MT_RELAY_DO_PROBE) {
+    do_probe(g, fx);
+    return;
+  }
   passage_t *p = mtV_get(&g->passages, fx->request);
   if (p == NULL) return;
   switch (fx->kind) {
@@ -196,6 +209,7 @@
       mt_http_exchange_abort(p->exchange);
       release(g, p);
       break;
+    case MT_RELAY_DO_PROBE: break; /* of no request */
   }
 }
 
@@ -360,11 +374,19 @@
   free(a);
 }
 
+static void on_probed (void *ud, uint64_t endpoint, bool up) {
+  mt_relay_event_t event = {.kind = MT_RELAY_PROBED};
+  event.u.probed.engine = endpoint;
+  event.u.probed.up = up;
+  step(ud, &event);
+}
+
 static const mt_http_call_handler_t engine_handler = {.sent = on_sent,
                                                       .head = on_head,
                                                       .data = on_data,
                                                       .end = on_end,
-                                                      .failed = on_failed};
+                                                      .failed = on_failed,
+                                                      .probed = on_probed};
 
 /* }== */
 
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -64,6 +64,9 @@
   number(out, "prompt_tokens_fetched_total", "counter",
          "Prompt tokens taken from another engine.",
          (double)c->tokens_fetched);
+  number(out, "engine_probes_total", "counter",
+         "Connections tried to engines that were out of reach.",
+         (double)c->probes);
   number(out, "retries_denied_total", "counter",
          "Retries that the budget did not allow.", (double)c->retries_denied);
   number(out, "quote_rounds_total", "counter",
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -24,6 +24,7 @@
   uint64_t key;
   void *ud;
   bool busy, connected, closing, keep, skipping, closed_framing, paused;
+  bool probing; /* it is being connected for no call */
   int surplus;
   size_t writing;
   char *request; /* until the connection is up */
@@ -89,8 +90,10 @@
 
 static void fail (mt_http_call_t *c, mt_http_failure_t why) {
   bool busy = c->busy && !c->closing;
+  bool probing = c->probing && !c->closing;
   close_connection(c);
   if (busy) c->client->handler.failed(c->ud, c, why);
+  if (probing) c->client->handler.probed(c->ud, c->key, false);
 }
 
 static void rest (mt_http_call_t *c) {
@@ -279,6 +282,14 @@
   c->keep = false;
 }
 
+static void end_probe (mt_http_call_t *c) {
+  void *ud = c->ud;
+  c->probing = false;
+  c->idle_limit = c->client->options.idle_ms;
+  rest(c);
+  c->client->handler.probed(ud, c->key, true);
+}
+
 static void on_connected (uv_connect_t *req, int status) {
   mt_http_call_t *c = req->data;
   if (c->closing) return;
@@ -288,6 +299,10 @@
   }
   c->connected = true;
   uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+  if (c->probing) {
+    end_probe(c);
+    return;
+  }
   send_request(c, (mt_bytes_t){c->request, c->request_size},
                (mt_bytes_t){"", 0});
   free(c->request);
@@ -348,7 +363,7 @@
 static void close_oldest_idle (mt_http_client_t *client) {
   mt_http_call_t *oldest = NULL;
   for (mt_http_call_t *c = client->all; c != NULL; c = c->next) {
-    if (c->busy) continue;
+    if (c->busy || c->probing) continue;
     if (oldest == NULL || c->since <= oldest->since) oldest = c;
   }
   if (oldest != NULL) close_connection(oldest);
@@ -388,6 +403,14 @@
   return c;
 }
 
+void mt_http_client_probe (mt_http_client_t *client,
+                           const mt_http_endpoint_t *endpoint, void *ud) {
+  make_room(client);
+  mt_http_call_t *c = connect_to(client, endpoint);
+  c->probing = true;
+  c->ud = ud;
+}
+
 void mt_http_call_cancel (mt_http_call_t *c) {
   close_connection(c);
 }
@@ -441,11 +464,11 @@
   mt_http_call_t *next;
   for (mt_http_call_t *c = client->all; c != NULL; c = next) {
     next = c->next;
-    if (!c->busy && now - c->since > c->idle_limit)
-      close_connection(c);
-    else if (c->busy && !c->connected &&
-             seen > c->since + client->options.connect_ms)
+    bool late = seen > c->since + client->options.connect_ms;
+    if (!c->connected && late)
       fail(c, MT_HTTP_NOT_SENT);
+    else if (c->connected && !c->busy && now - c->since > c->idle_limit)
+      close_connection(c);
   }
   client->ticked = now;
 }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -36,6 +36,8 @@
   /* END and FAILED are the last; the call is gone afterwards. */
   void (*end)(void *ud, mt_http_call_t *call);
   void (*failed)(void *ud, mt_http_call_t *call, mt_http_failure_t why);
+  /* A probe's connection came up, or did not; NULL if none is made. */
+  void (*probed)(void *ud, uint64_t endpoint, bool up);
 } mt_http_call_handler_t;
 
 typedef struct mt_http_endpoint_t {
@@ -68,6 +70,10 @@
                                      mt_bytes_t head, mt_bytes_t body,
                                      mt_ms_t rested_ms, void *ud);
 
+/* Tries to connect, for no call; a connection that comes up is kept. */
+void mt_http_client_probe (mt_http_client_t *client,
+                           const mt_http_endpoint_t *endpoint, void *ud);
+
 /* Ends a call at once and its connection with it; no further callback. */
 void mt_http_call_cancel (mt_http_call_t *call);
 
--- a/src/relay/engine.c
+++ b/src/relay/engine.c
@@ -8,6 +8,7 @@
 
 #define HOLD_FIRST_MS 200
 #define HOLD_MAX_MS 3200
+#define PROBE_MS 200    /* between tries to reach one */
 #define FREE_FAILURES 1 /* in a row that do not rest it yet */
 
 uint64_t mt_engine_key (const char *name, size_t size) {
@@ -65,3 +66,10 @@
   e->hold = 0;
   e->heard = now;
 }
+
+void mt_engine_reached (mt_engine_t *e, bool up, mt_ms_t now) {
+  e->unreachable = !up;
+  e->probing = false;
+  e->probe = now + PROBE_MS;
+  if (up) mt_engine_worked(e, now);
+}
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -33,13 +33,16 @@
   mt_ms_t vanished; /* it left the list without a word then; 0: it did not */
   mt_ms_t gone;     /* gone since */
   mt_engine_load_t here, peers;
-  mt_ms_t quoted;  /* its keeper last told `peers` then; 0: never */
-  bool untold;     /* `here` has changed since its keeper was told */
-  mt_ms_t told;    /* its keeper was told last then */
-  double slowness; /* time to first event, seen over expected; 1: usual */
-  int failures;    /* in a row */
-  mt_ms_t hold;    /* gets no work before this time */
-  mt_ms_t heard;   /* last byte of any answer */
+  mt_ms_t quoted;   /* its keeper last told `peers` then; 0: never */
+  bool untold;      /* `here` has changed since its keeper was told */
+  mt_ms_t told;     /* its keeper was told last then */
+  double slowness;  /* time to first event, seen over expected; 1: usual */
+  int failures;     /* in a row */
+  mt_ms_t hold;     /* gets no work before this time */
+  bool unreachable; /* no connection comes up: no work until one does */
+  bool probing;     /* one is being tried */
+  mt_ms_t probe;    /* the next is tried then */
+  mt_ms_t heard;    /* last byte of any answer */
   mt_prefix_cache_t kept;
   int64_t read; /* tokens read or made there for this router, ever */
 } mt_engine_t;
@@ -63,4 +66,7 @@
 void mt_engine_failed (mt_engine_t *engine, mt_ms_t now);
 void mt_engine_worked (mt_engine_t *engine, mt_ms_t now);
 
+/* A connection to it came up, or did not: then another is tried soon. */
+void mt_engine_reached (mt_engine_t *engine, bool up, mt_ms_t now);
+
 #endif
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -28,7 +28,8 @@
 static bool usable (const mt_relay_t *relay, const mt_relay_request_t *r,
                     const mt_engine_t *e) {
   if (e->service != r->service || e->state != MT_ENGINE_READY) return false;
-  return e->hold <= relay->now && !was_tried(r, e->key);
+  if (e->unreachable || e->hold > relay->now) return false;
+  return !was_tried(r, e->key);
 }
 
 static int running (const mt_engine_t *e) {
--- a/src/relay/prompt_memory.c
+++ b/src/relay/prompt_memory.c
@@ -25,7 +25,8 @@
 static bool can_give (const mt_relay_t *relay, const mt_relay_request_t *r,
                       const mt_engine_t *e) {
   if (e->service != r->service || e->state != MT_ENGINE_READY) return false;
-  return e->hold <= relay->now && e->failures == 0 && e->vanished == 0;
+  if (e->unreachable || e->hold > relay->now) return false;
+  return e->failures == 0 && e->vanished == 0;
 }
 
 mt_engine_t *mt_prompt_memory_source (mt_relay_t *relay,
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -59,12 +59,18 @@
 
 /* {== Effects ========================================================== */
 
-static mt_relay_effect_t *effect (mt_relay_t *relay,
-                                  mt_relay_effect_kind_t kind,
-                                  const mt_relay_request_t *r) {
+static mt_relay_effect_t *add_effect (mt_relay_t *relay,
+                                      mt_relay_effect_kind_t kind) {
   mt_relay_effects_t *all = relay->effects;
   mt_relay_effect_t *fx = mtV_push(all->list, all->count, all->cap);
   *fx = (mt_relay_effect_t){.kind = kind};
+  return fx;
+}
+
+static mt_relay_effect_t *effect (mt_relay_t *relay,
+                                  mt_relay_effect_kind_t kind,
+                                  const mt_relay_request_t *r) {
+  mt_relay_effect_t *fx = add_effect(relay, kind);
   fx->request = r->number;
   fx->attempt = r->attempt;
   return fx;
@@ -538,8 +544,8 @@
     attempt_lost(relay, r, MT_RELAY_RETRY_LOST);
     return;
   }
-  mt_engine_failed(r->engine, relay->now);
-  mt_engine_failed(r->engine, relay->now); /* no doubt: it rests at once */
+  mt_engine_reached(r->engine, false, relay->now);
+  r->engine->probe = relay->now;
   attempt_failed(relay, r, MT_RELAY_RETRY_CONNECT, false);
 }
 
@@ -603,10 +609,33 @@
   return relay->catalog ? (double)relay->catalog->limits.tokens_per_s : 0;
 }
 
+/*
+** No request is risked on an engine that could not be reached: each would
+*wait
+** as long for a connection as many want their answer. The router tries
+*itself.
+*/
+static void probe_engines (mt_relay_t *relay) {
+  for (size_t i = 0; i < relay->engines.count; i++) {
+    mt_engine_t *e = relay->engines.list[i];
+    if (!e->unreachable || e->probing || e->probe > relay->now) continue;
+    if (e->state != MT_ENGINE_READY) continue;
+    e->probing = true;
+    add_effect(relay, MT_RELAY_DO_PROBE)->u.probe = e->key;
+    relay->counters.probes++;
+  }
+}
+
+static void on_probed (mt_relay_t *relay, uint64_t key, bool up) {
+  mt_engine_t *e = mt_engines_get(&relay->engines, key);
+  if (e != NULL) mt_engine_reached(e, up, relay->now);
+}
+
 static void on_tick (mt_relay_t *relay) {
   for (size_t i = relay->count; i-- > 0;)
     if (i < relay->count) check_request(relay, relay->list[i]);
   relay->seen = relay->now;
+  probe_engines(relay);
   if (relay->now < relay->next_update) return;
   relay->next_update = relay->now + UPDATE_MS;
   mt_fair_share_update(&relay->shares, declared_tokens(relay), relay->now);
@@ -651,6 +680,9 @@
     case MT_RELAY_QUOTED:
       if (r != NULL) on_quoted(relay, r, ev);
       break;
+    case MT_RELAY_PROBED:
+      on_probed(relay, ev->u.probed.engine, ev->u.probed.up);
+      break;
     case MT_RELAY_GONE_OUT:
     case MT_RELAY_HEAD:
     case MT_RELAY_DATA:
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -66,6 +66,7 @@
   uint64_t retries[MT_RELAY_RETRY_COUNT];
   uint64_t retries_denied;
   uint64_t fetches, tokens_fetched;   /* parts moved between engines */
+  uint64_t probes;                    /* of engines that were out of reach */
   uint64_t quotes_asked, quotes_late; /* rounds of questions to keepers */
 } mt_relay_counters_t;
 
@@ -100,6 +101,7 @@
   MT_RELAY_END,      /* it is whole */
   MT_RELAY_FAILED,   /* it ended otherwise */
   MT_RELAY_QUOTED,   /* keepers say what their engines have */
+  MT_RELAY_PROBED,   /* a connection to an engine came up, or did not */
   MT_RELAY_STOP      /* finish what is at hand */
 } mt_relay_event_kind_t;
 
@@ -135,6 +137,10 @@
       const mt_relay_quote_t *list;
       size_t count;
     } quotes;
+    struct {
+      uint64_t engine;
+      bool up;
+    } probed;
     bool not_sent;   /* FAILED */
     mt_ms_t stop_ms; /* STOP: the process ends after this long */
   } u;
@@ -152,7 +158,8 @@
   MT_RELAY_DO_HEAD,   /* pass on the head that came first */
   MT_RELAY_DO_DATA,   /* pass on bytes */
   MT_RELAY_DO_END,    /* the caller's answer is whole */
-  MT_RELAY_DO_ABORT   /* cut the caller's connection */
+  MT_RELAY_DO_ABORT,  /* cut the caller's connection */
+  MT_RELAY_DO_PROBE   /* try to connect to an engine, for no request */
 } mt_relay_effect_kind_t;
 
 #define MT_RELAY_LENGTH_UNKNOWN (-1)
@@ -175,6 +182,7 @@
       uint64_t source;     /* engine to take kept parts from; 0: none */
       mt_ms_t rested_ms;   /* a kept connection may have rested so long */
     } start;
+    uint64_t probe;  /* PROBE: the engine */
     int64_t length;  /* HEAD: of the body, or one of the below */
     mt_bytes_t data; /* borrowed until the next step */
   } u;
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -402,7 +402,10 @@
   }
   // A whole exchange on a connection of its own, until its end.
   std::string call (const std::string &text) {
-    Conn *c = connect(callers);
+    return fetch(callers, text);
+  }
+  std::string fetch (int port, const std::string &text) {
+    Conn *c = connect(port);
     if (c == nullptr) return "";
     c->send(text);
     until([&] { return c->closed || whole(c->in); });
