Mechanisms of decisions have switches; names and silence have files

Settings' relay part takes off: [names], from one table (MT_RELAY_MECHANISMS); a name that is none is a fault of the settings. Numbers (powers, weights) are switched off by 0, as before.

Comments that the formatter had broken inside a word's line (*one) are wrapped anew. Behaviour stays.

Tests: Mechanisms.*.

--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -326,9 +326,8 @@
 }
 
 /*
-** Datagrams come from anybody, and an engine gets members' prompts: that one
-*is
-** there, and where, is only taken from the source itself.
+** Datagrams come from anybody, and an engine gets members' prompts: that
+** one is there, and where, is only taken from the source itself.
 */
 static bool all_known (const mt_gateway_peers_t *peers,
                        const mt_peer_message_t *m) {
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -40,8 +40,7 @@
 
 /*
 ** Asks the keepers of the request's candidates of this round. What this
-*router
-** keeps itself is answered before the call returns.
+** router keeps itself is answered before the call returns.
 */
 void mt_gateway_peers_ask (mt_gateway_peers_t *peers,
                            const mt_relay_request_t *request);
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -73,9 +73,12 @@
   return (int64_t)mt_min(limit.rlim_cur, (rlim_t)DESCRIPTORS_MOST);
 }
 
-static void read_terms (const json_t *doc, mt_relay_terms_t *terms) {
+static void read_terms (const json_t *doc, mt_relay_terms_t *terms,
+                        mt_faults_t *faults) {
   const json_t *retry = json_object_get(doc, "retry");
   const json_t *relay = json_object_get(doc, "relay");
+  json_t *name;
+  size_t i;
   terms->retry.ratio = real(retry, "ratio", RETRY_RATIO);
   terms->retry.window = (mt_ms_t)mtJ_int(retry, "window_ms", RETRY_WINDOW_MS);
   terms->retry.slack = (int)mtJ_int(retry, "slack", RETRY_SLACK);
@@ -89,6 +92,14 @@
   terms->move_weight = real(relay, "move_weight", MOVE_WEIGHT);
   terms->late_part = real(relay, "late_part", LATE_PART);
   terms->late_weight = real(relay, "late_weight", LATE_WEIGHT);
+  json_array_foreach (json_object_get(relay, "off"), i, name) {
+    mt_relay_mechanism_t which = mt_relay_mechanism(
+        json_string_value(name) ? json_string_value(name) : "");
+    if (which < MT_RELAY_MECHANISM_COUNT)
+      terms->off[which] = true;
+    else
+      mtJ_fault(faults, "relay.off", "names no mechanism");
+  }
 }
 
 bool mt_gateway_settings_read (const json_t *doc, mt_gateway_settings_t *set,
@@ -107,10 +118,10 @@
   set->lines_per_s = (int)mtJ_int(doc, "log_lines_per_s", LINES_PER_S);
   set->descriptors =
       (size_t)mtJ_int(doc, "descriptors", system_descriptors());
-  read_terms(doc, &set->terms);
+  read_terms(doc, &set->terms, faults);
   set->terms.running_most = mt_min((size_t)MT_MAX_RUNNING,
                                    (size_t)(RUNNING_PART * set->descriptors));
   set->terms.vanish_ms =
       (mt_ms_t)((double)mtJ_int(doc, "drain_ms", DRAIN_MS) * VANISH_PART);
-  return true;
+  return faults->n == 0;
 }
--- a/src/gateway/membership.h
+++ b/src/gateway/membership.h
@@ -52,10 +52,9 @@
 
 /*
 ** True when it is time to ask an address where nobody is known to serve;
-*notes
-** that it is asked. A router that has just started asks often: all may have
-** lost power together, and until they know each other each of them fills
-** engines as if it were alone.
+** notes that it is asked. A router that has just started asks often: all
+** may have lost power together, and until they know each other each of
+** them fills engines as if it were alone.
 */
 bool mt_membership_probes (mt_membership_t *members, mt_peer_t *peer);
 
@@ -76,10 +75,9 @@
                                uint64_t engine, mt_id_t domain);
 
 /*
-** True when this router watches the source of declarations: all do in a small
-** fleet; in a larger one some of each failure domain, and the others hear
-*from
-** them.
+** True when this router watches the source of declarations: all do in a
+** small fleet; in a larger one some of each failure domain, and the others
+** hear from them.
 */
 bool mt_membership_watches (const mt_membership_t *members);
 
--- a/src/mtledger.c
+++ b/src/mtledger.c
@@ -1,6 +1,6 @@
 /*
 ** mtledger.c - the accounts of one scheduler: service, debts, what others
-*told
+** told
 */
 #include <stdlib.h>
 #include <string.h>
--- a/src/mtledger.h
+++ b/src/mtledger.h
@@ -1,10 +1,10 @@
 /*
 ** mtledger.h - the accounts of one scheduler: service, debts, what others
-*told
+** told
 **
 ** Served totals only grow and are merged by maximum; reports are absolute,
-** so a repeated or late one does no harm. A workspace's tag is
-** served + pending + lift - forgiven; see docs/DESIGN.md, "Accounts".
+** so a repeated or late one does no harm. A workspace's tag is served +
+** pending + lift - forgiven; see docs/DESIGN.md, "Accounts".
 */
 #ifndef mtledger_h
 #define mtledger_h
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -62,8 +62,7 @@
 /*
 ** Begins a call; head and body are copied. No callback comes before this
 ** returns, nor `sent` for a call on a kept connection. A kept one is taken
-*only
-** if it has rested for less than `rested_ms`.
+** only if it has rested for less than `rested_ms`.
 */
 mt_http_call_t *mt_http_client_call (mt_http_client_t *client,
                                      const mt_http_endpoint_t *endpoint,
--- a/src/net/log_writer.c
+++ b/src/net/log_writer.c
@@ -55,8 +55,7 @@
 
 /*
 ** Time of day, so that lines of several machines can be merged, and the
-*steady
-** clock of this one, which no step of the time of day changes.
+** steady clock of this one, which no step of the time of day changes.
 */
 static int start_line (const mt_log_writer_t *log, char *line, size_t size,
                        mt_ms_t now, const char *event) {
--- a/src/relay/fair_share.h
+++ b/src/relay/fair_share.h
@@ -2,9 +2,9 @@
 ** fair_share.h - who has had its share: max-min over the whole fleet
 **
 ** Each router keeps what its workspaces asked for and got, as rates that
-*fade;
-** the other routers tell theirs. The level is the rate at which backlogged
-** workspaces share what the engines give: whoever asks for less gets all.
+** fade; the other routers tell theirs. The level is the rate at which
+** backlogged workspaces share what the engines give: whoever asks for less
+** gets all.
 */
 #ifndef fair_share_h
 #define fair_share_h
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -28,7 +28,8 @@
 static bool usable (const mt_relay_t *relay, const mt_relay_request_t *r,
                     const mt_engine_t *e) {
   if (e->service != r->service || e->state != MT_ENGINE_READY) return false;
-  if (e->unreachable || e->hold > relay->now) return false;
+  if (e->unreachable) return false;
+  if (e->hold > relay->now && !relay->terms.off[MT_RELAY_REST]) return false;
   return !was_tried(r, e->key);
 }
 
@@ -54,6 +55,7 @@
 static mt_engine_t *find_home (mt_relay_t *relay, const mt_relay_request_t *r,
                                const mt_engine_t *but) {
   uint64_t part = home_part(r), best_weight = 0;
+  if (relay->terms.off[MT_RELAY_HOME]) return NULL;
   mt_engine_t *best = NULL;
   for (size_t i = 0; part != 0 && i < relay->engines.count; i++) {
     mt_engine_t *e = relay->engines.list[i];
@@ -88,18 +90,21 @@
 */
 static double ease_of (mt_relay_t *relay, const mt_relay_request_t *r) {
   double pressure = mt_relay_service(relay, r->service)->pressure;
+  const bool *off = relay->terms.off;
   double ease = 1 - pressure * relay->terms.pressure_steep;
+  if (off[MT_RELAY_EASE]) ease = 0;
   double top = fmax(relay->shares.top, 1);
   double owed = OWED_STEEP * (1 - standing_of(relay, r) / top);
+  if (off[MT_RELAY_OWED]) owed = 0;
   return fmin(fmax(fmax(ease, owed), 0), 1);
 }
 
 /*
 ** How long the request may wait at an engine: a part of the service's
-*shortest
-** objective, less for a longer objective, and less the more its workspace has
-** had beyond its share. An engine with little wait has room for all, yet more
-** for whoever had less: else who asks most often would get most of the room.
+** shortest objective, less for a longer objective, and less the more its
+** workspace has had beyond its share. An engine with little wait has room
+** for all, yet more for whoever had less: else who asks most often would
+** get most of the room.
 */
 static double wait_limit (mt_relay_t *relay, const mt_relay_request_t *r,
                           const mt_catalog_service_t *service) {
@@ -223,7 +228,8 @@
   if (r->parts_count > 0 && r->candidates_count < 2)
     home = find_home(relay, r, NULL);
   if (home != NULL && r->candidates_count == 1)
-    home = find_home(relay, r, home);
+    home = relay->terms.off[MT_RELAY_SECOND_HOME] ? NULL
+                                                  : find_home(relay, r, home);
   if (home != NULL && usable(relay, r, home) && !mt_quotes_find(r, home->key))
     return home;
   return choose(relay, r, PICK_UNASKED).engine;
@@ -234,6 +240,7 @@
   const mt_catalog_service_t *service =
       mt_catalog_service(relay->catalog, r->service);
   if (service == NULL || !service->model) return false;
+  if (relay->terms.off[MT_RELAY_HOPELESS]) return false;
   if (standing_of(relay, r) <= 1) return false;
   double usual = mt_relay_service(relay, r->service)->usual_unread /
                  mt_relay_rate(relay, r->service);
@@ -249,6 +256,6 @@
   if (service == NULL || !service->model) return true; /* it sheds itself */
   if (p->full) return false;
   double limit = wait_limit(relay, r, service);
-  if (returning) limit *= RETURN_BONUS;
+  if (returning && !relay->terms.off[MT_RELAY_RETURN]) limit *= RETURN_BONUS;
   return limit <= 0 || p->wait_ms <= limit;
 }
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -33,9 +33,9 @@
                                            const mt_relay_request_t *request);
 
 /*
-** True when the request's workspace is so far beyond its share that no engine
-** of this service will have as little work as it would need: asking is
-*spared.
+** True when the request's workspace is so far beyond its share that no
+** engine of this service will have as little work as it would need: asking
+** is spared.
 */
 bool mt_placement_is_hopeless (mt_relay_t *relay,
                                const mt_relay_request_t *request);
--- a/src/relay/prompt_memory.c
+++ b/src/relay/prompt_memory.c
@@ -35,7 +35,7 @@
                                       int64_t *tokens) {
   mt_engine_t *best = NULL;
   *tokens = 0;
-  if (!service->moves) return NULL;
+  if (!service->moves || relay->terms.off[MT_RELAY_FETCH]) return NULL;
   for (size_t i = 0; i < relay->engines.count; i++) {
     mt_engine_t *e = relay->engines.list[i];
     if (!can_give(relay, r, e)) continue;
--- a/src/relay/prompt_memory.h
+++ b/src/relay/prompt_memory.h
@@ -1,10 +1,10 @@
 /*
-** prompt_memory.h - what engines keep of a prompt, and moving it between them
+** prompt_memory.h - what engines keep of a prompt, and moving it between
+** them
 **
-** An engine that has to read a prompt can take the part that another engine
-** keeps from there, over the engines' own network: some milliseconds of
-*moving
-** in place of tens of reading.
+** An engine that has to read a prompt can take the part that another
+** engine keeps from there, over the engines' own network: some
+** milliseconds of moving in place of tens of reading.
 */
 #ifndef prompt_memory_h
 #define prompt_memory_h
--- a/src/relay/quotes.c
+++ b/src/relay/quotes.c
@@ -30,6 +30,8 @@
 
 bool mt_quotes_ask (mt_relay_t *relay, mt_relay_request_t *r) {
   if (relay->routers < 2 || mt_placement_is_hopeless(relay, r)) return false;
+  if (relay->terms.off[MT_RELAY_QUOTES]) return false;
+  if (r->rounds > 0 && relay->terms.off[MT_RELAY_SECOND_ROUND]) return false;
   if (r->rounds >= MT_RELAY_ROUNDS) return false;
   double pressure = mt_relay_service(relay, r->service)->pressure;
   if (r->rounds > 0 && pressure > SECOND_ROUND) return false;
--- a/src/relay/read_time.c
+++ b/src/relay/read_time.c
@@ -43,3 +43,10 @@
   line.ms_per_token = t.tokens_ms / t.tokens_tokens;
   return line;
 }
+
+mt_read_line_t mt_read_time_ratio (const mt_read_time_t *seen,
+                                   double declared) {
+  mt_read_time_t t = *seen;
+  add_prior(&t, declared);
+  return (mt_read_line_t){0, t.ms / t.tokens};
+}
--- a/src/relay/read_time.h
+++ b/src/relay/read_time.h
@@ -2,11 +2,9 @@
 ** read_time.h - how long the engines of a service take to read a prompt
 **
 ** The time from sending a request to its first event has a part that is
-*always
-** there (a step of the engine, its first token) and a part for every prompt
-** token that has to be read before. Both are learnt by least squares over
-*sums
-** that fade, so that they follow engines that change.
+** always there (a step of the engine, its first token) and a part for
+** every prompt token that has to be read before. Both are learnt by least
+** squares over sums that fade, so that they follow engines that change.
 */
 #ifndef read_time_h
 #define read_time_h
@@ -31,4 +29,8 @@
 mt_read_line_t mt_read_time_line (const mt_read_time_t *seen,
                                   double declared);
 
+/* The same through no time for no tokens, for the ablation. */
+mt_read_line_t mt_read_time_ratio (const mt_read_time_t *seen,
+                                   double declared);
+
 #endif
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -10,6 +10,7 @@
 #include "quotes.h"
 #include "relay.h"
 #include "relay_load.h"
+#include "silence.h"
 
 #define HOLD_BODY_MAX \
   (256u << 10)              /* a longer answer is passed on as it comes */
@@ -17,46 +18,17 @@
 #define SHED_HOLD_MS 30     /* rest of an engine that refused */
 #define LAST_CHANCE_MS 20   /* less time left: no new attempt */
 #define RETURNING_PART 0.97 /* of the usual deadline: it came back */
-#define ENGINE_SILENT_MS 700
-#define MADE_WEIGHT 2 /* of a token made, beside one that is read */
+#define MADE_WEIGHT 2       /* of a token made, beside one that is read */
 #define RETRY_SOON_MS 200
+#define UNPROBED_REST_MS                            \
+  800 /* of unreachable engines that are not probed \
+       */
 #define RESTED_MS 60000
 #define RESTED_ONCE_MS 2000 /* what may run once shuns what may be closed */
 #define LEAVE_MS                                            \
   2000 /* after the order to stop, long streams are refused \
         */
 
-/* {== Names ============================================================ */
-
-static const struct {
-  const char *code;
-  int status;
-} refusals[] = {
-#define ROW(symbol, code, status) {code, status},
-    MT_RELAY_REFUSALS(ROW)
-#undef ROW
-};
-
-static const char *const retries[] = {
-#define ROW(symbol, code) code,
-    MT_RELAY_RETRIES(ROW)
-#undef ROW
-};
-
-const char *mt_relay_refusal_code (mt_relay_refusal_t why) {
-  return refusals[why].code;
-}
-
-int mt_relay_refusal_status (mt_relay_refusal_t why) {
-  return refusals[why].status;
-}
-
-const char *mt_relay_retry_code (mt_relay_retry_t why) {
-  return retries[why];
-}
-
-/* }== */
-
 /* {== Effects ========================================================== */
 
 static mt_relay_effect_t *add_effect (mt_relay_t *relay,
@@ -553,35 +525,6 @@
 
 /* {== Time ============================================================= */
 
-/* How long this request's engine may say nothing before it is left. */
-static mt_ms_t patience (const mt_relay_request_t *r) {
-  if (r->kind != MT_ROUTE_STREAM) return 4 * r->objective;
-  if (r->awaiting_event)
-    return 2 * r->objective + (mt_ms_t)(2 * r->wait_expected);
-  return mt_max(5 * r->pause, ENGINE_SILENT_MS);
-}
-
-/* From one time to another; 0 if they are the other way round. */
-static mt_ms_t since (mt_ms_t from, mt_ms_t to) {
-  return to > from ? to - from : 0;
-}
-
-/*
-** True when nothing at all comes from the engine any more. On a busy machine
-** turns of the loop are long and the tick comes first in each: only time up
-*to
-** the last tick is known to have been silent.
-*/
-static bool is_silent (const mt_relay_t *relay, const mt_relay_request_t *r) {
-  mt_ms_t waited = since(r->heard, relay->seen);
-  if (waited > patience(r)) return true;
-  if (r->kind != MT_ROUTE_STREAM || waited < ENGINE_SILENT_MS) return false;
-  mt_ms_t engine_waited = since(r->engine->heard, relay->seen);
-  mt_ms_t sent = since(r->sent, relay->seen);
-  return engine_waited > ENGINE_SILENT_MS &&
-         sent > ENGINE_SILENT_MS + (mt_ms_t)r->wait_expected;
-}
-
 static void check_request (mt_relay_t *relay, mt_relay_request_t *r) {
   if (relay->now >= r->expires) {
     bool ran = r->may_have_run || r->gone_out;
@@ -594,7 +537,7 @@
     place(relay, r);
     return;
   }
-  if (r->engine == NULL || !is_silent(relay, r)) return;
+  if (r->engine == NULL || !mt_silence_is_too_long(relay, r)) return;
   if (!may_retry(relay, r, r->gone_out)) return;
   mt_engine_t *e = r->engine;
   mt_placement_t other = mt_placement_choose(relay, r);
@@ -606,14 +549,14 @@
 
 /* What the engines give together by the operators' word, tokens a second. */
 static double declared_tokens (const mt_relay_t *relay) {
+  if (relay->terms.off[MT_RELAY_DECLARED_LEVEL]) return 0;
   return relay->catalog ? (double)relay->catalog->limits.tokens_per_s : 0;
 }
 
 /*
 ** No request is risked on an engine that could not be reached: each would
-*wait
-** as long for a connection as many want their answer. The router tries
-*itself.
+** wait as long for a connection as many want their answer. The router
+** tries itself.
 */
 static void probe_engines (mt_relay_t *relay) {
   for (size_t i = 0; i < relay->engines.count; i++) {
@@ -626,6 +569,14 @@
   }
 }
 
+/* Without probes an unreachable engine rests; then a request tries it. */
+static void end_rests (mt_relay_t *relay) {
+  for (size_t i = 0; i < relay->engines.count; i++) {
+    mt_engine_t *e = relay->engines.list[i];
+    if (e->probe + UNPROBED_REST_MS <= relay->now) e->unreachable = false;
+  }
+}
+
 static void on_probed (mt_relay_t *relay, uint64_t key, bool up) {
   mt_engine_t *e = mt_engines_get(&relay->engines, key);
   if (e != NULL) mt_engine_reached(e, up, relay->now);
@@ -635,7 +586,10 @@
   for (size_t i = relay->count; i-- > 0;)
     if (i < relay->count) check_request(relay, relay->list[i]);
   relay->seen = relay->now;
-  probe_engines(relay);
+  if (relay->terms.off[MT_RELAY_PROBE])
+    end_rests(relay);
+  else
+    probe_engines(relay);
   if (relay->now < relay->next_update) return;
   relay->next_update = relay->now + UPDATE_MS;
   mt_fair_share_update(&relay->shares, declared_tokens(relay), relay->now);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -275,6 +275,33 @@
   double pressure; /* mean wait at them, as a part of the usual limit */
 } mt_relay_service_t;
 
+/*
+** Mechanisms of the decisions that can be switched off, to measure what each
+** is worth (docs/DECISIONS.md): symbol, name in the settings.
+*/
+#define MT_RELAY_MECHANISMS(ROW)                                    \
+  ROW(MT_RELAY_FIXED_PART, "fixed_part") /* of reading times */     \
+  ROW(MT_RELAY_FETCH, "fetch")           /* parts move */           \
+  ROW(MT_RELAY_DECLARED_LEVEL, "declared_level")                    \
+  ROW(MT_RELAY_HOME, "home")               /* of shared parts */    \
+  ROW(MT_RELAY_SECOND_HOME, "second_home") /* is asked, too */      \
+  ROW(MT_RELAY_QUOTES, "quotes")           /* of keepers */         \
+  ROW(MT_RELAY_SECOND_ROUND, "second_round")                        \
+  ROW(MT_RELAY_EASE, "ease")     /* leaving home by pressure */     \
+  ROW(MT_RELAY_OWED, "owed")     /* leaving home below a share */   \
+  ROW(MT_RELAY_RETURN, "return") /* who comes back may wait more */ \
+  ROW(MT_RELAY_HOPELESS, "hopeless")                                \
+  ROW(MT_RELAY_SLOWNESS, "slowness") /* of single engines */        \
+  ROW(MT_RELAY_REST, "rest")         /* of failing engines */       \
+  ROW(MT_RELAY_PROBE, "probe")       /* of unreachable ones */
+
+typedef enum mt_relay_mechanism_t {
+#define MT_RELAY_SYMBOL(symbol, name) symbol,
+  MT_RELAY_MECHANISMS(MT_RELAY_SYMBOL)
+#undef MT_RELAY_SYMBOL
+      MT_RELAY_MECHANISM_COUNT
+} mt_relay_mechanism_t;
+
 /* Everything that tunes decisions, in one place. */
 typedef struct mt_relay_terms_t {
   mt_retry_terms_t retry;
@@ -291,6 +318,7 @@
   double move_weight;      /* of the time of a move, times that of reading */
   double late_part;   /* of the objective; beyond it a first event is late */
   double late_weight; /* of time beyond that */
+  bool off[MT_RELAY_MECHANISM_COUNT]; /* mechanisms that are not used */
 } mt_relay_terms_t;
 
 typedef struct mt_relay_t {
@@ -323,6 +351,9 @@
 
 /* }== */
 
+/* The mechanism of that name in settings, or MT_RELAY_MECHANISM_COUNT. */
+mt_relay_mechanism_t mt_relay_mechanism (const char *name);
+
 mt_relay_t *mt_relay_new (const char *domain, const mt_relay_terms_t *terms);
 void mt_relay_free (mt_relay_t *relay);
 
@@ -335,9 +366,8 @@
 
 /*
 ** An engine is no longer listed. One that had said that it leaves is gone;
-*one
-** that had not may be back at once (a list can lose entries while its keeper
-** is in trouble), so it gets work for `vanish_ms` more.
+** one that had not may be back at once (a list can lose entries while its
+** keeper is in trouble), so it gets work for `vanish_ms` more.
 */
 void mt_relay_engine_left (mt_relay_t *relay, mt_engine_t *engine,
                            mt_ms_t now);
--- a/src/relay/relay_load.c
+++ b/src/relay/relay_load.c
@@ -37,7 +37,10 @@
 
 mt_read_line_t mt_relay_read_line (mt_relay_t *relay, mt_id_t service) {
   mt_relay_service_t *s = mt_relay_service(relay, service);
-  return mt_read_time_line(&s->read_time, declared_rate(relay, s));
+  double declared = declared_rate(relay, s);
+  if (relay->terms.off[MT_RELAY_FIXED_PART])
+    return mt_read_time_ratio(&s->read_time, declared);
+  return mt_read_time_line(&s->read_time, declared);
 }
 
 double mt_relay_rate (mt_relay_t *relay, mt_id_t service) {
@@ -52,6 +55,7 @@
   double expected = line.fixed_ms + (double)r->work_ahead * line.ms_per_token;
   mt_read_time_learn(&s->read_time, (double)r->work_ahead, took);
   double seen = took / mt_max(expected, 1.0);
+  if (relay->terms.off[MT_RELAY_SLOWNESS]) return;
   if (expected < (double)r->objective / 8) return; /* mostly fixed costs */
   mt_engine_t *e = r->engine;
   e->slowness = e->slowness * SLOWNESS_FADE + seen * (1 - SLOWNESS_FADE);
--- /dev/null
+++ b/src/relay/relay_names.c
@@ -0,0 +1,46 @@
+/*
+** relay_names.c - names of refusals, retries and mechanisms, for logs,
+** counters and settings
+*/
+#include <string.h>
+
+#include "relay.h"
+
+static const struct {
+  const char *code;
+  int status;
+} refusals[] = {
+#define ROW(symbol, code, status) {code, status},
+    MT_RELAY_REFUSALS(ROW)
+#undef ROW
+};
+
+static const char *const retries[] = {
+#define ROW(symbol, code) code,
+    MT_RELAY_RETRIES(ROW)
+#undef ROW
+};
+
+static const char *const mechanisms[] = {
+#define ROW(symbol, name) name,
+    MT_RELAY_MECHANISMS(ROW)
+#undef ROW
+};
+
+mt_relay_mechanism_t mt_relay_mechanism (const char *name) {
+  for (int i = 0; i < MT_RELAY_MECHANISM_COUNT; i++)
+    if (strcmp(mechanisms[i], name) == 0) return (mt_relay_mechanism_t)i;
+  return MT_RELAY_MECHANISM_COUNT;
+}
+
+const char *mt_relay_refusal_code (mt_relay_refusal_t why) {
+  return refusals[why].code;
+}
+
+int mt_relay_refusal_status (mt_relay_refusal_t why) {
+  return refusals[why].status;
+}
+
+const char *mt_relay_retry_code (mt_relay_retry_t why) {
+  return retries[why];
+}
--- /dev/null
+++ b/tests/mechanism_test.cc
@@ -0,0 +1,63 @@
+// mechanism_test.cc - mechanisms of the relay that settings switch off.
+#include <gtest/gtest.h>
+
+#include "relay.h"
+
+extern "C" {
+#include "gateway_settings.h"
+}
+
+namespace {
+
+const char *const least =
+    "\"node\":\"n\",\"domain\":\"d\",\"callers\":\"127.0.0.1:0\",\"ready\":"
+    "\"127.0.0.1:0\",\"metrics\":\"127.0.0.1:0\",\"peers\":\"127.0.0.1:0\"";
+
+TEST(Mechanisms, SettingsNameThem) {
+  struct Row {
+    const char *off; // JSON
+    bool valid;
+    int count;
+  } rows[] = {{"[]", true, 0},
+              {"[\"fetch\"]", true, 1},
+              {"[\"fetch\",\"fixed_part\",\"probe\"]", true, 3},
+              {"[\"fetsh\"]", false, 0},
+              {"[7]", false, 0}};
+  for (const Row &row : rows) {
+    std::string text =
+        std::string("{") + least + ",\"relay\":{\"off\":" + row.off + "}}";
+    json_t *doc = json_loads(text.c_str(), 0, nullptr);
+    mt_gateway_settings_t set;
+    mt_faults_t faults{};
+    EXPECT_EQ(mt_gateway_settings_read(doc, &set, &faults), row.valid)
+        << row.off;
+    EXPECT_EQ(faults.n > 0, !row.valid) << row.off;
+    int count = 0;
+    for (bool off : set.terms.off) count += off;
+    EXPECT_EQ(count, row.count) << row.off;
+    json_decref(doc);
+  }
+}
+
+TEST(Mechanisms, WhatIsOffIsNotUsed) {
+  const mt_prefix_part_t part = {7, 4000};
+  for (bool off : {false, true}) {
+    Relay r(2);
+    r.declare();
+    r.relay->terms.off[MT_RELAY_FETCH] = off;
+    mt_engine_t *keeper = r.find("m1");
+    mt_prefix_cache_use(&keeper->kept, &part, 1, 100000);
+    keeper->here.unread = 100000;
+    r.ask(1, "/stream/x", "key-w1", 5000, 8000);
+    EXPECT_EQ(r.find(MT_RELAY_DO_START)->u.start.source,
+              off ? 0 : keeper->key);
+    keeper->here.unread = 0;
+    r.relay->terms.off[MT_RELAY_PROBE] = off;
+    mt_engine_reached(keeper, false, r.now);
+    r.pass(1100); // less with the effect of a probe
+    EXPECT_EQ(r.find(MT_RELAY_DO_PROBE) != nullptr, !off);
+    EXPECT_EQ(keeper->unreachable, !off);
+  }
+}
+
+} // namespace
