The keeper of a part's home knows who else has read it

Change: a router whose request makes an engine read shared parts away from their home tells the keeper of the home (one datagram); that keeper names the holder in its quotes for the home, and any engine may take the parts from there.

--- a/bench/days/pair.py
+++ b/bench/days/pair.py
@@ -3,7 +3,7 @@
 
     pair.py --site SITE --days quiet-1,scale-1 --seeds 1,2,3 BUILD [BUILD...]
 
-A BUILD is a checkout, or CHECKOUT:KEY=VALUE,... for one whose relay settings
+A BUILD is a checkout, or CHECKOUT:KEY=VALUE;... for one whose relay settings
 are changed (a switch of the ablation). The first is what the others are held
 against. Prints the mean difference of the worth, of each of its parts and of
 each price, with the standard error of the mean over the pairs. A day that
@@ -30,7 +30,7 @@
     path = os.path.join(at, "deploy", "settings.json")
     with open(path) as f:
         text = f.read()
-    terms = ", ".join('"%s": %s' % tuple(c.split("=")) for c in changes)
+    terms = ", ".join('"%s": %s' % tuple(c.split("=", 1)) for c in changes)
     text = re.sub(r'\n  "relay": \{[^\n]*\},', "", text)
     text = text.replace("{\n", '{\n  "relay": { %s },\n' % terms, 1)
     with open(path, "w") as f:
@@ -116,7 +116,7 @@
         checkout, _, changes = build.partition(":")
         root = os.path.abspath(checkout)
         if changes:
-            root = changed_copy(root, changes.split(","), os.path.join(scratch, str(i)))
+            root = changed_copy(root, changes.split(";"), os.path.join(scratch, str(i)))
         roots.append(root)
         subprocess.run([program, "build"], cwd=root, check=True, capture_output=True)
     plays = [(day, seed) for day in args.days.split(",") for seed in args.seeds.split(",")]
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -7,6 +7,7 @@
 
 #include "gateway_peers.h"
 #include "load_teller.h"
+#include "placement.h"
 
 #define INTERVAL_MIN_MS 150 /* between two messages to a peer, at least */
 #define BYTES_PER_S 8000    /* of greetings and summaries together, at most */
@@ -391,14 +392,39 @@
 static void pack_load (mt_gateway_peers_t *peers, mt_peer_message_t *m,
                        mt_engine_t *e) {
   m->engines[m->engines_count++] =
-      (mt_peer_engine_t){e->key, e->here, e->read};
+      (mt_peer_engine_t){e->key, e->here, e->read, 0};
   e->untold = false;
   e->told = uv_now(peers->loop);
 }
 
+/* Tells the keeper of the home where parts were read instead. */
+static void tell_holder (mt_gateway_peers_t *peers,
+                         const mt_relay_request_t *r) {
+  const mt_engine_t *home = mt_placement_home(peers->relay, r);
+  if (home == NULL || !mt_prompt_memory_is_news(r)) return;
+  uint32_t keeper = keeper_of(peers, home);
+  uint64_t part = mt_prompt_memory_home_part(r->parts, r->parts_count);
+  if (keeper == peers->members.own_ip) {
+    mt_part_holders_note(&peers->relay->holders, part, r->engine->key,
+                         uv_now(peers->loop));
+    return;
+  }
+  mt_peer_message_t *m = begin(peers, MT_PEER_HOLDS);
+  m->engines[m->engines_count++] = (mt_peer_engine_t){.key = r->engine->key};
+  m->parts[m->parts_count++] = (mt_prefix_part_t){.id = part};
+  send_out(peers, keeper);
+}
+
+static void on_holds (mt_gateway_peers_t *peers, const mt_peer_message_t *m) {
+  if (m->engines_count == 0 || m->parts_count == 0) return;
+  mt_part_holders_note(&peers->relay->holders, m->parts[0].id,
+                       m->engines[0].key, uv_now(peers->loop));
+}
+
 void mt_gateway_peers_placed (mt_gateway_peers_t *peers,
                               const mt_relay_request_t *r) {
   if (r->engine == NULL) return;
+  tell_holder(peers, r);
   uint32_t keeper = keeper_of(peers, r->engine);
   if (keeper == peers->members.own_ip) return;
   mt_peer_message_t *m = begin(peers, MT_PEER_LOAD);
@@ -467,8 +493,8 @@
   for (size_t i = 0; i < ask->engines_count; i++) {
     mt_relay_quote_t quote = mt_relay_quote(peers->relay, ask->engines[i].key,
                                             ip, ask->parts, ask->parts_count);
-    m->engines[m->engines_count++] =
-        (mt_peer_engine_t){quote.engine, quote.peers, quote.kept};
+    m->engines[m->engines_count++] = (mt_peer_engine_t){
+        quote.engine, quote.peers, quote.kept, quote.holder};
   }
   send_out(peers, ip);
 }
@@ -477,8 +503,9 @@
                       const mt_peer_message_t *m) {
   mt_relay_quote_t quotes[MT_PEER_ENGINES_MAX];
   for (size_t i = 0; i < m->engines_count; i++)
-    quotes[i] = (mt_relay_quote_t){m->engines[i].key, m->engines[i].load,
-                                   m->engines[i].tokens};
+    quotes[i] =
+        (mt_relay_quote_t){m->engines[i].key, m->engines[i].load,
+                           m->engines[i].tokens, m->engines[i].holder};
   peer->asked = 0;
   peer->suspect = 0;
   peers->calls.quoted(peers->calls.ud, m->token, quotes, m->engines_count);
@@ -564,6 +591,7 @@
     case MT_PEER_LOAD:
       if (is_newest(peer, m)) on_load(peers, peer->ip, m);
       break;
+    case MT_PEER_HOLDS: on_holds(peers, m); break;
     case MT_PEER_WELCOME: take_members(peers, m, true); break;
     case MT_PEER_ASK: on_ask(peers, peer->ip, m); break;
     case MT_PEER_QUOTE: on_quote(peers, peer, m); break;
--- a/src/gateway/peer_message.c
+++ b/src/gateway/peer_message.c
@@ -8,12 +8,12 @@
 #include "mtmsg.h"
 #include "peer_message.h"
 
-#define FORMAT_VERSION 2
+#define FORMAT_VERSION 3
 #define NUMBERS 16 /* before the lists */
 #define LISTS 5
 #define MEMBER_NUMBERS 3
 #define SHARE_NUMBERS 3
-#define ENGINE_NUMBERS 5
+#define ENGINE_NUMBERS 6
 #define PART_NUMBERS 2
 #define ENTRY_MEMBERS 7
 
@@ -68,6 +68,7 @@
     msgpack_pack_uint64(pk, whole((double)e->load.held));
     msgpack_pack_uint64(pk, whole(e->load.running));
     msgpack_pack_uint64(pk, whole((double)e->tokens));
+    msgpack_pack_uint64(pk, e->holder);
   }
 }
 
@@ -198,6 +199,7 @@
     e->load.held = bounded(&at[2], TOKENS_MOST);
     e->load.running = (int32_t)bounded(&at[3], RUNNING_MOST);
     e->tokens = bounded(&at[4], READ_MOST);
+    e->holder = number_of(&at[5]);
   }
 }
 
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -26,6 +26,7 @@
   MT_PEER_ASK,     /* what do these engines, kept by you, have? */
   MT_PEER_QUOTE,   /* the answer */
   MT_PEER_LOAD,    /* what the sender has at engines kept by you */
+  MT_PEER_HOLDS,   /* this engine read parts whose home is kept by you */
   MT_PEER_KINDS
 } mt_peer_kind_t;
 
@@ -44,7 +45,8 @@
 typedef struct mt_peer_engine_t {
   uint64_t key;
   mt_engine_load_t load;
-  int64_t tokens; /* QUOTE: kept of the prompt; LOAD: read or made so far */
+  int64_t tokens;  /* QUOTE: kept of the prompt; LOAD: read or made so far */
+  uint64_t holder; /* QUOTE: another that read its shared parts; 0: none */
 } mt_peer_engine_t;
 
 /* The two feeds that come from the source of declarations. */
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -41,20 +41,14 @@
   return e->here.unread + e->peers.unread;
 }
 
-/* The part that others share and that is most worth finding kept. */
-static uint64_t home_part (const mt_relay_request_t *r) {
-  size_t n = r->parts_count;
-  if (n == 0) return 0;
-  return r->parts[n > 1 ? n - 2 : 0].id;
-}
-
 /*
 ** Every router finds the same home for a part without being told: the engine
 ** with the greatest hash of both. `but` leaves one out: the second home.
 */
 static mt_engine_t *find_home (mt_relay_t *relay, const mt_relay_request_t *r,
                                const mt_engine_t *but) {
-  uint64_t part = home_part(r), best_weight = 0;
+  uint64_t part = mt_prompt_memory_home_part(r->parts, r->parts_count),
+           best_weight = 0;
   if (relay->terms.off[MT_RELAY_HOME]) return NULL;
   mt_engine_t *best = NULL;
   for (size_t i = 0; part != 0 && i < relay->engines.count; i++) {
@@ -69,14 +63,6 @@
   return best;
 }
 
-/* Tokens of the parts that others share. */
-static int64_t shared_tokens (const mt_relay_request_t *r) {
-  int64_t shared = 0;
-  for (size_t i = 0; i + 1 < r->parts_count; i++)
-    shared += r->parts[i].tokens;
-  return shared;
-}
-
 /* What the request's workspace got, as a multiple of its share. */
 static double standing_of (mt_relay_t *relay, const mt_relay_request_t *r) {
   if (r->workspace == 0) return 0;
@@ -153,7 +139,7 @@
   int64_t memory = service->memory;
   /* What is read at home is read for all that follow: it isn't held against
      the home, or parts would never gather there. */
-  int64_t unshared = mt_max(r->tokens_in - shared_tokens(r), 1);
+  int64_t unshared = mt_max(r->tokens_in - mt_prompt_memory_shared(r), 1);
   double limit = wait_limit(relay, r, service), ease = ease_of(relay, r);
   double reading = relay->terms.miss_weight * (1 - ease) +
                    relay->terms.miss_weight_easy * ease;
@@ -222,6 +208,11 @@
   return choose(relay, r, PICK_ANY);
 }
 
+const mt_engine_t *mt_placement_home (mt_relay_t *relay,
+                                      const mt_relay_request_t *r) {
+  return find_home(relay, r, NULL);
+}
+
 const mt_engine_t *mt_placement_candidate (mt_relay_t *relay,
                                            const mt_relay_request_t *r) {
   const mt_engine_t *home = NULL;
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -24,6 +24,10 @@
 mt_placement_t mt_placement_choose (mt_relay_t *relay,
                                     const mt_relay_request_t *request);
 
+/* The engine at which all routers expect its shared parts, or NULL. */
+const mt_engine_t *mt_placement_home (mt_relay_t *relay,
+                                      const mt_relay_request_t *request);
+
 /*
 ** The next engine whose keeper should be asked for the request, or NULL:
 ** first the two that all routers would choose for its shared parts, then
--- a/src/relay/prompt_memory.c
+++ b/src/relay/prompt_memory.c
@@ -9,6 +9,25 @@
 #define BITS_PER_BYTE 8
 #define BITS_PER_MS_OF_MBPS 1000.0
 
+uint64_t mt_prompt_memory_home_part (const mt_prefix_part_t *parts,
+                                     size_t count) {
+  if (count == 0) return 0;
+  return parts[count > 1 ? count - 2 : 0].id;
+}
+
+int64_t mt_prompt_memory_shared (const mt_relay_request_t *r) {
+  int64_t shared = 0;
+  for (size_t i = 0; i + 1 < r->parts_count; i++)
+    shared += r->parts[i].tokens;
+  return shared;
+}
+
+bool mt_prompt_memory_is_news (const mt_relay_request_t *r) {
+  if (r->parts_count < 2 || r->home) return false;
+  int64_t own = r->parts[r->parts_count - 1].tokens;
+  return r->unread >= own + LEAST_TOKENS;
+}
+
 int64_t mt_prompt_memory_room (const mt_engine_t *e, int64_t memory) {
   return mt_max(memory - e->here.held - e->peers.held, memory / 8);
 }
@@ -29,6 +48,17 @@
   return e->failures == 0 && e->vanished == 0;
 }
 
+/* An engine that some keeper names as holder of all shared parts. */
+static mt_engine_t *told_holder (const mt_relay_t *relay,
+                                 const mt_relay_request_t *r) {
+  if (relay->terms.off[MT_RELAY_HOLDERS]) return NULL;
+  for (size_t i = 0; i < r->candidates_count; i++) {
+    mt_engine_t *e = mt_engines_get(&relay->engines, r->candidates[i].holder);
+    if (e != NULL && can_give(relay, r, e)) return e;
+  }
+  return NULL;
+}
+
 mt_engine_t *mt_prompt_memory_source (mt_relay_t *relay,
                                       const mt_relay_request_t *r,
                                       const mt_catalog_service_t *service,
@@ -44,7 +74,12 @@
     best = e;
     *tokens = kept;
   }
-  return best;
+  int64_t shared = mt_prompt_memory_shared(r);
+  if (*tokens >= shared) return best;
+  mt_engine_t *holder = told_holder(relay, r);
+  if (holder == NULL) return best;
+  *tokens = shared;
+  return holder;
 }
 
 mt_fetch_t mt_prompt_memory_fetch (const mt_catalog_service_t *service,
--- a/src/relay/prompt_memory.h
+++ b/src/relay/prompt_memory.h
@@ -18,6 +18,19 @@
   double ms;           /* that the move takes */
 } mt_fetch_t;
 
+/* The part that others share and that is most worth finding kept; 0: none. */
+uint64_t mt_prompt_memory_home_part (const mt_prefix_part_t *parts,
+                                     size_t count);
+
+/* Tokens of the parts that others share. */
+int64_t mt_prompt_memory_shared (const mt_relay_request_t *request);
+
+/*
+** True when this router's request makes its engine read parts that others
+** share, away from their home: the keeper of the home should know.
+*/
+bool mt_prompt_memory_is_news (const mt_relay_request_t *request);
+
 /* Tokens that an engine can keep beside what is running there. */
 int64_t mt_prompt_memory_room (const mt_engine_t *engine, int64_t memory);
 
--- a/src/relay/quotes.c
+++ b/src/relay/quotes.c
@@ -71,6 +71,7 @@
       if (candidate->engine != quote->engine) continue;
       candidate->quoted = true;
       candidate->kept = quote->kept;
+      candidate->holder = quote->holder;
       if (k == 0) learn_usual(relay, r, &quote->peers);
     }
   }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -595,6 +595,7 @@
   mt_fair_share_update(&relay->shares, declared_tokens(relay), relay->now);
   mt_relay_update_engines(relay);
   mt_load_book_expire(&relay->book, relay->now);
+  mt_part_holders_expire(&relay->holders, relay->now);
 }
 
 /* }== */
@@ -684,6 +685,7 @@
   mtV_each (&relay->services, i) free(relay->services.vals[i]);
   mtV_free(&relay->services);
   mt_load_book_free(&relay->book);
+  mt_part_holders_free(&relay->holders);
   mt_fair_share_free(&relay->shares);
   mt_engines_free(&relay->engines);
   mt_catalog_free(relay->catalog);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -13,6 +13,7 @@
 #include "event_stream.h"
 #include "fair_share.h"
 #include "load_book.h"
+#include "part_holders.h"
 #include "read_time.h"
 #include "retry_budget.h"
 
@@ -110,6 +111,7 @@
   uint64_t engine;
   mt_engine_load_t peers; /* of all routers but the one that asked */
   int64_t kept;           /* leading tokens of the prompt, probably there */
+  uint64_t holder; /* another engine that read its shared parts; 0: none */
 } mt_relay_quote_t;
 
 /* What an engine's head says of the request. */
@@ -216,7 +218,8 @@
 typedef struct mt_relay_candidate_t {
   uint64_t engine;
   bool quoted;
-  int64_t kept; /* leading tokens of the prompt, probably there */
+  int64_t kept;    /* leading tokens of the prompt, probably there */
+  uint64_t holder; /* an engine that read its shared parts; 0: not told */
 } mt_relay_candidate_t;
 
 typedef struct mt_relay_request_t {
@@ -286,6 +289,7 @@
   ROW(MT_RELAY_HOME, "home")               /* of shared parts */    \
   ROW(MT_RELAY_SECOND_HOME, "second_home") /* is asked, too */      \
   ROW(MT_RELAY_QUOTES, "quotes")           /* of keepers */         \
+  ROW(MT_RELAY_HOLDERS, "holders")         /* of parts read away */ \
   ROW(MT_RELAY_SECOND_ROUND, "second_round")                        \
   ROW(MT_RELAY_EASE, "ease")     /* leaving home by pressure */     \
   ROW(MT_RELAY_OWED, "owed")     /* leaving home below a share */   \
@@ -332,7 +336,8 @@
   mt_ms_t stop_since, stop_until; /* 0: not stopping */
   int routers; /* that are believed to serve, this one included */
   mt_engines_t engines;
-  mt_load_book_t book; /* of the engines that this router keeps */
+  mt_load_book_t book;       /* of the engines that this router keeps */
+  mt_part_holders_t holders; /* of parts whose home is kept here */
   mt_fair_share_t shares;
   mt_map_t services;        /* id -> mt_relay_service_t, owned */
   mt_map_t usual_deadlines; /* route -> longest deadline seen */
--- a/src/relay/relay_load.c
+++ b/src/relay/relay_load.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "prompt_memory.h"
 #include "quotes.h"
 #include "relay_load.h"
 
@@ -198,6 +199,9 @@
   if (s == NULL || s->memory == 0) return quote;
   int64_t room = mt_max(s->memory - e->here.held - all.held, s->memory / 8);
   quote.kept = mt_prefix_cache_match(&e->kept, parts, count, room);
+  uint64_t holder = mt_part_holders_find(
+      &relay->holders, mt_prompt_memory_home_part(parts, count));
+  if (holder != engine) quote.holder = holder;
   return quote;
 }
 
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -40,7 +40,7 @@
     in->feeds[MT_FEED_ENGINES] = {5, 9, 200};
     in->members[in->members_count++] = {0x0a000001, 77, 1};
     in->shares[in->shares_count++] = {12, {1000, 500}};
-    in->engines[in->engines_count++] = {99, {10, 20, 3}, 400};
+    in->engines[in->engines_count++] = {99, {10, 20, 3}, 400, 77};
     in->parts[in->parts_count++] = {5, 600};
     in->base = 4;
     in->reach = 6;
@@ -65,6 +65,7 @@
     ASSERT_EQ(out->engines_count, 1u);
     EXPECT_EQ(out->engines[0].load.running, 3);
     EXPECT_EQ(out->engines[0].tokens, 400);
+    EXPECT_EQ(out->engines[0].holder, 77u);
     ASSERT_EQ(out->parts_count, 1u);
     EXPECT_EQ(out->parts[0].tokens, 600);
     EXPECT_EQ(out->base, 4);
