--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -462,8 +462,8 @@
                            const mt_relay_request_t *r) {
   uint32_t keepers[MT_RELAY_CANDIDATES_MAX];
   mt_relay_quote_t own[MT_RELAY_CANDIDATES_MAX];
-  size_t own_count = 0, first = r->round_first, end = r->candidates_count;
-  for (size_t i = first; i < end; i++) {
+  size_t own_count = 0, end = r->candidates_count;
+  for (size_t i = 0; i < end; i++) {
     uint64_t key = r->candidates[i].engine;
     const mt_engine_t *e = mt_engines_get(&peers->relay->engines, key);
     keepers[i] = e ? keeper_of(peers, e) : 0;
@@ -471,7 +471,7 @@
       own[own_count++] =
           mt_relay_quote(peers->relay, key, 0, r->parts, r->parts_count);
   }
-  for (size_t i = first; i < end; i++) {
+  for (size_t i = 0; i < end; i++) {
     uint32_t keeper = keepers[i];
     if (keeper == 0 || keeper == peers->members.own_ip) continue;
     mt_peer_message_t *m = begin(peers, MT_PEER_ASK);
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -20,13 +20,10 @@
 #define WAIT_PART 0.45
 #define URGENCY_POWER 1.0
 #define ROOM_PART 0.1
-#define PRESSURE_STEEP 3.0
 #define OVER_POWER 10.0
 #define MISS_WEIGHT 50.0
 #define MISS_WEIGHT_EASY 13.0
 #define MOVE_WEIGHT 3.0
-#define LATE_PART 0.6
-#define LATE_WEIGHT 6.0
 
 static const mt_field_t fields[] = {
     {"node", MT_F_STRING, true, 1, MT_NAME_MAX},
@@ -85,13 +82,10 @@
   terms->wait_part = real(relay, "wait_part", WAIT_PART);
   terms->urgency_power = real(relay, "urgency_power", URGENCY_POWER);
   terms->room_part = real(relay, "room_part", ROOM_PART);
-  terms->pressure_steep = real(relay, "pressure_steep", PRESSURE_STEEP);
   terms->over_power = real(relay, "over_power", OVER_POWER);
   terms->miss_weight = real(relay, "miss_weight", MISS_WEIGHT);
   terms->miss_weight_easy = real(relay, "miss_weight_easy", MISS_WEIGHT_EASY);
   terms->move_weight = real(relay, "move_weight", MOVE_WEIGHT);
-  terms->late_part = real(relay, "late_part", LATE_PART);
-  terms->late_weight = real(relay, "late_weight", LATE_WEIGHT);
   json_array_foreach (json_object_get(relay, "off"), i, name) {
     mt_relay_mechanism_t which = mt_relay_mechanism(
         json_string_value(name) ? json_string_value(name) : "");
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -12,12 +12,7 @@
 #define FAILING_PENALTY_MS 50.0  /* one failure in a row */
 #define RUNNING_MS 1.0 /* each running request slows all others a little */
 #define ROOM_POWER 3   /* how fast room falls beyond the share */
-#define OWED_STEEP 1   /* with nothing of its share: it may go anywhere */
 #define OVER_LIMIT_MS 2500.0 /* there it would be refused */
-#define HOPELESS_PART 0.2    /* of the usual wait; no engine is that idle */
-#define RETURN_BONUS                                     \
-  1.5 /* a request that was refused before may wait more \
-       */
 
 static bool was_tried (const mt_relay_request_t *r, uint64_t key) {
   for (int i = 0; i < r->tried_count; i++)
@@ -70,27 +65,22 @@
 }
 
 /*
-** How far a request may leave the engine that keeps its parts, 0 to 1. When
-** the pool is full, reading shared parts again only makes more work late; but
-** a workspace that got less than the one that got most may go further.
+** How far a request may leave the engine that keeps its parts, 0 to 1: the
+** further the less its workspace got beside the one that got most. Whoever
+** had its share stays, since reading parts elsewhere makes all work late.
 */
 static double ease_of (mt_relay_t *relay, const mt_relay_request_t *r) {
-  double pressure = mt_relay_service(relay, r->service)->pressure;
-  const bool *off = relay->terms.off;
-  double ease = 1 - pressure * relay->terms.pressure_steep;
-  if (off[MT_RELAY_EASE]) ease = 0;
   double top = fmax(relay->shares.top, 1);
-  double owed = OWED_STEEP * (1 - standing_of(relay, r) / top);
-  if (off[MT_RELAY_OWED]) owed = 0;
-  return fmin(fmax(fmax(ease, owed), 0), 1);
+  if (relay->terms.off[MT_RELAY_OWED]) return 0;
+  return fmin(fmax(1 - standing_of(relay, r) / top, 0), 1);
 }
 
 /*
 ** How long the request may wait at an engine: a part of the service's
 ** shortest objective, less for a longer objective, and less the more its
 ** workspace has had beyond its share. An engine with little wait has room
-** for all, yet more for whoever had less: else who asks most often would
-** get most of the room.
+** for all, yet more for whoever had less: else who asks most often would get
+** most of the room.
 */
 static double wait_limit (mt_relay_t *relay, const mt_relay_request_t *r,
                           const mt_catalog_service_t *service) {
@@ -156,10 +146,8 @@
     int64_t held = e->here.held + e->peers.held + miss;
     double read = (double)miss / rate * e->slowness;
     double first = line.fixed_ms + wait + read + fetch.ms;
-    double late = first - (double)r->objective * relay->terms.late_part;
     double cost = wait + (double)weighed / rate * e->slowness * reading;
     cost += fetch.ms * relay->terms.move_weight * reading;
-    if (late > 0) cost += late * ease * relay->terms.late_weight;
     if (wait > limit) cost += ease * OVER_LIMIT_MS;
     cost += running(e) * RUNNING_MS;
     if (full) cost += FULL_PENALTY_MS;
@@ -226,27 +214,13 @@
   return choose(relay, r, PICK_UNASKED).engine;
 }
 
-bool mt_placement_is_hopeless (mt_relay_t *relay,
-                               const mt_relay_request_t *r) {
-  const mt_catalog_service_t *service =
-      mt_catalog_service(relay->catalog, r->service);
-  if (service == NULL || !service->model) return false;
-  if (relay->terms.off[MT_RELAY_HOPELESS]) return false;
-  if (standing_of(relay, r) <= 1) return false;
-  double usual = mt_relay_service(relay, r->service)->usual_unread /
-                 mt_relay_rate(relay, r->service);
-  return wait_limit(relay, r, service) < usual * HOPELESS_PART;
-}
-
 bool mt_placement_admits (mt_relay_t *relay, const mt_relay_request_t *r,
-                          const mt_placement_t *p, bool returning,
-                          mt_relay_refusal_t *why) {
+                          const mt_placement_t *p, mt_relay_refusal_t *why) {
   const mt_catalog_service_t *service =
       mt_catalog_service(relay->catalog, r->service);
   *why = standing_of(relay, r) > 1 ? MT_RELAY_OVER_SHARE : MT_RELAY_BUSY;
   if (service == NULL || !service->model) return true; /* it sheds itself */
   if (p->full) return false;
   double limit = wait_limit(relay, r, service);
-  if (returning && !relay->terms.off[MT_RELAY_RETURN]) limit *= RETURN_BONUS;
   return limit <= 0 || p->wait_ms <= limit;
 }
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -36,18 +36,10 @@
 const mt_engine_t *mt_placement_candidate (mt_relay_t *relay,
                                            const mt_relay_request_t *request);
 
-/*
-** True when the request's workspace is so far beyond its share that no
-** engine of this service will have as little work as it would need: asking
-** is spared.
-*/
-bool mt_placement_is_hopeless (mt_relay_t *relay,
-                               const mt_relay_request_t *request);
-
 /* True when the request should go there now rather than be refused. */
 bool mt_placement_admits (mt_relay_t *relay,
                           const mt_relay_request_t *request,
-                          const mt_placement_t *placement, bool returning,
+                          const mt_placement_t *placement,
                           mt_relay_refusal_t *why);
 
 #endif
--- a/src/relay/quotes.c
+++ b/src/relay/quotes.c
@@ -4,11 +4,10 @@
 #include "placement.h"
 #include "quotes.h"
 
-#define WAIT_MS 20       /* for answers of keepers */
-#define USUAL_FADE 0.95  /* per answer of a home's keeper */
-#define FRESH_MS 250     /* an answer is taken as it is for so long */
-#define FADE_PART 0.2    /* of the difference, per update */
-#define SECOND_ROUND 0.9 /* pressure above which the pool has no room */
+#define WAIT_MS 20      /* for answers of keepers */
+#define USUAL_FADE 0.95 /* per answer of a home's keeper */
+#define FRESH_MS 250    /* an answer is taken as it is for so long */
+#define FADE_PART 0.2   /* of the difference, per update */
 
 const mt_relay_candidate_t *mt_quotes_find (const mt_relay_request_t *r,
                                             uint64_t engine) {
@@ -29,20 +28,14 @@
 }
 
 bool mt_quotes_ask (mt_relay_t *relay, mt_relay_request_t *r) {
-  if (relay->routers < 2 || mt_placement_is_hopeless(relay, r)) return false;
+  if (relay->routers < 2 || r->asked != 0) return false;
   if (relay->terms.off[MT_RELAY_QUOTES]) return false;
-  if (r->rounds > 0 && relay->terms.off[MT_RELAY_SECOND_ROUND]) return false;
-  if (r->rounds >= MT_RELAY_ROUNDS) return false;
-  double pressure = mt_relay_service(relay, r->service)->pressure;
-  if (r->rounds > 0 && pressure > SECOND_ROUND) return false;
-  r->round_first = r->candidates_count;
-  for (int i = 0; i < MT_RELAY_ASKED_AT_ONCE; i++) {
+  for (int i = 0; i < MT_RELAY_CANDIDATES_MAX; i++) {
     const mt_engine_t *e = mt_placement_candidate(relay, r);
     if (e == NULL) break;
     add_candidate(r, e);
   }
-  if (r->candidates_count == r->round_first) return false;
-  r->rounds++;
+  if (r->candidates_count == 0) return false;
   r->asked = relay->now;
   return true;
 }
@@ -75,7 +68,7 @@
       if (k == 0) learn_usual(relay, r, &quote->peers);
     }
   }
-  for (size_t k = r->round_first; k < r->candidates_count; k++)
+  for (size_t k = 0; k < r->candidates_count; k++)
     if (!r->candidates[k].quoted) return false;
   return true;
 }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -13,12 +13,11 @@
 #include "silence.h"
 
 #define HOLD_BODY_MAX \
-  (256u << 10)              /* a longer answer is passed on as it comes */
-#define UPDATE_MS 100       /* between updates of shares */
-#define SHED_HOLD_MS 30     /* rest of an engine that refused */
-#define LAST_CHANCE_MS 20   /* less time left: no new attempt */
-#define RETURNING_PART 0.97 /* of the usual deadline: it came back */
-#define MADE_WEIGHT 2       /* of a token made, beside one that is read */
+  (256u << 10)            /* a longer answer is passed on as it comes */
+#define UPDATE_MS 100     /* between updates of shares */
+#define SHED_HOLD_MS 30   /* rest of an engine that refused */
+#define LAST_CHANCE_MS 20 /* less time left: no new attempt */
+#define MADE_WEIGHT 2     /* of a token made, beside one that is read */
 #define RETRY_SOON_MS 200
 #define UNPROBED_REST_MS                            \
   800 /* of unreachable engines that are not probed \
@@ -240,18 +239,6 @@
   return route->split[0].service;
 }
 
-/* A caller that has less time than usual was refused before. */
-static bool is_returning (mt_relay_t *relay, const mt_relay_request_t *r,
-                          int64_t deadline_ms) {
-  if (deadline_ms <= 0) return false;
-  int64_t usual =
-      (int64_t)(uintptr_t)mtV_get(&relay->usual_deadlines, r->route);
-  if (deadline_ms > usual)
-    mtV_put(&relay->usual_deadlines, r->route,
-            (void *)(uintptr_t)deadline_ms);
-  return (double)deadline_ms < RETURNING_PART * (double)usual;
-}
-
 static void take_route (mt_relay_request_t *r,
                         const mt_catalog_route_t *route,
                         const mt_relay_ask_t *ask) {
@@ -330,8 +317,7 @@
   mt_relay_refusal_t why = MT_RELAY_NO_ENGINE;
   mt_placement_t p = mt_placement_choose(relay, r);
   r->wait_expected = p.wait_ms;
-  if (p.engine != NULL &&
-      mt_placement_admits(relay, r, &p, r->returning, &why)) {
+  if (p.engine != NULL && mt_placement_admits(relay, r, &p, &why)) {
     start_attempt(relay, r, &p);
     return;
   }
@@ -361,7 +347,6 @@
     mt_fair_share_asked(&relay->shares, r->workspace, r->cost);
   if (r->workspace != 0)
     r->standing = mt_fair_share_standing(&relay->shares, r->workspace);
-  r->returning = is_returning(relay, r, ask->deadline_ms);
   if (!ask_keepers(relay, r)) place(relay, r);
 }
 
@@ -681,7 +666,6 @@
   free_finished(relay);
   free(relay->list);
   mtV_free(&relay->requests);
-  mtV_free(&relay->usual_deadlines);
   mtV_each (&relay->services, i) free(relay->services.vals[i]);
   mtV_free(&relay->services);
   mt_load_book_free(&relay->book);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -210,9 +210,7 @@
   MT_RELAY_ASKING     /* not placed: keepers of engines were asked */
 } mt_relay_phase_t;
 
-#define MT_RELAY_ASKED_AT_ONCE 4 /* engines, in one round */
-#define MT_RELAY_ROUNDS 2
-#define MT_RELAY_CANDIDATES_MAX (MT_RELAY_ASKED_AT_ONCE * MT_RELAY_ROUNDS)
+#define MT_RELAY_CANDIDATES_MAX 4 /* engines whose keepers are asked */
 
 /* An engine that a request may go to, if its keeper says that it has room. */
 typedef struct mt_relay_candidate_t {
@@ -241,12 +239,10 @@
   int64_t tokens_in, tokens_out, cost, last_event;
   mt_prefix_part_t parts[MT_RELAY_PARTS_MAX];
   size_t parts_count;
-  /* Where it may go; those of the last round begin at `round_first`. */
+  /* Where it may go. */
   mt_relay_candidate_t candidates[MT_RELAY_CANDIDATES_MAX];
-  size_t candidates_count, round_first;
-  int rounds;
+  size_t candidates_count;
   mt_ms_t asked;
-  bool returning; /* it was refused before */
   /* Its current attempt. */
   mt_engine_t *engine;
   int attempt, arrivals; /* attempts that may have reached an engine */
@@ -275,29 +271,24 @@
   mt_retry_budget_t budget;
   int ready;                          /* engines, counted by the tick */
   double usual_unread, usual_running; /* at homes, as keepers told lately */
-  double pressure; /* mean wait at them, as a part of the usual limit */
 } mt_relay_service_t;
 
 /*
 ** Mechanisms of the decisions that can be switched off, to measure what each
 ** is worth (docs/DECISIONS.md): symbol, name in the settings.
 */
-#define MT_RELAY_MECHANISMS(ROW)                                    \
-  ROW(MT_RELAY_FIXED_PART, "fixed_part") /* of reading times */     \
-  ROW(MT_RELAY_FETCH, "fetch")           /* parts move */           \
-  ROW(MT_RELAY_DECLARED_LEVEL, "declared_level")                    \
-  ROW(MT_RELAY_HOME, "home")               /* of shared parts */    \
-  ROW(MT_RELAY_SECOND_HOME, "second_home") /* is asked, too */      \
-  ROW(MT_RELAY_QUOTES, "quotes")           /* of keepers */         \
-  ROW(MT_RELAY_HOLDERS, "holders")         /* of parts read away */ \
-  ROW(MT_RELAY_SECOND_ROUND, "second_round")                        \
-  ROW(MT_RELAY_EASE, "ease")     /* leaving home by pressure */     \
-  ROW(MT_RELAY_OWED, "owed")     /* leaving home below a share */   \
-  ROW(MT_RELAY_RETURN, "return") /* who comes back may wait more */ \
-  ROW(MT_RELAY_HOPELESS, "hopeless")                                \
-  ROW(MT_RELAY_SLOWNESS, "slowness") /* of single engines */        \
-  ROW(MT_RELAY_REST, "rest")         /* of failing engines */       \
-  ROW(MT_RELAY_PROBE, "probe")       /* of unreachable ones */
+#define MT_RELAY_MECHANISMS(ROW)                                            \
+  ROW(MT_RELAY_FIXED_PART, "fixed_part") /* of reading times */             \
+  ROW(MT_RELAY_FETCH, "fetch")           /* parts move */                   \
+  ROW(MT_RELAY_DECLARED_LEVEL, "declared_level")                            \
+  ROW(MT_RELAY_HOME, "home")               /* of shared parts */            \
+  ROW(MT_RELAY_SECOND_HOME, "second_home") /* is asked, too */              \
+  ROW(MT_RELAY_QUOTES, "quotes")           /* of keepers */                 \
+  ROW(MT_RELAY_HOLDERS, "holders")         /* of parts read away */         \
+  ROW(MT_RELAY_OWED, "owed")               /* leaving home below a share */ \
+  ROW(MT_RELAY_SLOWNESS, "slowness")       /* of single engines */          \
+  ROW(MT_RELAY_REST, "rest")               /* of failing engines */         \
+  ROW(MT_RELAY_PROBE, "probe")             /* of unreachable ones */
 
 typedef enum mt_relay_mechanism_t {
 #define MT_RELAY_SYMBOL(symbol, name) symbol,
@@ -309,19 +300,15 @@
 /* Everything that tunes decisions, in one place. */
 typedef struct mt_relay_terms_t {
   mt_retry_terms_t retry;
-  size_t running_most;   /* requests in progress; beyond: refused */
-  mt_ms_t vanish_ms;     /* an engine that left the list serves on so long */
-  double wait_part;      /* of the objective that a request may wait */
-  double urgency_power;  /* how much less a longer objective may wait */
-  double pressure_steep; /* at 1 / this, all stay where their parts are */
-  double
-      room_part; /* of the wait limit: an engine below it has room for all */
-  double over_power;       /* how fast this falls beyond the share */
-  double miss_weight;      /* of the time to read a prompt, beside a wait */
+  size_t running_most;  /* requests in progress; beyond: refused */
+  mt_ms_t vanish_ms;    /* an engine that left the list serves on so long */
+  double wait_part;     /* of the objective that a request may wait */
+  double urgency_power; /* how much less a longer objective may wait */
+  double room_part;   /* of the wait limit: below it there is room for all */
+  double over_power;  /* how fast this falls beyond the share */
+  double miss_weight; /* of the time to read a prompt, beside a wait */
   double miss_weight_easy; /* the same while the pool has room */
   double move_weight;      /* of the time of a move, times that of reading */
-  double late_part;   /* of the objective; beyond it a first event is late */
-  double late_weight; /* of time beyond that */
   bool off[MT_RELAY_MECHANISM_COUNT]; /* mechanisms that are not used */
 } mt_relay_terms_t;
 
@@ -339,9 +326,8 @@
   mt_load_book_t book;       /* of the engines that this router keeps */
   mt_part_holders_t holders; /* of parts whose home is kept here */
   mt_fair_share_t shares;
-  mt_map_t services;        /* id -> mt_relay_service_t, owned */
-  mt_map_t usual_deadlines; /* route -> longest deadline seen */
-  mt_map_t requests;        /* number -> mt_relay_request_t, owned */
+  mt_map_t services; /* id -> mt_relay_service_t, owned */
+  mt_map_t requests; /* number -> mt_relay_request_t, owned */
   mt_relay_request_t **list;
   size_t count, cap;
   mt_relay_request_t *finished; /* freed by the next step */
--- a/src/relay/relay_load.c
+++ b/src/relay/relay_load.c
@@ -121,26 +121,6 @@
 
 /* {== Engines over time ================================================ */
 
-/* How full a service's engines are, as requests would find them. */
-static void update_pressure (mt_relay_t *relay, mt_relay_service_t *s) {
-  const mt_catalog_service_t *declared =
-      relay->catalog ? mt_catalog_service(relay->catalog, s->id) : NULL;
-  double limit = declared && declared->objective
-                     ? (double)declared->objective * relay->terms.wait_part
-                     : 0;
-  double unread = s->usual_unread * s->ready;
-  s->pressure = 0;
-  if (limit <= 0 || s->ready == 0) return;
-  for (size_t i = 0; i < relay->engines.count; i++) {
-    const mt_engine_t *e = relay->engines.list[i];
-    if (e->service != s->id || e->state != MT_ENGINE_READY) continue;
-    unread += (double)e->here.unread;
-    if (relay->routers < 2) unread += (double)e->peers.unread;
-  }
-  double wait = unread / s->ready / mt_relay_rate(relay, s->id);
-  s->pressure = wait / limit;
-}
-
 void mt_relay_update_engines (mt_relay_t *relay) {
   mt_quotes_fade(relay);
   mtV_each (&relay->services, i)
@@ -157,8 +137,6 @@
         relay->now - e->gone > FORGET_MS)
       mt_engines_remove(&relay->engines, e);
   }
-  mtV_each (&relay->services, k)
-    update_pressure(relay, relay->services.vals[k]);
 }
 
 /* }== */
