Answers that an engine lost do not count in a workspace's share

Change: when a request is given up on before anything was passed on, what was counted for it is taken back, whether it ran or not.

Kept because the share means what callers got. Test: RelayShares.WhatDidNotRunIsNotServed, a row that fails before.

--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -113,7 +113,7 @@
   mt_relay_disengage(r);
 }
 
-/* What was counted as served has not run, or for nobody. */
+/* What was counted as served has brought its caller nothing. */
 static void take_back (mt_relay_t *relay, mt_relay_request_t *r) {
   if (!r->served) return;
   mt_fair_share_served(&relay->shares, r->workspace, -r->cost);
@@ -125,7 +125,7 @@
                      mt_relay_refusal_t why) {
   cancel_attempt(relay, r);
   if (r->phase != MT_RELAY_STREAMING) {
-    if (!r->may_have_run) take_back(relay, r);
+    take_back(relay, r);
     refuse(relay, r, why);
     return;
   }
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -470,6 +470,12 @@
          w.step(w.of(MT_RELAY_CALLER_LEFT, 1));
        },
        true},
+      {"lost by its engine before an event",
+       [] (Relay &w) {
+         w.relay->catalog->routes[2].attempts = 1;
+         w.fail(1);
+       },
+       false},
       {"refused by all",
        [] (Relay &w) { w.head(1, 503, false, MT_RELAY_NOT_RUN); }, false},
   };
