--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -13,16 +13,14 @@
 #include "overload.h"
 
 #define TICK_MS 25
-#define CONNECT_MS                                         \
-  150 /* some trips; a lost packet is sent again after 1 s \
-       */
+/* Some trips of any link; a lost packet is sent again after 1 s only. */
+#define CONNECT_MS 150
 #define IDLE_MS 20000
 #define USER_TIMEOUT_MS 2000
-#define BACKLOG_MAX \
-  (256u << 10) /* of a slow caller, before its engine waits */
-#define LEAVE_MS                                             \
-  2500 /* after the order to stop: nobody new comes any more \
-        */
+/* Of a slow caller, before its engine waits. */
+#define BACKLOG_MAX (256u << 10)
+/* After the order to stop: nobody new comes any more. */
+#define LEAVE_MS 2500
 #define CALLERS_PART 0.55 /* of the descriptors, for callers' connections */
 #define ENGINES_PART 0.35 /* for those to engines */
 #define LAST_MS 400       /* of the grace, kept for the last bytes */
--- a/src/gateway/gateway_log.c
+++ b/src/gateway/gateway_log.c
@@ -37,7 +37,8 @@
       log, well ? MT_LOG_DETAIL : MT_LOG_FAILURE, relay->now, "request",
       "id=%s route=%08x workspace=%08x engine=%s attempt=%d age=%llu "
       "status=%d wait=%.0f expected=%.0f first=%llu standing=%.2f "
-      "tokens=%lld own=%lld unread=%lld fetched=%lld home=%d last=%lld version=%lld "
+      "tokens=%lld own=%lld unread=%lld fetched=%lld home=%d last=%lld "
+      "version=%lld "
       "outcome=%s why=%s",
       r->id, r->route, r->workspace, r->engine_name[0] ? r->engine_name : "-",
       r->attempt, (number_t)(relay->now - r->arrived), r->status,
--- a/src/mtpeer.c
+++ b/src/mtpeer.c
@@ -16,8 +16,8 @@
 #define QUEUE_MAX (4u << 20) /* bytes that wait for one router */
 #define IDLE_MS 60000        /* an unused connection is closed */
 #define SWEEP_MS 1000
-#define UNACKED_MS \
-  3000 /* sent and not acknowledged: the connection is dead */
+/* Sent and not acknowledged: the connection is dead. */
+#define UNACKED_MS 3000
 #define BACKLOG 256
 #define READ_CHUNK 65536
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -81,9 +81,8 @@
 /* {== The answer ======================================================= */
 
 #define MT_HTTP_CHUNKED (-1)
-#define MT_HTTP_UNTIL_CLOSE                       \
-  (-2) /* the end of the connection ends the body \
-        */
+/* The end of the connection ends the body. */
+#define MT_HTTP_UNTIL_CLOSE (-2)
 
 /*
 ** Starts an answer. `lines` are whole header lines, each with CRLF; `length`
--- a/src/relay/fair_share.c
+++ b/src/relay/fair_share.c
@@ -7,9 +7,8 @@
 #include "fair_share.h"
 
 #define FADE_MS 1000.0 /* time constant of the rates */
-#define SHORT_PART                                                          \
-  0.97                   /* served below this part of asked: some are short \
-                          */
+/* Served below this part of asked: some are short. */
+#define SHORT_PART 0.97
 #define FORGET_RATE 0.01 /* tokens a second that count as none */
 
 void mt_fair_share_free (mt_fair_share_t *s) {
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -12,21 +12,19 @@
 #include "relay_load.h"
 #include "silence.h"
 
-#define HOLD_BODY_MAX \
-  (256u << 10)            /* a longer answer is passed on as it comes */
+/* A longer answer is passed on as it comes. */
+#define HOLD_BODY_MAX (256u << 10)
 #define UPDATE_MS 100     /* between updates of shares */
 #define SHED_HOLD_MS 30   /* rest of an engine that refused */
 #define LAST_CHANCE_MS 20 /* less time left: no new attempt */
 #define MADE_WEIGHT 2     /* of a token made, beside one that is read */
 #define RETRY_SOON_MS 200
-#define UNPROBED_REST_MS                            \
-  800 /* of unreachable engines that are not probed \
-       */
+/* Of unreachable engines that are not probed. */
+#define UNPROBED_REST_MS 800
 #define RESTED_MS 60000
 #define RESTED_ONCE_MS 2000 /* what may run once shuns what may be closed */
-#define LEAVE_MS                                            \
-  2000 /* after the order to stop, long streams are refused \
-        */
+/* After the order to stop, long streams are refused. */
+#define LEAVE_MS 2000
 
 /* {== Effects ========================================================== */
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -199,9 +199,8 @@
 
 /* {== State ============================================================ */
 
-#define MT_RELAY_TRIES_MAX                        \
-  6 /* engines tried, failed connections included \
-     */
+/* Engines tried, failed connections included. */
+#define MT_RELAY_TRIES_MAX 6
 
 typedef enum mt_relay_phase_t {
   MT_RELAY_SENT,      /* no event or end of an answer yet */
@@ -307,7 +306,7 @@
   double room_part;   /* of the wait limit: below it there is room for all */
   double over_power;  /* how fast this falls beyond the share */
   double miss_weight; /* of the time to read a prompt, beside a wait */
-  double miss_weight_easy; /* the same while the pool has room */
+  double miss_weight_easy; /* the same, below the share */
   double move_weight;      /* of the time of a move, times that of reading */
   bool off[MT_RELAY_MECHANISM_COUNT]; /* mechanisms that are not used */
 } mt_relay_terms_t;
