The store is read from the past first, by few, and for what is lacking

Cause: 295 routers read each change for themselves, listed twice at each start and watched each feed of their own until they knew each other; each new engine at the start ended a watch of ten watchers; in an outage each watcher that failed was followed by the next until all routers tried.

First reads may be some seconds old (a tenth of the price); the watch or the news behind them tell the rest. News with engines that are not known here are taken for all others. Where nobody reaches the store the same few try. A list of a router that is no watcher is no news to the others: each start made all others read.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -494,9 +494,13 @@
   return mt_gateway_peers_taken(g->peers, kind);
 }
 
+int64_t mt_gateway_told (const mt_gateway_t *g, mt_feed_kind_t kind) {
+  return mt_gateway_peers_told(g->peers, kind);
+}
+
 void mt_gateway_set_feed (mt_gateway_t *g, mt_feed_kind_t kind,
-                          int64_t newest, int64_t at) {
-  mt_gateway_peers_set_feed(g->peers, kind, newest, at);
+                          int64_t newest, int64_t at, bool now) {
+  mt_gateway_peers_set_feed(g->peers, kind, newest, at, now);
 }
 
 void mt_gateway_set_source (mt_gateway_t *g, bool reachable) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -63,10 +63,13 @@
 */
 mt_peer_feed_t mt_gateway_feed (const mt_gateway_t *gateway,
                                 mt_feed_kind_t kind);
+/* `now`: it stands there now, and others may rely on that. */
 void mt_gateway_set_feed (mt_gateway_t *gateway, mt_feed_kind_t kind,
-                          int64_t newest, int64_t at);
+                          int64_t newest, int64_t at, bool now);
 /* Up to which revision all changes of a feed are known here. */
 int64_t mt_gateway_taken (const mt_gateway_t *gateway, mt_feed_kind_t kind);
+/* The same, but for engines that have come and that only the source tells. */
+int64_t mt_gateway_told (const mt_gateway_t *gateway, mt_feed_kind_t kind);
 void mt_gateway_set_source (mt_gateway_t *gateway, bool reachable);
 bool mt_gateway_watches (const mt_gateway_t *gateway);
 bool mt_gateway_leads (const mt_gateway_t *gateway);
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -31,6 +31,7 @@
 typedef struct feed_state_t {
   int64_t newest, at;
   int64_t taken;     /* all changes up to there are known here */
+  int64_t told;      /* likewise, but for engines that have come */
   mt_ms_t confirmed; /* 0: never */
 } feed_state_t;
 
@@ -311,10 +312,15 @@
 
 void mt_gateway_peers_set_feed (mt_gateway_peers_t *peers,
                                 mt_feed_kind_t kind, int64_t newest,
-                                int64_t at) {
+                                int64_t at, bool now) {
   feed_state_t *feed = &peers->feeds[kind];
   int64_t base = feed->taken;
   feed->taken = mt_max(feed->taken, at);
+  feed->told = mt_max(feed->told, at);
+  if (!now) {
+    if (kind == MT_FEED_ENGINES) peers->changes_count = 0;
+    return;
+  }
   bool changed = merge_feed(feed, newest, at, uv_now(peers->loop));
   if (changed && mt_gateway_peers_leads(peers))
     tell_news(peers, base, newest);
@@ -326,35 +332,39 @@
   return peers->feeds[kind].taken;
 }
 
+int64_t mt_gateway_peers_told (const mt_gateway_peers_t *peers,
+                               mt_feed_kind_t kind) {
+  return peers->feeds[kind].told;
+}
+
 /*
 ** Datagrams come from anybody, and an engine gets members' prompts: that
 ** one is there, and where, is only taken from the source itself.
 */
-static bool all_known (const mt_gateway_peers_t *peers,
-                       const mt_peer_message_t *m) {
-  for (size_t i = 0; i < m->entries_count; i++) {
-    const mt_peer_entry_t *entry = &m->entries[i];
-    uint64_t key = mt_engine_key(entry->name, strlen(entry->name));
-    const mt_engine_t *e = mt_engines_get(&peers->relay->engines, key);
-    if (entry->gone) continue;
-    if (e == NULL || strcmp(e->ip, entry->ip) != 0 || e->port != entry->port)
-      return false;
-  }
-  return true;
+static bool is_known (const mt_gateway_peers_t *peers,
+                      const mt_peer_entry_t *entry) {
+  uint64_t key = mt_engine_key(entry->name, strlen(entry->name));
+  const mt_engine_t *e = mt_engines_get(&peers->relay->engines, key);
+  if (entry->gone) return true;
+  return e != NULL && strcmp(e->ip, entry->ip) == 0 && e->port == entry->port;
 }
 
 /*
-** Takes changes that a watcher told, if none is missing in between; then what
-** is known here reaches as far as they do.
+** Takes changes that a watcher told, if none is missing in between. Engines
+** that are not known here stay unknown until the source tells of them; what
+** is told of all others, their leaving above all, does not wait for that.
 */
 static void on_news (mt_gateway_peers_t *peers, const mt_peer_message_t *m) {
   feed_state_t *feed = &peers->feeds[MT_FEED_ENGINES];
-  if (m->base == 0 || feed->taken < m->base) return;
-  if (feed->taken >= m->reach) return;
-  if (!all_known(peers, m)) return;
-  for (size_t i = 0; i < m->entries_count; i++)
-    peers->calls.entry(peers->calls.ud, &m->entries[i]);
-  feed->taken = m->reach;
+  bool all = feed->taken >= m->base;
+  if (m->base == 0 || feed->told < m->base || feed->told >= m->reach) return;
+  for (size_t i = 0; i < m->entries_count; i++) {
+    bool known = is_known(peers, &m->entries[i]);
+    if (known) peers->calls.entry(peers->calls.ud, &m->entries[i]);
+    all = all && known;
+  }
+  feed->told = m->reach;
+  if (all) feed->taken = m->reach;
 }
 
 void mt_gateway_peers_set_source (mt_gateway_peers_t *peers, bool reachable) {
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -52,16 +52,22 @@
 /* What is known of a feed, also from others. */
 mt_peer_feed_t mt_gateway_peers_feed (const mt_gateway_peers_t *peers,
                                       mt_feed_kind_t kind);
-/* The source itself said so just now; all up to there is known here. */
+/*
+** The source itself said so; all up to there is known here. `now`: it stands
+** there now, and others may rely on that; else it says nothing to them.
+*/
 void mt_gateway_peers_set_feed (mt_gateway_peers_t *peers,
                                 mt_feed_kind_t kind, int64_t newest,
-                                int64_t at);
+                                int64_t at, bool now);
 /* The source itself told of this change, before the next set_feed. */
 void mt_gateway_peers_changed (mt_gateway_peers_t *peers,
                                const mt_peer_entry_t *entry);
 /* Up to which revision everything is known here, by whomever. */
 int64_t mt_gateway_peers_taken (const mt_gateway_peers_t *peers,
                                 mt_feed_kind_t kind);
+/* The same, but for engines that have come and that only the source tells. */
+int64_t mt_gateway_peers_told (const mt_gateway_peers_t *peers,
+                               mt_feed_kind_t kind);
 /* Whether this router reaches the source. */
 void mt_gateway_peers_set_source (mt_gateway_peers_t *peers, bool reachable);
 /* Whether this router should watch the source, and for others, too. */
--- a/src/gateway/membership.c
+++ b/src/gateway/membership.c
@@ -134,15 +134,25 @@
   return keeper != 0 ? keeper : heaviest(m, engine, 0);
 }
 
-bool mt_membership_watches (const mt_membership_t *m) {
-  if (m->live < ALL_WATCH) return true;
+/*
+** Who reaches the source goes before who does not, then the greater hash.
+** Where nobody reaches it the same few go on trying: when each that failed
+** was followed by the next, an outage set all routers of a domain to trying.
+*/
+static bool goes_before (const mt_membership_t *m, const mt_peer_t *peer) {
   uint64_t own = mtV_mix(WATCH_SALT, m->own_ip);
+  if (peer->source != m->own_source) return peer->source;
+  return mtV_mix(WATCH_SALT, peer->ip) > own;
+}
+
+bool mt_membership_watches (const mt_membership_t *m) {
   int before = 0;
+  if (m->live < ALL_WATCH) return true;
   for (size_t i = 0; i < m->count; i++) {
     const mt_peer_t *peer = m->list[i];
-    if (peer->domain != m->own_domain || !peer->source) continue;
+    if (peer->domain != m->own_domain) continue;
     if (!mt_membership_is_live(m, peer)) continue;
-    before += mtV_mix(WATCH_SALT, peer->ip) > own;
+    before += goes_before(m, peer);
   }
   return before < WATCHERS;
 }
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -16,7 +16,7 @@
 #define MT_PEER_SHARES_MAX 700
 #define MT_PEER_ENGINES_MAX 64
 #define MT_PEER_PARTS_MAX 16
-#define MT_PEER_ENTRIES_MAX 24
+#define MT_PEER_ENTRIES_MAX 96
 
 typedef enum mt_peer_kind_t {
   MT_PEER_HELLO,   /* a router's own shares, to the routers of its group */
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -268,6 +268,32 @@
   EXPECT_EQ(World::status_of(w.call(World::ask("/safe/x", "id5"))), 401);
 }
 
+// A list from the past names the store's revision of now: what it does not
+// show yet must still be learnt.
+TEST(Gateway, AListFromThePastIsNotTakenAtItsWord) {
+  World w;
+  int ran = 0;
+  Listener *e1 = w.listen([&] (Conn &c, const Request &r) {
+    ran++;
+    c.send(good(r, "x"));
+  });
+  Listener *e2 =
+      w.listen([&] (Conn &c, const Request &r) { c.send(good(r, "x")); });
+  w.engine("i-1", "plain", e1);
+  w.engine("i-2", "plain", e2);
+  w.past = w.items;
+  w.engine("i-1", "plain", e1, "draining");
+  w.seeds = "\"127.0.0.1:9\"";
+  w.start();
+  EXPECT_GT(w.past_asked, 0);
+  ASSERT_TRUE(w.until(
+      [&] { return w.log.find("running=0 outcome=leaving") != w.log.npos; }));
+  int before = ran;
+  for (int i = 0; i < 5; i++)
+    EXPECT_EQ(World::status_of(w.call(World::ask("/safe/x", "id2"))), 200);
+  EXPECT_EQ(ran, before);
+}
+
 TEST(Gateway, APlannedStopFinishesWhatIsAtHand) {
   World w;
   Conn *at_engine = nullptr;
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -240,6 +240,14 @@
     if (before.count(m.own_ip) == 0 && mt_membership_watches(&m))
       after.insert(m.own_ip);
   EXPECT_EQ(after.size(), 6u);
+  // Where nobody reaches it a few go on trying, not all.
+  size_t trying = 0;
+  for (mt_membership_t &m : fleet.routers) {
+    m.own_source = false;
+    for (size_t i = 0; i < m.count; i++) m.list[i]->source = false;
+    trying += mt_membership_watches(&m);
+  }
+  EXPECT_EQ(trying, 6u);
 }
 
 // }==
