Engines of the own failure domain are asked first, others when it is full

Change: src/relay/candidates. Shared parts gather at a home in each domain beside the one of all; a request asks about the two homes and about the best of sixteen engines of its domain, looked at in an order of its own; when the best has no room it asks about engines of other domains, once. An engine of another domain must be 15 ms better (setting relay.cross_ms, mechanism far_round). Homes are found once a request.

Ruled out: a second round in the own domain was worth nothing before and is not made. With lists looked at whole and by every question the same choice took several times the time (find_home per engine and question).

Test KeepersAreAskedOnceThenItIsDecided stands: engines without another domain are asked about once.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -449,6 +449,7 @@
   if (e->domain == NULL || strcmp(e->domain, engine->domain) != 0) {
     free(e->domain);
     e->domain = strdup(engine->domain);
+    e->far = strcmp(e->domain, g->relay->domain) != 0;
   }
   set_state(g, e, engine->leaving ? MT_ENGINE_LEAVING : MT_ENGINE_READY,
             is_new);
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -7,7 +7,7 @@
 
 #include "gateway_peers.h"
 #include "load_teller.h"
-#include "placement.h"
+#include "prompt_memory.h"
 
 #define INTERVAL_MIN_MS 150 /* between two messages to a peer, at least */
 #define BYTES_PER_S 8000    /* of greetings and summaries together, at most */
@@ -410,7 +410,8 @@
 /* Tells the keeper of the home where parts were read instead. */
 static void tell_holder (mt_gateway_peers_t *peers,
                          const mt_relay_request_t *r) {
-  const mt_engine_t *home = mt_placement_home(peers->relay, r);
+  const mt_engine_t *home =
+      mt_engines_get(&peers->relay->engines, r->home_of_all);
   if (home == NULL || !mt_prompt_memory_is_news(r)) return;
   uint32_t keeper = keeper_of(peers, home);
   uint64_t part = mt_prompt_memory_home_part(r->parts, r->parts_count);
@@ -472,8 +473,8 @@
                            const mt_relay_request_t *r) {
   uint32_t keepers[MT_RELAY_CANDIDATES_MAX];
   mt_relay_quote_t own[MT_RELAY_CANDIDATES_MAX];
-  size_t own_count = 0, end = r->candidates_count;
-  for (size_t i = 0; i < end; i++) {
+  size_t own_count = 0, first = r->round_first, end = r->candidates_count;
+  for (size_t i = first; i < end; i++) {
     uint64_t key = r->candidates[i].engine;
     const mt_engine_t *e = mt_engines_get(&peers->relay->engines, key);
     keepers[i] = e ? keeper_of(peers, e) : 0;
@@ -481,7 +482,7 @@
       own[own_count++] =
           mt_relay_quote(peers->relay, key, 0, r->parts, r->parts_count);
   }
-  for (size_t i = 0; i < end; i++) {
+  for (size_t i = first; i < end; i++) {
     uint32_t keeper = keepers[i];
     if (keeper == 0 || keeper == peers->members.own_ip) continue;
     mt_peer_message_t *m = begin(peers, MT_PEER_ASK);
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -24,6 +24,7 @@
 #define MISS_WEIGHT 50.0
 #define MISS_WEIGHT_EASY 13.0
 #define MOVE_WEIGHT 3.0
+#define CROSS_MS 15.0
 
 static const mt_field_t fields[] = {
     {"node", MT_F_STRING, true, 1, MT_NAME_MAX},
@@ -86,6 +87,7 @@
   terms->miss_weight = real(relay, "miss_weight", MISS_WEIGHT);
   terms->miss_weight_easy = real(relay, "miss_weight_easy", MISS_WEIGHT_EASY);
   terms->move_weight = real(relay, "move_weight", MOVE_WEIGHT);
+  terms->cross_ms = real(relay, "cross_ms", CROSS_MS);
   json_array_foreach (json_object_get(relay, "off"), i, name) {
     mt_relay_mechanism_t which = mt_relay_mechanism(
         json_string_value(name) ? json_string_value(name) : "");
--- /dev/null
+++ b/src/relay/candidates.h
@@ -0,0 +1,31 @@
+/*
+** candidates.h - which engines a request asks about before it is placed
+**
+** A part that many prompts share gathers at homes: one engine that all
+** routers agree on, and one in each failure domain, so that requests need not
+** leave their domain for it.
+*/
+#ifndef candidates_h
+#define candidates_h
+
+#include "relay.h"
+
+/* True when the request may be sent to the engine. */
+bool mt_candidates_usable (const mt_relay_t *relay,
+                           const mt_relay_request_t *request,
+                           const mt_engine_t *engine);
+
+/* Finds the homes of the request's shared parts, among engines as they are.
+ */
+void mt_candidates_find_homes (mt_relay_t *relay,
+                               mt_relay_request_t *request);
+
+/*
+** The next engine whose keeper should be asked for the request, or NULL: in
+** the first round the homes and others of the own failure domain, in the
+** second those of other domains. None is named twice.
+*/
+const mt_engine_t *mt_candidates_next (mt_relay_t *relay,
+                                       const mt_relay_request_t *request);
+
+#endif
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -4,6 +4,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "candidates.h"
 #include "placement.h"
 #include "quotes.h"
 
@@ -14,20 +15,6 @@
 #define ROOM_POWER 3   /* how fast room falls beyond the share */
 #define OVER_LIMIT_MS 2500.0 /* there it would be refused */
 
-static bool was_tried (const mt_relay_request_t *r, uint64_t key) {
-  for (int i = 0; i < r->tried_count; i++)
-    if (r->tried[i] == key) return true;
-  return false;
-}
-
-static bool usable (const mt_relay_t *relay, const mt_relay_request_t *r,
-                    const mt_engine_t *e) {
-  if (e->service != r->service || e->state != MT_ENGINE_READY) return false;
-  if (e->unreachable) return false;
-  if (e->hold > relay->now && !relay->terms.off[MT_RELAY_REST]) return false;
-  return !was_tried(r, e->key);
-}
-
 static int running (const mt_engine_t *e) {
   return e->here.running + e->peers.running;
 }
@@ -36,28 +23,6 @@
   return e->here.unread + e->peers.unread;
 }
 
-/*
-** Every router finds the same home for a part without being told: the engine
-** with the greatest hash of both. `but` leaves one out: the second home.
-*/
-static mt_engine_t *find_home (mt_relay_t *relay, const mt_relay_request_t *r,
-                               const mt_engine_t *but) {
-  uint64_t part = mt_prompt_memory_home_part(r->parts, r->parts_count),
-           best_weight = 0;
-  if (relay->terms.off[MT_RELAY_HOME]) return NULL;
-  mt_engine_t *best = NULL;
-  for (size_t i = 0; part != 0 && i < relay->engines.count; i++) {
-    mt_engine_t *e = relay->engines.list[i];
-    if (e->service != r->service || e->state != MT_ENGINE_READY) continue;
-    if (e == but) continue;
-    uint64_t weight = mtV_mix(part, e->key);
-    if (best != NULL && weight <= best_weight) continue;
-    best = e;
-    best_weight = weight;
-  }
-  return best;
-}
-
 /* What the request's workspace got, as a multiple of its share. */
 static double standing_of (mt_relay_t *relay, const mt_relay_request_t *r) {
   if (r->workspace == 0) return 0;
@@ -97,121 +62,120 @@
   return limit;
 }
 
-/* Which engines are looked at. */
-typedef enum pick_t {
-  PICK_ANY,
-  PICK_QUOTED, /* those whose keepers answered */
-  PICK_UNASKED /* those whose keepers were not asked */
-} pick_t;
-
-static bool picked (pick_t pick, const mt_relay_request_t *r,
-                    const mt_engine_t *e) {
-  const mt_relay_candidate_t *told = mt_quotes_find(r, e->key);
-  switch (pick) {
-    case PICK_ANY: return true;
-    case PICK_QUOTED: return told != NULL && told->quoted;
-    case PICK_UNASKED: return told == NULL;
-  }
-  return true;
-}
+/* {== Costs of engines ================================================= */
 
-static mt_placement_t choose_model (mt_relay_t *relay,
-                                    const mt_relay_request_t *r,
-                                    const mt_catalog_service_t *service,
-                                    pick_t pick) {
-  mt_placement_t best = {.engine = NULL};
-  double best_cost = 0;
-  mt_read_line_t line = mt_relay_read_line(relay, r->service);
-  double rate = 1 / line.ms_per_token;
-  mt_engine_t *home = find_home(relay, r, NULL);
+/* What is the same for all engines that a request may go to. */
+typedef struct costs_t {
+  const mt_relay_t *relay;
+  const mt_relay_request_t *request;
+  const mt_catalog_service_t *service; /* of a model, or NULL */
+  mt_read_line_t line;
+  mt_engine_t *source; /* keeps `there` tokens of the prompt, or NULL */
   int64_t there;
-  mt_engine_t *source = mt_prompt_memory_source(relay, r, service, &there);
-  int64_t memory = service->memory;
-  /* What is read at home is read for all that follow: it isn't held against
-     the home, or parts would never gather there. */
-  int64_t unshared = mt_max(r->tokens_in - mt_prompt_memory_shared(r), 1);
-  double limit = wait_limit(relay, r, service), ease = ease_of(relay, r);
-  double reading = relay->terms.miss_weight * (1 - ease) +
-                   relay->terms.miss_weight_easy * ease;
-  for (size_t i = 0; i < relay->engines.count; i++) {
-    mt_engine_t *e = relay->engines.list[i];
-    if (!usable(relay, r, e) || !picked(pick, r, e)) continue;
-    int64_t kept = mt_prompt_memory_kept(r, e, memory);
-    mt_fetch_t fetch = mt_prompt_memory_fetch(service, source, there, e, kept,
-                                              line.ms_per_token);
-    int64_t miss = mt_max(r->tokens_in - kept - fetch.tokens, 1);
-    int64_t weighed = e == home ? mt_min(miss, unshared) : miss;
-    double wait = (double)unread(e) / rate * e->slowness;
-    bool full = running(e) >= e->slots;
-    int64_t held = e->here.held + e->peers.held + miss;
-    double read = (double)miss / rate * e->slowness;
-    double first = line.fixed_ms + wait + read + fetch.ms;
-    double cost = wait + (double)weighed / rate * e->slowness * reading;
-    cost += fetch.ms * relay->terms.move_weight * reading;
-    if (wait > limit) cost += ease * OVER_LIMIT_MS;
-    cost += running(e) * RUNNING_MS;
-    if (full) cost += FULL_PENALTY_MS;
-    if (memory > 0 && held > memory) cost += MEMORY_PENALTY_MS;
-    cost += e->failures * FAILING_PENALTY_MS;
-    if (best.engine != NULL && cost >= best_cost) continue;
-    best = (mt_placement_t){e, miss, wait, first, full, e == home, fetch};
-    best_cost = cost;
-  }
-  return best;
-}
-
-static mt_placement_t
-choose_plain (mt_relay_t *relay, const mt_relay_request_t *r, pick_t pick) {
-  mt_placement_t best = {.engine = NULL};
-  double best_cost = 0;
-  for (size_t i = 0; i < relay->engines.count; i++) {
-    mt_engine_t *e = relay->engines.list[i];
-    if (!usable(relay, r, e) || !picked(pick, r, e)) continue;
-    bool near = e->domain != NULL && strcmp(e->domain, relay->domain) == 0;
-    double cost = (double)(running(e) + 1) / mt_max(e->slots, 1);
-    cost += near ? 0 : 0.5 / mt_max(e->slots, 1);
-    cost += e->failures;
-    if (best.engine != NULL && cost >= best_cost) continue;
-    best = (mt_placement_t){.engine = e, .full = running(e) >= e->slots};
-    best_cost = cost;
-  }
-  return best;
-}
-
-static mt_placement_t choose (mt_relay_t *relay, const mt_relay_request_t *r,
-                              pick_t pick) {
+  int64_t unshared; /* tokens of the prompt that only it has */
+  double limit, ease;
+  double reading; /* weight of the time to read, beside a wait */
+  mt_placement_t best;
+  double best_cost;
+} costs_t;
+
+static costs_t begin_costs (mt_relay_t *relay, const mt_relay_request_t *r) {
   const mt_catalog_service_t *service =
       mt_catalog_service(relay->catalog, r->service);
-  if (service != NULL && service->model)
-    return choose_model(relay, r, service, pick);
-  return choose_plain(relay, r, pick);
+  costs_t c = {.relay = relay, .request = r};
+  if (service == NULL || !service->model) return c;
+  c.service = service;
+  c.line = mt_relay_read_line(relay, r->service);
+  c.unshared = mt_max(r->tokens_in - mt_prompt_memory_shared(r), 1);
+  c.limit = wait_limit(relay, r, service);
+  c.ease = ease_of(relay, r);
+  c.reading = relay->terms.miss_weight * (1 - c.ease) +
+              relay->terms.miss_weight_easy * c.ease;
+  return c;
 }
 
+/*
+** The expected time to the first event, reading of unkept parts weighed more.
+** What is read at a home is read for all that follow: it isn't held against
+** the home, or parts would never gather there.
+*/
+static double model_cost (const costs_t *c, mt_engine_t *e,
+                          mt_placement_t *p) {
+  const mt_relay_request_t *r = c->request;
+  const mt_relay_terms_t *terms = &c->relay->terms;
+  int64_t memory = c->service->memory;
+  int64_t kept = mt_prompt_memory_kept(r, e, memory);
+  mt_fetch_t fetch = mt_prompt_memory_fetch(c->service, c->source, c->there,
+                                            e, kept, c->line.ms_per_token);
+  int64_t miss = mt_max(r->tokens_in - kept - fetch.tokens, 1);
+  bool gathers = e->key == r->home_of_all || e->key == r->home_near;
+  int64_t weighed = gathers ? mt_min(miss, c->unshared) : miss;
+  double per_token = c->line.ms_per_token * e->slowness;
+  double wait = (double)unread(e) * per_token;
+  double read = (double)miss * per_token;
+  bool full = running(e) >= e->slots;
+  int64_t held = e->here.held + e->peers.held + miss;
+  double cost = wait + (double)weighed * per_token * c->reading;
+  cost += fetch.ms * terms->move_weight * c->reading;
+  if (wait > c->limit) cost += c->ease * OVER_LIMIT_MS;
+  cost += running(e) * RUNNING_MS;
+  if (full) cost += FULL_PENALTY_MS;
+  if (memory > 0 && held > memory) cost += MEMORY_PENALTY_MS;
+  cost += e->failures * FAILING_PENALTY_MS;
+  if (e->far) cost += terms->cross_ms;
+  *p = (mt_placement_t){.engine = e,
+                        .miss = miss,
+                        .wait_ms = wait,
+                        .first_ms = c->line.fixed_ms + wait + read + fetch.ms,
+                        .full = full,
+                        .home = e->key == r->home_of_all,
+                        .fetch = fetch};
+  return cost;
+}
+
+/* The used share of slots, those of the router's own domain first. */
+static double plain_cost (const costs_t *c, mt_engine_t *e,
+                          mt_placement_t *p) {
+  double slots = mt_max(e->slots, 1);
+  *p = (mt_placement_t){.engine = e, .full = running(e) >= e->slots};
+  return (running(e) + 1) / slots + (e->far ? 0.5 / slots : 0) + e->failures;
+}
+
+/* Keeps the engine if it is better than the best so far. */
+static void weigh (costs_t *c, mt_engine_t *e) {
+  mt_placement_t p;
+  if (!mt_candidates_usable(c->relay, c->request, e)) return;
+  double cost = c->service ? model_cost(c, e, &p) : plain_cost(c, e, &p);
+  if (c->best.engine != NULL && cost >= c->best_cost) return;
+  c->best = p;
+  c->best_cost = cost;
+}
+
+/* }== */
+
 mt_placement_t mt_placement_choose (mt_relay_t *relay,
                                     const mt_relay_request_t *r) {
-  if (mt_quotes_any(r)) {
-    mt_placement_t told = choose(relay, r, PICK_QUOTED);
-    if (told.engine != NULL) return told;
+  costs_t c = begin_costs(relay, r);
+  if (c.service != NULL)
+    c.source = mt_prompt_memory_source(relay, r, c.service, &c.there);
+  for (size_t i = 0; i < r->candidates_count; i++) {
+    const mt_relay_candidate_t *told = &r->candidates[i];
+    mt_engine_t *e = mt_engines_get(&relay->engines, told->engine);
+    if (told->quoted && e != NULL) weigh(&c, e);
   }
-  return choose(relay, r, PICK_ANY);
-}
-
-const mt_engine_t *mt_placement_home (mt_relay_t *relay,
-                                      const mt_relay_request_t *r) {
-  return find_home(relay, r, NULL);
-}
-
-const mt_engine_t *mt_placement_candidate (mt_relay_t *relay,
-                                           const mt_relay_request_t *r) {
-  const mt_engine_t *home = NULL;
-  if (r->parts_count > 0 && r->candidates_count < 2)
-    home = find_home(relay, r, NULL);
-  if (home != NULL && r->candidates_count == 1)
-    home = relay->terms.off[MT_RELAY_SECOND_HOME] ? NULL
-                                                  : find_home(relay, r, home);
-  if (home != NULL && usable(relay, r, home) && !mt_quotes_find(r, home->key))
-    return home;
-  return choose(relay, r, PICK_UNASKED).engine;
+  if (c.best.engine != NULL) return c.best;
+  for (size_t i = 0; i < relay->engines.count; i++)
+    weigh(&c, relay->engines.list[i]);
+  return c.best;
+}
+
+mt_engine_t *mt_placement_best_of (mt_relay_t *relay,
+                                   const mt_relay_request_t *r,
+                                   mt_engine_t *const *engines,
+                                   size_t count) {
+  costs_t c = begin_costs(relay, r);
+  for (size_t i = 0; i < count; i++) weigh(&c, engines[i]);
+  return c.best.engine;
 }
 
 bool mt_placement_admits (mt_relay_t *relay, const mt_relay_request_t *r,
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -17,24 +17,19 @@
 } mt_placement_t;
 
 /*
-** The best engine for the request. Language models: the least expected time
-** to the first event, reading of unkept parts weighed more; else the least
-** used share of slots, those of the router's own domain first.
+** The best engine for the request: of those whose keepers answered, if any
+** can take it, else of all. Language models: the least expected time to the
+** first event, reading of unkept parts weighed more; else the least used
+** share of slots. Those of the router's own failure domain go before others
+** that are as good.
 */
 mt_placement_t mt_placement_choose (mt_relay_t *relay,
                                     const mt_relay_request_t *request);
 
-/* The engine at which all routers expect its shared parts, or NULL. */
-const mt_engine_t *mt_placement_home (mt_relay_t *relay,
-                                      const mt_relay_request_t *request);
-
-/*
-** The next engine whose keeper should be asked for the request, or NULL:
-** first the two that all routers would choose for its shared parts, then
-** those that this router believes to be the best. None is named twice.
-*/
-const mt_engine_t *mt_placement_candidate (mt_relay_t *relay,
-                                           const mt_relay_request_t *request);
+/* The best of these, as far as this router knows; NULL: none is usable. */
+mt_engine_t *mt_placement_best_of (mt_relay_t *relay,
+                                   const mt_relay_request_t *request,
+                                   mt_engine_t *const *engines, size_t count);
 
 /* True when the request should go there now rather than be refused. */
 bool mt_placement_admits (mt_relay_t *relay,
--- a/src/relay/quotes.c
+++ b/src/relay/quotes.c
@@ -1,11 +1,12 @@
 /*
 ** quotes.c - asks the keepers of a few engines before a request is placed
 */
-#include "placement.h"
+#include "candidates.h"
 #include "quotes.h"
 
 #define WAIT_MS 20      /* for answers of keepers */
 #define USUAL_FADE 0.95 /* per answer of a home's keeper */
+#define ROUNDS_MOST 2   /* the own failure domain's engines, then others' */
 #define FRESH_MS 250    /* an answer is taken as it is for so long */
 #define FADE_PART 0.2   /* of the difference, per update */
 
@@ -28,14 +29,18 @@
 }
 
 bool mt_quotes_ask (mt_relay_t *relay, mt_relay_request_t *r) {
-  if (relay->routers < 2 || r->asked != 0) return false;
+  size_t before = r->candidates_count;
+  if (relay->routers < 2 || r->rounds >= ROUNDS_MOST) return false;
   if (relay->terms.off[MT_RELAY_QUOTES]) return false;
-  for (int i = 0; i < MT_RELAY_CANDIDATES_MAX; i++) {
-    const mt_engine_t *e = mt_placement_candidate(relay, r);
+  if (r->rounds > 0 && relay->terms.off[MT_RELAY_FAR_ROUND]) return false;
+  for (int i = 0; i < MT_RELAY_ROUND_MAX; i++) {
+    const mt_engine_t *e = mt_candidates_next(relay, r);
     if (e == NULL) break;
     add_candidate(r, e);
   }
-  if (r->candidates_count == 0) return false;
+  if (r->candidates_count == before) return false;
+  r->round_first = before;
+  r->rounds++;
   r->asked = relay->now;
   return true;
 }
@@ -68,7 +73,7 @@
       if (k == 0) learn_usual(relay, r, &quote->peers);
     }
   }
-  for (size_t k = 0; k < r->candidates_count; k++)
+  for (size_t k = r->round_first; k < r->candidates_count; k++)
     if (!r->candidates[k].quoted) return false;
   return true;
 }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "candidates.h"
 #include "placement.h"
 #include "quotes.h"
 #include "relay.h"
@@ -200,6 +201,7 @@
 /* Starts anew elsewhere; false when there is no engine or budget for it. */
 static bool retry (mt_relay_t *relay, mt_relay_request_t *r,
                    mt_relay_retry_t reason) {
+  mt_candidates_find_homes(relay, r);
   mt_placement_t p = mt_placement_choose(relay, r);
   if (p.engine == NULL || !take_budget(relay, r)) return false;
   relay->counters.retries[reason]++;
@@ -345,6 +347,7 @@
     mt_fair_share_asked(&relay->shares, r->workspace, r->cost);
   if (r->workspace != 0)
     r->standing = mt_fair_share_standing(&relay->shares, r->workspace);
+  mt_candidates_find_homes(relay, r);
   if (!ask_keepers(relay, r)) place(relay, r);
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -209,7 +209,8 @@
   MT_RELAY_ASKING     /* not placed: keepers of engines were asked */
 } mt_relay_phase_t;
 
-#define MT_RELAY_CANDIDATES_MAX 4 /* engines whose keepers are asked */
+#define MT_RELAY_ROUND_MAX 4      /* keepers of engines asked at a time */
+#define MT_RELAY_CANDIDATES_MAX 8 /* and in all rounds */
 
 /* An engine that a request may go to, if its keeper says that it has room. */
 typedef struct mt_relay_candidate_t {
@@ -239,8 +240,11 @@
   mt_prefix_part_t parts[MT_RELAY_PARTS_MAX];
   size_t parts_count;
   /* Where it may go. */
+  uint64_t home_of_all, home_near; /* engines where its shared parts gather,
+                                      0: none */
   mt_relay_candidate_t candidates[MT_RELAY_CANDIDATES_MAX];
-  size_t candidates_count;
+  size_t candidates_count, round_first; /* of the last round */
+  int rounds;
   mt_ms_t asked;
   /* Its current attempt. */
   mt_engine_t *engine;
@@ -283,6 +287,7 @@
   ROW(MT_RELAY_HOME, "home")               /* of shared parts */            \
   ROW(MT_RELAY_SECOND_HOME, "second_home") /* is asked, too */              \
   ROW(MT_RELAY_QUOTES, "quotes")           /* of keepers */                 \
+  ROW(MT_RELAY_FAR_ROUND, "far_round")     /* others' when own are full */  \
   ROW(MT_RELAY_HOLDERS, "holders")         /* of parts read away */         \
   ROW(MT_RELAY_OWED, "owed")               /* leaving home below a share */ \
   ROW(MT_RELAY_SLOWNESS, "slowness")       /* of single engines */          \
@@ -308,6 +313,8 @@
   double miss_weight; /* of the time to read a prompt, beside a wait */
   double miss_weight_easy; /* the same, below the share */
   double move_weight;      /* of the time of a move, times that of reading */
+  double
+      cross_ms; /* that an engine of another failure domain must be better */
   bool off[MT_RELAY_MECHANISM_COUNT]; /* mechanisms that are not used */
 } mt_relay_terms_t;
 
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -357,7 +358,7 @@
   w.relay->routers = 2;
   w.ask(1, "/stream/x");
   std::vector<uint64_t> keys = asked(w, 1);
-  ASSERT_EQ(keys.size(), (size_t)MT_RELAY_CANDIDATES_MAX);
+  ASSERT_EQ(keys.size(), (size_t)MT_RELAY_ROUND_MAX);
   EXPECT_EQ(std::set<uint64_t>(keys.begin(), keys.end()).size(), keys.size());
   std::vector<mt_relay_quote_t> quotes;
   for (uint64_t key : keys) quotes.push_back(quote_of(key, 500000));
@@ -408,7 +409,7 @@
     w.relay->routers = 2;
     w.ask(1, "/stream/x");
     std::vector<uint64_t> first = asked(w, 1);
-    EXPECT_EQ(first.size(), (size_t)MT_RELAY_CANDIDATES_MAX);
+    EXPECT_EQ(first.size(), (size_t)MT_RELAY_ROUND_MAX);
     std::vector<mt_relay_quote_t> quotes;
     for (uint64_t key : first) quotes.push_back(quote_of(key, row.unread));
     quote(w, 1, quotes);
@@ -418,6 +419,72 @@
   }
 }
 
+// Engines m1 to m8 in the own failure domain, m9 to m16 in another.
+TEST(RelayQuotes, OtherFailureDomainsAreAskedWhenTheOwnHasNoRoom) {
+  struct Row {
+    const char *what;
+    int64_t near, far; // unread at every engine there
+    bool off;          // the second round
+    bool taken;
+  } rows[] = {{"room here", 0, 0, false, true},
+              {"room elsewhere", 500000, 0, false, true},
+              {"room nowhere", 500000, 500000, false, false},
+              {"switched off", 500000, 0, true, false}};
+  for (const Row &row : rows) {
+    Relay w(16);
+    w.declare();
+    w.relay->routers = 2;
+    w.relay->terms.cross_ms = 15;
+    w.relay->terms.off[MT_RELAY_FAR_ROUND] = row.off;
+    std::set<uint64_t> far;
+    for (int i = 1; i <= 16; i++) {
+      mt_engine_t *e = w.find("m" + std::to_string(i));
+      e->far = i > 8;
+      if (i > 8) far.insert(e->key);
+    }
+    w.ask(1, "/stream/x");
+    size_t told = 0, rounds = 0;
+    std::vector<uint64_t> keys = asked(w, 1);
+    while (!keys.empty()) {
+      std::vector<mt_relay_quote_t> quotes;
+      size_t abroad = 0;
+      for (; told < keys.size(); told++) {
+        bool is_far = far.count(keys[told]) > 0;
+        abroad += is_far;
+        quotes.push_back(quote_of(keys[told], is_far ? row.far : row.near));
+      }
+      // At first the own domain's, and the engine that is home for all.
+      EXPECT_TRUE(rounds == 0 ? abroad <= 1 : abroad == quotes.size());
+      rounds++;
+      // Room at the home for all would be room elsewhere: not in this test.
+      if (rounds == 1)
+        for (mt_relay_quote_t &q : quotes) q.peers.unread = row.near;
+      quote(w, 1, quotes);
+      keys = asked(w, 1);
+    }
+    EXPECT_EQ(w.find(MT_RELAY_DO_START) != nullptr, row.taken) << row.what;
+    EXPECT_EQ(w.refusal() == MT_RELAY_BUSY, !row.taken) << row.what;
+    EXPECT_EQ(rounds, row.near > 0 && !row.off ? 2u : 1u) << row.what;
+  }
+}
+
+// Each request looks at other engines, and at so many only.
+TEST(RelayQuotes, RequestsDoNotAllLookAtTheSameEngines) {
+  Relay w(60);
+  w.declare();
+  w.relay->routers = 2;
+  std::map<uint64_t, int> asked_about;
+  const int requests = 600;
+  for (uint64_t number = 1; number <= requests; number++) {
+    w.ask(number, "/stream/x");
+    std::vector<uint64_t> keys = asked(w, number);
+    for (size_t i = 2; i < keys.size(); i++) asked_about[keys[i]]++;
+  }
+  EXPECT_GE(asked_about.size(), 58u); // all but the homes
+  for (auto &engine : asked_about)
+    EXPECT_LE(engine.second, 5 * 2 * requests / 60) << engine.first;
+}
+
 TEST(RelayQuotes, AloneNobodyIsAsked) {
   Relay w(8);
   w.declare();
