--- /dev/null
+++ b/src/gateway/gateway_state.h
@@ -0,0 +1,38 @@
+/*
+** gateway_state.h - the state of a gateway, for the files that it consists of
+**
+** gateway.c has the life of connections and of the process, gateway_feeds.c
+** what comes from the source of declarations. Nobody else includes this.
+*/
+#ifndef gateway_state_h
+#define gateway_state_h
+
+#include "gateway.h"
+#include "gateway_peers.h"
+#include "overload.h"
+
+struct mt_gateway_t {
+  uv_loop_t *loop;
+  mt_gateway_settings_t settings;
+  const mt_dialect_t *dialect;
+  mt_relay_t *relay;
+  mt_http_server_t *callers, *ready, *metrics;
+  mt_http_client_t *engines;
+  mt_gateway_peers_t *peers;
+  mt_log_writer_t *log;
+  uv_timer_t tick;
+  mt_map_t passages;
+  uint64_t next_number;
+  mt_ms_t started, stopping; /* 0: not ordered to stop */
+  mt_ms_t ticked;            /* the last tick */
+  mt_overload_t overload;
+  mt_text_t scratch;
+};
+
+/* The relay's call: an engine is gone; nothing waits for it any more. */
+void mt_gateway_engine_gone (void *gateway, const mt_engine_t *engine);
+
+/* The peers' call: a watcher told of a change in the list of engines. */
+void mt_gateway_take_entry (void *gateway, const mt_peer_entry_t *entry);
+
+#endif
