Metrics tell what is sent to other routers, by kind and across domains

Cause: bytes between failure domains are the dearest price of the large fleet, and nothing told an operator which messages they were. Counters by kind of message, within the domain and to others, on the metrics page, with a test.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -391,7 +391,9 @@
                                      .engines = g->engines,
                                      .callers = g->callers,
                                      .overload = &g->overload,
-                                     .log = g->log};
+                                     .log = g->log,
+                                     .traffic =
+                                         mt_gateway_peers_traffic(g->peers)};
   mt_gateway_metrics(&from, &g->scratch);
   mt_http_exchange_head(x, 200, type, sizeof type - 1, (int64_t)g->scratch.n);
   mt_http_exchange_data(x, g->scratch.p, g->scratch.n);
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -32,6 +32,27 @@
                    (unsigned long long)c->retries[i]);
 }
 
+static void peers (const mt_peer_traffic_t *traffic, mt_text_t *out) {
+  describe(out, "peer_messages_total", "counter",
+           "Messages sent to other routers, by kind.");
+  for (int i = 0; i < MT_PEER_KINDS; i++)
+    mt_text_format(out, PREFIX "peer_messages_total{kind=\"%s\"} %llu\n",
+                   mt_peer_kind_name((mt_peer_kind_t)i),
+                   (unsigned long long)traffic[i].messages);
+  describe(out, "peer_bytes_total", "counter",
+           "Their bytes, within the failure domain and to others.");
+  for (int i = 0; i < MT_PEER_KINDS; i++) {
+    const char *kind = mt_peer_kind_name((mt_peer_kind_t)i);
+    uint64_t far = traffic[i].bytes_far;
+    mt_text_format(
+        out, PREFIX "peer_bytes_total{kind=\"%s\",to=\"domain\"} %llu\n",
+        kind, (unsigned long long)(traffic[i].bytes - far));
+    mt_text_format(
+        out, PREFIX "peer_bytes_total{kind=\"%s\",to=\"others\"} %llu\n",
+        kind, (unsigned long long)far);
+  }
+}
+
 static double processor_seconds (void) {
   struct timespec ts;
   clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
@@ -76,6 +97,7 @@
          "Rounds that some keeper did not answer in time.",
          (double)c->quotes_late);
   reasons(c, out);
+  peers(from->traffic, out);
   number(out, "requests", "gauge", "Requests in progress.",
          (double)relay->count);
   number(out, "engines", "gauge", "Engines known.",
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -7,6 +7,7 @@
 #include "dialect.h"
 #include "http_client.h"
 #include "http_server.h"
+#include "gateway_peers.h"
 #include "log_writer.h"
 #include "overload.h"
 
@@ -17,6 +18,7 @@
   const mt_http_server_t *callers;
   const mt_overload_t *overload;
   const mt_log_writer_t *log;
+  const mt_peer_traffic_t *traffic; /* by kind of message */
 } mt_gateway_metrics_t;
 
 void mt_gateway_metrics (const mt_gateway_metrics_t *from, mt_text_t *out);
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -35,6 +35,7 @@
   feed_state_t feeds[MT_FEEDS];
   mt_peer_entry_t changes[MT_PEER_ENTRIES_MAX]; /* to be told as news */
   size_t changes_count;
+  mt_peer_traffic_t traffic[MT_PEER_KINDS];
   mt_peer_message_t in, out;
   char input[MT_PEER_DATAGRAM_MAX], output[MT_PEER_DATAGRAM_MAX];
 };
@@ -66,10 +67,20 @@
   return &peers->out;
 }
 
+static void count (mt_gateway_peers_t *peers, uint32_t ip, size_t n) {
+  mt_peer_traffic_t *traffic = &peers->traffic[peers->out.kind];
+  const mt_peer_t *peer = mtV_get(&peers->members.by_ip, ip);
+  bool near = peer != NULL && mt_membership_is_near(&peers->members, peer);
+  traffic->messages++;
+  traffic->bytes += n;
+  traffic->bytes_far += near ? 0 : n;
+}
+
 static void send_bytes (mt_gateway_peers_t *peers, uint32_t ip, size_t n) {
   struct sockaddr_in addr = {.sin_family = AF_INET,
                              .sin_port = htons(peers->port)};
   addr.sin_addr.s_addr = ip;
+  count(peers, ip, n);
   uv_buf_t buf = uv_buf_init(peers->output, (unsigned)n);
   uv_udp_try_send(&peers->udp, &buf, 1, (const struct sockaddr *)&addr);
 }
@@ -507,6 +518,11 @@
   return peers;
 }
 
+const mt_peer_traffic_t *
+mt_gateway_peers_traffic (const mt_gateway_peers_t *peers) {
+  return peers->traffic;
+}
+
 uint16_t mt_gateway_peers_port (const mt_gateway_peers_t *peers) {
   struct sockaddr_in addr = {.sin_port = 0};
   int size = sizeof addr;
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -74,6 +74,16 @@
 bool mt_gateway_peers_watches (const mt_gateway_peers_t *peers);
 bool mt_gateway_peers_leads (const mt_gateway_peers_t *peers);
 
+/* What was sent of one kind of message, since the start. */
+typedef struct mt_peer_traffic_t {
+  uint64_t messages, bytes;
+  uint64_t bytes_far; /* to other failure domains */
+} mt_peer_traffic_t;
+
+/* By kind, MT_PEER_KINDS of them. */
+const mt_peer_traffic_t *
+mt_gateway_peers_traffic (const mt_gateway_peers_t *peers);
+
 /* The port that it listens on, also where the settings leave it open. */
 uint16_t mt_gateway_peers_port (const mt_gateway_peers_t *peers);
 
--- a/src/gateway/membership.c
+++ b/src/gateway/membership.c
@@ -215,7 +215,7 @@
 
 size_t mt_membership_spoken_to (const mt_membership_t *m, mt_peer_t **list,
                                 size_t most) {
-  place_t places[ADDRESSES_MAX];
+  place_t places[ADDRESSES_MAX] = {{NULL}};
   size_t places_count = list_places(m, places), count = 0;
   for (size_t first = 0, end; first < places_count; first = end) {
     for (end = first + 1; end < places_count; end++)
--- a/src/gateway/peer_message.c
+++ b/src/gateway/peer_message.c
@@ -23,6 +23,22 @@
 #define READ_MOST ((int64_t)1 << 52)
 #define MS_MOST 600000
 
+const char *mt_peer_kind_name (mt_peer_kind_t kind) {
+  switch (kind) {
+    case MT_PEER_HELLO: return "hello";
+    case MT_PEER_SUMMARY: return "summary";
+    case MT_PEER_DOMAIN: return "domain";
+    case MT_PEER_WELCOME: return "welcome";
+    case MT_PEER_NEWS: return "news";
+    case MT_PEER_ASK: return "ask";
+    case MT_PEER_QUOTE: return "quote";
+    case MT_PEER_LOAD: return "load";
+    case MT_PEER_HOLDS: return "holds";
+    case MT_PEER_KINDS: break;
+  }
+  return "";
+}
+
 void mt_peer_message_begin (mt_peer_message_t *m, mt_peer_kind_t kind) {
   m->kind = kind;
   m->boot = m->number = m->token = 0;
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -100,6 +100,9 @@
   size_t entries_count;
 } mt_peer_message_t;
 
+/* A kind's name in metrics. */
+const char *mt_peer_kind_name (mt_peer_kind_t kind);
+
 /* Starts a message of a kind: all numbers 0, all lists empty. */
 void mt_peer_message_begin (mt_peer_message_t *message, mt_peer_kind_t kind);
 
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -268,6 +268,27 @@
   EXPECT_EQ(World::status_of(w.call(World::ask("/safe/x", "id5"))), 401);
 }
 
+TEST(Gateway, CountsWhatItTellsOthers) {
+  World w;
+  w.engine("i-1", "plain", w.listen([] (Conn &, const Request &) {}));
+  w.seeds = "\"127.0.0.9:1\""; // nobody is there
+  w.start();
+  std::string metrics;
+  EXPECT_TRUE(w.until([&] {
+    metrics = w.fetch(w.metrics, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+    return metrics.find("peer_messages_total{kind=\"hello\"} 0\n") ==
+           metrics.npos;
+  }));
+  for (const char *row :
+       {"peer_messages_total{kind=\"ask\"} 0\n",
+        "peer_bytes_total{kind=\"hello\",to=\"domain\"} 0\n",
+        "peer_bytes_total{kind=\"domain\",to=\"others\"} 0\n"})
+    EXPECT_NE(metrics.find(row), metrics.npos) << row;
+  EXPECT_EQ(
+      metrics.find("peer_bytes_total{kind=\"hello\",to=\"others\"} 0\n"),
+      metrics.npos);
+}
+
 // A list from the past names the store's revision of now: what it does not
 // show yet must still be learnt.
 TEST(Gateway, AListFromThePastIsNotTakenAtItsWord) {
