--- a/src/gateway/membership.h
+++ b/src/gateway/membership.h
@@ -5,8 +5,7 @@
 ** address. Each hears the routers of its own group directly, and of every
 ** other group of its domain through one of that group's members. What one
 ** domain tells another goes to one router of each group there, which passes
-*it
-** on. All arithmetic here is the same at every router, so nobody has to be
+** it on. All arithmetic here is the same at every router, so nobody has to be
 ** appointed.
 */
 #ifndef membership_h
@@ -101,8 +100,7 @@
 /*
 ** The routers of other failure domains to whom this one speaks for its own
 ** domain; at most `most`. Together the routers of a domain speak to one
-*router
-** of each group of every other domain.
+** router of each group of every other domain.
 */
 size_t mt_membership_spoken_to (const mt_membership_t *members,
                                 mt_peer_t **list, size_t most);
