--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -24,6 +24,8 @@
 #define MISS_WEIGHT 50.0
 #define MISS_WEIGHT_EASY 13.0
 #define MOVE_WEIGHT 3.0
+/* Keeps requests and answers in their failure domain where that is as good;
+   the value is a guess, no other was measured. */
 #define CROSS_MS 15.0
 
 static const mt_field_t fields[] = {
