Watchers tell changes that others only named; news of one feed say nothing of the other

(1) A watcher told its domain only of changes that nobody had named before; where another domain named it first (every message does), routers without a way to the store never heard what it was. (2) News of the declarations carried their own revisions, and receivers took these for the list of engines: changes of engines in between were passed over.

--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "feed_state.h"
 #include "gateway_peers.h"
 #include "load_teller.h"
 #include "prompt_memory.h"
@@ -13,14 +14,6 @@
 #define ROW_VALID_MS 2500 /* a load that is not repeated */
 #define READ_AT_ONCE 4096 /* datagrams, in one turn of the loop */
 
-/* What is known of a feed, and since when. */
-typedef struct feed_state_t {
-  int64_t newest, at;
-  int64_t taken;     /* all changes up to there are known here */
-  int64_t told;      /* likewise, but for engines that have come */
-  mt_ms_t confirmed; /* 0: never */
-} feed_state_t;
-
 struct mt_gateway_peers_t {
   uv_loop_t *loop;
   uv_udp_t udp;
@@ -32,7 +25,7 @@
   mt_membership_t members;
   mt_load_teller_t teller;
   mt_share_exchange_t exchange;
-  feed_state_t feeds[MT_FEEDS];
+  mt_feed_state_t feeds[MT_FEEDS];
   mt_peer_entry_t changes[MT_PEER_ENTRIES_MAX]; /* to be told as news */
   size_t changes_count;
   mt_peer_traffic_t traffic[MT_PEER_KINDS];
@@ -59,7 +52,7 @@
   peers->out.number = ++peers->number;
   peers->out.groups = peers->members.groups;
   for (int i = 0; i < MT_FEEDS; i++) {
-    const feed_state_t *feed = &peers->feeds[i];
+    const mt_feed_state_t *feed = &peers->feeds[i];
     if (feed->confirmed == 0) continue;
     peers->out.feeds[i] =
         (mt_peer_feed_t){feed->newest, feed->at, now - feed->confirmed};
@@ -127,33 +120,24 @@
 
 mt_peer_feed_t mt_gateway_peers_feed (const mt_gateway_peers_t *peers,
                                       mt_feed_kind_t kind) {
-  const feed_state_t *feed = &peers->feeds[kind];
+  const mt_feed_state_t *feed = &peers->feeds[kind];
   mt_peer_feed_t known = {feed->newest, feed->at, UINT32_MAX};
   if (feed->confirmed != 0) known.age = uv_now(peers->loop) - feed->confirmed;
   return known;
 }
 
-/* Takes what is newer; true when the feed has changed. */
-static bool merge_feed (feed_state_t *feed, int64_t newest, int64_t at,
-                        mt_ms_t confirmed) {
-  bool changed = newest > feed->newest;
-  if (at > feed->at) feed->at = at;
-  if (changed) feed->newest = newest;
-  feed->confirmed = mt_max(feed->confirmed, confirmed);
-  return changed;
-}
-
 /*
-** Tells the routers of the own failure domain what is new since `base`. With
-** more changes than fit the others have to read for themselves.
+** Tells the routers of the own failure domain what is new. Without the
+*changes
+** (`base` 0), or with more than fit, the others have to read for themselves.
 */
-static void tell_news (mt_gateway_peers_t *peers, int64_t base,
-                       int64_t reach) {
+static void tell_news (mt_gateway_peers_t *peers,
+                       const mt_feed_news_t *news) {
   const mt_membership_t *members = &peers->members;
   mt_peer_message_t *m = begin(peers, MT_PEER_NEWS);
-  if (peers->changes_count < MT_PEER_ENTRIES_MAX) {
-    m->base = base;
-    m->reach = reach;
+  if (news->base > 0 && peers->changes_count < MT_PEER_ENTRIES_MAX) {
+    m->base = news->base;
+    m->reach = news->reach;
     m->entries_count = peers->changes_count;
     memcpy(m->entries, peers->changes, m->entries_count * sizeof *m->entries);
   }
@@ -174,18 +158,12 @@
 void mt_gateway_peers_set_feed (mt_gateway_peers_t *peers,
                                 mt_feed_kind_t kind, int64_t newest,
                                 int64_t at, bool now) {
-  feed_state_t *feed = &peers->feeds[kind];
-  int64_t base = feed->taken;
-  feed->taken = mt_max(feed->taken, at);
-  feed->told = mt_max(feed->told, at);
-  if (!now) {
-    if (kind == MT_FEED_ENGINES) peers->changes_count = 0;
-    return;
-  }
-  bool changed = merge_feed(feed, newest, at, uv_now(peers->loop));
-  if (changed && mt_gateway_peers_leads(peers))
-    tell_news(peers, base, newest);
-  if (kind == MT_FEED_ENGINES) peers->changes_count = 0;
+  bool engines = kind == MT_FEED_ENGINES;
+  mt_feed_news_t news =
+      mt_feed_state_read(&peers->feeds[kind], newest, at,
+                         now ? uv_now(peers->loop) : 0, engines);
+  if (news.due && mt_gateway_peers_leads(peers)) tell_news(peers, &news);
+  if (engines) peers->changes_count = 0;
 }
 
 int64_t mt_gateway_peers_taken (const mt_gateway_peers_t *peers,
@@ -216,16 +194,15 @@
 ** is told of all others, their leaving above all, does not wait for that.
 */
 static void on_news (mt_gateway_peers_t *peers, const mt_peer_message_t *m) {
-  feed_state_t *feed = &peers->feeds[MT_FEED_ENGINES];
-  bool all = feed->taken >= m->base;
-  if (m->base == 0 || feed->told < m->base || feed->told >= m->reach) return;
+  mt_feed_state_t *feed = &peers->feeds[MT_FEED_ENGINES];
+  bool all = true;
+  if (!mt_feed_state_takes(feed, m->base, m->reach)) return;
   for (size_t i = 0; i < m->entries_count; i++) {
     bool known = is_known(peers, &m->entries[i]);
     if (known) peers->calls.entry(peers->calls.ud, &m->entries[i]);
     all = all && known;
   }
-  feed->told = m->reach;
-  if (all) feed->taken = m->reach;
+  mt_feed_state_took(feed, m->base, m->reach, all);
 }
 
 void mt_gateway_peers_set_source (mt_gateway_peers_t *peers, bool reachable) {
@@ -246,7 +223,8 @@
   for (int i = 0; i < MT_FEEDS; i++) {
     const mt_peer_feed_t *told = &m->feeds[i];
     if (told->at == 0 || told->age > now) continue;
-    merge_feed(&peers->feeds[i], told->newest, told->at, now - told->age);
+    mt_feed_state_heard(&peers->feeds[i], told->newest, told->at,
+                        now - told->age);
   }
 }
 
