--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -167,6 +167,10 @@
     do_probe(g, fx);
     return;
   }
+  if (fx->kind == MT_RELAY_DO_GIVE_BACK) {
+    mt_gateway_peers_give_back(g->peers, fx->u.place);
+    return;
+  }
   passage_t *p = mtV_get(&g->passages, fx->request);
   if (p == NULL) return;
   switch (fx->kind) {
@@ -188,7 +192,8 @@
       mt_http_exchange_abort(p->exchange);
       release(g, p);
       break;
-    case MT_RELAY_DO_PROBE: break; /* of no request */
+    case MT_RELAY_DO_PROBE:
+    case MT_RELAY_DO_GIVE_BACK: break; /* of no request */
   }
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -38,6 +38,7 @@
   const char *service;
   int slots;
   bool leaving;
+  mt_ms_t cold; /* for so long from when it was listed; 0: it is warm */
 } mt_gateway_engine_t;
 
 /* NULL and a reason when it cannot listen. */
@@ -53,6 +54,9 @@
 void mt_gateway_engine (mt_gateway_t *gateway, const char *name,
                         const mt_gateway_engine_t *engine);
 
+/* The operators empty a failure domain of work, or use it again. */
+void mt_gateway_evacuate (mt_gateway_t *gateway, const char *domain, bool on);
+
 /* Whether newer declarations may exist that cannot be seen from here. */
 void mt_gateway_set_unsure (mt_gateway_t *gateway, bool unsure);
 
--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -70,10 +70,17 @@
     e->domain = strdup(engine->domain);
     e->far = strcmp(e->domain, g->relay->domain) != 0;
   }
+  mt_relay_engine_listed(g->relay, e, engine->cold, uv_now(g->loop));
   set_state(g, e, engine->leaving ? MT_ENGINE_LEAVING : MT_ENGINE_READY,
             is_new);
 }
 
+void mt_gateway_evacuate (mt_gateway_t *g, const char *domain, bool on) {
+  if (!mt_relay_evacuate(g->relay, domain, on, uv_now(g->loop))) return;
+  mt_log_line(g->log, MT_LOG_BELIEF, uv_now(g->loop), "evacuation",
+              "domain=%s outcome=%s", domain, on ? "begun" : "over");
+}
+
 /* What the source itself says is told to the others, too. */
 void mt_gateway_engine (mt_gateway_t *g, const char *name,
                         const mt_gateway_engine_t *engine) {
@@ -86,6 +93,7 @@
     entry.port = engine->port;
     entry.slots = (uint16_t)engine->slots;
     entry.leaving = engine->leaving;
+    entry.cold = (uint32_t)engine->cold;
   }
   mt_gateway_peers_changed(g->peers, &entry);
   take_engine(g, name, engine);
@@ -98,7 +106,8 @@
                                       .port = entry->port,
                                       .service = entry->service,
                                       .slots = entry->slots,
-                                      .leaving = entry->leaving};
+                                      .leaving = entry->leaving,
+                                      .cold = entry->cold};
   take_engine(ud, entry->name, entry->gone ? NULL : &engine);
 }
 
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -238,10 +238,22 @@
   return mt_membership_keeper(&peers->members, e->key, domain);
 }
 
+/*
+** True when no router that this one hears of keeps the engine. Others may
+** pass over a keeper that did not answer them; that one still hands out
+** places, so whoever they take instead must not.
+*/
+static bool keeps (const mt_gateway_peers_t *peers, uint64_t key) {
+  const mt_engine_t *e = mt_engines_get(&peers->relay->engines, key);
+  if (e == NULL || e->domain == NULL) return false;
+  return mt_membership_keeps(&peers->members, key,
+                             mtV_id(e->domain, strlen(e->domain)));
+}
+
 static void pack_load (mt_gateway_peers_t *peers, mt_peer_message_t *m,
                        mt_engine_t *e) {
   m->engines[m->engines_count++] =
-      (mt_peer_engine_t){e->key, e->here, e->read, 0};
+      (mt_peer_engine_t){.key = e->key, .load = e->here, .tokens = e->read};
   e->untold = false;
   e->told = uv_now(peers->loop);
 }
@@ -276,14 +288,37 @@
   if (r->engine == NULL) return;
   tell_holder(peers, r);
   uint32_t keeper = keeper_of(peers, r->engine);
-  if (keeper == peers->members.own_ip) return;
+  if (keeper == peers->members.own_ip) {
+    if (!r->has_place)
+      mt_cold_starts_charge(&peers->relay->cold, r->engine->key);
+    return;
+  }
   mt_peer_message_t *m = begin(peers, MT_PEER_LOAD);
+  m->token = r->number;
   pack_load(peers, m, r->engine);
+  if (r->has_place) m->engines[0].admission = MT_ADMIT_PLACE;
   m->parts_count = r->parts_count;
   memcpy(m->parts, r->parts, r->parts_count * sizeof *r->parts);
   send_out(peers, keeper);
 }
 
+void mt_gateway_peers_give_back (mt_gateway_peers_t *peers, uint64_t key) {
+  const mt_engine_t *e = mt_engines_get(&peers->relay->engines, key);
+  uint32_t keeper = e != NULL ? keeper_of(peers, e) : 0;
+  if (keeper == peers->members.own_ip) {
+    mt_cold_starts_give_back(&peers->relay->cold, key);
+    return;
+  }
+  mt_peer_message_t *m = begin(peers, MT_PEER_BACK);
+  m->engines[m->engines_count++] = (mt_peer_engine_t){.key = key};
+  if (keeper != 0) send_out(peers, keeper);
+}
+
+static void on_back (mt_gateway_peers_t *peers, const mt_peer_message_t *m) {
+  for (size_t i = 0; i < m->engines_count; i++)
+    mt_cold_starts_give_back(&peers->relay->cold, m->engines[i].key);
+}
+
 /* Sends rows that go to one keeper. */
 static void tell_loads (void *ud, uint32_t keeper, mt_engine_t **engines,
                         size_t count) {
@@ -317,9 +352,11 @@
     uint64_t key = r->candidates[i].engine;
     const mt_engine_t *e = mt_engines_get(&peers->relay->engines, key);
     keepers[i] = e ? keeper_of(peers, e) : 0;
-    if (keepers[i] == peers->members.own_ip)
-      own[own_count++] =
-          mt_relay_quote(peers->relay, key, 0, r->parts, r->parts_count);
+    if (keepers[i] != peers->members.own_ip) continue;
+    own[own_count] =
+        mt_relay_quote(peers->relay, key, 0, r->parts, r->parts_count);
+    own[own_count++].admission =
+        mt_relay_admission(peers->relay, key, keeps(peers, key));
   }
   for (size_t i = first; i < end; i++) {
     uint32_t keeper = keepers[i];
@@ -339,12 +376,15 @@
 static void on_ask (mt_gateway_peers_t *peers, uint32_t ip,
                     const mt_peer_message_t *ask) {
   mt_peer_message_t *m = begin(peers, MT_PEER_QUOTE);
+  peers->relay->now = mt_max(peers->relay->now, uv_now(peers->loop));
   m->token = ask->token;
   for (size_t i = 0; i < ask->engines_count; i++) {
-    mt_relay_quote_t quote = mt_relay_quote(peers->relay, ask->engines[i].key,
-                                            ip, ask->parts, ask->parts_count);
+    uint64_t key = ask->engines[i].key;
+    mt_relay_quote_t quote =
+        mt_relay_quote(peers->relay, key, ip, ask->parts, ask->parts_count);
     m->engines[m->engines_count++] = (mt_peer_engine_t){
-        quote.engine, quote.peers, quote.kept, quote.holder};
+        quote.engine, quote.peers, quote.kept, quote.holder,
+        mt_relay_admission(peers->relay, key, keeps(peers, key))};
   }
   send_out(peers, ip);
 }
@@ -353,9 +393,9 @@
                       const mt_peer_message_t *m) {
   mt_relay_quote_t quotes[MT_PEER_ENGINES_MAX];
   for (size_t i = 0; i < m->engines_count; i++)
-    quotes[i] =
-        (mt_relay_quote_t){m->engines[i].key, m->engines[i].load,
-                           m->engines[i].tokens, m->engines[i].holder};
+    quotes[i] = (mt_relay_quote_t){m->engines[i].key, m->engines[i].load,
+                                   m->engines[i].tokens, m->engines[i].holder,
+                                   m->engines[i].admission};
   peer->asked = 0;
   peer->suspect = 0;
   peers->calls.quoted(peers->calls.ud, m->token, quotes, m->engines_count);
@@ -372,6 +412,8 @@
                          .read = e->tokens,
                          .valid_until = now + ROW_VALID_MS};
     mt_relay_heard_load(peers->relay, e->key, &row, m->parts, m->parts_count);
+    if (m->token != 0 && e->admission != MT_ADMIT_PLACE)
+      mt_cold_starts_charge(&peers->relay->cold, e->key);
   }
 }
 
@@ -400,6 +442,7 @@
       if (is_newest(peer, m)) on_load(peers, peer->ip, m);
       break;
     case MT_PEER_HOLDS: on_holds(peers, m); break;
+    case MT_PEER_BACK: on_back(peers, m); break;
     case MT_PEER_WELCOME:
       mt_share_exchange_take_members(&peers->members, m, true);
       break;
@@ -463,6 +506,7 @@
   mt_membership_update(&peers->members, now);
   mt_load_teller_tick(&peers->teller, &peers->relay->engines, now, &calls);
   mt_share_exchange_tick(&peers->exchange);
+  peers->relay->reach = mt_membership_reach(&peers->members);
   return peers->members.live;
 }
 
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -45,6 +45,9 @@
 void mt_gateway_peers_ask (mt_gateway_peers_t *peers,
                            const mt_relay_request_t *request);
 
+/* A place at a cold engine was not used: its keeper gets it back. */
+void mt_gateway_peers_give_back (mt_gateway_peers_t *peers, uint64_t engine);
+
 /* A request went to an engine: its keeper is told at once. */
 void mt_gateway_peers_placed (mt_gateway_peers_t *peers,
                               const mt_relay_request_t *request);
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -16,6 +16,9 @@
 #define RETRY_RATIO 0.1
 #define RETRY_WINDOW_MS 10000
 #define RETRY_SLACK 20
+/* Where nothing is declared a cold engine gets just what it bears. */
+#define COLD_OVERAGE 1.0
+#define COLD_SLACK 0.0
 #define RUNNING_PART 0.3 /* of the descriptors: requests in progress */
 #define WAIT_PART 0.45
 #define URGENCY_POWER 1.0
@@ -41,6 +44,7 @@
     {"drain_ms", MT_F_INT, false, 0, 3600000},
     {"descriptors", MT_F_INT, false, 64, 1 << 20},
     {"retry", MT_F_OBJECT, false, 0, 0},
+    {"cold_start", MT_F_OBJECT, false, 0, 0},
     {"relay", MT_F_OBJECT, false, 0, 0},
     {"source", MT_F_OBJECT, false, 0, 0},
 };
@@ -77,11 +81,14 @@
                         mt_faults_t *faults) {
   const json_t *retry = json_object_get(doc, "retry");
   const json_t *relay = json_object_get(doc, "relay");
+  const json_t *cold = json_object_get(doc, "cold_start");
   json_t *name;
   size_t i;
   terms->retry.ratio = real(retry, "ratio", RETRY_RATIO);
   terms->retry.window = (mt_ms_t)mtJ_int(retry, "window_ms", RETRY_WINDOW_MS);
   terms->retry.slack = (int)mtJ_int(retry, "slack", RETRY_SLACK);
+  terms->cold.overage = real(cold, "overage", COLD_OVERAGE);
+  terms->cold.slack = real(cold, "slack", COLD_SLACK);
   terms->wait_part = real(relay, "wait_part", WAIT_PART);
   terms->urgency_power = real(relay, "urgency_power", URGENCY_POWER);
   terms->room_part = real(relay, "room_part", ROOM_PART);
--- a/src/gateway/membership.c
+++ b/src/gateway/membership.c
@@ -5,9 +5,12 @@
 
 #include "membership.h"
 
-#define LOST_MS 2500    /* without a word it no longer counts */
-#define PROBE_MS 1000   /* between questions to who does not answer */
-#define YOUNG_MS 3000   /* after the start: at each occasion */
+#define LOST_MS 2500  /* without a word it no longer counts */
+#define PROBE_MS 1000 /* between questions to who does not answer */
+#define YOUNG_MS 3000 /* after the start: at each occasion */
+/* After the start others may not be known yet, and the routers that kept
+   engines before do not know this one. */
+#define SETTLE_MS 1500
 #define FORGET_MS 60000 /* an address is not tried any more */
 #define ADDRESSES_MAX 1024
 #define ANSWER_MS 80   /* a keeper answers within that */
@@ -229,9 +232,12 @@
 
 /* }== */
 
-/* The greatest hash among the routers of a failure domain; 0: all domains. */
+/*
+** The greatest hash among the routers of a failure domain; 0: all domains.
+** `suspects`: those that left a question unanswered count, too.
+*/
 static uint32_t heaviest (const mt_membership_t *m, uint64_t engine,
-                          mt_id_t domain) {
+                          mt_id_t domain, bool suspects) {
   uint32_t best = 0;
   uint64_t best_weight = 0;
   if (domain == 0 || domain == m->own_domain) {
@@ -241,7 +247,8 @@
   for (size_t i = 0; i < m->count; i++) {
     const mt_peer_t *peer = m->list[i];
     if (domain != 0 && peer->domain != domain) continue;
-    if (peer->suspect > m->now || !mt_membership_is_live(m, peer)) continue;
+    if (!suspects && peer->suspect > m->now) continue;
+    if (!mt_membership_is_live(m, peer)) continue;
     uint64_t weight = mtV_mix(engine, peer->ip);
     if (best != 0 && weight <= best_weight) continue;
     best = peer->ip;
@@ -252,8 +259,20 @@
 
 uint32_t mt_membership_keeper (const mt_membership_t *m, uint64_t engine,
                                mt_id_t domain) {
-  uint32_t keeper = heaviest(m, engine, domain);
-  return keeper != 0 ? keeper : heaviest(m, engine, 0);
+  uint32_t keeper = heaviest(m, engine, domain, false);
+  return keeper != 0 ? keeper : heaviest(m, engine, 0, false);
+}
+
+bool mt_membership_keeps (const mt_membership_t *m, uint64_t engine,
+                          mt_id_t domain) {
+  uint32_t keeper = heaviest(m, engine, domain, true);
+  if (keeper == 0) keeper = heaviest(m, engine, 0, true);
+  return keeper == m->own_ip;
+}
+
+double mt_membership_reach (const mt_membership_t *m) {
+  if (m->now - m->opened < SETTLE_MS) return 0;
+  return (double)m->live / (double)(m->count + 1);
 }
 
 /*
--- a/src/gateway/membership.h
+++ b/src/gateway/membership.h
@@ -112,6 +112,20 @@
 uint32_t mt_membership_keeper (const mt_membership_t *members,
                                uint64_t engine, mt_id_t domain);
 
+/*
+** True when this router keeps the engine whomever others pass over since it
+** left a question unanswered.
+*/
+bool mt_membership_keeps (const mt_membership_t *members, uint64_t engine,
+                          mt_id_t domain);
+
+/*
+** The part of all known routers that serve as far as is known here, 0 to 1.
+** Of routers that do not hear each other the parts add up to 1 at most. 0 in
+** the first second, when most others are not known yet.
+*/
+double mt_membership_reach (const mt_membership_t *members);
+
 /*
 ** True when this router watches the source of declarations: all do in a
 ** small fleet; in a larger one some of each failure domain, and the others
--- a/src/gateway/peer_message.c
+++ b/src/gateway/peer_message.c
@@ -8,14 +8,14 @@
 #include "mtmsg.h"
 #include "peer_message.h"
 
-#define FORMAT_VERSION 4
+#define FORMAT_VERSION 5
 #define NUMBERS 16 /* before the lists */
 #define LISTS 5
 #define MEMBER_NUMBERS 3
 #define SHARE_NUMBERS 3
-#define ENGINE_NUMBERS 6
+#define ENGINE_NUMBERS 7
 #define PART_NUMBERS 2
-#define ENTRY_MEMBERS 7
+#define ENTRY_MEMBERS 8
 
 /* What one router can claim at most. */
 #define TOKENS_MOST 1000000000
@@ -34,6 +34,7 @@
     case MT_PEER_QUOTE: return "quote";
     case MT_PEER_LOAD: return "load";
     case MT_PEER_HOLDS: return "holds";
+    case MT_PEER_BACK: return "back";
     case MT_PEER_KINDS: break;
   }
   return "";
@@ -85,6 +86,7 @@
     msgpack_pack_uint64(pk, whole(e->load.running));
     msgpack_pack_uint64(pk, whole((double)e->tokens));
     msgpack_pack_uint64(pk, e->holder);
+    msgpack_pack_uint8(pk, (uint8_t)e->admission);
   }
 }
 
@@ -110,6 +112,7 @@
     pack_text(pk, e->gone ? "" : e->service);
     msgpack_pack_uint16(pk, e->port);
     msgpack_pack_uint16(pk, e->slots);
+    msgpack_pack_uint32(pk, e->cold);
     msgpack_pack_uint8(pk, (uint8_t)(e->gone ? 2 : e->leaving));
   }
 }
@@ -216,6 +219,7 @@
     e->load.running = (int32_t)bounded(&at[3], RUNNING_MOST);
     e->tokens = bounded(&at[4], READ_MOST);
     e->holder = number_of(&at[5]);
+    e->admission = (mt_admission_t)bounded(&at[6], MT_ADMIT_NONE);
   }
 }
 
@@ -247,8 +251,9 @@
     unpack_text(&at[3], e->service, sizeof e->service);
     e->port = (uint16_t)bounded(&at[4], UINT16_MAX);
     e->slots = (uint16_t)bounded(&at[5], UINT16_MAX);
-    e->leaving = number_of(&at[6]) == 1;
-    e->gone = number_of(&at[6]) == 2;
+    e->cold = (uint32_t)bounded(&at[6], MS_MOST);
+    e->leaving = number_of(&at[7]) == 1;
+    e->gone = number_of(&at[7]) == 2;
     m->entries_count += e->name[0] != '\0';
   }
 }
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -8,6 +8,7 @@
 #ifndef peer_message_h
 #define peer_message_h
 
+#include "cold_start.h"
 #include "fair_share.h"
 #include "load_book.h"
 
@@ -30,6 +31,7 @@
   MT_PEER_QUOTE,   /* the answer */
   MT_PEER_LOAD,    /* what the sender has at engines kept by you */
   MT_PEER_HOLDS,   /* this engine read parts whose home is kept by you */
+  MT_PEER_BACK,    /* a place at this cold engine, kept by you, is not used */
   MT_PEER_KINDS
 } mt_peer_kind_t;
 
@@ -50,6 +52,8 @@
   mt_engine_load_t load;
   int64_t tokens;  /* QUOTE: kept of the prompt; LOAD: read or made so far */
   uint64_t holder; /* QUOTE: another that read its shared parts; 0: none */
+  mt_admission_t admission; /* QUOTE; LOAD of a request that was sent just
+                               now: PLACE if it had one */
 } mt_peer_engine_t;
 
 /* The two feeds that come from the source of declarations. */
@@ -74,14 +78,16 @@
   uint16_t port;
   uint16_t slots;
   bool leaving, gone; /* gone: only the name counts */
+  uint32_t cold;      /* ms that it stays cold; 0: it is warm */
 } mt_peer_entry_t;
 
 /* Lists that a kind does not use are empty. */
 typedef struct mt_peer_message_t {
   mt_peer_kind_t kind;
   uint64_t boot, number; /* of the sender's process and message */
-  uint64_t token;        /* ASK, QUOTE: of the request */
-  mt_ms_t pace; /* HELLO, SUMMARY, DOMAIN: the next comes after so long */
+  uint64_t token; /* ASK, QUOTE: of the request; LOAD: of one that was sent
+                     just now, 0: none was */
+  mt_ms_t pace;   /* HELLO, SUMMARY, DOMAIN: the next comes after so long */
   uint32_t groups, group; /* of the domain told of; SUMMARY: which group */
   mt_peer_feed_t feeds[MT_FEEDS];
   mt_peer_member_t members[MT_PEER_MEMBERS_MAX];
--- a/src/relay/candidates.c
+++ b/src/relay/candidates.c
@@ -3,6 +3,7 @@
 */
 #include <string.h>
 
+#include "admission.h"
 #include "candidates.h"
 #include "placement.h"
 #include "quotes.h"
@@ -25,7 +26,7 @@
                            const mt_relay_request_t *r,
                            const mt_engine_t *e) {
   if (e->service != r->service || e->state != MT_ENGINE_READY) return false;
-  if (e->unreachable) return false;
+  if (e->unreachable || e->evacuated) return false;
   if (e->hold > relay->now && !relay->terms.off[MT_RELAY_REST]) return false;
   return !was_tried(r, e->key);
 }
@@ -54,7 +55,7 @@
   for (size_t i = 0; i < relay->engines.count; i++) {
     const mt_engine_t *e = relay->engines.list[i];
     if (e->service != r->service || e->state != MT_ENGINE_READY) continue;
-    if (e->key == but) continue;
+    if (e->key == but || e->evacuated) continue;
     uint64_t weight = mtV_mix(part, e->key);
     keep_heavier(of_all, e->key, weight);
     if (!e->far) keep_heavier(near, e->key, weight);
@@ -92,6 +93,19 @@
 
 /* }== */
 
+/*
+** True when a cold engine is among the candidates. It may have no place, so
+** no more of them are asked in the place of engines that surely have room.
+*/
+static bool asks_cold (const mt_relay_t *relay, const mt_relay_request_t *r) {
+  for (size_t i = 0; i < r->candidates_count; i++) {
+    const mt_engine_t *e =
+        mt_engines_get(&relay->engines, r->candidates[i].engine);
+    if (e != NULL && mt_admission_is_cold(relay, e)) return true;
+  }
+  return false;
+}
+
 /*
 ** The best of some engines on one side of the domain's border. With few
 ** engines these are all, and the router knows them well.
@@ -101,11 +115,13 @@
   mt_engine_t *some[LOOKED_AT_MOST];
   size_t found = 0, count = relay->engines.count;
   size_t start = count ? mtV_hash(r->id, strlen(r->id)) % count : 0;
+  bool cold = asks_cold(relay, r);
   for (size_t i = 0; i < count && found < LOOKED_AT_MOST; i++) {
     mt_engine_t *e = relay->engines.list[(start + i) % count];
     if (e->far != far || e->service != r->service) continue;
     if (mt_quotes_find(r, e->key) != NULL) continue;
     if (!mt_candidates_usable(relay, r, e)) continue;
+    if (cold && mt_admission_is_cold(relay, e)) continue;
     some[found++] = e;
   }
   return mt_placement_best_of(relay, r, some, found);
--- a/src/relay/catalog.h
+++ b/src/relay/catalog.h
@@ -48,6 +48,8 @@
   bool moves; /* its engines can take kept parts of prompts from each other */
   int64_t token_bytes; /* of an engine's memory for one token */
   double link_mbps;    /* of an engine's link to the others */
+  double cold_rate; /* requests a second that a cold engine bears; 0: any */
+  mt_ms_t cold;     /* an engine that starts is cold for so long */
 } mt_catalog_service_t;
 
 typedef struct mt_catalog_workspace_t {
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -31,6 +31,7 @@
   int slots;
   mt_engine_state_t state;
   bool far;         /* in another failure domain than this router */
+  bool evacuated;   /* the operators emptied its failure domain */
   mt_ms_t vanished; /* it left the list without a word then; 0: it did not */
   mt_ms_t gone;     /* gone since */
   mt_engine_load_t here, peers;
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -4,6 +4,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "admission.h"
 #include "candidates.h"
 #include "placement.h"
 #include "quotes.h"
@@ -144,7 +145,6 @@
 /* Keeps the engine if it is better than the best so far. */
 static void weigh (costs_t *c, mt_engine_t *e) {
   mt_placement_t p;
-  if (!mt_candidates_usable(c->relay, c->request, e)) return;
   double cost = c->service ? model_cost(c, e, &p) : plain_cost(c, e, &p);
   if (c->best.engine != NULL && cost >= c->best_cost) return;
   c->best = p;
@@ -153,6 +153,12 @@
 
 /* }== */
 
+static bool may_go_to (const mt_relay_t *relay, const mt_relay_request_t *r,
+                       const mt_engine_t *e) {
+  return mt_candidates_usable(relay, r, e) &&
+         mt_admission_allows(relay, r, e);
+}
+
 mt_placement_t mt_placement_choose (mt_relay_t *relay,
                                     const mt_relay_request_t *r) {
   costs_t c = begin_costs(relay, r);
@@ -161,11 +167,13 @@
   for (size_t i = 0; i < r->candidates_count; i++) {
     const mt_relay_candidate_t *told = &r->candidates[i];
     mt_engine_t *e = mt_engines_get(&relay->engines, told->engine);
-    if (told->quoted && e != NULL) weigh(&c, e);
+    if (told->quoted && e != NULL && may_go_to(relay, r, e)) weigh(&c, e);
   }
   if (c.best.engine != NULL) return c.best;
-  for (size_t i = 0; i < relay->engines.count; i++)
-    weigh(&c, relay->engines.list[i]);
+  for (size_t i = 0; i < relay->engines.count; i++) {
+    mt_engine_t *e = relay->engines.list[i];
+    if (may_go_to(relay, r, e)) weigh(&c, e);
+  }
   return c.best;
 }
 
@@ -174,7 +182,8 @@
                                    mt_engine_t *const *engines,
                                    size_t count) {
   costs_t c = begin_costs(relay, r);
-  for (size_t i = 0; i < count; i++) weigh(&c, engines[i]);
+  for (size_t i = 0; i < count; i++)
+    if (mt_candidates_usable(relay, r, engines[i])) weigh(&c, engines[i]);
   return c.best.engine;
 }
 
--- a/src/relay/quotes.c
+++ b/src/relay/quotes.c
@@ -30,7 +30,10 @@
 
 bool mt_quotes_ask (mt_relay_t *relay, mt_relay_request_t *r) {
   size_t before = r->candidates_count;
-  if (relay->routers < 2 || r->rounds >= ROUNDS_MOST) return false;
+  bool alone = relay->routers < 2;
+  if (alone && mt_cold_starts_count(&relay->cold, relay->now) == 0)
+    return false;
+  if (r->rounds >= ROUNDS_MOST) return false;
   if (relay->terms.off[MT_RELAY_QUOTES]) return false;
   if (r->rounds > 0 && relay->terms.off[MT_RELAY_FAR_ROUND]) return false;
   for (int i = 0; i < MT_RELAY_ROUND_MAX; i++) {
@@ -63,6 +66,8 @@
     if (e != NULL) {
       e->peers = quote->peers;
       e->quoted = relay->now;
+      if (quote->admission == MT_ADMIT_WARM)
+        mt_cold_starts_note(&relay->cold, e->key, relay->now, relay->now);
     }
     for (size_t k = 0; k < r->candidates_count; k++) {
       mt_relay_candidate_t *candidate = &r->candidates[k];
@@ -70,6 +75,8 @@
       candidate->quoted = true;
       candidate->kept = quote->kept;
       candidate->holder = quote->holder;
+      candidate->admission = quote->admission;
+      relay->counters.admissions[quote->admission]++;
       if (k == 0) learn_usual(relay, r, &quote->peers);
     }
   }
--- a/src/relay/quotes.h
+++ b/src/relay/quotes.h
@@ -14,7 +14,8 @@
 /*
 ** Chooses the engines to ask next: mostly those of the own failure domain,
 ** and those of others when these have no room. False when nobody is to be
-** asked: there is no other router, no prompt, or no further engine or round.
+** asked: there is no other router and no cold engine, or no further engine
+** or round.
 */
 bool mt_quotes_ask (mt_relay_t *relay, mt_relay_request_t *request);
 
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "admission.h"
 #include "candidates.h"
 #include "placement.h"
 #include "quotes.h"
@@ -29,8 +30,8 @@
 
 /* {== Effects ========================================================== */
 
-static mt_relay_effect_t *add_effect (mt_relay_t *relay,
-                                      mt_relay_effect_kind_t kind) {
+mt_relay_effect_t *mt_relay_effect (mt_relay_t *relay,
+                                    mt_relay_effect_kind_t kind) {
   mt_relay_effects_t *all = relay->effects;
   mt_relay_effect_t *fx = mtV_push(all->list, all->count, all->cap);
   *fx = (mt_relay_effect_t){.kind = kind};
@@ -40,7 +41,7 @@
 static mt_relay_effect_t *effect (mt_relay_t *relay,
                                   mt_relay_effect_kind_t kind,
                                   const mt_relay_request_t *r) {
-  mt_relay_effect_t *fx = add_effect(relay, kind);
+  mt_relay_effect_t *fx = mt_relay_effect(relay, kind);
   fx->request = r->number;
   fx->attempt = r->attempt;
   return fx;
@@ -98,6 +99,7 @@
 
 static void refuse (mt_relay_t *relay, mt_relay_request_t *r,
                     mt_relay_refusal_t why) {
+  mt_admission_give_back(relay, r);
   mt_relay_effect_t *fx = effect(relay, MT_RELAY_DO_REFUSE, r);
   fx->u.refuse.why = why;
   fx->u.refuse.retry_after = come_back(r, why);
@@ -145,6 +147,7 @@
   r->body_size = 0;
   mt_event_stream_free(&r->stream);
   if (r->phase != MT_RELAY_STREAMING) r->phase = MT_RELAY_SENT;
+  mt_admission_settle(relay, r, p->engine);
   mt_relay_engage(relay, r, p);
   relay->counters.attempts++;
   relay->counters.tokens_wanted += (uint64_t)r->tokens_in;
@@ -354,11 +357,15 @@
 static void on_quoted (mt_relay_t *relay, mt_relay_request_t *r,
                        const mt_relay_event_t *ev) {
   bool all = mt_quotes_take(relay, r, ev->u.quotes.list, ev->u.quotes.count);
-  if (all && r->phase == MT_RELAY_ASKING) place(relay, r);
+  if (r->phase != MT_RELAY_ASKING) /* it is placed: too late */
+    mt_admission_give_back(relay, r);
+  else if (all)
+    place(relay, r);
 }
 
 static void on_caller_left (mt_relay_t *relay, mt_relay_request_t *r) {
   if (r->awaiting_event) take_back(relay, r);
+  mt_admission_give_back(relay, r);
   cancel_attempt(relay, r);
   relay->counters.callers_left++;
   note(relay, r, "left", "caller");
@@ -550,7 +557,7 @@
     if (!e->unreachable || e->probing || e->probe > relay->now) continue;
     if (e->state != MT_ENGINE_READY) continue;
     e->probing = true;
-    add_effect(relay, MT_RELAY_DO_PROBE)->u.probe = e->key;
+    mt_relay_effect(relay, MT_RELAY_DO_PROBE)->u.probe = e->key;
     relay->counters.probes++;
   }
 }
@@ -582,6 +589,7 @@
   mt_relay_update_engines(relay);
   mt_load_book_expire(&relay->book, relay->now);
   mt_part_holders_expire(&relay->holders, relay->now);
+  mt_cold_starts_expire(&relay->cold, relay->now);
 }
 
 /* }== */
@@ -658,6 +666,7 @@
   snprintf(relay->domain, sizeof relay->domain, "%s", domain);
   relay->terms = *terms;
   relay->routers = 1;
+  relay->reach = 1;
   return relay;
 }
 
@@ -671,6 +680,7 @@
   mtV_free(&relay->services);
   mt_load_book_free(&relay->book);
   mt_part_holders_free(&relay->holders);
+  mt_cold_starts_free(&relay->cold);
   mt_fair_share_free(&relay->shares);
   mt_engines_free(&relay->engines);
   mt_catalog_free(relay->catalog);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -9,7 +9,9 @@
 #define relay_h
 
 #include "catalog.h"
+#include "cold_start.h"
 #include "engine.h"
+#include "evacuation.h"
 #include "event_stream.h"
 #include "fair_share.h"
 #include "load_book.h"
@@ -69,6 +71,7 @@
   uint64_t fetches, tokens_fetched;   /* parts moved between engines */
   uint64_t probes;                    /* of engines that were out of reach */
   uint64_t quotes_asked, quotes_late; /* rounds of questions to keepers */
+  uint64_t admissions[MT_ADMISSIONS]; /* what keepers answered, by kind */
 } mt_relay_counters_t;
 
 const char *mt_relay_refusal_code (mt_relay_refusal_t why);
@@ -112,6 +115,7 @@
   mt_engine_load_t peers; /* of all routers but the one that asked */
   int64_t kept;           /* leading tokens of the prompt, probably there */
   uint64_t holder; /* another engine that read its shared parts; 0: none */
+  mt_admission_t admission;
 } mt_relay_quote_t;
 
 /* What an engine's head says of the request. */
@@ -153,15 +157,16 @@
 /* {== Effects ========================================================== */
 
 typedef enum mt_relay_effect_kind_t {
-  MT_RELAY_DO_REFUSE, /* answer in place of an engine */
-  MT_RELAY_DO_ASK,    /* ask the keepers of the request's candidates */
-  MT_RELAY_DO_START,  /* send the request to an engine */
-  MT_RELAY_DO_CANCEL, /* end the attempt and its connection */
-  MT_RELAY_DO_HEAD,   /* pass on the head that came first */
-  MT_RELAY_DO_DATA,   /* pass on bytes */
-  MT_RELAY_DO_END,    /* the caller's answer is whole */
-  MT_RELAY_DO_ABORT,  /* cut the caller's connection */
-  MT_RELAY_DO_PROBE   /* try to connect to an engine, for no request */
+  MT_RELAY_DO_REFUSE,   /* answer in place of an engine */
+  MT_RELAY_DO_ASK,      /* ask the keepers of the request's candidates */
+  MT_RELAY_DO_START,    /* send the request to an engine */
+  MT_RELAY_DO_CANCEL,   /* end the attempt and its connection */
+  MT_RELAY_DO_HEAD,     /* pass on the head that came first */
+  MT_RELAY_DO_DATA,     /* pass on bytes */
+  MT_RELAY_DO_END,      /* the caller's answer is whole */
+  MT_RELAY_DO_ABORT,    /* cut the caller's connection */
+  MT_RELAY_DO_PROBE,    /* try to connect to an engine, for no request */
+  MT_RELAY_DO_GIVE_BACK /* a place at a cold engine, to its keeper */
 } mt_relay_effect_kind_t;
 
 #define MT_RELAY_LENGTH_UNKNOWN (-1)
@@ -185,6 +190,7 @@
       mt_ms_t rested_ms;   /* a kept connection may have rested so long */
     } start;
     uint64_t probe;  /* PROBE: the engine */
+    uint64_t place;  /* GIVE_BACK: the engine */
     int64_t length;  /* HEAD: of the body, or one of the below */
     mt_bytes_t data; /* borrowed until the next step */
   } u;
@@ -218,6 +224,7 @@
   bool quoted;
   int64_t kept;    /* leading tokens of the prompt, probably there */
   uint64_t holder; /* an engine that read its shared parts; 0: not told */
+  mt_admission_t admission;
 } mt_relay_candidate_t;
 
 typedef struct mt_relay_request_t {
@@ -254,6 +261,7 @@
   int64_t unread, held; /* its part of the engine's load */
   int64_t fetched;      /* tokens that the engine takes from another */
   bool home;            /* all routers would look for its parts there */
+  bool has_place;       /* at a cold engine */
   int64_t work_ahead;   /* unread there when it was sent, itself included */
   double wait_expected, standing; /* when it was decided, for logs */
   double first_expected; /* ms from sending to the first event, likewise */
@@ -304,6 +312,7 @@
 /* Everything that tunes decisions, in one place. */
 typedef struct mt_relay_terms_t {
   mt_retry_terms_t retry;
+  mt_cold_terms_t cold;
   size_t running_most;  /* requests in progress; beyond: refused */
   mt_ms_t vanish_ms;    /* an engine that left the list serves on so long */
   double wait_part;     /* of the objective that a request may wait */
@@ -327,10 +336,13 @@
   bool unsure;     /* a newer one may exist that this router cannot see */
   bool overloaded; /* this process cannot carry more streams */
   mt_ms_t stop_since, stop_until; /* 0: not stopping */
-  int routers; /* that are believed to serve, this one included */
+  int routers;  /* that are believed to serve, this one included */
+  double reach; /* the part that they are of all that are known */
   mt_engines_t engines;
   mt_load_book_t book;       /* of the engines that this router keeps */
   mt_part_holders_t holders; /* of parts whose home is kept here */
+  mt_cold_starts_t cold;     /* engines that are, and places there */
+  mt_evacuations_t evacuations;
   mt_fair_share_t shares;
   mt_map_t services; /* id -> mt_relay_service_t, owned */
   mt_map_t requests; /* number -> mt_relay_request_t, owned */
@@ -369,6 +381,20 @@
 void mt_relay_engine_left (mt_relay_t *relay, mt_engine_t *engine,
                            mt_ms_t now);
 
+/*
+** A listing told of an engine, whose failure domain is set: it is cold for
+** `cold_left` more; 0: it is warm.
+*/
+void mt_relay_engine_listed (mt_relay_t *relay, mt_engine_t *engine,
+                             mt_ms_t cold_left, mt_ms_t now);
+
+/*
+** The engines of a failure domain get no work any more, or get it again.
+** False when that is known already.
+*/
+bool mt_relay_evacuate (mt_relay_t *relay, const char *domain, bool on,
+                        mt_ms_t now);
+
 /*
 ** Another router's load at an engine that this one keeps, and the shared
 ** parts of the prompt that it sent there just now (none: count 0).
@@ -382,6 +408,17 @@
                                  uint64_t router,
                                  const mt_prefix_part_t *parts, size_t count);
 
+/*
+** Whether the engine may be sent one request of whoever asks. `keeps`: all
+** routers that this one hears of take it for the engine's keeper.
+*/
+mt_admission_t mt_relay_admission (mt_relay_t *relay, uint64_t engine,
+                                   bool keeps);
+
+/* One more effect of the step being taken. */
+mt_relay_effect_t *mt_relay_effect (mt_relay_t *relay,
+                                    mt_relay_effect_kind_t kind);
+
 /* How long one engine of the service takes to read prompts. */
 mt_read_line_t mt_relay_read_line (mt_relay_t *relay, mt_id_t service);
 /* The same without the fixed part: tokens per ms. */
--- /dev/null
+++ b/tests/cold_start_test.cc
@@ -0,0 +1,519 @@
+// cold_start_test.cc - what a cold engine gets, and emptied failure domains
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <random>
+#include <vector>
+
+#include "relay.h"
+
+extern "C" {
+#include "admission.h"
+#include "cold_start.h"
+#include "evacuation.h"
+#include "membership.h"
+}
+
+namespace {
+
+const mt_cold_terms_t terms = {1.5, 5};
+const double rate = 9.8;
+const double allowed = rate * 1.5 + 5; // in any second
+
+// {== The bucket ===========================================================
+
+// Keepers that do not hear each other, each with a part of the routers.
+struct Keepers {
+  std::vector<mt_cold_starts_t> all;
+  std::vector<double> parts;
+  mt_ms_t now = 50000;
+  std::vector<mt_ms_t> sent;
+
+  explicit Keepers(std::vector<double> p) : all(p.size()), parts(p) {
+    for (mt_cold_starts_t &s : all) s = mt_cold_starts_t{};
+  }
+  ~Keepers() {
+    for (mt_cold_starts_t &s : all) mt_cold_starts_free(&s);
+  }
+  void cold (mt_ms_t ms) {
+    for (mt_cold_starts_t &s : all) mt_cold_starts_note(&s, 7, now + ms, now);
+  }
+  mt_admission_t ask (size_t keeper) {
+    return mt_cold_starts_ask(&all[keeper], 7, rate, &terms, parts[keeper],
+                              now);
+  }
+  // The most that arrived in any second.
+  size_t most () {
+    size_t best = 0;
+    std::sort(sent.begin(), sent.end());
+    for (size_t first = 0, last = 0; last < sent.size(); last++) {
+      while (sent[last] - sent[first] >= 1000) first++;
+      best = std::max(best, last - first + 1);
+    }
+    return best;
+  }
+};
+
+// Whoever asks, whenever it uses its place, and whatever messages are lost.
+TEST(ColdStart, NoSecondBringsMoreThanIsAllowed) {
+  struct Row {
+    const char *what;
+    std::vector<double> parts;
+    double uses;     // part of the places that are used
+    double back;     // part of the others that the keeper gets back
+    size_t at_least; // requests in 3 s
+  } rows[] = {{"all use them", {1}, 1, 1, 36},
+              {"some do", {1}, 0.3, 1, 30},
+              {"what is given back is lost", {1}, 0.5, 0, 15},
+              {"two that are cut off", {0.5, 0.5}, 1, 1, 30},
+              {"a domain of three", {0.34, 0.33, 0.33}, 1, 1, 25},
+              {"many alone", std::vector<double>(91, 1.0 / 91), 1, 1, 0}};
+  for (const Row &row : rows) {
+    for (unsigned seed = 1; seed <= 10; seed++) {
+      std::mt19937 random(seed);
+      auto chance = [&] (double p) { return (random() % 1000) < p * 1000; };
+      Keepers w(row.parts);
+      w.cold(3000);
+      std::vector<std::pair<mt_ms_t, size_t>> backs;
+      for (int ms = 0; ms < 3000; ms++, w.now++) {
+        for (size_t k = 0; k < w.all.size(); k++) {
+          if (!chance(0.3) || w.ask(k) != MT_ADMIT_PLACE) continue;
+          mt_ms_t later = w.now + random() % (MT_COLD_PLACE_MS + 1);
+          if (chance(row.uses))
+            w.sent.push_back(later);
+          else if (chance(row.back))
+            backs.push_back({later, k});
+        }
+        for (size_t i = backs.size(); i-- > 0;) {
+          if (backs[i].first > w.now) continue;
+          mt_cold_starts_give_back(&w.all[backs[i].second], 7);
+          backs.erase(backs.begin() + (long)i);
+        }
+      }
+      EXPECT_LE((double)w.most(), allowed) << row.what << " seed " << seed;
+      EXPECT_GE(w.sent.size(), row.at_least) << row.what << " seed " << seed;
+    }
+  }
+}
+
+// What came without a place is taken from those that follow.
+TEST(ColdStart, RequestsWithoutAPlaceAreOwed) {
+  Keepers w({1});
+  w.cold(3000);
+  ASSERT_EQ(w.ask(0), MT_ADMIT_PLACE);
+  for (int i = 0; i < 10; i++) mt_cold_starts_charge(&w.all[0], 7);
+  w.now += 500;
+  EXPECT_EQ(w.ask(0), MT_ADMIT_NONE);
+  w.now += 1000;
+  EXPECT_EQ(w.ask(0), MT_ADMIT_PLACE);
+}
+
+TEST(ColdStart, WhatKeepersAnswer) {
+  struct Row {
+    const char *what;
+    mt_ms_t cold; // from the note on; 0: none was made
+    mt_ms_t after;
+    double part;
+    mt_admission_t answer;
+  } rows[] = {
+      {"never heard of", 0, 100, 1, MT_ADMIT_UNKNOWN},
+      {"cold", 3000, 100, 1, MT_ADMIT_PLACE},
+      {"cold, the keeper is not sure to be one", 3000, 100, 0, MT_ADMIT_NONE},
+      {"warm again", 3000, 3000, 1, MT_ADMIT_WARM},
+      {"warm again, not sure", 3000, 3001, 0, MT_ADMIT_WARM},
+      {"long ago", 3000, 20000, 1, MT_ADMIT_UNKNOWN}};
+  for (const Row &row : rows) {
+    Keepers w({row.part});
+    if (row.cold > 0) w.cold(row.cold);
+    w.now += row.after;
+    mt_cold_starts_expire(&w.all[0], w.now);
+    EXPECT_EQ(w.ask(0), row.answer) << row.what;
+  }
+}
+
+TEST(ColdStart, ItMayBeToldOtherwiseAtAnyTime) {
+  Keepers w({1});
+  w.cold(3000);
+  EXPECT_TRUE(mt_cold_starts_is_cold(&w.all[0], 7, w.now));
+  EXPECT_EQ(mt_cold_starts_count(&w.all[0], w.now), 1u);
+  w.now += 1000;
+  mt_cold_starts_note(&w.all[0], 7, w.now, w.now); // it is warm
+  EXPECT_FALSE(mt_cold_starts_is_cold(&w.all[0], 7, w.now));
+  EXPECT_EQ(mt_cold_starts_count(&w.all[0], w.now), 0u);
+  w.cold(500); // and cold again
+  EXPECT_TRUE(mt_cold_starts_is_cold(&w.all[0], 7, w.now + 499));
+  EXPECT_FALSE(mt_cold_starts_is_cold(&w.all[0], 7, w.now + 500));
+}
+
+// }==
+
+// {== Requests =============================================================
+
+// Engines m1 to m4 of domain d1, m5 to m8 of d2; this router is in d1.
+struct Fleet : Relay {
+  Fleet() : Relay(8) {
+    declare();
+    relay->routers = 2;
+    relay->terms.cold = terms;
+    for (size_t i = 0; i < relay->catalog->services_count; i++) {
+      mt_catalog_service_t *s = &relay->catalog->services[i];
+      s->cold_rate = s->model ? rate : 0;
+      s->cold = 3000;
+    }
+    for (int i = 1; i <= 8; i++)
+      for (const char *kind : {"m", "p"}) {
+        mt_engine_t *e = find(kind + std::to_string(i));
+        e->domain = strdup(i <= 4 ? "d1" : "d2");
+        e->far = i > 4;
+      }
+  }
+  using Relay::find;
+  mt_engine_t *m (int i) {
+    return find("m" + std::to_string(i));
+  }
+  void cold (mt_engine_t *e, mt_ms_t left = 3000) {
+    mt_relay_engine_listed(relay, e, left, now);
+  }
+  std::vector<uint64_t> asked (uint64_t number) {
+    std::vector<uint64_t> keys;
+    auto *r = (mt_relay_request_t *)mtV_get(&relay->requests, number);
+    if (r == nullptr || find(MT_RELAY_DO_ASK, number) == nullptr) return keys;
+    for (size_t i = r->round_first; i < r->candidates_count; i++)
+      keys.push_back(r->candidates[i].engine);
+    return keys;
+  }
+  // All keepers answer the same; the engine chosen, or 0.
+  uint64_t told (uint64_t number, mt_admission_t cold_ones,
+                 mt_admission_t others = MT_ADMIT_UNKNOWN) {
+    std::vector<mt_relay_quote_t> quotes;
+    std::vector<uint64_t> keys = asked(number);
+    if (keys.empty()) return 0;
+    for (uint64_t key : keys) {
+      mt_relay_quote_t quote{};
+      bool cold = mt_cold_starts_is_cold(&relay->cold, key, now);
+      quote.engine = key;
+      quote.admission = cold ? cold_ones : others;
+      quotes.push_back(quote);
+    }
+    mt_relay_event_t event{};
+    event.kind = MT_RELAY_QUOTED;
+    event.request = number;
+    event.u.quotes.list = quotes.data();
+    event.u.quotes.count = quotes.size();
+    step(event);
+    const mt_relay_effect_t *fx = find(MT_RELAY_DO_START, number);
+    return fx != nullptr ? fx->u.start.engine : 0;
+  }
+};
+
+TEST(ColdEngines, GetRequestsOnlyWithAPlace) {
+  struct Row {
+    const char *what;
+    bool all_cold;
+    mt_admission_t cold_ones, others;
+    bool cold_gets, any_gets;
+  } rows[] = {
+      {"no place", false, MT_ADMIT_NONE, MT_ADMIT_UNKNOWN, false, true},
+      {"the keeper knows nothing", false, MT_ADMIT_UNKNOWN, MT_ADMIT_UNKNOWN,
+       false, true},
+      {"a place, others get no work", false, MT_ADMIT_PLACE, MT_ADMIT_NONE,
+       true, true},
+      {"warm by now", false, MT_ADMIT_WARM, MT_ADMIT_NONE, true, true},
+      {"all are cold", true, MT_ADMIT_PLACE, MT_ADMIT_UNKNOWN, true, true},
+      {"all are cold and full", true, MT_ADMIT_NONE, MT_ADMIT_UNKNOWN, false,
+       false}};
+  for (const Row &row : rows) {
+    int to_cold = 0, to_any = 0, refused = 0;
+    for (uint64_t number = 1; number <= 40; number++) {
+      Fleet w;
+      for (int i = 1; i <= 8; i++)
+        if (row.all_cold || i == 2) w.cold(w.m(i));
+      w.ask(number, "/stream/x");
+      uint64_t key = w.told(number, row.cold_ones, row.others);
+      // The second round asks other domains; their engines are cold as well.
+      if (key == 0) key = w.told(number, row.cold_ones, row.others);
+      if (key == 0) {
+        refused += w.refusal() != MT_RELAY_REFUSAL_COUNT;
+        continue;
+      }
+      to_any++;
+      to_cold += row.all_cold || key == w.m(2)->key;
+    }
+    EXPECT_EQ(to_cold > 0, row.cold_gets) << row.what;
+    EXPECT_EQ(to_any > 0, row.any_gets) << row.what;
+    EXPECT_EQ(to_any + refused, 40) << row.what; // nobody is left waiting
+  }
+}
+
+TEST(ColdEngines, APlaceIsUsedOnce) {
+  Fleet w;
+  for (int i = 1; i <= 8; i++) w.cold(w.m(i));
+  w.ask(1, "/stream/x");
+  std::vector<uint64_t> keys = w.asked(1);
+  ASSERT_GE(keys.size(), 2u);
+  uint64_t first = w.told(1, MT_ADMIT_PLACE);
+  ASSERT_NE(first, 0u);
+  // The other places are given back at once.
+  std::vector<uint64_t> back;
+  for (size_t i = 0; i < w.effects.count; i++)
+    if (w.effects.list[i].kind == MT_RELAY_DO_GIVE_BACK)
+      back.push_back(w.effects.list[i].u.place);
+  keys.erase(std::find(keys.begin(), keys.end(), first));
+  EXPECT_EQ(back, keys);
+  auto *r = (mt_relay_request_t *)mtV_get(&w.relay->requests, 1);
+  w.relay->now = w.now;
+  EXPECT_FALSE(mt_admission_allows(w.relay, r, r->engine));
+  EXPECT_TRUE(r->has_place);
+  w.sent(1); // its engine is lost: the retry finds no place
+  w.fail(1);
+  EXPECT_EQ(w.find(MT_RELAY_DO_START, 1), nullptr);
+  EXPECT_NE(w.refusal(), MT_RELAY_REFUSAL_COUNT);
+}
+
+// Answers that are awaited for long may bring places that count no more, and
+// an answer that comes when all is decided brings one that is given back.
+TEST(ColdEngines, APlaceCountsForAShortTime) {
+  Fleet w;
+  for (int i = 1; i <= 8; i++) w.cold(w.m(i));
+  w.pass(25);
+  w.ask(1, "/stream/x");
+  auto *r = (mt_relay_request_t *)mtV_get(&w.relay->requests, 1);
+  r->candidates[0].quoted = true;
+  r->candidates[0].admission = MT_ADMIT_PLACE;
+  const mt_engine_t *e =
+      mt_engines_get(&w.relay->engines, r->candidates[0].engine);
+  w.relay->now = r->asked + MT_COLD_PLACE_MS;
+  EXPECT_TRUE(mt_admission_allows(w.relay, r, e));
+  w.relay->now = r->asked + MT_COLD_PLACE_MS + 1;
+  EXPECT_FALSE(mt_admission_allows(w.relay, r, e));
+  w.ask(2, "/stream/x");
+  std::vector<uint64_t> keys = w.asked(2);
+  w.cold(w.m(5), 0); // warm: it needs nobody's word
+  r = (mt_relay_request_t *)mtV_get(&w.relay->requests, 2);
+  w.pass(100); // request 1 or 2 is placed without answers
+  w.pass(100);
+  ASSERT_NE(r->engine, nullptr);
+  mt_relay_quote_t quote{};
+  quote.engine = keys[0];
+  quote.admission = MT_ADMIT_PLACE;
+  mt_relay_event_t event{};
+  event.kind = MT_RELAY_QUOTED;
+  event.request = 2;
+  event.u.quotes.list = &quote;
+  event.u.quotes.count = 1;
+  w.step(event);
+  ASSERT_EQ(w.effects.count, 1u);
+  EXPECT_EQ(w.effects.list[0].kind, MT_RELAY_DO_GIVE_BACK);
+  EXPECT_EQ(w.effects.list[0].u.place, keys[0]);
+}
+
+// Keepers that say nothing in time hand out nothing.
+TEST(ColdEngines, SilentKeepersGiveNoPlaces) {
+  for (bool alone : {false, true}) {
+    Fleet w;
+    w.relay->routers = alone ? 1 : 2;
+    w.pass(25);
+    for (int i = 1; i <= 8; i++) w.cold(w.m(i));
+    w.ask(1, "/stream/x");
+    EXPECT_FALSE(w.asked(1).empty()) << alone;
+    w.pass(100);
+    EXPECT_EQ(w.find(MT_RELAY_DO_START, 1), nullptr) << alone;
+  }
+}
+
+TEST(ColdEngines, WhatNeedsNoPlace) {
+  Fleet w;
+  for (int i = 1; i <= 8; i++) w.cold(w.find("p" + std::to_string(i)));
+  w.ask(1, "/again/x"); // of a service whose cold engines bear anything
+  EXPECT_NE(w.told(1, MT_ADMIT_UNKNOWN), 0u);
+}
+
+TEST(ColdEngines, NotManyOfThemAreAskedInPlaceOfOthers) {
+  Fleet w;
+  for (int i = 2; i <= 4; i++) w.cold(w.m(i));
+  for (uint64_t number = 1; number <= 20; number++) {
+    w.ask(number, "/stream/x");
+    int cold = 0;
+    auto *r = (mt_relay_request_t *)mtV_get(&w.relay->requests, number);
+    for (uint64_t key : w.asked(number))
+      cold += mt_cold_starts_is_cold(&w.relay->cold, key, w.now) &&
+              key != r->home_near && key != r->home_of_all;
+    EXPECT_LE(cold, 1) << number;
+  }
+}
+
+TEST(ColdEngines, AKeeperAnswersForItsEngines) {
+  struct Row {
+    const char *what;
+    bool cold, leaving, evacuated, keeps;
+    mt_admission_t answer;
+  } rows[] = {
+      {"warm", false, false, false, true, MT_ADMIT_UNKNOWN},
+      {"cold", true, false, false, true, MT_ADMIT_PLACE},
+      {"cold, of another keeper", true, false, false, false, MT_ADMIT_NONE},
+      {"leaves", false, true, false, false, MT_ADMIT_NONE},
+      {"emptied", false, false, true, false, MT_ADMIT_NONE}};
+  for (const Row &row : rows) {
+    Fleet w;
+    mt_engine_t *e = w.m(1);
+    w.relay->now = w.now;
+    if (row.cold) w.cold(e);
+    if (row.leaving) e->state = MT_ENGINE_LEAVING;
+    if (row.evacuated) mt_relay_evacuate(w.relay, "d1", true, w.now);
+    EXPECT_EQ(mt_relay_admission(w.relay, e->key, row.keeps), row.answer)
+        << row.what;
+  }
+  Fleet w;
+  EXPECT_EQ(mt_relay_admission(w.relay, 12345, true), MT_ADMIT_UNKNOWN);
+}
+
+// }==
+
+// {== Emptied failure domains ==============================================
+
+TEST(Evacuation, TheListOfDomains) {
+  mt_evacuations_t list{};
+  EXPECT_FALSE(mt_evacuations_set(&list, "", true));
+  EXPECT_FALSE(mt_evacuations_set(&list, "d1", false));
+  EXPECT_TRUE(mt_evacuations_set(&list, "d1", true));
+  EXPECT_FALSE(mt_evacuations_set(&list, "d1", true));
+  EXPECT_TRUE(mt_evacuations_set(&list, "d2", true));
+  EXPECT_TRUE(mt_evacuations_set(&list, "d1", false));
+  EXPECT_FALSE(mt_evacuations_has(&list, "d1"));
+  EXPECT_TRUE(mt_evacuations_has(&list, "d2"));
+  EXPECT_FALSE(mt_evacuations_has(&list, nullptr));
+  for (int i = 0; i < 2 * MT_EVACUATIONS_MAX; i++)
+    mt_evacuations_set(&list, ("x" + std::to_string(i)).c_str(), true);
+  EXPECT_EQ(list.count, (size_t)MT_EVACUATIONS_MAX);
+  std::string longest(MT_NAME_MAX + 1, 'x');
+  EXPECT_FALSE(mt_evacuations_set(&list, longest.c_str(), true));
+}
+
+TEST(Evacuation, WhereRequestsGo) {
+  struct Row {
+    const char *what;
+    std::vector<const char *> emptied;
+    bool near, far; // whose engines get requests
+  } rows[] = {{"none", {}, true, true},
+              {"the own", {"d1"}, false, true},
+              {"the other", {"d2"}, true, false},
+              {"both", {"d1", "d2"}, false, false},
+              {"one that has no engines", {"d9"}, true, true}};
+  for (const Row &row : rows) {
+    int near = 0, far = 0, refused = 0;
+    for (const char *path : {"/stream/x", "/again/x"})
+      for (uint64_t number = 1; number <= 40; number++) {
+        Fleet w;
+        for (const char *domain : row.emptied)
+          mt_relay_evacuate(w.relay, domain, true, w.now);
+        w.ask(number, path);
+        uint64_t key = w.told(number, MT_ADMIT_UNKNOWN);
+        if (key == 0) key = w.told(number, MT_ADMIT_UNKNOWN);
+        if (const mt_relay_effect_t *fx = w.find(MT_RELAY_DO_START, number))
+          key = fx->u.start.engine;
+        refused += w.refusal() == MT_RELAY_NO_ENGINE;
+        if (key == 0) continue;
+        (mt_engines_get(&w.relay->engines, key)->far ? far : near)++;
+      }
+    EXPECT_EQ(near > 0, row.near) << row.what;
+    EXPECT_TRUE(far == 0 || row.far) << row.what;
+    EXPECT_EQ(near + far + refused, 80) << row.what;
+    EXPECT_EQ(refused > 0, !row.near && !row.far) << row.what;
+  }
+}
+
+TEST(Evacuation, RunningStreamsGoOnAndRetriesGoElsewhere) {
+  Fleet w;
+  w.ask(1, "/stream/x");
+  uint64_t key = w.told(1, MT_ADMIT_UNKNOWN);
+  ASSERT_NE(key, 0u);
+  const mt_engine_t *first = mt_engines_get(&w.relay->engines, key);
+  ASSERT_TRUE(mt_relay_evacuate(w.relay, first->domain, true, w.now));
+  w.sent(1);
+  w.head(1, 200, true);
+  w.event(1, 0);
+  EXPECT_NE(w.find(MT_RELAY_DO_DATA, 1), nullptr);
+  w.fail(1);
+  const mt_relay_effect_t *fx = w.find(MT_RELAY_DO_START, 1);
+  ASSERT_NE(fx, nullptr);
+  const mt_engine_t *next =
+      mt_engines_get(&w.relay->engines, fx->u.start.engine);
+  EXPECT_STRNE(next->domain, first->domain);
+}
+
+TEST(Evacuation, EnginesThatAreUsedAgainAreCold) {
+  Fleet w;
+  ASSERT_TRUE(mt_relay_evacuate(w.relay, "d1", true, w.now));
+  EXPECT_FALSE(mt_relay_evacuate(w.relay, "d1", true, w.now));
+  // One that comes meanwhile gets no work either.
+  mt_engine_t *late = w.engine("m9", "model", 64);
+  late->domain = strdup("d1");
+  w.cold(late, 0);
+  EXPECT_TRUE(late->evacuated);
+  w.now += 8000;
+  ASSERT_TRUE(mt_relay_evacuate(w.relay, "d1", false, w.now));
+  EXPECT_FALSE(late->evacuated);
+  EXPECT_TRUE(mt_cold_starts_is_cold(&w.relay->cold, w.m(1)->key, w.now));
+  EXPECT_FALSE(mt_cold_starts_is_cold(&w.relay->cold, w.m(5)->key, w.now));
+  EXPECT_FALSE(
+      mt_cold_starts_is_cold(&w.relay->cold, w.find("p1")->key, w.now));
+  w.cold(w.m(1), 0); // its entry says that it is warm
+  EXPECT_FALSE(mt_cold_starts_is_cold(&w.relay->cold, w.m(1)->key, w.now));
+}
+
+// }==
+
+// {== Who hands out places =================================================
+
+TEST(Membership, ReachIsThePartOfKnownRoutersThatServe) {
+  struct Row {
+    const char *what;
+    int known, heard; // of others
+    mt_ms_t since;    // the start
+    double reach;
+  } rows[] = {{"alone, of a fleet of one", 0, 0, 5000, 1},
+              {"all serve", 9, 9, 5000, 1},
+              {"half of them are cut off", 9, 4, 5000, 0.5},
+              {"it knows some addresses and hears nobody", 3, 0, 5000, 0.25},
+              {"it has just started", 9, 9, 1000, 0}};
+  for (const Row &row : rows) {
+    mt_membership_t m{};
+    mt_ms_t now = 100000;
+    m.own_ip = 1;
+    m.own_domain = 1;
+    mt_membership_update(&m, now - row.since);
+    for (int i = 0; i < row.known; i++) {
+      mt_peer_t *peer = mt_membership_know(&m, (uint32_t)(i + 2));
+      peer->domain = 1;
+      if (i < row.heard) peer->heard = now;
+    }
+    mt_membership_update(&m, now);
+    EXPECT_DOUBLE_EQ(mt_membership_reach(&m), row.reach) << row.what;
+    mt_membership_free(&m);
+  }
+}
+
+// One that is passed over for a while still hands out places, so the one
+// taken in its place does not.
+TEST(Membership, ASuspectStillKeepsItsEngines) {
+  mt_membership_t m{};
+  m.own_ip = 1;
+  m.own_domain = 1;
+  mt_membership_update(&m, 100000);
+  mt_peer_t *other = mt_membership_know(&m, 2);
+  other->domain = 1;
+  other->heard = 100000;
+  uint64_t engine = 1;
+  while (mt_membership_keeper(&m, engine, 1) == m.own_ip) engine++;
+  other->suspect = 100700;
+  EXPECT_EQ(mt_membership_keeper(&m, engine, 1), m.own_ip);
+  EXPECT_FALSE(mt_membership_keeps(&m, engine, 1));
+  mt_membership_update(&m, 105000); // it is gone
+  EXPECT_TRUE(mt_membership_keeps(&m, engine, 1));
+  mt_membership_free(&m);
+}
+
+// }==
+
+} // namespace
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -41,13 +41,15 @@
     in->feeds[MT_FEED_ENGINES] = {5, 9, 200};
     in->members[in->members_count++] = {0x0a000001, 77, 1};
     in->shares[in->shares_count++] = {12, {1000, 500}};
-    in->engines[in->engines_count++] = {99, {10, 20, 3}, 400, 77};
+    in->engines[in->engines_count++] = {
+        99, {10, 20, 3}, 400, 77, MT_ADMIT_PLACE};
     in->parts[in->parts_count++] = {5, 600};
     in->base = 4;
     in->reach = 6;
-    in->entries[in->entries_count++] = {"i-1", "d1", "10.0.0.1", "s",
-                                        80,    64,   true,       false};
-    in->entries[in->entries_count++] = {"i-2", "", "", "", 0, 0, false, true};
+    in->entries[in->entries_count++] = {"i-1", "d1", "10.0.0.1", "s", 80,
+                                        64,    true, false,      2500};
+    in->entries[in->entries_count++] = {"i-2", "",    "",   "", 0,
+                                        0,     false, true, 0};
     size_t n = mt_peer_message_pack(in.get(), bytes, sizeof bytes);
     ASSERT_GT(n, 0u);
     ASSERT_TRUE(mt_peer_message_unpack(out.get(), bytes, n));
@@ -67,6 +69,7 @@
     EXPECT_EQ(out->engines[0].load.running, 3);
     EXPECT_EQ(out->engines[0].tokens, 400);
     EXPECT_EQ(out->engines[0].holder, 77u);
+    EXPECT_EQ(out->engines[0].admission, MT_ADMIT_PLACE);
     ASSERT_EQ(out->parts_count, 1u);
     EXPECT_EQ(out->parts[0].tokens, 600);
     EXPECT_EQ(out->base, 4);
@@ -76,6 +79,7 @@
     EXPECT_STREQ(out->entries[0].service, "s");
     EXPECT_EQ(out->entries[0].port, 80);
     EXPECT_TRUE(out->entries[0].leaving && !out->entries[0].gone);
+    EXPECT_EQ(out->entries[0].cold, 2500u);
     EXPECT_STREQ(out->entries[1].name, "i-2");
     EXPECT_TRUE(out->entries[1].gone);
   }
