--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -382,7 +382,7 @@
     msgpack_sbuffer_init(&out);
     msgpack_packer_init(&pk, &out, msgpack_sbuffer_write);
     msgpack_pack_array(&pk, 16 + lists);
-    msgpack_pack_uint64(&pk, 4); // of the format
+    msgpack_pack_uint64(&pk, 5); // of the format
     msgpack_pack_uint64(&pk, kind);
     for (int i = 2; i < 16; i++) msgpack_pack_uint64(&pk, rest);
     for (size_t list = 0; list < lists; list++) {
@@ -394,14 +394,14 @@
     return text;
   };
   const uint64_t most = UINT64_MAX;
-  std::string whole = message(0, {1, 2, 3, 4, 5, 6});
+  std::string whole = message(0, {1, 2, 3, 4, 5, 6, 7});
   std::vector<std::string> datagrams = {
       "", "x", std::string(1000, '\xc1'),
       std::string("\xdd\xff\xff\xff\xff", 5), whole};
-  for (uint64_t kind = 0; kind < 11; kind++) { // two of them unknown
+  for (uint64_t kind = 0; kind < 12; kind++) { // two of them unknown
     datagrams.push_back(message(kind, {}));
-    datagrams.push_back(message(kind, {0, 0, 0, 0, 0, 5}));
-    datagrams.push_back(message(kind, {0, 0, 0, 0, 0, 5}, most));
+    datagrams.push_back(message(kind, {0, 0, 0, 0, 0, 5, 9}));
+    datagrams.push_back(message(kind, {0, 0, 0, 0, 0, 5, 9}, most));
     datagrams.push_back(message(kind, std::vector<uint64_t>(10, most), most));
     datagrams.push_back(message(kind, std::vector<uint64_t>(3, 9), 60000));
     datagrams.push_back(message(kind, std::vector<uint64_t>(1500, 9)));
