Requests that find no room go to homes in domains that were seen with room

Cause: a request without room in its domain asked four engines of others, whatever was known of these.

Change: the second round asks the home of the request's parts in up to two other domains, the least loaded first, and none that its keepers' answers of the last 2 s show too full for the request (domain_load.c). Abroad a request may wait 0.6 of its limit, one of a workspace that had its share 0.1, and what admits it goes before what does not. Requests without a prompt stay unless they would wait for a slot or the engine has just failed another.

--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -68,6 +68,7 @@
   if (e->domain == NULL || strcmp(e->domain, engine->domain) != 0) {
     free(e->domain);
     e->domain = strdup(engine->domain);
+    e->domain_id = mtV_id(e->domain, strlen(e->domain));
     e->far = strcmp(e->domain, g->relay->domain) != 0;
   }
   mt_relay_engine_listed(g->relay, e, engine->cold, uv_now(g->loop));
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -27,6 +27,13 @@
 #define MISS_WEIGHT 50.0
 #define MISS_WEIGHT_EASY 13.0
 #define MOVE_WEIGHT 3.0
+/* Of the wait limit, at engines of other failure domains, and the same for a
+   workspace that had its share. With 91 routers in 3 domains, of which one
+   has more callers than it can serve, they save 0.013 to 0.030 of a day's
+   worth in bytes between domains against asking abroad whenever there is no
+   room; 1.0 for both costs 0.008 to 0.025 of worth more than these. */
+#define FAR_PART 0.6
+#define FAR_PART_OVER 0.1
 /* Keeps requests and answers in their failure domain where that is as good;
    the value is a guess, no other was measured. */
 #define CROSS_MS 15.0
@@ -96,6 +103,8 @@
   terms->miss_weight = real(relay, "miss_weight", MISS_WEIGHT);
   terms->miss_weight_easy = real(relay, "miss_weight_easy", MISS_WEIGHT_EASY);
   terms->move_weight = real(relay, "move_weight", MOVE_WEIGHT);
+  terms->far_part = real(relay, "far_part", FAR_PART);
+  terms->far_part_over = real(relay, "far_part_over", FAR_PART_OVER);
   terms->cross_ms = real(relay, "cross_ms", CROSS_MS);
   json_array_foreach (json_object_get(relay, "off"), i, name) {
     mt_relay_mechanism_t which = mt_relay_mechanism(
--- a/src/relay/candidates.c
+++ b/src/relay/candidates.c
@@ -15,6 +15,7 @@
 ** mean; and a question took a router longer the more engines there were.
 */
 #define LOOKED_AT_MOST 16
+#define HOMES 2 /* of the own failure domain, asked before other engines */
 
 static bool was_tried (const mt_relay_request_t *r, uint64_t key) {
   for (int i = 0; i < r->tried_count; i++)
@@ -33,62 +34,121 @@
 
 /* {== Homes ============================================================ */
 
-/* An engine that may be home, and the greatest hash so far. */
+/* An engine that may be home, and its weight; NULL: none yet. */
 typedef struct home_t {
-  uint64_t key, weight;
+  const mt_engine_t *engine;
+  uint64_t weight;
 } home_t;
 
-static void keep_heavier (home_t *home, uint64_t key, uint64_t weight) {
-  if (home->key != 0 && weight <= home->weight) return;
-  *home = (home_t){key, weight};
+static void keep_heavier (home_t *home, const mt_engine_t *e,
+                          uint64_t weight) {
+  if (home->engine != NULL && weight <= home->weight) return;
+  *home = (home_t){e, weight};
+}
+
+/* True for an engine where parts of the request's prompt may gather. */
+static bool may_be_home (const mt_relay_request_t *r, const mt_engine_t *e) {
+  return e->service == r->service && e->state == MT_ENGINE_READY &&
+         !e->evacuated;
 }
 
 /*
 ** Every router finds the same homes without being told: the engines with the
-** greatest hash of part and engine. `but` leaves one out.
+** greatest hash of part and engine, of all and of the own failure domain.
+** `but` leaves one out.
 */
 static void find_homes (const mt_relay_t *relay, const mt_relay_request_t *r,
                         uint64_t but, home_t *of_all, home_t *near) {
   uint64_t part = mt_prompt_memory_home_part(r->parts, r->parts_count);
-  *of_all = *near = (home_t){0, 0};
+  *of_all = *near = (home_t){NULL, 0};
   if (part == 0 || relay->terms.off[MT_RELAY_HOME]) return;
   for (size_t i = 0; i < relay->engines.count; i++) {
     const mt_engine_t *e = relay->engines.list[i];
-    if (e->service != r->service || e->state != MT_ENGINE_READY) continue;
-    if (e->key == but || e->evacuated) continue;
+    if (e->key == but || !may_be_home(r, e)) continue;
     uint64_t weight = mtV_mix(part, e->key);
-    keep_heavier(of_all, e->key, weight);
-    if (!e->far) keep_heavier(near, e->key, weight);
+    keep_heavier(of_all, e, weight);
+    if (!e->far) keep_heavier(near, e, weight);
   }
 }
 
 void mt_candidates_find_homes (mt_relay_t *relay, mt_relay_request_t *r) {
   home_t of_all, near;
   find_homes(relay, r, 0, &of_all, &near);
-  r->home_of_all = of_all.key;
-  r->home_near = near.key;
+  r->home_of_all = of_all.engine != NULL ? of_all.engine->key : 0;
+  r->home_near = near.engine != NULL ? near.engine->key : 0;
+}
+
+/* True when the engine may be asked about: usable, and not asked yet. */
+static bool askable (const mt_relay_t *relay, const mt_relay_request_t *r,
+                     const mt_engine_t *e) {
+  return mt_quotes_find(r, e->key) == NULL &&
+         mt_candidates_usable(relay, r, e);
 }
 
-/* An engine that may be asked about: usable, and not asked yet. */
-static const mt_engine_t *
-askable (mt_relay_t *relay, const mt_relay_request_t *r, uint64_t key) {
+static const mt_engine_t *askable_at (const mt_relay_t *relay,
+                                      const mt_relay_request_t *r,
+                                      uint64_t key) {
   const mt_engine_t *e = mt_engines_get(&relay->engines, key);
-  if (e == NULL || mt_quotes_find(r, key) != NULL) return NULL;
-  return mt_candidates_usable(relay, r, e) ? e : NULL;
+  return e != NULL && askable(relay, r, e) ? e : NULL;
 }
 
-/* The own domain's home, that of all, and where both are one its second. */
+/*
+** The home in the own failure domain; that of all, which may keep the parts
+*or
+** know who does; where both are one its second.
+*/
 static const mt_engine_t *next_home (mt_relay_t *relay,
                                      const mt_relay_request_t *r) {
-  const mt_engine_t *near = askable(relay, r, r->home_near);
-  const mt_engine_t *of_all = askable(relay, r, r->home_of_all);
+  const mt_engine_t *near = askable_at(relay, r, r->home_near);
+  const mt_engine_t *of_all = askable_at(relay, r, r->home_of_all);
   home_t second, second_near;
   if (near != NULL) return near;
+  if (r->home_near == 0) return NULL;
   if (of_all != NULL) return of_all;
   if (r->home_near != r->home_of_all) return NULL;
   if (relay->terms.off[MT_RELAY_SECOND_HOME]) return NULL;
   find_homes(relay, r, r->home_near, &second, &second_near);
-  return askable(relay, r, second_near.key);
+  bool good =
+      second_near.engine != NULL && askable(relay, r, second_near.engine);
+  return good ? second_near.engine : NULL;
+}
+
+/* }== */
+
+/* {== Other failure domains ============================================ */
+
+static bool asks_domain (const mt_relay_t *relay, const mt_relay_request_t *r,
+                         mt_id_t domain) {
+  for (size_t i = r->round_first; i < r->candidates_count; i++) {
+    const mt_engine_t *e =
+        mt_engines_get(&relay->engines, r->candidates[i].engine);
+    if (e != NULL && e->domain_id == domain) return true;
+  }
+  return false;
+}
+
+/*
+** The home of the request's parts in the failure domain that was seen least
+** loaded, of those that are not asked yet and may have room.
+*/
+static const mt_engine_t *next_far_home (mt_relay_t *relay,
+                                         const mt_relay_request_t *r) {
+  uint64_t part = mt_prompt_memory_home_part(r->parts, r->parts_count);
+  const mt_domain_load_t *best = NULL;
+  home_t home = {NULL, 0};
+  for (size_t i = 0; i < relay->engines.count; i++) {
+    const mt_engine_t *e = relay->engines.list[i];
+    if (!e->far || !askable(relay, r, e)) continue;
+    const mt_domain_load_t *load = mt_domain_loads_get(relay, e);
+    if (best != NULL && load != best && load->unread >= best->unread)
+      continue;
+    if (load != best && asks_domain(relay, r, e->domain_id)) continue;
+    if (load != best && !mt_placement_may_have_room(relay, r, load)) continue;
+    if (load != best) home = (home_t){NULL, 0};
+    best = load;
+    keep_heavier(&home, e, mtV_mix(part != 0 ? part : r->number, e->key));
+  }
+  return home.engine;
 }
 
 /* }== */
@@ -107,18 +167,18 @@
 }
 
 /*
-** The best of some engines on one side of the domain's border. With few
-** engines these are all, and the router knows them well.
+** The best of some engines of the own failure domain. With few engines these
+** are all, and the router knows them well.
 */
-static const mt_engine_t *
-best_of_some (mt_relay_t *relay, const mt_relay_request_t *r, bool far) {
+static const mt_engine_t *best_of_some (mt_relay_t *relay,
+                                        const mt_relay_request_t *r) {
   mt_engine_t *some[LOOKED_AT_MOST];
   size_t found = 0, count = relay->engines.count;
   size_t start = count ? mtV_hash(r->id, strlen(r->id)) % count : 0;
   bool cold = asks_cold(relay, r);
   for (size_t i = 0; i < count && found < LOOKED_AT_MOST; i++) {
     mt_engine_t *e = relay->engines.list[(start + i) % count];
-    if (e->far != far || e->service != r->service) continue;
+    if (e->far || e->service != r->service) continue;
     if (mt_quotes_find(r, e->key) != NULL) continue;
     if (!mt_candidates_usable(relay, r, e)) continue;
     if (cold && mt_admission_is_cold(relay, e)) continue;
@@ -130,10 +190,8 @@
 const mt_engine_t *mt_candidates_next (mt_relay_t *relay,
                                        const mt_relay_request_t *r) {
   const mt_engine_t *e = NULL;
-  if (r->rounds > 0) return best_of_some(relay, r, true);
-  if (r->candidates_count < 2) e = next_home(relay, r);
-  if (e == NULL) e = best_of_some(relay, r, false);
-  /* Without an engine in the own domain the others come at once. */
-  if (e == NULL && r->home_near == 0) e = best_of_some(relay, r, true);
+  if (r->rounds > 0) return next_far_home(relay, r);
+  if (r->candidates_count < HOMES) e = next_home(relay, r);
+  if (e == NULL) e = best_of_some(relay, r);
   return e;
 }
--- a/src/relay/candidates.h
+++ b/src/relay/candidates.h
@@ -3,7 +3,8 @@
 **
 ** A part that many prompts share gathers at homes: one engine that all
 ** routers agree on, and one in each failure domain, so that requests need not
-** leave their domain for it.
+** leave their domain for it. Requests that find no room in theirs ask for the
+** homes in others.
 */
 #ifndef candidates_h
 #define candidates_h
@@ -22,8 +23,8 @@
 
 /*
 ** The next engine whose keeper should be asked for the request, or NULL: in
-** the first round the homes and others of the own failure domain, in the
-** second those of other domains. None is named twice.
+** the first round homes and others of the own failure domain, in the second
+** homes in other domains that may have room. None is named twice.
 */
 const mt_engine_t *mt_candidates_next (mt_relay_t *relay,
                                        const mt_relay_request_t *request);
--- /dev/null
+++ b/src/relay/domain_load.c
@@ -0,0 +1,33 @@
+/*
+** domain_load.c - how full other failure domains are, as keepers there tell
+*/
+#include "domain_load.h"
+
+#define SAMPLE_PART                                       \
+  0.25 /* of the next value: an answer's; the rest is old \
+        */
+
+mt_domain_load_t *mt_domain_loads_get (mt_relay_t *relay,
+                                       const mt_engine_t *e) {
+  for (size_t i = 0; i < relay->domain_loads_count; i++) {
+    mt_domain_load_t *load = &relay->domain_loads[i];
+    if (load->domain == e->domain_id && load->service == e->service)
+      return load;
+  }
+  /* With too many the last entry serves for the rest. */
+  if (relay->domain_loads_count < MT_DOMAIN_LOADS_MAX)
+    relay->domain_loads_count++;
+  mt_domain_load_t *load =
+      &relay->domain_loads[relay->domain_loads_count - 1];
+  *load = (mt_domain_load_t){e->domain_id, e->service, 0, 0};
+  return load;
+}
+
+void mt_domain_loads_learn (mt_relay_t *relay, const mt_engine_t *e,
+                            const mt_engine_load_t *told) {
+  mt_domain_load_t *load = mt_domain_loads_get(relay, e);
+  double unread = (double)told->unread;
+  if (load->told == 0) load->unread = unread;
+  load->unread += (unread - load->unread) * SAMPLE_PART;
+  load->told = relay->now;
+}
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -25,6 +25,7 @@
 typedef struct mt_engine_t {
   uint64_t key; /* hash of the incarnation's name; never 0 */
   char *name, *domain;
+  mt_id_t domain_id;
   char ip[46];
   uint16_t port;
   mt_id_t service;
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -15,6 +15,9 @@
 #define RUNNING_MS 1.0 /* each running request slows all others a little */
 #define ROOM_POWER 3   /* how fast room falls beyond the share */
 #define OVER_LIMIT_MS 2500.0 /* there it would be refused */
+/* How full a failure domain was counts for so long; then it is asked again.
+   With 400 ms a third of the questions of a loaded fleet were such. */
+#define FULL_MS 2000
 
 static int running (const mt_engine_t *e) {
   return e->here.running + e->peers.running;
@@ -63,6 +66,12 @@
   return limit;
 }
 
+/* Of the wait limit, at engines of other failure domains. */
+static double far_part (mt_relay_t *relay, const mt_relay_request_t *r) {
+  bool over = standing_of(relay, r) > 1;
+  return over ? relay->terms.far_part_over : relay->terms.far_part;
+}
+
 /* {== Costs of engines ================================================= */
 
 /* What is the same for all engines that a request may go to. */
@@ -74,7 +83,7 @@
   mt_engine_t *source; /* keeps `there` tokens of the prompt, or NULL */
   int64_t there;
   int64_t unshared; /* tokens of the prompt that only it has */
-  double limit, ease;
+  double limit, far_limit, ease;
   double reading; /* weight of the time to read, beside a wait */
   mt_placement_t best;
   double best_cost;
@@ -89,12 +98,22 @@
   c.line = mt_relay_read_line(relay, r->service);
   c.unshared = mt_max(r->tokens_in - mt_prompt_memory_shared(r), 1);
   c.limit = wait_limit(relay, r, service);
+  c.far_limit = c.limit * far_part(relay, r);
   c.ease = ease_of(relay, r);
   c.reading = relay->terms.miss_weight * (1 - c.ease) +
               relay->terms.miss_weight_easy * c.ease;
   return c;
 }
 
+/*
+** How long it may wait there. Bytes between failure domains are dear and work
+** abroad displaces what has its parts there, so less; and whoever had its
+** share leaves only for engines that are all but idle.
+*/
+static double limit_at (const costs_t *c, const mt_engine_t *e) {
+  return e->far && c->request->rounds > 1 ? c->far_limit : c->limit;
+}
+
 /*
 ** The expected time to the first event, reading of unkept parts weighed more.
 ** What is read at a home is read for all that follow: it isn't held against
@@ -118,7 +137,8 @@
   int64_t held = e->here.held + e->peers.held + miss;
   double cost = wait + (double)weighed * per_token * c->reading;
   cost += fetch.ms * terms->move_weight * c->reading;
-  if (wait > c->limit) cost += c->ease * OVER_LIMIT_MS;
+  if (wait > limit_at(c, e))
+    cost += (r->rounds > 1 ? 1 : c->ease) * OVER_LIMIT_MS;
   cost += running(e) * RUNNING_MS;
   if (full) cost += FULL_PENALTY_MS;
   if (memory > 0 && held > memory) cost += MEMORY_PENALTY_MS;
@@ -177,6 +197,15 @@
   return c.best;
 }
 
+bool mt_placement_may_have_room (mt_relay_t *relay,
+                                 const mt_relay_request_t *r,
+                                 const mt_domain_load_t *load) {
+  if (load->told == 0 || relay->now - load->told > FULL_MS) return true;
+  costs_t c = begin_costs(relay, r);
+  if (c.service == NULL) return true;
+  return load->unread * c.line.ms_per_token <= c.far_limit;
+}
+
 mt_engine_t *mt_placement_best_of (mt_relay_t *relay,
                                    const mt_relay_request_t *r,
                                    mt_engine_t *const *engines,
@@ -195,5 +224,6 @@
   if (service == NULL || !service->model) return true; /* it sheds itself */
   if (p->full) return false;
   double limit = wait_limit(relay, r, service);
+  if (p->engine->far && r->rounds > 1) limit *= far_part(relay, r);
   return limit <= 0 || p->wait_ms <= limit;
 }
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -4,6 +4,7 @@
 #ifndef placement_h
 #define placement_h
 
+#include "domain_load.h"
 #include "prompt_memory.h"
 
 typedef struct mt_placement_t {
@@ -26,6 +27,11 @@
 mt_placement_t mt_placement_choose (mt_relay_t *relay,
                                     const mt_relay_request_t *request);
 
+/* False when the failure domain was seen too full for the request lately. */
+bool mt_placement_may_have_room (mt_relay_t *relay,
+                                 const mt_relay_request_t *request,
+                                 const mt_domain_load_t *load);
+
 /* The best of these, as far as this router knows; NULL: none is usable. */
 mt_engine_t *mt_placement_best_of (mt_relay_t *relay,
                                    const mt_relay_request_t *request,
--- a/src/relay/quotes.c
+++ b/src/relay/quotes.c
@@ -2,11 +2,13 @@
 ** quotes.c - asks the keepers of a few engines before a request is placed
 */
 #include "candidates.h"
+#include "domain_load.h"
 #include "quotes.h"
 
 #define WAIT_MS 20      /* for answers of keepers */
 #define USUAL_FADE 0.95 /* per answer of a home's keeper */
 #define ROUNDS_MOST 2   /* the own failure domain's engines, then others' */
+#define FAR_ASKED 2     /* failure domains, in the second round */
 #define FRESH_MS 250    /* an answer is taken as it is for so long */
 #define FADE_PART 0.2   /* of the difference, per update */
 
@@ -30,19 +32,20 @@
 
 bool mt_quotes_ask (mt_relay_t *relay, mt_relay_request_t *r) {
   size_t before = r->candidates_count;
+  r->round_first = before;
   bool alone = relay->routers < 2;
   if (alone && mt_cold_starts_count(&relay->cold, relay->now) == 0)
     return false;
   if (r->rounds >= ROUNDS_MOST) return false;
   if (relay->terms.off[MT_RELAY_QUOTES]) return false;
   if (r->rounds > 0 && relay->terms.off[MT_RELAY_FAR_ROUND]) return false;
-  for (int i = 0; i < MT_RELAY_ROUND_MAX; i++) {
+  int most = r->rounds > 0 ? FAR_ASKED : MT_RELAY_ROUND_MAX;
+  for (int i = 0; i < most; i++) {
     const mt_engine_t *e = mt_candidates_next(relay, r);
     if (e == NULL) break;
     add_candidate(r, e);
   }
   if (r->candidates_count == before) return false;
-  r->round_first = before;
   r->rounds++;
   r->asked = relay->now;
   return true;
@@ -66,6 +69,7 @@
     if (e != NULL) {
       e->peers = quote->peers;
       e->quoted = relay->now;
+      if (e->far) mt_domain_loads_learn(relay, e, &quote->peers);
       if (quote->admission == MT_ADMIT_WARM)
         mt_cold_starts_note(&relay->cold, e->key, relay->now, relay->now);
     }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -315,12 +315,25 @@
   return true;
 }
 
+/*
+** A request without a prompt is never refused for want of room. It stays in
+*the
+** own failure domain unless it would wait for a slot there, or the engine has
+** just failed another.
+*/
+static bool leaves_for_better (const mt_relay_request_t *r,
+                               const mt_placement_t *p) {
+  if (r->parts_count > 0 || p->engine->far) return false;
+  return p->full || p->engine->failures > 0;
+}
+
 /* Sends the request to the best engine or refuses it. */
 static void place (mt_relay_t *relay, mt_relay_request_t *r) {
   mt_relay_refusal_t why = MT_RELAY_NO_ENGINE;
   mt_placement_t p = mt_placement_choose(relay, r);
   r->wait_expected = p.wait_ms;
   if (p.engine != NULL && mt_placement_admits(relay, r, &p, &why)) {
+    if (leaves_for_better(r, &p) && ask_keepers(relay, r)) return;
     start_attempt(relay, r, &p);
     return;
   }
@@ -351,6 +364,8 @@
   if (r->workspace != 0)
     r->standing = mt_fair_share_standing(&relay->shares, r->workspace);
   mt_candidates_find_homes(relay, r);
+  if (ask_keepers(relay, r)) return;
+  r->rounds = mt_max(r->rounds, 1); /* there is nobody to ask here */
   if (!ask_keepers(relay, r)) place(relay, r);
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -321,12 +321,23 @@
   double over_power;  /* how fast this falls beyond the share */
   double miss_weight; /* of the time to read a prompt, beside a wait */
   double miss_weight_easy; /* the same, below the share */
-  double move_weight;      /* of the time of a move, times that of reading */
+  double far_part;      /* of the wait limit, at engines of other domains */
+  double far_part_over; /* the same, for whoever had its share */
+  double move_weight;   /* of the time of a move, times that of reading */
   double
       cross_ms; /* that an engine of another failure domain must be better */
   bool off[MT_RELAY_MECHANISM_COUNT]; /* mechanisms that are not used */
 } mt_relay_terms_t;
 
+/* How full another failure domain was, as keepers there told lately. */
+typedef struct mt_domain_load_t {
+  mt_id_t domain, service;
+  double unread; /* at one engine, smoothed */
+  mt_ms_t told;  /* by the last of them; 0: none has */
+} mt_domain_load_t;
+
+#define MT_DOMAIN_LOADS_MAX 256
+
 typedef struct mt_relay_t {
   mt_ms_t now;
   mt_ms_t seen; /* all that came in before has been taken: the last tick */
@@ -342,6 +353,8 @@
   mt_load_book_t book;       /* of the engines that this router keeps */
   mt_part_holders_t holders; /* of parts whose home is kept here */
   mt_cold_starts_t cold;     /* engines that are, and places there */
+  mt_domain_load_t domain_loads[MT_DOMAIN_LOADS_MAX];
+  size_t domain_loads_count;
   mt_evacuations_t evacuations;
   mt_fair_share_t shares;
   mt_map_t services; /* id -> mt_relay_service_t, owned */
--- /dev/null
+++ b/tests/far_round_test.cc
@@ -0,0 +1,217 @@
+// far_round_test.cc - which requests leave their failure domain, and for
+// where.
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "relay.h"
+
+extern "C" {
+#include "domain_load.h"
+}
+
+namespace {
+
+// Engines m1 to m4 and p1 of the own domain d1, m5 to m8 and p2 of d2, m9 to
+// m12 and p3 of d3.
+struct Fleet : Relay {
+  Fleet() : Relay(12) {
+    declare();
+    relay->routers = 2;
+    relay->terms.far_part = 0.6;
+    relay->terms.far_part_over = 0.1;
+    for (int i = 1; i <= 12; i++) {
+      place(m(i), (i + 3) / 4);
+      mt_engine_t *p = find("p" + std::to_string(i));
+      if (i <= 3)
+        place(p, i);
+      else
+        p->state = MT_ENGINE_GONE;
+    }
+  }
+  using Relay::find;
+  mt_engine_t *m (int i) {
+    return find("m" + std::to_string(i));
+  }
+  static void place (mt_engine_t *e, int domain) {
+    std::string name = "d" + std::to_string(domain);
+    e->domain = strdup(name.c_str());
+    e->domain_id = mtV_id(name.data(), name.size());
+    e->far = domain != 1;
+  }
+  mt_id_t domain_of (uint64_t key) {
+    return mt_engines_get(&relay->engines, key)->domain_id;
+  }
+  std::vector<uint64_t> asked (uint64_t number) {
+    std::vector<uint64_t> keys;
+    auto *r = (mt_relay_request_t *)mtV_get(&relay->requests, number);
+    if (r == nullptr || find(MT_RELAY_DO_ASK, number) == nullptr) return keys;
+    for (size_t i = r->round_first; i < r->candidates_count; i++)
+      keys.push_back(r->candidates[i].engine);
+    return keys;
+  }
+  // The keepers that were asked answer; `near`, `far`: unread at engines.
+  void answer (uint64_t number, int64_t near, int64_t far, int running = 0) {
+    std::vector<mt_relay_quote_t> quotes;
+    for (uint64_t key : asked(number)) {
+      bool away = mt_engines_get(&relay->engines, key)->far;
+      mt_relay_quote_t quote{};
+      quote.engine = key;
+      quote.peers = {away ? far : near, 0, away ? 0 : running};
+      quotes.push_back(quote);
+    }
+    mt_relay_event_t event{};
+    event.kind = MT_RELAY_QUOTED;
+    event.request = number;
+    event.u.quotes.list = quotes.data();
+    event.u.quotes.count = quotes.size();
+    step(event);
+  }
+  uint64_t started (uint64_t number) {
+    const mt_relay_effect_t *fx = find(MT_RELAY_DO_START, number);
+    return fx != nullptr ? fx->u.start.engine : 0;
+  }
+};
+
+const int64_t full = 500000; // unread tokens: seconds of work
+
+TEST(FarRound, OneHomeOfEachOtherDomainIsAsked) {
+  Fleet w;
+  w.ask(1, "/stream/x");
+  w.answer(1, full, full);
+  std::vector<uint64_t> first = w.asked(1);
+  ASSERT_EQ(first.size(), 2u);
+  EXPECT_NE(w.domain_of(first[0]), w.domain_of(first[1]));
+  EXPECT_TRUE(mt_engines_get(&w.relay->engines, first[0])->far);
+  EXPECT_TRUE(mt_engines_get(&w.relay->engines, first[1])->far);
+  // All requests with the same shared part ask the same engines, unless one
+  // of them, the home of all, was asked in the first round.
+  Fleet other;
+  other.ask(2, "/stream/x");
+  other.answer(2, full, full);
+  std::vector<uint64_t> second = other.asked(2);
+  EXPECT_EQ(std::set<uint64_t>(first.begin(), first.end()),
+            std::set<uint64_t>(second.begin(), second.end()));
+}
+
+TEST(FarRound, RoomAbroadIsLessThanAtHome) {
+  struct Row {
+    const char *what;
+    double part_of_limit; // that one would wait abroad
+    double standing;      // of the workspace
+    bool taken;
+  } rows[] = {{"idle engines", 0, 0.5, true},
+              {"half of the limit", 0.5, 0.5, true},
+              {"most of it", 0.8, 0.5, false},
+              {"idle, for one beyond its share", 0, 1.2, true},
+              {"half, for one beyond its share", 0.5, 1.2, false}};
+  for (const Row &row : rows) {
+    Fleet w;
+    mt_share_t *share = mt_fair_share_get(&w.relay->shares, mtV_id("w1", 2));
+    w.relay->shares.level = 100000;
+    share->peers.served = row.standing * 100000;
+    double limit =
+        600 * w.relay->terms.wait_part; // of the shortest objective
+    double ms_per_token = 1 / mt_relay_rate(w.relay, mtV_id("model", 5));
+    w.ask(1, "/stream/x");
+    w.answer(1, full, full);
+    ASSERT_FALSE(w.asked(1).empty()) << row.what;
+    w.answer(1, full, (int64_t)(row.part_of_limit * limit / ms_per_token));
+    EXPECT_EQ(w.started(1) != 0, row.taken) << row.what;
+    EXPECT_EQ(w.refusal() != MT_RELAY_REFUSAL_COUNT, !row.taken) << row.what;
+  }
+}
+
+// What keepers told of a domain is not asked for again at once.
+TEST(FarRound, ADomainThatWasFullIsLeftAlone) {
+  struct Row {
+    const char *what;
+    int64_t unread; // at its engines, as told
+    mt_ms_t ago;
+    bool asked;
+  } rows[] = {{"it was full just now", full, 0, false},
+              {"it was full lately", full, 2000, false},
+              {"that is long ago", full, 2001, true},
+              {"it had room", 10, 100, true}};
+  for (const Row &row : rows) {
+    Fleet w;
+    w.ask(1, "/stream/x");
+    w.relay->now = w.now - row.ago;
+    for (int i : {5, 9}) {
+      const mt_engine_load_t load = {row.unread, 0, 0};
+      mt_domain_loads_learn(w.relay, w.m(i), &load);
+    }
+    // The home of all may be abroad; it says the same.
+    w.answer(1, full, row.unread);
+    EXPECT_EQ(!w.asked(1).empty(), row.asked) << row.what;
+    EXPECT_EQ(w.refusal() != MT_RELAY_REFUSAL_COUNT, !row.asked) << row.what;
+  }
+}
+
+TEST(FarRound, RequestsWithoutAPromptStayUnlessTheyWouldWait) {
+  struct Row {
+    const char *what;
+    int running; // at the own domain's engine, of 4 slots
+    int failures;
+    bool leaves;
+  } rows[] = {{"slots are free", 2, 0, false},
+              {"none is", 4, 0, true},
+              {"it has just failed another", 0, 1, true}};
+  for (const Row &row : rows) {
+    Fleet w;
+    mt_engine_t *near = w.find("p1");
+    near->failures = row.failures;
+    mt_relay_ask_t a{};
+    std::string id = "r1", host = "h.example", path = "/again/x",
+                key = "key-w1";
+    a.id = {id.data(), id.size()};
+    a.host = {host.data(), host.size()};
+    a.path = {path.data(), path.size()};
+    a.key = {key.data(), key.size()};
+    a.deadline_ms = 5000;
+    a.last_event = -1;
+    mt_relay_event_t event{};
+    event.kind = MT_RELAY_REQUEST;
+    event.request = 1;
+    event.u.ask = &a;
+    w.step(event);
+    ASSERT_EQ(w.asked(1), std::vector<uint64_t>{near->key}) << row.what;
+    w.answer(1, 0, 0, row.running);
+    if (row.leaves) {
+      EXPECT_EQ(w.asked(1).size(), 2u) << row.what;
+      w.answer(1, 0, 0);
+    }
+    ASSERT_NE(w.started(1), 0u) << row.what;
+    EXPECT_EQ(w.started(1) != near->key, row.leaves) << row.what;
+  }
+  // Without an engine of its own the domain asks others at once.
+  Fleet w;
+  w.find("p1")->state = MT_ENGINE_GONE;
+  w.ask(1, "/again/x");
+  EXPECT_EQ(w.asked(1).size(), 2u);
+  w.answer(1, 0, 0);
+  EXPECT_NE(w.started(1), 0u);
+}
+
+TEST(DomainLoad, FollowsWhatKeepersTell) {
+  Fleet w;
+  const mt_engine_load_t load = {1000, 0, 0}, none = {0, 0, 0};
+  w.relay->now = 5;
+  mt_domain_loads_learn(w.relay, w.m(5), &load);
+  EXPECT_DOUBLE_EQ(mt_domain_loads_get(w.relay, w.m(6))->unread, 1000);
+  EXPECT_EQ(mt_domain_loads_get(w.relay, w.m(9))->told, 0u);
+  w.relay->now = 9;
+  mt_domain_loads_learn(w.relay, w.m(7), &none);
+  EXPECT_LT(mt_domain_loads_get(w.relay, w.m(6))->unread, 1000);
+  EXPECT_GT(mt_domain_loads_get(w.relay, w.m(6))->unread, 500);
+  EXPECT_EQ(mt_domain_loads_get(w.relay, w.m(6))->told, 9u);
+  // Any number of domains and services harms nothing.
+  mt_engine_t *e = w.m(9);
+  for (int i = 0; i < 2 * MT_DOMAIN_LOADS_MAX; i++) {
+    e->domain_id = (mt_id_t)(i + 1);
+    mt_domain_loads_learn(w.relay, e, &load);
+  }
+  EXPECT_EQ(w.relay->domain_loads_count, (size_t)MT_DOMAIN_LOADS_MAX);
+}
+
+} // namespace
