--- a/src/relay/candidates.c
+++ b/src/relay/candidates.c
@@ -93,9 +93,8 @@
 }
 
 /*
-** The home in the own failure domain; that of all, which may keep the parts
-*or
-** know who does; where both are one its second.
+** The home in the own failure domain; then that of all, which may keep the
+** parts or know who does; where both are one engine its second.
 */
 static const mt_engine_t *next_home (mt_relay_t *relay,
                                      const mt_relay_request_t *r) {
@@ -127,26 +126,33 @@
   return false;
 }
 
-/*
-** The home of the request's parts in the failure domain that was seen least
-** loaded, of those that are not asked yet and may have room.
-*/
-static const mt_engine_t *next_far_home (mt_relay_t *relay,
-                                         const mt_relay_request_t *r) {
-  uint64_t part = mt_prompt_memory_home_part(r->parts, r->parts_count);
+/* The failure domain that was seen least loaded, of those that are not asked
+   yet and may have room; NULL: there is none. */
+static const mt_domain_load_t *next_domain (mt_relay_t *relay,
+                                            const mt_relay_request_t *r) {
   const mt_domain_load_t *best = NULL;
-  home_t home = {NULL, 0};
   for (size_t i = 0; i < relay->engines.count; i++) {
     const mt_engine_t *e = relay->engines.list[i];
     if (!e->far || !askable(relay, r, e)) continue;
     const mt_domain_load_t *load = mt_domain_loads_get(relay, e);
-    if (best != NULL && load != best && load->unread >= best->unread)
-      continue;
-    if (load != best && asks_domain(relay, r, e->domain_id)) continue;
-    if (load != best && !mt_placement_may_have_room(relay, r, load)) continue;
-    if (load != best) home = (home_t){NULL, 0};
-    best = load;
-    keep_heavier(&home, e, mtV_mix(part != 0 ? part : r->number, e->key));
+    if (best != NULL && load->unread >= best->unread) continue;
+    if (asks_domain(relay, r, e->domain_id)) continue;
+    if (mt_placement_may_have_room(relay, r, load)) best = load;
+  }
+  return best;
+}
+
+/* The home of the request's parts there; without parts any engine. */
+static const mt_engine_t *next_far_home (mt_relay_t *relay,
+                                         const mt_relay_request_t *r) {
+  uint64_t part = mt_prompt_memory_home_part(r->parts, r->parts_count);
+  const mt_domain_load_t *load = next_domain(relay, r);
+  home_t home = {NULL, 0};
+  if (part == 0) part = r->number;
+  for (size_t i = 0; load != NULL && i < relay->engines.count; i++) {
+    const mt_engine_t *e = relay->engines.list[i];
+    if (e->domain_id != load->domain || !askable(relay, r, e)) continue;
+    keep_heavier(&home, e, mtV_mix(part, e->key));
   }
   return home.engine;
 }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -21,8 +21,6 @@
 #define LAST_CHANCE_MS 20 /* less time left: no new attempt */
 #define MADE_WEIGHT 2     /* of a token made, beside one that is read */
 #define RETRY_SOON_MS 200
-/* Of unreachable engines that are not probed. */
-#define UNPROBED_REST_MS 800
 #define RESTED_MS 60000
 #define RESTED_ONCE_MS 2000 /* what may run once shuns what may be closed */
 /* After the order to stop, long streams are refused. */
@@ -561,30 +559,6 @@
   return relay->catalog ? (double)relay->catalog->limits.tokens_per_s : 0;
 }
 
-/*
-** No request is risked on an engine that could not be reached: each would
-** wait as long for a connection as many want their answer. The router
-** tries itself.
-*/
-static void probe_engines (mt_relay_t *relay) {
-  for (size_t i = 0; i < relay->engines.count; i++) {
-    mt_engine_t *e = relay->engines.list[i];
-    if (!e->unreachable || e->probing || e->probe > relay->now) continue;
-    if (e->state != MT_ENGINE_READY) continue;
-    e->probing = true;
-    mt_relay_effect(relay, MT_RELAY_DO_PROBE)->u.probe = e->key;
-    relay->counters.probes++;
-  }
-}
-
-/* Without probes an unreachable engine rests; then a request tries it. */
-static void end_rests (mt_relay_t *relay) {
-  for (size_t i = 0; i < relay->engines.count; i++) {
-    mt_engine_t *e = relay->engines.list[i];
-    if (e->probe + UNPROBED_REST_MS <= relay->now) e->unreachable = false;
-  }
-}
-
 static void on_probed (mt_relay_t *relay, uint64_t key, bool up) {
   mt_engine_t *e = mt_engines_get(&relay->engines, key);
   if (e != NULL) mt_engine_reached(e, up, relay->now);
@@ -594,10 +568,7 @@
   for (size_t i = relay->count; i-- > 0;)
     if (i < relay->count) check_request(relay, relay->list[i]);
   relay->seen = relay->now;
-  if (relay->terms.off[MT_RELAY_PROBE])
-    end_rests(relay);
-  else
-    probe_engines(relay);
+  mt_relay_probe_engines(relay);
   if (relay->now < relay->next_update) return;
   relay->next_update = relay->now + UPDATE_MS;
   mt_fair_share_update(&relay->shares, declared_tokens(relay), relay->now);
--- a/src/relay/relay_load.c
+++ b/src/relay/relay_load.c
@@ -14,7 +14,8 @@
 #define SLOWNESS_FADE 0.9
 #define SLOWNESS_LEAST 0.7
 #define SLOWNESS_MOST 8.0
-#define SLOWNESS_REST 0.998 /* per update, back towards 1 */
+#define SLOWNESS_REST 0.998  /* per update, back towards 1 */
+#define UNPROBED_REST_MS 800 /* of unreachable engines without probes */
 #define FORGET_MS 10000 /* what a gone engine kept is remembered so long */
 
 /* {== Services ========================================================= */
@@ -141,6 +142,41 @@
 
 /* }== */
 
+/* {== Engines out of reach ============================================== */
+
+/*
+** No request is risked on an engine that could not be reached: each would
+** wait as long for a connection as many want their answer. The router
+** tries itself.
+*/
+static void probe_engines (mt_relay_t *relay) {
+  for (size_t i = 0; i < relay->engines.count; i++) {
+    mt_engine_t *e = relay->engines.list[i];
+    if (!e->unreachable || e->probing || e->probe > relay->now) continue;
+    if (e->state != MT_ENGINE_READY) continue;
+    e->probing = true;
+    mt_relay_effect(relay, MT_RELAY_DO_PROBE)->u.probe = e->key;
+    relay->counters.probes++;
+  }
+}
+
+/* Without probes an unreachable engine rests; then a request tries it. */
+static void end_rests (mt_relay_t *relay) {
+  for (size_t i = 0; i < relay->engines.count; i++) {
+    mt_engine_t *e = relay->engines.list[i];
+    if (e->probe + UNPROBED_REST_MS <= relay->now) e->unreachable = false;
+  }
+}
+
+void mt_relay_probe_engines (mt_relay_t *relay) {
+  if (relay->terms.off[MT_RELAY_PROBE])
+    end_rests(relay);
+  else
+    probe_engines(relay);
+}
+
+/* }== */
+
 /* {== Books of engines ================================================= */
 
 void mt_relay_heard_load (mt_relay_t *relay, uint64_t engine,
--- a/src/relay/relay_load.h
+++ b/src/relay/relay_load.h
@@ -24,4 +24,7 @@
 ** second. */
 void mt_relay_update_engines (mt_relay_t *relay);
 
+/* Tries to connect to engines that could not be reached; at each tick. */
+void mt_relay_probe_engines (mt_relay_t *relay);
+
 #endif
