The next far home is one of another domain, whatever domains are called

RelayQuotes.OtherFailureDomainsAreAskedWhenTheOwnHasNoRoom failed on the commit before: engines whose domain is not told count as far or near by a flag alone. 140 tests pass.

--- a/src/relay/candidates.c
+++ b/src/relay/candidates.c
@@ -151,7 +151,8 @@
   if (part == 0) part = r->number;
   for (size_t i = 0; load != NULL && i < relay->engines.count; i++) {
     const mt_engine_t *e = relay->engines.list[i];
-    if (e->domain_id != load->domain || !askable(relay, r, e)) continue;
+    if (!e->far || e->domain_id != load->domain) continue;
+    if (!askable(relay, r, e)) continue;
     keep_heavier(&home, e, mtV_mix(part, e->key));
   }
   return home.engine;
