Lines and counters of news and of who watches

Two explanations of late requests at leaving engines could not be told apart: news that arrive and cannot be used, and news that nobody sends. event=news and event=watcher, and news_total by outcome, say it. Logic is unchanged.

--- a/src/gateway/feed_state.c
+++ b/src/gateway/feed_state.c
@@ -23,9 +23,23 @@
   return (mt_feed_news_t){changed || newest > base, base, newest};
 }
 
-bool mt_feed_state_takes (const mt_feed_state_t *feed, int64_t base,
-                          int64_t reach) {
-  return base > 0 && feed->told >= base && feed->told < reach;
+const char *mt_feed_outcome_name (mt_feed_outcome_t outcome) {
+  switch (outcome) {
+    case MT_FEED_TOLD: return "told";
+    case MT_FEED_TAKEN: return "taken";
+    case MT_FEED_KNOWN: return "known";
+    case MT_FEED_GAP: return "gap";
+    case MT_FEED_BARE: return "bare";
+    case MT_FEED_OUTCOMES: break;
+  }
+  return "";
+}
+
+mt_feed_outcome_t mt_feed_state_judge (const mt_feed_state_t *feed,
+                                       int64_t base, int64_t reach) {
+  if (base <= 0) return MT_FEED_BARE;
+  if (feed->told >= reach) return MT_FEED_KNOWN;
+  return feed->told >= base ? MT_FEED_TAKEN : MT_FEED_GAP;
 }
 
 void mt_feed_state_took (mt_feed_state_t *feed, int64_t base, int64_t reach,
--- a/src/gateway/feed_state.h
+++ b/src/gateway/feed_state.h
@@ -41,9 +41,22 @@
 mt_feed_news_t mt_feed_state_read (mt_feed_state_t *feed, int64_t newest,
                                    int64_t at, mt_ms_t now, bool changes);
 
+/* What became of news that were told or came. */
+typedef enum mt_feed_outcome_t {
+  MT_FEED_TOLD,  /* to the routers of the own failure domain */
+  MT_FEED_TAKEN, /* all changes up to their reach are known now */
+  MT_FEED_KNOWN, /* they reach no further than what is known here */
+  MT_FEED_GAP,   /* changes between what is known here and them are lacking */
+  MT_FEED_BARE,  /* they say only that there is something */
+  MT_FEED_OUTCOMES
+} mt_feed_outcome_t;
+
+/* An outcome's name in lines and metrics. */
+const char *mt_feed_outcome_name (mt_feed_outcome_t outcome);
+
 /* What a watcher told holds all changes behind `base` up to `reach`. */
-bool mt_feed_state_takes (const mt_feed_state_t *feed, int64_t base,
-                          int64_t reach);
+mt_feed_outcome_t mt_feed_state_judge (const mt_feed_state_t *feed,
+                                       int64_t base, int64_t reach);
 
 /* It has been taken; `all`: also the engines that have come. */
 void mt_feed_state_took (mt_feed_state_t *feed, int64_t base, int64_t reach,
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -398,7 +398,8 @@
                                      .overload = &g->overload,
                                      .log = g->log,
                                      .traffic =
-                                         mt_gateway_peers_traffic(g->peers)};
+                                         mt_gateway_peers_traffic(g->peers),
+                                     .news = mt_gateway_peers_news(g->peers)};
   mt_gateway_metrics(&from, &g->scratch);
   mt_http_exchange_head(x, 200, type, sizeof type - 1, (int64_t)g->scratch.n);
   mt_http_exchange_data(x, g->scratch.p, g->scratch.n);
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -66,6 +66,15 @@
   }
 }
 
+static void news (const uint64_t *counts, mt_text_t *out) {
+  describe(out, "news_total", "counter",
+           "News of the source told to other routers or heard, by outcome.");
+  for (int i = 0; i < MT_FEED_OUTCOMES; i++)
+    mt_text_format(out, PREFIX "news_total{outcome=\"%s\"} %llu\n",
+                   mt_feed_outcome_name((mt_feed_outcome_t)i),
+                   (unsigned long long)counts[i]);
+}
+
 static double processor_seconds (void) {
   struct timespec ts;
   clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
@@ -112,6 +121,7 @@
   reasons(c, out);
   admissions(c, out);
   peers(from->traffic, out);
+  news(from->news, out);
   number(out, "requests", "gauge", "Requests in progress.",
          (double)relay->count);
   number(out, "engines", "gauge", "Engines known.",
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -28,7 +28,9 @@
   mt_feed_state_t feeds[MT_FEEDS];
   mt_peer_entry_t changes[MT_PEER_ENTRIES_MAX]; /* to be told as news */
   size_t changes_count;
+  bool led; /* at the last tick: it watched the source for others */
   mt_peer_traffic_t traffic[MT_PEER_KINDS];
+  uint64_t news[MT_FEED_OUTCOMES];
   mt_peer_message_t in, out;
   char input[MT_PEER_DATAGRAM_MAX], output[MT_PEER_DATAGRAM_MAX];
 };
@@ -44,6 +46,24 @@
               outcome);
 }
 
+/* Who told what up to which revision, and of what use it was. */
+static void note_news (mt_gateway_peers_t *peers, uint32_t ip,
+                       const mt_peer_message_t *m,
+                       mt_feed_outcome_t outcome) {
+  char text[INET_ADDRSTRLEN];
+  const mt_feed_state_t *engines = &peers->feeds[MT_FEED_ENGINES];
+  const mt_feed_state_t *declarations = &peers->feeds[MT_FEED_DECLARATIONS];
+  inet_ntop(AF_INET, &ip, text, sizeof text);
+  peers->news[outcome]++;
+  mt_log_line(peers->log, MT_LOG_BELIEF, uv_now(peers->loop), "news",
+              "peer=%s base=%lld reach=%lld entries=%zu known=%lld "
+              "newest=%lld declared=%lld/%lld outcome=%s",
+              text, (long long)m->base, (long long)m->reach, m->entries_count,
+              (long long)engines->told, (long long)engines->newest,
+              (long long)declarations->taken, (long long)declarations->newest,
+              mt_feed_outcome_name(outcome));
+}
+
 static mt_peer_message_t *begin (mt_gateway_peers_t *peers,
                                  mt_peer_kind_t kind) {
   mt_ms_t now = uv_now(peers->loop);
@@ -146,6 +166,7 @@
     if (peer->domain != members->own_domain) continue;
     if (mt_membership_is_live(members, peer)) send_bytes(peers, peer->ip, n);
   }
+  note_news(peers, members->own_ip, m, MT_FEED_TOLD);
 }
 
 void mt_gateway_peers_changed (mt_gateway_peers_t *peers,
@@ -192,10 +213,13 @@
 ** that are not known here stay unknown until the source tells of them; what
 ** is told of all others, their leaving above all, does not wait for that.
 */
-static void on_news (mt_gateway_peers_t *peers, const mt_peer_message_t *m) {
+static void on_news (mt_gateway_peers_t *peers, uint32_t ip,
+                     const mt_peer_message_t *m) {
   mt_feed_state_t *feed = &peers->feeds[MT_FEED_ENGINES];
   bool all = true;
-  if (!mt_feed_state_takes(feed, m->base, m->reach)) return;
+  mt_feed_outcome_t outcome = mt_feed_state_judge(feed, m->base, m->reach);
+  note_news(peers, ip, m, outcome);
+  if (outcome != MT_FEED_TAKEN) return;
   for (size_t i = 0; i < m->entries_count; i++) {
     bool known = is_known(peers, &m->entries[i]);
     if (known) peers->calls.entry(peers->calls.ud, &m->entries[i]);
@@ -447,7 +471,7 @@
       break;
     case MT_PEER_ASK: on_ask(peers, peer->ip, m); break;
     case MT_PEER_QUOTE: on_quote(peers, peer, m); break;
-    case MT_PEER_NEWS: on_news(peers, m); break;
+    case MT_PEER_NEWS: on_news(peers, peer->ip, m); break;
     case MT_PEER_KINDS: break;
   }
 }
@@ -499,6 +523,16 @@
 
 /* }== */
 
+/* Says when this router begins or ends to watch the source for others. */
+static void note_role (mt_gateway_peers_t *peers) {
+  bool leads = mt_gateway_peers_leads(peers);
+  if (leads == peers->led) return;
+  peers->led = leads;
+  mt_log_line(peers->log, MT_LOG_BELIEF, uv_now(peers->loop), "watcher",
+              "source=%d routers=%d outcome=%s", peers->members.own_source,
+              peers->members.live, leads ? "begun" : "ended");
+}
+
 int mt_gateway_peers_tick (mt_gateway_peers_t *peers) {
   mt_ms_t now = uv_now(peers->loop);
   const mt_load_teller_calls_t calls = {find_keeper, tell_loads, peers};
@@ -506,6 +540,7 @@
   mt_load_teller_tick(&peers->teller, &peers->relay->engines, now, &calls);
   mt_share_exchange_tick(&peers->exchange);
   peers->relay->reach = mt_membership_reach(&peers->members);
+  note_role(peers);
   return peers->members.live;
 }
 
@@ -544,6 +579,10 @@
   return peers->traffic;
 }
 
+const uint64_t *mt_gateway_peers_news (const mt_gateway_peers_t *peers) {
+  return peers->news;
+}
+
 uint16_t mt_gateway_peers_port (const mt_gateway_peers_t *peers) {
   struct sockaddr_in addr = {.sin_port = 0};
   int size = sizeof addr;
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -8,6 +8,7 @@
 #ifndef gateway_peers_h
 #define gateway_peers_h
 
+#include "feed_state.h"
 #include "gateway.h"
 #include "membership.h"
 
@@ -87,6 +88,9 @@
 const mt_peer_traffic_t *
 mt_gateway_peers_traffic (const mt_gateway_peers_t *peers);
 
+/* News told and heard since the start, by mt_feed_outcome_t. */
+const uint64_t *mt_gateway_peers_news (const mt_gateway_peers_t *peers);
+
 /* The port that it listens on, also where the settings leave it open. */
 uint16_t mt_gateway_peers_port (const mt_gateway_peers_t *peers);
 
--- a/tests/feed_state_test.cc
+++ b/tests/feed_state_test.cc
@@ -71,7 +71,7 @@
   for (const Row &row : rows) {
     mt_feed_state_t feed{};
     mt_feed_state_read(&feed, 100, 100, 1000, true);
-    if (mt_feed_state_takes(&feed, row.base, row.reach))
+    if (mt_feed_state_judge(&feed, row.base, row.reach) == MT_FEED_TAKEN)
       mt_feed_state_took(&feed, row.base, row.reach, row.all);
     EXPECT_EQ(feed.told, row.told) << row.what;
     EXPECT_EQ(feed.taken, row.taken) << row.what;
