--- /dev/null
+++ b/tests/soak/process.h
@@ -0,0 +1,79 @@
+// process.h - a gateway as a process of its own, started and found by its log
+#ifndef tests_soak_process_h
+#define tests_soak_process_h
+
+#include <sys/prctl.h>
+
+#include "network.h"
+#include "world.h"
+
+namespace soak {
+
+struct Gateway {
+  int index;
+  pid_t pid = -1;
+  int port = 0, metrics = 0; // 0: it has not said so yet
+  std::string dir, log;
+  long restart_at = 0, resume_at = 0; // 0: not due
+  bool stopping = false;
+
+  std::string ip () const {
+    return "127.0.1." + std::to_string(index + 1);
+  }
+  // `network`: the file by which its datagrams are steered; empty: none is.
+  void start (int peers, int store, int gateways,
+              const std::string &network = "") {
+    std::string file = dir + "/g" + std::to_string(index) + ".json";
+    std::string seeds;
+    for (int i = 0; i < gateways && i < 3; i++)
+      seeds += std::string(i ? "," : "") + "\"127.0.1." +
+               std::to_string(i + 1) + ":1\"";
+    std::ofstream(file) << "{\"node\":\"g" << index << "\",\"domain\":\"d"
+                        << 1 + index % 2 << "\",\"callers\":\"" << ip()
+                        << ":0\",\"ready\":\"" << ip()
+                        << ":0\",\"metrics\":\"" << ip()
+                        << ":0\",\"peers\":\"" << ip() << ":" << peers
+                        << "\",\"seeds\":[" << seeds
+                        << "],\"grace_ms\":8000,\"log_lines_per_s\":10000,"
+                           "\"source\":{\"store\":\"127.0.0.1:"
+                        << store << "\"}}";
+    log = dir + "/g" + std::to_string(index) + ".log";
+    int out =
+        open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    before = (size_t)lseek(out, 0, SEEK_END);
+    const char *bin = getenv("MT_BIN");
+    std::string program = std::string(bin ? bin : "build") + "/martentiller";
+    pid = fork();
+    if (pid == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL); // it ends with the soak
+      dup2(out, 1);
+      if (!network.empty()) Network::enter(network, index);
+      execl(program.c_str(), program.c_str(), "gateway", "--settings",
+            file.c_str(), (char *)nullptr);
+      _exit(127);
+    }
+    ::close(out);
+    port = 0;
+    stopping = false;
+    restart_at = resume_at = 0;
+  }
+  // The port of the newest start, once it has said so.
+  void find_port () {
+    if (pid < 0 || port != 0) return;
+    std::ifstream in(log);
+    std::string text((std::istreambuf_iterator<char>(in)),
+                     std::istreambuf_iterator<char>());
+    size_t at = text.find("event=start ", before); // of this life
+    if (at == text.npos || text.find('\n', at) == text.npos) return;
+    auto number = [&] (const char *name) {
+      return atoi(text.c_str() + text.find(':', text.find(name, at)) + 1);
+    };
+    port = number("callers=");
+    metrics = number("metrics=");
+  }
+  size_t before = 0; // bytes of the log that earlier lives wrote
+};
+
+} // namespace soak
+
+#endif
