Neighbours tell of keys and routes that are taken away

A router that the store turns away let revoked keys in and sent requests where a route no longer leads, for as long as it was turned away: news of declarations said only that there are some, and the document is taken from the store alone.

Change: whoever reads a version tells what it ends: the digests of keys, and the pairs of route and service (catalog_diff). Who hears of it refuses that with a true not-run 503 until it has read a version as new (denials); a split goes on among what is left. Nothing is granted by others' word: a forged message can deny what its sender knows, and let nobody in.

--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -6,11 +6,56 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "catalog_diff.h"
 #include "gateway_log.h"
 #include "gateway_state.h"
+#include "mtcrypt.h"
 
 /* {== Declarations ===================================================== */
 
+/* A newer version, while what it ends is told to others. */
+typedef struct declaring_t {
+  mt_gateway_t *gateway;
+  int64_t rev;
+} declaring_t;
+
+/* What begins is of interest only to who was told that it had ended. */
+static void tell_of (const declaring_t *d, const mt_change_t *change,
+                     bool begins) {
+  if (!begins || mt_gateway_peers_knows(d->gateway->peers, change))
+    mt_gateway_peers_changed(d->gateway->peers, change);
+}
+
+static void tell_key (void *ud, mt_bytes_t key, bool granted) {
+  const declaring_t *d = ud;
+  char digest[MT_DIGEST_HEX + 1];
+  mtH_sha256(key.p, key.n, digest);
+  mt_change_t change =
+      mt_change_named(granted ? MT_CHANGE_KEY_GRANTED : MT_CHANGE_KEY_REVOKED,
+                      digest, d->rev);
+  tell_of(d, &change, granted);
+}
+
+static void tell_route (void *ud, mt_id_t route, mt_id_t service,
+                        bool opened) {
+  const declaring_t *d = ud;
+  mt_change_t change = mt_change_of_route(opened ? MT_CHANGE_ROUTE_OPENED
+                                                 : MT_CHANGE_ROUTE_CLOSED,
+                                          route, service, d->rev);
+  tell_of(d, &change, opened);
+}
+
+static void tell_version (mt_gateway_t *g, const mt_catalog_t *catalog,
+                          int64_t rev) {
+  declaring_t declaring = {g, rev};
+  const mt_catalog_diff_calls_t calls = {tell_key, tell_route, &declaring};
+  mt_change_t document =
+      mt_change_named(MT_CHANGE_DOCUMENT, "declarations", rev);
+  mt_gateway_peers_changed(g->peers, &document);
+  if (g->relay->catalog != NULL)
+    mt_catalog_diff(g->relay->catalog, catalog, &calls);
+}
+
 void mt_gateway_declare (mt_gateway_t *g, mt_catalog_t *catalog,
                          int64_t rev) {
   mt_http_server_limits_t limits = {.header_bytes =
@@ -21,15 +66,15 @@
   int64_t version = catalog->version;
   size_t routes = catalog->routes_count;
   size_t workspaces = catalog->workspaces_count;
-  mt_change_t document =
-      mt_change_named(MT_CHANGE_DOCUMENT, "declarations", rev);
-  mt_gateway_peers_changed(g->peers, &document);
+  tell_version(g, catalog, rev);
   bool taken = mt_relay_declare(g->relay, catalog);
   mt_log_line(g->log, MT_LOG_BELIEF, uv_now(g->loop), "configuration",
               "version=%lld routes=%zu workspaces=%zu outcome=%s",
               (long long)version, routes, workspaces,
               taken ? "in-force" : "older");
-  if (taken) mt_http_server_limits(g->callers, &limits);
+  if (!taken) return;
+  mt_denials_settle(&g->relay->denials, rev);
+  mt_http_server_limits(g->callers, &limits);
 }
 
 static void empty_domain (mt_gateway_t *g, const char *domain, bool on) {
@@ -169,6 +214,7 @@
 bool mt_gateway_take_change (void *ud, const mt_change_t *change,
                              mt_ms_t since) {
   mt_gateway_t *g = ud;
+  mt_denials_t *denials = &g->relay->denials;
   switch (change->kind) {
     case MT_CHANGE_ENGINE_READY:
     case MT_CHANGE_ENGINE_LEAVING:
@@ -179,8 +225,15 @@
       return true;
     case MT_CHANGE_KEY_REVOKED:
     case MT_CHANGE_KEY_GRANTED:
+      mt_denials_set_key(denials, change->name, change->rev,
+                         change->kind == MT_CHANGE_KEY_REVOKED);
+      return true;
     case MT_CHANGE_ROUTE_CLOSED:
     case MT_CHANGE_ROUTE_OPENED:
+      mt_denials_set_route(denials, change->u.path.route,
+                           change->u.path.service, change->rev,
+                           change->kind == MT_CHANGE_ROUTE_CLOSED);
+      return true;
     case MT_CHANGE_ENGINES_LISTED:
     case MT_CHANGE_DOCUMENT:
     case MT_CHANGE_KINDS: break;
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -157,6 +157,12 @@
   mt_feed_exchange_read(&peers->feeds, kind, newest, at, now);
 }
 
+bool mt_gateway_peers_knows (const mt_gateway_peers_t *peers,
+                             const mt_change_t *like) {
+  const mt_feed_t *feed = &peers->feeds.feeds[mt_change_feed(like->kind)];
+  return mt_change_log_find(&feed->log, like) != NULL;
+}
+
 int64_t mt_gateway_peers_taken (const mt_gateway_peers_t *peers,
                                 mt_feed_kind_t kind) {
   return peers->feeds.feeds[kind].state.taken;
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -67,6 +67,9 @@
    when a later one of the same thing stands. */
 bool mt_gateway_peers_changed (mt_gateway_peers_t *peers,
                                const mt_change_t *change);
+/* True when some change of the same thing was told lately. */
+bool mt_gateway_peers_knows (const mt_gateway_peers_t *peers,
+                             const mt_change_t *like);
 /* Up to which revision everything is known here, by whomever. */
 int64_t mt_gateway_peers_taken (const mt_gateway_peers_t *peers,
                                 mt_feed_kind_t kind);
--- /dev/null
+++ b/src/relay/catalog_diff.c
@@ -0,0 +1,72 @@
+/*
+** catalog_diff.c - what one version of the declarations ends or allows anew
+*/
+#include <string.h>
+
+#include "catalog_diff.h"
+
+/* {== Keys ============================================================= */
+
+/* True when the key stands for the same workspace in both versions. */
+static bool holds_key (const mt_catalog_t *in, const mt_catalog_key_t *key,
+                       const mt_catalog_t *of) {
+  const mt_catalog_workspace_t *w =
+      mt_catalog_key(in, (mt_bytes_t){key->text, key->size});
+  return w != NULL && w->id == of->workspaces[key->workspace].id;
+}
+
+/* Keys of one version that the other does not hold. */
+static void each_key (const mt_catalog_t *of, const mt_catalog_t *other,
+                      bool granted, const mt_catalog_diff_calls_t *calls) {
+  mtV_each (&of->keys, i) {
+    const mt_catalog_key_t *key = of->keys.vals[i];
+    for (; key != NULL; key = key->next)
+      if (!holds_key(other, key, of))
+        calls->key(calls->ud, (mt_bytes_t){key->text, key->size}, granted);
+  }
+}
+
+/* }== */
+
+/* {== Routes =========================================================== */
+
+static const mt_catalog_route_t *find_route (const mt_catalog_t *in,
+                                             const mt_catalog_route_t *like) {
+  for (size_t i = 0; i < in->routes_count; i++) {
+    const mt_catalog_route_t *r = &in->routes[i];
+    if (r->id != like->id) continue;
+    if (strcmp(r->host, like->host) != 0) continue;
+    if (strcmp(r->prefix, like->prefix) == 0) return r;
+  }
+  return NULL;
+}
+
+static bool leads_to (const mt_catalog_route_t *r, mt_id_t service) {
+  for (int i = 0; r != NULL && i < r->splits; i++)
+    if (r->split[i].service == service && r->split[i].weight > 0) return true;
+  return false;
+}
+
+/* What routes of one version lead to, and those of the other do not. */
+static void each_route (const mt_catalog_t *of, const mt_catalog_t *other,
+                        bool opened, const mt_catalog_diff_calls_t *calls) {
+  for (size_t i = 0; i < of->routes_count; i++) {
+    const mt_catalog_route_t *r = &of->routes[i];
+    const mt_catalog_route_t *same = find_route(other, r);
+    for (int k = 0; k < r->splits; k++) {
+      mt_id_t service = r->split[k].service;
+      if (leads_to(r, service) && !leads_to(same, service))
+        calls->route(calls->ud, r->id, service, opened);
+    }
+  }
+}
+
+/* }== */
+
+void mt_catalog_diff (const mt_catalog_t *from, const mt_catalog_t *to,
+                      const mt_catalog_diff_calls_t *calls) {
+  each_key(from, to, false, calls);
+  each_key(to, from, true, calls);
+  each_route(from, to, false, calls);
+  each_route(to, from, true, calls);
+}
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -227,20 +227,30 @@
 
 /* {== Callers' events ================================================== */
 
-static mt_id_t choose_service (const mt_catalog_route_t *route,
+/* What a service of the split weighs; none that was closed elsewhere. */
+static int weight_of (const mt_relay_t *relay,
+                      const mt_catalog_route_t *route, int i) {
+  mt_id_t service = route->split[i].service;
+  if (mt_denials_has_route(&relay->denials, route->id, service)) return 0;
+  return route->split[i].weight;
+}
+
+/* The service of the split that the id falls to; 0: none is left. */
+static mt_id_t choose_service (const mt_relay_t *relay,
+                               const mt_catalog_route_t *route,
                                mt_bytes_t id) {
   int total = 0;
-  for (int i = 0; i < route->splits; i++) total += route->split[i].weight;
-  if (total <= 0) return route->splits ? route->split[0].service : 0;
+  for (int i = 0; i < route->splits; i++) total += weight_of(relay, route, i);
+  if (total <= 0) return 0;
   int at = (int)(mtV_hash(id.p, id.n) % (uint64_t)total);
   for (int i = 0; i < route->splits; i++) {
-    at -= route->split[i].weight;
+    at -= weight_of(relay, route, i);
     if (at < 0) return route->split[i].service;
   }
-  return route->split[0].service;
+  return 0;
 }
 
-static void take_route (mt_relay_request_t *r,
+static void take_route (const mt_relay_t *relay, mt_relay_request_t *r,
                         const mt_catalog_route_t *route,
                         const mt_relay_ask_t *ask) {
   r->kind = route->kind;
@@ -248,7 +258,7 @@
   r->repeatable = route->kind == MT_ROUTE_REPEATABLE || r->resumable;
   r->attempts_max = route->attempts;
   r->route = route->id;
-  r->service = choose_service(route, ask->id);
+  r->service = choose_service(relay, route, ask->id);
   r->objective = route->objective;
   r->pause = route->pause;
   r->expires = r->arrived + (route->timeout ? route->timeout : MT_WAIT_MS);
@@ -267,6 +277,15 @@
   r->cost = mt_max(ask->tokens_in + MADE_WEIGHT * out, 1);
 }
 
+/* Others know declarations that do not allow it any more. */
+static bool is_denied (const mt_relay_t *relay, const mt_relay_request_t *r,
+                       const mt_catalog_route_t *route,
+                       const mt_relay_ask_t *ask) {
+  if (r->service == 0 && relay->denials.routes_count > 0 && route->splits > 0)
+    return true;
+  return mt_denials_has_key(&relay->denials, ask->key);
+}
+
 /* Finds route and workspace; false when the request was refused. */
 static bool identify (mt_relay_t *relay, mt_relay_request_t *r,
                       const mt_relay_ask_t *ask) {
@@ -280,7 +299,11 @@
     refuse(relay, r, relay->unsure ? MT_RELAY_UNSURE : MT_RELAY_NO_ROUTE);
     return false;
   }
-  take_route(r, route, ask);
+  take_route(relay, r, route, ask);
+  if (is_denied(relay, r, route, ask)) {
+    refuse(relay, r, MT_RELAY_UNSURE);
+    return false;
+  }
   if (c->workspaces_count == 0 || (route->open && ask->key.n == 0))
     return true;
   const mt_catalog_workspace_t *w = mt_catalog_key(c, ask->key);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -11,6 +11,7 @@
 #include "catalog.h"
 #include "cold_start.h"
 #include "engine.h"
+#include "denials.h"
 #include "evacuation.h"
 #include "event_stream.h"
 #include "fair_share.h"
@@ -356,6 +357,7 @@
   mt_domain_load_t domain_loads[MT_DOMAIN_LOADS_MAX];
   size_t domain_loads_count;
   mt_evacuations_t evacuations;
+  mt_denials_t denials; /* of what the declarations here still allow */
   mt_fair_share_t shares;
   mt_map_t services; /* id -> mt_relay_service_t, owned */
   mt_map_t requests; /* number -> mt_relay_request_t, owned */
--- /dev/null
+++ b/tests/denials_test.cc
@@ -0,0 +1,150 @@
+// denials_test.cc - what one version of the declarations ends, and what is
+// refused of an older one by others' word.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "catalog_diff.h"
+#include "denials.h"
+#include "mtcrypt.h"
+}
+
+namespace {
+
+mt_bytes_t bytes (const std::string &text) {
+  return {text.data(), text.size()};
+}
+
+std::string digest (const std::string &key) {
+  char text[MT_DIGEST_HEX + 1];
+  mtH_sha256(key.data(), key.size(), text);
+  return text;
+}
+
+// "ROUTE PREFIX SERVICE..." or "WORKSPACE: KEY...", one a line.
+struct Declared {
+  mt_catalog_t *catalog = mt_catalog_new(1);
+  explicit Declared(const std::vector<std::vector<std::string>> &lines) {
+    for (auto &line : lines) {
+      if (line[0].back() == ':') {
+        mt_catalog_add_workspace(catalog, line[0].c_str());
+        for (size_t i = 1; i < line.size(); i++)
+          mt_catalog_add_key(catalog, line[i].c_str());
+        continue;
+      }
+      mt_catalog_route_t *r = mt_catalog_add_route(catalog, line[0].c_str(),
+                                                   "h", line[1].c_str());
+      for (size_t i = 2; i < line.size(); i++)
+        r->split[r->splits++] = {mtV_id(line[i].data(), line[i].size()), 1};
+    }
+    mt_catalog_close(catalog);
+  }
+  ~Declared() {
+    mt_catalog_free(catalog);
+  }
+};
+
+struct Seen {
+  std::vector<std::string> all;
+  static void key (void *ud, mt_bytes_t key, bool granted) {
+    ((Seen *)ud)
+        ->all.push_back((granted ? "+" : "-") + std::string(key.p, key.n));
+  }
+  static void route (void *ud, mt_id_t route, mt_id_t service, bool opened) {
+    ((Seen *)ud)
+        ->all.push_back((opened ? "+" : "-") + name(route) + ">" +
+                        name(service));
+  }
+  static std::string name (mt_id_t id) {
+    for (std::string text : {"r", "q", "s", "t"})
+      if (mtV_id(text.data(), text.size()) == id) return text;
+    return "?";
+  }
+};
+
+TEST(CatalogDiff, WhatEndsAndWhatBegins) {
+  using Lines = std::vector<std::vector<std::string>>;
+  struct Row {
+    const char *what;
+    Lines from, to;
+    std::vector<std::string> seen;
+  } rows[] = {{"nothing",
+               {{"r", "/", "s"}, {"w:", "k"}},
+               {{"r", "/", "s"}, {"w:", "k"}},
+               {}},
+              {"a key is replaced",
+               {{"w:", "k", "l"}},
+               {{"w:", "k", "m"}},
+               {"+m", "-l"}},
+              {"a key changes hands",
+               {{"w:", "k"}, {"v:"}},
+               {{"w:"}, {"v:", "k"}},
+               {"+k", "-k"}},
+              {"a route moves",
+               {{"r", "/", "s"}},
+               {{"r", "/", "t"}},
+               {"+r>t", "-r>s"}},
+              {"a split loses a service",
+               {{"r", "/", "s", "t"}},
+               {{"r", "/", "t"}},
+               {"-r>s"}},
+              {"a route goes, another comes",
+               {{"r", "/", "s"}},
+               {{"q", "/", "s"}},
+               {"+q>s", "-r>s"}},
+              {"a route's prefix changes",
+               {{"r", "/a", "s"}},
+               {{"r", "/b", "s"}},
+               {"+r>s", "-r>s"}}};
+  for (const Row &row : rows) {
+    Declared from(row.from), to(row.to);
+    Seen seen;
+    const mt_catalog_diff_calls_t calls = {Seen::key, Seen::route, &seen};
+    mt_catalog_diff(from.catalog, to.catalog, &calls);
+    std::sort(seen.all.begin(), seen.all.end());
+    EXPECT_EQ(seen.all, row.seen) << row.what;
+  }
+}
+
+TEST(Denials, HoldUntilTheDeclarationsSayIt) {
+  mt_denials_t d{};
+  mt_denials_set_key(&d, digest("k").c_str(), 10, true);
+  mt_denials_set_key(&d, digest("l").c_str(), 20, true);
+  mt_denials_set_route(&d, 1, 2, 10, true);
+  mt_denials_set_route(&d, 1, 3, 20, true);
+  struct Row {
+    int64_t settled;
+    bool k, l, r2, r3;
+  } rows[] = {{9, true, true, true, true},
+              {10, false, true, false, true},
+              {20, false, false, false, false}};
+  for (const Row &row : rows) {
+    mt_denials_settle(&d, row.settled);
+    EXPECT_EQ(mt_denials_has_key(&d, bytes("k")), row.k) << row.settled;
+    EXPECT_EQ(mt_denials_has_key(&d, bytes("l")), row.l) << row.settled;
+    EXPECT_EQ(mt_denials_has_route(&d, 1, 2), row.r2) << row.settled;
+    EXPECT_EQ(mt_denials_has_route(&d, 1, 3), row.r3) << row.settled;
+    EXPECT_FALSE(mt_denials_has_route(&d, 2, 2));
+  }
+}
+
+TEST(Denials, AreTakenBackAndBounded) {
+  mt_denials_t d{};
+  mt_denials_set_key(&d, digest("k").c_str(), 10, true);
+  mt_denials_set_key(&d, digest("k").c_str(), 11, false);
+  EXPECT_FALSE(mt_denials_has_key(&d, bytes("k")));
+  mt_denials_set_route(&d, 1, 2, 10, true);
+  mt_denials_set_route(&d, 1, 2, 11, false);
+  EXPECT_FALSE(mt_denials_has_route(&d, 1, 2));
+  for (int i = 0; i < 2 * MT_DENIALS_MAX; i++) {
+    mt_denials_set_key(&d, digest(std::to_string(i)).c_str(), 1, true);
+    mt_denials_set_route(&d, 1, (mt_id_t)i, 1, true);
+  }
+  EXPECT_EQ(d.keys_count, (size_t)MT_DENIALS_MAX);
+  EXPECT_EQ(d.routes_count, (size_t)MT_DENIALS_MAX);
+}
+
+} // namespace
