--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -227,7 +227,8 @@
 
 /* {== Callers' events ================================================== */
 
-/* What a service of the split weighs; none that was closed elsewhere. */
+/* What a service of the split weighs; nothing where others say that the
+   route no longer leads there. */
 static int weight_of (const mt_relay_t *relay,
                       const mt_catalog_route_t *route, int i) {
   mt_id_t service = route->split[i].service;
@@ -239,8 +240,12 @@
 static mt_id_t choose_service (const mt_relay_t *relay,
                                const mt_catalog_route_t *route,
                                mt_bytes_t id) {
-  int total = 0;
-  for (int i = 0; i < route->splits; i++) total += weight_of(relay, route, i);
+  int declared = 0, total = 0;
+  for (int i = 0; i < route->splits; i++) {
+    declared += route->split[i].weight;
+    total += weight_of(relay, route, i);
+  }
+  if (declared <= 0) return route->splits ? route->split[0].service : 0;
   if (total <= 0) return 0;
   int at = (int)(mtV_hash(id.p, id.n) % (uint64_t)total);
   for (int i = 0; i < route->splits; i++) {
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -343,6 +343,39 @@
   EXPECT_EQ(status, 0);
 }
 
+// A signal that comes while the settings are read neither ends the process
+// nor is lost. Seen once of a gateway that was stopped as it started: "g3:
+// ended by itself, status 15".
+TEST(Gateway, OutlivesSignalsWhileItStarts) {
+  struct Row {
+    int signal;
+    bool serves; // else it ends as planned
+  } rows[] = {{SIGTERM, false}, {SIGINT, false}, {SIGHUP, true}};
+  for (const Row &row : rows) {
+    World w;
+    std::string fifo = w.dir + "/settings.json";
+    ASSERT_EQ(mkfifo(fifo.c_str(), 0600), 0);
+    w.launch(fifo);
+    int settings = open(fifo.c_str(), O_WRONLY); // it waits for them
+    ASSERT_GE(settings, 0);
+    kill(w.pid, row.signal);
+    std::string text = w.settings();
+    ASSERT_EQ(write(settings, text.data(), text.size()),
+              (ssize_t)text.size());
+    close(settings);
+    if (row.serves) {
+      EXPECT_TRUE(
+          w.until([&] { return w.log.find("event=reload") != w.log.npos; }));
+      kill(w.pid, SIGTERM);
+    }
+    int status = -1;
+    waitpid(w.pid, &status, 0);
+    w.pid = -1;
+    EXPECT_TRUE(WIFEXITED(status)) << status;
+    EXPECT_EQ(WEXITSTATUS(status), 0);
+  }
+}
+
 // More callers than descriptors: idle connections give way to new ones.
 TEST(Gateway, ServesBeyondItsDescriptors) {
   World w;
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -12,6 +12,7 @@
 #include <signal.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -372,16 +373,17 @@
 
   rlim_t descriptors = 0; // that the gateway may open; 0: as usual
 
-  void start (bool keep_log = true) {
-    std::string file = dir + "/settings.json";
-    std::ofstream(file)
-        << "{\"node\":\"g1\",\"domain\":\"d1\",\"callers\":\"127.0.0.1:0\","
+  std::string settings () const {
+    return "{\"node\":\"g1\",\"domain\":\"d1\",\"callers\":\"127.0.0.1:0\","
            "\"ready\":\"127.0.0.1:0\",\"metrics\":\"127.0.0.1:0\","
-           "\"peers\":\"127.0.0.1:0\",\"grace_ms\":8000,\"seeds\":["
-        << seeds
-        << "],"
-           "\"log_lines_per_s\":100000,\"source\":{\"store\":\"127.0.0.1:"
-        << store->port << "\"}}";
+           "\"peers\":\"127.0.0.1:0\",\"grace_ms\":8000,\"seeds\":[" +
+           seeds +
+           "],"
+           "\"log_lines_per_s\":100000,\"source\":{\"store\":\"127.0.0.1:" +
+           std::to_string(store->port) + "\"}}";
+  }
+  // Starts the process, and nothing more.
+  void launch (const std::string &file) {
     int fds[2];
     ASSERT_EQ(pipe(fds), 0);
     fcntl(fds[1], F_SETPIPE_SZ, 4096);
@@ -401,6 +403,11 @@
     }
     ::close(fds[1]);
     out = fds[0];
+  }
+  void start (bool keep_log = true) {
+    std::string file = dir + "/settings.json";
+    std::ofstream(file) << settings();
+    launch(file);
     ASSERT_TRUE(until([&] { return log.find("event=start") != log.npos; }));
     callers = port("callers=");
     ready = port("ready=");
--- a/tests/soak/process.h
+++ b/tests/soak/process.h
@@ -2,6 +2,7 @@
 #ifndef tests_soak_process_h
 #define tests_soak_process_h
 
+#include <errno.h>
 #include <sys/prctl.h>
 
 #include "network.h"
@@ -43,6 +44,8 @@
     before = (size_t)lseek(out, 0, SEEK_END);
     const char *bin = getenv("MT_BIN");
     std::string program = std::string(bin ? bin : "build") + "/martentiller";
+    int begun[2]; // closes as the program begins: no signal comes before
+    if (pipe2(begun, O_CLOEXEC) != 0) abort();
     pid = fork();
     if (pid == 0) {
       prctl(PR_SET_PDEATHSIG, SIGKILL); // it ends with the soak
@@ -52,6 +55,10 @@
             file.c_str(), (char *)nullptr);
       _exit(127);
     }
+    char none;
+    ::close(begun[1]);
+    while (read(begun[0], &none, 1) < 0 && errno == EINTR) continue;
+    ::close(begun[0]);
     ::close(out);
     port = 0;
     stopping = false;
