--- a/Makefile
+++ b/Makefile
@@ -86,6 +86,8 @@
 	@echo "A short soak: gateways under faults from outside, by seeds."
 	build/san/soak --selftest
 	MT_BIN=build/san ASAN_OPTIONS=detect_leaks=0 build/san/soak --seeds tests/soak/seeds.txt --seconds 4
+	MT_BIN=build/san ASAN_OPTIONS=detect_leaks=0 build/san/soak --seeds tests/soak/parts.txt --parts --gateways 12 \
+	  --callers 30 --seconds 8
 
 # What the users' platform builds: the program alone, under target/.
 release:
@@ -95,6 +97,7 @@
 soak: all $(B)/soak
 	$(B)/soak --selftest
 	MT_BIN=$(B) $(B)/soak --seeds tests/soak/seeds.txt --seconds 4
+	MT_BIN=$(B) $(B)/soak --seeds tests/soak/parts.txt --parts --times --gateways 12 --callers 30 --seconds 30
 
 bench: all
 	sh scripts/bench.sh
--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -1,6 +1,6 @@
 /*
-** gateway_feeds.c - declarations and engines, as their source or a watcher
-** tells of them
+** gateway_feeds.c - declarations and engines, as their source or another
+** router tells of them
 */
 #include <stdio.h>
 #include <stdlib.h>
@@ -52,8 +52,9 @@
   mt_change_t document =
       mt_change_named(MT_CHANGE_DOCUMENT, "declarations", rev);
   mt_gateway_peers_changed(g->peers, &document);
-  if (g->relay->catalog != NULL)
-    mt_catalog_diff(g->relay->catalog, catalog, &calls);
+  const mt_catalog_t *old = g->relay->catalog;
+  if (old != NULL && catalog->version > old->version)
+    mt_catalog_diff(old, catalog, &calls);
 }
 
 void mt_gateway_declare (mt_gateway_t *g, mt_catalog_t *catalog,
--- a/tests/soak/process.h
+++ b/tests/soak/process.h
@@ -10,6 +10,18 @@
 
 namespace soak {
 
+// Free for datagrams at the first gateway's address, and so likely at all.
+inline int free_datagram_port () {
+  int fd = socket(AF_INET, SOCK_DGRAM, 0);
+  sockaddr_in a = loopback(0);
+  inet_pton(AF_INET, "127.0.1.1", &a.sin_addr);
+  bind(fd, (sockaddr *)&a, sizeof a);
+  socklen_t n = sizeof a;
+  getsockname(fd, (sockaddr *)&a, &n);
+  ::close(fd);
+  return ntohs(a.sin_port);
+}
+
 struct Gateway {
   int index;
   pid_t pid = -1;
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -9,6 +9,7 @@
 #include <memory>
 
 #include "caller.h"
+#include "selftest.h"
 
 namespace soak {
 
@@ -36,7 +37,7 @@
     dir = mkdtemp(name);
     network.reset(new Network(dir + "/links"));
     world.checker.judges_times = options.times;
-    peers = free_port();
+    peers = free_datagram_port();
     gateways.resize((size_t)options.gateways);
     for (int i = 0; i < options.gateways; i++) {
       gateways[(size_t)i].index = i;
@@ -87,16 +88,6 @@
   std::vector<Caller> callers;
   long asked = 0, kills = 0, pauses = 0, stops = 0;
 
-  static int free_port () {
-    int fd = socket(AF_INET, SOCK_DGRAM, 0);
-    sockaddr_in a = loopback(0);
-    inet_pton(AF_INET, "127.0.1.1", &a.sin_addr);
-    bind(fd, (sockaddr *)&a, sizeof a);
-    socklen_t n = sizeof a;
-    getsockname(fd, (sockaddr *)&a, &n);
-    ::close(fd);
-    return ntohs(a.sin_port);
-  }
   void start (Gateway &g) {
     world.checker.touch.disturbed(g.index, now_ms());
     g.start(peers, world.stores[(size_t)g.index]->port, options.gateways,
@@ -440,125 +431,6 @@
 
 // }==
 
-// {== The checker itself ===================================================
-
-// A late request, and whether the gateway that sent it is bound.
-int selftest_excuses () {
-  struct Row {
-    const char *what;
-    long left, arrived;       // the engine, the request
-    long disturbed, unstable; // gateway and store, until then; 0: never
-    bool breach;
-  } rows[] = {
-      {"in touch", 10000, 12001, 0, 0, true},
-      {"in time", 10000, 12000, 0, 0, false},
-      {"disturbed lately", 10000, 12001, 9002, 0, false},
-      {"disturbed long ago", 10000, 12001, 9001, 0, true},
-      {"the store was unstable as it took it", 10000, 19000, 0, 7001, false},
-      {"it had been stable again", 10000, 19000, 0, 7000, true},
-      {"the store is unstable since", 10000, 12001, 0, 11000, false},
-  };
-  int wrong = 0;
-  for (const Row &row : rows) {
-    Checker k;
-    k.asked["a"] = {Kind::Again, "w1", 0, false, 1, row.arrived, "", "/a/"};
-    if (row.disturbed) k.touch.disturbed(1, row.disturbed);
-    if (row.unstable && row.unstable <= row.left)
-      k.touch.store_unstable(row.unstable);
-    k.ends("engine e", row.left);
-    if (row.unstable > row.left) k.touch.store_unstable(row.unstable);
-    k.arrives("a", "e", row.arrived);
-    if (k.breaches.empty() == !row.breach) continue;
-    printf("judged wrongly: %s\n", row.what);
-    wrong++;
-  }
-  return wrong;
-}
-
-// Each promise broken on purpose: the checker must see it.
-int selftest () {
-  struct Row {
-    const char *promise;
-    std::function<void(Checker &)> breaks;
-  } rows[] = {
-      {"UNASKED", [] (Checker &k) { k.run("x", "w1", false); }},
-      {"UNASKED", [] (Checker &k) { k.run("a", "w2", false); }},
-      {"UNASKED", [] (Checker &k) { k.run("a", "w1", true); }},
-      {"TWICE",
-       [] (Checker &k) {
-         k.run("a", "w1", false);
-         k.run("a", "w1", false);
-       }},
-      {"REFUSED",
-       [] (Checker &k) {
-         k.run("a", "w1", false);
-         k.answered("a", 503, "", "");
-       }},
-      {"REFUSED",
-       [] (Checker &k) {
-         k.answered("a", 503, "", "");
-         k.run("a", "w1", false);
-       }},
-      {"MIXED",
-       [] (Checker &k) { k.answered("a", 200, "", Checker::body_of("a")); }},
-      {"MIXED",
-       [] (Checker &k) { k.answered("a", 200, "s", Checker::body_of("b")); }},
-      {"ORDER",
-       [] (Checker &k) {
-         k.streamed("s", Checker::event_of("s", 1) + "\n\n", false);
-       }},
-      {"DRAIN",
-       [] (Checker &k) {
-         k.ends("engine e", 10000);
-         k.arrives("a", "e", 10000 + DRAIN_MS + 1);
-       }},
-      {"EVAC",
-       [] (Checker &k) {
-         k.ends("domain d1", 10000);
-         k.arrives("a", "e", 10000 + EVACUATE_MS + 1);
-       }},
-      {"REVOKE",
-       [] (Checker &k) {
-         k.ends("key key-a", 20000 - REVOKE_MS - 1);
-         k.arrives("a", "e", 20500);
-       }},
-      {"CONFIG",
-       [] (Checker &k) {
-         k.ends("path /a/", 20000 - CONFIG_MS - 1);
-         k.arrives("a", "e", 20500);
-       }},
-      {"CONFIG",
-       [] (Checker &k) {
-         k.ends("path /a/ at plain", 20000 - CONFIG_MS - 1);
-         k.arrives("a", "e", 20500);
-       }},
-      {"ORDER",
-       [] (Checker &k) {
-         k.streamed("s", Checker::event_of("s", 0) + "\n\n", true);
-       }},
-  };
-  int missed = 0;
-  for (const Row &row : rows) {
-    Checker k;
-    k.ask("a", Kind::Once, "w1");
-    k.ask("s", Kind::Stream, "w1");
-    k.asked["a"] = {Kind::Once, "w1", 0, false, 1, 20000, "key-a", "/a/"};
-    k.engines["e"] = {"plain", "d1"};
-    row.breaks(k);
-    bool seen =
-        k.breaches.size() == 1 &&
-        k.breaches[0].compare(0, strlen(row.promise), row.promise) == 0;
-    if (!seen) printf("not seen: %s\n", row.promise);
-    missed += !seen;
-  }
-  printf("checker: %d of %zu breaches seen\n",
-         (int)(sizeof rows / sizeof *rows) - missed,
-         sizeof rows / sizeof *rows);
-  return missed + selftest_excuses() != 0;
-}
-
-// }==
-
 // Seeds of a file: a number at the start of each line, then its cause.
 std::vector<unsigned> read_seeds (const std::string &file) {
   std::vector<unsigned> seeds;
--- a/tests/turned_away_test.cc
+++ b/tests/turned_away_test.cc
@@ -37,7 +37,7 @@
   explicit Fleet(int count) : world(1, count, true), gateways((size_t)count) {
     char name[] = "/tmp/mt-turned-XXXXXX";
     dir = mkdtemp(name);
-    int peers = free_port();
+    int peers = soak::free_datagram_port();
     for (int i = 0; i < count; i++) {
       Gateway &g = gateways[(size_t)i];
       g.index = i;
@@ -146,17 +146,6 @@
 private:
   std::string dir;
   int asked = 0;
-
-  static int free_port () {
-    int fd = socket(AF_INET, SOCK_DGRAM, 0);
-    sockaddr_in a = loopback(0);
-    inet_pton(AF_INET, "127.0.1.1", &a.sin_addr);
-    bind(fd, (sockaddr *)&a, sizeof a);
-    socklen_t n = sizeof a;
-    getsockname(fd, (sockaddr *)&a, &n);
-    ::close(fd);
-    return ntohs(a.sin_port);
-  }
 };
 
 struct Leaving {
