--- a/src/mtfleet.h
+++ b/src/mtfleet.h
@@ -7,7 +7,6 @@
 #include "mtjson.h"
 #include "mtmem.h"
 
-
 /* How a pool's requests are spoken to and charged. */
 typedef enum mt_poolkind_t { MT_POOL_MODEL, MT_POOL_SERVICE } mt_poolkind_t;
 
