News fit into their datagrams; a first list tells what ends

A message of 96 changes with the longest names that may be packs to 25 KB and would not have been sent at all; now it takes as many as fit, and the rest follows or is asked for. A router that has just started kept nothing of its first list, so that it could not tell those who lacked a leaving in it; it keeps what ends. FeedExchange.ManyChangesAtOnceAreAllTold and AFirstListIsToldToWhoLacksIt, which this code passes; spoiled messages hold changes now (PeerMessage.NoBytesHarm). Found by reading.

--- a/src/gateway/feed_exchange.c
+++ b/src/gateway/feed_exchange.c
@@ -87,18 +87,41 @@
   return count;
 }
 
+/* How many of a message's changes it can hold. */
+static size_t fitting (const mt_peer_message_t *m) {
+  size_t bytes = 0;
+  for (size_t i = 0; i < m->changes_count; i++) {
+    bytes += mt_peer_change_size(&m->changes[i]);
+    if (bytes > MT_PEER_CHANGES_BYTES) return i;
+  }
+  return m->changes_count;
+}
+
+static void add_changes (const mt_feed_exchange_t *x, mt_peer_message_t *m,
+                         mt_feed_kind_t kind, int64_t rev, size_t most,
+                         int64_t *reach) {
+  m->changes_count +=
+      mt_change_log_since(&x->feeds[kind].log, rev, x->members->now,
+                          m->changes + m->changes_count, most, reach);
+}
+
 /*
 ** Adds what is known of a feed behind a revision; false when some is left.
-** What was dropped from the log is not told, and the span says so.
+** What may have been dropped from the log is not vouched for by the span.
 */
-static bool pack_since (mt_feed_exchange_t *x, mt_peer_message_t *m,
+static bool pack_since (const mt_feed_exchange_t *x, mt_peer_message_t *m,
                         mt_feed_kind_t kind, int64_t rev, int64_t reach) {
-  const mt_change_log_t *log = &x->feeds[kind].log;
-  int64_t base = mt_max(rev, log->from), end = reach;
-  size_t room = MT_PEER_CHANGES_MAX - m->changes_count;
-  m->changes_count += mt_change_log_since(
-      log, base, x->members->now, m->changes + m->changes_count, room, &end);
-  m->spans[kind] = (mt_peer_span_t){base, end};
+  size_t before = m->changes_count;
+  int64_t end = reach;
+  add_changes(x, m, kind, rev, MT_PEER_CHANGES_MAX - before, &end);
+  size_t most = fitting(m) - before;
+  if (before + most < m->changes_count) {
+    m->changes_count = before;
+    end = reach;
+    add_changes(x, m, kind, rev, most, &end);
+  }
+  m->spans[kind] =
+      (mt_peer_span_t){mt_max(rev, x->feeds[kind].log.from), end};
   return end == reach;
 }
 
@@ -117,12 +140,21 @@
   }
 }
 
+/*
+** Of the first list most is known to all, and would fill the log; what ends
+*is
+** kept for those that did not hear it.
+*/
+static bool is_worth_keeping (const mt_feed_t *feed,
+                              const mt_change_t *change) {
+  if (feed->state.told == 0) return change->kind != MT_CHANGE_ENGINE_READY;
+  return change->rev > feed->state.told;
+}
+
 bool mt_feed_exchange_changed (mt_feed_exchange_t *x,
                                const mt_change_t *change) {
   mt_feed_t *feed = &x->feeds[mt_change_feed(change->kind)];
-  /* Of a whole list most was known: it would fill the log. */
-  bool is_new = feed->state.told > 0 && change->rev > feed->state.told;
-  if (is_new &&
+  if (is_worth_keeping(feed, change) &&
       mt_change_log_add(&feed->log, change, x->members->now) == MT_CHANGE_NEW)
     feed->fresh = true;
   mt_change_log_item_t *item = mt_change_log_find(&feed->log, change);
--- a/src/gateway/peer_message.c
+++ b/src/gateway/peer_message.c
@@ -22,6 +22,7 @@
 #define CHANGE_MEMBERS 5
 #define CHANGE_ENGINE_MEMBERS 6
 #define CHANGE_ROUTE_MEMBERS 2
+#define CHANGE_BYTES 48 /* of one, its texts not counted */
 
 /* What one router can claim at most. */
 #define TOKENS_MOST 1000000000
@@ -136,6 +137,17 @@
   }
 }
 
+size_t mt_peer_change_size (const mt_change_t *change) {
+  const mt_change_engine_t *e = &change->u.engine;
+  size_t size = CHANGE_BYTES + strlen(change->name);
+  switch (change->kind) {
+    case MT_CHANGE_ENGINE_READY:
+    case MT_CHANGE_ENGINE_LEAVING:
+      return size + strlen(e->domain) + strlen(e->ip) + strlen(e->service);
+    default: return size;
+  }
+}
+
 static void pack_changes (const mt_peer_message_t *m, msgpack_packer *pk) {
   msgpack_pack_array(pk, m->changes_count * CHANGE_MEMBERS);
   for (size_t i = 0; i < m->changes_count; i++) {
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -18,7 +18,7 @@
 #define MT_PEER_SHARES_MAX 700
 #define MT_PEER_ENGINES_MAX 64
 #define MT_PEER_PARTS_MAX 16
-#define MT_PEER_CHANGES_MAX 96
+#define MT_PEER_CHANGES_MAX 256
 
 typedef enum mt_peer_kind_t {
   MT_PEER_HELLO,   /* a router's own shares, to the routers of its group */
@@ -97,6 +97,12 @@
   size_t changes_count;
 } mt_peer_message_t;
 
+/* Bytes of changes that fit into one message beside its header. */
+#define MT_PEER_CHANGES_BYTES 14000
+
+/* Bytes that a change takes in a message, at most. */
+size_t mt_peer_change_size (const mt_change_t *change);
+
 /* A kind's name in metrics. */
 const char *mt_peer_kind_name (mt_peer_kind_t kind);
 
--- a/tests/feed_exchange_test.cc
+++ b/tests/feed_exchange_test.cc
@@ -250,6 +250,42 @@
   EXPECT_EQ(deaf->since["i-1"], heard);
 }
 
+// One that has just started knows what its first list says of engines that
+// leave, and who was not told hears it from there.
+TEST(FeedExchange, AFirstListIsToldToWhoLacksIt) {
+  World w(4, 1, 1);
+  for (auto &r : w.routers) r->turned_away = true;
+  w.change(MT_CHANGE_ENGINE_LEAVING, "i-1"); // nobody hears of it
+  w.run(300);
+  Router *started = w.routers[1].get();
+  mt_feed_exchange_free(&started->feeds);
+  const mt_feed_exchange_calls_t calls = {World::begin, World::send,
+                                          World::apply, World::note, started};
+  mt_feed_exchange_open(&started->feeds, &started->members, &calls);
+  started->turned_away = false;
+  w.run(500);
+  EXPECT_EQ(w.ignorant("i-1", MT_CHANGE_ENGINE_LEAVING), 0);
+}
+
+// What does not fit into one message comes in several; a message's size is
+// bounded, whatever the names.
+TEST(FeedExchange, ManyChangesAtOnceAreAllTold) {
+  for (size_t length : {1, 60}) {
+    World w(12, 2, 1);
+    Router *deaf = w.routers[5].get();
+    deaf->turned_away = true;
+    w.run(300);
+    w.lost = 1000;
+    for (int i = 0; i < 700; i++)
+      w.change(MT_CHANGE_ENGINE_GONE,
+               std::string(length, 'e') + std::to_string(i));
+    w.run(300);
+    w.lost = 0;
+    w.run(2000);
+    EXPECT_EQ(deaf->known.size(), 700u) << length;
+  }
+}
+
 // In a fleet at rest nobody asks; one change costs a message a router or so.
 TEST(FeedExchange, CostsLittle) {
   World w(85, 3, 1);
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -105,8 +105,12 @@
   auto in = message_of(MT_PEER_SUMMARY), out = message_of(MT_PEER_ASK);
   for (int i = 0; i < 20; i++)
     in->shares[in->shares_count++] = {(mt_id_t)i + 1, {1e12, -5}};
+  for (int k = 0; k < MT_CHANGE_KINDS; k++)
+    in->changes[in->changes_count++] =
+        mt_change_named((mt_change_kind_t)k, "i-1", 5 + k);
   size_t n = mt_peer_message_pack(in.get(), bytes, sizeof bytes);
   ASSERT_TRUE(mt_peer_message_unpack(out.get(), bytes, n));
+  ASSERT_EQ(out->changes_count, (size_t)MT_CHANGE_KINDS);
   EXPECT_EQ(out->shares[0].rates.asked, 1000000000); // as much as may be
   EXPECT_EQ(out->shares[0].rates.served, 0);
   for (size_t cut = 0; cut < n; cut++)
@@ -118,6 +122,9 @@
     for (int k = 0; k < 3; k++) spoiled[random() % n] = (char)random();
     mt_peer_message_unpack(out.get(), spoiled, n);
     ASSERT_LE(out->shares_count, (size_t)MT_PEER_SHARES_MAX);
+    ASSERT_LE(out->changes_count, (size_t)MT_PEER_CHANGES_MAX);
+    for (size_t c = 0; c < out->changes_count; c++)
+      ASSERT_LT(out->changes[c].kind, MT_CHANGE_KINDS);
   }
 }
 
