--- a/src/gateway/feed_exchange.c
+++ b/src/gateway/feed_exchange.c
@@ -5,16 +5,12 @@
 
 #include "feed_exchange.h"
 
-/* News of a change come within a turn or two of word that there is one. */
+/* News of a change come within a turn or two of word that there is one; who
+   asked at once would ask for what is on its way. */
 #define LACK_WAIT_MS 60
 #define LACK_REPEAT_MS 150 /* between questions for what is lacking */
 #define NEWS_MOST 8        /* messages for one read; the rest is asked for */
 
-static mt_feed_state_t *state_of (mt_feed_exchange_t *x,
-                                  mt_feed_kind_t kind) {
-  return &x->feeds[kind].state;
-}
-
 static void note (const mt_feed_exchange_t *x, uint32_t router,
                   mt_feed_kind_t kind, const mt_peer_span_t *span,
                   size_t changes, mt_feed_outcome_t outcome) {
@@ -141,9 +137,8 @@
 }
 
 /*
-** Of the first list most is known to all, and would fill the log; what ends
-*is
-** kept for those that did not hear it.
+** Of the first list most is known to all and would fill the log. What ends is
+** kept, for those that did not hear it.
 */
 static bool is_worth_keeping (const mt_feed_t *feed,
                               const mt_change_t *change) {
@@ -210,7 +205,7 @@
 
 static void take_span (mt_feed_exchange_t *x, const mt_peer_t *peer,
                        mt_feed_kind_t kind, const mt_peer_message_t *m) {
-  mt_feed_state_t *feed = state_of(x, kind);
+  mt_feed_state_t *feed = &x->feeds[kind].state;
   const mt_peer_span_t *span = &m->spans[kind];
   uint32_t to[MT_PEER_MEMBERS_MAX];
   bool all = kind == MT_FEED_ENGINES; /* declarations are read all the same */
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -32,7 +32,8 @@
 public:
   Soak(const Options &chosen)
       : options(chosen), world(chosen.seed, chosen.gateways, chosen.parts),
-        random(chosen.seed * 7919), more(chosen.seed * 104729) {
+        random(chosen.seed * 7919), more(chosen.seed * 104729),
+        choices(chosen.seed * 15485863) {
     char name[] = "/tmp/mt-soak-XXXXXX";
     dir = mkdtemp(name);
     network.reset(new Network(dir + "/links"));
@@ -80,6 +81,7 @@
   Options options;
   World world;
   Random random, more; // of the troubles, of those of a part
+  Random choices;      // of callers, beyond what the first draws
   std::unique_ptr<Network> network;
   long network_until = 0;
   std::string dir;
@@ -258,10 +260,10 @@
                std::to_string(1 + random() % 5) + "a:400," +
                std::to_string(asked) + "b:200\r\n";
     static const char *const paths[] = {"/once/", "/safe/", "/gen/"};
-    bool second = options.parts && chance(more, 0.25);
+    bool second = options.parts && chance(choices, 0.25);
     std::string path = paths[(int)c.kind], key = second ? some_key() : "";
-    if (options.parts && c.kind == Kind::Again && chance(more, 0.6))
-      path = chance(more, 0.5) ? "/side/" : some_path();
+    if (options.parts && c.kind == Kind::Again && chance(choices, 0.6))
+      path = chance(choices, 0.5) ? "/side/" : some_path();
     world.checker.ask(c.id, c.kind, second ? "w2" : "w1");
     Asked &asked_now = world.checker.asked[c.id];
     asked_now.gateway = c.gateway->index;
@@ -277,12 +279,12 @@
   }
   // Valid now, or before one of the last changes.
   std::string some_key () {
-    size_t n = world.keys.size(), back = more() % std::min(n, (size_t)3);
+    size_t n = world.keys.size(), back = choices() % std::min(n, (size_t)3);
     return world.keys[n - 1 - back];
   }
   std::string some_path () {
     return "/v" +
-           std::to_string(std::max(2, world.version - (int)(more() % 3))) +
+           std::to_string(std::max(2, world.version - (int)(choices() % 3))) +
            "/";
   }
   void connect (Caller &c) {
