Who reads a list vouches for nothing; versions that were skipped are told of

Now such spans leave a gap, which who reads changes one by one fills, and a list's reader tells of what went also where it knows an engine by others' word alone. Asking backs off to 1,200 ms where what comes leaves a gap.

--- a/src/gateway/change.c
+++ b/src/gateway/change.c
@@ -11,7 +11,6 @@
     case MT_CHANGE_ENGINE_READY:
     case MT_CHANGE_ENGINE_LEAVING:
     case MT_CHANGE_ENGINE_GONE: return MT_SUBJECT_ENGINE;
-    case MT_CHANGE_ENGINES_LISTED: return MT_SUBJECT_ENGINES;
     case MT_CHANGE_DOMAIN_EMPTIED:
     case MT_CHANGE_DOMAIN_USED: return MT_SUBJECT_DOMAIN;
     case MT_CHANGE_KEY_REVOKED:
@@ -25,11 +24,8 @@
 }
 
 mt_feed_kind_t mt_change_feed (mt_change_kind_t kind) {
-  switch (mt_change_subject(kind)) {
-    case MT_SUBJECT_ENGINE:
-    case MT_SUBJECT_ENGINES: return MT_FEED_ENGINES;
-    default: return MT_FEED_DECLARATIONS;
-  }
+  bool engine = mt_change_subject(kind) == MT_SUBJECT_ENGINE;
+  return engine ? MT_FEED_ENGINES : MT_FEED_DECLARATIONS;
 }
 
 bool mt_change_same_subject (const mt_change_t *a, const mt_change_t *b) {
--- a/src/gateway/change.h
+++ b/src/gateway/change.h
@@ -24,22 +24,19 @@
   MT_CHANGE_ENGINE_READY,
   MT_CHANGE_ENGINE_LEAVING,
   MT_CHANGE_ENGINE_GONE,
-  MT_CHANGE_ENGINES_LISTED, /* what went before is not told one by one: only
-                               the source tells */
   MT_CHANGE_DOMAIN_EMPTIED, /* a failure domain is to get no work */
   MT_CHANGE_DOMAIN_USED,
   MT_CHANGE_KEY_REVOKED,
   MT_CHANGE_KEY_GRANTED,
   MT_CHANGE_ROUTE_CLOSED, /* it no longer leads to that service */
   MT_CHANGE_ROUTE_OPENED,
-  MT_CHANGE_DOCUMENT, /* other declarations changed: likewise */
+  MT_CHANGE_DOCUMENT, /* other declarations changed: only the source tells */
   MT_CHANGE_KINDS
 } mt_change_kind_t;
 
 /* What is changed; one thing's changes follow each other by revision. */
 typedef enum mt_change_subject_t {
   MT_SUBJECT_ENGINE,
-  MT_SUBJECT_ENGINES,
   MT_SUBJECT_DOMAIN,
   MT_SUBJECT_KEY,
   MT_SUBJECT_ROUTE,
--- a/src/gateway/feed_exchange.c
+++ b/src/gateway/feed_exchange.c
@@ -8,8 +8,9 @@
 /* News of a change come within a turn or two of word that there is one; who
    asked at once would ask for what is on its way. */
 #define LACK_WAIT_MS 60
-#define LACK_REPEAT_MS 150 /* between questions for what is lacking */
-#define NEWS_MOST 8        /* messages for one read; the rest is asked for */
+#define LACK_REPEAT_MS 150      /* between questions for what is lacking */
+#define LACK_REPEAT_MAX_MS 1200 /* where nobody can tell all of it */
+#define NEWS_MOST 8 /* messages for one read; the rest is asked for */
 
 static void note (const mt_feed_exchange_t *x, uint32_t router,
                   mt_feed_kind_t kind, const mt_peer_span_t *span,
@@ -158,15 +159,49 @@
   return item->change.rev <= change->rev;
 }
 
+/* One that was told of, is not among `seen` and not known to be gone. */
+static const mt_change_t *find_unseen (const mt_change_log_t *log,
+                                       const mt_map_t *seen, int64_t rev) {
+  for (size_t i = 0; i < log->count; i++) {
+    const mt_change_t *change = &log->items[i].change;
+    uint64_t key = mt_engine_key(change->name, strlen(change->name));
+    if (change->kind == MT_CHANGE_ENGINE_GONE || change->rev > rev) continue;
+    if (mtV_get(seen, key) == NULL) return change;
+  }
+  return NULL;
+}
+
+void mt_feed_exchange_listed (mt_feed_exchange_t *x, const mt_map_t *seen,
+                              int64_t rev) {
+  const mt_change_log_t *log = &x->feeds[MT_FEED_ENGINES].log;
+  const mt_change_t *unseen;
+  while ((unseen = find_unseen(log, seen, rev)) != NULL) {
+    mt_change_t gone =
+        mt_change_named(MT_CHANGE_ENGINE_GONE, unseen->name, rev);
+    mt_change_log_add(&x->feeds[MT_FEED_ENGINES].log, &gone, x->members->now);
+    x->feeds[MT_FEED_ENGINES].fresh = true;
+  }
+}
+
+/*
+** A list shows what is there and not what went, so its reader vouches for
+** nothing before it: one that did gave neighbours to believe that they knew
+** all, and an engine that had come and gone unseen by it got work for 14.7 s.
+*/
+static void begin_log (mt_feed_t *feed, int64_t at) {
+  feed->log.from = mt_max(feed->log.from, at);
+}
+
 void mt_feed_exchange_read (mt_feed_exchange_t *x, mt_feed_kind_t kind,
-                            int64_t newest, int64_t at, bool now) {
+                            int64_t newest, int64_t at,
+                            mt_feed_reading_t reading) {
   mt_feed_t *feed = &x->feeds[kind];
   uint32_t to[MT_PEER_MEMBERS_MAX];
-  bool first = feed->state.told == 0;
-  mt_feed_news_t news = mt_feed_state_read(
-      &feed->state, newest, at, now ? x->members->now : 0, feed->fresh);
+  mt_ms_t now = reading == MT_FEED_PAST ? 0 : x->members->now;
+  mt_feed_news_t news =
+      mt_feed_state_read(&feed->state, newest, at, now, feed->fresh);
   feed->fresh = false;
-  if (first) feed->log.from = mt_max(feed->log.from, feed->state.told);
+  if (reading != MT_FEED_CHANGES) begin_log(feed, at);
   if (!news.due) return;
   size_t count = list_near(x->members, to, mt_countof(to));
   count += list_far(x->members, to + count, mt_countof(to) - count);
@@ -203,22 +238,35 @@
   return fresh;
 }
 
+/* Tells the own failure domain what came from another, as it came. */
+static void pass_on (mt_feed_exchange_t *x, mt_feed_kind_t kind,
+                     const mt_peer_message_t *m) {
+  uint32_t to[MT_PEER_MEMBERS_MAX];
+  size_t count = list_near(x->members, to, mt_countof(to));
+  mt_peer_message_t *out = x->calls.begin(x->calls.ud, MT_PEER_NEWS);
+  out->spans[kind] = m->spans[kind];
+  for (size_t i = 0; i < m->changes_count; i++)
+    if (mt_change_feed(m->changes[i].kind) == kind)
+      out->changes[out->changes_count++] = m->changes[i];
+  x->calls.send(x->calls.ud, to, count);
+  note(x, x->members->own_ip, kind, &out->spans[kind], out->changes_count,
+       MT_FEED_TOLD);
+}
+
 static void take_span (mt_feed_exchange_t *x, const mt_peer_t *peer,
                        mt_feed_kind_t kind, const mt_peer_message_t *m) {
   mt_feed_state_t *feed = &x->feeds[kind].state;
   const mt_peer_span_t *span = &m->spans[kind];
-  uint32_t to[MT_PEER_MEMBERS_MAX];
   bool all = kind == MT_FEED_ENGINES; /* declarations are read all the same */
   if (span->reach == 0) return;
   mt_feed_outcome_t outcome =
       mt_feed_state_judge(feed, span->base, span->reach);
   bool fresh = take_changes(x, kind, m, &all);
   note(x, peer->ip, kind, span, m->changes_count, outcome);
+  if (outcome == MT_FEED_GAP) x->feeds[kind].in_vain = true;
   if (outcome == MT_FEED_TAKEN)
     mt_feed_state_took(feed, span->base, span->reach, all);
-  if (!fresh || mt_membership_is_near(x->members, peer)) return;
-  size_t count = list_near(x->members, to, mt_countof(to));
-  tell(x, kind, span->base, span->reach, to, count);
+  if (fresh && !mt_membership_is_near(x->members, peer)) pass_on(x, kind, m);
 }
 
 void mt_feed_exchange_news (mt_feed_exchange_t *x, const mt_peer_t *peer,
@@ -277,6 +325,10 @@
   const mt_peer_span_t span = {feed->state.told, feed->state.newest};
   const mt_peer_t *peer = choose(x, kind);
   if (peer == NULL) return;
+  feed->pause = feed->in_vain
+                    ? mt_min(feed->pause * 2, (mt_ms_t)LACK_REPEAT_MAX_MS)
+                    : LACK_REPEAT_MS;
+  feed->in_vain = false;
   feed->asked = x->members->now;
   feed->asks++;
   x->calls.begin(x->calls.ud, MT_PEER_LACK);
@@ -294,7 +346,7 @@
     }
     if (feed->lacking == 0) feed->lacking = now;
     if (now - feed->lacking < LACK_WAIT_MS) continue;
-    if (now - feed->asked >= LACK_REPEAT_MS) ask(x, (mt_feed_kind_t)i);
+    if (now - feed->asked >= feed->pause) ask(x, (mt_feed_kind_t)i);
   }
 }
 
--- a/src/gateway/feed_exchange.h
+++ b/src/gateway/feed_exchange.h
@@ -39,6 +39,8 @@
   bool fresh;      /* changes were read that nobody had told */
   mt_ms_t lacking; /* others know of changes not told here since; 0: no */
   mt_ms_t asked;   /* a neighbour was last asked for them then */
+  mt_ms_t pause;   /* until the next is */
+  bool in_vain;    /* since then something came and left a gap */
   uint64_t asks;   /* so many times since the start */
 } mt_feed_t;
 
@@ -68,12 +70,21 @@
 bool mt_feed_exchange_changed (mt_feed_exchange_t *exchange,
                                const mt_change_t *change);
 
+/*
+** All engines were listed, as of a revision; `seen` holds the keys of those
+** that are there. Others that were told of are gone, also those that this
+** router itself never read. Before `read`.
+*/
+void mt_feed_exchange_listed (mt_feed_exchange_t *exchange,
+                              const mt_map_t *seen, int64_t rev);
+
 /*
 ** The source has told all changes of a feed up to `at`; the last one is
-** `newest`. `now`: it stands there now. Tells others what is news to them.
+** `newest`. Tells others what is news to them.
 */
 void mt_feed_exchange_read (mt_feed_exchange_t *exchange, mt_feed_kind_t kind,
-                            int64_t newest, int64_t at, bool now);
+                            int64_t newest, int64_t at,
+                            mt_feed_reading_t reading);
 
 /* Takes NEWS. */
 void mt_feed_exchange_news (mt_feed_exchange_t *exchange,
--- a/src/gateway/feed_state.h
+++ b/src/gateway/feed_state.h
@@ -10,6 +10,13 @@
 
 #include "mtobject.h"
 
+/* How the source told of a feed. */
+typedef enum mt_feed_reading_t {
+  MT_FEED_CHANGES, /* each change, as they came; it stands there now */
+  MT_FEED_LISTING, /* what there is now */
+  MT_FEED_PAST     /* what there was; it may have gone on since */
+} mt_feed_reading_t;
+
 typedef struct mt_feed_state_t {
   int64_t newest;    /* the feed's last change, by whomever it was told */
   int64_t at;        /* the source's revision when it was the last one */
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include <uv.h>
 
 #include "dialect.h"
+#include "feed_state.h"
 #include "http_client.h"
 #include "http_server.h"
 #include "log_writer.h"
@@ -59,8 +60,10 @@
 void mt_gateway_engine (mt_gateway_t *gateway, const char *name,
                         const mt_gateway_engine_t *engine, int64_t rev);
 
-/* The list of engines was read as a whole, for its history is gone. */
-void mt_gateway_listed (mt_gateway_t *gateway, int64_t rev);
+/* All engines were listed; `seen` holds the keys of their names. Any other is
+   gone. */
+void mt_gateway_listed (mt_gateway_t *gateway, const mt_map_t *seen,
+                        int64_t rev);
 
 /* The operators empty a failure domain of work, or use it again. */
 void mt_gateway_evacuate (mt_gateway_t *gateway, const char *domain, bool on,
@@ -76,9 +79,9 @@
 */
 mt_peer_feed_t mt_gateway_feed (const mt_gateway_t *gateway,
                                 mt_feed_kind_t kind);
-/* `now`: it stands there now, and others may rely on that. */
 void mt_gateway_set_feed (mt_gateway_t *gateway, mt_feed_kind_t kind,
-                          int64_t newest, int64_t at, bool now);
+                          int64_t newest, int64_t at,
+                          mt_feed_reading_t reading);
 /* Up to which revision all changes of a feed are known here. */
 int64_t mt_gateway_taken (const mt_gateway_t *gateway, mt_feed_kind_t kind);
 /* The same, but for engines that have come and that only the source tells. */
--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -13,21 +13,24 @@
 
 /* {== Declarations ===================================================== */
 
-/* A newer version, while what it ends is told to others. */
+/* What begins is told only while it is little; a large change of routes would
+   drive everything else from the log. */
+#define BEGINS_MOST 64
+
+/* A newer version, while others are told how it differs. */
 typedef struct declaring_t {
   mt_gateway_t *gateway;
   int64_t rev;
+  int begins; /* told of things that begin */
 } declaring_t;
 
-/* What begins is of interest only to who was told that it had ended. */
-static void tell_of (const declaring_t *d, const mt_change_t *change,
-                     bool begins) {
-  if (!begins || mt_gateway_peers_knows(d->gateway->peers, change))
-    mt_gateway_peers_changed(d->gateway->peers, change);
+static void tell_of (declaring_t *d, const mt_change_t *change, bool begins) {
+  if (begins && d->begins++ >= BEGINS_MOST) return;
+  mt_gateway_peers_changed(d->gateway->peers, change);
 }
 
 static void tell_key (void *ud, mt_bytes_t key, bool granted) {
-  const declaring_t *d = ud;
+  declaring_t *d = ud;
   char digest[MT_DIGEST_HEX + 1];
   mtH_sha256(key.p, key.n, digest);
   mt_change_t change =
@@ -38,23 +41,66 @@
 
 static void tell_route (void *ud, mt_id_t route, mt_id_t service,
                         bool opened) {
-  const declaring_t *d = ud;
+  declaring_t *d = ud;
   mt_change_t change = mt_change_of_route(opened ? MT_CHANGE_ROUTE_OPENED
                                                  : MT_CHANGE_ROUTE_CLOSED,
                                           route, service, d->rev);
   tell_of(d, &change, opened);
 }
 
+/* The change that a version makes of what others told; false: none. */
+static bool flip (const mt_catalog_t *c, const mt_change_t *told, int64_t rev,
+                  mt_change_t *change) {
+  bool holds = false;
+  *change = *told;
+  change->rev = rev;
+  change->age = 0;
+  switch (mt_change_subject(told->kind)) {
+    case MT_SUBJECT_KEY:
+      holds = mt_catalog_holds(c, told->name);
+      change->kind = holds ? MT_CHANGE_KEY_GRANTED : MT_CHANGE_KEY_REVOKED;
+      break;
+    case MT_SUBJECT_ROUTE:
+      holds =
+          mt_catalog_leads_to(c, told->u.path.route, told->u.path.service);
+      change->kind = holds ? MT_CHANGE_ROUTE_OPENED : MT_CHANGE_ROUTE_CLOSED;
+      break;
+    default: break;
+  }
+  return change->kind != told->kind;
+}
+
+/*
+** A router that did not read the versions in between tells what they began
+** and this one ends: it has heard of that. Without this a key of a version
+** that its reader had skipped was let in by others for 2.8 s.
+*/
+static void tell_of_skipped (mt_gateway_t *g, const mt_catalog_t *catalog,
+                             int64_t rev) {
+  mt_change_t flips[MT_DENIALS_MAX], change;
+  size_t count = 0;
+  const mt_change_log_t *log =
+      mt_gateway_peers_log(g->peers, MT_FEED_DECLARATIONS);
+  for (size_t i = 0; i < log->count && count < mt_countof(flips); i++) {
+    const mt_change_t *told = &log->items[i].change;
+    if (told->rev < rev && flip(catalog, told, rev, &change))
+      flips[count++] = change;
+  }
+  for (size_t i = 0; i < count; i++)
+    mt_gateway_peers_changed(g->peers, &flips[i]);
+}
+
 static void tell_version (mt_gateway_t *g, const mt_catalog_t *catalog,
                           int64_t rev) {
-  declaring_t declaring = {g, rev};
+  declaring_t declaring = {g, rev, 0};
   const mt_catalog_diff_calls_t calls = {tell_key, tell_route, &declaring};
   mt_change_t document =
       mt_change_named(MT_CHANGE_DOCUMENT, "declarations", rev);
   mt_gateway_peers_changed(g->peers, &document);
   const mt_catalog_t *old = g->relay->catalog;
-  if (old != NULL && catalog->version > old->version)
-    mt_catalog_diff(old, catalog, &calls);
+  if (old == NULL || catalog->version <= old->version) return;
+  mt_catalog_diff(old, catalog, &calls);
+  tell_of_skipped(g, catalog, rev);
 }
 
 void mt_gateway_declare (mt_gateway_t *g, mt_catalog_t *catalog,
@@ -171,14 +217,15 @@
     take_engine(g, name, engine, uv_now(g->loop));
 }
 
-/*
-** Others may know engines that came and went without this router; only the
-** list tells them.
-*/
-void mt_gateway_listed (mt_gateway_t *g, int64_t rev) {
-  mt_change_t change =
-      mt_change_named(MT_CHANGE_ENGINES_LISTED, "engines", rev);
-  mt_gateway_peers_changed(g->peers, &change);
+void mt_gateway_listed (mt_gateway_t *g, const mt_map_t *seen, int64_t rev) {
+  mt_engines_t *engines = &g->relay->engines;
+  for (size_t i = 0; i < engines->count; i++) {
+    const mt_engine_t *e = engines->list[i];
+    if (e->vanished != 0 || e->state == MT_ENGINE_GONE) continue;
+    if (mtV_get(seen, e->key) == NULL)
+      mt_gateway_engine(g, e->name, NULL, rev);
+  }
+  mt_gateway_peers_listed(g->peers, seen, rev);
 }
 
 /*
@@ -235,7 +282,6 @@
                            change->u.path.service, change->rev,
                            change->kind == MT_CHANGE_ROUTE_CLOSED);
       return true;
-    case MT_CHANGE_ENGINES_LISTED:
     case MT_CHANGE_DOCUMENT:
     case MT_CHANGE_KINDS: break;
   }
@@ -259,8 +305,9 @@
 }
 
 void mt_gateway_set_feed (mt_gateway_t *g, mt_feed_kind_t kind,
-                          int64_t newest, int64_t at, bool now) {
-  mt_gateway_peers_set_feed(g->peers, kind, newest, at, now);
+                          int64_t newest, int64_t at,
+                          mt_feed_reading_t reading) {
+  mt_gateway_peers_set_feed(g->peers, kind, newest, at, reading);
 }
 
 void mt_gateway_set_source (mt_gateway_t *g, bool reachable) {
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -152,15 +152,20 @@
 
 void mt_gateway_peers_set_feed (mt_gateway_peers_t *peers,
                                 mt_feed_kind_t kind, int64_t newest,
-                                int64_t at, bool now) {
+                                int64_t at, mt_feed_reading_t reading) {
   peers->members.now = uv_now(peers->loop);
-  mt_feed_exchange_read(&peers->feeds, kind, newest, at, now);
+  mt_feed_exchange_read(&peers->feeds, kind, newest, at, reading);
 }
 
-bool mt_gateway_peers_knows (const mt_gateway_peers_t *peers,
-                             const mt_change_t *like) {
-  const mt_feed_t *feed = &peers->feeds.feeds[mt_change_feed(like->kind)];
-  return mt_change_log_find(&feed->log, like) != NULL;
+void mt_gateway_peers_listed (mt_gateway_peers_t *peers, const mt_map_t *seen,
+                              int64_t rev) {
+  peers->members.now = uv_now(peers->loop);
+  mt_feed_exchange_listed(&peers->feeds, seen, rev);
+}
+
+const mt_change_log_t *mt_gateway_peers_log (const mt_gateway_peers_t *peers,
+                                             mt_feed_kind_t kind) {
+  return &peers->feeds.feeds[kind].log;
 }
 
 int64_t mt_gateway_peers_taken (const mt_gateway_peers_t *peers,
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -56,20 +56,20 @@
 /* What is known of a feed, also from others. */
 mt_peer_feed_t mt_gateway_peers_feed (const mt_gateway_peers_t *peers,
                                       mt_feed_kind_t kind);
-/*
-** The source itself said so; all up to there is known here. `now`: it stands
-** there now, and others may rely on that; else it says nothing to them.
-*/
+/* The source itself said so; all up to there is known here. */
 void mt_gateway_peers_set_feed (mt_gateway_peers_t *peers,
                                 mt_feed_kind_t kind, int64_t newest,
-                                int64_t at, bool now);
+                                int64_t at, mt_feed_reading_t reading);
+/* All engines were listed: as in feed_exchange.h. */
+void mt_gateway_peers_listed (mt_gateway_peers_t *peers, const mt_map_t *seen,
+                              int64_t rev);
 /* The source itself told of this change, before the next set_feed. False
    when a later one of the same thing stands. */
 bool mt_gateway_peers_changed (mt_gateway_peers_t *peers,
                                const mt_change_t *change);
-/* True when some change of the same thing was told lately. */
-bool mt_gateway_peers_knows (const mt_gateway_peers_t *peers,
-                             const mt_change_t *like);
+/* What was told of a feed lately; valid until the next change. */
+const mt_change_log_t *mt_gateway_peers_log (const mt_gateway_peers_t *peers,
+                                             mt_feed_kind_t kind);
 /* Up to which revision everything is known here, by whomever. */
 int64_t mt_gateway_peers_taken (const mt_gateway_peers_t *peers,
                                 mt_feed_kind_t kind);
--- a/src/relay/catalog_diff.c
+++ b/src/relay/catalog_diff.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "catalog_diff.h"
+#include "mtcrypt.h"
 
 /* {== Keys ============================================================= */
 
@@ -70,3 +71,27 @@
   each_route(from, to, false, calls);
   each_route(to, from, true, calls);
 }
+
+/* {== What neighbours name ============================================= */
+
+bool mt_catalog_leads_to (const mt_catalog_t *c, mt_id_t route,
+                          mt_id_t service) {
+  for (size_t i = 0; i < c->routes_count; i++)
+    if (c->routes[i].id == route && leads_to(&c->routes[i], service))
+      return true;
+  return false;
+}
+
+bool mt_catalog_holds (const mt_catalog_t *c, const char *digest) {
+  char text[MT_DIGEST_HEX + 1];
+  mtV_each (&c->keys, i) {
+    const mt_catalog_key_t *key = c->keys.vals[i];
+    for (; key != NULL; key = key->next) {
+      mtH_sha256(key->text, key->size, text);
+      if (strcmp(text, digest) == 0) return true;
+    }
+  }
+  return false;
+}
+
+/* }== */
--- a/src/relay/catalog_diff.h
+++ b/src/relay/catalog_diff.h
@@ -20,4 +20,11 @@
 void mt_catalog_diff (const mt_catalog_t *from, const mt_catalog_t *to,
                       const mt_catalog_diff_calls_t *calls);
 
+/* True when the route leads to the service. */
+bool mt_catalog_leads_to (const mt_catalog_t *catalog, mt_id_t route,
+                          mt_id_t service);
+
+/* True when some key has that SHA-256 digest, in hexadecimal. */
+bool mt_catalog_holds (const mt_catalog_t *catalog, const char *digest);
+
 #endif
--- a/tests/change_log_test.cc
+++ b/tests/change_log_test.cc
@@ -105,7 +105,7 @@
     std::vector<mt_change_t> changes;
     for (int64_t rev = 1; rev <= 60; rev++)
       changes.push_back(mt_change_named(
-          (mt_change_kind_t)(random() % MT_CHANGE_ENGINES_LISTED),
+          (mt_change_kind_t)(random() % MT_CHANGE_DOMAIN_USED),
           std::to_string(random() % 9).c_str(), rev));
     Log first, second;
     for (auto &c : changes) mt_change_log_add(&first.log, &c, 1000);
--- a/tests/feed_exchange_test.cc
+++ b/tests/feed_exchange_test.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 extern "C" {
+#include "engine.h"
 #include "feed_exchange.h"
 }
 
@@ -59,7 +60,8 @@
     meet();
     for (auto &r : routers)
       for (int i = 0; i < MT_FEEDS; i++)
-        mt_feed_exchange_read(&r->feeds, (mt_feed_kind_t)i, rev, rev, true);
+        mt_feed_exchange_read(&r->feeds, (mt_feed_kind_t)i, rev, rev,
+                              MT_FEED_LISTING);
   }
   void meet () {
     for (auto &r : routers) {
@@ -128,7 +130,29 @@
       if (c.rev <= r->feeds.feeds[kind].state.taken) continue;
       if (mt_feed_exchange_changed(&r->feeds, &c)) apply(r, &c, now);
     }
-    mt_feed_exchange_read(&r->feeds, kind, newest, rev, true);
+    mt_feed_exchange_read(&r->feeds, kind, newest, rev, MT_FEED_CHANGES);
+  }
+  // A list of the engines that are there, as the source gives it for less.
+  void list (Router *r) {
+    std::map<std::string, mt_change_t> there;
+    mt_map_t seen{};
+    int64_t last = 0;
+    for (const mt_change_t &c : changes) {
+      if (c.kind == MT_CHANGE_ENGINE_GONE)
+        there.erase(c.name);
+      else if (mt_change_feed(c.kind) == MT_FEED_ENGINES)
+        there[c.name] = c;
+    }
+    for (auto &row : there) {
+      mtV_put(&seen, mt_engine_key(row.first.c_str(), row.first.size()), r);
+      last = std::max(last, row.second.rev);
+      mt_feed_exchange_changed(&r->feeds, &row.second);
+      apply(r, &row.second, now);
+    }
+    mt_feed_exchange_listed(&r->feeds, &seen, last);
+    mt_feed_exchange_read(&r->feeds, MT_FEED_ENGINES, last, last,
+                          MT_FEED_PAST);
+    mtV_free(&seen);
   }
   void run (mt_ms_t ms) {
     for (mt_ms_t end = now + ms; now < end; now += kTick) {
@@ -267,6 +291,40 @@
   EXPECT_EQ(w.ignorant("i-1", MT_CHANGE_ENGINE_LEAVING), 0);
 }
 
+// A list does not show what went. Its reader tells of engines that it knows
+// by others' word alone, and vouches for nothing else: where it did, one got
+// work for 14.7 s after it had left, by a gateway that held news up to there.
+TEST(FeedExchange, AListTellsWhatWentAndVouchesForNothing) {
+  World w(4, 1, 1);
+  Router *deaf = w.routers[2].get(), *lister = w.routers[3].get();
+  w.change(MT_CHANGE_ENGINE_READY, "i-1");
+  w.run(300); // it is told to all
+  for (auto &r : w.routers) r->turned_away = true;
+  w.change(MT_CHANGE_ENGINE_GONE, "i-1"); // nobody hears of it
+  w.change(MT_CHANGE_ENGINE_READY, "i-2");
+  int64_t told = deaf->feeds.feeds[MT_FEED_ENGINES].state.told;
+  w.list(lister);
+  w.run(300);
+  EXPECT_EQ(deaf->known["i-1"], MT_CHANGE_ENGINE_GONE);
+  EXPECT_EQ(deaf->known["i-2"], MT_CHANGE_ENGINE_READY);
+  EXPECT_EQ(deaf->feeds.feeds[MT_FEED_ENGINES].state.told, told);
+}
+
+// Where nobody can tell all that is lacking, asking does not go on as before.
+TEST(FeedExchange, AsksLessWhereNobodyKnows) {
+  World w(4, 1, 1);
+  for (auto &r : w.routers) r->turned_away = true;
+  w.change(MT_CHANGE_ENGINE_GONE, "i-1");
+  w.change(MT_CHANGE_ENGINE_READY, "i-2");
+  Router *lister = w.routers[3].get();
+  mt_feed_exchange_read(&lister->feeds, MT_FEED_ENGINES, w.rev, w.rev,
+                        MT_FEED_LISTING);
+  w.run(12000);
+  size_t asked = w.routers[2]->outcomes[MT_FEED_ASKED];
+  EXPECT_GE(asked, 9u); // each 1,200 ms at least
+  EXPECT_LE(asked, 16u);
+}
+
 // What does not fit into one message comes in several; a message's size is
 // bounded, whatever the names.
 TEST(FeedExchange, ManyChangesAtOnceAreAllTold) {
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -354,6 +354,7 @@
     world.trouble = Trouble();
     for (Refusal &refusal : world.refusals) refusal = Refusal();
     heal_network();
+    if (!world.emptied.empty()) world.evacuate("d2");
     for (Gateway &g : gateways)
       if (g.resume_at != 0) g.resume_at = 1;
     for (int i = 0; i < 5000 && !idle(); i++) turn(false);
--- a/tests/turned_away_test.cc
+++ b/tests/turned_away_test.cc
@@ -245,4 +245,32 @@
   }
 }
 
+// Who reads a version may have missed the one before it, and cannot tell by
+// its own what that one began: it has heard so from others.
+TEST(TurnedAway, RunsNothingThatASkippedVersionBegan) {
+  Fleet fleet(3);
+  ASSERT_TRUE(fleet.begins());
+  fleet.turn_away(1, 0);
+  fleet.turn_away(2, 0);
+  fleet.world.configure();
+  ASSERT_TRUE(fleet.until([&] {
+    return fleet.said(0, "configuration version=3 outcome=in-force");
+  }));
+  std::string key = fleet.world.keys.back();
+  ASSERT_EQ(fleet.ask(0, "/v3/x", "key-w1"), 200);
+  ASSERT_EQ(fleet.ask(0, "/safe/x", key, "w2"), 200);
+  fleet.turn_away(0, 0);
+  fleet.world.configure();
+  fleet.world.refusals[1] = soak::Refusal();
+  ASSERT_TRUE(fleet.until([&] {
+    return fleet.said(1, "configuration version=4 outcome=in-force");
+  }));
+  EXPECT_FALSE(fleet.said(1, "configuration version=3 outcome=in-force"));
+  EXPECT_TRUE(
+      fleet.until([&] { return fleet.ask(0, "/v3/x", "key-w1") == 503; }));
+  EXPECT_TRUE(
+      fleet.until([&] { return fleet.ask(0, "/safe/x", key, "w2") == 503; }));
+  EXPECT_EQ(fleet.ask(0, "/safe/x", "key-w1"), 200);
+}
+
 } // namespace
