--- a/src/gateway/feed_exchange.c
+++ b/src/gateway/feed_exchange.c
@@ -325,9 +325,9 @@
   const mt_peer_span_t span = {feed->state.told, feed->state.newest};
   const mt_peer_t *peer = choose(x, kind);
   if (peer == NULL) return;
-  feed->pause = feed->in_vain
-                    ? mt_min(feed->pause * 2, (mt_ms_t)LACK_REPEAT_MAX_MS)
-                    : LACK_REPEAT_MS;
+  mt_ms_t longer = mt_min(feed->pause * 2, (mt_ms_t)LACK_REPEAT_MAX_MS);
+  feed->pause = LACK_REPEAT_MS;
+  if (feed->in_vain) feed->pause = mt_max(longer, (mt_ms_t)LACK_REPEAT_MS);
   feed->in_vain = false;
   feed->asked = x->members->now;
   feed->asks++;
