--- a/tests/denials_test.cc
+++ b/tests/denials_test.cc
@@ -109,6 +109,26 @@
   }
 }
 
+TEST(CatalogDiff, WhatOthersNameIsFound) {
+  Declared d({{"r", "/", "s", "t"}, {"w:", "k", "l"}});
+  mt_map_t digests{};
+  mt_catalog_digests(d.catalog, &digests);
+  struct Row {
+    const char *key;
+    bool held;
+  } keys[] = {{"k", true}, {"l", true}, {"m", false}, {"", false}};
+  for (const Row &row : keys)
+    EXPECT_EQ(mtV_get(&digests, mt_catalog_digest_key(
+                                    digest(row.key).c_str())) != nullptr,
+              row.held)
+        << row.key;
+  mtV_free(&digests);
+  mt_id_t r = mtV_id("r", 1), q = mtV_id("q", 1);
+  EXPECT_TRUE(mt_catalog_leads_to(d.catalog, r, mtV_id("t", 1)));
+  EXPECT_FALSE(mt_catalog_leads_to(d.catalog, r, mtV_id("u", 1)));
+  EXPECT_FALSE(mt_catalog_leads_to(d.catalog, q, mtV_id("s", 1)));
+}
+
 TEST(Denials, HoldUntilTheDeclarationsSayIt) {
   mt_denials_t d{};
   mt_denials_set_key(&d, digest("k").c_str(), 10, true);
