--- a/src/gateway/feed_exchange.c
+++ b/src/gateway/feed_exchange.c
@@ -185,8 +185,8 @@
 
 /*
 ** A list shows what is there and not what went, so its reader vouches for
-** nothing before it: one that did gave neighbours to believe that they knew
-** all, and an engine that had come and gone unseen by it got work for 14.7 s.
+** nothing before it. One that did made its neighbours pass over the word of
+** an engine that had left in between, and it got work for 14.7 s.
 */
 static void begin_log (mt_feed_t *feed, int64_t at) {
   feed->log.from = mt_max(feed->log.from, at);
