--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -10,6 +10,7 @@
 #include "gateway_log.h"
 #include "gateway_metrics.h"
 #include "gateway_state.h"
+#include "request_digest.h"
 
 #define TICK_MS 25
 /* Some trips of any link; a lost packet is sent again after 1 s only. */
@@ -239,6 +240,10 @@
   mtV_put(&g->passages, p->number, p);
   ask.host = mt_http_headers_find(headers, "host");
   ask.path = path_of(mt_http_exchange_target(x));
+  const mt_request_text_t text = {mt_http_exchange_method(x), ask.host,
+                                  mt_http_exchange_target(x),
+                                  mt_http_exchange_body(x)};
+  ask.digest = mt_request_digest(&text);
   g->dialect->read_request(headers, &ask);
   mt_relay_event_t event = {.kind = MT_RELAY_REQUEST, .request = p->number};
   event.u.ask = &ask;
@@ -358,10 +363,16 @@
   free(a);
 }
 
-static void on_probed (void *ud, uint64_t endpoint, bool up) {
+static void on_probed (void *ud, uint64_t endpoint, mt_http_probe_t how) {
+  mt_gateway_t *g = ud;
+  const mt_engine_t *e = mt_engines_get(&g->relay->engines, endpoint);
   mt_relay_event_t event = {.kind = MT_RELAY_PROBED};
   event.u.probed.engine = endpoint;
-  event.u.probed.up = up;
+  event.u.probed.up = how == MT_HTTP_UP;
+  event.u.probed.refused = how == MT_HTTP_REFUSED;
+  if (e != NULL)
+    mt_gateway_log_engine(g->log, uv_now(g->loop), e,
+                          mt_gateway_probe_name(how));
   step(ud, &event);
 }
 
--- a/src/gateway/gateway_log.c
+++ b/src/gateway/gateway_log.c
@@ -16,6 +16,15 @@
   return "";
 }
 
+const char *mt_gateway_probe_name (mt_http_probe_t how) {
+  switch (how) {
+    case MT_HTTP_UP: return "reached";
+    case MT_HTTP_REFUSED: return "refuses";
+    case MT_HTTP_LOST: return "unreachable";
+  }
+  return "";
+}
+
 void mt_gateway_log_engine (mt_log_writer_t *log, mt_ms_t now,
                             const mt_engine_t *e, const char *outcome) {
   mt_log_line(log, MT_LOG_BELIEF, now, "engine",
@@ -35,14 +44,15 @@
   int64_t version = relay->catalog ? relay->catalog->version : 0;
   mt_log_line(
       log, well ? MT_LOG_DETAIL : MT_LOG_FAILURE, relay->now, "request",
-      "id=%s route=%08x workspace=%08x engine=%s attempt=%d age=%llu "
+      "id=%s digest=%016llx route=%08x workspace=%08x engine=%s attempt=%d age=%llu "
       "status=%d wait=%.0f expected=%.0f first=%llu standing=%.2f "
       "tokens=%lld own=%lld unread=%lld fetched=%lld home=%d last=%lld "
       "version=%lld "
       "outcome=%s why=%s",
-      r->id, r->route, r->workspace, r->engine_name[0] ? r->engine_name : "-",
-      r->attempt, (number_t)(relay->now - r->arrived), r->status,
-      r->wait_expected, r->first_expected, (number_t)r->first, r->standing,
+      r->id, (number_t)r->digest, r->route, r->workspace,
+      r->engine_name[0] ? r->engine_name : "-", r->attempt,
+      (number_t)(relay->now - r->arrived), r->status, r->wait_expected,
+      r->first_expected, (number_t)r->first, r->standing,
       (long long)r->tokens_in, (long long)own_tokens(r), (long long)r->unread,
       (long long)r->fetched, r->home, (long long)r->last_event,
       (long long)version, outcome, why);
--- a/src/gateway/gateway_log.h
+++ b/src/gateway/gateway_log.h
@@ -5,6 +5,7 @@
 #ifndef gateway_log_h
 #define gateway_log_h
 
+#include "http_client.h"
 #include "log_writer.h"
 #include "relay.h"
 
@@ -17,5 +18,6 @@
                             const mt_engine_t *engine, const char *outcome);
 
 const char *mt_gateway_state_name (mt_engine_state_t state);
+const char *mt_gateway_probe_name (mt_http_probe_t how);
 
 #endif
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -25,6 +25,7 @@
   void *ud;
   bool busy, connected, closing, keep, skipping, closed_framing, paused;
   bool probing; /* it is being connected for no call */
+  bool refused; /* the other side said that nobody listens */
   int surplus;
   size_t writing;
   char *request; /* until the connection is up */
@@ -93,7 +94,8 @@
   bool probing = c->probing && !c->closing;
   close_connection(c);
   if (busy) c->client->handler.failed(c->ud, c, why);
-  if (probing) c->client->handler.probed(c->ud, c->key, false);
+  mt_http_probe_t how = c->refused ? MT_HTTP_REFUSED : MT_HTTP_LOST;
+  if (probing) c->client->handler.probed(c->ud, c->key, how);
 }
 
 static void rest (mt_http_call_t *c) {
@@ -287,13 +289,14 @@
   c->probing = false;
   c->idle_limit = c->client->options.idle_ms;
   rest(c);
-  c->client->handler.probed(ud, c->key, true);
+  c->client->handler.probed(ud, c->key, MT_HTTP_UP);
 }
 
 static void on_connected (uv_connect_t *req, int status) {
   mt_http_call_t *c = req->data;
   if (c->closing) return;
   if (status < 0) {
+    c->refused = status == UV_ECONNREFUSED;
     fail(c, MT_HTTP_NOT_SENT);
     return;
   }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -23,6 +23,13 @@
   MT_HTTP_GARBLED   /* what came is no answer in the protocol */
 } mt_http_failure_t;
 
+/* How a try to connect ended. */
+typedef enum mt_http_probe_t {
+  MT_HTTP_UP,
+  MT_HTTP_REFUSED, /* the machine is there, and nobody listens */
+  MT_HTTP_LOST     /* nothing came back, or something on the way failed */
+} mt_http_probe_t;
+
 typedef struct mt_http_call_handler_t {
   /* The connection is up and the request goes out on it; may be NULL. */
   void (*sent)(void *ud, mt_http_call_t *call);
@@ -36,8 +43,8 @@
   /* END and FAILED are the last; the call is gone afterwards. */
   void (*end)(void *ud, mt_http_call_t *call);
   void (*failed)(void *ud, mt_http_call_t *call, mt_http_failure_t why);
-  /* A probe's connection came up, or did not; NULL if none is made. */
-  void (*probed)(void *ud, uint64_t endpoint, bool up);
+  /* How a probe ended; NULL if none is made. */
+  void (*probed)(void *ud, uint64_t endpoint, mt_http_probe_t how);
 } mt_http_call_handler_t;
 
 typedef struct mt_http_endpoint_t {
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -372,6 +372,7 @@
   snprintf(r->id, sizeof r->id, "%.*s", (int)ask->id.n, ask->id.p);
   if (!identify(relay, r, ask)) return;
   take_prompt(r, ask);
+  r->digest = mtV_mix(ask->digest, r->workspace) | 1;
   if (too_late(relay, r)) {
     refuse(relay, r, MT_RELAY_STOPPING);
     return;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -88,6 +88,7 @@
 /* A request as its adapter read it; texts are borrowed for the step. */
 typedef struct mt_relay_ask_t {
   mt_bytes_t id, host, path, key;
+  uint64_t digest;     /* of its text; 0: not told */
   int64_t deadline_ms; /* the caller waits this long; -1: not told */
   int64_t last_event;  /* the caller has the events up to this; -1: none */
   int64_t tokens_in, tokens_out; /* 0: not told */
@@ -146,7 +147,7 @@
     } quotes;
     struct {
       uint64_t engine;
-      bool up;
+      bool up, refused; /* refused: nobody listens there */
     } probed;
     bool not_sent;   /* FAILED */
     mt_ms_t stop_ms; /* STOP: the process ends after this long */
@@ -231,6 +232,7 @@
 typedef struct mt_relay_request_t {
   uint64_t number;
   char id[40];          /* the caller's, for logs */
+  uint64_t digest;      /* the same for the same text of the same workspace */
   char engine_name[48]; /* of the last attempt, for logs */
   size_t index;         /* in the list */
   struct mt_relay_request_t *finished_next;
