Test: a request under which engines end, sent again and again

Fails on the code as it is: of 24 arrivals of one body at one, four and ten gateways (safe, once and stream routes; engines back under their id or a new one) each ends an engine, where three ends and three more arrivals are the limit; none is refused. The soak's world can now hold bodies under which engines end and start again.

--- /dev/null
+++ b/tests/repeats_test.cc
@@ -0,0 +1,82 @@
+// repeats_test.cc - a request under which engines end, sent again and again
+//
+// A request ended each engine that began it, and its caller sent it again, at
+// any gateway. Every gateway counted the tries of one arrival alone, so that
+// the next arrival began at nothing, and 18 engines ended under one request
+// in twelve seconds, each with 6 to 16 other requests that ran there:
+//
+//   15.416 edge-portmore-1      engine=i-65542a5a6c attempt=1 tokens=711
+//     own=215 outcome=attempt-failed why=engine_lost
+//   15.456 edge-new-kingston-3  engine=i-654051f0e8 attempt=1 tokens=711
+//     own=215 outcome=attempt-failed why=engine_lost
+//   17.577 edge-halfway-tree-2  engine=i-db3c17208d attempt=1 tokens=711
+//     own=215 outcome=attempt-failed why=engine_lost
+#include "soak/fleet.h"
+
+namespace {
+
+using soak::Fleet;
+
+const char DEADLY[] = "this one ends engines";
+
+// Three ends are enough to know it by; as many more arrivals are borne.
+const int ENDS = 3, ARRIVALS_MORE = 3;
+
+struct Repeats {
+  const char *what;
+  int gateways;
+  const char *path;
+  bool renews; // engines are back under new ids
+};
+
+class Repeated : public Fleet {
+public:
+  explicit Repeated(const Repeats &row) : Fleet(row.gateways) {
+    world.deadly.insert(DEADLY);
+    world.deadly_ms = 5;
+    world.down_ms = 100;
+    world.renews = row.renews;
+  }
+  // All engines listen again, and every gateway uses them.
+  bool engines_serve () {
+    return until([&] { return world.all_back(); }) && until([&] {
+             for (size_t i = 0; i < gateways.size(); i++)
+               if (ask((int)i, "/safe/x", "key-w1") != 200) return false;
+             return true;
+           });
+  }
+};
+
+void play (const Repeats &row) {
+  Repeated fleet(row);
+  ASSERT_TRUE(fleet.begins());
+  for (int i = 0; i < 24; i++) {
+    fleet.ask_with(i % row.gateways, row.path, DEADLY);
+    ASSERT_TRUE(fleet.engines_serve());
+  }
+  EXPECT_GE(fleet.world.ended, 1);
+  EXPECT_LE(fleet.world.ended, ENDS + ARRIVALS_MORE);
+  for (int i = 0; i < row.gateways; i++) {
+    std::string in = fleet.ask_with(i, row.path, DEADLY);
+    EXPECT_EQ(::World::status_of(in), 503) << in;
+    in = fleet.ask_with(i, row.path, "another one");
+    EXPECT_EQ(::World::status_of(in), 200) << in;
+  }
+}
+
+TEST(RepeatedRequest, EndsNoMoreEnginesThanItTakesToKnowIt) {
+  const Repeats rows[] = {
+      {"one gateway", 1, "/safe/x", false},
+      {"some gateways", 4, "/safe/x", false},
+      {"many gateways", 10, "/safe/x", false},
+      {"what may run once", 4, "/once/x", false},
+      {"a stream", 4, "/gen/x", false},
+      {"engines are back under new ids", 4, "/safe/x", true},
+  };
+  for (const Repeats &row : rows) {
+    SCOPED_TRACE(row.what);
+    play(row);
+  }
+}
+
+} // namespace
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -96,6 +96,14 @@
       return count >= 2;
     });
   }
+  // An answer to a request with this body; empty: the connection ended.
+  std::string ask_with (int gateway, const std::string &path,
+                        const std::string &body) {
+    std::string id = "id" + std::to_string(++asked);
+    Gateway &g = gateways[(size_t)gateway];
+    world.checker.ask(id, Kind::Again, "w1");
+    return exchange(g, g.port, ::World::ask(path, id, body));
+  }
   // The status of an answer to a request that a caller sends.
   int ask (int gateway, const std::string &path, const std::string &key,
            const std::string &workspace = "w1") {
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -83,7 +83,8 @@
   World(const World &) = delete;
   ~World() {
     for (Conn &c : conns) c.close();
-    for (Listener &l : listeners) ::close(l.fd);
+    for (Listener &l : listeners)
+      if (l.fd >= 0) ::close(l.fd);
   }
 
   // {== The store
@@ -233,6 +234,7 @@
     ids_of(service).push_back(id);
     checker.engines[id] = {service,
                            parts && engines_made % 2 == 0 ? "d2" : "d1"};
+    places[id] = l;
     announce(id, service, l->port, "ready");
     ports[id] = l->port;
   }
@@ -252,7 +254,8 @@
         "{\"service\":\"" + service +
             "\",\"addr\":\"127.0.0.1:" + std::to_string(port) +
             "\",\"zone\":\"" + checker.engines[id].domain +
-            "\",\"slots\":8,\"state\":\"" + state + "\"}");
+            "\",\"slots\":8,\"born\":" + std::to_string(++born) +
+            ",\"state\":\"" + state + "\"}");
   }
   // One engine leaves as planned and serves on: it says so, or its entry is
   // gone without a word. Another takes its place.
@@ -302,6 +305,75 @@
   }
   std::set<std::string> dead;
 
+  // {== Engines that end, and start again
+
+  // Bodies under which each engine ends that begins them, and how long that
+  // takes; an engine is back after `down_ms`, under its id or a new one.
+  std::set<std::string> deadly;
+  long deadly_ms = 20, down_ms = 2000;
+  bool renews = false; // under a new id
+  long born = 1780000000000;
+  std::map<std::string, long> ends_at, back_at; // by engine
+  std::map<std::string, Listener *> places;     // where it listens
+  int ended = 0;
+
+  // Its connections are reset, and nobody listens any more.
+  void end_engine (const std::string &id) {
+    Listener *place = places[id];
+    ends_at.erase(id);
+    if (place->fd < 0) return;
+    ::close(place->fd);
+    place->fd = -1;
+    for (Conn &c : conns)
+      if (c.listener == place && c.fd >= 0) c.abort();
+    ended++;
+    back_at[id] = now_ms() + down_ms;
+    if (renews) drop("servers/" + id);
+  }
+  // False when its port is taken meanwhile: then it tries again.
+  bool start_engine (const std::string &id) {
+    Listener *place = places[id];
+    int fd = listen_at(place->port);
+    if (fd < 0) return false;
+    place->fd = fd;
+    const std::string &service = checker.engines[id].service;
+    if (renews)
+      rename_engine(id);
+    else
+      announce(id, service, place->port, "ready");
+    return true;
+  }
+  void rename_engine (const std::string &old) {
+    std::string id = "i-" + std::to_string(++engines_made);
+    Listed listed = checker.engines[old];
+    checker.engines[id] = listed;
+    places[id] = places[old];
+    ports[id] = ports[old];
+    places[id]->handler = [this, id] (Conn &c, const Request &r) {
+      on_request(c, r, id);
+    };
+    auto &ids = ids_of(listed.service);
+    std::replace(ids.begin(), ids.end(), old, id);
+    announce(id, listed.service, ports[id], "ready");
+  }
+  void end_due () {
+    long now = now_ms();
+    std::vector<std::string> due;
+    for (auto &row : ends_at)
+      if (row.second <= now) due.push_back(row.first);
+    for (const std::string &id : due) end_engine(id);
+    due.clear();
+    for (auto &row : back_at)
+      if (row.second <= now) due.push_back(row.first);
+    for (const std::string &id : due)
+      if (start_engine(id)) back_at.erase(id);
+  }
+  bool all_back () const {
+    return ends_at.empty() && back_at.empty();
+  }
+
+  // }==
+
   void later (Conn &c, const std::string &text, long delay, int end = 0) {
     sending.push_back({&c, text, now_ms() + delay, end});
   }
@@ -327,6 +399,9 @@
     }
     checker.run(id, r.field("X-Tenant"), !r.field("Authorization").empty());
     std::string seal = echo + "X-Engine-Seal: s." + id + "\r\n";
+    if (deadly.count(r.body) && ends_at.count(engine) == 0)
+      ends_at[engine] = now_ms() + deadly_ms;
+    if (deadly.count(r.body)) return;
     if (r.line().find("/gen/") != std::string::npos)
       stream(c, r, id, seal, bad ? kind : 0);
     else
@@ -385,11 +460,19 @@
 
   // {== Sockets
 
+  // A descriptor, or -1 when the port is taken; port 0 takes a free one.
+  static int listen_at (int port) {
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), on = 1;
+    sockaddr_in a = loopback(port);
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    if (bind(fd, (sockaddr *)&a, sizeof a) == 0 && ::listen(fd, 256) == 0)
+      return fd;
+    ::close(fd);
+    return -1;
+  }
   Listener *listen (Handler handler) {
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in a = loopback(0);
-    bind(fd, (sockaddr *)&a, sizeof a);
-    ::listen(fd, 256);
+    int fd = listen_at(0);
+    sockaddr_in a{};
     socklen_t n = sizeof a;
     getsockname(fd, (sockaddr *)&a, &n);
     listeners.push_back({fd, ntohs(a.sin_port), handler, 0, nullptr});
@@ -419,7 +502,8 @@
     reads = now_ms();
     std::vector<pollfd> fds;
     std::vector<Conn *> open;
-    for (Listener &l : listeners) fds.push_back({l.fd, POLLIN, 0});
+    for (Listener &l : listeners)
+      fds.push_back({l.fd, POLLIN, 0}); // < 0: none
     for (Conn &c : conns)
       if (c.fd >= 0) {
         fds.push_back({c.fd, POLLIN, 0});
@@ -428,10 +512,11 @@
     poll(fds.data(), fds.size(), 3);
     size_t i = 0;
     for (Listener &l : listeners)
-      if (fds[i++].revents) accept_one(l);
+      if (fds[i++].revents && l.fd >= 0) accept_one(l);
     for (Conn *c : open)
       if (fds[i++].revents && c->fd >= 0) read_one(*c);
     send_due();
+    end_due();
     tell();
     forget_closed();
   }
