--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -172,6 +172,10 @@
     mt_gateway_peers_give_back(g->peers, fx->u.place);
     return;
   }
+  if (fx->kind == MT_RELAY_DO_TELL) {
+    mt_gateway_peers_say(g->peers, &fx->u.word);
+    return;
+  }
   passage_t *p = mtV_get(&g->passages, fx->request);
   if (p == NULL) return;
   switch (fx->kind) {
@@ -194,13 +198,15 @@
       release(g, p);
       break;
     case MT_RELAY_DO_PROBE:
-    case MT_RELAY_DO_GIVE_BACK: break; /* of no request */
+    case MT_RELAY_DO_GIVE_BACK:
+    case MT_RELAY_DO_TELL: break; /* of no request */
   }
 }
 
 /*
-** Effects are taken in order. Only two events nest: GONE_OUT has no effects,
-** and those of QUOTED are of the one request that asked.
+** Effects are taken in order. Only three events nest: GONE_OUT has no
+*effects,
+** and those of QUOTED and TRIED are of the one request that asked.
 */
 static void step (mt_gateway_t *g, mt_relay_event_t *event) {
   mt_relay_effects_t effects = {0};
@@ -220,6 +226,14 @@
   step(ud, &event);
 }
 
+static void on_tried (void *ud, uint64_t request, uint64_t digest,
+                      mt_trial_t verdict) {
+  mt_relay_event_t event = {.kind = MT_RELAY_TRIED, .request = request};
+  event.u.tried.digest = digest;
+  event.u.tried.verdict = verdict;
+  step(ud, &event);
+}
+
 /* {== Callers ========================================================== */
 
 static mt_bytes_t path_of (mt_bytes_t target) {
@@ -528,7 +542,7 @@
       listen_on(g, &settings->metrics, &metrics_handler, reason, size);
   if (g->metrics == NULL) return NULL;
   const mt_gateway_peers_calls_t calls = {on_quoted, mt_gateway_take_change,
-                                          g};
+                                          on_tried, g};
   g->peers = mt_gateway_peers_open(loop, settings, g->relay, g->log, &calls);
   uv_timer_init(loop, &g->tick);
   g->tick.data = g;
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -45,6 +45,27 @@
                    names[i], (unsigned long long)c->admissions[i]);
 }
 
+static void suspects (const mt_relay_t *relay, mt_text_t *out) {
+  static const char *const names[MT_TRIALS] = {[MT_TRIAL_FREE] = "free",
+                                               [MT_TRIAL_GRANTED] = "granted",
+                                               [MT_TRIAL_BUSY] = "busy",
+                                               [MT_TRIAL_REFUSED] =
+                                                   "refused"};
+  describe(out, "suspects", "gauge",
+           "Requests under which engines ended, by state.");
+  for (int i = MT_SUSPICION_NOTED; i < MT_SUSPICIONS; i++) {
+    mt_suspicion_t state = (mt_suspicion_t)i;
+    mt_text_format(out, PREFIX "suspects{state=\"%s\"} %zu\n",
+                   mt_suspicion_name(state),
+                   mt_suspects_count(&relay->suspects, state, relay->now));
+  }
+  describe(out, "trials_total", "counter",
+           "What keepers answered about running a suspect.");
+  for (int i = 0; i < MT_TRIALS; i++)
+    mt_text_format(out, PREFIX "trials_total{answer=\"%s\"} %llu\n", names[i],
+                   (unsigned long long)relay->counters.trials[i]);
+}
+
 static void peers (const mt_peer_traffic_t *traffic, mt_text_t *out) {
   describe(out, "peer_messages_total", "counter",
            "Messages sent to other routers, by kind.");
@@ -108,8 +129,9 @@
          "Prompt tokens taken from another engine.",
          (double)c->tokens_fetched);
   number(out, "engine_probes_total", "counter",
-         "Connections tried to engines that were out of reach.",
-         (double)c->probes);
+         "Connections tried to engines for no request.", (double)c->probes);
+  number(out, "ends_total", "counter",
+         "Runs that were lost as their engine ended.", (double)c->ends);
   number(out, "retries_denied_total", "counter",
          "Retries that the budget did not allow.", (double)c->retries_denied);
   number(out, "quote_rounds_total", "counter",
@@ -120,6 +142,7 @@
          (double)c->quotes_late);
   reasons(c, out);
   admissions(c, out);
+  suspects(relay, out);
   peers(from->traffic, out);
   news(from->news, out);
   number(out, "requests", "gauge", "Requests in progress.",
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -9,6 +9,7 @@
 #include "load_teller.h"
 #include "prompt_memory.h"
 #include "share_exchange.h"
+#include "suspect_exchange.h"
 
 #define ROW_VALID_MS 2500 /* a load that is not repeated */
 #define READ_AT_ONCE 4096 /* datagrams, in one turn of the loop */
@@ -25,6 +26,7 @@
   mt_load_teller_t teller;
   mt_share_exchange_t exchange;
   mt_feed_exchange_t feeds;
+  mt_suspect_exchange_t suspects;
   bool led; /* at the last tick: it watched the source for others */
   mt_peer_traffic_t traffic[MT_PEER_KINDS];
   uint64_t news[MT_FEED_OUTCOMES];
@@ -134,6 +136,43 @@
 
 /* }== */
 
+/* {== Suspects ========================================================= */
+
+/* What is believed of a request that engines ended under, and by whose word.
+ */
+static void note_suspect (void *ud, const mt_suspect_t *s, uint32_t router,
+                          const char *why) {
+  mt_gateway_peers_t *peers = ud;
+  mt_ms_t now = uv_now(peers->loop);
+  mt_suspect_row_t row = mt_suspects_row(s, now);
+  const mt_suspect_end_t *last = s->listed ? &s->list[s->listed - 1] : NULL;
+  const mt_engine_t *e =
+      last ? mt_engines_get(&peers->relay->engines, last->engine) : NULL;
+  char text[INET_ADDRSTRLEN];
+  inet_ntop(AF_INET, &router, text, sizeof text);
+  mt_log_line(peers->log, MT_LOG_BELIEF, now, "suspect",
+              "digest=%016llx state=%s ends=%d alone=%d last=%s age=%llu "
+              "left=%llu peer=%s outcome=%s",
+              (unsigned long long)s->digest, mt_suspicion_name(s->state),
+              row.ends, row.alone, e != NULL ? e->name : "-",
+              (unsigned long long)row.age, (unsigned long long)row.left, text,
+              why);
+}
+
+static void on_verdict (void *ud, uint64_t request, uint64_t digest,
+                        mt_trial_t verdict) {
+  mt_gateway_peers_t *peers = ud;
+  peers->calls.tried(peers->calls.ud, request, digest, verdict);
+}
+
+void mt_gateway_peers_say (mt_gateway_peers_t *peers,
+                           const mt_suspect_word_t *word) {
+  peers->members.now = uv_now(peers->loop);
+  mt_suspect_exchange_say(&peers->suspects, word);
+}
+
+/* }== */
+
 /* {== The source of declarations ======================================= */
 
 mt_peer_feed_t mt_gateway_peers_feed (const mt_gateway_peers_t *peers,
@@ -418,6 +457,11 @@
     case MT_PEER_QUOTE: on_quote(peers, peer, m); break;
     case MT_PEER_NEWS: mt_feed_exchange_news(&peers->feeds, peer, m); break;
     case MT_PEER_LACK: mt_feed_exchange_lack(&peers->feeds, peer, m); break;
+    case MT_PEER_SUSPECTS:
+    case MT_PEER_WORD:
+    case MT_PEER_VERDICT:
+      mt_suspect_exchange_take(&peers->suspects, peer, m);
+      break;
     case MT_PEER_KINDS: break;
   }
 }
@@ -435,6 +479,7 @@
   dispatch(peers, peer, m);
   if (!is_new) return;
   say(peers, ip, "heard");
+  mt_suspect_exchange_greet(&peers->suspects, ip);
   if (m->kind == MT_PEER_HELLO) welcome(peers, ip, m->groups);
 }
 
@@ -486,6 +531,7 @@
   mt_load_teller_tick(&peers->teller, &peers->relay->engines, now, &calls);
   mt_share_exchange_tick(&peers->exchange);
   mt_feed_exchange_tick(&peers->feeds);
+  mt_suspect_exchange_tick(&peers->suspects);
   peers->relay->reach = mt_membership_reach(&peers->members);
   note_role(peers);
   return peers->members.live;
@@ -514,6 +560,10 @@
   const mt_feed_exchange_calls_t news = {begin_round, send_news, apply_change,
                                          note_news, peers};
   mt_feed_exchange_open(&peers->feeds, members, &news);
+  const mt_suspect_exchange_calls_t words = {begin_round, send_news,
+                                             on_verdict, note_suspect, peers};
+  mt_suspect_exchange_open(&peers->suspects, members, &relay->suspects,
+                           &words, peers->boot);
   uv_udp_init(loop, &peers->udp);
   peers->udp.data = peers;
   if (uv_udp_bind(&peers->udp, (const struct sockaddr *)&addr, 0) == 0)
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -3,7 +3,8 @@
 **
 ** Shares go round in groups (membership.h); loads go to the keepers of the
 ** engines, who answer what a request asks; changes at the source of
-** declarations go to all (feed_exchange.h).
+** declarations go to all (feed_exchange.h); so does what engines ended under
+** (suspect_exchange.h).
 */
 #ifndef gateway_peers_h
 #define gateway_peers_h
@@ -22,9 +23,14 @@
 typedef bool (*mt_gateway_change_t)(void *ud, const mt_change_t *change,
                                     mt_ms_t since);
 
+/* A keeper's answer to a suspect that asked whether it may run. */
+typedef void (*mt_gateway_tried_t)(void *ud, uint64_t request,
+                                   uint64_t digest, mt_trial_t verdict);
+
 typedef struct mt_gateway_peers_calls_t {
   mt_gateway_quoted_t quoted;
   mt_gateway_change_t change;
+  mt_gateway_tried_t tried;
   void *ud;
 } mt_gateway_peers_calls_t;
 
@@ -53,6 +59,11 @@
 void mt_gateway_peers_placed (mt_gateway_peers_t *peers,
                               const mt_relay_request_t *request);
 
+/* Tells the keeper of a suspect. A question that this router keeps itself is
+   answered before the call returns. */
+void mt_gateway_peers_say (mt_gateway_peers_t *peers,
+                           const mt_suspect_word_t *word);
+
 /* What is known of a feed, also from others. */
 mt_peer_feed_t mt_gateway_peers_feed (const mt_gateway_peers_t *peers,
                                       mt_feed_kind_t kind);
--- a/src/gateway/peer_message.c
+++ b/src/gateway/peer_message.c
@@ -8,13 +8,13 @@
 #include "mtmsg.h"
 #include "peer_message.h"
 
-#define FORMAT_VERSION 6
+#define FORMAT_VERSION 7
 #define NUMBERS 20 /* before the lists */
 #define FEEDS_AT 8 /* the first number of the feeds */
 #define FEED_NUMBERS 4
 #define SPANS_AT (FEEDS_AT + MT_FEEDS * FEED_NUMBERS)
 #define SPAN_NUMBERS 2
-#define LISTS 5
+#define LISTS 7
 #define MEMBER_NUMBERS 3
 #define SHARE_NUMBERS 3
 #define ENGINE_NUMBERS 7
@@ -22,6 +22,8 @@
 #define CHANGE_MEMBERS 5
 #define CHANGE_ENGINE_MEMBERS 6
 #define CHANGE_ROUTE_MEMBERS 2
+#define SUSPECT_NUMBERS 8
+#define WORD_NUMBERS 8
 #define CHANGE_BYTES 48 /* of one, its texts not counted */
 
 /* What one router can claim at most. */
@@ -29,6 +31,8 @@
 #define RUNNING_MOST 1000000
 #define READ_MOST ((int64_t)1 << 52)
 #define MS_MOST 600000
+#define SUSPECT_MS_MOST 7200000
+#define ENDS_MOST 1000
 
 const char *mt_peer_kind_name (mt_peer_kind_t kind) {
   switch (kind) {
@@ -43,6 +47,9 @@
     case MT_PEER_LOAD: return "load";
     case MT_PEER_HOLDS: return "holds";
     case MT_PEER_BACK: return "back";
+    case MT_PEER_SUSPECTS: return "suspects";
+    case MT_PEER_WORD: return "word";
+    case MT_PEER_VERDICT: return "verdict";
     case MT_PEER_KINDS: break;
   }
   return "";
@@ -59,6 +66,9 @@
   }
   m->members_count = m->shares_count = 0;
   m->engines_count = m->parts_count = m->changes_count = 0;
+  m->suspects_count = 0;
+  m->word = (mt_suspect_word_t){.kind = MT_WORDS};
+  m->verdict = MT_TRIALS;
 }
 
 /* {== Packing ========================================================== */
@@ -160,6 +170,36 @@
   }
 }
 
+static void pack_suspects (const mt_peer_message_t *m, msgpack_packer *pk) {
+  msgpack_pack_array(pk, m->suspects_count * SUSPECT_NUMBERS);
+  for (size_t i = 0; i < m->suspects_count; i++) {
+    const mt_suspect_row_t *row = &m->suspects[i];
+    msgpack_pack_uint64(pk, row->digest);
+    msgpack_pack_uint64(pk, row->version);
+    msgpack_pack_uint8(pk, (uint8_t)row->state);
+    msgpack_pack_uint64(pk, whole(row->ends));
+    msgpack_pack_uint64(pk, whole(row->alone));
+    msgpack_pack_uint64(pk, row->age);
+    msgpack_pack_uint64(pk, row->left);
+    msgpack_pack_uint64(pk, row->rest);
+  }
+}
+
+/* A list of one word, or of none. */
+static void pack_word (const mt_peer_message_t *m, msgpack_packer *pk) {
+  const mt_suspect_word_t *word = &m->word;
+  msgpack_pack_array(pk, word->kind == MT_WORDS ? 0 : WORD_NUMBERS);
+  if (word->kind == MT_WORDS) return;
+  msgpack_pack_uint8(pk, (uint8_t)word->kind);
+  msgpack_pack_uint64(pk, word->digest);
+  msgpack_pack_uint64(pk, word->engine);
+  msgpack_pack_uint64(pk, word->request);
+  msgpack_pack_uint8(pk, word->alone);
+  msgpack_pack_uint64(pk, word->age);
+  msgpack_pack_uint64(pk, word->lease);
+  msgpack_pack_uint8(pk, (uint8_t)m->verdict);
+}
+
 static int write_bytes (void *to, const char *bytes, size_t n) {
   mt_bytes_t *room = to;
   if (room->p != NULL && n > room->n) room->p = NULL;
@@ -200,6 +240,8 @@
   pack_engines(m, &pk);
   pack_parts(m, &pk);
   pack_changes(m, &pk);
+  pack_suspects(m, &pk);
+  pack_word(m, &pk);
   if (room.p == NULL) return 0; /* something did not fit */
   return size - room.n;
 }
@@ -329,6 +371,38 @@
   }
 }
 
+static void unpack_suspects (mt_peer_message_t *m, const msgpack_object *o) {
+  size_t n = rows_of(o, SUSPECT_NUMBERS, MT_PEER_SUSPECTS_MAX);
+  for (size_t i = 0; i < n; i++) {
+    const msgpack_object *at = &o->via.array.ptr[i * SUSPECT_NUMBERS];
+    if (number_of(&at[0]) == 0 || number_of(&at[2]) >= MT_SUSPICIONS)
+      continue;
+    m->suspects[m->suspects_count++] =
+        (mt_suspect_row_t){.digest = number_of(&at[0]),
+                           .version = (uint64_t)bounded(&at[1], INT64_MAX),
+                           .state = (mt_suspicion_t)number_of(&at[2]),
+                           .ends = (int)bounded(&at[3], ENDS_MOST),
+                           .alone = (int)bounded(&at[4], ENDS_MOST),
+                           .age = (mt_ms_t)bounded(&at[5], SUSPECT_MS_MOST),
+                           .left = (mt_ms_t)bounded(&at[6], SUSPECT_MS_MOST),
+                           .rest = (mt_ms_t)bounded(&at[7], SUSPECT_MS_MOST)};
+  }
+}
+
+static void unpack_word (mt_peer_message_t *m, const msgpack_object *o) {
+  if (o->via.array.size != WORD_NUMBERS) return;
+  const msgpack_object *at = o->via.array.ptr;
+  if (number_of(&at[0]) >= MT_WORDS || number_of(&at[1]) == 0) return;
+  m->word = (mt_suspect_word_t){.kind = (mt_word_kind_t)number_of(&at[0]),
+                                .digest = number_of(&at[1]),
+                                .engine = number_of(&at[2]),
+                                .request = number_of(&at[3]),
+                                .alone = number_of(&at[4]) == 1,
+                                .age = (mt_ms_t)bounded(&at[5], MS_MOST),
+                                .lease = (mt_ms_t)bounded(&at[6], MS_MOST)};
+  m->verdict = (mt_trial_t)bounded(&at[7], MT_TRIALS);
+}
+
 static void unpack_numbers (mt_peer_message_t *m, const msgpack_object *at) {
   m->boot = number_of(&at[2]);
   m->number = number_of(&at[3]);
@@ -379,6 +453,8 @@
   unpack_engines(m, &at[NUMBERS + 2]);
   unpack_parts(m, &at[NUMBERS + 3]);
   unpack_changes(m, &at[NUMBERS + 4]);
+  unpack_suspects(m, &at[NUMBERS + 5]);
+  unpack_word(m, &at[NUMBERS + 6]);
 done:
   msgpack_unpacked_destroy(&unpacked);
   return good;
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -12,6 +12,7 @@
 #include "cold_start.h"
 #include "fair_share.h"
 #include "load_book.h"
+#include "suspects.h"
 
 #define MT_PEER_DATAGRAM_MAX 16384
 #define MT_PEER_MEMBERS_MAX 512
@@ -19,6 +20,7 @@
 #define MT_PEER_ENGINES_MAX 64
 #define MT_PEER_PARTS_MAX 16
 #define MT_PEER_CHANGES_MAX 256
+#define MT_PEER_SUSPECTS_MAX 64
 
 typedef enum mt_peer_kind_t {
   MT_PEER_HELLO,   /* a router's own shares, to the routers of its group */
@@ -34,6 +36,9 @@
   MT_PEER_LOAD,    /* what the sender has at engines kept by you */
   MT_PEER_HOLDS,   /* this engine read parts whose home is kept by you */
   MT_PEER_BACK,    /* a place at this cold engine, kept by you, is not used */
+  MT_PEER_SUSPECTS, /* requests that run one copy at a time, or not at all */
+  MT_PEER_WORD,     /* what came of a request that is kept by you */
+  MT_PEER_VERDICT,  /* the answer to a word that asks whether it may run */
   MT_PEER_KINDS
 } mt_peer_kind_t;
 
@@ -95,6 +100,10 @@
   mt_peer_span_t spans[MT_FEEDS];
   mt_change_t changes[MT_PEER_CHANGES_MAX];
   size_t changes_count;
+  mt_suspect_row_t suspects[MT_PEER_SUSPECTS_MAX];
+  size_t suspects_count;
+  mt_suspect_word_t word; /* WORD; VERDICT: the one that it answers */
+  mt_trial_t verdict;     /* VERDICT */
 } mt_peer_message_t;
 
 /* Bytes of changes that fit into one message beside its header. */
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -162,10 +162,14 @@
   return (running(e) + 1) / slots + (e->far ? 0.5 / slots : 0) + e->failures;
 }
 
-/* Keeps the engine if it is better than the best so far. */
+/*
+** Keeps the engine if it is better than the best so far. What an engine may
+** end under goes where the least runs that would end with it.
+*/
 static void weigh (costs_t *c, mt_engine_t *e) {
   mt_placement_t p;
   double cost = c->service ? model_cost(c, e, &p) : plain_cost(c, e, &p);
+  if (c->request->on_trial) cost = running(e);
   if (c->best.engine != NULL && cost >= c->best_cost) return;
   c->best = p;
   c->best_cost = cost;
--- /dev/null
+++ b/src/relay/quarantine.c
@@ -0,0 +1,152 @@
+/*
+** quarantine.c - keeps engines from requests under which others ended
+*/
+#include <stdlib.h>
+
+#include "quarantine.h"
+
+#define WAIT_MS 40    /* for the keeper's answer */
+#define SLACK_MS 1000 /* a trial's lease beyond the request's own end */
+#define LEASE_MOST_MS 30000
+#define PENDING_MS 5000 /* an engine's entry lapses within that */
+#define REPEAT_MS 200   /* the first; the next after three times that */
+#define REPEATS 3
+#define LOST_MOST 1024 /* runs that are remembered */
+
+static mt_suspect_word_t *tell (mt_relay_t *relay, mt_word_kind_t kind,
+                                uint64_t digest) {
+  mt_suspect_word_t *word = &mt_relay_effect(relay, MT_RELAY_DO_TELL)->u.word;
+  word->kind = kind;
+  word->digest = digest;
+  return word;
+}
+
+/* {== Before a placement =============================================== */
+
+mt_quarantine_gate_t mt_quarantine_gate (mt_relay_t *relay,
+                                         mt_relay_request_t *r) {
+  switch (mt_suspects_state(&relay->suspects, r->digest, relay->now)) {
+    case MT_SUSPICION_PROBATION: break;
+    case MT_SUSPICION_QUARANTINE: return MT_QUARANTINE_REFUSE;
+    default: return MT_QUARANTINE_PASS;
+  }
+  mt_ms_t lease = r->expires - mt_min(relay->now, r->expires) + SLACK_MS;
+  mt_suspect_word_t *word = tell(relay, MT_WORD_TRY, r->digest);
+  word->request = r->number;
+  word->lease = mt_min(lease, (mt_ms_t)LEASE_MOST_MS);
+  r->asked = relay->now;
+  return MT_QUARANTINE_ASK;
+}
+
+bool mt_quarantine_overdue (const mt_relay_t *relay,
+                            const mt_relay_request_t *r) {
+  return relay->seen >= r->asked + WAIT_MS;
+}
+
+bool mt_quarantine_once (const mt_relay_t *relay,
+                         const mt_relay_request_t *r) {
+  mt_suspicion_t state =
+      mt_suspects_state(&relay->suspects, r->digest, relay->now);
+  return r->on_trial || state >= MT_SUSPICION_PROBATION;
+}
+
+/* }== */
+
+/* {== Runs that were lost ============================================== */
+
+static void tell_end (mt_relay_t *relay, const mt_lost_run_t *run) {
+  mt_suspect_word_t *word = tell(relay, MT_WORD_ENDED, run->digest);
+  word->engine = run->engine;
+  word->age = relay->now - run->at;
+  word->alone = run->alone;
+}
+
+/*
+** The engine is tried at once: a machine that says that nobody listens
+*settles
+** within a millisecond what the entry shows some seconds later, and others
+*are
+** kept from it.
+*/
+void mt_quarantine_lost (mt_relay_t *relay, mt_relay_request_t *r) {
+  mt_lost_runs_t *lost = &relay->lost;
+  const mt_engine_t *e = r->engine;
+  if (e == NULL || !r->gone_out || r->digest == 0) return;
+  if (e->state != MT_ENGINE_READY || e->vanished != 0) return;
+  if (lost->count >= LOST_MOST) return;
+  *mtV_push(lost->list, lost->count, lost->cap) =
+      (mt_lost_run_t){.digest = r->digest,
+                      .engine = r->engine->key,
+                      .at = relay->now,
+                      .alone = r->on_trial,
+                      .request = r->number};
+  r->on_trial = false; /* what becomes of the engine decides */
+  if (r->engine->probing) return;
+  r->engine->probing = true;
+  mt_relay_effect(relay, MT_RELAY_DO_PROBE)->u.probe = r->engine->key;
+  relay->counters.probes++;
+}
+
+/* Tells what is due: at once, and again since datagrams may be lost. */
+static void tell_due (mt_relay_t *relay, mt_lost_run_t *run) {
+  if (!run->ended || run->told >= REPEATS || relay->now < run->next) return;
+  tell_end(relay, run);
+  run->next = relay->now + (run->told == 0 ? 1 : 3) * (mt_ms_t)REPEAT_MS;
+  run->told++;
+}
+
+void mt_quarantine_engine_ended (mt_relay_t *relay, uint64_t engine) {
+  for (size_t i = 0; i < relay->lost.count; i++) {
+    mt_lost_run_t *run = &relay->lost.list[i];
+    if (run->engine != engine || run->ended) continue;
+    run->ended = true;
+    relay->counters.ends++;
+  }
+}
+
+void mt_quarantine_tell (mt_relay_t *relay) {
+  for (size_t i = 0; i < relay->lost.count; i++)
+    tell_due(relay, &relay->lost.list[i]);
+}
+
+void mt_quarantine_give_back (mt_relay_t *relay, uint64_t digest,
+                              uint64_t request) {
+  tell(relay, MT_WORD_RELEASE, digest)->request = request;
+}
+
+void mt_quarantine_tick (mt_relay_t *relay) {
+  mt_lost_runs_t *lost = &relay->lost;
+  size_t kept = 0;
+  mt_quarantine_tell(relay);
+  for (size_t i = 0; i < lost->count; i++) {
+    mt_lost_run_t *run = &lost->list[i];
+    if (relay->now - run->at < PENDING_MS)
+      lost->list[kept++] = *run;
+    else if (run->alone && !run->ended)
+      mt_quarantine_give_back(relay, run->digest, run->request);
+  }
+  lost->count = kept;
+  mt_suspects_expire(&relay->suspects, relay->now);
+}
+
+/* }== */
+
+/* {== Other ends ======================================================= */
+
+/* An answer whose end nobody vouches for may have been cut by the engine's
+   own end. */
+void mt_quarantine_answered (mt_relay_t *relay, mt_relay_request_t *r) {
+  if (!r->framed || r->digest == 0) return;
+  mt_suspects_note_answer(&relay->suspects, r->digest, relay->now);
+  if (mt_suspects_get(&relay->suspects, r->digest) == NULL) return;
+  r->on_trial = false;
+  tell(relay, MT_WORD_ANSWERED, r->digest);
+}
+
+void mt_quarantine_leave (mt_relay_t *relay, mt_relay_request_t *r) {
+  if (!r->on_trial) return;
+  r->on_trial = false;
+  mt_quarantine_give_back(relay, r->digest, r->number);
+}
+
+/* }== */
--- /dev/null
+++ b/src/relay/quarantine.h
@@ -0,0 +1,60 @@
+/*
+** quarantine.h - keeps engines from requests under which others ended
+**
+** Stands between the life of a request (relay.c) and what is known of it
+** (suspects.h): says before each placement whether it may run, and tells its
+** keeper what came of it.
+**
+** A run that is lost with its connection is no end by itself: connections
+** break, are cut and reset for many reasons. It counts as an end once the
+** engine's machine says that nobody listens there, its entry lapses, or it
+** turns out to have started again. Silence and a machine out of reach are no
+** ends, nor is what an engine loses that had said, or shown, that it leaves.
+*/
+#ifndef quarantine_h
+#define quarantine_h
+
+#include "relay.h"
+
+typedef enum mt_quarantine_gate_t {
+  MT_QUARANTINE_PASS,
+  MT_QUARANTINE_ASK,   /* its keeper has to say; the effect is there */
+  MT_QUARANTINE_REFUSE /* why: MT_RELAY_QUARANTINED */
+} mt_quarantine_gate_t;
+
+mt_quarantine_gate_t mt_quarantine_gate (mt_relay_t *relay,
+                                         mt_relay_request_t *request);
+
+/* True when the keeper has let a question rest for too long. */
+bool mt_quarantine_overdue (const mt_relay_t *relay,
+                            const mt_relay_request_t *request);
+
+/* True for a request that is not to be sent to one more engine after a run:
+   its next one may end as well. */
+bool mt_quarantine_once (const mt_relay_t *relay,
+                         const mt_relay_request_t *request);
+
+/* The current attempt's connection ended before a whole answer. */
+void mt_quarantine_lost (mt_relay_t *relay, mt_relay_request_t *request);
+
+/* The current attempt's answer is whole. */
+void mt_quarantine_answered (mt_relay_t *relay, mt_relay_request_t *request);
+
+/* The request is over, whatever came of it. */
+void mt_quarantine_leave (mt_relay_t *relay, mt_relay_request_t *request);
+
+/* The engine has ended: what was lost there lately was lost with it. May be
+   called between steps; the next tells the keepers. */
+void mt_quarantine_engine_ended (mt_relay_t *relay, uint64_t engine);
+
+/* Tells the keepers now what is due. */
+void mt_quarantine_tell (mt_relay_t *relay);
+
+/* A trial was granted to a request that does not wait for it any more. */
+void mt_quarantine_give_back (mt_relay_t *relay, uint64_t digest,
+                              uint64_t request);
+
+/* Repeats what may have been lost on its way; forgets what is over. */
+void mt_quarantine_tick (mt_relay_t *relay);
+
+#endif
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -9,6 +9,7 @@
 #include "admission.h"
 #include "candidates.h"
 #include "placement.h"
+#include "quarantine.h"
 #include "quotes.h"
 #include "relay.h"
 #include "relay_load.h"
@@ -77,6 +78,7 @@
 
 /* Its texts stay until the next step: effects may have borrowed them. */
 static void remove_request (mt_relay_t *relay, mt_relay_request_t *r) {
+  if (relay->effects != NULL) mt_quarantine_leave(relay, r);
   mt_relay_disengage(r);
   relay->list[r->index] = relay->list[--relay->count];
   relay->list[r->index]->index = r->index;
@@ -86,9 +88,12 @@
 }
 
 /* A moment to come back at, spread so that not all come at once. */
-static mt_ms_t come_back (const mt_relay_request_t *r,
+static mt_ms_t come_back (const mt_relay_t *relay,
+                          const mt_relay_request_t *r,
                           mt_relay_refusal_t why) {
   if (mt_relay_refusal_status(why) != 503) return 0;
+  if (why == MT_RELAY_QUARANTINED)
+    return mt_suspects_left(&relay->suspects, r->digest, relay->now);
   mt_ms_t base = RETRY_SOON_MS;
   if (why == MT_RELAY_BUSY || why == MT_RELAY_OVER_SHARE)
     base = mt_max(r->objective, RETRY_SOON_MS);
@@ -100,7 +105,7 @@
   mt_admission_give_back(relay, r);
   mt_relay_effect_t *fx = effect(relay, MT_RELAY_DO_REFUSE, r);
   fx->u.refuse.why = why;
-  fx->u.refuse.retry_after = come_back(r, why);
+  fx->u.refuse.retry_after = come_back(relay, r, why);
   relay->counters.refusals[why]++;
   note(relay, r, "refused", mt_relay_refusal_code(why));
   remove_request(relay, r);
@@ -178,6 +183,7 @@
   if (r->arrivals >= r->attempts_max) return false;
   if ((ran || r->may_have_run) && !r->repeatable) return false;
   if (r->phase == MT_RELAY_STREAMING && !r->resumable) return false;
+  if (ran && mt_quarantine_once(relay, r)) return false;
   return relay->now + LAST_CHANCE_MS < r->expires;
 }
 
@@ -365,6 +371,23 @@
   if (!ask_keepers(relay, r)) refuse(relay, r, why);
 }
 
+/* Looks for an engine. */
+static void seek (mt_relay_t *relay, mt_relay_request_t *r) {
+  mt_candidates_find_homes(relay, r);
+  if (ask_keepers(relay, r)) return;
+  r->rounds = mt_max(r->rounds, 1); /* there is nobody to ask here */
+  if (!ask_keepers(relay, r)) place(relay, r);
+}
+
+/* What engines ended under is refused, or runs one copy at a time. */
+static void pass_gate (mt_relay_t *relay, mt_relay_request_t *r) {
+  switch (mt_quarantine_gate(relay, r)) {
+    case MT_QUARANTINE_PASS: seek(relay, r); break;
+    case MT_QUARANTINE_ASK: r->phase = MT_RELAY_TRYING; break;
+    case MT_QUARANTINE_REFUSE: refuse(relay, r, MT_RELAY_QUARANTINED); break;
+  }
+}
+
 static void on_request (mt_relay_t *relay, uint64_t number,
                         const mt_relay_ask_t *ask) {
   mt_relay_request_t *r = add_request(relay, number);
@@ -372,7 +395,7 @@
   snprintf(r->id, sizeof r->id, "%.*s", (int)ask->id.n, ask->id.p);
   if (!identify(relay, r, ask)) return;
   take_prompt(r, ask);
-  r->digest = mtV_mix(ask->digest, r->workspace) | 1;
+  if (ask->digest != 0) r->digest = mtV_mix(ask->digest, r->workspace) | 1;
   if (too_late(relay, r)) {
     refuse(relay, r, MT_RELAY_STOPPING);
     return;
@@ -389,10 +412,24 @@
     mt_fair_share_asked(&relay->shares, r->workspace, r->cost);
   if (r->workspace != 0)
     r->standing = mt_fair_share_standing(&relay->shares, r->workspace);
-  mt_candidates_find_homes(relay, r);
-  if (ask_keepers(relay, r)) return;
-  r->rounds = mt_max(r->rounds, 1); /* there is nobody to ask here */
-  if (!ask_keepers(relay, r)) place(relay, r);
+  pass_gate(relay, r);
+}
+
+/* The keeper's answer to a suspect. */
+static void on_tried (mt_relay_t *relay, mt_relay_request_t *r,
+                      mt_trial_t verdict) {
+  relay->counters.trials[verdict]++;
+  r->on_trial = verdict == MT_TRIAL_GRANTED;
+  switch (verdict) {
+    case MT_TRIAL_FREE:
+    case MT_TRIAL_GRANTED:
+      r->phase = MT_RELAY_SENT;
+      seek(relay, r);
+      break;
+    case MT_TRIAL_REFUSED: refuse(relay, r, MT_RELAY_QUARANTINED); break;
+    case MT_TRIAL_BUSY:
+    case MT_TRIALS: refuse(relay, r, MT_RELAY_ON_PROBATION); break;
+  }
 }
 
 static void on_quoted (mt_relay_t *relay, mt_relay_request_t *r,
@@ -472,6 +509,7 @@
 static void attempt_lost (mt_relay_t *relay, mt_relay_request_t *r,
                           mt_relay_retry_t reason) {
   mt_engine_failed(r->engine, relay->now);
+  mt_quarantine_lost(relay, r);
   attempt_failed(relay, r, reason, true);
 }
 
@@ -538,6 +576,7 @@
     pass_data(relay, r, (mt_bytes_t){r->body, r->body_size});
   }
   if (r->status < 500) mt_engine_worked(r->engine, relay->now);
+  mt_quarantine_answered(relay, r);
   effect(relay, MT_RELAY_DO_END, r);
   relay->counters.answers++;
   note(relay, r, "answered", "");
@@ -571,6 +610,10 @@
     place(relay, r);
     return;
   }
+  if (r->phase == MT_RELAY_TRYING && mt_quarantine_overdue(relay, r)) {
+    refuse(relay, r, MT_RELAY_ON_PROBATION);
+    return;
+  }
   if (r->engine == NULL || !mt_silence_is_too_long(relay, r)) return;
   if (!may_retry(relay, r, r->gone_out)) return;
   mt_engine_t *e = r->engine;
@@ -587,9 +630,18 @@
   return relay->catalog ? (double)relay->catalog->limits.tokens_per_s : 0;
 }
 
-static void on_probed (mt_relay_t *relay, uint64_t key, bool up) {
+/* That a connection comes up does not excuse an engine that fails requests,
+   only one that was out of reach. */
+static void on_probed (mt_relay_t *relay, uint64_t key, bool up,
+                       bool refused) {
   mt_engine_t *e = mt_engines_get(&relay->engines, key);
-  if (e != NULL) mt_engine_reached(e, up, relay->now);
+  if (e == NULL) return;
+  if (refused) mt_quarantine_engine_ended(relay, key);
+  mt_quarantine_tell(relay);
+  if (up && !e->unreachable)
+    e->probing = false;
+  else
+    mt_engine_reached(e, up, relay->now);
 }
 
 static void on_tick (mt_relay_t *relay) {
@@ -597,6 +649,7 @@
     if (i < relay->count) check_request(relay, relay->list[i]);
   relay->seen = relay->now;
   mt_relay_probe_engines(relay);
+  mt_quarantine_tick(relay);
   if (relay->now < relay->next_update) return;
   relay->next_update = relay->now + UPDATE_MS;
   mt_fair_share_update(&relay->shares, declared_tokens(relay), relay->now);
@@ -643,8 +696,15 @@
     case MT_RELAY_QUOTED:
       if (r != NULL) on_quoted(relay, r, ev);
       break;
+    case MT_RELAY_TRIED:
+      if (r != NULL && r->phase == MT_RELAY_TRYING)
+        on_tried(relay, r, ev->u.tried.verdict);
+      else if (ev->u.tried.verdict == MT_TRIAL_GRANTED)
+        mt_quarantine_give_back(relay, ev->u.tried.digest, ev->request);
+      break;
     case MT_RELAY_PROBED:
-      on_probed(relay, ev->u.probed.engine, ev->u.probed.up);
+      on_probed(relay, ev->u.probed.engine, ev->u.probed.up,
+                ev->u.probed.refused);
       break;
     case MT_RELAY_GONE_OUT:
     case MT_RELAY_HEAD:
@@ -661,6 +721,7 @@
                            mt_ms_t now) {
   relay->now = mt_max(relay->now, now);
   bool serves_on = now - since < relay->terms.vanish_ms;
+  mt_quarantine_engine_ended(relay, e->key);
   if (e->state == MT_ENGINE_READY && serves_on)
     e->vanished = e->vanished ? e->vanished : since;
   else
@@ -698,6 +759,8 @@
   mt_part_holders_free(&relay->holders);
   mt_cold_starts_free(&relay->cold);
   mt_fair_share_free(&relay->shares);
+  mt_suspects_free(&relay->suspects);
+  free(relay->lost.list);
   mt_engines_free(&relay->engines);
   mt_catalog_free(relay->catalog);
   free(relay);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -19,6 +19,7 @@
 #include "part_holders.h"
 #include "read_time.h"
 #include "retry_budget.h"
+#include "suspects.h"
 
 /* {== Refusals ========================================================= */
 
@@ -37,6 +38,8 @@
   ROW(MT_RELAY_TIMEOUT_UNRUN, "timeout_not_run", 503)   \
   ROW(MT_RELAY_FULL, "router_full", 503)                \
   ROW(MT_RELAY_STOPPING, "router_stopping", 503)        \
+  ROW(MT_RELAY_ON_PROBATION, "on_probation", 503)       \
+  ROW(MT_RELAY_QUARANTINED, "quarantined", 503)         \
   ROW(MT_RELAY_ENGINE_LOST, "engine_lost", 502)         \
   ROW(MT_RELAY_TIMEOUT, "timeout", 504)
 
@@ -69,8 +72,11 @@
   uint64_t refusals[MT_RELAY_REFUSAL_COUNT];
   uint64_t retries[MT_RELAY_RETRY_COUNT];
   uint64_t retries_denied;
-  uint64_t fetches, tokens_fetched;   /* parts moved between engines */
-  uint64_t probes;                    /* of engines that were out of reach */
+  uint64_t fetches, tokens_fetched; /* parts moved between engines */
+  uint64_t probes;                  /* connections tried for no request */
+  uint64_t ends;              /* runs that were lost as their engine ended */
+  uint64_t trials[MT_TRIALS]; /* what keepers answered to who wanted to run
+                                 what is on probation */
   uint64_t quotes_asked, quotes_late; /* rounds of questions to keepers */
   uint64_t admissions[MT_ADMISSIONS]; /* what keepers answered, by kind */
 } mt_relay_counters_t;
@@ -108,6 +114,7 @@
   MT_RELAY_FAILED,   /* it ended otherwise */
   MT_RELAY_QUOTED,   /* keepers say what their engines have */
   MT_RELAY_PROBED,   /* a connection to an engine came up, or did not */
+  MT_RELAY_TRIED,    /* the keeper of a suspect says whether it may run */
   MT_RELAY_STOP      /* finish what is at hand */
 } mt_relay_event_kind_t;
 
@@ -149,6 +156,10 @@
       uint64_t engine;
       bool up, refused; /* refused: nobody listens there */
     } probed;
+    struct {
+      uint64_t digest;
+      mt_trial_t verdict;
+    } tried;
     bool not_sent;   /* FAILED */
     mt_ms_t stop_ms; /* STOP: the process ends after this long */
   } u;
@@ -159,16 +170,17 @@
 /* {== Effects ========================================================== */
 
 typedef enum mt_relay_effect_kind_t {
-  MT_RELAY_DO_REFUSE,   /* answer in place of an engine */
-  MT_RELAY_DO_ASK,      /* ask the keepers of the request's candidates */
-  MT_RELAY_DO_START,    /* send the request to an engine */
-  MT_RELAY_DO_CANCEL,   /* end the attempt and its connection */
-  MT_RELAY_DO_HEAD,     /* pass on the head that came first */
-  MT_RELAY_DO_DATA,     /* pass on bytes */
-  MT_RELAY_DO_END,      /* the caller's answer is whole */
-  MT_RELAY_DO_ABORT,    /* cut the caller's connection */
-  MT_RELAY_DO_PROBE,    /* try to connect to an engine, for no request */
-  MT_RELAY_DO_GIVE_BACK /* a place at a cold engine, to its keeper */
+  MT_RELAY_DO_REFUSE,    /* answer in place of an engine */
+  MT_RELAY_DO_ASK,       /* ask the keepers of the request's candidates */
+  MT_RELAY_DO_START,     /* send the request to an engine */
+  MT_RELAY_DO_CANCEL,    /* end the attempt and its connection */
+  MT_RELAY_DO_HEAD,      /* pass on the head that came first */
+  MT_RELAY_DO_DATA,      /* pass on bytes */
+  MT_RELAY_DO_END,       /* the caller's answer is whole */
+  MT_RELAY_DO_ABORT,     /* cut the caller's connection */
+  MT_RELAY_DO_PROBE,     /* try to connect to an engine, for no request */
+  MT_RELAY_DO_GIVE_BACK, /* a place at a cold engine, to its keeper */
+  MT_RELAY_DO_TELL       /* a word to a suspect's keeper */
 } mt_relay_effect_kind_t;
 
 #define MT_RELAY_LENGTH_UNKNOWN (-1)
@@ -191,10 +203,11 @@
       uint64_t source;     /* engine to take kept parts from; 0: none */
       mt_ms_t rested_ms;   /* a kept connection may have rested so long */
     } start;
-    uint64_t probe;  /* PROBE: the engine */
-    uint64_t place;  /* GIVE_BACK: the engine */
-    int64_t length;  /* HEAD: of the body, or one of the below */
-    mt_bytes_t data; /* borrowed until the next step */
+    uint64_t probe;         /* PROBE: the engine */
+    uint64_t place;         /* GIVE_BACK: the engine */
+    mt_suspect_word_t word; /* TELL */
+    int64_t length;         /* HEAD: of the body, or one of the below */
+    mt_bytes_t data;        /* borrowed until the next step */
   } u;
 } mt_relay_effect_t;
 
@@ -214,7 +227,8 @@
   MT_RELAY_SENT,      /* no event or end of an answer yet */
   MT_RELAY_HOLDING,   /* a short answer is gathered before it is passed on */
   MT_RELAY_STREAMING, /* the head has been passed on */
-  MT_RELAY_ASKING     /* not placed: keepers of engines were asked */
+  MT_RELAY_ASKING,    /* not placed: keepers of engines were asked */
+  MT_RELAY_TRYING     /* the same: its own keeper was asked, as a suspect's */
 } mt_relay_phase_t;
 
 #define MT_RELAY_ROUND_MAX 4      /* keepers of engines asked at a time */
@@ -232,7 +246,8 @@
 typedef struct mt_relay_request_t {
   uint64_t number;
   char id[40];          /* the caller's, for logs */
-  uint64_t digest;      /* the same for the same text of the same workspace */
+  uint64_t digest;      /* the same for the same text of the same workspace;
+                           0: not told */
   char engine_name[48]; /* of the last attempt, for logs */
   size_t index;         /* in the list */
   struct mt_relay_request_t *finished_next;
@@ -256,6 +271,7 @@
   size_t candidates_count, round_first; /* of the last round */
   int rounds;
   mt_ms_t asked;
+  bool on_trial; /* no other copy of it may run meanwhile */
   /* Its current attempt. */
   mt_engine_t *engine;
   int attempt, arrivals; /* attempts that may have reached an engine */
@@ -341,6 +357,20 @@
 
 #define MT_DOMAIN_LOADS_MAX 256
 
+/* A run whose connection ended before a whole answer. */
+typedef struct mt_lost_run_t {
+  uint64_t digest, engine, request;
+  mt_ms_t at, next; /* next: its keeper is told again then */
+  bool alone;
+  bool ended; /* its engine has */
+  int told;   /* times */
+} mt_lost_run_t;
+
+typedef struct mt_lost_runs_t {
+  mt_lost_run_t *list;
+  size_t count, cap;
+} mt_lost_runs_t;
+
 typedef struct mt_relay_t {
   mt_ms_t now;
   mt_ms_t seen; /* all that came in before has been taken: the last tick */
@@ -361,8 +391,10 @@
   mt_evacuations_t evacuations;
   mt_denials_t denials; /* of what the declarations here still allow */
   mt_fair_share_t shares;
-  mt_map_t services; /* id -> mt_relay_service_t, owned */
-  mt_map_t requests; /* number -> mt_relay_request_t, owned */
+  mt_suspects_t suspects;
+  mt_lost_runs_t lost; /* lately */
+  mt_map_t services;   /* id -> mt_relay_service_t, owned */
+  mt_map_t requests;   /* number -> mt_relay_request_t, owned */
   mt_relay_request_t **list;
   size_t count, cap;
   mt_relay_request_t *finished; /* freed by the next step */
--- /dev/null
+++ b/src/relay/suspects.h
@@ -0,0 +1,175 @@
+/*
+** suspects.h - requests under which engines ended, and what that allows
+**
+** An engine that ends takes with it all that runs there, and nobody sees
+*which
+** of these requests did it. One request is in common to many ends; a harmless
+** one is answered whole sooner or later. So ends are counted for each request
+** since it was last answered whole: after two it goes on probation, one copy
+** at a time in the whole fleet; when an engine ends under a copy that ran
+** alone, and it is the third end or a later one, the request is refused for
+** some time. Ends that come together, as when a failure domain loses power,
+*put
+** a request on probation at most, and one answer clears it.
+**
+** Each request has one keeper among the routers, which counts ends and hands
+** out trials. Rows of the requests on probation and in quarantine go round,
+*so
+** that all routers have them and another can take over as keeper; who has the
+** greater version is right.
+*/
+#ifndef suspects_h
+#define suspects_h
+
+#include "mtmem.h"
+
+#define MT_SUSPECT_ENDS_MAX 8
+
+typedef enum mt_suspicion_t {
+  MT_SUSPICION_NONE,       /* it was cleared */
+  MT_SUSPICION_NOTED,      /* an engine ended; nothing follows from that */
+  MT_SUSPICION_PROBATION,  /* it runs one copy at a time */
+  MT_SUSPICION_QUARANTINE, /* it is refused */
+  MT_SUSPICIONS
+} mt_suspicion_t;
+
+/* An engine ended under the request. */
+typedef struct mt_suspect_end_t {
+  uint64_t engine;
+  mt_ms_t at;
+  bool alone; /* no other copy of the request ran */
+} mt_suspect_end_t;
+
+typedef struct mt_suspect_t {
+  uint64_t digest, version;
+  mt_suspicion_t state;
+  mt_suspect_end_t list[MT_SUSPECT_ENDS_MAX]; /* that this router counted */
+  int listed;
+  int told, told_alone; /* ends that another keeper had counted */
+  mt_ms_t since;        /* the first of the ends; NONE: when it was cleared */
+  mt_ms_t until;        /* QUARANTINE: until then */
+  mt_ms_t expires;      /* it is forgotten then */
+  uint64_t holder;      /* who has the trial; 0: nobody */
+  mt_ms_t held_until;
+} mt_suspect_t;
+
+/* What one router tells others of a request; times in ms. */
+typedef struct mt_suspect_row_t {
+  uint64_t digest, version;
+  mt_suspicion_t state;
+  int ends, alone;
+  mt_ms_t age;  /* since the first end, or since it was cleared */
+  mt_ms_t left; /* of the quarantine */
+  mt_ms_t rest; /* until it is forgotten */
+} mt_suspect_row_t;
+
+/* A keeper's word to who wants to run a copy. */
+typedef enum mt_trial_t {
+  MT_TRIAL_FREE,    /* nothing against it: any number may run */
+  MT_TRIAL_GRANTED, /* this one may, and no other until it is over */
+  MT_TRIAL_BUSY,    /* another one runs */
+  MT_TRIAL_REFUSED, /* it is in quarantine */
+  MT_TRIALS
+} mt_trial_t;
+
+/* What a router tells the keeper of a request. */
+typedef enum mt_word_kind_t {
+  MT_WORD_ENDED,    /* an engine ended under it */
+  MT_WORD_ANSWERED, /* it was answered whole */
+  MT_WORD_TRY,      /* may it run? */
+  MT_WORD_RELEASE,  /* it did not run, or that showed nothing */
+  MT_WORDS
+} mt_word_kind_t;
+
+typedef struct mt_suspect_word_t {
+  mt_word_kind_t kind;
+  uint64_t digest;
+  uint64_t engine;  /* ENDED */
+  uint64_t request; /* TRY, RELEASE: its number at that router */
+  bool alone;       /* ENDED: no other copy ran */
+  mt_ms_t age;      /* ENDED, ANSWERED: since then */
+  mt_ms_t lease;    /* TRY: for so long at most */
+} mt_suspect_word_t;
+
+typedef struct mt_answered_t {
+  uint64_t digest;
+  mt_ms_t at;
+} mt_answered_t;
+
+typedef struct mt_suspects_t {
+  mt_map_t by_digest;      /* mt_suspect_t, owned */
+  size_t cursor;           /* of the search for one to forget */
+  mt_answered_t *answered; /* a ring of the last whole answers */
+  mt_map_t answered_at;    /* digest -> its place in the ring, plus 1 */
+  size_t answered_next;
+} mt_suspects_t;
+
+void mt_suspects_free (mt_suspects_t *suspects);
+
+/* NULL when nothing is known of it. */
+mt_suspect_t *mt_suspects_get (const mt_suspects_t *suspects,
+                               uint64_t digest);
+
+/* What holds now: a quarantine that is over is a probation. */
+mt_suspicion_t mt_suspects_state (const mt_suspects_t *suspects,
+                                  uint64_t digest, mt_ms_t now);
+
+/* How long a quarantine goes on; 0: there is none. */
+mt_ms_t mt_suspects_left (const mt_suspects_t *suspects, uint64_t digest,
+                          mt_ms_t now);
+
+/* {== The keeper's part ================================================= */
+
+/* Counts an end once, whoever tells of it; true when others have to know. */
+bool mt_suspects_ended (mt_suspects_t *suspects, uint64_t digest,
+                        const mt_suspect_end_t *end, mt_ms_t now);
+
+/* It was answered whole: earlier ends say nothing. True as above. */
+bool mt_suspects_cleared (mt_suspects_t *suspects, uint64_t digest,
+                          mt_ms_t at, mt_ms_t now);
+
+/* Hands out the trial for `lease` ms at most; 0 is no holder. */
+mt_trial_t mt_suspects_try (mt_suspects_t *suspects, uint64_t digest,
+                            uint64_t holder, mt_ms_t lease, mt_ms_t now);
+
+/* The trial is over, and has shown nothing. */
+void mt_suspects_release (mt_suspects_t *suspects, uint64_t digest,
+                          uint64_t holder);
+
+/* }== */
+
+/* {== What goes round =================================================== */
+
+mt_suspect_row_t mt_suspects_row (const mt_suspect_t *suspect, mt_ms_t now);
+
+/* Takes another router's row; false when it tells nothing newer. */
+bool mt_suspects_take (mt_suspects_t *suspects, const mt_suspect_row_t *row,
+                       mt_ms_t now);
+
+/* Rows that others should have, from a place in the table on; returns how
+   many, at most `most`, and moves the place. */
+size_t mt_suspects_list (const mt_suspects_t *suspects, size_t *place,
+                         mt_suspect_row_t *rows, size_t most, mt_ms_t now);
+
+/* }== */
+
+/* {== Answers here ====================================================== */
+
+void mt_suspects_note_answer (mt_suspects_t *suspects, uint64_t digest,
+                              mt_ms_t now);
+
+/* When it was last answered whole at this router; 0: not lately. */
+mt_ms_t mt_suspects_answered (const mt_suspects_t *suspects, uint64_t digest);
+
+/* }== */
+
+/* How many are in a state. */
+size_t mt_suspects_count (const mt_suspects_t *suspects, mt_suspicion_t state,
+                          mt_ms_t now);
+
+/* Forgets what is over; some times a second. */
+void mt_suspects_expire (mt_suspects_t *suspects, mt_ms_t now);
+
+const char *mt_suspicion_name (mt_suspicion_t state);
+
+#endif
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -443,15 +443,16 @@
       w.listen([&] (Conn &c, const Request &r) { c.send(good(r, "x")); });
   w.engine("i-1", "plain", e);
   w.start();
-  // Twenty numbers, then lists: members, shares, engines, parts, changes.
+  // Twenty numbers, then lists: members, shares, engines, parts, changes,
+  // suspects, a word.
   auto message = [] (uint64_t kind, const std::vector<uint64_t> &rows,
-                     uint64_t rest = 1, size_t lists = 5) {
+                     uint64_t rest = 1, size_t lists = 7) {
     msgpack_sbuffer out;
     msgpack_packer pk;
     msgpack_sbuffer_init(&out);
     msgpack_packer_init(&pk, &out, msgpack_sbuffer_write);
     msgpack_pack_array(&pk, 20 + lists);
-    msgpack_pack_uint64(&pk, 6); // of the format
+    msgpack_pack_uint64(&pk, 7); // of the format
     msgpack_pack_uint64(&pk, kind);
     for (int i = 2; i < 20; i++) msgpack_pack_uint64(&pk, rest);
     for (size_t list = 0; list < lists; list++) {
@@ -467,13 +468,15 @@
   std::vector<std::string> datagrams = {
       "", "x", std::string(1000, '\xc1'),
       std::string("\xdd\xff\xff\xff\xff", 5), whole};
-  for (uint64_t kind = 0; kind < 13; kind++) { // two of them unknown
+  for (uint64_t kind = 0; kind < 16; kind++) { // two of them unknown
     datagrams.push_back(message(kind, {}));
     datagrams.push_back(message(kind, {0, 0, 0, 0, 0, 5, 9}));
     datagrams.push_back(message(kind, {0, 0, 0, 0, 0, 5, 9}, most));
     datagrams.push_back(message(kind, std::vector<uint64_t>(10, most), most));
     datagrams.push_back(message(kind, std::vector<uint64_t>(3, 9), 60000));
     datagrams.push_back(message(kind, std::vector<uint64_t>(1500, 9)));
+    for (uint64_t n = 0; n < 6; n++) // words of each kind, rows of each state
+      datagrams.push_back(message(kind, {n, 7, n, 9, 1, 5, 600, n}));
     datagrams.push_back(message(kind, {1, 2, 3}, 1, 3));
   }
   for (size_t n = 1; n < whole.size(); n++)
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -54,10 +54,32 @@
       change.age = 30;
       in->changes[in->changes_count++] = change;
     }
+    in->suspects[in->suspects_count++] = {
+        41, 3, MT_SUSPICION_QUARANTINE, 4, 2, 900, 600000, 1800000};
+    in->word = {MT_WORD_ENDED, 41, 99, 1234567, true, 30, 6000};
+    in->verdict = MT_TRIAL_BUSY;
     size_t n = mt_peer_message_pack(in.get(), bytes, sizeof bytes);
     ASSERT_GT(n, 0u);
     ASSERT_TRUE(mt_peer_message_unpack(out.get(), bytes, n));
     EXPECT_EQ(out->kind, kind);
+    ASSERT_EQ(out->suspects_count, 1u);
+    const mt_suspect_row_t &row = out->suspects[0];
+    EXPECT_EQ(row.digest, 41u);
+    EXPECT_EQ(row.version, 3u);
+    EXPECT_EQ(row.state, MT_SUSPICION_QUARANTINE);
+    EXPECT_EQ(row.ends, 4);
+    EXPECT_EQ(row.alone, 2);
+    EXPECT_EQ(row.age, 900u);
+    EXPECT_EQ(row.left, 600000u);
+    EXPECT_EQ(row.rest, 1800000u);
+    EXPECT_EQ(out->word.kind, MT_WORD_ENDED);
+    EXPECT_EQ(out->word.digest, 41u);
+    EXPECT_EQ(out->word.engine, 99u);
+    EXPECT_EQ(out->word.request, 1234567u);
+    EXPECT_TRUE(out->word.alone);
+    EXPECT_EQ(out->word.age, 30u);
+    EXPECT_EQ(out->word.lease, 6000u);
+    EXPECT_EQ(out->verdict, MT_TRIAL_BUSY);
     EXPECT_EQ(out->boot, in->boot);
     EXPECT_EQ(out->token, in->token);
     EXPECT_EQ(out->groups, 8u);
--- /dev/null
+++ b/tests/quarantine_test.cc
@@ -0,0 +1,227 @@
+// quarantine_test.cc - what lost runs and suspects mean to a request's life
+#include <gtest/gtest.h>
+
+#include "relay.h"
+
+namespace {
+
+const uint64_t kDigest = 99;
+
+class Guarded : public Relay {
+public:
+  Guarded() : Relay(4) {
+    declare();
+  }
+  void ask_same (uint64_t number, const char *path = "/once/x") {
+    ask(number, path, "key-w1", 5000, 1000, "h.example", kDigest);
+  }
+  const mt_suspect_word_t *word (mt_word_kind_t kind) const {
+    for (size_t i = 0; i < effects.count; i++)
+      if (effects.list[i].kind == MT_RELAY_DO_TELL &&
+          effects.list[i].u.word.kind == kind)
+        return &effects.list[i].u.word;
+    return nullptr;
+  }
+  uint64_t started () const {
+    const mt_relay_effect_t *fx = find(MT_RELAY_DO_START);
+    return fx != nullptr ? fx->u.start.engine : 0;
+  }
+  void probed (uint64_t engine, bool up, bool refused) {
+    mt_relay_event_t event{};
+    event.kind = MT_RELAY_PROBED;
+    event.u.probed.engine = engine;
+    event.u.probed.up = up;
+    event.u.probed.refused = refused;
+    step(event);
+  }
+  void tried (uint64_t number, mt_trial_t verdict) {
+    mt_relay_event_t event{};
+    event.kind = MT_RELAY_TRIED;
+    event.request = number;
+    event.u.tried.digest = digest();
+    event.u.tried.verdict = verdict;
+    step(event);
+  }
+  // As the relay names the request of this workspace.
+  static uint64_t digest () {
+    return mtV_mix(kDigest, mtV_id("w1", 2)) | 1;
+  }
+  void believe (mt_suspicion_t state) {
+    const mt_suspect_row_t row = {digest(), 9,    state,  3,
+                                  1,        1000, 600000, 1800000};
+    ASSERT_TRUE(mt_suspects_take(&relay->suspects, &row, now));
+  }
+};
+
+TEST(Quarantine, ALostRunIsAnEndOnlyIfItsEngineEnded) {
+  struct Row {
+    const char *what;
+    bool sent, up, refused, gone, told;
+  } rows[] = {
+      {"nobody listens there", true, false, true, false, true},
+      {"it takes connections", true, true, false, false, false},
+      {"it is out of reach", true, false, false, false, false},
+      {"its entry lapses later", true, false, false, true, true},
+      {"the request had not gone out", false, false, true, false, false},
+  };
+  for (const Row &row : rows) {
+    SCOPED_TRACE(row.what);
+    Guarded r;
+    r.ask_same(1);
+    uint64_t engine = r.started();
+    ASSERT_NE(engine, 0u);
+    if (row.sent) r.sent(1);
+    r.fail(1, !row.sent);
+    bool tries = r.find(MT_RELAY_DO_PROBE) != nullptr;
+    EXPECT_EQ(tries, row.sent);
+    r.probed(engine, row.up, row.refused);
+    bool told = r.word(MT_WORD_ENDED) != nullptr;
+    if (row.gone) {
+      mt_engine_t *e = mt_engines_get(&r.relay->engines, engine);
+      mt_relay_engine_left(r.relay, e, r.now, r.now);
+      r.pass(25);
+      told = r.word(MT_WORD_ENDED) != nullptr;
+    }
+    EXPECT_EQ(told, row.told);
+    if (!told) continue;
+    EXPECT_EQ(r.word(MT_WORD_ENDED)->digest, Guarded::digest());
+    EXPECT_EQ(r.word(MT_WORD_ENDED)->engine, engine);
+    EXPECT_FALSE(r.word(MT_WORD_ENDED)->alone);
+  }
+}
+
+// Its datagram may be lost: it is told three times, and no more.
+TEST(Quarantine, AnEndIsRepeated) {
+  Guarded r;
+  r.ask_same(1);
+  uint64_t engine = r.started();
+  r.sent(1);
+  r.fail(1);
+  r.probed(engine, false, true);
+  int told = r.word(MT_WORD_ENDED) != nullptr;
+  for (int i = 0; i < 400; i++) {
+    r.pass(25);
+    told += r.word(MT_WORD_ENDED) != nullptr;
+  }
+  EXPECT_EQ(told, 3);
+  EXPECT_EQ(r.relay->lost.count, 0u);
+}
+
+TEST(Quarantine, WhatIsInQuarantineIsRefusedAtOnce) {
+  Guarded r;
+  r.believe(MT_SUSPICION_QUARANTINE);
+  r.ask_same(1);
+  EXPECT_EQ(r.refusal(), MT_RELAY_QUARANTINED);
+  EXPECT_EQ(r.find(MT_RELAY_DO_REFUSE)->u.refuse.retry_after, 600000u);
+  EXPECT_EQ(mt_relay_refusal_status(MT_RELAY_QUARANTINED), 503);
+  r.ask(2, "/once/x", "key-w2", 5000, 1000, "h.example", kDigest);
+  EXPECT_NE(r.started(), 0u); // another workspace's
+  r.ask(3, "/once/x", "key-w1", 5000, 1000, "h.example", kDigest + 1);
+  EXPECT_NE(r.started(), 0u); // another request
+}
+
+TEST(Quarantine, ASuspectAsksItsKeeper) {
+  struct Row {
+    const char *what;
+    mt_trial_t verdict;
+    bool starts;
+    mt_relay_refusal_t refusal;
+  } rows[] = {
+      {"granted", MT_TRIAL_GRANTED, true, MT_RELAY_REFUSAL_COUNT},
+      {"free", MT_TRIAL_FREE, true, MT_RELAY_REFUSAL_COUNT},
+      {"another runs", MT_TRIAL_BUSY, false, MT_RELAY_ON_PROBATION},
+      {"refused", MT_TRIAL_REFUSED, false, MT_RELAY_QUARANTINED},
+      {"no answer", MT_TRIALS, false, MT_RELAY_ON_PROBATION},
+  };
+  for (const Row &row : rows) {
+    SCOPED_TRACE(row.what);
+    Guarded r;
+    r.believe(MT_SUSPICION_PROBATION);
+    r.ask_same(1);
+    ASSERT_NE(r.word(MT_WORD_TRY), nullptr);
+    EXPECT_EQ(r.word(MT_WORD_TRY)->request, 1u);
+    EXPECT_EQ(r.started(), 0u);
+    if (row.verdict != MT_TRIALS) {
+      r.tried(1, row.verdict);
+    } else {
+      r.pass(25);
+      r.pass(25);
+      if (r.refusal() == MT_RELAY_REFUSAL_COUNT) r.pass(25);
+    }
+    EXPECT_EQ(r.started() != 0, row.starts);
+    EXPECT_EQ(r.refusal(), row.refusal);
+  }
+}
+
+TEST(Quarantine, ATrialIsGivenBackUnlessItShowsSomething) {
+  struct Row {
+    const char *what;
+    int how;
+    mt_word_kind_t word;
+  } rows[] = {{"answered whole", 0, MT_WORD_ANSWERED},
+              {"its caller left", 1, MT_WORD_RELEASE},
+              {"its engine ended", 2, MT_WORD_ENDED},
+              {"its engine lives", 3, MT_WORD_RELEASE},
+              {"granted too late", 4, MT_WORD_RELEASE}};
+  for (const Row &row : rows) {
+    SCOPED_TRACE(row.what);
+    Guarded r;
+    r.believe(MT_SUSPICION_PROBATION);
+    r.ask_same(1, "/again/x");
+    if (row.how == 4) {
+      r.step(r.of(MT_RELAY_CALLER_LEFT, 1));
+      r.tried(1, MT_TRIAL_GRANTED);
+      EXPECT_NE(r.word(row.word), nullptr);
+      continue;
+    }
+    r.tried(1, MT_TRIAL_GRANTED);
+    uint64_t engine = r.started();
+    r.sent(1);
+    if (row.how == 0) {
+      r.head(1, 200);
+      r.end(1);
+    } else if (row.how == 1) {
+      r.step(r.of(MT_RELAY_CALLER_LEFT, 1));
+    } else {
+      r.fail(1);
+      EXPECT_EQ(r.started(), 0u); // no other engine is risked
+      EXPECT_EQ(r.word(MT_WORD_RELEASE), nullptr);
+      r.probed(engine, row.how == 3, row.how == 2);
+      for (int i = 0; i < 240 && r.word(row.word) == nullptr; i++) r.pass(25);
+    }
+    const mt_suspect_word_t *word = r.word(row.word);
+    ASSERT_NE(word, nullptr);
+    EXPECT_EQ(word->digest, Guarded::digest());
+    EXPECT_EQ(word->alone, row.how == 2);
+  }
+}
+
+// What may end its engine goes where the least runs.
+TEST(Quarantine, ATrialGoesWhereTheLeastRuns) {
+  Guarded r;
+  for (size_t i = 0; i < r.relay->engines.count; i++)
+    r.relay->engines.list[i]->peers.running = 3;
+  r.find("p3")->peers.running = 0;
+  r.find("m2")->peers.running = 0;
+  r.believe(MT_SUSPICION_PROBATION);
+  r.ask_same(1);
+  r.tried(1, MT_TRIAL_GRANTED);
+  EXPECT_EQ(r.started(), r.find("p3")->key);
+  r.step(r.of(MT_RELAY_CALLER_LEFT, 1));
+  r.ask_same(2, "/stream/x");
+  r.tried(2, MT_TRIAL_GRANTED);
+  EXPECT_EQ(r.started(), r.find("m2")->key);
+}
+
+// An engine that fails requests and takes connections is no better for it.
+TEST(Quarantine, AConnectionDoesNotExcuseAnEngineThatFails) {
+  Guarded r;
+  mt_engine_t *e = r.find("p1");
+  e->failures = 5;
+  e->hold = r.now + 500;
+  r.probed(e->key, true, false);
+  EXPECT_EQ(e->failures, 5);
+  EXPECT_GT(e->hold, r.now);
+}
+
+} // namespace
--- a/tests/relay.h
+++ b/tests/relay.h
@@ -114,8 +114,9 @@
   }
   void ask (uint64_t number, const char *path, const char *key = "key-w1",
             int64_t deadline = 5000, int64_t tokens = 1000,
-            const char *host = "h.example") {
+            const char *host = "h.example", uint64_t digest = 0) {
     mt_relay_ask_t a{};
+    a.digest = digest;
     std::string id = "r" + std::to_string(number);
     a.id = {id.data(), id.size()};
     a.host = {host, strlen(host)};
--- /dev/null
+++ b/tests/suspects_test.cc
@@ -0,0 +1,404 @@
+// suspects_test.cc - requests under which engines ended: what is believed of
+// each, in one table and among routers with a clock by hand.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "suspect_exchange.h"
+}
+
+namespace {
+
+const uint64_t kDigest = 77;
+
+// {== One table ============================================================
+
+struct Table {
+  mt_suspects_t suspects{};
+  mt_ms_t now = 1000000;
+  ~Table() {
+    mt_suspects_free(&suspects);
+  }
+  bool ended (uint64_t engine, bool alone = false, mt_ms_t age = 0,
+              uint64_t digest = kDigest) {
+    const mt_suspect_end_t end = {engine, now - age, alone};
+    return mt_suspects_ended(&suspects, digest, &end, now);
+  }
+  bool answered (mt_ms_t age = 0) {
+    return mt_suspects_cleared(&suspects, kDigest, now - age, now);
+  }
+  mt_suspicion_t state (uint64_t digest = kDigest) const {
+    return mt_suspects_state(&suspects, digest, now);
+  }
+  mt_trial_t attempt (uint64_t holder) {
+    return mt_suspects_try(&suspects, kDigest, holder, 2000, now);
+  }
+};
+
+// What happens to one request: letters are engines that end under it
+// (capital: while it ran alone), '+' an answer, '.' two seconds.
+TEST(Suspects, WhatEndsAndAnswersAmountTo) {
+  struct Row {
+    const char *what, *story;
+    mt_suspicion_t state;
+  } rows[] = {
+      {"nothing", "", MT_SUSPICION_NONE},
+      {"one end", "a", MT_SUSPICION_NOTED},
+      {"two", "ab", MT_SUSPICION_PROBATION},
+      {"it ends what it runs on alone", "abC", MT_SUSPICION_QUARANTINE},
+      {"an engine that is back counts again", "a.a.A",
+       MT_SUSPICION_QUARANTINE},
+      {"several routers tell of the same end", "aaaa", MT_SUSPICION_NOTED},
+      {"a failure domain without power takes many at once", "abcdefgh",
+       MT_SUSPICION_PROBATION},
+      {"more than are listed one by one", "abcdefghijklmnop",
+       MT_SUSPICION_PROBATION},
+      {"of that many one alone", "abcdefghijklmnopQ",
+       MT_SUSPICION_QUARANTINE},
+      {"alone, but the second only", "aB", MT_SUSPICION_PROBATION},
+      {"an answer clears it", "ab.+", MT_SUSPICION_NONE},
+      {"also the graver", "abC.+", MT_SUSPICION_NONE},
+      {"and what came before the answer counts no more", "ab.+.a",
+       MT_SUSPICION_NOTED},
+      {"a popular one, hit again and again", "a.+.b.+.c.+.d.+.e",
+       MT_SUSPICION_NOTED},
+  };
+  for (const Row &row : rows) {
+    SCOPED_TRACE(row.what);
+    Table t;
+    for (const char *p = row.story; *p != '\0'; p++) {
+      if (*p == '.')
+        t.now += 2000;
+      else if (*p == '+')
+        t.answered();
+      else
+        t.ended((uint64_t)tolower(*p), isupper(*p));
+    }
+    EXPECT_EQ(t.state(), row.state);
+  }
+}
+
+TEST(Suspects, AnAnswerClearsWhatCameBeforeIt) {
+  Table t;
+  t.ended('a');
+  t.ended('b');
+  EXPECT_FALSE(t.answered(10)); // before the first end
+  EXPECT_EQ(t.state(), MT_SUSPICION_PROBATION);
+  t.now += 5000;
+  t.ended('c');
+  EXPECT_TRUE(t.answered(10)); // before the last one only
+  EXPECT_EQ(t.state(), MT_SUSPICION_NOTED);
+  // An end of before, told late or again, does not come back.
+  EXPECT_TRUE(t.answered() || t.state() == MT_SUSPICION_NONE);
+  EXPECT_FALSE(t.ended('a', false, 5000));
+  EXPECT_EQ(t.state(), MT_SUSPICION_NONE);
+}
+
+TEST(Suspects, OneTrialAtATime) {
+  Table t;
+  EXPECT_EQ(t.attempt(1), MT_TRIAL_FREE);
+  t.ended('a');
+  EXPECT_EQ(t.attempt(1), MT_TRIAL_FREE);
+  t.ended('b');
+  EXPECT_EQ(t.attempt(1), MT_TRIAL_GRANTED);
+  EXPECT_EQ(t.attempt(1), MT_TRIAL_GRANTED); // its datagram came twice
+  EXPECT_EQ(t.attempt(2), MT_TRIAL_BUSY);
+  mt_suspects_release(&t.suspects, kDigest, 2); // not its own
+  EXPECT_EQ(t.attempt(2), MT_TRIAL_BUSY);
+  mt_suspects_release(&t.suspects, kDigest, 1);
+  EXPECT_EQ(t.attempt(2), MT_TRIAL_GRANTED);
+  t.now += 1999;
+  EXPECT_EQ(t.attempt(3), MT_TRIAL_BUSY);
+  t.now += 1; // who had it says nothing any more
+  EXPECT_EQ(t.attempt(3), MT_TRIAL_GRANTED);
+  t.ended('c', true);
+  EXPECT_EQ(t.attempt(4), MT_TRIAL_REFUSED);
+}
+
+// When a quarantine is over one copy may run; it lasts longer each time.
+TEST(Suspects, AQuarantineEndsWithTimeAndOneTry) {
+  Table t;
+  t.ended('a');
+  t.ended('b');
+  t.ended('c', true);
+  mt_ms_t before = 0;
+  for (int i = 0; i < 4; i++) {
+    mt_ms_t left = mt_suspects_left(&t.suspects, kDigest, t.now);
+    EXPECT_GT(left, before);
+    before = left;
+    t.now += left - 1;
+    EXPECT_EQ(t.attempt(5), MT_TRIAL_REFUSED);
+    t.now += 1;
+    EXPECT_EQ(t.state(), MT_SUSPICION_PROBATION);
+    EXPECT_EQ(t.attempt(5), MT_TRIAL_GRANTED);
+    EXPECT_EQ(t.attempt(6), MT_TRIAL_BUSY);
+    t.ended('d', true);
+    EXPECT_EQ(t.state(), MT_SUSPICION_QUARANTINE);
+    t.now += 3000;
+  }
+  t.now += 1000ull * 3600 * 24;
+  mt_suspects_expire(&t.suspects, t.now);
+  EXPECT_EQ(t.suspects.by_digest.used, 0u);
+}
+
+TEST(Suspects, MemoryIsBoundedAndGraveOnesStay) {
+  Table t;
+  t.ended('a');
+  t.ended('b');
+  t.ended('c', true);
+  for (uint64_t i = 1000; i < 100000; i++) t.ended('d', false, 0, i);
+  EXPECT_LE(t.suspects.by_digest.used, 4096u);
+  EXPECT_EQ(t.state(), MT_SUSPICION_QUARANTINE);
+  EXPECT_EQ(t.state(99999), MT_SUSPICION_NOTED); // the newest
+  for (uint64_t i = 1; i < 20000; i++)
+    mt_suspects_note_answer(&t.suspects, i, t.now + i);
+  EXPECT_EQ(mt_suspects_answered(&t.suspects, 1), 0u);
+  EXPECT_EQ(mt_suspects_answered(&t.suspects, 19999), t.now + 19999);
+  EXPECT_LE(t.suspects.answered_at.used, 4096u);
+}
+
+TEST(Suspects, TheGreaterVersionIsRight) {
+  Table t, other;
+  t.ended('a');
+  t.ended('b');
+  mt_suspect_row_t row =
+      mt_suspects_row(mt_suspects_get(&t.suspects, kDigest), t.now);
+  EXPECT_TRUE(mt_suspects_take(&other.suspects, &row, other.now));
+  EXPECT_FALSE(mt_suspects_take(&other.suspects, &row, other.now));
+  EXPECT_EQ(other.state(), MT_SUSPICION_PROBATION);
+  other.now += 2000; // who takes over as keeper goes on counting
+  EXPECT_TRUE(other.ended('c', true));
+  EXPECT_EQ(other.state(), MT_SUSPICION_QUARANTINE);
+  EXPECT_FALSE(mt_suspects_take(&other.suspects, &row, other.now));
+  row.version += 5;
+  row.state = MT_SUSPICION_NONE;
+  EXPECT_TRUE(mt_suspects_take(&other.suspects, &row, other.now));
+  EXPECT_EQ(other.state(), MT_SUSPICION_NONE);
+}
+
+// }==
+
+// {== Among routers ========================================================
+
+struct Fleet;
+
+struct Router {
+  Fleet *fleet = nullptr;
+  mt_membership_t members{};
+  mt_suspects_t suspects{};
+  mt_suspect_exchange_t exchange{};
+  mt_peer_message_t out{};
+  bool cut = false;
+  mt_trial_t verdict = MT_TRIALS;
+  ~Router() {
+    mt_suspects_free(&suspects);
+    mt_membership_free(&members);
+  }
+};
+
+struct Fleet {
+  std::vector<std::unique_ptr<Router>> routers;
+  std::map<uint32_t, Router *> by_ip;
+  mt_ms_t now = 1000000;
+  std::mt19937 random;
+  unsigned lost = 0; // of 1,000 messages
+  uint64_t bytes = 0;
+
+  Fleet(int count, unsigned seed, unsigned lost_of_1000 = 0)
+      : random(seed), lost(lost_of_1000) {
+    for (int i = 0; i < count; i++) {
+      routers.push_back(std::make_unique<Router>());
+      Router *r = routers.back().get();
+      r->fleet = this;
+      r->members.own_ip = 0x0a000001u + (uint32_t)i * 0x101u;
+      r->members.own_domain = (mt_id_t)(1 + i % 3);
+      open(r);
+      by_ip[r->members.own_ip] = r;
+    }
+    pass(0);
+  }
+  void open (Router *r) {
+    const mt_suspect_exchange_calls_t calls = {begin, send, tried, note, r};
+    mt_suspect_exchange_open(&r->exchange, &r->members, &r->suspects, &calls,
+                             random());
+  }
+  // It starts anew, and knows nothing.
+  void restart (Router *r) {
+    mt_suspects_free(&r->suspects);
+    r->suspects = mt_suspects_t{};
+    open(r);
+    for (auto &other : routers)
+      if (other.get() != r && !other->cut && !r->cut)
+        mt_suspect_exchange_greet(&other->exchange, r->members.own_ip);
+  }
+  static mt_peer_message_t *begin (void *ud, mt_peer_kind_t kind) {
+    auto *r = (Router *)ud;
+    mt_peer_message_begin(&r->out, kind);
+    return &r->out;
+  }
+  static void send (void *ud, const uint32_t *to, size_t count) {
+    auto *r = (Router *)ud;
+    char packed[MT_PEER_DATAGRAM_MAX];
+    size_t n = mt_peer_message_pack(&r->out, packed, sizeof packed);
+    ASSERT_GT(n, 0u);
+    auto copy = std::make_unique<mt_peer_message_t>();
+    ASSERT_TRUE(mt_peer_message_unpack(copy.get(), packed, n));
+    std::vector<uint32_t> list(to, to + count);
+    for (uint32_t ip : list) {
+      Router *other = r->fleet->by_ip[ip];
+      r->fleet->bytes += n;
+      if (other->cut != r->cut) continue;
+      if (r->fleet->random() % 1000 < r->fleet->lost) continue;
+      mt_peer_t *peer =
+          mt_membership_know(&other->members, r->members.own_ip);
+      mt_suspect_exchange_take(&other->exchange, peer, copy.get());
+    }
+  }
+  static void tried (void *ud, uint64_t, uint64_t, mt_trial_t verdict) {
+    ((Router *)ud)->verdict = verdict;
+  }
+  static void note (void *, const mt_suspect_t *, uint32_t, const char *) {
+  }
+  void pass (mt_ms_t ms) {
+    for (mt_ms_t end = now + ms; now <= end; now += 25)
+      for (auto &r : routers) {
+        for (auto &other : routers) {
+          mt_peer_t *peer =
+              mt_membership_know(&r->members, other->members.own_ip);
+          if (peer != nullptr) peer->domain = other->members.own_domain;
+          if (peer != nullptr && other->cut == r->cut) peer->heard = now;
+        }
+        mt_membership_update(&r->members, now);
+        mt_suspect_exchange_tick(&r->exchange);
+      }
+  }
+  void say (size_t router, mt_word_kind_t kind, uint64_t engine = 0,
+            bool alone = false) {
+    const mt_suspect_word_t word = {.kind = kind,
+                                    .digest = kDigest,
+                                    .engine = engine,
+                                    .request = router + 1,
+                                    .alone = alone,
+                                    .age = 0,
+                                    .lease = 5000};
+    mt_suspect_exchange_say(&routers[router]->exchange, &word);
+  }
+  // As a router does that hears no answer: the same end three times.
+  void ended (size_t router, uint64_t engine, bool alone = false) {
+    for (int i = 0; i < 3; i++) {
+      say(router, MT_WORD_ENDED, engine, alone);
+      pass(100);
+    }
+  }
+  mt_trial_t attempt (size_t router) {
+    routers[router]->verdict = MT_TRIALS;
+    say(router, MT_WORD_TRY);
+    return routers[router]->verdict;
+  }
+  size_t that_are (mt_suspicion_t state) {
+    size_t count = 0;
+    for (auto &r : routers)
+      count += mt_suspects_state(&r->suspects, kDigest, now) == state;
+    return count;
+  }
+};
+
+TEST(SuspectExchange, AllKnowWithinTheTimeThatIsAllowed) {
+  struct Row {
+    const char *what;
+    int routers;
+    unsigned lost;
+  } rows[] = {{"one router", 1, 0},
+              {"six", 6, 0},
+              {"six, a tenth of the messages is lost", 6, 100},
+              {"85", 85, 0},
+              {"85, a tenth is lost", 85, 100}};
+  for (const Row &row : rows)
+    for (unsigned seed = 1; seed <= 3; seed++) {
+      SCOPED_TRACE(row.what + std::string(", seed ") + std::to_string(seed));
+      Fleet f(row.routers, seed, row.lost);
+      size_t n = (size_t)row.routers;
+      f.ended(0, 'a');
+      EXPECT_LE(f.that_are(MT_SUSPICION_NOTED), 1u); // its keeper's alone
+      f.ended(1 % n, 'b');
+      f.pass(2500);
+      EXPECT_EQ(f.that_are(MT_SUSPICION_PROBATION), n);
+      f.ended(2 % n, 'c', true);
+      f.pass(2500);
+      EXPECT_EQ(f.that_are(MT_SUSPICION_QUARANTINE), n);
+    }
+}
+
+TEST(SuspectExchange, OneCopyInTheWholeFleet) {
+  Fleet f(6, 4);
+  f.ended(0, 'a');
+  f.ended(1, 'b');
+  EXPECT_EQ(f.attempt(0), MT_TRIAL_GRANTED);
+  for (size_t i = 1; i < 6; i++) EXPECT_EQ(f.attempt(i), MT_TRIAL_BUSY);
+  f.say(0, MT_WORD_RELEASE);
+  EXPECT_EQ(f.attempt(3), MT_TRIAL_GRANTED);
+  f.say(3, MT_WORD_ANSWERED);
+  EXPECT_EQ(f.that_are(MT_SUSPICION_PROBATION), 0u);
+  for (size_t i = 0; i < 6; i++) EXPECT_EQ(f.attempt(i), MT_TRIAL_FREE);
+}
+
+// A popular request is answered somewhere all the time.
+TEST(SuspectExchange, WhoAnsweredItObjects) {
+  Fleet f(6, 5);
+  f.ended(0, 'a');
+  f.pass(1000);
+  mt_suspects_note_answer(&f.routers[4]->suspects, kDigest, f.now);
+  f.pass(1000);
+  f.ended(1, 'b');
+  EXPECT_EQ(f.that_are(MT_SUSPICION_PROBATION), 0u);
+  EXPECT_EQ(f.attempt(2), MT_TRIAL_FREE);
+}
+
+TEST(SuspectExchange, OutlivesItsKeeperAndRestarts) {
+  Fleet f(6, 6);
+  f.ended(0, 'a');
+  f.ended(1, 'b');
+  f.ended(2, 'c', true);
+  f.pass(1000);
+  for (auto &r : f.routers) {
+    f.restart(r.get());
+    EXPECT_EQ(mt_suspects_state(&r->suspects, kDigest, f.now),
+              MT_SUSPICION_QUARANTINE);
+  }
+}
+
+TEST(SuspectExchange, WhoWasCutOffHearsOfIt) {
+  Fleet f(9, 7);
+  for (size_t i = 0; i < 9; i += 3) f.routers[i]->cut = true;
+  f.pass(4000);
+  f.ended(1, 'a');
+  f.ended(2, 'b');
+  f.ended(4, 'c', true);
+  f.pass(1000);
+  EXPECT_EQ(f.that_are(MT_SUSPICION_QUARANTINE), 6u);
+  for (auto &r : f.routers) r->cut = false;
+  f.pass(2800);
+  EXPECT_EQ(f.that_are(MT_SUSPICION_QUARANTINE), 9u);
+}
+
+// What a router sends while nothing happens, with ten known.
+TEST(SuspectExchange, CostsLittle) {
+  Fleet f(85, 8);
+  for (uint64_t d = 1; d <= 10; d++) {
+    const mt_suspect_row_t row = {
+        d * 7, 3, MT_SUSPICION_QUARANTINE, 3, 1, 0, 600000, 1800000};
+    for (auto &r : f.routers) mt_suspects_take(&r->suspects, &row, f.now);
+  }
+  f.bytes = 0;
+  f.pass(10000);
+  EXPECT_LT(f.bytes / 85 / 10, 2000u); // bytes a second
+}
+
+// }==
+
+} // namespace
