--- a/tests/soak/caller.h
+++ b/tests/soak/caller.h
@@ -12,6 +12,7 @@
   std::string id;
   Kind kind = Kind::Once;
   bool busy = false;
+  bool repeats = false; // a harmless body that comes again and again
   long leave_at = 0, next_at = 0;
 };
 
--- a/tests/soak/checker.h
+++ b/tests/soak/checker.h
@@ -14,6 +14,10 @@
 const long DRAIN_MS = 2000, EVACUATE_MS = 5000, REVOKE_MS = 5000,
            CONFIG_MS = 2000;
 
+// A request under which so many engines ended is known; how often it may
+// reach engines after that and CONTACT_MS.
+const int ENDS_KNOWN = 3, ARRIVALS_MORE = 3;
+
 enum class Kind { Once, Again, Stream };
 
 // One request of a caller, as it saw it.
@@ -136,6 +140,39 @@
       breach("ORDER", id, "ends as complete after " + std::to_string(next));
   }
 
+  // {== Requests under which engines end
+
+  // What a body has done: after ENDS_KNOWN ends and CONTACT_MS gateways in
+  // touch may send it to engines ARRIVALS_MORE times more.
+  struct Deadly {
+    int ends = 0;
+    long known = 0; // the last of the ends that make it known
+    int arrivals = 0;
+  };
+  std::map<std::string, Deadly> deadly;
+
+  void ended_under (const std::string &body, long now) {
+    Deadly &d = deadly[body];
+    if (++d.ends == ENDS_KNOWN) d.known = now;
+  }
+  // An engine begins it; it came no earlier than `now`.
+  void begins_deadly (const std::string &id, const std::string &body,
+                      long now) {
+    Deadly &d = deadly[body];
+    auto it = asked.find(id);
+    if (d.known == 0 || now <= d.known + CONTACT_MS) return;
+    if (it != asked.end() && !touch.binds(it->second.gateway, now)) return;
+    if (++d.arrivals <= ARRIVALS_MORE) return;
+    late["BUDGET"]++;
+    if (judges_times)
+      breach("BUDGET", id,
+             "arrival " + std::to_string(d.arrivals) +
+                 " of one that had ended " + std::to_string(d.ends) +
+                 " engines");
+  }
+
+  // }==
+
   void judge (const char *promise, const std::string &id, const Asked &a,
               const std::string &what, long bound, long now) {
     auto it = forbidden.find(what);
--- a/tests/soak/selftest.h
+++ b/tests/soak/selftest.h
@@ -42,6 +42,33 @@
   return wrong;
 }
 
+// Arrivals of a body under which engines ended that are allowed.
+inline int selftest_arrivals () {
+  struct Row {
+    const char *what;
+    int ends, arrivals;
+    long now, disturbed;
+  } rows[] = {
+      {"as many as are allowed", ENDS_KNOWN, ARRIVALS_MORE, 20000, 0},
+      {"two ends", ENDS_KNOWN - 1, 50, 20000, 0},
+      {"before it can be known", ENDS_KNOWN, 50, 10000 + CONTACT_MS, 0},
+      {"by one that was disturbed", ENDS_KNOWN, 50, 20000, 19000},
+  };
+  int wrong = 0;
+  for (const Row &row : rows) {
+    Checker k;
+    k.ask("a", Kind::Again, "w1");
+    k.asked["a"].gateway = 1;
+    if (row.disturbed) k.touch.disturbed(1, row.disturbed);
+    for (int i = 0; i < row.ends; i++) k.ended_under("x", 10000);
+    for (int i = 0; i < row.arrivals; i++) k.begins_deadly("a", "x", row.now);
+    if (k.breaches.empty()) continue;
+    printf("judged wrongly: %s\n", row.what);
+    wrong++;
+  }
+  return wrong;
+}
+
 // Each promise broken on purpose: the checker must see it.
 inline int selftest () {
   struct Row {
@@ -103,6 +130,12 @@
        [] (Checker &k) {
          k.streamed("s", Checker::event_of("s", 0) + "\n\n", true);
        }},
+      {"BUDGET",
+       [] (Checker &k) {
+         for (int i = 0; i < ENDS_KNOWN; i++) k.ended_under("x", 10000);
+         for (int i = 0; i <= ARRIVALS_MORE; i++)
+           k.begins_deadly("a", "x", 10001 + CONTACT_MS);
+       }},
   };
   int missed = 0;
   for (const Row &row : rows) {
@@ -121,7 +154,7 @@
   printf("checker: %d of %zu breaches seen\n",
          (int)(sizeof rows / sizeof *rows) - missed,
          sizeof rows / sizeof *rows);
-  return missed + selftest_excuses() != 0;
+  return missed + selftest_excuses() + selftest_arrivals() != 0;
 }
 
 } // namespace soak
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -16,14 +16,20 @@
 const long RECOVER_MS = 30000;
 const long PARTS_REST_MS = 1500; // longer between troubles of them all
 const long GRACE_MS = 8000;      // as in the gateways' settings
+const int BODIES = 3;            // that come again and again, of each sort
 
 struct Options {
   unsigned seed = 1;
   int seconds = 10, gateways = 4, callers = 12;
   std::string seeds_file;
-  bool parts = false; // troubles of a part of the gateways
-  bool kills = true;  // gateways are killed, paused and stopped
-  bool times = false; // late requests are breaches, not only counted
+  bool parts = false;   // troubles of a part of the gateways
+  bool kills = true;    // gateways are killed, paused and stopped
+  bool keep = false;    // the logs, also of a run without breaches
+  bool calm = false;    // no trouble but that of engines that end
+  bool times = false;   // late requests are breaches, not only counted
+  bool deadly = false;  // engines end under some bodies that come again
+  bool ends = false;    // engines end by themselves, each second one
+  bool streams = false; // of the two above: at the model's engines
 };
 
 // {== The soak =============================================================
@@ -46,6 +52,9 @@
       start(gateways[(size_t)i]);
     }
     callers.resize((size_t)options.callers);
+    for (int i = 0; options.deadly && i < BODIES; i++)
+      world.deadly.insert(body_of(true, i));
+    if (options.ends) world.down_ms = 1500;
   }
   ~Soak() {
     for (Gateway &g : gateways) {
@@ -59,9 +68,10 @@
   bool run () {
     await_ports();
     long end = now_ms() + options.seconds * 1000L,
-         next_fault = now_ms() + 500, next_part = next_fault;
+         next_fault = now_ms() + 500, next_part = next_fault,
+         next_end = next_fault;
     while (now_ms() < end) {
-      if (now_ms() >= next_fault) {
+      if (!options.calm && now_ms() >= next_fault) {
         fault();
         next_fault = now_ms() + 50 + (long)(random() % 500);
         if (options.parts) next_fault += PARTS_REST_MS;
@@ -70,6 +80,10 @@
         part_fault();
         next_part = now_ms() + 50 + (long)(more() % 500);
       }
+      if (options.ends && now_ms() >= next_end) {
+        world.end_any(options.streams ? "model" : "plain", choices);
+        next_end = now_ms() + 1000;
+      }
       turn(true);
     }
     calm();
@@ -89,6 +103,7 @@
   std::vector<Gateway> gateways;
   std::vector<Caller> callers;
   long asked = 0, kills = 0, pauses = 0, stops = 0;
+  long repeated = 0, repeated_well = 0; // harmless ones; those answered 200
 
   void start (Gateway &g) {
     world.checker.touch.disturbed(g.index, now_ms());
@@ -264,6 +279,9 @@
     std::string path = paths[(int)c.kind], key = second ? some_key() : "";
     if (options.parts && c.kind == Kind::Again && chance(choices, 0.6))
       path = chance(choices, 0.5) ? "/side/" : some_path();
+    c.repeats = false;
+    if (options.deadly || options.ends) repeat_some(c, path, body, fields);
+    if (c.repeats) second = false;
     world.checker.ask(c.id, c.kind, second ? "w2" : "w1");
     Asked &asked_now = world.checker.asked[c.id];
     asked_now.gateway = c.gateway->index;
@@ -277,6 +295,27 @@
     bool soon = chance(random, 0.08);
     c.leave_at = now_ms() + (soon ? (long)(random() % 40) : 4000);
   }
+  // Some requests repeat path, caller and body: with `ends` 40 in 100, else 5
+  // in 100 harmless ones and 2 under which engines end.
+  void repeat_some (Caller &c, std::string &path, std::string &body,
+                    std::string &fields) {
+    unsigned draw = choices() % 100, which = choices() % BODIES;
+    unsigned deadly = options.deadly ? 2 : 0, all = options.ends ? 40 : 7;
+    if (draw >= all) return;
+    c.repeats = draw >= deadly;
+    body = body_of(draw < deadly, (int)which);
+    c.kind = options.streams ? Kind::Stream
+                             : (which % 2 ? Kind::Once : Kind::Again);
+    path = options.streams ? "/gen/" : which % 2 ? "/once/" : "/safe/";
+    fields = options.streams ? "X-Model: m\r\nX-Token-Usage: 600,20\r\n"
+                               "X-Prefix-Hash: 1a:400,2b:200\r\n"
+                             : "";
+    repeated += c.repeats;
+  }
+  static std::string body_of (bool deadly, int which) {
+    return (deadly ? "ends engines " : "does no harm ") +
+           std::to_string(which);
+  }
   // Valid now, or before one of the last changes.
   std::string some_key () {
     size_t n = world.keys.size(), back = choices() % std::min(n, (size_t)3);
@@ -313,6 +352,7 @@
     c.conn = nullptr;
   }
   void judge (Caller &c, const Answer &a) {
+    repeated_well += c.repeats && a.whole && a.status == 200;
     if (a.events)
       world.checker.streamed(c.id, a.body, a.whole);
     else if (a.whole)
@@ -417,8 +457,15 @@
       printf(" (latest %ld ms); %ld by gateways that were not bound\n",
              k.latest, k.excused);
     }
+    if (options.deadly || options.ends) {
+      int most = 0;
+      for (auto &row : k.deadly) most = std::max(most, row.second.arrivals);
+      printf("  %d engines ended; arrivals of one body once it is known: at "
+             "most %d; harmless repeated ones not answered 200: %ld of %ld\n",
+             world.ended, most, repeated - repeated_well, repeated);
+    }
     for (const std::string &b : k.breaches) printf("  %s\n", b.c_str());
-    if (!k.breaches.empty()) {
+    if (!k.breaches.empty() || options.keep) {
       printf("  logs: %s\n", dir.c_str());
     } else {
       std::string clean = dir;
@@ -470,12 +517,23 @@
       options.times = true;
     else if (name == "--no-kills")
       options.kills = false;
+    else if (name == "--deadly")
+      options.deadly = true;
+    else if (name == "--ends")
+      options.ends = true;
+    else if (name == "--streams")
+      options.streams = true;
+    else if (name == "--keep")
+      options.keep = true;
+    else if (name == "--calm")
+      options.calm = true;
     else if (name == "--selftest")
       return soak::selftest();
     else {
       fprintf(stderr, "usage: soak [--seed N] [--count N] [--seconds N] "
                       "[--gateways N] [--callers N] [--seeds FILE] "
-                      "[--parts] [--times] [--no-kills] [--selftest]\n");
+                      "[--parts] [--times] [--no-kills] [--calm] [--keep] "
+                      "[--deadly] [--ends] [--streams] [--selftest]\n");
       return 2;
     }
   }
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -313,14 +313,24 @@
   long deadly_ms = 20, down_ms = 2000;
   bool renews = false; // under a new id
   long born = 1780000000000;
-  std::map<std::string, long> ends_at, back_at; // by engine
-  std::map<std::string, Listener *> places;     // where it listens
+  std::map<std::string, long> ends_at, back_at;           // by engine
+  std::map<std::string, std::set<std::string>> doomed_by; // engine -> bodies
+  std::map<std::string, Listener *> places;               // where it listens
   int ended = 0;
 
+  void begin_deadly (const std::string &id, const std::string &body,
+                     const std::string &engine) {
+    checker.begins_deadly(id, body, read_since);
+    doomed_by[engine].insert(body);
+    if (ends_at.count(engine) == 0) ends_at[engine] = now_ms() + deadly_ms;
+  }
   // Its connections are reset, and nobody listens any more.
   void end_engine (const std::string &id) {
     Listener *place = places[id];
     ends_at.erase(id);
+    for (const std::string &body : doomed_by[id])
+      checker.ended_under(body, now_ms());
+    doomed_by.erase(id);
     if (place->fd < 0) return;
     ::close(place->fd);
     place->fd = -1;
@@ -333,6 +343,9 @@
   // False when its port is taken meanwhile: then it tries again.
   bool start_engine (const std::string &id) {
     Listener *place = places[id];
+    const auto &ids = ids_of(checker.engines[id].service);
+    if (std::find(ids.begin(), ids.end(), id) == ids.end())
+      return true; // it has left meanwhile
     int fd = listen_at(place->port);
     if (fd < 0) return false;
     place->fd = fd;
@@ -368,6 +381,12 @@
     for (const std::string &id : due)
       if (start_engine(id)) back_at.erase(id);
   }
+  // One of a service that serves, by itself.
+  void end_any (const std::string &service, Random &random_of_ends) {
+    const auto &ids = ids_of(service);
+    const std::string &id = ids[random_of_ends() % ids.size()];
+    if (back_at.count(id) == 0) end_engine(id);
+  }
   bool all_back () const {
     return ends_at.empty() && back_at.empty();
   }
@@ -399,9 +418,10 @@
     }
     checker.run(id, r.field("X-Tenant"), !r.field("Authorization").empty());
     std::string seal = echo + "X-Engine-Seal: s." + id + "\r\n";
-    if (deadly.count(r.body) && ends_at.count(engine) == 0)
-      ends_at[engine] = now_ms() + deadly_ms;
-    if (deadly.count(r.body)) return;
+    if (deadly.count(r.body)) {
+      begin_deadly(id, r.body, engine);
+      return;
+    }
     if (r.line().find("/gen/") != std::string::npos)
       stream(c, r, id, seal, bad ? kind : 0);
     else
