Suspects run at engines where no other suspect runs

Change: an engine is leased to one suspect at a time by the engine's keeper, and two ends of a request that ran alone make a quarantine, not one; lease_table holds both kinds of leases.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -226,10 +226,10 @@
   step(ud, &event);
 }
 
-static void on_tried (void *ud, uint64_t request, uint64_t digest,
+static void on_tried (void *ud, const mt_suspect_word_t *word,
                       mt_trial_t verdict) {
-  mt_relay_event_t event = {.kind = MT_RELAY_TRIED, .request = request};
-  event.u.tried.digest = digest;
+  mt_relay_event_t event = {.kind = MT_RELAY_TRIED, .request = word->request};
+  event.u.tried.word = word;
   event.u.tried.verdict = verdict;
   step(ud, &event);
 }
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -159,10 +159,10 @@
               why);
 }
 
-static void on_verdict (void *ud, uint64_t request, uint64_t digest,
+static void on_verdict (void *ud, const mt_suspect_word_t *word,
                         mt_trial_t verdict) {
   mt_gateway_peers_t *peers = ud;
-  peers->calls.tried(peers->calls.ud, request, digest, verdict);
+  peers->calls.tried(peers->calls.ud, word, verdict);
 }
 
 void mt_gateway_peers_say (mt_gateway_peers_t *peers,
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -24,8 +24,8 @@
                                     mt_ms_t since);
 
 /* A keeper's answer to a suspect that asked whether it may run. */
-typedef void (*mt_gateway_tried_t)(void *ud, uint64_t request,
-                                   uint64_t digest, mt_trial_t verdict);
+typedef void (*mt_gateway_tried_t)(void *ud, const mt_suspect_word_t *word,
+                                   mt_trial_t verdict);
 
 typedef struct mt_gateway_peers_calls_t {
   mt_gateway_quoted_t quoted;
--- a/src/gateway/suspect_exchange.c
+++ b/src/gateway/suspect_exchange.c
@@ -71,7 +71,13 @@
 
 /* {== The keeper ======================================================= */
 
-/* Who asks, as a trial's holder; never 0. */
+/* Whose router keeps what a word is about. */
+static uint64_t subject_of (const mt_suspect_word_t *word) {
+  bool engine = word->kind == MT_WORD_HOLD || word->kind == MT_WORD_DROP;
+  return engine ? word->engine : word->digest;
+}
+
+/* Who asks, as a lease's holder; never 0. */
 static uint64_t holder_of (uint32_t router, const mt_suspect_word_t *word) {
   return mtV_mix(router, word->request) | 1;
 }
@@ -103,16 +109,20 @@
   spread(x, word->digest);
 }
 
-static mt_trial_t on_try (mt_suspect_exchange_t *x, uint32_t router,
-                          const mt_suspect_word_t *word) {
-  return mt_suspects_try(x->suspects, word->digest, holder_of(router, word),
-                         word->lease, x->members->now);
+static mt_trial_t judge (mt_suspect_exchange_t *x, uint32_t router,
+                         const mt_suspect_word_t *word) {
+  uint64_t holder = holder_of(router, word);
+  mt_ms_t now = x->members->now;
+  if (word->kind == MT_WORD_HOLD)
+    return mt_suspects_hold(x->suspects, word->engine, holder, word->lease,
+                            now);
+  return mt_suspects_try(x->suspects, word->digest, holder, word->lease, now);
 }
 
 static void answer (mt_suspect_exchange_t *x, uint32_t router,
                     const mt_suspect_word_t *word, mt_trial_t verdict) {
   if (router == x->members->own_ip) {
-    x->calls.tried(x->calls.ud, word->request, word->digest, verdict);
+    x->calls.tried(x->calls.ud, word, verdict);
     return;
   }
   mt_peer_message_t *m = x->calls.begin(x->calls.ud, MT_PEER_VERDICT);
@@ -126,9 +136,12 @@
   switch (word->kind) {
     case MT_WORD_ENDED: on_ended(x, router, word); break;
     case MT_WORD_ANSWERED: on_answered(x, router, word); break;
-    case MT_WORD_TRY: answer(x, router, word, on_try(x, router, word)); break;
+    case MT_WORD_TRY:
+    case MT_WORD_HOLD: answer(x, router, word, judge(x, router, word)); break;
     case MT_WORD_RELEASE:
-      mt_suspects_release(x->suspects, word->digest, holder_of(router, word));
+    case MT_WORD_DROP:
+      mt_suspects_release(x->suspects, subject_of(word),
+                          holder_of(router, word));
       break;
     case MT_WORDS: break;
   }
@@ -139,14 +152,14 @@
 void mt_suspect_exchange_say (mt_suspect_exchange_t *x,
                               const mt_suspect_word_t *word) {
   uint32_t keeper =
-      mt_membership_keeper(x->members, word->digest, EVERYWHERE);
+      mt_membership_keeper(x->members, subject_of(word), EVERYWHERE);
   if (keeper == x->members->own_ip) {
     keep(x, keeper, word);
     return;
   }
   mt_peer_t *peer = mt_membership_know(x->members, keeper);
   if (peer == NULL) return;
-  bool asks = word->kind == MT_WORD_TRY;
+  bool asks = word->kind == MT_WORD_TRY || word->kind == MT_WORD_HOLD;
   if (asks && peer->asked == 0) peer->asked = x->members->now;
   mt_peer_message_t *m = x->calls.begin(x->calls.ud, MT_PEER_WORD);
   m->word = *word;
@@ -186,8 +199,7 @@
       peer->asked = 0;
       peer->suspect = 0;
       if (m->verdict < MT_TRIALS)
-        x->calls.tried(x->calls.ud, m->word.request, m->word.digest,
-                       m->verdict);
+        x->calls.tried(x->calls.ud, &m->word, m->verdict);
       break;
     default: break;
   }
--- a/src/gateway/suspect_exchange.h
+++ b/src/gateway/suspect_exchange.h
@@ -31,8 +31,7 @@
   mt_peer_message_t *(*begin)(void *ud, mt_peer_kind_t kind);
   void (*send)(void *ud, const uint32_t *to, size_t count);
   /* A keeper's answer to a request of this router. */
-  void (*tried)(void *ud, uint64_t request, uint64_t digest,
-                mt_trial_t verdict);
+  void (*tried)(void *ud, const mt_suspect_word_t *word, mt_trial_t verdict);
   mt_suspect_note_t note;
   void *ud;
 } mt_suspect_exchange_calls_t;
--- a/src/relay/candidates.c
+++ b/src/relay/candidates.c
@@ -72,8 +72,8 @@
 }
 
 void mt_candidates_find_homes (mt_relay_t *relay, mt_relay_request_t *r) {
-  home_t of_all = {NULL, 0}, near = {NULL, 0};
-  if (!r->on_trial) find_homes(relay, r, 0, &of_all, &near);
+  home_t of_all, near;
+  find_homes(relay, r, 0, &of_all, &near);
   r->home_of_all = of_all.engine != NULL ? of_all.engine->key : 0;
   r->home_near = near.engine != NULL ? near.engine->key : 0;
 }
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -162,14 +162,18 @@
   return (running(e) + 1) / slots + (e->far ? 0.5 / slots : 0) + e->failures;
 }
 
-/*
-** Keeps the engine if it is better than the best so far. What an engine may
-** end under goes where the least runs that would end with it.
-*/
+/* What an engine may end under goes where the least runs that would end with
+   it; different suspects go to different engines. */
+static double trial_cost (const costs_t *c, const mt_engine_t *e) {
+  uint64_t order = mtV_mix(c->request->digest, e->key) % 1000;
+  return running(e) + (double)order / 1000;
+}
+
+/* Keeps the engine if it is better than the best so far. */
 static void weigh (costs_t *c, mt_engine_t *e) {
   mt_placement_t p;
   double cost = c->service ? model_cost(c, e, &p) : plain_cost(c, e, &p);
-  if (c->request->on_trial) cost = running(e);
+  if (c->request->on_trial) cost = trial_cost(c, e);
   if (c->best.engine != NULL && cost >= c->best_cost) return;
   c->best = p;
   c->best_cost = cost;
@@ -179,6 +183,7 @@
 
 static bool may_go_to (const mt_relay_t *relay, const mt_relay_request_t *r,
                        const mt_engine_t *e) {
+  if (r->trial_engine != 0 && r->trial_engine != e->key) return false;
   return mt_candidates_usable(relay, r, e) &&
          mt_admission_allows(relay, r, e);
 }
--- a/src/relay/quarantine.c
+++ b/src/relay/quarantine.c
@@ -3,6 +3,7 @@
 */
 #include <stdlib.h>
 
+#include "placement.h"
 #include "quarantine.h"
 
 #define WAIT_MS 40    /* for the keeper's answer */
@@ -21,21 +22,80 @@
   return word;
 }
 
+/* {== Leases =========================================================== */
+
+static void release (mt_relay_t *relay, uint64_t digest, uint64_t request) {
+  tell(relay, MT_WORD_RELEASE, digest)->request = request;
+}
+
+static void drop (mt_relay_t *relay, uint64_t digest, uint64_t engine,
+                  uint64_t request) {
+  mt_suspect_word_t *word = tell(relay, MT_WORD_DROP, digest);
+  word->engine = engine;
+  word->request = request;
+}
+
+void mt_quarantine_too_late (mt_relay_t *relay,
+                             const mt_suspect_word_t *word) {
+  if (word->kind == MT_WORD_HOLD)
+    drop(relay, word->digest, word->engine, word->request);
+  else
+    release(relay, word->digest, word->request);
+}
+
+void mt_quarantine_leave (mt_relay_t *relay, mt_relay_request_t *r) {
+  if (r->on_trial) release(relay, r->digest, r->number);
+  if (r->holds_engine) drop(relay, r->digest, r->trial_engine, r->number);
+  r->on_trial = r->holds_engine = false;
+}
+
+/* }== */
+
 /* {== Before a placement =============================================== */
 
+static mt_quarantine_gate_t ask (mt_relay_t *relay, mt_relay_request_t *r,
+                                 mt_word_kind_t kind) {
+  mt_ms_t lease = r->expires - mt_min(relay->now, r->expires) + SLACK_MS;
+  mt_suspect_word_t *word = tell(relay, kind, r->digest);
+  word->engine = r->trial_engine;
+  word->request = r->number;
+  word->lease = mt_min(lease, (mt_ms_t)LEASE_MOST_MS);
+  r->asked = relay->now;
+  return MT_QUARANTINE_ASK;
+}
+
 mt_quarantine_gate_t mt_quarantine_gate (mt_relay_t *relay,
                                          mt_relay_request_t *r) {
   switch (mt_suspects_state(&relay->suspects, r->digest, relay->now)) {
-    case MT_SUSPICION_PROBATION: break;
+    case MT_SUSPICION_PROBATION: return ask(relay, r, MT_WORD_TRY);
     case MT_SUSPICION_QUARANTINE: return MT_QUARANTINE_REFUSE;
     default: return MT_QUARANTINE_PASS;
   }
-  mt_ms_t lease = r->expires - mt_min(relay->now, r->expires) + SLACK_MS;
-  mt_suspect_word_t *word = tell(relay, MT_WORD_TRY, r->digest);
-  word->request = r->number;
-  word->lease = mt_min(lease, (mt_ms_t)LEASE_MOST_MS);
-  r->asked = relay->now;
-  return MT_QUARANTINE_ASK;
+}
+
+static mt_quarantine_gate_t choose_engine (mt_relay_t *relay,
+                                           mt_relay_request_t *r) {
+  r->on_trial = true;
+  mt_placement_t p = mt_placement_choose(relay, r);
+  if (p.engine == NULL) return MT_QUARANTINE_BUSY;
+  r->trial_engine = p.engine->key;
+  return ask(relay, r, MT_WORD_HOLD);
+}
+
+mt_quarantine_gate_t mt_quarantine_tried (mt_relay_t *relay,
+                                          mt_relay_request_t *r,
+                                          const mt_suspect_word_t *word,
+                                          mt_trial_t verdict) {
+  switch (verdict) {
+    case MT_TRIAL_FREE: return MT_QUARANTINE_PASS;
+    case MT_TRIAL_REFUSED: return MT_QUARANTINE_REFUSE;
+    case MT_TRIAL_BUSY:
+    case MT_TRIALS: return MT_QUARANTINE_BUSY;
+    case MT_TRIAL_GRANTED: break;
+  }
+  if (word->kind == MT_WORD_TRY) return choose_engine(relay, r);
+  r->holds_engine = true;
+  return MT_QUARANTINE_PASS;
 }
 
 bool mt_quarantine_overdue (const mt_relay_t *relay,
@@ -79,8 +139,9 @@
                       .engine = r->engine->key,
                       .at = relay->now,
                       .alone = r->on_trial,
+                      .holds_engine = r->holds_engine,
                       .request = r->number};
-  r->on_trial = false; /* what becomes of the engine decides */
+  r->on_trial = r->holds_engine = false; /* the run keeps the leases */
   if (r->engine->probing) return;
   r->engine->probing = true;
   mt_relay_effect(relay, MT_RELAY_DO_PROBE)->u.probe = r->engine->key;
@@ -109,9 +170,10 @@
     tell_due(relay, &relay->lost.list[i]);
 }
 
-void mt_quarantine_give_back (mt_relay_t *relay, uint64_t digest,
-                              uint64_t request) {
-  tell(relay, MT_WORD_RELEASE, digest)->request = request;
+/* Its engine's end has become known, or will not. */
+static void settle (mt_relay_t *relay, const mt_lost_run_t *run) {
+  if (run->alone && !run->ended) release(relay, run->digest, run->request);
+  if (run->holds_engine) drop(relay, run->digest, run->engine, run->request);
 }
 
 void mt_quarantine_tick (mt_relay_t *relay) {
@@ -122,8 +184,8 @@
     mt_lost_run_t *run = &lost->list[i];
     if (relay->now - run->at < PENDING_MS)
       lost->list[kept++] = *run;
-    else if (run->alone && !run->ended)
-      mt_quarantine_give_back(relay, run->digest, run->request);
+    else
+      settle(relay, run);
   }
   lost->count = kept;
   mt_suspects_expire(&relay->suspects, relay->now);
@@ -131,7 +193,7 @@
 
 /* }== */
 
-/* {== Other ends ======================================================= */
+/* {== Whole answers ==================================================== */
 
 /* An answer whose end nobody vouches for may have been cut by the engine's
    own end. */
@@ -139,14 +201,7 @@
   if (!r->framed || r->digest == 0) return;
   mt_suspects_note_answer(&relay->suspects, r->digest, relay->now);
   if (mt_suspects_get(&relay->suspects, r->digest) == NULL) return;
-  r->on_trial = false;
   tell(relay, MT_WORD_ANSWERED, r->digest);
 }
 
-void mt_quarantine_leave (mt_relay_t *relay, mt_relay_request_t *r) {
-  if (!r->on_trial) return;
-  r->on_trial = false;
-  mt_quarantine_give_back(relay, r->digest, r->number);
-}
-
 /* }== */
--- a/src/relay/quarantine.h
+++ b/src/relay/quarantine.h
@@ -18,13 +18,21 @@
 
 typedef enum mt_quarantine_gate_t {
   MT_QUARANTINE_PASS,
-  MT_QUARANTINE_ASK,   /* its keeper has to say; the effect is there */
-  MT_QUARANTINE_REFUSE /* why: MT_RELAY_QUARANTINED */
+  MT_QUARANTINE_ASK,   /* a keeper has to say; the effect is there */
+  MT_QUARANTINE_BUSY,  /* no engine, or none for it now */
+  MT_QUARANTINE_REFUSE /* it is in quarantine */
 } mt_quarantine_gate_t;
 
 mt_quarantine_gate_t mt_quarantine_gate (mt_relay_t *relay,
                                          mt_relay_request_t *request);
 
+/* What follows from a keeper's answer: the request's is asked first, then
+   that of the engine where the least runs that would end with it. */
+mt_quarantine_gate_t mt_quarantine_tried (mt_relay_t *relay,
+                                          mt_relay_request_t *request,
+                                          const mt_suspect_word_t *word,
+                                          mt_trial_t verdict);
+
 /* True when the keeper has let a question rest for too long. */
 bool mt_quarantine_overdue (const mt_relay_t *relay,
                             const mt_relay_request_t *request);
@@ -50,9 +58,9 @@
 /* Tells the keepers now what is due. */
 void mt_quarantine_tell (mt_relay_t *relay);
 
-/* A trial was granted to a request that does not wait for it any more. */
-void mt_quarantine_give_back (mt_relay_t *relay, uint64_t digest,
-                              uint64_t request);
+/* A lease was granted to a request that does not wait for it any more. */
+void mt_quarantine_too_late (mt_relay_t *relay,
+                             const mt_suspect_word_t *word);
 
 /* Repeats what may have been lost on its way; forgets what is over. */
 void mt_quarantine_tick (mt_relay_t *relay);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -384,6 +384,7 @@
   switch (mt_quarantine_gate(relay, r)) {
     case MT_QUARANTINE_PASS: seek(relay, r); break;
     case MT_QUARANTINE_ASK: r->phase = MT_RELAY_TRYING; break;
+    case MT_QUARANTINE_BUSY: refuse(relay, r, MT_RELAY_NO_ENGINE); break;
     case MT_QUARANTINE_REFUSE: refuse(relay, r, MT_RELAY_QUARANTINED); break;
   }
 }
@@ -415,20 +416,31 @@
   pass_gate(relay, r);
 }
 
-/* The keeper's answer to a suspect. */
+/* All leases are there: it runs at the engine that was chosen, or not. */
+static void start_trial (mt_relay_t *relay, mt_relay_request_t *r) {
+  mt_relay_refusal_t why = MT_RELAY_NO_ENGINE;
+  mt_placement_t p = mt_placement_choose(relay, r);
+  if (p.engine != NULL && mt_placement_admits(relay, r, &p, &why))
+    start_attempt(relay, r, &p);
+  else
+    refuse(relay, r, why);
+}
+
+/* Keepers answer to a suspect. */
 static void on_tried (mt_relay_t *relay, mt_relay_request_t *r,
-                      mt_trial_t verdict) {
+                      const mt_suspect_word_t *word, mt_trial_t verdict) {
   relay->counters.trials[verdict]++;
-  r->on_trial = verdict == MT_TRIAL_GRANTED;
-  switch (verdict) {
-    case MT_TRIAL_FREE:
-    case MT_TRIAL_GRANTED:
+  switch (mt_quarantine_tried(relay, r, word, verdict)) {
+    case MT_QUARANTINE_PASS:
       r->phase = MT_RELAY_SENT;
-      seek(relay, r);
+      if (r->on_trial)
+        start_trial(relay, r);
+      else
+        seek(relay, r);
       break;
-    case MT_TRIAL_REFUSED: refuse(relay, r, MT_RELAY_QUARANTINED); break;
-    case MT_TRIAL_BUSY:
-    case MT_TRIALS: refuse(relay, r, MT_RELAY_ON_PROBATION); break;
+    case MT_QUARANTINE_ASK: break;
+    case MT_QUARANTINE_BUSY: refuse(relay, r, MT_RELAY_ON_PROBATION); break;
+    case MT_QUARANTINE_REFUSE: refuse(relay, r, MT_RELAY_QUARANTINED); break;
   }
 }
 
@@ -698,9 +710,9 @@
       break;
     case MT_RELAY_TRIED:
       if (r != NULL && r->phase == MT_RELAY_TRYING)
-        on_tried(relay, r, ev->u.tried.verdict);
+        on_tried(relay, r, ev->u.tried.word, ev->u.tried.verdict);
       else if (ev->u.tried.verdict == MT_TRIAL_GRANTED)
-        mt_quarantine_give_back(relay, ev->u.tried.digest, ev->request);
+        mt_quarantine_too_late(relay, ev->u.tried.word);
       break;
     case MT_RELAY_PROBED:
       on_probed(relay, ev->u.probed.engine, ev->u.probed.up,
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -157,7 +157,7 @@
       bool up, refused; /* refused: nobody listens there */
     } probed;
     struct {
-      uint64_t digest;
+      const mt_suspect_word_t *word; /* that is answered */
       mt_trial_t verdict;
     } tried;
     bool not_sent;   /* FAILED */
@@ -271,7 +271,10 @@
   size_t candidates_count, round_first; /* of the last round */
   int rounds;
   mt_ms_t asked;
-  bool on_trial; /* no other copy of it may run meanwhile */
+  /* As a suspect: no other copy of it may run meanwhile, and at its engine no
+     other suspect. */
+  bool on_trial, holds_engine;
+  uint64_t trial_engine; /* 0: none is chosen */
   /* Its current attempt. */
   mt_engine_t *engine;
   int attempt, arrivals; /* attempts that may have reached an engine */
@@ -361,7 +364,7 @@
 typedef struct mt_lost_run_t {
   uint64_t digest, engine, request;
   mt_ms_t at, next; /* next: its keeper is told again then */
-  bool alone;
+  bool alone, holds_engine;
   bool ended; /* its engine has */
   int told;   /* times */
 } mt_lost_run_t;
--- a/src/relay/suspects.c
+++ b/src/relay/suspects.c
@@ -8,6 +8,7 @@
 
 #define PROBATION_ENDS 2
 #define QUARANTINE_ENDS 3
+#define QUARANTINE_ALONE 2 /* of these */
 /* All routers lose an engine at about the same time; it is back later. */
 #define SAME_END_MS 1000
 #define QUARANTINE_MS 600000 /* the first; each further one twice as long */
@@ -33,6 +34,7 @@
 void mt_suspects_free (mt_suspects_t *t) {
   mtV_each (&t->by_digest, i) free(t->by_digest.vals[i]);
   mtV_free(&t->by_digest);
+  mt_lease_table_free(&t->leases);
   mtV_free(&t->answered_at);
   free(t->answered);
 }
@@ -103,6 +105,7 @@
 }
 
 void mt_suspects_expire (mt_suspects_t *t, mt_ms_t now) {
+  mt_lease_table_expire(&t->leases, now);
   for (size_t i = t->by_digest.cap; i-- > 0;) {
     mt_suspect_t *s = t->by_digest.vals[i];
     if (t->by_digest.keys[i] != 0 && now >= s->expires) forget(t, s);
@@ -124,14 +127,14 @@
 }
 
 static mt_ms_t quarantine_of (int alone) {
-  int doublings = mt_min(mt_max(alone - 1, 0), DOUBLINGS_MOST);
+  int doublings = mt_min(mt_max(alone - QUARANTINE_ALONE, 0), DOUBLINGS_MOST);
   return (mt_ms_t)QUARANTINE_MS << doublings;
 }
 
 /* What the ends amount to. */
 static void judge (mt_suspect_t *s, mt_ms_t now) {
   int ends = count_ends(s), alone = count_alone(s);
-  if (ends >= QUARANTINE_ENDS && alone > 0) {
+  if (ends >= QUARANTINE_ENDS && alone >= QUARANTINE_ALONE) {
     s->state = MT_SUSPICION_QUARANTINE;
     s->until = now + quarantine_of(alone);
     s->expires = s->until + PROBATION_MS;
@@ -173,7 +176,7 @@
   if (is_counted(s, end)) return false;
   if (count_ends(s) == 0) s->since = end->at;
   list_end(s, end);
-  if (end->alone) s->holder = 0;
+  if (end->alone) mt_lease_table_revoke(&t->leases, digest);
   judge(s, now);
   s->version++;
   return !is_minor(s);
@@ -190,7 +193,7 @@
   s->listed = kept;
   s->told = s->told_alone = 0;
   s->since = kept > 0 ? s->list[0].at : at;
-  s->holder = 0;
+  mt_lease_table_revoke(&t->leases, digest);
   judge(s, now);
   s->version++;
   return !was_minor;
@@ -201,17 +204,17 @@
   mt_suspect_t *s = mt_suspects_get(t, digest);
   if (s == NULL || is_minor(s)) return MT_TRIAL_FREE;
   if (state_of(s, now) == MT_SUSPICION_QUARANTINE) return MT_TRIAL_REFUSED;
-  bool held = s->holder != 0 && now < s->held_until;
-  if (held && s->holder != holder) return MT_TRIAL_BUSY;
-  s->holder = holder;
-  s->held_until = now + lease;
-  return MT_TRIAL_GRANTED;
+  return mt_suspects_hold(t, digest, holder, lease, now);
 }
 
-void mt_suspects_release (mt_suspects_t *t, uint64_t digest,
-                          uint64_t holder) {
-  mt_suspect_t *s = mt_suspects_get(t, digest);
-  if (s != NULL && s->holder == holder) s->holder = 0;
+mt_trial_t mt_suspects_hold (mt_suspects_t *t, uint64_t engine,
+                             uint64_t holder, mt_ms_t lease, mt_ms_t now) {
+  bool held = mt_lease_table_take(&t->leases, engine, holder, lease, now);
+  return held ? MT_TRIAL_GRANTED : MT_TRIAL_BUSY;
+}
+
+void mt_suspects_release (mt_suspects_t *t, uint64_t name, uint64_t holder) {
+  mt_lease_table_release(&t->leases, name, holder);
 }
 
 /* }== */
@@ -251,8 +254,10 @@
   s->told_alone = row->alone;
   s->since = now - mt_min(row->age, now);
   s->until = now + row->left;
-  s->expires = now + mt_min(row->rest, (mt_ms_t)PROBATION_MS +
-                                           quarantine_of(DOUBLINGS_MOST + 1));
+  s->expires =
+      now +
+      mt_min(row->rest, (mt_ms_t)PROBATION_MS +
+                            quarantine_of(DOUBLINGS_MOST + QUARANTINE_ALONE));
   return true;
 }
 
--- a/src/relay/suspects.h
+++ b/src/relay/suspects.h
@@ -6,10 +6,12 @@
 ** of these requests did it. One request is in common to many ends; a harmless
 ** one is answered whole sooner or later. So ends are counted for each request
 ** since it was last answered whole: after two it goes on probation, one copy
-** at a time in the whole fleet; when an engine ends under a copy that ran
-** alone, and it is the third end or a later one, the request is refused for
-** some time. Ends that come together, as when a failure domain loses power,
-*put
+** at a time in the whole fleet, at an engine where no other such request
+*runs;
+** when two engines have ended under a copy that ran alone, the request is
+** refused for some time. One such end may be another's doing: with one, a
+** harmless request was refused that ran where a new deadly one came. Ends
+*that come together, as when a failure domain loses power, put
 ** a request on probation at most, and one answer clears it.
 **
 ** Each request has one keeper among the routers, which counts ends and hands
@@ -21,7 +23,7 @@
 #ifndef suspects_h
 #define suspects_h
 
-#include "mtmem.h"
+#include "lease_table.h"
 
 #define MT_SUSPECT_ENDS_MAX 8
 
@@ -49,8 +51,6 @@
   mt_ms_t since;        /* the first of the ends; NONE: when it was cleared */
   mt_ms_t until;        /* QUARANTINE: until then */
   mt_ms_t expires;      /* it is forgotten then */
-  uint64_t holder;      /* who has the trial; 0: nobody */
-  mt_ms_t held_until;
 } mt_suspect_t;
 
 /* What one router tells others of a request; times in ms. */
@@ -77,18 +77,20 @@
   MT_WORD_ENDED,    /* an engine ended under it */
   MT_WORD_ANSWERED, /* it was answered whole */
   MT_WORD_TRY,      /* may it run? */
-  MT_WORD_RELEASE,  /* it did not run, or that showed nothing */
+  MT_WORD_RELEASE,  /* it does not run any more */
+  MT_WORD_HOLD,     /* of an engine's: may a suspect run there? */
+  MT_WORD_DROP,     /* it does not run there any more */
   MT_WORDS
 } mt_word_kind_t;
 
 typedef struct mt_suspect_word_t {
   mt_word_kind_t kind;
   uint64_t digest;
-  uint64_t engine;  /* ENDED */
-  uint64_t request; /* TRY, RELEASE: its number at that router */
+  uint64_t engine;  /* ENDED, HOLD, DROP */
+  uint64_t request; /* its number at that router, as leases go */
   bool alone;       /* ENDED: no other copy ran */
   mt_ms_t age;      /* ENDED, ANSWERED: since then */
-  mt_ms_t lease;    /* TRY: for so long at most */
+  mt_ms_t lease;    /* TRY, HOLD: for so long at most */
 } mt_suspect_word_t;
 
 typedef struct mt_answered_t {
@@ -98,6 +100,7 @@
 
 typedef struct mt_suspects_t {
   mt_map_t by_digest;      /* mt_suspect_t, owned */
+  mt_lease_table_t leases; /* of suspects that run, and where they do */
   size_t cursor;           /* of the search for one to forget */
   mt_answered_t *answered; /* a ring of the last whole answers */
   mt_map_t answered_at;    /* digest -> its place in the ring, plus 1 */
@@ -128,12 +131,16 @@
 bool mt_suspects_cleared (mt_suspects_t *suspects, uint64_t digest,
                           mt_ms_t at, mt_ms_t now);
 
-/* Hands out the trial for `lease` ms at most; 0 is no holder. */
+/* Hands out the one lease to run it. */
 mt_trial_t mt_suspects_try (mt_suspects_t *suspects, uint64_t digest,
                             uint64_t holder, mt_ms_t lease, mt_ms_t now);
 
-/* The trial is over, and has shown nothing. */
-void mt_suspects_release (mt_suspects_t *suspects, uint64_t digest,
+/* The same of an engine, for any suspect to run there. */
+mt_trial_t mt_suspects_hold (mt_suspects_t *suspects, uint64_t engine,
+                             uint64_t holder, mt_ms_t lease, mt_ms_t now);
+
+/* The holder does not need the lease of a request or an engine any more. */
+void mt_suspects_release (mt_suspects_t *suspects, uint64_t name,
                           uint64_t holder);
 
 /* }== */
