An engine's end counts against one suspect only

Change: an end counts while no other suspect was at it; what a request may is derived from the ends of all, so that the end counts again as the other is cleared. Rows that go round name their last four ends.

--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -143,20 +143,21 @@
 static void note_suspect (void *ud, const mt_suspect_t *s, uint32_t router,
                           const char *why) {
   mt_gateway_peers_t *peers = ud;
+  const mt_relay_t *relay = peers->relay;
   mt_ms_t now = uv_now(peers->loop);
-  mt_suspect_row_t row = mt_suspects_row(s, now);
-  const mt_suspect_end_t *last = s->listed ? &s->list[s->listed - 1] : NULL;
-  const mt_engine_t *e =
-      last ? mt_engines_get(&peers->relay->engines, last->engine) : NULL;
+  mt_suspect_standing_t standing =
+      mt_suspects_standing(&relay->suspects, s->digest, now);
+  uint64_t last = s->listed > 0 ? s->list[s->listed - 1].engine : 0;
+  const mt_engine_t *e = mt_engines_get(&relay->engines, last);
   char text[INET_ADDRSTRLEN];
   inet_ntop(AF_INET, &router, text, sizeof text);
   mt_log_line(peers->log, MT_LOG_BELIEF, now, "suspect",
-              "digest=%016llx state=%s ends=%d alone=%d last=%s age=%llu "
-              "left=%llu peer=%s outcome=%s",
-              (unsigned long long)s->digest, mt_suspicion_name(s->state),
-              row.ends, row.alone, e != NULL ? e->name : "-",
-              (unsigned long long)row.age, (unsigned long long)row.left, text,
-              why);
+              "digest=%016llx state=%s ends=%d alone=%d last=%s left=%llu "
+              "peer=%s outcome=%s",
+              (unsigned long long)s->digest,
+              mt_suspicion_name(standing.state), standing.ends,
+              standing.alone, e != NULL ? e->name : "-",
+              (unsigned long long)standing.left, text, why);
 }
 
 static void on_verdict (void *ud, const mt_suspect_word_t *word,
--- a/src/gateway/peer_message.c
+++ b/src/gateway/peer_message.c
@@ -22,7 +22,10 @@
 #define CHANGE_MEMBERS 5
 #define CHANGE_ENGINE_MEMBERS 6
 #define CHANGE_ROUTE_MEMBERS 2
-#define SUSPECT_NUMBERS 8
+#define SUSPECT_NUMBERS 7
+#define END_NUMBERS 3 /* of each end that a suspect lists */
+#define SUSPECT_ROW_NUMBERS \
+  (SUSPECT_NUMBERS + MT_SUSPECT_ENDS_MAX * END_NUMBERS)
 #define WORD_NUMBERS 8
 #define CHANGE_BYTES 48 /* of one, its texts not counted */
 
@@ -171,17 +174,21 @@
 }
 
 static void pack_suspects (const mt_peer_message_t *m, msgpack_packer *pk) {
-  msgpack_pack_array(pk, m->suspects_count * SUSPECT_NUMBERS);
+  msgpack_pack_array(pk, m->suspects_count * SUSPECT_ROW_NUMBERS);
   for (size_t i = 0; i < m->suspects_count; i++) {
     const mt_suspect_row_t *row = &m->suspects[i];
     msgpack_pack_uint64(pk, row->digest);
     msgpack_pack_uint64(pk, row->version);
-    msgpack_pack_uint8(pk, (uint8_t)row->state);
-    msgpack_pack_uint64(pk, whole(row->ends));
-    msgpack_pack_uint64(pk, whole(row->alone));
+    msgpack_pack_uint64(pk, whole(row->listed));
+    msgpack_pack_uint64(pk, whole(row->earlier));
+    msgpack_pack_uint64(pk, whole(row->earlier_alone));
     msgpack_pack_uint64(pk, row->age);
-    msgpack_pack_uint64(pk, row->left);
     msgpack_pack_uint64(pk, row->rest);
+    for (int k = 0; k < MT_SUSPECT_ENDS_MAX; k++) {
+      msgpack_pack_uint64(pk, row->list[k].engine);
+      msgpack_pack_uint64(pk, row->list[k].at);
+      msgpack_pack_uint8(pk, row->list[k].alone);
+    }
   }
 }
 
@@ -371,21 +378,29 @@
   }
 }
 
+static void unpack_suspect (mt_suspect_row_t *row, const msgpack_object *at) {
+  *row =
+      (mt_suspect_row_t){.digest = number_of(&at[0]),
+                         .version = (uint64_t)bounded(&at[1], INT64_MAX),
+                         .listed = (int)bounded(&at[2], MT_SUSPECT_ENDS_MAX),
+                         .earlier = (int)bounded(&at[3], ENDS_MOST),
+                         .earlier_alone = (int)bounded(&at[4], ENDS_MOST),
+                         .age = (mt_ms_t)bounded(&at[5], SUSPECT_MS_MOST),
+                         .rest = (mt_ms_t)bounded(&at[6], SUSPECT_MS_MOST)};
+  for (int k = 0; k < MT_SUSPECT_ENDS_MAX; k++) {
+    const msgpack_object *end = &at[SUSPECT_NUMBERS + k * END_NUMBERS];
+    row->list[k].engine = number_of(&end[0]);
+    row->list[k].at = (mt_ms_t)bounded(&end[1], SUSPECT_MS_MOST);
+    row->list[k].alone = number_of(&end[2]) == 1;
+  }
+}
+
 static void unpack_suspects (mt_peer_message_t *m, const msgpack_object *o) {
-  size_t n = rows_of(o, SUSPECT_NUMBERS, MT_PEER_SUSPECTS_MAX);
+  size_t n = rows_of(o, SUSPECT_ROW_NUMBERS, MT_PEER_SUSPECTS_MAX);
   for (size_t i = 0; i < n; i++) {
-    const msgpack_object *at = &o->via.array.ptr[i * SUSPECT_NUMBERS];
-    if (number_of(&at[0]) == 0 || number_of(&at[2]) >= MT_SUSPICIONS)
-      continue;
-    m->suspects[m->suspects_count++] =
-        (mt_suspect_row_t){.digest = number_of(&at[0]),
-                           .version = (uint64_t)bounded(&at[1], INT64_MAX),
-                           .state = (mt_suspicion_t)number_of(&at[2]),
-                           .ends = (int)bounded(&at[3], ENDS_MOST),
-                           .alone = (int)bounded(&at[4], ENDS_MOST),
-                           .age = (mt_ms_t)bounded(&at[5], SUSPECT_MS_MOST),
-                           .left = (mt_ms_t)bounded(&at[6], SUSPECT_MS_MOST),
-                           .rest = (mt_ms_t)bounded(&at[7], SUSPECT_MS_MOST)};
+    const msgpack_object *at = &o->via.array.ptr[i * SUSPECT_ROW_NUMBERS];
+    if (number_of(&at[0]) != 0)
+      unpack_suspect(&m->suspects[m->suspects_count++], at);
   }
 }
 
--- a/src/gateway/suspect_exchange.c
+++ b/src/gateway/suspect_exchange.c
@@ -173,7 +173,7 @@
 static void object (mt_suspect_exchange_t *x, const mt_suspect_t *s) {
   mt_ms_t now = x->members->now;
   mt_ms_t at = mt_suspects_answered(x->suspects, s->digest);
-  if (s->state == MT_SUSPICION_NONE || at == 0 || at < s->since) return;
+  if (s->earlier + s->listed == 0 || at == 0 || at < s->since) return;
   const mt_suspect_word_t word = {.kind = MT_WORD_ANSWERED,
                                   .digest = s->digest,
                                   .age = now - mt_min(at, now)};
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -93,7 +93,7 @@
                           mt_relay_refusal_t why) {
   if (mt_relay_refusal_status(why) != 503) return 0;
   if (why == MT_RELAY_QUARANTINED)
-    return mt_suspects_left(&relay->suspects, r->digest, relay->now);
+    return mt_suspects_standing(&relay->suspects, r->digest, relay->now).left;
   mt_ms_t base = RETRY_SOON_MS;
   if (why == MT_RELAY_BUSY || why == MT_RELAY_OVER_SHARE)
     base = mt_max(r->objective, RETRY_SOON_MS);
--- a/src/relay/suspects.c
+++ b/src/relay/suspects.c
@@ -13,7 +13,7 @@
 #define SAME_END_MS 1000
 #define QUARANTINE_MS 600000 /* the first; each further one twice as long */
 #define DOUBLINGS_MOST 3
-#define PROBATION_MS 1800000 /* without an end it is forgotten then */
+#define KEPT_MS 7200000 /* longer than any quarantine */
 #define NOTED_MS 600000
 #define CLEARED_MS 60000 /* until all that is on its way has arrived */
 #define SUSPECTS_MOST 4096
@@ -50,8 +50,13 @@
   free(s);
 }
 
+static int count_ends (const mt_suspect_t *s) {
+  return s->earlier + s->listed;
+}
+
+/* Nothing follows from it. */
 static bool is_minor (const mt_suspect_t *s) {
-  return s->state == MT_SUSPICION_NONE || s->state == MT_SUSPICION_NOTED;
+  return count_ends(s) < PROBATION_ENDS;
 }
 
 /* Of some, the one that would be forgotten first; those that others know of
@@ -78,29 +83,76 @@
   return s;
 }
 
-static mt_suspicion_t state_of (const mt_suspect_t *s, mt_ms_t now) {
-  bool over = s->state == MT_SUSPICION_QUARANTINE && now >= s->until;
-  return over ? MT_SUSPICION_PROBATION : s->state;
+/* {== What holds ======================================================= */
+
+static bool is_same (const mt_suspect_end_t *a, const mt_suspect_end_t *b) {
+  mt_ms_t apart = mt_max(a->at, b->at) - mt_min(a->at, b->at);
+  return a->engine == b->engine && apart < SAME_END_MS;
 }
 
-mt_suspicion_t mt_suspects_state (const mt_suspects_t *t, uint64_t digest,
-                                  mt_ms_t now) {
-  const mt_suspect_t *s = mt_suspects_get(t, digest);
-  return s != NULL ? state_of(s, now) : MT_SUSPICION_NONE;
+static bool has_end (const mt_suspect_t *s, const mt_suspect_end_t *end) {
+  for (int i = 0; i < s->listed; i++)
+    if (is_same(&s->list[i], end)) return true;
+  return false;
 }
 
-mt_ms_t mt_suspects_left (const mt_suspects_t *t, uint64_t digest,
-                          mt_ms_t now) {
+/* Another suspect was at that engine's end. */
+static bool is_shared (const mt_suspects_t *t, const mt_suspect_t *s,
+                       const mt_suspect_end_t *end) {
+  mtV_each (&t->by_digest, i) {
+    const mt_suspect_t *other = t->by_digest.vals[i];
+    if (other != s && !is_minor(other) && has_end(other, end)) return true;
+  }
+  return false;
+}
+
+static mt_ms_t quarantine_of (int alone) {
+  int doublings = mt_min(mt_max(alone - QUARANTINE_ALONE, 0), DOUBLINGS_MOST);
+  return (mt_ms_t)QUARANTINE_MS << doublings;
+}
+
+static mt_suspect_standing_t
+standing_of (const mt_suspects_t *t, const mt_suspect_t *s, mt_ms_t now) {
+  mt_suspect_standing_t standing = {.ends = count_ends(s),
+                                    .alone = s->earlier_alone};
+  mt_ms_t last = 0;
+  for (int i = 0; i < s->listed; i++) {
+    const mt_suspect_end_t *end = &s->list[i];
+    if (!end->alone || is_shared(t, s, end)) continue;
+    standing.alone++;
+    last = end->at;
+  }
+  mt_ms_t until = last + quarantine_of(standing.alone);
+  bool convicted = standing.ends >= QUARANTINE_ENDS &&
+                   standing.alone >= QUARANTINE_ALONE && last > 0;
+  if (convicted && now < until) {
+    standing.state = MT_SUSPICION_QUARANTINE;
+    standing.left = until - now;
+  } else if (!is_minor(s)) {
+    standing.state = MT_SUSPICION_PROBATION;
+  } else if (standing.ends > 0) {
+    standing.state = MT_SUSPICION_NOTED;
+  }
+  return standing;
+}
+
+mt_suspect_standing_t mt_suspects_standing (const mt_suspects_t *t,
+                                            uint64_t digest, mt_ms_t now) {
   const mt_suspect_t *s = mt_suspects_get(t, digest);
-  bool held = s != NULL && state_of(s, now) == MT_SUSPICION_QUARANTINE;
-  return held ? s->until - now : 0;
+  if (s == NULL) return (mt_suspect_standing_t){.ends = 0};
+  return standing_of(t, s, now);
+}
+
+mt_suspicion_t mt_suspects_state (const mt_suspects_t *t, uint64_t digest,
+                                  mt_ms_t now) {
+  return mt_suspects_standing(t, digest, now).state;
 }
 
 size_t mt_suspects_count (const mt_suspects_t *t, mt_suspicion_t state,
                           mt_ms_t now) {
   size_t count = 0;
   mtV_each (&t->by_digest, i)
-    count += state_of(t->by_digest.vals[i], now) == state;
+    count += standing_of(t, t->by_digest.vals[i], now).state == state;
   return count;
 }
 
@@ -116,53 +168,18 @@
 
 /* {== The keeper's part ================================================= */
 
-static int count_ends (const mt_suspect_t *s) {
-  return s->told + s->listed;
-}
-
-static int count_alone (const mt_suspect_t *s) {
-  int count = s->told_alone;
-  for (int i = 0; i < s->listed; i++) count += s->list[i].alone;
-  return count;
-}
-
-static mt_ms_t quarantine_of (int alone) {
-  int doublings = mt_min(mt_max(alone - QUARANTINE_ALONE, 0), DOUBLINGS_MOST);
-  return (mt_ms_t)QUARANTINE_MS << doublings;
-}
-
-/* What the ends amount to. */
-static void judge (mt_suspect_t *s, mt_ms_t now) {
-  int ends = count_ends(s), alone = count_alone(s);
-  if (ends >= QUARANTINE_ENDS && alone >= QUARANTINE_ALONE) {
-    s->state = MT_SUSPICION_QUARANTINE;
-    s->until = now + quarantine_of(alone);
-    s->expires = s->until + PROBATION_MS;
-  } else if (ends >= PROBATION_ENDS) {
-    s->state = MT_SUSPICION_PROBATION;
-    s->expires = now + PROBATION_MS;
-  } else {
-    s->state = ends > 0 ? MT_SUSPICION_NOTED : MT_SUSPICION_NONE;
-    s->expires = now + (ends > 0 ? NOTED_MS : CLEARED_MS);
-  }
-}
-
-/* True when this end was counted, by another router's word. */
-static bool is_counted (const mt_suspect_t *s, const mt_suspect_end_t *end) {
-  for (int i = 0; i < s->listed; i++) {
-    const mt_suspect_end_t *known = &s->list[i];
-    mt_ms_t apart = mt_max(known->at, end->at) - mt_min(known->at, end->at);
-    if (known->engine == end->engine && apart < SAME_END_MS) return true;
-  }
-  return false;
+static mt_ms_t kept_for (const mt_suspect_t *s) {
+  if (count_ends(s) == 0) return CLEARED_MS;
+  return is_minor(s) ? NOTED_MS : KEPT_MS;
 }
 
 /* The oldest of a full list goes on among those that are only counted. */
 static void list_end (mt_suspect_t *s, const mt_suspect_end_t *end) {
   if (s->listed == MT_SUSPECT_ENDS_MAX) {
-    s->told++;
-    s->told_alone += s->list[0].alone;
-    memmove(s->list, s->list + 1, --s->listed * sizeof *s->list);
+    s->earlier++;
+    s->earlier_alone += s->list[0].alone;
+    s->listed--;
+    memmove(s->list, s->list + 1, (size_t)s->listed * sizeof *s->list);
   }
   s->list[s->listed++] = *end;
 }
@@ -171,14 +188,14 @@
                         const mt_suspect_end_t *end, mt_ms_t now) {
   mt_suspect_t *s = add(t, digest);
   if (s == NULL) return false;
-  bool cleared = s->state == MT_SUSPICION_NONE && s->version > 0;
+  bool cleared = count_ends(s) == 0 && s->version > 0;
   if (cleared && end->at <= s->since) return false;
-  if (is_counted(s, end)) return false;
+  if (has_end(s, end)) return false;
   if (count_ends(s) == 0) s->since = end->at;
   list_end(s, end);
   if (end->alone) mt_lease_table_revoke(&t->leases, digest);
-  judge(s, now);
   s->version++;
+  s->expires = now + kept_for(s);
   return !is_minor(s);
 }
 
@@ -191,11 +208,11 @@
   for (int i = 0; i < s->listed; i++)
     if (s->list[i].at > at) s->list[kept++] = s->list[i];
   s->listed = kept;
-  s->told = s->told_alone = 0;
+  s->earlier = s->earlier_alone = 0;
   s->since = kept > 0 ? s->list[0].at : at;
   mt_lease_table_revoke(&t->leases, digest);
-  judge(s, now);
   s->version++;
+  s->expires = now + kept_for(s);
   return !was_minor;
 }
 
@@ -203,7 +220,8 @@
                             uint64_t holder, mt_ms_t lease, mt_ms_t now) {
   mt_suspect_t *s = mt_suspects_get(t, digest);
   if (s == NULL || is_minor(s)) return MT_TRIAL_FREE;
-  if (state_of(s, now) == MT_SUSPICION_QUARANTINE) return MT_TRIAL_REFUSED;
+  if (standing_of(t, s, now).state == MT_SUSPICION_QUARANTINE)
+    return MT_TRIAL_REFUSED;
   return mt_suspects_hold(t, digest, holder, lease, now);
 }
 
@@ -222,48 +240,49 @@
 /* {== What goes round =================================================== */
 
 mt_suspect_row_t mt_suspects_row (const mt_suspect_t *s, mt_ms_t now) {
-  mt_ms_t left =
-      state_of(s, now) == MT_SUSPICION_QUARANTINE ? s->until - now : 0;
-  return (mt_suspect_row_t){.digest = s->digest,
-                            .version = s->version,
-                            .state = s->state,
-                            .ends = count_ends(s),
-                            .alone = count_alone(s),
-                            .age = now - mt_min(s->since, now),
-                            .left = left,
-                            .rest = s->expires - mt_min(s->expires, now)};
+  mt_suspect_row_t row = {.digest = s->digest,
+                          .version = s->version,
+                          .listed = s->listed,
+                          .earlier = s->earlier,
+                          .earlier_alone = s->earlier_alone,
+                          .age = now - mt_min(s->since, now),
+                          .rest = s->expires - mt_min(s->expires, now)};
+  for (int i = 0; i < s->listed; i++) {
+    row.list[i] = s->list[i];
+    row.list[i].at = now - mt_min(s->list[i].at, now);
+  }
+  return row;
 }
 
 /* Of two that say the same version the graver is right: two routers may have
    taken themselves for the keeper. */
 static bool is_newer (const mt_suspect_t *s, const mt_suspect_row_t *row) {
   if (row->version != s->version) return row->version > s->version;
-  return row->state > s->state;
+  return row->earlier + row->listed > count_ends(s);
 }
 
 bool mt_suspects_take (mt_suspects_t *t, const mt_suspect_row_t *row,
                        mt_ms_t now) {
   mt_suspect_t *s = mt_suspects_get(t, row->digest);
-  if (row->rest == 0 || row->state >= MT_SUSPICIONS) return false;
+  if (row->rest == 0) return false;
   if (s == NULL) s = add(t, row->digest);
   if (s == NULL || !is_newer(s, row)) return false;
   s->version = row->version;
-  s->state = row->state;
-  s->listed = 0;
-  s->told = row->ends;
-  s->told_alone = row->alone;
+  s->listed = mt_min(row->listed, MT_SUSPECT_ENDS_MAX);
+  s->earlier = row->earlier;
+  s->earlier_alone = row->earlier_alone;
   s->since = now - mt_min(row->age, now);
-  s->until = now + row->left;
-  s->expires =
-      now +
-      mt_min(row->rest, (mt_ms_t)PROBATION_MS +
-                            quarantine_of(DOUBLINGS_MOST + QUARANTINE_ALONE));
+  s->expires = now + mt_min(row->rest, (mt_ms_t)KEPT_MS);
+  for (int i = 0; i < s->listed; i++) {
+    s->list[i] = row->list[i];
+    s->list[i].at = now - mt_min(row->list[i].at, now);
+  }
   return true;
 }
 
-/* One that was only noted is its keeper's alone. */
+/* One with one end is its keeper's alone. */
 static bool goes_round (const mt_suspect_t *s) {
-  return s->version > 0 && s->state != MT_SUSPICION_NOTED;
+  return s->version > 0 && count_ends(s) != 1;
 }
 
 size_t mt_suspects_list (const mt_suspects_t *t, size_t *place,
--- a/src/relay/suspects.h
+++ b/src/relay/suspects.h
@@ -6,13 +6,19 @@
 ** of these requests did it. One request is in common to many ends; a harmless
 ** one is answered whole sooner or later. So ends are counted for each request
 ** since it was last answered whole: after two it goes on probation, one copy
-** at a time in the whole fleet, at an engine where no other such request
-*runs;
-** when two engines have ended under a copy that ran alone, the request is
-** refused for some time. One such end may be another's doing: with one, a
-** harmless request was refused that ran where a new deadly one came. Ends
-*that come together, as when a failure domain loses power, put
-** a request on probation at most, and one answer clears it.
+** at a time in the whole fleet, at an engine where no other suspect runs;
+*when
+** two engines have ended under a copy that ran alone, the request is refused
+** for some time. Ends that come together, as when a failure domain loses
+*power,
+** put a request on probation at most, and one answer clears it.
+**
+** Who is blamed for an end may be a bystander. An end counts only while no
+*other
+** suspect was there: with ends counted as they came, a harmless request was
+** refused whose trials two new deadly ones had joined. As the other is
+*cleared
+** the end counts again, so nothing is derived but from the ends themselves.
 **
 ** Each request has one keeper among the routers, which counts ends and hands
 ** out trials. Rows of the requests on probation and in quarantine go round,
@@ -25,7 +31,7 @@
 
 #include "lease_table.h"
 
-#define MT_SUSPECT_ENDS_MAX 8
+#define MT_SUSPECT_ENDS_MAX 4
 
 typedef enum mt_suspicion_t {
   MT_SUSPICION_NONE,       /* it was cleared */
@@ -44,23 +50,19 @@
 
 typedef struct mt_suspect_t {
   uint64_t digest, version;
-  mt_suspicion_t state;
-  mt_suspect_end_t list[MT_SUSPECT_ENDS_MAX]; /* that this router counted */
+  mt_suspect_end_t list[MT_SUSPECT_ENDS_MAX]; /* the last ones */
   int listed;
-  int told, told_alone; /* ends that another keeper had counted */
-  mt_ms_t since;        /* the first of the ends; NONE: when it was cleared */
-  mt_ms_t until;        /* QUARANTINE: until then */
-  mt_ms_t expires;      /* it is forgotten then */
+  int earlier, earlier_alone; /* that are only counted */
+  mt_ms_t since;   /* the first of the ends; without any: it was cleared */
+  mt_ms_t expires; /* it is forgotten then */
 } mt_suspect_t;
 
-/* What one router tells others of a request; times in ms. */
+/* The same for other routers: times are ms before or from now. */
 typedef struct mt_suspect_row_t {
   uint64_t digest, version;
-  mt_suspicion_t state;
-  int ends, alone;
-  mt_ms_t age;  /* since the first end, or since it was cleared */
-  mt_ms_t left; /* of the quarantine */
-  mt_ms_t rest; /* until it is forgotten */
+  mt_suspect_end_t list[MT_SUSPECT_ENDS_MAX]; /* `at`: so long ago */
+  int listed, earlier, earlier_alone;
+  mt_ms_t age, rest; /* since `since`, until `expires` */
 } mt_suspect_row_t;
 
 /* A keeper's word to who wants to run a copy. */
@@ -113,14 +115,18 @@
 mt_suspect_t *mt_suspects_get (const mt_suspects_t *suspects,
                                uint64_t digest);
 
-/* What holds now: a quarantine that is over is a probation. */
+/* What holds of a request now. */
+typedef struct mt_suspect_standing_t {
+  mt_suspicion_t state;
+  int ends, alone; /* alone: that count */
+  mt_ms_t left;    /* of the quarantine */
+} mt_suspect_standing_t;
+
+mt_suspect_standing_t mt_suspects_standing (const mt_suspects_t *suspects,
+                                            uint64_t digest, mt_ms_t now);
 mt_suspicion_t mt_suspects_state (const mt_suspects_t *suspects,
                                   uint64_t digest, mt_ms_t now);
 
-/* How long a quarantine goes on; 0: there is none. */
-mt_ms_t mt_suspects_left (const mt_suspects_t *suspects, uint64_t digest,
-                          mt_ms_t now);
-
 /* {== The keeper's part ================================================= */
 
 /* Counts an end once, whoever tells of it; true when others have to know. */
