The leases of a suspect whose engine ended are free at once

Change: what ran alone was lost by one router, so only its own repeated words are the same end; the leases go back with the first word of an end; each trial of a request goes to another engine where several are equal.

--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -163,9 +163,9 @@
 }
 
 /* What an engine may end under goes where the least runs that would end with
-   it; different suspects go to different engines. */
+   it; of several each trial goes to another. */
 static double trial_cost (const costs_t *c, const mt_engine_t *e) {
-  uint64_t order = mtV_mix(c->request->digest, e->key) % 1000;
+  uint64_t order = mtV_mix(c->request->number, e->key) % 1000;
   return running(e) + (double)order / 1000;
 }
 
--- a/src/relay/quarantine.c
+++ b/src/relay/quarantine.c
@@ -152,6 +152,8 @@
 static void tell_due (mt_relay_t *relay, mt_lost_run_t *run) {
   if (!run->ended || run->told >= REPEATS || relay->now < run->next) return;
   tell_end(relay, run);
+  if (run->holds_engine && run->told == 0) /* who is back may be tried */
+    drop(relay, run->digest, run->engine, run->request);
   run->next = relay->now + (run->told == 0 ? 1 : 3) * (mt_ms_t)REPEAT_MS;
   run->told++;
 }
@@ -170,9 +172,10 @@
     tell_due(relay, &relay->lost.list[i]);
 }
 
-/* Its engine's end has become known, or will not. */
-static void settle (mt_relay_t *relay, const mt_lost_run_t *run) {
-  if (run->alone && !run->ended) release(relay, run->digest, run->request);
+/* Nothing shows that its engine ended: the leases go back. */
+static void give_up (mt_relay_t *relay, const mt_lost_run_t *run) {
+  if (run->ended) return;
+  if (run->alone) release(relay, run->digest, run->request);
   if (run->holds_engine) drop(relay, run->digest, run->engine, run->request);
 }
 
@@ -185,7 +188,7 @@
     if (relay->now - run->at < PENDING_MS)
       lost->list[kept++] = *run;
     else
-      settle(relay, run);
+      give_up(relay, run);
   }
   lost->count = kept;
   mt_suspects_expire(&relay->suspects, relay->now);
--- a/src/relay/suspects.c
+++ b/src/relay/suspects.c
@@ -9,8 +9,10 @@
 #define PROBATION_ENDS 2
 #define QUARANTINE_ENDS 3
 #define QUARANTINE_ALONE 2 /* of these */
-/* All routers lose an engine at about the same time; it is back later. */
+/* All routers lose an engine at about the same time; it is back later. What
+   ran alone was lost by one router, which tells of it some times. */
 #define SAME_END_MS 1000
+#define SAME_ALONE_MS 100
 #define QUARANTINE_MS 600000 /* the first; each further one twice as long */
 #define DOUBLINGS_MOST 3
 #define KEPT_MS 7200000 /* longer than any quarantine */
@@ -90,6 +92,17 @@
   return a->engine == b->engine && apart < SAME_END_MS;
 }
 
+/* True when this end of the request has been counted. */
+static bool is_counted (const mt_suspect_t *s, const mt_suspect_end_t *end) {
+  for (int i = 0; i < s->listed; i++) {
+    const mt_suspect_end_t *known = &s->list[i];
+    mt_ms_t apart = mt_max(known->at, end->at) - mt_min(known->at, end->at);
+    bool one = !end->alone || apart < SAME_ALONE_MS;
+    if (one && is_same(known, end)) return true;
+  }
+  return false;
+}
+
 static bool has_end (const mt_suspect_t *s, const mt_suspect_end_t *end) {
   for (int i = 0; i < s->listed; i++)
     if (is_same(&s->list[i], end)) return true;
@@ -189,11 +202,11 @@
   mt_suspect_t *s = add(t, digest);
   if (s == NULL) return false;
   bool cleared = count_ends(s) == 0 && s->version > 0;
+  if (end->alone) mt_lease_table_revoke(&t->leases, digest);
   if (cleared && end->at <= s->since) return false;
-  if (has_end(s, end)) return false;
+  if (is_counted(s, end)) return false;
   if (count_ends(s) == 0) s->since = end->at;
   list_end(s, end);
-  if (end->alone) mt_lease_table_revoke(&t->leases, digest);
   s->version++;
   s->expires = now + kept_for(s);
   return !is_minor(s);
--- a/tests/quarantine_test.cc
+++ b/tests/quarantine_test.cc
@@ -216,6 +216,7 @@
     ASSERT_NE(word, nullptr);
     EXPECT_EQ(word->digest, Guarded::digest());
     EXPECT_EQ(word->alone, row.how == 2);
+    EXPECT_NE(r.word(MT_WORD_DROP), nullptr); // the engine's lease, always
   }
 }
 
--- a/tests/suspects_test.cc
+++ b/tests/suspects_test.cc
@@ -41,7 +41,7 @@
 };
 
 // What happens to one request: letters are engines that end under it
-// (capital: while it ran alone), '+' an answer, '.' two seconds.
+// (capital: while it ran alone), '+' an answer, '.' two seconds, ',' 150 ms.
 TEST(Suspects, WhatEndsAndAnswersAmountTo) {
   struct Row {
     const char *what, *story;
@@ -54,6 +54,11 @@
       {"once may be another's doing", "abC", MT_SUSPICION_PROBATION},
       {"an engine that is back counts again", "a.a.A.A",
        MT_SUSPICION_QUARANTINE},
+      {"back within a second, and it ends again", "a,A,A",
+       MT_SUSPICION_QUARANTINE},
+      {"one that ran alone is told of some times", "aAAA",
+       MT_SUSPICION_NOTED},
+      {"lost by others somewhat later", "a,a,a", MT_SUSPICION_NOTED},
       {"several routers tell of the same end", "aaaa", MT_SUSPICION_NOTED},
       {"a failure domain without power takes many at once", "abcdefgh",
        MT_SUSPICION_PROBATION},
@@ -75,6 +80,8 @@
     for (const char *p = row.story; *p != '\0'; p++) {
       if (*p == '.')
         t.now += 2000;
+      else if (*p == ',')
+        t.now += 150;
       else if (*p == '+')
         t.answered();
       else
