Time goes on while a box is suspended

Cause: all that a gateway believes for a time (an engine that vanished, loads, leases, deadlines, an old list) was measured by the loop's steady clock, which stands still while its machine is suspended; behind it everything was held for younger than it is. Change: wake_clock adds to the loop's time what the clock that counts sleep shows beyond the steady one; it never goes back, and a pause between two readings hides sleep and never invents it. The soak suspends gateways in half of its pauses: stopped, and their steady clock set back by as much (a library in front of clock_gettime). What it cannot simulate: timers of the kernel and of sockets that stand still, too.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "log_writer.h"
 #include "mtset.h"
 #include "peer_message.h"
+#include "wake_clock.h"
 
 typedef struct mt_gateway_t mt_gateway_t;
 
@@ -39,6 +40,7 @@
   const char *service;
   int slots;
   bool leaving;
+  int64_t born; /* ms of the time of day when it started; 0: not told */
   mt_ms_t cold; /* for so long from when it was listed; 0: it is warm */
 } mt_gateway_engine_t;
 
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -9,6 +9,7 @@
 
 #include "http_client.h"
 #include "mtmem.h"
+#include "wake_clock.h"
 
 #define READ_BYTES 65536
 #define SURPLUS_MAX 3       /* answers passed over on one call */
@@ -101,7 +102,7 @@
 static void rest (mt_http_call_t *c) {
   c->busy = false;
   c->ud = NULL;
-  c->since = uv_now(c->client->loop);
+  c->since = mt_wake_clock_now(c->client->loop);
   c->idle_next = mtV_get(&c->client->idle, c->key);
   mtV_put(&c->client->idle, c->key, c);
 }
@@ -320,7 +321,7 @@
 /* The one used last: it is the least likely to be closed just now. */
 static mt_http_call_t *take_idle (mt_http_client_t *client, uint64_t key,
                                   mt_ms_t rested_ms) {
-  mt_ms_t now = uv_now(client->loop);
+  mt_ms_t now = mt_wake_clock_now(client->loop);
   mt_http_call_t *c = mtV_get(&client->idle, key);
   if (c == NULL || now - c->since >= mt_min(c->idle_limit, rested_ms))
     return NULL;
@@ -349,7 +350,7 @@
   client->all = c;
   client->count++;
   client->opened++;
-  c->since = uv_now(client->loop);
+  c->since = mt_wake_clock_now(client->loop);
   uv_tcp_init(client->loop, &c->tcp);
   c->tcp.data = c;
   c->connect.data = c;
@@ -462,7 +463,7 @@
 }
 
 void mt_http_client_tick (mt_http_client_t *client) {
-  mt_ms_t now = uv_now(client->loop);
+  mt_ms_t now = mt_wake_clock_now(client->loop);
   mt_ms_t seen = client->ticked; /* what came up to then has been taken */
   mt_http_call_t *next;
   for (mt_http_call_t *c = client->all; c != NULL; c = next) {
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -11,6 +11,7 @@
 
 #include "http_server.h"
 #include "mtmem.h"
+#include "wake_clock.h"
 
 #define READ_BYTES 65536      /* one read; shared by all connections */
 #define AHEAD_MAX (64u << 10) /* bytes kept that were sent ahead */
@@ -277,7 +278,7 @@
   x->target.n = 0;
   x->body.n = 0;
   x->state = STATE_IDLE;
-  x->since = uv_now(x->server->loop);
+  x->since = mt_wake_clock_now(x->server->loop);
   x->user = NULL;
 }
 
@@ -293,7 +294,7 @@
 static void parse (mt_http_exchange_t *x, const char *p, size_t n) {
   if (x->state == STATE_IDLE) {
     x->state = STATE_READING;
-    x->since = uv_now(x->server->loop);
+    x->since = mt_wake_clock_now(x->server->loop);
   }
   size_t used = http_parser_execute(&x->parser, &parser_settings, p, n);
   if (x->state == STATE_WAITING) {
@@ -584,7 +585,7 @@
 }
 
 void mt_http_server_tick (mt_http_server_t *server) {
-  mt_ms_t now = uv_now(server->loop);
+  mt_ms_t now = mt_wake_clock_now(server->loop);
   mt_http_exchange_t *next;
   for (mt_http_exchange_t *x = server->all; x != NULL; x = next) {
     next = x->next;
--- a/tests/soak/datagrams.c
+++ b/tests/soak/datagrams.c
@@ -1,5 +1,6 @@
 /*
-** datagrams.c - loses and delays a gateway's datagrams, as the soak says
+** datagrams.c - loses and delays a gateway's datagrams, as the soak says, and
+** takes from its steady clock what its machine slept
 */
 #include <arpa/inet.h>
 #include <dlfcn.h>
@@ -110,3 +111,22 @@
   if (link->delay_ms > 0) return hold(msg, link->delay_ms);
   return next(fd, msg, flags);
 }
+
+/* A machine that was suspended: the process stood still as long, and of its
+   clocks the steady one did, too. */
+int clock_gettime (clockid_t id, struct timespec *ts) {
+  static int (*next)(clockid_t, struct timespec *);
+  if (next == NULL) {
+    void *symbol = dlsym(RTLD_NEXT, "clock_gettime");
+    memcpy(&next, &symbol, sizeof next);
+  }
+  int result = next(id, ts);
+  bool steady = id == CLOCK_MONOTONIC || id == CLOCK_MONOTONIC_COARSE ||
+                id == CLOCK_MONOTONIC_RAW;
+  if (links == NULL || !steady || result != 0) return result;
+  int64_t ns = (int64_t)ts->tv_sec * 1000000000 + ts->tv_nsec -
+               (int64_t)links->slept_ms[own_index] * 1000000;
+  ts->tv_sec = ns / 1000000000;
+  ts->tv_nsec = ns % 1000000000;
+  return 0;
+}
--- a/tests/soak/network.h
+++ b/tests/soak/network.h
@@ -34,6 +34,10 @@
   void set (int from, int to, unsigned lost, unsigned delay_ms) {
     links->link[from][to] = {(uint16_t)lost, (uint16_t)delay_ms};
   }
+  // A gateway's machine was suspended for so long.
+  void slept (int gateway, unsigned ms) {
+    links->slept_ms[gateway] += ms;
+  }
   void heal () {
     for (auto &row : links->link)
       for (mt_soak_link_t &link : row) link = {0, 0};
--- a/tests/soak/process.h
+++ b/tests/soak/process.h
@@ -28,6 +28,7 @@
   int port = 0, metrics = 0; // 0: it has not said so yet
   std::string dir, log;
   long restart_at = 0, resume_at = 0; // 0: not due
+  long suspended_at = 0; // its machine was; 0: only the process is paused
   bool stopping = false;
 
   std::string ip () const {
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -223,6 +223,7 @@
   void gone (Gateway &g) {
     g.pid = -1;
     g.port = 0;
+    g.suspended_at = 0;
     g.resume_at = 0;
     g.restart_at = now_ms() + 50 + (long)(random() % 700);
   }
@@ -230,6 +231,8 @@
     if (g.pid <= 0 || g.resume_at != 0 || g.stopping) return;
     pauses++;
     kill(g.pid, SIGSTOP);
+    bool suspended = options.parts && chance(choices, 0.5);
+    g.suspended_at = suspended ? now_ms() : 0;
     g.resume_at = now_ms() + ms;
     world.checker.touch.disturbed(g.index, g.resume_at);
   }
@@ -244,6 +247,9 @@
     int status = 0;
     long now = now_ms();
     if (g.resume_at != 0 && now >= g.resume_at) {
+      if (g.suspended_at != 0)
+        network->slept(g.index, (unsigned)(now - g.suspended_at));
+      g.suspended_at = 0;
       if (g.pid > 0) kill(g.pid, SIGCONT);
       world.checker.touch.disturbed(g.index, now);
       g.resume_at = 0;
@@ -280,8 +286,12 @@
     if (options.parts && c.kind == Kind::Again && chance(choices, 0.6))
       path = chance(choices, 0.5) ? "/side/" : some_path();
     c.repeats = false;
-    if (options.deadly || options.ends) repeat_some(c, path, body, fields);
-    if (c.repeats) second = false;
+    bool repeats = (options.deadly || options.ends) &&
+                   repeat_some(c, path, body, fields);
+    if (repeats) { // the caller is always the same
+      second = false;
+      key = "";
+    }
     world.checker.ask(c.id, c.kind, second ? "w2" : "w1");
     Asked &asked_now = world.checker.asked[c.id];
     asked_now.gateway = c.gateway->index;
@@ -297,11 +307,11 @@
   }
   // Some requests repeat path, caller and body: with `ends` 40 in 100, else 5
   // in 100 harmless ones and 2 under which engines end.
-  void repeat_some (Caller &c, std::string &path, std::string &body,
+  bool repeat_some (Caller &c, std::string &path, std::string &body,
                     std::string &fields) {
     unsigned draw = choices() % 100, which = choices() % BODIES;
     unsigned deadly = options.deadly ? 2 : 0, all = options.ends ? 40 : 7;
-    if (draw >= all) return;
+    if (draw >= all) return false;
     c.repeats = draw >= deadly;
     body = body_of(draw < deadly, (int)which);
     c.kind = options.streams ? Kind::Stream
@@ -311,6 +321,7 @@
                                "X-Prefix-Hash: 1a:400,2b:200\r\n"
                              : "";
     repeated += c.repeats;
+    return true;
   }
   static std::string body_of (bool deadly, int which) {
     return (deadly ? "ends engines " : "does no harm ") +
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -235,6 +235,7 @@
     checker.engines[id] = {service,
                            parts && engines_made % 2 == 0 ? "d2" : "d1"};
     places[id] = l;
+    borns[id] = ++born;
     announce(id, service, l->port, "ready");
     ports[id] = l->port;
   }
@@ -254,7 +255,7 @@
         "{\"service\":\"" + service +
             "\",\"addr\":\"127.0.0.1:" + std::to_string(port) +
             "\",\"zone\":\"" + checker.engines[id].domain +
-            "\",\"slots\":8,\"born\":" + std::to_string(++born) +
+            "\",\"slots\":8,\"born\":" + std::to_string(borns[id]) +
             ",\"state\":\"" + state + "\"}");
   }
   // One engine leaves as planned and serves on: it says so, or its entry is
@@ -311,8 +312,9 @@
   // takes; an engine is back after `down_ms`, under its id or a new one.
   std::set<std::string> deadly;
   long deadly_ms = 20, down_ms = 2000;
-  bool renews = false; // under a new id
-  long born = 1780000000000;
+  bool renews = false;               // under a new id
+  long born = 1780000000000;         // of the engine that started last
+  std::map<std::string, long> borns; // by engine
   std::map<std::string, long> ends_at, back_at;           // by engine
   std::map<std::string, std::set<std::string>> doomed_by; // engine -> bodies
   std::map<std::string, Listener *> places;               // where it listens
@@ -350,6 +352,7 @@
     if (fd < 0) return false;
     place->fd = fd;
     const std::string &service = checker.engines[id].service;
+    borns[id] = ++born;
     if (renews)
       rename_engine(id);
     else
@@ -361,6 +364,7 @@
     Listed listed = checker.engines[old];
     checker.engines[id] = listed;
     places[id] = places[old];
+    borns[id] = born;
     ports[id] = ports[old];
     places[id]->handler = [this, id] (Conn &c, const Request &r) {
       on_request(c, r, id);
