--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -210,7 +210,7 @@
 */
 static void step (mt_gateway_t *g, mt_relay_event_t *event) {
   mt_relay_effects_t effects = {0};
-  event->now = uv_now(g->loop);
+  event->now = mt_wake_clock_now(g->loop);
   mt_relay_step(g->relay, event, &effects);
   for (size_t i = 0; i < effects.count; i++) execute(g, &effects.list[i]);
   free(effects.list);
@@ -234,6 +234,13 @@
   step(ud, &event);
 }
 
+void mt_gateway_engine_restarted (mt_gateway_t *g, const mt_engine_t *e) {
+  mt_relay_event_t event = {.kind = MT_RELAY_RESTARTED};
+  event.u.restarted = e->key;
+  mt_http_client_forget(g->engines, e->key);
+  step(g, &event);
+}
+
 /* {== Callers ========================================================== */
 
 static mt_bytes_t path_of (mt_bytes_t target) {
@@ -385,7 +392,7 @@
   event.u.probed.up = how == MT_HTTP_UP;
   event.u.probed.refused = how == MT_HTTP_REFUSED;
   if (e != NULL)
-    mt_gateway_log_engine(g->log, uv_now(g->loop), e,
+    mt_gateway_log_engine(g->log, mt_wake_clock_now(g->loop), e,
                           mt_gateway_probe_name(how));
   step(ud, &event);
 }
@@ -435,7 +442,7 @@
 }
 
 static void finish (mt_gateway_t *g, const char *why) {
-  mt_log_line(g->log, MT_LOG_BELIEF, uv_now(g->loop), "stop",
+  mt_log_line(g->log, MT_LOG_BELIEF, mt_wake_clock_now(g->loop), "stop",
               "requests=%zu outcome=%s", g->relay->count, why);
   mt_log_writer_flush(g->log);
   uv_stop(g->loop);
@@ -443,7 +450,7 @@
 
 /* A stop goes in steps: out of the balancer, idle connections, the end. */
 static void go_on_stopping (mt_gateway_t *g) {
-  mt_ms_t since = uv_now(g->loop) - g->stopping;
+  mt_ms_t since = mt_wake_clock_now(g->loop) - g->stopping;
   if (since > LEAVE_MS) {
     mt_http_server_close_idle(g->callers);
     if (mt_http_server_connections(g->callers) == 0) {
@@ -456,7 +463,7 @@
 
 /* Whoever cannot keep up sends its callers elsewhere until it can. */
 static void judge_load (mt_gateway_t *g) {
-  mt_ms_t now = uv_now(g->loop);
+  mt_ms_t now = mt_wake_clock_now(g->loop);
   mt_ms_t took = g->ticked ? now - g->ticked : TICK_MS;
   g->ticked = now;
   bool changed = mt_overload_turn(&g->overload, took, TICK_MS);
@@ -471,8 +478,20 @@
               overloaded ? "begun" : "over");
 }
 
+/* All that was believed is as much older. */
+static void note_sleep (mt_gateway_t *g) {
+  mt_ms_t now = mt_wake_clock_now(g->loop);
+  mt_ms_t slept = mt_wake_clock_asleep(g->loop) - g->asleep;
+  g->asleep += slept;
+  if (slept > 0)
+    mt_log_line(g->log, MT_LOG_BELIEF, now, "suspended",
+                "slept=%llu requests=%zu outcome=woke",
+                (unsigned long long)slept, g->relay->count);
+}
+
 static void on_tick (uv_timer_t *timer) {
   mt_gateway_t *g = timer->data;
+  note_sleep(g);
   judge_load(g);
   mt_gateway_peers_read(g->peers);
   mt_relay_event_t event = {.kind = MT_RELAY_TICK};
@@ -524,7 +543,7 @@
   g->loop = loop;
   g->settings = *settings;
   g->dialect = dialect;
-  g->started = uv_now(loop);
+  g->started = mt_wake_clock_now(loop);
   g->log = mt_log_writer_open(STDOUT_FILENO, settings->node,
                               settings->lines_per_s);
   g->relay = mt_relay_new(settings->domain, &settings->terms);
@@ -560,7 +579,7 @@
 
 void mt_gateway_stop (mt_gateway_t *g) {
   if (g->stopping != 0) return;
-  g->stopping = uv_now(g->loop);
+  g->stopping = mt_wake_clock_now(g->loop);
   mt_relay_event_t event = {.kind = MT_RELAY_STOP};
   event.u.stop_ms = g->settings.grace - LAST_MS;
   step(g, &event);
--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -119,18 +119,19 @@
   size_t workspaces = catalog->workspaces_count;
   tell_version(g, catalog, rev);
   bool taken = mt_relay_declare(g->relay, catalog);
-  mt_log_line(g->log, MT_LOG_BELIEF, uv_now(g->loop), "configuration",
-              "version=%lld routes=%zu workspaces=%zu outcome=%s",
-              (long long)version, routes, workspaces,
-              taken ? "in-force" : "older");
+  mt_log_line(
+      g->log, MT_LOG_BELIEF, mt_wake_clock_now(g->loop), "configuration",
+      "version=%lld routes=%zu workspaces=%zu outcome=%s", (long long)version,
+      routes, workspaces, taken ? "in-force" : "older");
   if (!taken) return;
   mt_denials_settle(&g->relay->denials, rev);
   mt_http_server_limits(g->callers, &limits);
 }
 
 static void empty_domain (mt_gateway_t *g, const char *domain, bool on) {
-  if (!mt_relay_evacuate(g->relay, domain, on, uv_now(g->loop))) return;
-  mt_log_line(g->log, MT_LOG_BELIEF, uv_now(g->loop), "evacuation",
+  if (!mt_relay_evacuate(g->relay, domain, on, mt_wake_clock_now(g->loop)))
+    return;
+  mt_log_line(g->log, MT_LOG_BELIEF, mt_wake_clock_now(g->loop), "evacuation",
               "domain=%s outcome=%s", domain, on ? "begun" : "over");
 }
 
@@ -148,7 +149,7 @@
 
 static void log_engine (mt_gateway_t *g, const mt_engine_t *e,
                         const char *outcome) {
-  mt_gateway_log_engine(g->log, uv_now(g->loop), e, outcome);
+  mt_gateway_log_engine(g->log, mt_wake_clock_now(g->loop), e, outcome);
 }
 
 static void set_state (mt_gateway_t *g, mt_engine_t *e,
@@ -167,10 +168,21 @@
 
 static void engine_left (mt_gateway_t *g, mt_engine_t *e, mt_ms_t since) {
   bool told = e->vanished != 0 || e->state == MT_ENGINE_GONE;
-  mt_relay_engine_left(g->relay, e, since, uv_now(g->loop));
+  mt_relay_engine_left(g->relay, e, since, mt_wake_clock_now(g->loop));
   if (!told && e->vanished != 0) log_engine(g, e, "vanished");
 }
 
+/* Word of an earlier start of the engine, told late. */
+static bool is_earlier_start (const mt_engine_t *e,
+                              const mt_gateway_engine_t *engine) {
+  return engine->born != 0 && engine->born < e->born;
+}
+
+static bool is_later_start (const mt_engine_t *e,
+                            const mt_gateway_engine_t *engine) {
+  return e->born != 0 && engine->born > e->born;
+}
+
 /* `since`: some router heard of it from the source then. */
 static void take_engine (mt_gateway_t *g, const char *name,
                          const mt_gateway_engine_t *engine, mt_ms_t since) {
@@ -182,6 +194,13 @@
   }
   bool is_new = e == NULL;
   if (is_new) e = mt_engines_add(&g->relay->engines, name);
+  if (is_earlier_start(e, engine)) return;
+  if (is_later_start(e, engine)) {
+    log_engine(g, e, "restarted");
+    mt_gateway_engine_restarted(g, e);
+    is_new = true; /* in all but its name */
+  }
+  e->born = mt_max(e->born, engine->born);
   snprintf(e->ip, sizeof e->ip, "%s", engine->ip);
   e->port = engine->port;
   e->slots = engine->slots;
@@ -192,7 +211,8 @@
     e->domain_id = mtV_id(e->domain, strlen(e->domain));
     e->far = strcmp(e->domain, g->relay->domain) != 0;
   }
-  mt_relay_engine_listed(g->relay, e, engine->cold, uv_now(g->loop));
+  mt_relay_engine_listed(g->relay, e, engine->cold,
+                         mt_wake_clock_now(g->loop));
   set_state(g, e, engine->leaving ? MT_ENGINE_LEAVING : MT_ENGINE_READY,
             is_new);
 }
@@ -211,6 +231,7 @@
   details->port = engine->port;
   details->slots = (uint16_t)engine->slots;
   details->cold = (uint32_t)engine->cold;
+  details->born = engine->born;
   return change;
 }
 
@@ -218,7 +239,7 @@
                         const mt_gateway_engine_t *engine, int64_t rev) {
   mt_change_t change = change_of_engine(name, engine, rev);
   if (mt_gateway_peers_changed(g->peers, &change))
-    take_engine(g, name, engine, uv_now(g->loop));
+    take_engine(g, name, engine, mt_wake_clock_now(g->loop));
 }
 
 void mt_gateway_listed (mt_gateway_t *g, const mt_map_t *seen, int64_t rev) {
@@ -246,6 +267,7 @@
                                       .port = told->port,
                                       .service = told->service,
                                       .slots = told->slots,
+                                      .born = told->born,
                                       .leaving = change->kind ==
                                                  MT_CHANGE_ENGINE_LEAVING,
                                       .cold = told->cold};
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -40,9 +40,9 @@
                  const char *outcome) {
   char text[INET_ADDRSTRLEN];
   inet_ntop(AF_INET, &ip, text, sizeof text);
-  mt_log_line(peers->log, MT_LOG_BELIEF, uv_now(peers->loop), "peer",
-              "peer=%s routers=%d outcome=%s", text, peers->members.live,
-              outcome);
+  mt_log_line(peers->log, MT_LOG_BELIEF, mt_wake_clock_now(peers->loop),
+              "peer", "peer=%s routers=%d outcome=%s", text,
+              peers->members.live, outcome);
 }
 
 /* Who told what up to which revision, and of what use it was. */
@@ -55,13 +55,13 @@
   char text[INET_ADDRSTRLEN];
   inet_ntop(AF_INET, &ip, text, sizeof text);
   peers->news[outcome]++;
-  mt_log_line(peers->log, MT_LOG_BELIEF, uv_now(peers->loop), "news",
-              "peer=%s feed=%s base=%lld reach=%lld changes=%zu told=%lld "
-              "taken=%lld newest=%lld outcome=%s",
-              text, names[kind], (long long)span->base,
-              (long long)span->reach, changes, (long long)feed->told,
-              (long long)feed->taken, (long long)feed->newest,
-              mt_feed_outcome_name(outcome));
+  mt_log_line(
+      peers->log, MT_LOG_BELIEF, mt_wake_clock_now(peers->loop), "news",
+      "peer=%s feed=%s base=%lld reach=%lld changes=%zu told=%lld "
+      "taken=%lld newest=%lld outcome=%s",
+      text, names[kind], (long long)span->base, (long long)span->reach,
+      changes, (long long)feed->told, (long long)feed->taken,
+      (long long)feed->newest, mt_feed_outcome_name(outcome));
 }
 
 static mt_peer_message_t *begin (mt_gateway_peers_t *peers,
@@ -144,7 +144,7 @@
                           const char *why) {
   mt_gateway_peers_t *peers = ud;
   const mt_relay_t *relay = peers->relay;
-  mt_ms_t now = uv_now(peers->loop);
+  mt_ms_t now = mt_wake_clock_now(peers->loop);
   mt_suspect_standing_t standing =
       mt_suspects_standing(&relay->suspects, s->digest, now);
   uint64_t last = s->listed > 0 ? s->list[s->listed - 1].engine : 0;
@@ -168,7 +168,7 @@
 
 void mt_gateway_peers_say (mt_gateway_peers_t *peers,
                            const mt_suspect_word_t *word) {
-  peers->members.now = uv_now(peers->loop);
+  peers->members.now = mt_wake_clock_now(peers->loop);
   mt_suspect_exchange_say(&peers->suspects, word);
 }
 
@@ -180,26 +180,27 @@
                                       mt_feed_kind_t kind) {
   const mt_feed_state_t *feed = &peers->feeds.feeds[kind].state;
   mt_peer_feed_t known = {feed->newest, feed->at, feed->told, UINT32_MAX};
-  if (feed->confirmed != 0) known.age = uv_now(peers->loop) - feed->confirmed;
+  if (feed->confirmed != 0)
+    known.age = mt_wake_clock_now(peers->loop) - feed->confirmed;
   return known;
 }
 
 bool mt_gateway_peers_changed (mt_gateway_peers_t *peers,
                                const mt_change_t *change) {
-  peers->members.now = uv_now(peers->loop);
+  peers->members.now = mt_wake_clock_now(peers->loop);
   return mt_feed_exchange_changed(&peers->feeds, change);
 }
 
 void mt_gateway_peers_set_feed (mt_gateway_peers_t *peers,
                                 mt_feed_kind_t kind, int64_t newest,
                                 int64_t at, mt_feed_reading_t reading) {
-  peers->members.now = uv_now(peers->loop);
+  peers->members.now = mt_wake_clock_now(peers->loop);
   mt_feed_exchange_read(&peers->feeds, kind, newest, at, reading);
 }
 
 void mt_gateway_peers_listed (mt_gateway_peers_t *peers, const mt_map_t *seen,
                               int64_t rev) {
-  peers->members.now = uv_now(peers->loop);
+  peers->members.now = mt_wake_clock_now(peers->loop);
   mt_feed_exchange_listed(&peers->feeds, seen, rev);
 }
 
@@ -263,7 +264,7 @@
   m->engines[m->engines_count++] =
       (mt_peer_engine_t){.key = e->key, .load = e->here, .tokens = e->read};
   e->untold = false;
-  e->told = uv_now(peers->loop);
+  e->told = mt_wake_clock_now(peers->loop);
 }
 
 /* Tells the keeper of the home where parts were read instead. */
@@ -276,7 +277,7 @@
   uint64_t part = mt_prompt_memory_home_part(r->parts, r->parts_count);
   if (keeper == peers->members.own_ip) {
     mt_part_holders_note(&peers->relay->holders, part, r->engine->key,
-                         uv_now(peers->loop));
+                         mt_wake_clock_now(peers->loop));
     return;
   }
   mt_peer_message_t *m = begin(peers, MT_PEER_HOLDS);
@@ -288,7 +289,7 @@
 static void on_holds (mt_gateway_peers_t *peers, const mt_peer_message_t *m) {
   if (m->engines_count == 0 || m->parts_count == 0) return;
   mt_part_holders_note(&peers->relay->holders, m->parts[0].id,
-                       m->engines[0].key, uv_now(peers->loop));
+                       m->engines[0].key, mt_wake_clock_now(peers->loop));
 }
 
 void mt_gateway_peers_placed (mt_gateway_peers_t *peers,
@@ -347,7 +348,7 @@
   peers->out.token = r->number;
   peers->out.parts_count = r->parts_count;
   memcpy(peers->out.parts, r->parts, r->parts_count * sizeof *r->parts);
-  if (peer->asked == 0) peer->asked = uv_now(peers->loop);
+  if (peer->asked == 0) peer->asked = mt_wake_clock_now(peers->loop);
   send_out(peers, keeper);
 }
 
@@ -384,7 +385,8 @@
 static void on_ask (mt_gateway_peers_t *peers, uint32_t ip,
                     const mt_peer_message_t *ask) {
   mt_peer_message_t *m = begin(peers, MT_PEER_QUOTE);
-  peers->relay->now = mt_max(peers->relay->now, uv_now(peers->loop));
+  peers->relay->now =
+      mt_max(peers->relay->now, mt_wake_clock_now(peers->loop));
   m->token = ask->token;
   for (size_t i = 0; i < ask->engines_count; i++) {
     uint64_t key = ask->engines[i].key;
@@ -411,7 +413,7 @@
 
 static void on_load (mt_gateway_peers_t *peers, uint32_t ip,
                      const mt_peer_message_t *m) {
-  mt_ms_t now = uv_now(peers->loop);
+  mt_ms_t now = mt_wake_clock_now(peers->loop);
   peers->relay->now = mt_max(peers->relay->now, now);
   for (size_t i = 0; i < m->engines_count; i++) {
     const mt_peer_engine_t *e = &m->engines[i];
@@ -471,7 +473,7 @@
                            const char *bytes, size_t n) {
   mt_peer_message_t *m = &peers->in;
   if (!mt_peer_message_unpack(m, bytes, n)) return;
-  peers->members.now = uv_now(peers->loop);
+  peers->members.now = mt_wake_clock_now(peers->loop);
   mt_peer_t *peer = mt_membership_know(&peers->members, ip);
   if (peer == NULL) return;
   bool is_new = !mt_membership_is_live(&peers->members, peer);
@@ -520,13 +522,14 @@
   bool leads = mt_gateway_peers_leads(peers);
   if (leads == peers->led) return;
   peers->led = leads;
-  mt_log_line(peers->log, MT_LOG_BELIEF, uv_now(peers->loop), "watcher",
-              "source=%d routers=%d outcome=%s", peers->members.own_source,
-              peers->members.live, leads ? "begun" : "ended");
+  mt_log_line(peers->log, MT_LOG_BELIEF, mt_wake_clock_now(peers->loop),
+              "watcher", "source=%d routers=%d outcome=%s",
+              peers->members.own_source, peers->members.live,
+              leads ? "begun" : "ended");
 }
 
 int mt_gateway_peers_tick (mt_gateway_peers_t *peers) {
-  mt_ms_t now = uv_now(peers->loop);
+  mt_ms_t now = mt_wake_clock_now(peers->loop);
   const mt_load_teller_calls_t calls = {find_keeper, tell_loads, peers};
   mt_membership_update(&peers->members, now);
   mt_load_teller_tick(&peers->teller, &peers->relay->engines, now, &calls);
@@ -555,7 +558,7 @@
   members->own_ip = addr.sin_addr.s_addr;
   members->own_domain = mtV_id(settings->domain, strlen(settings->domain));
   members->own_source = true;
-  mt_membership_update(members, uv_now(loop));
+  mt_membership_update(members, mt_wake_clock_now(loop));
   const mt_share_exchange_calls_t round = {begin_round, send_round, peers};
   mt_share_exchange_open(&peers->exchange, members, &relay->shares, &round);
   const mt_feed_exchange_calls_t news = {begin_round, send_news, apply_change,
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -25,6 +25,7 @@
   uint64_t next_number;
   mt_ms_t started, stopping; /* 0: not ordered to stop */
   mt_ms_t ticked;            /* the last tick */
+  mt_ms_t asleep;            /* that the machine had slept then */
   mt_overload_t overload;
   mt_text_t scratch;
 };
@@ -32,6 +33,10 @@
 /* The relay's call: an engine is gone; nothing waits for it any more. */
 void mt_gateway_engine_gone (void *gateway, const mt_engine_t *engine);
 
+/* An engine has started again under its name: ends what ran there. */
+void mt_gateway_engine_restarted (mt_gateway_t *gateway,
+                                  const mt_engine_t *engine);
+
 /* The peers' call: another router told of a change at the source. */
 bool mt_gateway_take_change (void *gateway, const mt_change_t *change,
                              mt_ms_t since);
--- a/src/gateway/peer_message.c
+++ b/src/gateway/peer_message.c
@@ -20,14 +20,14 @@
 #define ENGINE_NUMBERS 7
 #define PART_NUMBERS 2
 #define CHANGE_MEMBERS 5
-#define CHANGE_ENGINE_MEMBERS 6
+#define CHANGE_ENGINE_MEMBERS 7
 #define CHANGE_ROUTE_MEMBERS 2
 #define SUSPECT_NUMBERS 7
 #define END_NUMBERS 3 /* of each end that a suspect lists */
 #define SUSPECT_ROW_NUMBERS \
   (SUSPECT_NUMBERS + MT_SUSPECT_ENDS_MAX * END_NUMBERS)
 #define WORD_NUMBERS 8
-#define CHANGE_BYTES 48 /* of one, its texts not counted */
+#define CHANGE_BYTES 57 /* of one, its texts not counted */
 
 /* What one router can claim at most. */
 #define TOKENS_MOST 1000000000
@@ -133,6 +133,7 @@
   msgpack_pack_uint16(pk, e->port);
   msgpack_pack_uint16(pk, e->slots);
   msgpack_pack_uint32(pk, e->cold);
+  msgpack_pack_uint64(pk, (uint64_t)e->born);
 }
 
 /* What a change tells besides its name, as an array; most tell nothing. */
@@ -339,6 +340,7 @@
   e->port = (uint16_t)bounded(&at[3], UINT16_MAX);
   e->slots = (uint16_t)bounded(&at[4], UINT16_MAX);
   e->cold = (uint32_t)bounded(&at[5], MS_MOST);
+  e->born = bounded(&at[6], INT64_MAX);
 }
 
 /* False when the change's details are not those of its kind. */
--- a/src/relay/engine.c
+++ b/src/relay/engine.c
@@ -73,3 +73,16 @@
   e->probe = now + PROBE_MS;
   if (up) mt_engine_worked(e, now);
 }
+
+void mt_engine_restarted (mt_engine_t *e) {
+  mt_prefix_cache_free(&e->kept);
+  memset(&e->kept, 0, sizeof e->kept);
+  e->peers = (mt_engine_load_t){0};
+  e->quoted = 0;
+  e->vanished = 0;
+  e->slowness = 1.0;
+  e->failures = 0;
+  e->hold = 0;
+  e->unreachable = false;
+  e->heard = 0;
+}
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -1,8 +1,9 @@
 /*
 ** engine.h - the table of engines: what is known of each and of its load
 **
-** An engine here is one incarnation: a start of a server. Loads are what this
-** router sent and what the other routers say they sent.
+** An engine here is a start of a server: one that starts again under its name
+** holds nothing of before. Loads are what this router sent and what the other
+** routers say they sent.
 */
 #ifndef engine_h
 #define engine_h
@@ -23,7 +24,8 @@
 } mt_engine_load_t;
 
 typedef struct mt_engine_t {
-  uint64_t key; /* hash of the incarnation's name; never 0 */
+  uint64_t key; /* hash of its name; never 0 */
+  int64_t born; /* which start of that name it is; 0: not told */
   char *name, *domain;
   mt_id_t domain_id;
   char ip[46];
@@ -69,6 +71,9 @@
 void mt_engine_failed (mt_engine_t *engine, mt_ms_t now);
 void mt_engine_worked (mt_engine_t *engine, mt_ms_t now);
 
+/* It has started again: nothing that is believed of it holds. */
+void mt_engine_restarted (mt_engine_t *engine);
+
 /* A connection to it came up, or did not: then another is tried soon. */
 void mt_engine_reached (mt_engine_t *engine, bool up, mt_ms_t now);
 
--- a/src/relay/load_book.c
+++ b/src/relay/load_book.c
@@ -65,6 +65,10 @@
   return kept;
 }
 
+void mt_load_book_forget (mt_load_book_t *book, uint64_t engine) {
+  keep_valid(mtV_del(&book->engines, engine), UINT64_MAX);
+}
+
 void mt_load_book_expire (mt_load_book_t *book, mt_ms_t now) {
   for (size_t i = book->engines.cap; i-- > 0;) {
     uint64_t engine = book->engines.keys[i];
--- a/src/relay/load_book.h
+++ b/src/relay/load_book.h
@@ -35,6 +35,9 @@
                                    uint64_t engine, uint64_t but_router,
                                    mt_ms_t now);
 
+/* The engine has started again: what anybody had there is lost. */
+void mt_load_book_forget (mt_load_book_t *book, uint64_t engine);
+
 /* Drops rows that are no longer valid. */
 void mt_load_book_expire (mt_load_book_t *book, mt_ms_t now);
 void mt_load_book_free (mt_load_book_t *book);
--- a/src/relay/part_holders.c
+++ b/src/relay/part_holders.c
@@ -46,3 +46,10 @@
     free(holder);
   }
 }
+
+void mt_part_holders_forget (mt_part_holders_t *h, uint64_t engine) {
+  mtV_each (&h->by_part, i) {
+    holder_t *holder = h->by_part.vals[i];
+    if (holder->engine == engine) holder->engine = 0;
+  }
+}
--- a/src/relay/part_holders.h
+++ b/src/relay/part_holders.h
@@ -26,6 +26,9 @@
 uint64_t mt_part_holders_find (const mt_part_holders_t *holders,
                                uint64_t part);
 
+/* The engine holds nothing any more. */
+void mt_part_holders_forget (mt_part_holders_t *holders, uint64_t engine);
+
 /* Forgets what was noted long ago; some times a second. */
 void mt_part_holders_expire (mt_part_holders_t *holders, mt_ms_t now);
 
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -608,6 +608,30 @@
 
 /* }== */
 
+/* {== Engines that start again ========================================= */
+
+/* A connection that went silent with the machine says nothing of it. */
+static void lose_run (mt_relay_t *relay, mt_relay_request_t *r) {
+  effect(relay, MT_RELAY_DO_CANCEL, r);
+  attempt_lost(relay, r, MT_RELAY_RETRY_LOST);
+}
+
+/* What runs at the earlier start is lost with it. */
+static void on_restarted (mt_relay_t *relay, uint64_t key) {
+  mt_engine_t *e = mt_engines_get(&relay->engines, key);
+  if (e == NULL) return;
+  for (size_t i = relay->count; i-- > 0;)
+    if (i < relay->count && relay->list[i]->engine == e)
+      lose_run(relay, relay->list[i]);
+  mt_quarantine_engine_ended(relay, key);
+  mt_quarantine_tell(relay);
+  mt_load_book_forget(&relay->book, key);
+  mt_part_holders_forget(&relay->holders, key);
+  mt_engine_restarted(e);
+}
+
+/* }== */
+
 /* {== Time ============================================================= */
 
 static void check_request (mt_relay_t *relay, mt_relay_request_t *r) {
@@ -714,6 +738,7 @@
       else if (ev->u.tried.verdict == MT_TRIAL_GRANTED)
         mt_quarantine_too_late(relay, ev->u.tried.word);
       break;
+    case MT_RELAY_RESTARTED: on_restarted(relay, ev->u.restarted); break;
     case MT_RELAY_PROBED:
       on_probed(relay, ev->u.probed.engine, ev->u.probed.up,
                 ev->u.probed.refused);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -107,15 +107,16 @@
   MT_RELAY_TICK,
   MT_RELAY_REQUEST,
   MT_RELAY_CALLER_LEFT,
-  MT_RELAY_GONE_OUT, /* the request is on its way to the engine */
-  MT_RELAY_HEAD,     /* an engine's answer begins */
-  MT_RELAY_DATA,     /* bytes of its body */
-  MT_RELAY_END,      /* it is whole */
-  MT_RELAY_FAILED,   /* it ended otherwise */
-  MT_RELAY_QUOTED,   /* keepers say what their engines have */
-  MT_RELAY_PROBED,   /* a connection to an engine came up, or did not */
-  MT_RELAY_TRIED,    /* the keeper of a suspect says whether it may run */
-  MT_RELAY_STOP      /* finish what is at hand */
+  MT_RELAY_GONE_OUT,  /* the request is on its way to the engine */
+  MT_RELAY_HEAD,      /* an engine's answer begins */
+  MT_RELAY_DATA,      /* bytes of its body */
+  MT_RELAY_END,       /* it is whole */
+  MT_RELAY_FAILED,    /* it ended otherwise */
+  MT_RELAY_QUOTED,    /* keepers say what their engines have */
+  MT_RELAY_PROBED,    /* a connection to an engine came up, or did not */
+  MT_RELAY_TRIED,     /* the keeper of a suspect says whether it may run */
+  MT_RELAY_RESTARTED, /* an engine has, under its name */
+  MT_RELAY_STOP       /* finish what is at hand */
 } mt_relay_event_kind_t;
 
 /* What an engine's keeper says of it, when a request asked. */
@@ -160,8 +161,9 @@
       const mt_suspect_word_t *word; /* that is answered */
       mt_trial_t verdict;
     } tried;
-    bool not_sent;   /* FAILED */
-    mt_ms_t stop_ms; /* STOP: the process ends after this long */
+    uint64_t restarted; /* the engine */
+    bool not_sent;      /* FAILED */
+    mt_ms_t stop_ms;    /* STOP: the process ends after this long */
   } u;
 } mt_relay_event_t;
 
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -48,7 +48,8 @@
     for (int k = 0; k < MT_CHANGE_KINDS; k++) {
       mt_change_t change = mt_change_named((mt_change_kind_t)k, "i-1", 5 + k);
       if (k == MT_CHANGE_ENGINE_READY || k == MT_CHANGE_ENGINE_LEAVING)
-        change.u.engine = {"d1", "10.0.0.1", "s", 80, 64, 2500};
+        change.u.engine = {"d1", "10.0.0.1", "s",          80,
+                           64,   2500,       1780000000000};
       if (k == MT_CHANGE_ROUTE_CLOSED || k == MT_CHANGE_ROUTE_OPENED)
         change = mt_change_of_route((mt_change_kind_t)k, 7, 8, 5 + k);
       change.age = 30;
--- /dev/null
+++ b/tests/restart_test.cc
@@ -0,0 +1,148 @@
+// restart_test.cc - engines that start again under the id that they had
+#include <gtest/gtest.h>
+
+#include "gateway_world.h"
+#include "relay.h"
+
+namespace {
+
+// What is believed of the earlier start holds no more.
+TEST(Restart, NothingOfTheEarlierStartIsBelieved) {
+  Relay r(2);
+  r.declare();
+  mt_engine_t *e = r.find("m1");
+  const mt_prefix_part_t part = {7, 500};
+  mt_prefix_cache_use(&e->kept, &part, 1, 100000);
+  mt_part_holders_note(&r.relay->holders, 7, e->key, r.now);
+  e->state = MT_ENGINE_LEAVING;
+  e->vanished = r.now;
+  e->peers.running = 60;
+  e->failures = 5;
+  e->hold = r.now + 3000;
+  e->unreachable = true;
+  e->slowness = 6;
+  const mt_load_row_t row = {nullptr, 9, {100, 200, 3}, 50, r.now + 2500};
+  mt_load_book_take(&r.relay->book, e->key, &row);
+  mt_relay_event_t event{};
+  event.kind = MT_RELAY_RESTARTED;
+  event.u.restarted = e->key;
+  r.step(event);
+  EXPECT_EQ(mt_prefix_cache_match(&e->kept, &part, 1, 100000), 0);
+  EXPECT_EQ(mt_part_holders_find(&r.relay->holders, 7), 0u);
+  EXPECT_EQ(mt_load_book_sum(&r.relay->book, e->key, 0, r.now).running, 0);
+  EXPECT_EQ(e->vanished, 0u);
+  EXPECT_EQ(e->peers.running, 0);
+  EXPECT_EQ(e->failures, 0);
+  EXPECT_EQ(e->hold, 0u);
+  EXPECT_FALSE(e->unreachable);
+  EXPECT_EQ(e->slowness, 1.0);
+}
+
+// What ran there is lost, though no connection has said so.
+TEST(Restart, WhatRanThereIsLostAtOnce) {
+  struct Row {
+    const char *what, *path;
+    bool again;
+  } rows[] = {{"it may be repeated", "/again/x", true},
+              {"it may run once", "/once/x", false}};
+  for (const Row &row : rows) {
+    SCOPED_TRACE(row.what);
+    Relay r(2);
+    r.declare();
+    r.ask(1, row.path);
+    uint64_t engine = r.find(MT_RELAY_DO_START)->u.start.engine;
+    r.sent(1);
+    mt_relay_event_t event{};
+    event.kind = MT_RELAY_RESTARTED;
+    event.u.restarted = engine;
+    r.step(event);
+    EXPECT_NE(r.find(MT_RELAY_DO_CANCEL, 1), nullptr);
+    const mt_relay_effect_t *fx = r.find(MT_RELAY_DO_START);
+    EXPECT_EQ(fx != nullptr, row.again);
+    if (fx != nullptr) {
+      EXPECT_NE(fx->u.start.engine, engine);
+    }
+    EXPECT_EQ(r.refusal() == MT_RELAY_ENGINE_LOST, !row.again);
+  }
+}
+
+std::string listed (int port, long born, const char *state = "ready") {
+  return "{\"service\":\"plain\",\"addr\":\"127.0.0.1:" +
+         std::to_string(port) +
+         "\",\"zone\":\"d1\",\"slots\":8,\"born\":" + std::to_string(born) +
+         ",\"state\":\"" + state + "\"}";
+}
+
+struct Restarted {
+  World w;
+  Listener *first, *second;
+  int served[2] = {0, 0};
+  Restarted() {
+    auto serve = [this] (int which) {
+      return [this, which] (Conn &c, const Request &r) {
+        served[which]++;
+        c.send(answer(200,
+                      "X-Attempt-Id: " + r.field("X-Attempt-Id") +
+                          "\r\nX-Engine-Seal: s\r\n",
+                      "x"));
+      };
+    };
+    first = w.listen(serve(0));
+    second = w.listen(serve(1));
+  }
+  bool says (const std::string &line) {
+    return w.until([&] { return w.log.find(line) != w.log.npos; });
+  }
+  int ask () {
+    return World::status_of(w.call(World::ask("/safe/x", "id1")));
+  }
+};
+
+// A kept connection leads to the earlier start, and an address may be new.
+TEST(Restart, IsServedThroughConnectionsOfItsOwn) {
+  Restarted t;
+  t.w.put("servers/i-1", listed(t.first->port, 100));
+  t.w.start();
+  ASSERT_EQ(t.ask(), 200);
+  t.w.log.clear();
+  t.w.put("servers/i-1", listed(t.second->port, 200));
+  ASSERT_TRUE(t.says("engine=i-1 address=127.0.0.1:" +
+                     std::to_string(t.second->port)));
+  ASSERT_EQ(t.ask(), 200);
+  EXPECT_EQ(t.served[0], 1);
+  EXPECT_EQ(t.served[1], 1);
+}
+
+// Leaving is final for one start, not for the id.
+TEST(Restart, AfterALeavingItServesAgain) {
+  Restarted t;
+  t.w.put("servers/i-1", listed(t.first->port, 100));
+  t.w.start();
+  t.w.put("servers/i-1", listed(t.first->port, 100, "draining"));
+  ASSERT_TRUE(t.says("outcome=leaving"));
+  EXPECT_EQ(t.ask(), 503);
+  t.w.log.clear();
+  t.w.put("servers/i-1", listed(t.second->port, 200));
+  ASSERT_TRUE(t.says("outcome=ready"));
+  EXPECT_EQ(t.ask(), 200);
+  EXPECT_EQ(t.served[1], 1);
+}
+
+// An entry that names no engine takes it away, and no other.
+TEST(Restart, AnEntryByAnotherWriterNamesNoEngine) {
+  Restarted t;
+  t.w.put("servers/i-1", listed(t.first->port, 100));
+  t.w.put("servers/i-2", listed(t.second->port, 100));
+  t.w.put("servers/i-3", "\xff not an entry");
+  t.w.start();
+  t.w.put("servers/i-1", "{\"state\":7}");
+  ASSERT_TRUE(
+      t.says("engine=i-1 address=127.0.0.1:" + std::to_string(t.first->port) +
+             " running=0 outcome=gone"));
+  t.served[0] = 0;
+  for (int i = 0; i < 6; i++) EXPECT_EQ(t.ask(), 200);
+  EXPECT_EQ(t.served[0], 0);
+  EXPECT_EQ(t.served[1], 6);
+}
+
+} // namespace
