--- a/Makefile
+++ b/Makefile
@@ -88,6 +88,8 @@
 	MT_BIN=build/san ASAN_OPTIONS=detect_leaks=0 build/san/soak --seeds tests/soak/seeds.txt --seconds 4
 	MT_BIN=build/san ASAN_OPTIONS=detect_leaks=0 build/san/soak --seeds tests/soak/parts.txt --parts --gateways 12 \
 	  --callers 30 --seconds 8
+	MT_BIN=build/san ASAN_OPTIONS=detect_leaks=0 build/san/soak --seeds tests/soak/repeats.txt --parts --deadly \
+	  --gateways 12 --callers 30 --seconds 10
 
 # What the users' platform builds: the program alone, under target/.
 release:
@@ -98,6 +100,7 @@
 	$(B)/soak --selftest
 	MT_BIN=$(B) $(B)/soak --seeds tests/soak/seeds.txt --seconds 4
 	MT_BIN=$(B) $(B)/soak --seeds tests/soak/parts.txt --parts --times --gateways 12 --callers 30 --seconds 30
+	MT_BIN=$(B) $(B)/soak --seeds tests/soak/repeats.txt --parts --deadly --times --gateways 12 --callers 30 --seconds 30
 
 bench: all
 	sh scripts/bench.sh
--- a/src/gateway/explain.c
+++ b/src/gateway/explain.c
@@ -11,6 +11,7 @@
 
 #define BEFORE_S 10.0 /* beliefs so much older than the request are shown */
 #define AFTER_S 1.0
+#define SUSPECT_BEFORE_S 7200.0
 #define FIELD_BYTES 128
 
 typedef struct line_t {
@@ -76,10 +77,12 @@
   return false;
 }
 
-/* A belief counts if its router had the request, and its engine did. */
+/* A belief counts if its router had the request, and its engine did; one of
+   suspects if it is about this request, whichever router had it. */
 static bool matters (const lines_t *lines, const char *id, const char *text) {
-  char node[FIELD_BYTES], engine[FIELD_BYTES];
+  char node[FIELD_BYTES], engine[FIELD_BYTES], digest[FIELD_BYTES];
   if (has(text, "event", "request")) return false;
+  if (field(text, "digest", digest)) return met(lines, id, "digest", digest);
   if (!field(text, "node", node) || !met(lines, id, "node", node))
     return false;
   return !field(text, "engine", engine) || met(lines, id, "engine", engine);
@@ -95,13 +98,18 @@
   }
 }
 
+/* What is believed of a request itself may be as old as its quarantine. */
+static double before_of (const line_t *line) {
+  return has(line->text, "event", "suspect") ? SUSPECT_BEFORE_S : BEFORE_S;
+}
+
 static void print (const lines_t *lines, const char *id, double first,
                    double last) {
   for (size_t i = 0; i < lines->count; i++) {
     const line_t *line = &lines->list[i];
     bool own = has(line->text, "id", id);
     bool near =
-        line->time >= first - BEFORE_S && line->time <= last + AFTER_S;
+        line->time >= first - before_of(line) && line->time <= last + AFTER_S;
     if (!own && !(near && matters(lines, id, line->text))) continue;
     printf("%+9.3f %c %s", line->time - first, own ? '>' : ' ', line->text);
   }
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -11,6 +11,7 @@
 #include "gateway_metrics.h"
 #include "gateway_state.h"
 #include "request_digest.h"
+#include "suspects_page.h"
 
 #define TICK_MS 25
 /* Some trips of any link; a lost packet is sent again after 1 s only. */
@@ -420,10 +421,33 @@
   mt_http_exchange_end(x);
 }
 
+static void answer_text (mt_gateway_t *g, mt_http_exchange_t *x, int status) {
+  static const char type[] = "Content-Type: text/plain; version=0.0.4\r\n";
+  mt_http_exchange_head(x, status, type, sizeof type - 1,
+                        (int64_t)g->scratch.n);
+  mt_http_exchange_data(x, g->scratch.p, g->scratch.n);
+  mt_http_exchange_end(x);
+}
+
+/* Operators see the list (GET) or clear one (DELETE), here and everywhere. */
+static void on_suspects_asked (mt_gateway_t *g, mt_http_exchange_t *x) {
+  uint64_t digest = mt_suspects_page_digest(mt_http_exchange_target(x));
+  bool clears = mt_bytes_same(mt_http_exchange_method(x), "DELETE");
+  bool known = mt_suspects_get(&g->relay->suspects, digest) != NULL;
+  const mt_suspect_word_t word = {.kind = MT_WORD_ANSWERED, .digest = digest};
+  if (clears && known) mt_gateway_peers_say(g->peers, &word);
+  mt_suspects_page_list(&g->relay->suspects, mt_wake_clock_now(g->loop),
+                        &g->scratch);
+  answer_text(g, x, clears && !known ? 404 : 200);
+}
+
 static void on_metrics_asked (void *ud, mt_http_exchange_t *x) {
   mt_gateway_t *g = ud;
-  static const char type[] = "Content-Type: text/plain; version=0.0.4\r\n";
   g->scratch.n = 0;
+  if (mt_suspects_page_is_at(mt_http_exchange_target(x))) {
+    on_suspects_asked(g, x);
+    return;
+  }
   const mt_gateway_metrics_t from = {.relay = g->relay,
                                      .engines = g->engines,
                                      .callers = g->callers,
@@ -433,9 +457,7 @@
                                          mt_gateway_peers_traffic(g->peers),
                                      .news = mt_gateway_peers_news(g->peers)};
   mt_gateway_metrics(&from, &g->scratch);
-  mt_http_exchange_head(x, 200, type, sizeof type - 1, (int64_t)g->scratch.n);
-  mt_http_exchange_data(x, g->scratch.p, g->scratch.n);
-  mt_http_exchange_end(x);
+  answer_text(g, x, 200);
 }
 
 static void on_nothing (void *ud, mt_http_exchange_t *x) {
--- /dev/null
+++ b/src/gateway/suspects_page.c
@@ -0,0 +1,38 @@
+/*
+** suspects_page.c - what operators see of suspects, and how they clear one
+*/
+#include <stdlib.h>
+#include <string.h>
+
+#include "suspects_page.h"
+
+#define PATH "/suspects"
+#define DIGEST_HEX 16
+
+bool mt_suspects_page_is_at (mt_bytes_t target) {
+  size_t n = sizeof PATH - 1;
+  if (target.n < n || memcmp(target.p, PATH, n) != 0) return false;
+  return target.n == n || target.p[n] == '/';
+}
+
+uint64_t mt_suspects_page_digest (mt_bytes_t target) {
+  char text[DIGEST_HEX + 1];
+  char *end;
+  if (target.n != sizeof PATH + DIGEST_HEX) return 0;
+  memcpy(text, target.p + sizeof PATH, DIGEST_HEX);
+  text[DIGEST_HEX] = '\0';
+  uint64_t digest = strtoull(text, &end, 16);
+  return *end == '\0' ? digest : 0;
+}
+
+void mt_suspects_page_list (const mt_suspects_t *suspects, mt_ms_t now,
+                            mt_text_t *out) {
+  mtV_each (&suspects->by_digest, i) {
+    uint64_t digest = suspects->by_digest.keys[i];
+    mt_suspect_standing_t s = mt_suspects_standing(suspects, digest, now);
+    mt_text_format(out,
+                   "digest=%016llx state=%s ends=%d alone=%d left=%llu\n",
+                   (unsigned long long)digest, mt_suspicion_name(s.state),
+                   s.ends, s.alone, (unsigned long long)s.left);
+  }
+}
--- a/tests/repeats_test.cc
+++ b/tests/repeats_test.cc
@@ -64,6 +64,36 @@
   }
 }
 
+// What operators do about it, with the line that names it.
+TEST(RepeatedRequest, IsListedAndClearedByOperators) {
+  Repeated fleet({"", 3, "/safe/x", false});
+  ASSERT_TRUE(fleet.begins());
+  std::string list;
+  auto ask = [&] (int gateway, const std::string &method,
+                  const std::string &path) {
+    const soak::Gateway &g = fleet.gateways[(size_t)gateway];
+    return fleet.exchange(
+        g, g.metrics, method + " " + path + " HTTP/1.1\r\nHost: x\r\n\r\n");
+  };
+  for (int i = 0; i < 24 && list.find("state=quarantine") == list.npos; i++) {
+    fleet.ask_with(i % 3, "/safe/x", DEADLY);
+    ASSERT_TRUE(fleet.engines_serve());
+    list = ask(0, "GET", "/suspects");
+  }
+  ASSERT_NE(list.find("state=quarantine"), list.npos) << list;
+  size_t line = list.rfind("digest=", list.find("state=quarantine"));
+  std::string digest = list.substr(line + 7, 16);
+  EXPECT_EQ(
+      ::World::status_of(ask(1, "DELETE", "/suspects/0000000000000002")),
+      404);
+  EXPECT_EQ(::World::status_of(ask(1, "DELETE", "/suspects/" + digest)), 200);
+  fleet.world.deadly.clear(); // the engines were mended
+  for (int i = 0; i < 3; i++)
+    EXPECT_TRUE(fleet.until([&] {
+      return ::World::status_of(fleet.ask_with(i, "/safe/x", DEADLY)) == 200;
+    }));
+}
+
 TEST(RepeatedRequest, EndsNoMoreEnginesThanItTakesToKnowIt) {
   const Repeats rows[] = {
       {"one gateway", 1, "/safe/x", false},
