relay.c split: the life of a request, what engines answer, the reducer

relay.c had grown to 806 lines with three jobs. request.c has one request's life and its attempts, answer.c what engines answer, relay.c callers' events, time and the reducer.

--- /dev/null
+++ b/src/relay/answer.c
@@ -0,0 +1,147 @@
+/*
+** answer.c - what engines answer, passed on or replaced
+*/
+#include <stdlib.h>
+#include <string.h>
+
+#include "answer.h"
+#include "quarantine.h"
+#include "relay_load.h"
+#include "request.h"
+
+/* A longer answer is passed on as it comes. */
+#define HOLD_BODY_MAX (256u << 10)
+#define SHED_HOLD_MS 30 /* rest of an engine that refused */
+
+void mt_answer_head (mt_relay_t *relay, mt_relay_request_t *r,
+                     const mt_relay_event_t *ev) {
+  mt_engine_t *e = r->engine;
+  r->status = ev->u.head.status;
+  r->events = ev->u.head.events && r->status / 100 == 2;
+  r->framed = ev->u.head.framed;
+  r->heard = relay->now;
+  switch (ev->u.head.verdict) {
+    case MT_RELAY_MOVED:
+      mt_relay_engine_gone(relay, e);
+      mt_request_effect(relay, MT_RELAY_DO_CANCEL, r);
+      mt_attempt_failed(relay, r, MT_RELAY_RETRY_MOVED, false);
+      return;
+    case MT_RELAY_NOT_RUN:
+      e->hold = mt_max(e->hold, relay->now + SHED_HOLD_MS);
+      e->heard = relay->now;
+      /* Its short answer is read to the end; the connection stays. */
+      mt_attempt_failed(relay, r, MT_RELAY_RETRY_SHED, false);
+      return;
+    case MT_RELAY_RAN: break;
+  }
+  if (r->phase == MT_RELAY_STREAMING && !r->events) {
+    /* Not the rest of the stream that the caller has begun to get. */
+    if (r->status >= 500) mt_engine_failed(e, relay->now);
+    mt_attempt_failed(relay, r, MT_RELAY_RETRY_ERROR, true);
+    return;
+  }
+  if (r->status < 500) {
+    mt_engine_worked(e, relay->now);
+    return;
+  }
+  mt_engine_failed(e, relay->now);
+  if (!mt_attempt_may_follow(relay, r, true)) return;
+  mt_attempt_failed(relay, r, MT_RELAY_RETRY_ERROR, true);
+}
+
+/* What the engine did not frame is not framed for the caller either. */
+static void pass_head (mt_relay_t *relay, mt_relay_request_t *r,
+                       int64_t length) {
+  if (r->phase == MT_RELAY_STREAMING) return;
+  r->phase = MT_RELAY_STREAMING;
+  r->vouched = r->framed;
+  mt_request_effect(relay, MT_RELAY_DO_HEAD, r)->u.length =
+      r->framed ? length : MT_RELAY_LENGTH_UNFRAMED;
+}
+
+static void pass_data (mt_relay_t *relay, mt_relay_request_t *r,
+                       mt_bytes_t data) {
+  if (data.n > 0)
+    mt_request_effect(relay, MT_RELAY_DO_DATA, r)->u.data = data;
+}
+
+static void on_event_data (mt_relay_t *relay, mt_relay_request_t *r,
+                           mt_bytes_t data) {
+  mt_stream_event_t event;
+  if (!mt_event_stream_feed(&r->stream, data.p, data.n)) {
+    mt_request_effect(relay, MT_RELAY_DO_CANCEL, r);
+    mt_attempt_lost(relay, r, MT_RELAY_RETRY_LOST);
+    return;
+  }
+  while (mt_event_stream_next(&r->stream, &event)) {
+    if (r->awaiting_event) {
+      r->first = mt_max(relay->now - r->sent, (mt_ms_t)1);
+      mt_relay_learn_rate(relay, r);
+      mt_relay_prompt_read(r);
+    }
+    relay->counters.events++;
+    if (event.id >= 0 && event.id <= r->last_event) continue;
+    if (event.id >= 0) r->last_event = event.id;
+    pass_head(relay, r, MT_RELAY_LENGTH_UNKNOWN);
+    pass_data(relay, r, event.text);
+  }
+}
+
+/* Gathers a short answer, so that a broken one can still be replaced. */
+static void on_plain_data (mt_relay_t *relay, mt_relay_request_t *r,
+                           mt_bytes_t data) {
+  if (r->phase == MT_RELAY_STREAMING) {
+    pass_data(relay, r, data);
+    return;
+  }
+  r->phase = MT_RELAY_HOLDING;
+  if (r->body_size + data.n > r->body_cap) {
+    r->body_cap = mt_max(r->body_size + data.n, r->body_cap * 2);
+    r->body = realloc(r->body, r->body_cap);
+    if (r->body == NULL) abort();
+  }
+  memcpy(r->body + r->body_size, data.p, data.n);
+  r->body_size += data.n;
+  if (r->body_size < HOLD_BODY_MAX) return;
+  pass_head(relay, r, MT_RELAY_LENGTH_UNKNOWN);
+  pass_data(relay, r, (mt_bytes_t){r->body, r->body_size});
+}
+
+void mt_answer_data (mt_relay_t *relay, mt_relay_request_t *r,
+                     mt_bytes_t data) {
+  r->heard = relay->now;
+  r->engine->heard = relay->now;
+  if (r->events)
+    on_event_data(relay, r, data);
+  else
+    on_plain_data(relay, r, data);
+}
+
+void mt_answer_end (mt_relay_t *relay, mt_relay_request_t *r) {
+  bool doubtful = r->vouched && !r->framed; /* a later engine's end */
+  if (doubtful || (r->events && mt_event_stream_partial(&r->stream))) {
+    mt_attempt_lost(relay, r, MT_RELAY_RETRY_LOST);
+    return;
+  }
+  if (r->phase != MT_RELAY_STREAMING) {
+    pass_head(relay, r, (int64_t)r->body_size);
+    pass_data(relay, r, (mt_bytes_t){r->body, r->body_size});
+  }
+  if (r->status < 500) mt_engine_worked(r->engine, relay->now);
+  mt_quarantine_answered(relay, r);
+  mt_request_effect(relay, MT_RELAY_DO_END, r);
+  relay->counters.answers++;
+  mt_request_note(relay, r, "answered", "");
+  mt_request_remove(relay, r);
+}
+
+void mt_answer_failed (mt_relay_t *relay, mt_relay_request_t *r,
+                       bool not_sent) {
+  if (!not_sent) {
+    mt_attempt_lost(relay, r, MT_RELAY_RETRY_LOST);
+    return;
+  }
+  mt_engine_reached(r->engine, false, relay->now);
+  r->engine->probe = relay->now;
+  mt_attempt_failed(relay, r, MT_RELAY_RETRY_CONNECT, false);
+}
