Soak: an engine that is down keeps its port; what the soak found

Change: the port stays bound, and nobody listens. Tests alone are changed; RepeatedRequest.*, Restart.* and the self-test pass.

--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -85,6 +85,8 @@
     for (Conn &c : conns) c.close();
     for (Listener &l : listeners)
       if (l.fd >= 0) ::close(l.fd);
+    for (auto &row : held)
+      if (row.second >= 0) ::close(row.second);
   }
 
   // {== The store
@@ -318,6 +320,9 @@
   std::map<std::string, long> ends_at, back_at;           // by engine
   std::map<std::string, std::set<std::string>> doomed_by; // engine -> bodies
   std::map<std::string, Listener *> places;               // where it listens
+  // Its port while it is down: bound, so that nobody else gets it, and nobody
+  // listens. Another soak's store was given one, and answered for an engine.
+  std::map<std::string, int> held;
   int ended = 0;
 
   void begin_deadly (const std::string &id, const std::string &body,
@@ -336,6 +341,7 @@
     if (place->fd < 0) return;
     ::close(place->fd);
     place->fd = -1;
+    held[id] = bind_at(place->port);
     for (Conn &c : conns)
       if (c.listener == place && c.fd >= 0) c.abort();
     ended++;
@@ -348,8 +354,11 @@
     const auto &ids = ids_of(checker.engines[id].service);
     if (std::find(ids.begin(), ids.end(), id) == ids.end())
       return true; // it has left meanwhile
-    int fd = listen_at(place->port);
+    int fd = held.at(id);
+    if (fd < 0) fd = bind_at(place->port);
     if (fd < 0) return false;
+    held[id] = -1;
+    ::listen(fd, 256);
     place->fd = fd;
     const std::string &service = checker.engines[id].service;
     borns[id] = ++born;
@@ -485,17 +494,17 @@
   // {== Sockets
 
   // A descriptor, or -1 when the port is taken; port 0 takes a free one.
-  static int listen_at (int port) {
+  static int bind_at (int port) {
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), on = 1;
     sockaddr_in a = loopback(port);
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    if (bind(fd, (sockaddr *)&a, sizeof a) == 0 && ::listen(fd, 256) == 0)
-      return fd;
+    if (bind(fd, (sockaddr *)&a, sizeof a) == 0) return fd;
     ::close(fd);
     return -1;
   }
   Listener *listen (Handler handler) {
-    int fd = listen_at(0);
+    int fd = bind_at(0);
+    ::listen(fd, 256);
     sockaddr_in a{};
     socklen_t n = sizeof a;
     getsockname(fd, (sockaddr *)&a, &n);
