Change log: found by a map, ordered when it is read, as large as the fleet

Cause: each change that was told or read was compared by name with up to 1,024 others, each entry of a list (which comes by name, not by revision) moved half of them, and each change beyond 1,024 moved all. So a list of all engines cost engines x 1,024, and it drove everything else out of the log: `from` rose past what neighbours ask for, and each had to read for itself. After a list, what went was sought from the beginning for each engine that had gone.

Change: changes lie in slots that a map finds by subject; the order of revisions is a table of its own, sorted when it is read; the oldest are dropped an eighth at a time. How many are kept follows from the last list: twice the engines that it named, so what is there and as much that went.

--- a/src/gateway/feed_exchange.c
+++ b/src/gateway/feed_exchange.c
@@ -94,7 +94,7 @@
   return m->changes_count;
 }
 
-static void add_changes (const mt_feed_exchange_t *x, mt_peer_message_t *m,
+static void add_changes (mt_feed_exchange_t *x, mt_peer_message_t *m,
                          mt_feed_kind_t kind, int64_t rev, size_t most,
                          int64_t *reach) {
   m->changes_count +=
@@ -106,7 +106,7 @@
 ** Adds what is known of a feed behind a revision; false when some is left.
 ** What may have been dropped from the log is not vouched for by the span.
 */
-static bool pack_since (const mt_feed_exchange_t *x, mt_peer_message_t *m,
+static bool pack_since (mt_feed_exchange_t *x, mt_peer_message_t *m,
                         mt_feed_kind_t kind, int64_t rev, int64_t reach) {
   size_t before = m->changes_count;
   int64_t end = reach;
@@ -159,27 +159,28 @@
   return item->change.rev <= change->rev;
 }
 
-/* One that was told of, is not among `seen` and not known to be gone. */
-static const mt_change_t *find_unseen (const mt_change_log_t *log,
-                                       const mt_map_t *seen, int64_t rev) {
-  for (size_t i = 0; i < log->count; i++) {
-    const mt_change_t *change = &log->items[i].change;
-    uint64_t key = mt_engine_key(change->name, strlen(change->name));
-    if (change->kind == MT_CHANGE_ENGINE_GONE || change->rev > rev) continue;
-    if (mtV_get(seen, key) == NULL) return change;
-  }
-  return NULL;
+/* True for one that was told of, is not among `seen` and not known to be
+   gone. */
+static bool is_unseen (const mt_change_t *change, const mt_map_t *seen,
+                       int64_t rev) {
+  if (change == NULL || change->rev > rev) return false;
+  if (mt_change_subject(change->kind) != MT_SUBJECT_ENGINE) return false;
+  if (change->kind == MT_CHANGE_ENGINE_GONE) return false;
+  uint64_t key = mt_engine_key(change->name, strlen(change->name));
+  return mtV_get(seen, key) == NULL;
 }
 
 void mt_feed_exchange_listed (mt_feed_exchange_t *x, const mt_map_t *seen,
                               int64_t rev) {
-  const mt_change_log_t *log = &x->feeds[MT_FEED_ENGINES].log;
-  const mt_change_t *unseen;
-  while ((unseen = find_unseen(log, seen, rev)) != NULL) {
+  mt_feed_t *feed = &x->feeds[MT_FEED_ENGINES];
+  mt_change_log_expect(&feed->log, seen->used);
+  for (size_t i = 0; i < feed->log.slots; i++) {
+    const mt_change_t *change = mt_change_log_at(&feed->log, i);
+    if (!is_unseen(change, seen, rev)) continue;
     mt_change_t gone =
-        mt_change_named(MT_CHANGE_ENGINE_GONE, unseen->name, rev);
-    mt_change_log_add(&x->feeds[MT_FEED_ENGINES].log, &gone, x->members->now);
-    x->feeds[MT_FEED_ENGINES].fresh = true;
+        mt_change_named(MT_CHANGE_ENGINE_GONE, change->name, rev);
+    mt_change_log_add(&feed->log, &gone, x->members->now);
+    feed->fresh = true;
   }
 }
 
--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -84,9 +84,9 @@
   const mt_change_log_t *log =
       mt_gateway_peers_log(g->peers, MT_FEED_DECLARATIONS);
   mt_catalog_digests(catalog, &digests);
-  for (size_t i = 0; i < log->count && count < mt_countof(flips); i++) {
-    const mt_change_t *told = &log->items[i].change;
-    if (told->rev < rev && flip(catalog, &digests, told, rev, &change))
+  for (size_t i = 0; i < log->slots && count < mt_countof(flips); i++) {
+    const mt_change_t *told = mt_change_log_at(log, i);
+    if (told != NULL && told->rev < rev && flip(catalog, &digests, told, rev, &change))
       flips[count++] = change;
   }
   mtV_free(&digests);
