An engine that a list no longer shows may have gone since others knew more

Cause: both watchers of a failure domain ended as an engine left without a word.

Change: a list's reader has known for a while that something was lacking here. What the list no longer shows has gone since then, for itself and for whom it tells.

Measured: FeedExchange.WhatAListNoLongerShowsMayHaveGone... fails before: the time that others are told is the list's, 100 to 2,000 ms late in its rows; now the time is that at which the first other router knew more.

--- a/src/gateway/feed_exchange.c
+++ b/src/gateway/feed_exchange.c
@@ -31,6 +31,14 @@
   }
 }
 
+/* `since`: somebody knew then what is lacking here. */
+static void note_lacking (mt_feed_t *feed, mt_ms_t since) {
+  if (!mt_feed_state_lacks(&feed->state))
+    feed->lacking = 0;
+  else if (feed->lacking == 0)
+    feed->lacking = since;
+}
+
 void mt_feed_exchange_heard (mt_feed_exchange_t *x, mt_peer_t *peer,
                              const mt_peer_message_t *m) {
   mt_ms_t now = x->members->now;
@@ -40,9 +48,15 @@
     peer->told[i] = told->told;
     mt_feed_state_heard(&x->feeds[i].state, told->newest, told->at,
                         now - told->age);
+    note_lacking(&x->feeds[i], now - told->age);
   }
 }
 
+mt_ms_t mt_feed_exchange_lacking (const mt_feed_exchange_t *x,
+                                  mt_feed_kind_t kind) {
+  return x->feeds[kind].lacking;
+}
+
 /* }== */
 
 /* {== Telling ========================================================== */
@@ -179,6 +193,7 @@
     if (!is_unseen(change, seen, rev)) continue;
     mt_change_t gone =
         mt_change_named(MT_CHANGE_ENGINE_GONE, change->name, rev);
+    gone.age = feed->lacking != 0 ? x->members->now - feed->lacking : 0;
     mt_change_log_add(&feed->log, &gone, x->members->now);
     feed->fresh = true;
   }
@@ -341,12 +356,8 @@
   mt_ms_t now = x->members->now;
   for (int i = 0; i < MT_FEEDS; i++) {
     mt_feed_t *feed = &x->feeds[i];
-    if (!mt_feed_state_lacks(&feed->state)) {
-      feed->lacking = 0;
-      continue;
-    }
-    if (feed->lacking == 0) feed->lacking = now;
-    if (now - feed->lacking < LACK_WAIT_MS) continue;
+    note_lacking(feed, now);
+    if (feed->lacking == 0 || now - feed->lacking < LACK_WAIT_MS) continue;
     if (now - feed->asked >= feed->pause) ask(x, (mt_feed_kind_t)i);
   }
 }
--- a/src/gateway/feed_exchange.h
+++ b/src/gateway/feed_exchange.h
@@ -63,6 +63,15 @@
 void mt_feed_exchange_heard (mt_feed_exchange_t *exchange, mt_peer_t *peer,
                              const mt_peer_message_t *message);
 
+/*
+** Since when others know of changes of a feed that were not told here; 0: of
+** none. What a list no longer shows may have gone as early as that. Where its
+** time ran from the list's, an engine that left without a word as both
+** watchers of its domain ended got work for up to 2,385 ms instead of 2,000.
+*/
+mt_ms_t mt_feed_exchange_lacking (const mt_feed_exchange_t *exchange,
+                                  mt_feed_kind_t kind);
+
 /*
 ** The source itself told of a change, before the next `read`. False when a
 ** later change of the same thing is known: then that one stands.
--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -242,13 +242,23 @@
     take_engine(g, name, engine, mt_wake_clock_now(g->loop));
 }
 
+/* A list no longer shows it: it went at some time since others know more. */
+static void engine_unlisted (mt_gateway_t *g, const char *name, int64_t rev) {
+  mt_ms_t now = mt_wake_clock_now(g->loop);
+  mt_ms_t since = mt_gateway_peers_lacking(g->peers, MT_FEED_ENGINES);
+  mt_change_t gone = mt_change_named(MT_CHANGE_ENGINE_GONE, name, rev);
+  if (since == 0) since = now;
+  gone.age = now - since;
+  if (mt_gateway_peers_changed(g->peers, &gone))
+    take_engine(g, name, NULL, since);
+}
+
 void mt_gateway_listed (mt_gateway_t *g, const mt_map_t *seen, int64_t rev) {
   mt_engines_t *engines = &g->relay->engines;
   for (size_t i = 0; i < engines->count; i++) {
     const mt_engine_t *e = engines->list[i];
     if (e->vanished != 0 || e->state == MT_ENGINE_GONE) continue;
-    if (mtV_get(seen, e->key) == NULL)
-      mt_gateway_engine(g, e->name, NULL, rev);
+    if (mtV_get(seen, e->key) == NULL) engine_unlisted(g, e->name, rev);
   }
   mt_gateway_peers_listed(g->peers, seen, rev);
 }
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -204,6 +204,11 @@
   mt_feed_exchange_listed(&peers->feeds, seen, rev);
 }
 
+mt_ms_t mt_gateway_peers_lacking (const mt_gateway_peers_t *peers,
+                                  mt_feed_kind_t kind) {
+  return mt_feed_exchange_lacking(&peers->feeds, kind);
+}
+
 const mt_change_log_t *mt_gateway_peers_log (const mt_gateway_peers_t *peers,
                                              mt_feed_kind_t kind) {
   return &peers->feeds.feeds[kind].log;
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -78,6 +78,9 @@
    when a later one of the same thing stands. */
 bool mt_gateway_peers_changed (mt_gateway_peers_t *peers,
                                const mt_change_t *change);
+/* Since when others know what is lacking here: as in feed_exchange.h. */
+mt_ms_t mt_gateway_peers_lacking (const mt_gateway_peers_t *peers,
+                                  mt_feed_kind_t kind);
 /* What was told of a feed lately; valid until the next change. */
 const mt_change_log_t *mt_gateway_peers_log (const mt_gateway_peers_t *peers,
                                              mt_feed_kind_t kind);
--- a/tests/feed_exchange_test.cc
+++ b/tests/feed_exchange_test.cc
@@ -310,6 +310,40 @@
   EXPECT_EQ(deaf->feeds.feeds[MT_FEED_ENGINES].state.told, told);
 }
 
+// One that has just started has the newest list and cannot tell what went
+// before it. Whoever reads a list after that knows since when it may have
+// gone: the others' watchers had ended as an engine left without a word, and
+// it got work for up to 2,385 ms where 2,000 are the bound.
+TEST(FeedExchange, WhatAListNoLongerShowsMayHaveGoneWhenOthersKnewMore) {
+  for (mt_ms_t later : {100, 700, 2000}) {
+    World w(4, 1, 1);
+    Router *started = w.routers[1].get(), *lister = w.routers[3].get();
+    w.change(MT_CHANGE_ENGINE_READY, "i-1");
+    w.run(300); // it is told to all
+    for (auto &r : w.routers) r->turned_away = true;
+    w.change(MT_CHANGE_ENGINE_GONE, "i-1"); // nobody hears of it
+    w.change(MT_CHANGE_ENGINE_READY, "i-2");
+    w.run(1000);
+    w.meet(); // all have the same time
+    mt_feed_exchange_free(&started->feeds);
+    const mt_feed_exchange_calls_t calls = {
+        World::begin, World::send, World::apply, World::note, started};
+    mt_feed_exchange_open(&started->feeds, &started->members, &calls);
+    mt_feed_exchange_read(&started->feeds, MT_FEED_ENGINES, w.rev, w.rev,
+                          MT_FEED_LISTING);
+    mt_ms_t known = started->members.now;
+    w.run(later);
+    w.meet();
+    EXPECT_EQ(mt_feed_exchange_lacking(&lister->feeds, MT_FEED_ENGINES),
+              known);
+    w.list(lister);
+    w.run(300);
+    Router *deaf = w.routers[2].get();
+    EXPECT_EQ(deaf->known["i-1"], MT_CHANGE_ENGINE_GONE);
+    EXPECT_EQ(deaf->since["i-1"], known) << later;
+  }
+}
+
 // Where nobody can tell all that is lacking, asking does not go on as before.
 TEST(FeedExchange, AsksLessWhereNobodyKnows) {
   World w(4, 1, 1);
