A request is sent on only while its caller's connection stands

Change: the last look at the caller's socket is right before the send, after every queue of our own. A caller that has closed is taken as the loop would.

Measured: Gateway.SendsNothingOnForACallerThatHasLeft, a gateway that is held up for a moment; before, both rows with a close sent one request on (those with a reset none); now none. One more call of the system a send.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -122,8 +122,14 @@
   mt_text_add(out, "\r\n", 2);
 }
 
+/*
+** Where turns of the loop are long a caller's close waits behind its request,
+** in the same turn's list or in the next one's. The last look is right before
+** the send: work for callers that have left keeps engines from others.
+*/
 static void do_start (mt_gateway_t *g, passage_t *p,
                       const mt_relay_effect_t *fx) {
+  if (!mt_http_exchange_look(p->exchange)) return;
   mt_engine_t *engine =
       mt_engines_get(&g->relay->engines, fx->u.start.engine);
   if (p->attempt != NULL) p->attempt->passage = NULL; /* it ends by itself */
@@ -205,8 +211,9 @@
 }
 
 /*
-** Effects are taken in order. Only three events nest: GONE_OUT has no
-** effects, and those of QUOTED and TRIED are of the one request that asked.
+** Effects are taken in order. Only four events nest: GONE_OUT has no effects,
+** and those of QUOTED, TRIED and CALLER_LEFT are of the one request that asked
+** or was to be sent.
 */
 static void step (mt_gateway_t *g, mt_relay_event_t *event) {
   mt_relay_effects_t effects = {0};
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -1,6 +1,7 @@
 /*
 ** http_server.c - an HTTP/1.1 listener, on http-parser over libuv
 */
+#include <errno.h>
 #include <http_parser.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
@@ -449,6 +450,16 @@
   x->user = user;
 }
 
+bool mt_http_exchange_look (mt_http_exchange_t *x) {
+  char byte;
+  uv_os_fd_t fd;
+  if (x->closing || uv_fileno((uv_handle_t *)&x->tcp, &fd) != 0) return false;
+  ssize_t n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  bool left = n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+  if (left) close_connection(x);
+  return !left;
+}
+
 static const char *reason_of (int status) {
   switch (status) {
 #define STATUS_NAME(number, name, text) \
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -75,6 +75,12 @@
 /* The handler's own pointer, kept with the exchange. */
 void *mt_http_exchange_user (const mt_http_exchange_t *exchange);
 void mt_http_exchange_set_user (mt_http_exchange_t *exchange, void *user);
+/*
+** Looks whether the caller has closed its connection, which the loop may not
+** have come to yet. False when it has: `gone` has been called, and the
+** exchange is not to be used again.
+*/
+bool mt_http_exchange_look (mt_http_exchange_t *exchange);
 
 /* }== */
 
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -234,6 +234,43 @@
   EXPECT_TRUE(w.until([&] { return at_engine->closed; }));
 }
 
+// A gateway that is held up finds requests and their callers' ends together.
+// Only what somebody still waits for is sent on.
+TEST(Gateway, SendsNothingOnForACallerThatHasLeft) {
+  struct Row {
+    const char *what;
+    bool kept;  // the connection had another request before
+    bool reset; // else it is closed
+  } rows[] = {{"closed", false, false},
+              {"reset", false, true},
+              {"kept, closed", true, false},
+              {"kept, reset", true, true}};
+  for (const Row &row : rows) {
+    World w;
+    std::map<std::string, int> ran;
+    Listener *e = w.listen([&] (Conn &c, const Request &r) {
+      ran[r.field("X-Attempt-Id")]++;
+      c.send(good(r, "done"));
+    });
+    w.engine("i-1", "plain", e);
+    w.start();
+    Conn *left = w.connect(w.callers);
+    if (row.kept) {
+      left->send(World::ask("/once/x", "before"));
+      ASSERT_TRUE(w.until([&] { return World::whole(left->in); }));
+    }
+    kill(w.pid, SIGSTOP);
+    if (!row.kept) left = w.connect(w.callers);
+    left->send(World::ask("/once/x", "left"));
+    row.reset ? left->abort() : left->close();
+    kill(w.pid, SIGCONT);
+    for (const char *id : {"after", "later"})
+      EXPECT_EQ(World::status_of(w.call(World::ask("/once/x", id))), 200);
+    EXPECT_EQ(ran["left"], 0) << row.what;
+    EXPECT_EQ(ran["after"] + ran["later"], 2) << row.what;
+  }
+}
+
 TEST(Gateway, FollowsTheStore) {
   World w;
   std::map<std::string, int> ran;
