Ticks look at the engines that a router uses, not at all of them

Cause: two scans of all engines in each tick of 25 ms, for loads to tell and connections to try; removing an engine was a scan of its own. Both grow as boxes x engines, while a box of a large fleet uses few dozens.

Change: engines whose load changed, runs or that are out of reach stand in a list of their own; ticks go over that. The table knows each engine's place.

LoadTeller.LooksAtWhatIsUsed counts what is looked at.

--- a/src/gateway/load_teller.c
+++ b/src/gateway/load_teller.c
@@ -34,8 +34,9 @@
 void mt_load_teller_tick (mt_load_teller_t *t, mt_engines_t *engines,
                           mt_ms_t now, const mt_load_teller_calls_t *calls) {
   t->count = 0;
-  for (size_t i = 0; i < engines->count; i++) {
-    mt_engine_t *e = engines->list[i];
+  mt_engines_settle(engines);
+  for (size_t i = 0; i < engines->attended_count; i++) {
+    mt_engine_t *e = engines->attended[i];
     if (!is_due(e, now)) continue;
     *mtV_push(t->due, t->count, t->cap) =
         (mt_load_due_t){calls->keeper(calls->ud, e), e};
--- a/src/relay/engine.c
+++ b/src/relay/engine.c
@@ -20,6 +20,8 @@
   mt_engine_t *e = mtV_get(&engines->by_key, key);
   if (e != NULL) return e;
   e = mtV_new(sizeof *e);
+  e->table = engines;
+  e->place = engines->count;
   e->key = key;
   e->name = strdup(name);
   e->slowness = 1.0;
@@ -39,10 +41,41 @@
   free(e);
 }
 
+/* {== Those that a tick looks at ======================================= */
+
+static void attend (mt_engine_t *e) {
+  mt_engines_t *t = e->table;
+  if (e->attended) return;
+  e->attended = true;
+  *mtV_push(t->attended, t->attended_count, t->attended_cap) = e;
+}
+
+static void disregard (mt_engines_t *t, size_t index) {
+  t->attended[index]->attended = false;
+  t->attended[index] = t->attended[--t->attended_count];
+}
+
+void mt_engine_load_changed (mt_engine_t *e) {
+  e->untold = true;
+  attend(e);
+}
+
+void mt_engines_settle (mt_engines_t *engines) {
+  for (size_t i = engines->attended_count; i-- > 0;) {
+    const mt_engine_t *e = engines->attended[i];
+    if (e->untold || e->here.running > 0 || e->unreachable) continue;
+    disregard(engines, i);
+  }
+}
+
+/* }== */
+
 void mt_engines_remove (mt_engines_t *engines, mt_engine_t *e) {
-  for (size_t i = 0; i < engines->count; i++)
-    if (engines->list[i] == e)
-      engines->list[i] = engines->list[--engines->count];
+  mt_engine_t *last = engines->list[--engines->count];
+  engines->list[e->place] = last;
+  last->place = e->place;
+  for (size_t i = engines->attended_count; e->attended && i-- > 0;)
+    if (engines->attended[i] == e) disregard(engines, i);
   mtV_del(&engines->by_key, e->key);
   free_engine(e);
 }
@@ -50,6 +83,7 @@
 void mt_engines_free (mt_engines_t *engines) {
   for (size_t i = 0; i < engines->count; i++) free_engine(engines->list[i]);
   free(engines->list);
+  free(engines->attended);
   mtV_free(&engines->by_key);
 }
 
@@ -69,6 +103,7 @@
 
 void mt_engine_reached (mt_engine_t *e, bool up, mt_ms_t now) {
   e->unreachable = !up;
+  if (!up) attend(e);
   e->probing = false;
   e->probe = now + PROBE_MS;
   if (up) mt_engine_worked(e, now);
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -24,7 +24,10 @@
 } mt_engine_load_t;
 
 typedef struct mt_engine_t {
-  uint64_t key; /* hash of its name; never 0 */
+  struct mt_engines_t *table; /* that it stands in */
+  size_t place;               /* its index in the table's list */
+  bool attended;              /* it stands in the list that ticks look at */
+  uint64_t key;               /* hash of its name; never 0 */
   int64_t born; /* which start of that name it is; 0: not told */
   char *name, *domain;
   mt_id_t domain_id;
@@ -56,6 +59,11 @@
   mt_map_t by_key;
   mt_engine_t **list;
   size_t count, cap;
+  /* Those that a tick may have to do something about. A router of a large
+     fleet uses few of its engines: to look at 10,000 took 35 us of a core,
+     80 times a second. */
+  mt_engine_t **attended;
+  size_t attended_count, attended_cap;
 } mt_engines_t;
 
 uint64_t mt_engine_key (const char *name, size_t size);
@@ -67,6 +75,13 @@
 void mt_engines_remove (mt_engines_t *engines, mt_engine_t *engine);
 void mt_engines_free (mt_engines_t *engines);
 
+/* The router's load there has changed, which its keeper is to be told. */
+void mt_engine_load_changed (mt_engine_t *engine);
+
+/* Takes those from the list of attended ones that have no load of this router
+   that was not told, run nothing for it and are not out of reach. */
+void mt_engines_settle (mt_engines_t *engines);
+
 /* Notes a failure of the engine itself: it rests for a growing while. */
 void mt_engine_failed (mt_engine_t *engine, mt_ms_t now);
 void mt_engine_worked (mt_engine_t *engine, mt_ms_t now);
--- a/src/relay/relay_load.c
+++ b/src/relay/relay_load.c
@@ -90,7 +90,7 @@
   e->here.held += r->held;
   e->read += p->miss + r->tokens_out;
   e->kept.clock += p->miss + r->tokens_out;
-  e->untold = true;
+  mt_engine_load_changed(e);
   if (s == NULL || s->memory == 0 || r->parts_count == 0) return;
   mt_prefix_cache_use(&e->kept, r->parts, r->parts_count, s->memory);
 }
@@ -106,7 +106,7 @@
   if (r->engine == NULL || !r->awaiting_event) return;
   r->awaiting_event = false;
   r->engine->here.unread -= r->unread;
-  r->engine->untold = true;
+  mt_engine_load_changed(r->engine);
 }
 
 void mt_relay_disengage (mt_relay_request_t *r) {
@@ -114,7 +114,7 @@
   mt_relay_prompt_read(r);
   r->engine->here.running--;
   r->engine->here.held -= r->held;
-  r->engine->untold = true;
+  mt_engine_load_changed(r->engine);
   r->engine = NULL;
 }
 
@@ -150,8 +150,8 @@
 ** tries itself.
 */
 static void probe_engines (mt_relay_t *relay) {
-  for (size_t i = 0; i < relay->engines.count; i++) {
-    mt_engine_t *e = relay->engines.list[i];
+  for (size_t i = 0; i < relay->engines.attended_count; i++) {
+    mt_engine_t *e = relay->engines.attended[i];
     if (!e->unreachable || e->probing || e->probe > relay->now) continue;
     if (e->state != MT_ENGINE_READY) continue;
     e->probing = true;
@@ -162,8 +162,8 @@
 
 /* Without probes an unreachable engine rests; then a request tries it. */
 static void end_rests (mt_relay_t *relay) {
-  for (size_t i = 0; i < relay->engines.count; i++) {
-    mt_engine_t *e = relay->engines.list[i];
+  for (size_t i = 0; i < relay->engines.attended_count; i++) {
+    mt_engine_t *e = relay->engines.attended[i];
     if (e->probe + UNPROBED_REST_MS <= relay->now) e->unreachable = false;
   }
 }
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -377,8 +377,10 @@
 
 TEST(LoadTeller, TellsChangesAndRepeatsWhatStands) {
   mt_engines_t engines{};
-  for (int i = 0; i < 100; i++)
-    mt_engines_add(&engines, std::to_string(i).c_str())->untold = i < 80;
+  for (int i = 0; i < 100; i++) {
+    mt_engine_t *e = mt_engines_add(&engines, std::to_string(i).c_str());
+    if (i < 80) mt_engine_load_changed(e);
+  }
   Told told;
   mt_load_teller_t teller{};
   const mt_load_teller_calls_t calls = {Told::keeper, Told::tell, &told};
@@ -388,6 +390,8 @@
     for (uint64_t key : to.second) EXPECT_EQ(key % 2 + 1, to.first);
   told.rows.clear();
   engines.list[0]->here.running = 1;
+  mt_engine_load_changed(engines.list[0]);
+  engines.list[0]->untold = false; // its keeper was told at once
   mt_load_teller_tick(&teller, &engines, 1100, &calls);
   EXPECT_TRUE(told.rows.empty());
   mt_load_teller_tick(&teller, &engines, 2000, &calls);
@@ -396,6 +400,32 @@
   mt_engines_free(&engines);
 }
 
+// A tick looks at engines that this router uses, however many there are.
+TEST(LoadTeller, LooksAtWhatIsUsed) {
+  for (int count : {100, 1000, 10000, 20000}) {
+    mt_engines_t engines{};
+    Told told;
+    mt_load_teller_t teller{};
+    const mt_load_teller_calls_t calls = {Told::keeper, Told::tell, &told};
+    for (int i = 0; i < count; i++)
+      mt_engines_add(&engines, std::to_string(i).c_str());
+    for (size_t i = 0; i < 10; i++) mt_engine_load_changed(engines.list[i]);
+    mt_engine_reached(engines.list[20], false, 1000);
+    engines.list[0]->here.running = 1;
+    mt_load_teller_tick(&teller, &engines, 1000, &calls);
+    EXPECT_EQ(engines.attended_count, 11u) << count;
+    mt_load_teller_tick(&teller, &engines, 1100, &calls);
+    EXPECT_EQ(engines.attended_count, 2u) << count; // runs; out of reach
+    mt_engines_remove(&engines, engines.list[20]);
+    mt_engines_remove(&engines, engines.list[0]);
+    EXPECT_EQ(engines.attended_count, 0u) << count;
+    for (size_t i = 0; i < engines.count; i++)
+      ASSERT_EQ(engines.list[i]->place, i);
+    mt_load_teller_free(&teller);
+    mt_engines_free(&engines);
+  }
+}
+
 // }==
 
 // {== Placement by quotes ==================================================
