What is told again is not passed on again, however much was told

Cause: a change that another failure domain tells is passed on to the own one if the log does not hold it. A log that is full drops the oldest, so of more changes than it holds each comes as new for ever: every copy evicts others, which are new when they are told again.

Change: of a change as old as what the log dropped it can't be said whether it was known. It is applied, but neither kept nor passed on.

--- a/src/gateway/change_log.c
+++ b/src/gateway/change_log.c
@@ -125,6 +125,7 @@
   mt_change_log_item_t *item = mt_change_log_find(log, change);
   if (item != NULL && item->change.rev == change->rev) return MT_CHANGE_SAME;
   if (item != NULL && item->change.rev > change->rev) return MT_CHANGE_STALE;
+  if (item == NULL && change->rev <= log->from) return MT_CHANGE_OLD;
   if (item == NULL) item = take_slot(log, change);
   if (log->order_count == 0) log->sorted = true;
   *item = (mt_change_log_item_t){*change, now, false, ++log->serial};
--- a/src/gateway/change_log.h
+++ b/src/gateway/change_log.h
@@ -55,8 +55,10 @@
   MT_CHANGE_NEW,   /* nothing so late was known of its subject */
   MT_CHANGE_SAME,  /* that very change was known */
   MT_CHANGE_STALE, /* a later one is known */
+  MT_CHANGE_OLD,   /* as old as what was dropped: it may have been known */
 } mt_change_news_t;
 
+/* Takes a change, unless it is STALE or OLD. */
 mt_change_news_t mt_change_log_add (mt_change_log_t *log,
                                     const mt_change_t *change, mt_ms_t now);
 
--- a/src/gateway/feed_exchange.c
+++ b/src/gateway/feed_exchange.c
@@ -231,7 +231,10 @@
 /*
 ** Takes the changes of one feed. They are of use in whatever order they come:
 ** what leaves has left, also if something before it is not known here. `all`
-** is set to false where only the source may tell some of it.
+** is set to false where only the source may tell some of it. True when some
+** are to be passed on. Of those as old as what the log dropped none is: with
+** 2,500 engines new, a router that could not read its first list passed the
+** same 143 on to its failure domain 30 times a second.
 */
 static bool take_changes (mt_feed_exchange_t *x, mt_feed_kind_t kind,
                           const mt_peer_message_t *m, bool *all) {
@@ -242,14 +245,15 @@
     const mt_change_t *change = &m->changes[i];
     if (mt_change_feed(change->kind) != kind) continue;
     if (change->rev <= feed->state.told) continue;
-    bool is_new = mt_change_log_add(&feed->log, change, now) == MT_CHANGE_NEW;
+    mt_change_news_t news = mt_change_log_add(&feed->log, change, now);
     mt_change_log_item_t *item = mt_change_log_find(&feed->log, change);
     mt_ms_t since = change->age < now ? now - change->age : 1;
     bool whole = item == NULL || item->whole;
-    if (is_new) whole = x->calls.apply(x->calls.ud, change, since);
+    if (news == MT_CHANGE_NEW || news == MT_CHANGE_OLD)
+      whole = x->calls.apply(x->calls.ud, change, since);
     if (item != NULL) item->whole = whole;
     *all = *all && whole;
-    fresh = fresh || is_new;
+    fresh = fresh || news == MT_CHANGE_NEW;
   }
   return fresh;
 }
--- a/tests/change_log_test.cc
+++ b/tests/change_log_test.cc
@@ -99,6 +99,26 @@
   EXPECT_EQ(mt_change_log_find(&log.log, &old), nullptr);
 }
 
+// What is as old as what was dropped is not taken for new, however often it
+// is told.
+TEST(ChangeLog, WhatIsOlderThanAllThatIsKeptIsNotNew) {
+  Log log;
+  for (int i = 1; i <= 3000; i++)
+    log.add(MT_CHANGE_ENGINE_GONE, std::to_string(i).c_str(), i);
+  int64_t from = log.log.from;
+  ASSERT_GT(from, 0);
+  size_t count = log.log.count;
+  for (int i = 1; i <= from; i++)
+    EXPECT_EQ(log.add(MT_CHANGE_ENGINE_GONE, std::to_string(i).c_str(), i),
+              MT_CHANGE_OLD);
+  for (int i = (int)from + 1; i <= 3000; i++)
+    EXPECT_EQ(log.add(MT_CHANGE_ENGINE_GONE, std::to_string(i).c_str(), i),
+              MT_CHANGE_SAME);
+  EXPECT_EQ(log.log.count, count);
+  // Of a thing that is known by a later change still nothing older counts.
+  EXPECT_EQ(log.add(MT_CHANGE_ENGINE_READY, "3000", 1), MT_CHANGE_STALE);
+}
+
 // What one list of a fleet brings drives out nothing, and what went meanwhile
 // is told with it.
 TEST(ChangeLog, HoldsAsMuchAsIsThere) {
--- a/tests/feed_exchange_test.cc
+++ b/tests/feed_exchange_test.cc
@@ -378,6 +378,36 @@
   }
 }
 
+// A router that has read nothing yet passes on what another failure domain
+// tells it, once, also when there is far more than it can keep: one at a
+// start of 986 routers and 2,500 engines did so 30 times a second, 20 KB to
+// each of 200 neighbours.
+TEST(FeedExchange, WhatIsToldAgainIsNotPassedOnAgain) {
+  World w(40, 2, 1);
+  Router *teller = w.routers[0].get(), *starts = w.routers[1].get();
+  mt_feed_exchange_free(&starts->feeds);
+  const mt_feed_exchange_calls_t calls = {World::begin, World::send,
+                                          World::apply, World::note, starts};
+  mt_feed_exchange_open(&starts->feeds, &starts->members, &calls);
+  for (auto &r : w.routers) r->members.now = w.now;
+  auto tell = [&] (int64_t first, int64_t last) {
+    mt_peer_message_t *m =
+        (mt_peer_message_t *)World::begin(teller, MT_PEER_NEWS);
+    m->spans[MT_FEED_ENGINES] = {first - 1, last};
+    for (int64_t rev = first; rev <= last; rev++)
+      m->changes[m->changes_count++] = mt_change_named(
+          MT_CHANGE_ENGINE_GONE, std::to_string(rev).c_str(), rev);
+    World::send(teller, &starts->members.own_ip, 1);
+  };
+  size_t once = 0;
+  for (int round = 0; round < 10; round++) {
+    for (int64_t rev = 101; rev <= 3100; rev += 100) tell(rev, rev + 99);
+    if (round == 0) once = starts->outcomes[MT_FEED_TOLD];
+  }
+  EXPECT_EQ(once, 30u);
+  EXPECT_EQ(starts->outcomes[MT_FEED_TOLD], once);
+}
+
 // In a fleet at rest nobody asks; one change costs a message a router or so.
 TEST(FeedExchange, CostsLittle) {
   World w(85, 3, 1);
