Heartbeats between rounds, where boxes and workspaces are many

Cause: a round of the share exchange holds a row for each workspace, and its bytes set when the next comes: boxes x workspaces. Paces differ from round to round by ten times, as other domains' sums are passed on in some; what a short pace promised did not hold until the next round, so a seventh of the pairs of routers within a failure domain had given each other up, though nobody had failed. Whoever is given up is told nothing, keeps nothing, and watchers are chosen without it.

Change: where rounds are more than a second apart, a router tells its group, and those who hear of the group from it, who serves, without shares. Members count by these. Sums are made ten times a second instead of forty, as often as the level is found.

--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -86,7 +86,8 @@
   mt_catalog_digests(catalog, &digests);
   for (size_t i = 0; i < log->slots && count < mt_countof(flips); i++) {
     const mt_change_t *told = mt_change_log_at(log, i);
-    if (told != NULL && told->rev < rev && flip(catalog, &digests, told, rev, &change))
+    if (told != NULL && told->rev < rev &&
+        flip(catalog, &digests, told, rev, &change))
       flips[count++] = change;
   }
   mtV_free(&digests);
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -448,6 +448,7 @@
                       const mt_peer_message_t *m) {
   switch (m->kind) {
     case MT_PEER_HELLO:
+    case MT_PEER_WELCOME:
     case MT_PEER_SUMMARY:
     case MT_PEER_DOMAIN:
       if (is_newest(peer, m))
@@ -458,9 +459,6 @@
       break;
     case MT_PEER_HOLDS: on_holds(peers, m); break;
     case MT_PEER_BACK: on_back(peers, m); break;
-    case MT_PEER_WELCOME:
-      mt_share_exchange_take_members(&peers->members, m, true);
-      break;
     case MT_PEER_ASK: on_ask(peers, peer->ip, m); break;
     case MT_PEER_QUOTE: on_quote(peers, peer, m); break;
     case MT_PEER_NEWS: mt_feed_exchange_news(&peers->feeds, peer, m); break;
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -28,7 +28,8 @@
                       its failure domain */
   MT_PEER_DOMAIN,  /* those of a failure domain, to other domains; passed on
                       there */
-  MT_PEER_WELCOME, /* all members, to a router that was not known */
+  MT_PEER_WELCOME, /* all members, to a router that was not known; those of a
+                      group, to others of its failure domain */
   MT_PEER_NEWS,    /* what has changed at the source */
   MT_PEER_LACK,    /* what changed there behind what the header tells? */
   MT_PEER_ASK,     /* what do these engines, kept by you, have? */
@@ -84,7 +85,8 @@
   uint64_t boot, number; /* of the sender's process and message */
   uint64_t token; /* ASK, QUOTE: of the request; LOAD: of one that was sent
                      just now, 0: none was */
-  mt_ms_t pace;   /* HELLO, SUMMARY, DOMAIN: the next comes after so long */
+  mt_ms_t pace;   /* HELLO, SUMMARY, DOMAIN, WELCOME of a group: the next
+                     comes after so long */
   uint32_t groups, group; /* of the domain told of; SUMMARY: which group */
   mt_peer_feed_t feeds[MT_FEEDS];
   mt_peer_member_t members[MT_PEER_MEMBERS_MAX];
--- a/src/gateway/share_exchange.c
+++ b/src/gateway/share_exchange.c
@@ -8,15 +8,34 @@
 
 #define INTERVAL_MIN_MS 150 /* between two rounds, at least */
 #define BYTES_PER_S 8000    /* that a router sends in rounds, about */
-#define PACES_VALID 3       /* what is told counts for so many paces */
-#define VALID_MIN_MS 1000   /* and for so long at least */
-#define WELCOME_MS 2500     /* what a welcome says counts for so long */
-#define ADDRESSES_TOLD 8    /* in a greeting */
-#define PROBES_MOST 8   /* in a round, of addresses where nobody answers */
-#define SHARE_LEAST 1.0 /* tokens a second; less is not told */
+/*
+** Rounds hold a row for each workspace, so they come rarely where boxes and
+** workspaces are many: each 8.6 s at 986 and 333. Who serves is then told in
+** heartbeats between them, or routers that have ended would count for three
+** rounds: engines' keepers, and watchers of the source that nobody follows.
+*/
+#define HEARTBEAT_MS 1000
+#define HEARTBEAT_BYTES_PER_S 4000 /* that a router sends in them, about */
+/* A group's members count for so many heartbeats: when the one that tells of
+   them ends, its group notices after three and another one tells. */
+#define HEARTBEATS_VALID 5
+/* What is told of the own failure domain's routers counts no longer than
+   that, however far off the next round is. */
+#define VOUCHED_MAX_MS 8000
+#define SUM_MS 100        /* between sums: as often as the level is found */
+#define PACES_VALID 3     /* what is told counts for so many paces */
+#define VALID_MIN_MS 1000 /* and for so long at least */
+#define WELCOME_MS 2500   /* what a welcome says counts for so long */
+#define ADDRESSES_TOLD 8  /* in a greeting */
+#define PROBES_MOST 8     /* in a round, of addresses where nobody answers */
+#define SHARE_LEAST 1.0   /* tokens a second; less is not told */
+
+static mt_ms_t valid_at (mt_ms_t pace) {
+  return mt_max(PACES_VALID * pace, (mt_ms_t)VALID_MIN_MS);
+}
 
 static mt_ms_t valid_for (const mt_peer_message_t *m) {
-  return mt_max(PACES_VALID * m->pace, (mt_ms_t)VALID_MIN_MS);
+  return valid_at(m->pace);
 }
 
 /* {== Members ========================================================== */
@@ -43,10 +62,23 @@
       add_peer(m, members->list[i]);
 }
 
-void mt_share_exchange_take_members (mt_membership_t *members,
-                                     const mt_peer_message_t *m,
-                                     bool vouched) {
-  mt_ms_t valid = m->pace > 0 ? valid_for(m) : WELCOME_MS;
+/* How long a member counts that a message names. */
+static mt_ms_t vouched_for (const mt_peer_message_t *m) {
+  if (m->pace == 0) return WELCOME_MS;
+  switch (m->kind) {
+    case MT_PEER_WELCOME:
+      return mt_min(HEARTBEATS_VALID * m->pace, (mt_ms_t)VOUCHED_MAX_MS);
+    case MT_PEER_SUMMARY:
+      return mt_min(valid_for(m), (mt_ms_t)VOUCHED_MAX_MS);
+    default: return valid_for(m);
+  }
+}
+
+/* Takes addresses that somebody named; `vouched`: they serve, says whoever
+   hears them. */
+static void take_members (mt_membership_t *members,
+                          const mt_peer_message_t *m, bool vouched) {
+  mt_ms_t valid = vouched_for(m);
   for (size_t i = 0; i < m->members_count; i++) {
     const mt_peer_member_t *member = &m->members[i];
     mt_peer_t *peer = mt_membership_know(members, member->ip);
@@ -116,7 +148,7 @@
   for (size_t i = 0; i < members->count; i++) {
     const mt_peer_t *peer = members->list[i];
     if (!in_own_group(members, peer)) continue;
-    if (members->now - peer->shares_heard < peer->valid)
+    if (members->now - peer->shares_heard < peer->shares_valid)
       add_rates(x, peer->shares, peer->shares_count);
   }
 }
@@ -229,13 +261,12 @@
   if (count > 0) x->calls.send(x->calls.ud, to, count);
 }
 
-/* The own group's sum, to those of other groups that hear it from here. */
-static void summarize (mt_share_exchange_t *x) {
+/* Fills in the own group; lists those of other groups that hear of it from
+   here, and returns how many these are. */
+static size_t pack_group (const mt_share_exchange_t *x, mt_peer_message_t *m,
+                          uint32_t *to, size_t most) {
   const mt_membership_t *members = x->members;
-  uint32_t to[MT_PEER_MEMBERS_MAX];
   size_t count = 0;
-  mt_peer_message_t *m = begin(x, MT_PEER_SUMMARY);
-  m->group = mt_membership_group(members, members->own_ip);
   add_self(members, m);
   for (size_t i = 0; i < members->count; i++) {
     const mt_peer_t *peer = members->list[i];
@@ -246,12 +277,33 @@
     }
     if (!mt_membership_is_live(members, peer)) continue;
     if (!mt_membership_tells(members, peer->ip)) continue;
-    if (count < mt_countof(to)) to[count++] = peer->ip;
+    if (count < most) to[count++] = peer->ip;
   }
+  return count;
+}
+
+/* The own group's sum, to those of other groups that hear it from here. */
+static void summarize (mt_share_exchange_t *x) {
+  uint32_t to[MT_PEER_MEMBERS_MAX];
+  mt_peer_message_t *m = begin(x, MT_PEER_SUMMARY);
+  m->group = mt_membership_group(x->members, x->members->own_ip);
+  size_t count = pack_group(x, m, to, mt_countof(to));
   pack_shares(x, m, LEVEL_SUMMED_UP);
   send(x, to, count);
 }
 
+/* Its members alone: to those, to the own group, and to some addresses where
+   nobody answers. */
+static void tell_group (mt_share_exchange_t *x) {
+  uint32_t to[3 * MT_PEER_MEMBERS_MAX];
+  mt_peer_message_t *m = begin(x, MT_PEER_WELCOME);
+  m->pace = x->beat;
+  size_t count = pack_group(x, m, to, MT_PEER_MEMBERS_MAX);
+  count += list_group(x->members, to + count, MT_PEER_MEMBERS_MAX);
+  count += list_probed(x, to + count, PROBES_MOST);
+  send(x, to, count);
+}
+
 /* The own failure domain's sum, to routers of others that pass it on. */
 static void speak (mt_share_exchange_t *x) {
   const mt_membership_t *members = x->members;
@@ -296,9 +348,15 @@
 
 /* {== Taking =========================================================== */
 
+/* How long a router counts that was heard: by its heartbeats, if any came. */
+static mt_ms_t beats_valid (const mt_peer_t *peer) {
+  return peer->beats_valid != 0 ? peer->beats_valid : VOUCHED_MAX_MS;
+}
+
 static void on_hello (mt_share_exchange_t *x, mt_peer_t *peer,
                       const mt_peer_message_t *m) {
-  peer->valid = valid_for(m);
+  peer->shares_valid = valid_for(m);
+  peer->valid = mt_min(peer->shares_valid, beats_valid(peer));
   peer->shares_heard = x->members->now;
   keep_shares(&peer->shares, &peer->shares_count, &peer->shares_cap, m);
   if (m->members_count > 0) { /* the first is the sender */
@@ -306,12 +364,12 @@
     peer->source = m->members[0].source;
   }
   mt_membership_note_groups(x->members, peer->domain, m->groups);
-  mt_share_exchange_take_members(x->members, m, false);
+  take_members(x->members, m, false);
 }
 
 static void on_summary (mt_share_exchange_t *x, const mt_peer_message_t *m) {
   if (m->members_count == 0) return;
-  mt_share_exchange_take_members(x->members, m, true);
+  take_members(x->members, m, true);
   if (m->members[0].domain != x->members->own_domain) return;
   if (m->group < mt_countof(x->groups)) keep_sum(x, &x->groups[m->group], m);
 }
@@ -322,7 +380,7 @@
   mt_id_t domain = m->members[0].domain;
   if (domain == 0 || domain == x->members->own_domain) return;
   mt_membership_note_groups(x->members, domain, m->groups);
-  mt_share_exchange_take_members(x->members, m, true);
+  take_members(x->members, m, true);
   mt_share_sum_t *sum = mtV_get(&x->domains, domain);
   if (sum == NULL && x->domains.used >= MT_MEMBERSHIP_DOMAINS) return;
   if (sum == NULL) {
@@ -341,26 +399,49 @@
     case MT_PEER_HELLO: on_hello(x, peer, m); break;
     case MT_PEER_SUMMARY: on_summary(x, m); break;
     case MT_PEER_DOMAIN: on_domain(x, peer, m); break;
+    case MT_PEER_WELCOME:
+      if (m->pace > 0) peer->valid = peer->beats_valid = valid_for(m);
+      take_members(x->members, m, true);
+      break;
     default: break;
   }
 }
 
 /* }== */
 
+/* The time that some bytes take at a rate, within which nothing is told. */
+static mt_ms_t pace_of (size_t bytes, size_t bytes_per_s, mt_ms_t least) {
+  return mt_max((mt_ms_t)(1000 * bytes / bytes_per_s), least);
+}
+
+/* Who serves in the own failure domain, between rounds that come rarely. */
+static void beat (mt_share_exchange_t *x) {
+  size_t before = x->bytes;
+  tell_group(x);
+  x->beat = pace_of(x->bytes - before, HEARTBEAT_BYTES_PER_S, HEARTBEAT_MS);
+  x->next_beat = x->members->now + x->beat;
+  x->bytes = before;
+}
+
 void mt_share_exchange_tick (mt_share_exchange_t *x) {
   bool tells = x->members->now >= x->next_round;
+  if (!tells && x->members->now < x->next_sum) return;
+  x->next_sum = x->members->now + SUM_MS;
   sum_group(x);
+  if (!tells && x->members->now >= x->next_beat) beat(x);
   if (tells) {
     greet(x);
     summarize(x);
   }
   sum_domain(x);
   if (tells) {
+    mt_ms_t valid = valid_at(x->pace);
     speak(x);
     pass_on_all(x);
-    x->pace = mt_max((mt_ms_t)(1000 * x->bytes / BYTES_PER_S),
-                     (mt_ms_t)INTERVAL_MIN_MS);
+    x->pace = pace_of(x->bytes, BYTES_PER_S, INTERVAL_MIN_MS);
     x->next_round = x->members->now + x->pace;
+    /* However far off the next round is, what was told still counts then. */
+    x->next_beat = x->members->now + mt_min(x->beat, valid / 2);
     x->bytes = 0;
   }
   sum_fleet(x);
@@ -372,7 +453,8 @@
   *x = (mt_share_exchange_t){.members = members,
                              .shares = shares,
                              .calls = *calls,
-                             .pace = INTERVAL_MIN_MS};
+                             .pace = INTERVAL_MIN_MS,
+                             .beat = HEARTBEAT_MS};
 }
 
 void mt_share_exchange_free (mt_share_exchange_t *x) {
--- a/src/gateway/share_exchange.h
+++ b/src/gateway/share_exchange.h
@@ -7,6 +7,7 @@
 ** passed on within groups. What a router sends in one round sets when the
 ** next one is. Everything told is absolute and expires, so a lost
 ** message or a lost router does no harm that the next round does not mend.
+** Where rounds are far apart, heartbeats between them tell who serves.
 ** No sockets here: messages go out by calls.
 */
 #ifndef share_exchange_h
@@ -41,7 +42,9 @@
   mt_map_t domains;              /* id -> mt_share_sum_t, owned */
   size_t next_told, next_probed; /* indices of members */
   size_t bytes;                  /* sent in this round */
-  mt_ms_t next_round, pace;
+  mt_ms_t next_sum, next_round, pace;
+  mt_ms_t next_beat,
+      beat; /* heartbeats between rounds that are further apart */
 } mt_share_exchange_t;
 
 void mt_share_exchange_open (mt_share_exchange_t *exchange,
@@ -56,7 +59,7 @@
 */
 void mt_share_exchange_tick (mt_share_exchange_t *exchange);
 
-/* Takes a HELLO, SUMMARY or DOMAIN of a peer. */
+/* Takes a HELLO, SUMMARY, DOMAIN or WELCOME of a peer. */
 void mt_share_exchange_take (mt_share_exchange_t *exchange, mt_peer_t *peer,
                              const mt_peer_message_t *message);
 
@@ -64,10 +67,4 @@
 void mt_share_exchange_list_members (const mt_membership_t *members,
                                      mt_peer_message_t *message);
 
-/* Takes addresses that somebody named; `vouched`: they serve, says whoever
-   hears them. */
-void mt_share_exchange_take_members (mt_membership_t *members,
-                                     const mt_peer_message_t *message,
-                                     bool vouched);
-
 #endif
--- a/tests/share_exchange_test.cc
+++ b/tests/share_exchange_test.cc
@@ -36,6 +36,7 @@
   std::map<uint32_t, Router *> by_ip;
   std::deque<std::pair<uint32_t, std::unique_ptr<mt_peer_message_t>>> mail;
   int workspaces;
+  bool everywhere = false; // all workspaces ask for much at all routers
   mt_ms_t now = 100000;
 
   static uint32_t ip (int i) {
@@ -50,14 +51,14 @@
     auto *r = (Router *)ud;
     char bytes[MT_PEER_DATAGRAM_MAX];
     size_t n = mt_peer_message_pack(&r->out, bytes, sizeof bytes);
+    static mt_peer_message_t copy;
+    EXPECT_TRUE(mt_peer_message_unpack(&copy, bytes, n));
     for (size_t i = 0; i < count; i++) {
       Router *other = r->world->by_ip[to[i]];
       r->sent += n;
       r->crossed +=
           other->members.own_domain != r->members.own_domain ? n : 0;
-      auto copy = std::make_unique<mt_peer_message_t>();
-      EXPECT_TRUE(mt_peer_message_unpack(copy.get(), bytes, n));
-      r->world->deliver(r, other, *copy);
+      r->world->deliver(r, other, copy);
     }
     return n;
   }
@@ -105,6 +106,8 @@
         mt_id_t workspace = (mt_id_t)(1 + i % (size_t)workspaces);
         mt_share_t *share = mt_fair_share_get(&r->shares, workspace);
         share->here = {100, 50};
+        for (int k = 1; everywhere && k <= workspaces; k++)
+          mt_fair_share_get(&r->shares, (mt_id_t)k)->here = {1e6, 5e5};
         mt_membership_update(&r->members, now);
         mt_share_exchange_tick(&r->exchange);
       }
@@ -156,6 +159,33 @@
   }
 }
 
+// Where routers and workspaces are many, rounds are far apart. Who serves in
+// the own failure domain is known all the same, and who has ended is within
+// some seconds.
+TEST(ShareExchange, RareRoundsDoNotHideWhoServes) {
+  World w(100, 2, 300);
+  w.everywhere = true;
+  auto wrong = [&] (bool dark) {
+    int count = 0;
+    for (auto &r : w.routers)
+      for (size_t i = 0; !r->dark && i < r->members.count; i++) {
+        const mt_peer_t *peer = r->members.list[i];
+        bool live = mt_membership_is_live(&r->members, peer);
+        if (!mt_membership_is_near(&r->members, peer)) continue;
+        count += w.by_ip[peer->ip]->dark == dark && live == dark;
+      }
+    return count;
+  };
+  w.pass(30000);
+  mt_ms_t pace = 0;
+  for (auto &r : w.routers) pace = std::max(pace, r->exchange.pace);
+  EXPECT_GE(pace, 5000u); // else this shows nothing
+  EXPECT_EQ(wrong(false), 0);
+  for (size_t i = 0; i < 8; i++) w.routers[i]->dark = true;
+  w.pass(12000);
+  EXPECT_EQ(wrong(true), 0);
+}
+
 // Bytes a second that a router sends stay within the bound, and few of them
 // leave the failure domain.
 TEST(ShareExchange, WhatItTakesGrowsSlowly) {
