--- a/tests/feed_clock_test.cc
+++ b/tests/feed_clock_test.cc
@@ -17,6 +17,7 @@
     mt_ms_t asked, wait;
     mt_feed_signs_t signs; // read, failed, answered, behind
     mt_feed_verdict_t verdict;
+    mt_ms_t heard = 0;
   } rows[] = {
       {"a watch that is held",
        1000,
@@ -69,11 +70,24 @@
        {2000, 0, 900, 500},
        MT_FEED_WAITING},
       {"a list likewise", 1000, 0, {2201, 0, 900, 0}, MT_FEED_SILENT},
+      {"a long answer that is on its way",
+       1000,
+       0,
+       {3000, 0, 900, 0},
+       MT_FEED_WAITING,
+       1900},
+      {"a long answer that has stopped",
+       1000,
+       0,
+       {3101, 0, 900, 0},
+       MT_FEED_SILENT,
+       1900},
   };
   for (const Row &row : rows) {
     mt_feed_clock_t clock{};
     clock.asked = row.asked;
     clock.wait = row.wait;
+    clock.heard = row.heard;
     EXPECT_EQ(mt_feed_clock_judge(&clock, &row.signs), row.verdict)
         << row.what;
   }
