A fleet of 2,000 routers is known as a whole; what is not taken is counted

A welcome named the first 512 of all. The places of other domains' routers were a table of 1,024 on the stack, zeroed each round.

Change: 4,096 addresses, enough for 2,000 routers that are all replaced within the minute for which an address is kept; what is beyond is counted (addresses_refused_total). A welcome goes in as many messages as it takes. The places are as many as there are routers.

Measured: Membership.NobodyIsLeftOutOfALargeFleet at 300, 986 and 2,000 routers fails before at 2,000 (1,024 known) and at 986 (512 told).

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -455,14 +455,15 @@
     on_suspects_asked(g, x);
     return;
   }
-  const mt_gateway_metrics_t from = {.relay = g->relay,
-                                     .engines = g->engines,
-                                     .callers = g->callers,
-                                     .overload = &g->overload,
-                                     .log = g->log,
-                                     .traffic =
-                                         mt_gateway_peers_traffic(g->peers),
-                                     .news = mt_gateway_peers_news(g->peers)};
+  const mt_gateway_metrics_t from = {
+      .relay = g->relay,
+      .engines = g->engines,
+      .callers = g->callers,
+      .overload = &g->overload,
+      .log = g->log,
+      .traffic = mt_gateway_peers_traffic(g->peers),
+      .news = mt_gateway_peers_news(g->peers),
+      .addresses_refused = mt_gateway_peers_refused(g->peers)};
   mt_gateway_metrics(&from, &g->scratch);
   answer_text(g, x, 200);
 }
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -155,6 +155,9 @@
   number(out, "evacuated_domains", "gauge",
          "Failure domains whose engines get no work.",
          (double)relay->evacuations.count);
+  number(out, "addresses_refused_total", "counter",
+         "Times that a router's address was not taken: there are too many.",
+         (double)from->addresses_refused);
   number(out, "routers", "gauge", "Routers heard of, this one included.",
          relay->routers);
   number(out, "configuration_version", "gauge", "Version in force.",
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -20,6 +20,7 @@
   const mt_log_writer_t *log;
   const mt_peer_traffic_t *traffic; /* by kind of message */
   const uint64_t *news;             /* by outcome */
+  uint64_t addresses_refused;
 } mt_gateway_metrics_t;
 
 void mt_gateway_metrics (const mt_gateway_metrics_t *from, mt_text_t *out);
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -123,15 +123,18 @@
 
 /*
 ** Tells a router that has just come who else there is, if it seems to know
-** less. When all start at once everybody hears everybody else for the first
+** less, in as many messages as it takes. When all start at once everybody
+*hears everybody else for the first
 ** time: each telling each of all took 28 MB of 295 routers.
 */
 static void welcome (mt_gateway_peers_t *peers, uint32_t ip,
                      uint32_t its_groups) {
   if (its_groups >= peers->members.groups && its_groups > 1) return;
-  mt_peer_message_t *m = begin(peers, MT_PEER_WELCOME);
-  mt_share_exchange_list_members(&peers->members, m);
-  send_out(peers, ip);
+  for (size_t next = 0; next < peers->members.count;) {
+    mt_peer_message_t *m = begin(peers, MT_PEER_WELCOME);
+    next = mt_share_exchange_list_members(&peers->members, next, m);
+    send_out(peers, ip);
+  }
 }
 
 /* }== */
@@ -587,6 +590,10 @@
   return peers->traffic;
 }
 
+uint64_t mt_gateway_peers_refused (const mt_gateway_peers_t *peers) {
+  return peers->members.refused;
+}
+
 const uint64_t *mt_gateway_peers_news (const mt_gateway_peers_t *peers) {
   return peers->news;
 }
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -106,6 +106,9 @@
 const mt_peer_traffic_t *
 mt_gateway_peers_traffic (const mt_gateway_peers_t *peers);
 
+/* Times that an address was not taken, since there are too many. */
+uint64_t mt_gateway_peers_refused (const mt_gateway_peers_t *peers);
+
 /* News told and heard since the start, by mt_feed_outcome_t. */
 const uint64_t *mt_gateway_peers_news (const mt_gateway_peers_t *peers);
 
--- a/src/gateway/membership.c
+++ b/src/gateway/membership.c
@@ -12,7 +12,9 @@
    engines before do not know this one. */
 #define SETTLE_MS 1500
 #define FORGET_MS 60000 /* an address is not tried any more */
-#define ADDRESSES_MAX 1024
+/* Anybody may name addresses, so they are bounded: those of 2,000 routers and
+   of as many that replaced others lately. */
+#define ADDRESSES_MAX 4096
 #define ANSWER_MS 80   /* a keeper answers within that */
 #define SUSPECT_MS 700 /* one that did not keeps nothing for so long */
 #define WATCHERS 2     /* of the source, in each failure domain */
@@ -35,7 +37,10 @@
   if (ip == 0 || ip == m->own_ip) return NULL;
   mt_peer_t *peer = mtV_get(&m->by_ip, ip);
   if (peer == NULL) {
-    if (m->count >= ADDRESSES_MAX) return NULL;
+    if (m->count >= ADDRESSES_MAX) {
+      m->refused++;
+      return NULL;
+    }
     peer = mtV_new(sizeof *peer);
     peer->ip = ip;
     peer->valid = LOST_MS;
@@ -189,8 +194,10 @@
   return x->domain == y->domain && x->group == y->group;
 }
 
-/* All that serve in other domains, sorted; their number. */
-static size_t list_places (const mt_membership_t *m, place_t *places) {
+/* All that serve in other domains, sorted; their number. The caller frees the
+   list. */
+static size_t list_places (const mt_membership_t *m, place_t **list) {
+  place_t *places = mtV_new((m->count + 1) * sizeof *places);
   size_t count = 0;
   for (size_t i = 0; i < m->count; i++) {
     mt_peer_t *peer = m->list[i];
@@ -202,6 +209,7 @@
     places[count++] = (place_t){peer, at, group, weight};
   }
   qsort(places, count, sizeof *places, by_place);
+  *list = places;
   return count;
 }
 
@@ -218,8 +226,8 @@
 
 size_t mt_membership_spoken_to (const mt_membership_t *m, mt_peer_t **list,
                                 size_t most) {
-  place_t places[ADDRESSES_MAX] = {{NULL}};
-  size_t places_count = list_places(m, places), count = 0;
+  place_t *places;
+  size_t places_count = list_places(m, &places), count = 0;
   for (size_t first = 0, end; first < places_count; first = end) {
     for (end = first + 1; end < places_count; end++)
       if (!same_group(&places[first], &places[end])) break;
@@ -227,6 +235,7 @@
     mt_peer_t *peer = places[first + turn].peer;
     if (count < most && speaks(m, peer->ip)) list[count++] = peer;
   }
+  free(places);
   return count;
 }
 
--- a/src/gateway/membership.h
+++ b/src/gateway/membership.h
@@ -52,6 +52,7 @@
   mt_map_t by_ip; /* mt_peer_t, owned */
   mt_peer_t **list;
   size_t count, cap;
+  uint64_t refused;    /* addresses that were not taken: there are too many */
   mt_ms_t now, opened; /* opened: of the first update */
   uint32_t groups;     /* of the own failure domain: a power of two */
   int live;            /* routers that serve, this one included */
--- a/src/gateway/share_exchange.c
+++ b/src/gateway/share_exchange.c
@@ -54,12 +54,16 @@
   add_member(m, peer->ip, peer->domain, peer->source);
 }
 
-void mt_share_exchange_list_members (const mt_membership_t *members,
-                                     mt_peer_message_t *m) {
+size_t mt_share_exchange_list_members (const mt_membership_t *members,
+                                       size_t first, mt_peer_message_t *m) {
+  size_t next = first;
   add_self(members, m);
-  for (size_t i = 0; i < members->count; i++)
-    if (mt_membership_is_live(members, members->list[i]))
-      add_peer(m, members->list[i]);
+  for (; next < members->count; next++) {
+    if (m->members_count >= MT_PEER_MEMBERS_MAX) break;
+    if (mt_membership_is_live(members, members->list[next]))
+      add_peer(m, members->list[next]);
+  }
+  return next;
 }
 
 /* How long a member counts that a message names. */
--- a/src/gateway/share_exchange.h
+++ b/src/gateway/share_exchange.h
@@ -63,8 +63,12 @@
 void mt_share_exchange_take (mt_share_exchange_t *exchange, mt_peer_t *peer,
                              const mt_peer_message_t *message);
 
-/* Fills in all live members, this router first. */
-void mt_share_exchange_list_members (const mt_membership_t *members,
-                                     mt_peer_message_t *message);
+/*
+** Fills in this router and live members, from an index of their list on; the
+** index of the first that did not fit, or the list's count.
+*/
+size_t mt_share_exchange_list_members (const mt_membership_t *members,
+                                       size_t first,
+                                       mt_peer_message_t *message);
 
 #endif
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -12,6 +12,7 @@
 #include "relay.h"
 
 extern "C" {
+#include "share_exchange.h"
 #include "load_teller.h"
 #include "membership.h"
 #include "overload.h"
@@ -232,6 +233,50 @@
   }
 }
 
+// A fleet of 2,000 routers is known as a whole, and a domain's routers speak
+// to each group of every other; a newcomer is told of all of them.
+TEST(Membership, NobodyIsLeftOutOfALargeFleet) {
+  for (int count : {300, 986, 2000}) {
+    mt_membership_t m{};
+    m.own_ip = 1;
+    m.own_domain = 1;
+    mt_membership_update(&m, 100000);
+    for (int i = 1; i < count; i++) {
+      mt_peer_t *peer = mt_membership_know(&m, (uint32_t)(1 + i * 0x101));
+      ASSERT_NE(peer, nullptr) << i;
+      peer->domain = (mt_id_t)(1 + i % 5);
+      peer->heard = 100000;
+    }
+    mt_membership_update(&m, 100000);
+    EXPECT_EQ(m.live, count);
+    EXPECT_EQ(m.refused, 0u);
+    std::set<uint32_t> told;
+    for (size_t next = 0; next < m.count;) {
+      static mt_peer_message_t message;
+      mt_peer_message_begin(&message, MT_PEER_WELCOME);
+      next = mt_share_exchange_list_members(&m, next, &message);
+      char bytes[MT_PEER_DATAGRAM_MAX];
+      EXPECT_GT(mt_peer_message_pack(&message, bytes, sizeof bytes), 0u);
+      for (size_t i = 0; i < message.members_count; i++)
+        told.insert(message.members[i].ip);
+    }
+    EXPECT_EQ(told.size(), (size_t)count);
+    mt_membership_free(&m);
+  }
+}
+
+// Addresses beyond what a fleet can have are not taken, and that is counted.
+TEST(Membership, AddressesAreBounded) {
+  mt_membership_t m{};
+  m.own_ip = 1;
+  mt_membership_update(&m, 100000);
+  for (uint32_t i = 2; i < 10002; i++) mt_membership_know(&m, i);
+  EXPECT_EQ(m.count + m.refused, 10000u);
+  EXPECT_GE(m.count, 4000u); // of 2,000 routers, each replaced
+  EXPECT_GT(m.refused, 0u);
+  mt_membership_free(&m);
+}
+
 TEST(Membership, AllAgreeOnKeepersWithinTheFailureDomain) {
   for (int count : {6, 58, 300}) {
     Fleet fleet(count, 5);
