A gateway without requests ticks ten times a second, not forty

Cause: a tick wakes the process whether or not anything waits. A box of the whole fleet has 1.5 requests a second, and none before callers come; so most wakes of the fleet are ticks of boxes at rest.

Change: short ticks while a request is in progress, a quarter of a second behind the last one, in the first three seconds, and while stopping; else 100 ms. A request that comes brings the next tick near. Lag is judged against the tick that was due.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -12,8 +12,8 @@
 #include "gateway_state.h"
 #include "request_digest.h"
 #include "suspects_page.h"
+#include "tick_pace.h"
 
-#define TICK_MS 25
 /* Some trips of any link; a lost packet is sent again after 1 s only. */
 #define CONNECT_MS 150
 #define IDLE_MS 20000
@@ -249,8 +249,19 @@
   step(g, &event);
 }
 
+static void on_tick (uv_timer_t *timer);
+
 /* {== Callers ========================================================== */
 
+/* A request has come: the next tick is near, however long it was to be. */
+static void hurry (mt_gateway_t *g) {
+  g->busy = mt_wake_clock_now(g->loop);
+  if (g->pace == MT_TICK_BUSY_MS) return;
+  g->pace = MT_TICK_BUSY_MS;
+  g->ticked = g->busy;
+  uv_timer_start(&g->tick, on_tick, MT_TICK_BUSY_MS, MT_TICK_BUSY_MS);
+}
+
 static mt_bytes_t path_of (mt_bytes_t target) {
   const char *query = memchr(target.p, '?', target.n);
   if (query != NULL) target.n = (size_t)(query - target.p);
@@ -259,6 +270,7 @@
 
 static void on_request (void *ud, mt_http_exchange_t *x) {
   mt_gateway_t *g = ud;
+  hurry(g);
   const mt_http_headers_t *headers = mt_http_exchange_headers(x);
   mt_relay_ask_t ask = {.deadline_ms = -1, .last_event = -1};
   passage_t *p = mtV_new(sizeof *p);
@@ -494,9 +506,9 @@
 /* Whoever cannot keep up sends its callers elsewhere until it can. */
 static void judge_load (mt_gateway_t *g) {
   mt_ms_t now = mt_wake_clock_now(g->loop);
-  mt_ms_t took = g->ticked ? now - g->ticked : TICK_MS;
+  mt_ms_t took = g->ticked ? now - g->ticked : g->pace;
   g->ticked = now;
-  bool changed = mt_overload_turn(&g->overload, took, TICK_MS);
+  bool changed = mt_overload_turn(&g->overload, took, g->pace);
   g->relay->overloaded = g->overload.severe;
   if (!changed) return;
   bool overloaded = g->overload.overloaded;
@@ -519,6 +531,19 @@
                 (unsigned long long)slept, g->relay->count);
 }
 
+/* When the next tick comes. */
+static void set_pace (mt_gateway_t *g) {
+  mt_ms_t now = mt_wake_clock_now(g->loop);
+  if (g->relay->count > 0) g->busy = now;
+  const mt_tick_view_t view = {.running = now - g->started,
+                               .quiet = now - g->busy,
+                               .stopping = g->stopping != 0};
+  mt_ms_t pace = mt_tick_pace(&view);
+  if (pace == g->pace) return;
+  g->pace = pace;
+  uv_timer_start(&g->tick, on_tick, pace, pace);
+}
+
 static void on_tick (uv_timer_t *timer) {
   mt_gateway_t *g = timer->data;
   note_sleep(g);
@@ -530,6 +555,7 @@
   mt_http_client_tick(g->engines);
   mt_http_server_tick(g->callers);
   mt_log_writer_flush(g->log);
+  set_pace(g);
   if (g->stopping != 0) go_on_stopping(g);
 }
 
@@ -595,7 +621,8 @@
   g->peers = mt_gateway_peers_open(loop, settings, g->relay, g->log, &calls);
   uv_timer_init(loop, &g->tick);
   g->tick.data = g;
-  uv_timer_start(&g->tick, on_tick, TICK_MS, TICK_MS);
+  g->pace = MT_TICK_BUSY_MS;
+  uv_timer_start(&g->tick, on_tick, MT_TICK_BUSY_MS, MT_TICK_BUSY_MS);
   mt_log_line(g->log, MT_LOG_BELIEF, g->started, "start",
               "domain=%s callers=%s:%u ready=%s:%u metrics=%s:%u peers=%s:%u "
               "outcome=started",
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -24,7 +24,9 @@
   mt_map_t passages;
   uint64_t next_number;
   mt_ms_t started, stopping; /* 0: not ordered to stop */
-  mt_ms_t ticked;            /* the last tick */
+  mt_ms_t ticked;            /* the last tick, or when it was put off */
+  mt_ms_t pace;              /* until the next */
+  mt_ms_t busy;              /* a request was in progress last */
   mt_ms_t asleep;            /* that the machine had slept then */
   mt_overload_t overload;
   mt_text_t scratch;
