--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -212,9 +212,8 @@
 
 /*
 ** Effects are taken in order. Only four events nest: GONE_OUT has no effects,
-** and those of QUOTED, TRIED and CALLER_LEFT are of the one request that
-*asked
-** or was to be sent.
+** and those of QUOTED, TRIED and CALLER_LEFT are of the one request that was
+** asked about or was to be sent.
 */
 static void step (mt_gateway_t *g, mt_relay_event_t *event) {
   mt_relay_effects_t effects = {0};
--- a/src/gateway/share_exchange.h
+++ b/src/gateway/share_exchange.h
@@ -43,8 +43,8 @@
   size_t next_told, next_probed; /* indices of members */
   size_t bytes;                  /* sent in this round */
   mt_ms_t next_sum, next_round, pace;
-  mt_ms_t next_beat,
-      beat; /* heartbeats between rounds that are further apart */
+  /* Of heartbeats, between rounds that are further apart. */
+  mt_ms_t next_beat, beat;
 } mt_share_exchange_t;
 
 void mt_share_exchange_open (mt_share_exchange_t *exchange,
