A message without room for any change stays one

Cause (found by reading): where a message holds no further change, the place that is kept for the entry that stands for many was taken from a count of 0.

Change: no change is added then, and the span ends where it begins.

Measured: rows of ChangeLog.ManyThatHaveComeAreToldAsOne.

--- a/src/gateway/change_log.h
+++ b/src/gateway/change_log.h
@@ -76,8 +76,7 @@
 ** `reach`: up to there they are all; the given one if there are no more. Of
 ** more than `most` that share a revision only the first are ever told.
 ** `brief`: one change, MT_CHANGE_SEVERAL, stands for all engines that have
-** come; what ends, or goes on after an end, is there as ever. `most` is 1 or
-** more then.
+** come; what ends, or goes on after an end, is there as ever.
 */
 size_t mt_change_log_since (mt_change_log_t *log, int64_t rev, mt_ms_t now,
                             bool brief, mt_change_t *to, size_t most,
--- a/tests/change_log_test.cc
+++ b/tests/change_log_test.cc
@@ -127,7 +127,8 @@
               {0, 3, "a@30 c@60 *@60", 60}, // b and d
               {70, 9, "*@80", 90},
               {80, 9, "", 90},
-              {0, 1, "*@20", 0}}; // nothing is told as a whole
+              {0, 1, "*@20", 0}, // nothing is told as a whole
+              {0, 0, "", 0}};    // there is no room for any
   for (const Row &row : rows) {
     int64_t reach = 90;
     EXPECT_EQ(log.since(row.rev, row.most, &reach, true), row.told)
