--- a/src/gateway/change_log.c
+++ b/src/gateway/change_log.c
@@ -104,7 +104,8 @@
     if (!is_over(log, &log->order[i])) log->order[kept++] = log->order[i];
   log->first = 0;
   log->order_count = kept;
-  if (!log->sorted) qsort(log->order, kept, sizeof *log->order, by_revision);
+  if (!log->sorted && kept > 1)
+    qsort(log->order, kept, sizeof *log->order, by_revision);
   log->sorted = true;
 }
 
