Stand-in: each watched range is told that history is gone

Cause: forget() answers the watches that wait and lets the next one know that history is gone, whichever range that is for.

Change: each range's next watch gets 410, where it did not get it already. Nothing that the test expects is less.

--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -21,6 +21,7 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -122,8 +123,8 @@
   };
   std::vector<Watch> watches;
   std::map<std::string, long> removed; // keys -> revision
-  bool forgot = false; // the store has no history: watches get 410 once
-  std::map<std::string, Item> past; // what lists from the past show
+  std::set<std::string> forgot;        // ranges whose next watch gets 410
+  std::map<std::string, Item> past;    // what lists from the past show
   int past_asked = 0;
   std::string seeds; // addresses of other routers, quoted
   Listener *store;
@@ -303,8 +304,7 @@
     std::string prefix = line.substr(at, line.find_first_of("& ", at) - at);
     if (line.find("/-/kv-watch") != std::string::npos) {
       at = line.find("since_rev=") + 10;
-      if (forgot) {
-        forgot = false;
+      if (forgot.erase(prefix) > 0) {
         c.send(answer(410, "", ""));
         return;
       }
@@ -359,11 +359,14 @@
     if (told) removed[key] = rev;
     tell();
   }
-  // All watches end; the store has no history for the next one.
+  // All watches end; the store has no history for the next one of each range.
   void forget () {
-    forgot = true;
-    for (Watch &w : watches)
-      if (w.conn->fd >= 0) w.conn->send(answer(410, "", ""));
+    forgot = {"op/", "servers/"};
+    for (Watch &w : watches) {
+      if (w.conn->fd < 0) continue;
+      w.conn->send(answer(410, "", ""));
+      forgot.erase(w.prefix);
+    }
     watches.clear();
   }
 
