Heartbeats under their own name, in fields and functions

Cause: read as a newcomer would: a field, a function and a verb were all called "beat", one function had the name of the field it reads, and a comment said how a place is kept and not for what.

Change: heartbeat, heartbeats_valid, heartbeat_valid, tell_heartbeat; the reason why a heartbeat leaves shares out. Nothing else: behaviour and assertions stay.

--- a/src/gateway/change_log.c
+++ b/src/gateway/change_log.c
@@ -173,10 +173,10 @@
 size_t mt_change_log_since (mt_change_log_t *log, int64_t rev, mt_ms_t now,
                             bool brief, mt_change_t *to, size_t most,
                             int64_t *reach) {
-  size_t count = 0, all = most;
+  size_t count = 0, room = most;
   int64_t several = 0; /* the last of them that was left out */
   if (!log->sorted) sort(log);
-  if (brief && most > 0) most--; /* the place of the one for all */
+  if (brief && most > 0) most--; /* kept for MT_CHANGE_SEVERAL */
   for (size_t i = find_behind(log, rev); i < log->order_count; i++) {
     const mt_change_log_place_t *place = &log->order[i];
     if (is_over(log, place)) continue;
@@ -195,7 +195,7 @@
     to[count++].age += now - item->heard;
   }
   if (several == 0) return count;
-  if (count < all) return add_several(to, count, several);
+  if (count < room) return add_several(to, count, several);
   *reach = rev; /* there is no room to say that more have come */
   return count;
 }
--- a/src/gateway/membership.h
+++ b/src/gateway/membership.h
@@ -15,16 +15,16 @@
 
 /* An address where a router is or may be. */
 typedef struct mt_peer_t {
-  uint32_t ip;         /* network order */
-  mt_id_t domain;      /* 0: not known */
-  bool source;         /* it reaches where declarations come from */
-  mt_ms_t known;       /* last named by anybody */
-  mt_ms_t heard;       /* last message of its own; 0: never */
-  mt_ms_t told_until;  /* somebody who hears it says that it serves, and that
-                          counts until then */
-  mt_ms_t valid;       /* a message counts for so long */
-  mt_ms_t beats_valid; /* its last heartbeat did; 0: none came */
-  mt_ms_t probed;      /* last message to it while it did not serve */
+  uint32_t ip;        /* network order */
+  mt_id_t domain;     /* 0: not known */
+  bool source;        /* it reaches where declarations come from */
+  mt_ms_t known;      /* last named by anybody */
+  mt_ms_t heard;      /* last message of its own; 0: never */
+  mt_ms_t told_until; /* somebody who hears it says that it serves, and that
+                         counts until then */
+  mt_ms_t valid;      /* a message counts for so long */
+  mt_ms_t heartbeats_valid; /* its last heartbeat did; 0: none came */
+  mt_ms_t probed;           /* last message to it while it did not serve */
   uint64_t boot, number;
   int64_t told[MT_FEEDS]; /* all changes of a feed up to there it knows */
   mt_ms_t asked;   /* the oldest question it has not answered; 0: none */
--- a/src/gateway/share_exchange.c
+++ b/src/gateway/share_exchange.c
@@ -296,12 +296,13 @@
   send(x, to, count);
 }
 
-/* Its members alone: to those, to the own group, and to some addresses where
-   nobody answers. */
+/* Its members without shares, so that it costs little to say often who
+   serves: to those, to the own group, and to some addresses where nobody
+   answers. */
 static void tell_group (mt_share_exchange_t *x) {
   uint32_t to[3 * MT_PEER_MEMBERS_MAX];
   mt_peer_message_t *m = begin(x, MT_PEER_WELCOME);
-  m->pace = x->beat;
+  m->pace = x->heartbeat;
   size_t count = pack_group(x, m, to, MT_PEER_MEMBERS_MAX);
   count += list_group(x->members, to + count, MT_PEER_MEMBERS_MAX);
   count += list_probed(x, to + count, PROBES_MOST);
@@ -353,14 +354,15 @@
 /* {== Taking =========================================================== */
 
 /* How long a router counts that was heard: by its heartbeats, if any came. */
-static mt_ms_t beats_valid (const mt_peer_t *peer) {
-  return peer->beats_valid != 0 ? peer->beats_valid : VOUCHED_MAX_MS;
+static mt_ms_t heartbeat_valid (const mt_peer_t *peer) {
+  return peer->heartbeats_valid != 0 ? peer->heartbeats_valid
+                                     : VOUCHED_MAX_MS;
 }
 
 static void on_hello (mt_share_exchange_t *x, mt_peer_t *peer,
                       const mt_peer_message_t *m) {
   peer->shares_valid = valid_for(m);
-  peer->valid = mt_min(peer->shares_valid, beats_valid(peer));
+  peer->valid = mt_min(peer->shares_valid, heartbeat_valid(peer));
   peer->shares_heard = x->members->now;
   keep_shares(&peer->shares, &peer->shares_count, &peer->shares_cap, m);
   if (m->members_count > 0) { /* the first is the sender */
@@ -404,7 +406,7 @@
     case MT_PEER_SUMMARY: on_summary(x, m); break;
     case MT_PEER_DOMAIN: on_domain(x, peer, m); break;
     case MT_PEER_WELCOME:
-      if (m->pace > 0) peer->valid = peer->beats_valid = valid_for(m);
+      if (m->pace > 0) peer->valid = peer->heartbeats_valid = valid_for(m);
       take_members(x->members, m, true);
       break;
     default: break;
@@ -419,11 +421,12 @@
 }
 
 /* Who serves in the own failure domain, between rounds that come rarely. */
-static void beat (mt_share_exchange_t *x) {
+static void tell_heartbeat (mt_share_exchange_t *x) {
   size_t before = x->bytes;
   tell_group(x);
-  x->beat = pace_of(x->bytes - before, HEARTBEAT_BYTES_PER_S, HEARTBEAT_MS);
-  x->next_beat = x->members->now + x->beat;
+  x->heartbeat =
+      pace_of(x->bytes - before, HEARTBEAT_BYTES_PER_S, HEARTBEAT_MS);
+  x->next_heartbeat = x->members->now + x->heartbeat;
   x->bytes = before;
 }
 
@@ -432,7 +435,7 @@
   if (!tells && x->members->now < x->next_sum) return;
   x->next_sum = x->members->now + SUM_MS;
   sum_group(x);
-  if (!tells && x->members->now >= x->next_beat) beat(x);
+  if (!tells && x->members->now >= x->next_heartbeat) tell_heartbeat(x);
   if (tells) {
     greet(x);
     summarize(x);
@@ -445,7 +448,7 @@
     x->pace = pace_of(x->bytes, BYTES_PER_S, INTERVAL_MIN_MS);
     x->next_round = x->members->now + x->pace;
     /* However far off the next round is, what was told still counts then. */
-    x->next_beat = x->members->now + mt_min(x->beat, valid / 2);
+    x->next_heartbeat = x->members->now + mt_min(x->heartbeat, valid / 2);
     x->bytes = 0;
   }
   sum_fleet(x);
@@ -458,7 +461,7 @@
                              .shares = shares,
                              .calls = *calls,
                              .pace = INTERVAL_MIN_MS,
-                             .beat = HEARTBEAT_MS};
+                             .heartbeat = HEARTBEAT_MS};
 }
 
 void mt_share_exchange_free (mt_share_exchange_t *x) {
--- a/src/gateway/share_exchange.h
+++ b/src/gateway/share_exchange.h
@@ -44,7 +44,7 @@
   size_t bytes;                  /* sent in this round */
   mt_ms_t next_sum, next_round, pace;
   /* Of heartbeats, between rounds that are further apart. */
-  mt_ms_t next_beat, beat;
+  mt_ms_t next_heartbeat, heartbeat;
 } mt_share_exchange_t;
 
 void mt_share_exchange_open (mt_share_exchange_t *exchange,
