Lines and counters of what engines say of themselves

A request at an engine that leaves, or that asked for rest, had three explanations that the lines could not tell apart: nobody reads what the answer says; it is read and overwritten; the choice is older. Now the dialect reads Server-Leaving, and Retry-After of a 503, on every head (also where nobody waits for the answer any more, and on an earlier request's), and event=engine says outcome=says-leaving or asks-rest; engine_leaves_total and engine_rests_total count them. Where requests go is unchanged: no decision reads it yet.

--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -38,6 +38,8 @@
                         const mt_dialect_sent_t *sent, mt_text_t *out);
   /* What an engine's head says of the request. */
   mt_relay_verdict_t (*judge)(int status, const mt_http_headers_t *headers);
+  /* What an engine's head says of the engine itself. */
+  mt_engine_notice_t (*notice)(int status, const mt_http_headers_t *headers);
   /* True when the answer belongs to the request with this id. */
   bool (*belongs)(const mt_http_headers_t *headers, mt_bytes_t id);
 } mt_dialect_t;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -44,7 +44,9 @@
   mt_gateway_t *gateway;
   mt_http_call_t *call;
   int number;
-  char id[64]; /* of the request */
+  uint64_t engine; /* its key */
+  int64_t born;    /* the start of it that was meant */
+  char id[64];     /* of the request */
 } attempt_t;
 
 /* {== Effects ========================================================== */
@@ -137,6 +139,8 @@
   a->gateway = g;
   a->passage = p;
   a->number = fx->attempt;
+  a->engine = engine->key;
+  a->born = engine->born;
   mt_bytes_t id = {NULL, 0};
   mt_relay_request_t *r = mtV_get(&g->relay->requests, p->number);
   if (r != NULL) id = (mt_bytes_t){r->id, strlen(r->id)};
@@ -340,10 +344,37 @@
   tell_sent(ud);
 }
 
+/*
+** What an engine says of itself holds whoever waits for the answer, and also
+** where the answer is an earlier request's: nobody else speaks on a
+** connection to it.
+*/
+static void take_notice (attempt_t *a, int status,
+                         const mt_http_headers_t *headers) {
+  mt_gateway_t *g = a->gateway;
+  mt_engine_notice_t says = g->dialect->notice(status, headers);
+  if (!says.leaving && says.rest == 0) return;
+  const mt_engine_t *e = mt_engines_get(&g->relay->engines, a->engine);
+  if (e == NULL || (a->born != 0 && a->born < e->born)) return;
+  mt_relay_event_t event = {.kind = MT_RELAY_NOTICE};
+  event.u.notice.engine = a->engine;
+  event.u.notice.says = says;
+  event.u.notice.leave =
+      (mt_engine_leave_t){mt_wake_clock_now(g->loop), a->born, false};
+  const mt_relay_counters_t before = g->relay->counters;
+  step(g, &event);
+  const mt_relay_counters_t *after = &g->relay->counters;
+  if (after->leaves != before.leaves)
+    mt_gateway_log_engine(g->log, event.now, e, "says-leaving");
+  if (after->rests != before.rests)
+    mt_gateway_log_engine(g->log, event.now, e, "asks-rest");
+}
+
 static bool on_head (void *ud, mt_http_call_t *call, int status,
                      const mt_http_headers_t *headers) {
   attempt_t *a = ud;
   mt_gateway_t *g = a->gateway;
+  take_notice(a, status, headers);
   if (!g->dialect->belongs(headers, (mt_bytes_t){a->id, strlen(a->id)}))
     return false;
   passage_t *p = a->passage;
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -115,6 +115,11 @@
          "Callers that left before their answer.", (double)c->callers_left);
   number(out, "attempts_total", "counter", "Requests sent to engines.",
          (double)c->attempts);
+  number(out, "engine_leaves_total", "counter",
+         "Engines that said in an answer that they leave.",
+         (double)c->leaves);
+  number(out, "engine_rests_total", "counter",
+         "Times that an engine asked for rest.", (double)c->rests);
   number(out, "events_total", "counter", "Stream events passed on.",
          (double)c->events);
   number(out, "prompt_tokens_total", "counter", "Prompt tokens sent.",
--- a/src/relay/engine.c
+++ b/src/relay/engine.c
@@ -10,6 +10,12 @@
 #define HOLD_MAX_MS 3200
 #define PROBE_MS 200    /* between tries to reach one */
 #define FREE_FAILURES 1 /* in a row that do not rest it yet */
+/* Others' word that it leaves counts for so long: datagrams come from
+   anybody, and one of them must not take an engine away for good. */
+#define TOLD_MS 60000
+/* An engine that turns requests away knows little of what comes after a
+   minute, and one that says a year by mistake is not to be lost. */
+#define REST_MAX_MS 60000
 
 uint64_t mt_engine_key (const char *name, size_t size) {
   return mtV_hash(name, size) | 1;
@@ -109,6 +115,31 @@
   if (up) mt_engine_worked(e, now);
 }
 
+bool mt_engine_leaves (const mt_engine_t *e, mt_ms_t now) {
+  if (e->leave.said == 0) return false;
+  if (e->leave.born != 0 && e->leave.born < e->born) return false;
+  return !e->leave.told || now < e->leave.said + TOLD_MS;
+}
+
+bool mt_engine_take_leave (mt_engine_t *e, const mt_engine_leave_t *leave,
+                           mt_ms_t now) {
+  bool known = mt_engine_leaves(e, now);
+  if (leave->born != 0 && leave->born < e->born) return false;
+  if (known && leave->told && leave->said <= e->leave.said) return false;
+  bool told = leave->told && (!known || e->leave.told);
+  e->leave = *leave;
+  e->leave.told = told;
+  return !known && mt_engine_leaves(e, now);
+}
+
+bool mt_engine_take_rest (mt_engine_t *e, mt_ms_t rest, mt_ms_t now) {
+  mt_ms_t until = now + mt_min(rest, (mt_ms_t)REST_MAX_MS);
+  bool rests = e->rest > now;
+  if (rest == 0 || until <= e->rest) return false;
+  e->rest = until;
+  return !rests;
+}
+
 void mt_engine_restarted (mt_engine_t *e) {
   mt_prefix_cache_free(&e->kept);
   memset(&e->kept, 0, sizeof e->kept);
@@ -118,6 +149,8 @@
   e->slowness = 1.0;
   e->failures = 0;
   e->hold = 0;
+  e->rest = 0;
+  if (e->leave.born <= e->born) e->leave = (mt_engine_leave_t){0};
   e->unreachable = false;
   e->heard = 0;
 }
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -16,6 +16,20 @@
   MT_ENGINE_GONE     /* no longer listed */
 } mt_engine_state_t;
 
+/* What an engine says of itself in an answer. */
+typedef struct mt_engine_notice_t {
+  bool leaving; /* it ends soon and is to get no new work */
+  mt_ms_t rest; /* it wants nothing from this router for so long; 0: no word
+                   of that */
+} mt_engine_notice_t;
+
+/* That an engine leaves, by its own word. */
+typedef struct mt_engine_leave_t {
+  mt_ms_t said; /* last, then; 0: it has not */
+  int64_t born; /* the start of it that said so; 0: not told */
+  bool told;    /* other routers heard it, not this one */
+} mt_engine_leave_t;
+
 /* Work at an engine. */
 typedef struct mt_engine_load_t {
   int64_t unread; /* prompt tokens sent and not yet answered by an event */
@@ -41,12 +55,14 @@
   mt_ms_t vanished; /* it left the list without a word then; 0: it did not */
   mt_ms_t gone;     /* gone since */
   mt_engine_load_t here, peers;
-  mt_ms_t quoted;   /* its keeper last told `peers` then; 0: never */
-  bool untold;      /* `here` has changed since its keeper was told */
-  mt_ms_t told;     /* its keeper was told last then */
-  double slowness;  /* time to first event, seen over expected; 1: usual */
-  int failures;     /* in a row */
-  mt_ms_t hold;     /* gets no work before this time */
+  mt_ms_t quoted;  /* its keeper last told `peers` then; 0: never */
+  bool untold;     /* `here` has changed since its keeper was told */
+  mt_ms_t told;    /* its keeper was told last then */
+  double slowness; /* time to first event, seen over expected; 1: usual */
+  int failures;    /* in a row */
+  mt_ms_t hold;    /* gets no work before this time */
+  mt_ms_t rest;    /* it asked this router for rest until then; 0: no */
+  mt_engine_leave_t leave;
   bool unreachable; /* no connection comes up: no work until one does */
   bool probing;     /* one is being tried */
   mt_ms_t probe;    /* the next is tried then */
@@ -86,6 +102,20 @@
 void mt_engine_failed (mt_engine_t *engine, mt_ms_t now);
 void mt_engine_worked (mt_engine_t *engine, mt_ms_t now);
 
+/*
+** Takes that the start `born` of it leaves, as it said at `said`; `told`: to
+** another router. False when that was known, or it is an earlier start's
+** word.
+*/
+bool mt_engine_take_leave (mt_engine_t *engine,
+                           const mt_engine_leave_t *leave, mt_ms_t now);
+
+/* True while it is believed that its present start leaves. */
+bool mt_engine_leaves (const mt_engine_t *engine, mt_ms_t now);
+
+/* It asked this router for rest. False when it rests so long already. */
+bool mt_engine_take_rest (mt_engine_t *engine, mt_ms_t rest, mt_ms_t now);
+
 /* It has started again: nothing that is believed of it holds. */
 void mt_engine_restarted (mt_engine_t *engine);
 
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -286,6 +286,20 @@
 
 /* }== */
 
+/* {== What engines say of themselves =================================== */
+
+static void on_notice (mt_relay_t *relay, const mt_relay_event_t *ev) {
+  mt_engine_t *e = mt_engines_get(&relay->engines, ev->u.notice.engine);
+  const mt_engine_notice_t *says = &ev->u.notice.says;
+  if (e == NULL) return;
+  if (says->leaving &&
+      mt_engine_take_leave(e, &ev->u.notice.leave, relay->now))
+    relay->counters.leaves++;
+  if (mt_engine_take_rest(e, says->rest, relay->now)) relay->counters.rests++;
+}
+
+/* }== */
+
 /* {== Time ============================================================= */
 
 static void check_request (mt_relay_t *relay, mt_relay_request_t *r) {
@@ -394,6 +408,7 @@
         mt_quarantine_too_late(relay, ev->u.tried.word);
       break;
     case MT_RELAY_RESTARTED: on_restarted(relay, ev->u.restarted); break;
+    case MT_RELAY_NOTICE: on_notice(relay, ev); break;
     case MT_RELAY_PROBED:
       on_probed(relay, ev->u.probed.engine, ev->u.probed.up,
                 ev->u.probed.refused);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -74,6 +74,8 @@
   uint64_t retries_denied;
   uint64_t fetches, tokens_fetched; /* parts moved between engines */
   uint64_t probes;                  /* connections tried for no request */
+  uint64_t leaves, rests;     /* that engines said they leave, and asked this
+                                 router for rest */
   uint64_t ends;              /* runs that were lost as their engine ended */
   uint64_t trials[MT_TRIALS]; /* what keepers answered to who wanted to run
                                  what is on probation */
@@ -116,6 +118,7 @@
   MT_RELAY_PROBED,    /* a connection to an engine came up, or did not */
   MT_RELAY_TRIED,     /* the keeper of a suspect says whether it may run */
   MT_RELAY_RESTARTED, /* an engine has, under its name */
+  MT_RELAY_NOTICE,    /* what an engine's answer says of the engine */
   MT_RELAY_STOP       /* finish what is at hand */
 } mt_relay_event_kind_t;
 
@@ -161,6 +164,11 @@
       const mt_suspect_word_t *word; /* that is answered */
       mt_trial_t verdict;
     } tried;
+    struct {
+      uint64_t engine;
+      mt_engine_notice_t says;
+      mt_engine_leave_t leave; /* when it says that it leaves */
+    } notice;
     uint64_t restarted; /* the engine */
     bool not_sent;      /* FAILED */
     mt_ms_t stop_ms;    /* STOP: the process ends after this long */
