--- a/tests/soak/caller.h
+++ b/tests/soak/caller.h
@@ -19,7 +19,8 @@
 struct Answer {
   int status = 0;
   bool whole = false, events = false, closes = false;
-  std::string seal, body;
+  std::string seal, body, engine;
+  bool leaving = false; // its engine says so
 };
 
 // As much of an answer as has come.
@@ -32,6 +33,8 @@
   a.status = atoi(c.in.c_str() + 9);
   a.seal = head.field("X-Engine-Seal");
   a.events = head.field("Content-Type") == "text/event-stream";
+  a.engine = head.field("X-Engine");
+  a.leaving = head.field("Server-Leaving") == "1";
   a.closes = head.field("Connection") == "close";
   size_t at = end + 4;
   if (head.field("Transfer-Encoding") == "chunked") {
--- a/tests/soak/checker.h
+++ b/tests/soak/checker.h
@@ -18,6 +18,14 @@
 // reach engines after that and CONTACT_MS.
 const int ENDS_KNOWN = 3, ARRIVALS_MORE = 3;
 
+// An engine that asked for rest gets at most so many requests from that
+// gateway, behind the first half second.
+const int RESTS_ALLOWED = 2;
+const long REST_SLACK_MS = 500;
+
+// A gateway that is killed sooner may have told nobody what it learnt.
+const long TEACH_MS = 500;
+
 enum class Kind { Once, Again, Stream };
 
 // One request of a caller, as it saw it.
@@ -70,6 +78,7 @@
     if (it == asked.end() || it->second.gateway < 0) return;
     const Asked &a = it->second;
     const Listed &e = engines[engine];
+    heeds_leaving(id, a, engine, now);
     judge("DRAIN", id, a, "engine " + engine, DRAIN_MS, now);
     judge("EVAC", id, a, "domain " + e.domain, EVACUATE_MS, now);
     judge("REVOKE", id, a, "key " + a.key, REVOKE_MS, a.at);
@@ -173,6 +182,82 @@
 
   // }==
 
+  // {== What engines say of themselves
+
+  // The rest that an engine asked a gateway for: its requests from `from` to
+  // `until` are counted, RESTS_ALLOWED are allowed.
+  struct Rest {
+    long from, until;
+    int arrivals;
+  };
+  // When a gateway first passed on that an engine leaves.
+  struct Passed {
+    int gateway;
+    long at;
+  };
+  std::map<std::pair<int, std::string>, std::vector<Rest>> rests;
+  std::map<std::pair<int, std::string>, long> passed;
+  std::map<std::string, Passed> first_passed;
+  long rests_asked = 0, rests_broken = 0, leaves_passed = 0;
+  std::map<std::string, long> refused_with_room; // by reason
+
+  void asks_rest (const std::string &id, const std::string &engine, long now,
+                  long ms) {
+    auto it = asked.find(id);
+    if (it == asked.end() || it->second.gateway < 0 || ms <= REST_SLACK_MS)
+      return;
+    rests_asked++;
+    rests[{it->second.gateway, engine}].push_back(
+        {now + REST_SLACK_MS, now + ms, 0});
+  }
+  // A caller has the head of an answer in which the engine says that it
+  // leaves.
+  void passes_on (int gateway, const std::string &engine, long now) {
+    if (passed.insert({{gateway, engine}, now}).second) leaves_passed++;
+    first_passed.insert({engine, {gateway, now}});
+  }
+  // A request came no earlier than `since`, and no later than `now`.
+  void heeds_rest (const std::string &id, const Asked &a,
+                   const std::string &engine, long since, long now) {
+    for (Rest &rest : rests[{a.gateway, engine}]) {
+      if (since <= rest.from || now >= rest.until) continue;
+      if (touch.was_disturbed(a.gateway, rest.from - REST_SLACK_MS)) continue;
+      if (++rest.arrivals != RESTS_ALLOWED + 1) continue;
+      rests_broken++;
+      late["REST"]++;
+      if (judges_times)
+        breach("REST", id,
+               "engine " + engine + " from g" + std::to_string(a.gateway) +
+                   " wanted rest");
+    }
+  }
+  void heeds_leaving (const std::string &id, const Asked &a,
+                      const std::string &engine, long since) {
+    auto own = passed.find({a.gateway, engine});
+    if (own != passed.end() && a.at > own->second + DRAIN_MS &&
+        !touch.was_disturbed(a.gateway, own->second))
+      late_leaving("SAID", id, a, engine, a.at - own->second);
+    auto first = first_passed.find(engine);
+    if (first == first_passed.end()) return;
+    const Passed &by = first->second;
+    bool taught = !touch.was_disturbed(by.gateway, by.at, by.at + TEACH_MS);
+    if (!taught || since <= by.at + DRAIN_MS) return;
+    if (touch.in_contact(a.gateway, since) &&
+        touch.in_contact(by.gateway, since))
+      late_leaving("TOLD", id, a, engine, since - by.at);
+  }
+  void late_leaving (const char *promise, const std::string &id,
+                     const Asked &a, const std::string &engine, long ms) {
+    late[promise]++;
+    latest = std::max(latest, ms);
+    if (judges_times)
+      breach(promise, id,
+             "engine " + engine + " from g" + std::to_string(a.gateway) +
+                 ", " + std::to_string(ms) + " ms after");
+  }
+
+  // }==
+
   void judge (const char *promise, const std::string &id, const Asked &a,
               const std::string &what, long bound, long now) {
     auto it = forbidden.find(what);
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -22,14 +22,16 @@
   unsigned seed = 1;
   int seconds = 10, gateways = 4, callers = 12;
   std::string seeds_file;
-  bool parts = false;   // troubles of a part of the gateways
-  bool kills = true;    // gateways are killed, paused and stopped
-  bool keep = false;    // the logs, also of a run without breaches
-  bool calm = false;    // no trouble but that of engines that end
-  bool times = false;   // late requests are breaches, not only counted
-  bool deadly = false;  // engines end under some bodies that come again
-  bool ends = false;    // engines end by themselves, each second one
-  bool streams = false; // of the two above: at the model's engines
+  bool parts = false;    // troubles of a part of the gateways
+  bool kills = true;     // gateways are killed, paused and stopped
+  bool keep = false;     // the logs, also of a run without breaches
+  bool calm = false;     // no trouble but that of engines that end
+  bool times = false;    // late requests are breaches, not only counted
+  bool deadly = false;   // engines end under some bodies that come again
+  bool ends = false;     // engines end by themselves, each second one
+  bool streams = false;  // of the two above: at the model's engines
+  bool notices = false;  // engines say that they leave, and ask for rest
+  bool all_rest = false; // the same, most of the time all of a service
 };
 
 // {== The soak =============================================================
@@ -55,6 +57,7 @@
     for (int i = 0; options.deadly && i < BODIES; i++)
       world.deadly.insert(body_of(true, i));
     if (options.ends) world.down_ms = 1500;
+    world.random_of_notices.seed(chosen.seed * 32452843);
   }
   ~Soak() {
     for (Gateway &g : gateways) {
@@ -69,7 +72,7 @@
     await_ports();
     long end = now_ms() + options.seconds * 1000L,
          next_fault = now_ms() + 500, next_part = next_fault,
-         next_end = next_fault;
+         next_end = next_fault, next_notice = next_fault;
     while (now_ms() < end) {
       if (!options.calm && now_ms() >= next_fault) {
         fault();
@@ -80,6 +83,11 @@
         part_fault();
         next_part = now_ms() + 50 + (long)(more() % 500);
       }
+      if (options.notices && now_ms() >= next_notice) {
+        notice();
+        next_notice =
+            now_ms() + 100 + (long)(world.random_of_notices() % 500);
+      }
       if (options.ends && now_ms() >= next_end) {
         world.end_any(options.streams ? "model" : "plain", choices);
         next_end = now_ms() + 1000;
@@ -175,6 +183,23 @@
           world.retire_any(false);
     }
   }
+  // An engine begins to say that it leaves, or turns all away for a while.
+  void notice () {
+    Random &draw = world.random_of_notices;
+    const char *service = draw() % 2 ? "model" : "plain";
+    long rest = 1500 + (long)(draw() % 4000);
+    switch (draw() % 4) {
+      case 0:
+        world.leave_in_answers(service, 5000 + (long)(draw() % 6000));
+        break;
+      case 1: world.shed_one(service, rest); break;
+      default:
+        if (options.all_rest)
+          world.shed_all(service, rest);
+        else
+          world.shed_one(service, rest);
+    }
+  }
   void store_away (int kind, long ms) {
     world.trouble.store_kind = kind;
     world.trouble.store_until = now_ms() + ms;
@@ -369,6 +394,14 @@
     else if (a.whole)
       world.checker.answered(c.id, a.status, a.seal, a.body);
   }
+  // Refused though an engine had room.
+  void count_refusal (const Caller &c, const Answer &a) {
+    const Asked &asked_then = world.checker.asked[c.id];
+    std::string service = c.kind == Kind::Stream ? "model" : "plain";
+    if (asked_then.path == "/side/") return; // it changes sides
+    if (!world.has_room(service, asked_then.at)) return;
+    world.checker.refused_with_room[a.body]++;
+  }
   void look_after (Caller &c, bool go_on) {
     long now = now_ms();
     if (!c.busy) {
@@ -378,8 +411,11 @@
       return;
     }
     Answer a = read_answer(*c.conn);
+    if (a.leaving) // as soon as its head is there
+      world.checker.passes_on(c.gateway->index, a.engine, now);
     if (!a.whole && !c.conn->closed && now < c.leave_at) return;
     judge(c, a);
+    if (options.notices && a.whole && a.status == 503) count_refusal(c, a);
     c.busy = false;
     c.conn->in.clear();
     c.next_at = now + (long)(random() % 30);
@@ -468,6 +504,20 @@
       printf(" (latest %ld ms); %ld by gateways that were not bound\n",
              k.latest, k.excused);
     }
+    if (options.notices) {
+      long rooms = 0;
+      for (auto &row : k.refused_with_room) rooms += row.second;
+      printf("  engines: %ld rests asked, %ld with over %d requests in them; "
+             "%ld leavings passed on; late: own %ld, others' %ld (latest %ld "
+             "ms); refused while there was room: %ld of %ld",
+             k.rests_asked, k.rests_broken, RESTS_ALLOWED, k.leaves_passed,
+             k.late.count("SAID") ? k.late.at("SAID") : 0,
+             k.late.count("TOLD") ? k.late.at("TOLD") : 0, k.latest, rooms,
+             asked);
+      for (auto &row : k.refused_with_room)
+        printf(" %s %ld", row.first.c_str(), row.second);
+      printf("\n");
+    }
     if (options.deadly || options.ends) {
       int most = 0;
       for (auto &row : k.deadly) most = std::max(most, row.second.arrivals);
@@ -534,6 +584,10 @@
       options.ends = true;
     else if (name == "--streams")
       options.streams = true;
+    else if (name == "--notices")
+      options.notices = true;
+    else if (name == "--all-rest")
+      options.notices = options.all_rest = true;
     else if (name == "--keep")
       options.keep = true;
     else if (name == "--calm")
@@ -544,7 +598,8 @@
       fprintf(stderr, "usage: soak [--seed N] [--count N] [--seconds N] "
                       "[--gateways N] [--callers N] [--seeds FILE] "
                       "[--parts] [--times] [--no-kills] [--calm] [--keep] "
-                      "[--deadly] [--ends] [--streams] [--selftest]\n");
+                      "[--deadly] [--ends] [--streams] "
+                      "[--notices] [--all-rest] [--selftest]\n");
       return 2;
     }
   }
--- a/tests/soak/touch.h
+++ b/tests/soak/touch.h
@@ -3,7 +3,9 @@
 #define tests_soak_touch_h
 
 #include <algorithm>
+#include <climits>
 #include <map>
+#include <vector>
 
 namespace soak {
 
@@ -20,6 +22,19 @@
   void disturbed (int gateway, long until) {
     long &last = gateways[gateway];
     last = std::max(last, until);
+    history[gateway].push_back(until);
+  }
+  // Between two moments, or since the first of them.
+  bool was_disturbed (int gateway, long since, long until = LONG_MAX) const {
+    auto it = gateways.find(gateway);
+    return it != gateways.end() && it->second >= since &&
+           first_after(gateway, since) <= until;
+  }
+  // It has run undisturbed and hears the other gateways, whatever the store
+  // does.
+  bool in_contact (int gateway, long now) const {
+    auto it = gateways.find(gateway);
+    return it == gateways.end() || now >= it->second + CONTACT_MS;
   }
   // The whole store is away, or has dropped its history, up to that moment.
   void store_unstable (long until) {
@@ -35,7 +50,15 @@
   }
 
 private:
+  // The first end of a disturbance behind a moment.
+  long first_after (int gateway, long since) const {
+    long first = LONG_MAX;
+    for (long until : history.at(gateway))
+      if (until >= since) first = std::min(first, until);
+    return first;
+  }
   std::map<int, long> gateways;
+  std::map<int, std::vector<long>> history;
   long store = 0;
 };
 
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -7,6 +7,7 @@
 
 #include "../gateway_world.h"
 #include "checker.h"
+#include "notices.h"
 
 namespace soak {
 
@@ -47,6 +48,7 @@
 public:
   Random random;
   Checker checker;
+  Notices notices;
   Trouble trouble;
   std::list<Conn> conns;
   std::list<Listener> listeners;
@@ -71,7 +73,8 @@
   std::set<std::string> emptied; // failure domains
 
   World(unsigned seed, int gateways, bool part_troubles)
-      : random(seed), parts(part_troubles), refusals((size_t)gateways) {
+      : random(seed), notices(seed * 15485867), parts(part_troubles),
+        refusals((size_t)gateways) {
     for (int i = 0; i < gateways; i++)
       stores.push_back(listen(
           [this, i] (Conn &c, const Request &r) { on_store(c, r, i); }));
@@ -237,6 +240,7 @@
     checker.engines[id] = {service,
                            parts && engines_made % 2 == 0 ? "d2" : "d1"};
     places[id] = l;
+    listed_at[id] = now_ms();
     borns[id] = ++born;
     announce(id, service, l->port, "ready");
     ports[id] = l->port;
@@ -250,6 +254,7 @@
     return "i-" + std::to_string(engines_made);
   }
   std::map<std::string, int> ports;
+  std::map<std::string, long> listed_at;
   std::map<std::string, int> arrived; // requests, by engine
   void announce (const std::string &id, const std::string &service, int port,
                  const char *state) {
@@ -418,13 +423,21 @@
       c.abort();
       return;
     }
-    std::string echo = "X-Attempt-Id: " + id + "\r\n";
+    std::string echo =
+        "X-Attempt-Id: " + id + "\r\n" + notices.fields(engine);
     if (r.field("X-Expect-Instance") != engine) {
       c.send(answer(421, echo + "X-Not-Executed: 1\r\n", ""));
       return;
     }
     arrived[engine]++;
     checker.arrives(id, engine, read_since);
+    auto asked = checker.asked.find(id);
+    if (asked != checker.asked.end() && asked->second.gateway >= 0)
+      checker.heeds_rest(id, asked->second, engine, read_since, now_ms());
+    if (const Shedding *shedding = notices.sheds(engine, now_ms())) {
+      turn_away(c, id, engine, echo, *shedding);
+      return;
+    }
     if (bad && kind == 0) { // full: it does not run
       c.send(answer(503, echo + "X-Not-Executed: 1\r\n", ""));
       return;
@@ -440,6 +453,62 @@
     else
       plain(c, id, seal, bad ? kind : 0);
   }
+  // It turns a request away and asks the gateway that sent it for rest.
+  void turn_away (Conn &c, const std::string &id, const std::string &engine,
+                  const std::string &echo, const Shedding &shedding) {
+    Notices::Rest rest = notices.rest();
+    std::string marks = shedding.marked ? "X-Not-Executed: 1\r\n" : "";
+    notices.note_asked(engine, now_ms());
+    checker.asks_rest(id, engine, now_ms(), rest.ms);
+    c.send(
+        answer(503, echo + marks + "Retry-After: " + rest.text + "\r\n", ""));
+  }
+  // An engine says in its answers that it leaves while the store shows it as
+  // ready; it ends after some time, and another has come.
+  void leave_in_answers (const std::string &service, long ms) {
+    auto &ids = ids_of(service);
+    std::string id = ids[random_of_notices() % ids.size()];
+    if (notices.leaves(id)) return;
+    notices.leave(id, now_ms() + ms);
+    add_engine(service);
+  }
+  void shed_one (const std::string &service, long ms) {
+    const auto &ids = ids_of(service);
+    const std::string &id = ids[random_of_notices() % ids.size()];
+    notices.shed(id, now_ms() + ms, random_of_notices() % 6 != 0);
+  }
+  void shed_all (const std::string &service, long ms) {
+    for (const std::string &id : ids_of(service))
+      notices.shed(id, now_ms() + ms, true);
+  }
+  // Those that said so end: their entry goes, nobody answers any more.
+  void end_leaving () {
+    for (auto it = notices.leaving.begin(); it != notices.leaving.end();) {
+      std::string id = it->first;
+      bool due = it->second <= now_ms();
+      ++it;
+      if (!due) continue;
+      auto &ids = ids_of(checker.engines[id].service);
+      ids.erase(std::remove(ids.begin(), ids.end(), id), ids.end());
+      dead.insert(id);
+      drop("servers/" + id);
+      notices.forget(id);
+    }
+  }
+  // True when an engine of the service had room: listed for a second, and
+  // asked nobody for rest lately.
+  bool has_room (const std::string &service, long now) {
+    for (const std::string &id : ids_of(service)) {
+      long asked = notices.last_asked(id);
+      bool rests = asked != 0 && now - asked < ROOM_MS;
+      if (rests || notices.leaves(id) || notices.sheds(id, now)) continue;
+      if (now - listed_at[id] >= LISTED_MS) return true;
+    }
+    return false;
+  }
+  static const long ROOM_MS = 4500, LISTED_MS = 1000;
+  Random random_of_notices;
+
   void plain (Conn &c, const std::string &id, const std::string &seal,
               int fault) {
     std::string body = Checker::body_of(id);
@@ -550,6 +619,7 @@
       if (fds[i++].revents && c->fd >= 0) read_one(*c);
     send_due();
     end_due();
+    end_leaving();
     tell();
     forget_closed();
   }
