An engine that says that it leaves gets no new work

Callers' requests went to engines that had said in their answers that they leave, as long as the store listed them as ready: nothing that chooses an engine looked at their word. mt_engine_stays is asked now wherever the state was: candidates, homes, sources of fetches, keepers' answers, counts of ready engines, probes, lost runs. The word stands against lists and news until another start is listed, since it is a fact of that start; a request that still waits for a connection goes elsewhere, which costs it no attempt (retry reason engine_notice).

--- a/src/relay/admission.c
+++ b/src/relay/admission.c
@@ -93,7 +93,7 @@
                                    bool keeps) {
   const mt_engine_t *e = mt_engines_get(&relay->engines, engine);
   if (e == NULL) return MT_ADMIT_UNKNOWN;
-  if (e->state != MT_ENGINE_READY || e->evacuated) return MT_ADMIT_NONE;
+  if (!mt_engine_stays(e, relay->now) || e->evacuated) return MT_ADMIT_NONE;
   double rate = cold_rate(relay, e);
   if (rate <= 0) return MT_ADMIT_UNKNOWN;
   return mt_cold_starts_ask(&relay->cold, engine, rate, &relay->terms.cold,
--- a/src/relay/candidates.c
+++ b/src/relay/candidates.c
@@ -26,7 +26,8 @@
 bool mt_candidates_usable (const mt_relay_t *relay,
                            const mt_relay_request_t *r,
                            const mt_engine_t *e) {
-  if (e->service != r->service || e->state != MT_ENGINE_READY) return false;
+  if (e->service != r->service || !mt_engine_stays(e, relay->now))
+    return false;
   if (e->unreachable || e->evacuated) return false;
   if (e->hold > relay->now && !relay->terms.off[MT_RELAY_REST]) return false;
   return !was_tried(r, e->key);
@@ -47,8 +48,9 @@
 }
 
 /* True for an engine where parts of the request's prompt may gather. */
-static bool may_be_home (const mt_relay_request_t *r, const mt_engine_t *e) {
-  return e->service == r->service && e->state == MT_ENGINE_READY &&
+static bool may_be_home (const mt_relay_t *relay, const mt_relay_request_t *r,
+                         const mt_engine_t *e) {
+  return e->service == r->service && mt_engine_stays(e, relay->now) &&
          !e->evacuated;
 }
 
@@ -64,7 +66,7 @@
   if (part == 0 || relay->terms.off[MT_RELAY_HOME]) return;
   for (size_t i = 0; i < relay->engines.count; i++) {
     const mt_engine_t *e = relay->engines.list[i];
-    if (e->key == but || !may_be_home(r, e)) continue;
+    if (e->key == but || !may_be_home(relay, r, e)) continue;
     uint64_t weight = mtV_mix(part, e->key);
     keep_heavier(of_all, e, weight);
     if (!e->far) keep_heavier(near, e, weight);
--- a/src/relay/engine.c
+++ b/src/relay/engine.c
@@ -115,21 +115,26 @@
   if (up) mt_engine_worked(e, now);
 }
 
-bool mt_engine_leaves (const mt_engine_t *e, mt_ms_t now) {
+/* Believed of its present start. */
+static bool leaves (const mt_engine_t *e, mt_ms_t now) {
   if (e->leave.said == 0) return false;
   if (e->leave.born != 0 && e->leave.born < e->born) return false;
   return !e->leave.told || now < e->leave.said + TOLD_MS;
 }
 
+bool mt_engine_stays (const mt_engine_t *e, mt_ms_t now) {
+  return e->state == MT_ENGINE_READY && !leaves(e, now);
+}
+
 bool mt_engine_take_leave (mt_engine_t *e, const mt_engine_leave_t *leave,
                            mt_ms_t now) {
-  bool known = mt_engine_leaves(e, now);
+  bool known = leaves(e, now);
   if (leave->born != 0 && leave->born < e->born) return false;
   if (known && leave->told && leave->said <= e->leave.said) return false;
   bool told = leave->told && (!known || e->leave.told);
   e->leave = *leave;
   e->leave.told = told;
-  return !known && mt_engine_leaves(e, now);
+  return !known && leaves(e, now);
 }
 
 bool mt_engine_take_rest (mt_engine_t *e, mt_ms_t rest, mt_ms_t now) {
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -110,8 +110,12 @@
 bool mt_engine_take_leave (mt_engine_t *engine,
                            const mt_engine_leave_t *leave, mt_ms_t now);
 
-/* True while it is believed that its present start leaves. */
-bool mt_engine_leaves (const mt_engine_t *engine, mt_ms_t now);
+/*
+** True for one that is listed as ready and does not say that it leaves. Its
+** own word stands against the list: a list may be old, and the source may not
+** answer.
+*/
+bool mt_engine_stays (const mt_engine_t *engine, mt_ms_t now);
 
 /* It asked this router for rest. False when it rests so long already. */
 bool mt_engine_take_rest (mt_engine_t *engine, mt_ms_t rest, mt_ms_t now);
--- a/src/relay/quarantine.c
+++ b/src/relay/quarantine.c
@@ -130,7 +130,7 @@
   mt_lost_runs_t *lost = &relay->lost;
   const mt_engine_t *e = r->engine;
   if (e == NULL || !r->gone_out || r->digest == 0) return;
-  if (e->state != MT_ENGINE_READY || e->vanished != 0) return;
+  if (!mt_engine_stays(e, relay->now) || e->vanished != 0) return;
   if (lost->count >= LOST_MOST) return;
   *mtV_push(lost->list, lost->count, lost->cap) =
       (mt_lost_run_t){.digest = r->digest,
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -288,13 +288,27 @@
 
 /* {== What engines say of themselves =================================== */
 
+/* What still waits for a connection to the engine goes elsewhere: it was
+   chosen before the engine said so. */
+static void withdraw_unsent (mt_relay_t *relay, const mt_engine_t *e) {
+  for (size_t i = relay->count; i-- > 0;) {
+    if (i >= relay->count) continue;
+    mt_relay_request_t *r = relay->list[i];
+    if (r->engine != e || r->gone_out) continue;
+    mt_request_effect(relay, MT_RELAY_DO_CANCEL, r);
+    mt_attempt_failed(relay, r, MT_RELAY_RETRY_NOTICE, false);
+  }
+}
+
 static void on_notice (mt_relay_t *relay, const mt_relay_event_t *ev) {
   mt_engine_t *e = mt_engines_get(&relay->engines, ev->u.notice.engine);
   const mt_engine_notice_t *says = &ev->u.notice.says;
   if (e == NULL) return;
   if (says->leaving &&
-      mt_engine_take_leave(e, &ev->u.notice.leave, relay->now))
+      mt_engine_take_leave(e, &ev->u.notice.leave, relay->now)) {
     relay->counters.leaves++;
+    withdraw_unsent(relay, e);
+  }
   if (mt_engine_take_rest(e, says->rest, relay->now)) relay->counters.rests++;
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -55,6 +55,7 @@
   ROW(MT_RELAY_RETRY_CONNECT, "connect_failed") \
   ROW(MT_RELAY_RETRY_SHED, "engine_refused")    \
   ROW(MT_RELAY_RETRY_MOVED, "engine_replaced")  \
+  ROW(MT_RELAY_RETRY_NOTICE, "engine_notice")   \
   ROW(MT_RELAY_RETRY_ERROR, "engine_error")     \
   ROW(MT_RELAY_RETRY_LOST, "engine_lost")       \
   ROW(MT_RELAY_RETRY_SILENT, "engine_silent")
--- a/src/relay/relay_load.c
+++ b/src/relay/relay_load.c
@@ -129,7 +129,7 @@
   for (size_t i = relay->engines.count; i-- > 0;) {
     mt_engine_t *e = relay->engines.list[i];
     e->slowness = 1 + (e->slowness - 1) * SLOWNESS_REST;
-    if (e->state == MT_ENGINE_READY)
+    if (mt_engine_stays(e, relay->now))
       mt_relay_service(relay, e->service)->ready++;
     if (e->vanished != 0 && e->state == MT_ENGINE_READY &&
         relay->now - e->vanished >= relay->terms.vanish_ms)
@@ -153,7 +153,7 @@
   for (size_t i = 0; i < relay->engines.attended_count; i++) {
     mt_engine_t *e = relay->engines.attended[i];
     if (!e->unreachable || e->probing || e->probe > relay->now) continue;
-    if (e->state != MT_ENGINE_READY) continue;
+    if (!mt_engine_stays(e, relay->now)) continue;
     e->probing = true;
     mt_relay_effect(relay, MT_RELAY_DO_PROBE)->u.probe = e->key;
     relay->counters.probes++;
--- a/src/relay/request.c
+++ b/src/relay/request.c
@@ -191,6 +191,7 @@
                                      mt_relay_retry_t reason) {
   if (r->may_have_run) return MT_RELAY_ENGINE_LOST;
   if (reason == MT_RELAY_RETRY_SHED) return MT_RELAY_SHED;
+  if (reason == MT_RELAY_RETRY_NOTICE) return MT_RELAY_NO_ENGINE;
   return MT_RELAY_UNREACHABLE;
 }
 
@@ -206,12 +207,17 @@
   return true;
 }
 
+/* False for an attempt of which no byte reached its engine. */
+static bool was_sent (mt_relay_retry_t reason) {
+  return reason != MT_RELAY_RETRY_CONNECT && reason != MT_RELAY_RETRY_NOTICE;
+}
+
 /* The attempt is over; goes on elsewhere or gives the request up. */
 void mt_attempt_failed (mt_relay_t *relay, mt_relay_request_t *r,
                         mt_relay_retry_t reason, bool ran) {
   mt_request_note(relay, r, "attempt-failed", mt_relay_retry_code(reason));
   mt_relay_disengage(r);
-  if (reason == MT_RELAY_RETRY_CONNECT) r->arrivals--;
+  if (!was_sent(reason)) r->arrivals--;
   bool again = mt_attempt_may_follow(relay, r, ran);
   if (ran) r->may_have_run = true;
   if (again && retry(relay, r, reason)) return;
