An engine that asks for rest has it

Engines that turned requests away with a moment to come back got the next request 30 ms later, and the one after: 28 to 39 in the 3 s they had asked for. A rest is a time of its own now, beside the pause behind failures, which any answer and any connection ended. The longest counts; it runs on a clock that goes on while the box stands still; no mechanism switches it off. A minute at most: one that says a year by mistake is not lost. Behind it one request goes first, and the others when that was taken, so that an engine does not meet all that waited; ends are spread by a tenth, since many routers are turned away in one moment. Where all engines of a service rest the caller is refused at once (engines_resting) and asked back behind the first rest. A 503 that asks for rest is no failure of the engine.

--- a/src/relay/candidates.c
+++ b/src/relay/candidates.c
@@ -26,13 +26,27 @@
 bool mt_candidates_usable (const mt_relay_t *relay,
                            const mt_relay_request_t *r,
                            const mt_engine_t *e) {
-  if (e->service != r->service || !mt_engine_stays(e, relay->now))
+  if (e->service != r->service || !mt_engine_takes_work(e, relay->now))
     return false;
   if (e->unreachable || e->evacuated) return false;
   if (e->hold > relay->now && !relay->terms.off[MT_RELAY_REST]) return false;
   return !was_tried(r, e->key);
 }
 
+mt_ms_t mt_candidates_rest_left (const mt_relay_t *relay,
+                                 const mt_relay_request_t *r) {
+  mt_ms_t least = 0;
+  for (size_t i = 0; i < relay->engines.count; i++) {
+    const mt_engine_t *e = relay->engines.list[i];
+    if (e->service != r->service || !mt_engine_stays(e, relay->now)) continue;
+    if (e->unreachable || e->evacuated) continue;
+    mt_ms_t left = mt_engine_rest_left(e, relay->now);
+    if (left == 0) return 0;
+    if (least == 0 || left < least) least = left;
+  }
+  return least;
+}
+
 /* {== Homes ============================================================ */
 
 /* An engine that may be home, and its weight; NULL: none yet. */
--- a/src/relay/engine.c
+++ b/src/relay/engine.c
@@ -16,6 +16,12 @@
 /* An engine that turns requests away knows little of what comes after a
    minute, and one that says a year by mistake is not to be lost. */
 #define REST_MAX_MS 60000
+/* Part of a rest by which its end may be put off: many routers are turned
+   away in the same moment, and would come back in the same one. */
+#define REST_SPREAD 10
+/* An engine that turns a request away does so at once: one that has not in
+   that time takes it. */
+#define RESUME_MS 100
 
 uint64_t mt_engine_key (const char *name, size_t size) {
   return mtV_hash(name, size) | 1;
@@ -138,13 +144,37 @@
 }
 
 bool mt_engine_take_rest (mt_engine_t *e, mt_ms_t rest, mt_ms_t now) {
-  mt_ms_t until = now + mt_min(rest, (mt_ms_t)REST_MAX_MS);
   bool rests = e->rest > now;
-  if (rest == 0 || until <= e->rest) return false;
-  e->rest = until;
+  rest = mt_min(rest, (mt_ms_t)REST_MAX_MS);
+  if (rest == 0) return false;
+  rest += mtV_mix(e->key, now) % (rest / REST_SPREAD + 1);
+  if (now + rest <= e->rest) return false;
+  e->rest = now + rest;
+  e->resumed = 0;
   return !rests;
 }
 
+mt_ms_t mt_engine_rest_left (const mt_engine_t *e, mt_ms_t now) {
+  mt_ms_t over = e->resumed != 0 ? e->resumed + RESUME_MS : e->rest;
+  return over > now ? over - now : 0;
+}
+
+bool mt_engine_takes_work (const mt_engine_t *e, mt_ms_t now) {
+  return mt_engine_stays(e, now) && mt_engine_rest_left(e, now) == 0;
+}
+
+void mt_engine_sent (mt_engine_t *e, mt_ms_t now) {
+  if (e->rest == 0) return;
+  if (e->resumed == 0)
+    e->resumed = now;
+  else
+    e->rest = e->resumed = 0;
+}
+
+void mt_engine_took (mt_engine_t *e, mt_ms_t sent) {
+  if (e->resumed != 0 && sent >= e->resumed) e->rest = e->resumed = 0;
+}
+
 void mt_engine_restarted (mt_engine_t *e) {
   mt_prefix_cache_free(&e->kept);
   memset(&e->kept, 0, sizeof e->kept);
@@ -154,7 +184,7 @@
   e->slowness = 1.0;
   e->failures = 0;
   e->hold = 0;
-  e->rest = 0;
+  e->rest = e->resumed = 0;
   if (e->leave.born <= e->born) e->leave = (mt_engine_leave_t){0};
   e->unreachable = false;
   e->heard = 0;
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -62,6 +62,9 @@
   int failures;    /* in a row */
   mt_ms_t hold;    /* gets no work before this time */
   mt_ms_t rest;    /* it asked this router for rest until then; 0: no */
+  mt_ms_t
+      resumed; /* the first request behind that rest went then; 0: none has
+                */
   mt_engine_leave_t leave;
   bool unreachable; /* no connection comes up: no work until one does */
   bool probing;     /* one is being tried */
@@ -117,9 +120,28 @@
 */
 bool mt_engine_stays (const mt_engine_t *engine, mt_ms_t now);
 
-/* It asked this router for rest. False when it rests so long already. */
+/*
+** It asked this router for rest; of several the longest counts. False when
+** it rested already.
+*/
 bool mt_engine_take_rest (mt_engine_t *engine, mt_ms_t rest, mt_ms_t now);
 
+/*
+** How long until it is known whether its rest is over: behind the rest one
+** request goes first, and the others when that was not turned away. 0: it
+** does not rest.
+*/
+mt_ms_t mt_engine_rest_left (const mt_engine_t *engine, mt_ms_t now);
+
+/* True for one that stays and does not rest: it may get a request. */
+bool mt_engine_takes_work (const mt_engine_t *engine, mt_ms_t now);
+
+/* A request goes to it. */
+void mt_engine_sent (mt_engine_t *engine, mt_ms_t now);
+
+/* It took the request that went to it at `sent`. */
+void mt_engine_took (mt_engine_t *engine, mt_ms_t sent);
+
 /* It has started again: nothing that is believed of it holds. */
 void mt_engine_restarted (mt_engine_t *engine);
 
--- a/src/relay/prompt_memory.c
+++ b/src/relay/prompt_memory.c
@@ -43,7 +43,7 @@
 /* What is suspect may never answer: the request would wait for the move. */
 static bool can_give (const mt_relay_t *relay, const mt_relay_request_t *r,
                       const mt_engine_t *e) {
-  if (e->service != r->service || !mt_engine_stays(e, relay->now))
+  if (e->service != r->service || !mt_engine_takes_work(e, relay->now))
     return false;
   if (e->unreachable || e->hold > relay->now) return false;
   return e->failures == 0 && e->vanished == 0;
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -148,12 +148,20 @@
   return p->full || p->engine->failures > 0;
 }
 
+/* False when it can't go there, or nowhere, and why. */
+static bool admits (mt_relay_t *relay, const mt_relay_request_t *r,
+                    const mt_placement_t *p, mt_relay_refusal_t *why) {
+  if (p->engine != NULL) return mt_placement_admits(relay, r, p, why);
+  *why = mt_request_lack(relay, r);
+  return false;
+}
+
 /* Sends the request to the best engine or refuses it. */
 static void place (mt_relay_t *relay, mt_relay_request_t *r) {
-  mt_relay_refusal_t why = MT_RELAY_NO_ENGINE;
+  mt_relay_refusal_t why;
   mt_placement_t p = mt_placement_choose(relay, r);
   r->wait_expected = p.wait_ms;
-  if (p.engine != NULL && mt_placement_admits(relay, r, &p, &why)) {
+  if (admits(relay, r, &p, &why)) {
     if (leaves_for_better(r, &p) && ask_keepers(relay, r)) return;
     mt_attempt_start(relay, r, &p);
     return;
@@ -212,9 +220,9 @@
 
 /* All leases are there: it runs at the engine that was chosen, or not. */
 static void start_trial (mt_relay_t *relay, mt_relay_request_t *r) {
-  mt_relay_refusal_t why = MT_RELAY_NO_ENGINE;
+  mt_relay_refusal_t why;
   mt_placement_t p = mt_placement_choose(relay, r);
-  if (p.engine != NULL && mt_placement_admits(relay, r, &p, &why))
+  if (admits(relay, r, &p, &why))
     mt_attempt_start(relay, r, &p);
   else
     mt_request_refuse(relay, r, why);
@@ -309,7 +317,10 @@
     relay->counters.leaves++;
     withdraw_unsent(relay, e);
   }
-  if (mt_engine_take_rest(e, says->rest, relay->now)) relay->counters.rests++;
+  if (mt_engine_take_rest(e, says->rest, relay->now)) {
+    relay->counters.rests++;
+    withdraw_unsent(relay, e);
+  }
 }
 
 /* }== */
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -31,6 +31,7 @@
   ROW(MT_RELAY_NO_CATALOG, "no_configuration", 503)     \
   ROW(MT_RELAY_UNSURE, "configuration_unsure", 503)     \
   ROW(MT_RELAY_NO_ENGINE, "no_engine", 503)             \
+  ROW(MT_RELAY_RESTING, "engines_resting", 503)         \
   ROW(MT_RELAY_BUSY, "engines_busy", 503)               \
   ROW(MT_RELAY_OVER_SHARE, "over_share", 503)           \
   ROW(MT_RELAY_SHED, "engines_refused", 503)            \
--- a/src/relay/request.c
+++ b/src/relay/request.c
@@ -13,6 +13,7 @@
 
 #define LAST_CHANCE_MS 20 /* less time left: no new attempt */
 #define RETRY_SOON_MS 200
+#define RESTED_SPREAD 4 /* part of a rest in which callers come back */
 #define RESTED_MS 60000
 #define RESTED_ONCE_MS 2000 /* what may run once shuns what may be closed */
 
@@ -76,19 +77,32 @@
   relay->finished = r;
 }
 
-/* A moment to come back at, spread so that not all come at once. */
+/*
+** A moment to come back at, spread so that not all come at once. Before the
+** first engine's rest is over a caller would only be refused again.
+*/
 static mt_ms_t come_back (const mt_relay_t *relay,
                           const mt_relay_request_t *r,
                           mt_relay_refusal_t why) {
   if (mt_relay_refusal_status(why) != 503) return 0;
   if (why == MT_RELAY_QUARANTINED)
     return mt_suspects_standing(&relay->suspects, r->digest, relay->now).left;
+  mt_ms_t rest = mt_candidates_rest_left(relay, r);
   mt_ms_t base = RETRY_SOON_MS;
+  if (rest > 0)
+    return rest +
+           mtV_mix(r->number, r->arrived) % (base + rest / RESTED_SPREAD);
   if (why == MT_RELAY_BUSY || why == MT_RELAY_OVER_SHARE)
     base = mt_max(r->objective, RETRY_SOON_MS);
   return base / 2 + mtV_mix(r->number, r->arrived) % base;
 }
 
+mt_relay_refusal_t mt_request_lack (const mt_relay_t *relay,
+                                    const mt_relay_request_t *r) {
+  bool rest = mt_candidates_rest_left(relay, r) > 0;
+  return rest ? MT_RELAY_RESTING : MT_RELAY_NO_ENGINE;
+}
+
 void mt_request_refuse (mt_relay_t *relay, mt_relay_request_t *r,
                         mt_relay_refusal_t why) {
   mt_admission_give_back(relay, r);
@@ -139,6 +153,7 @@
   r->body_size = 0;
   mt_event_stream_free(&r->stream);
   if (r->phase != MT_RELAY_STREAMING) r->phase = MT_RELAY_SENT;
+  mt_engine_sent(p->engine, relay->now);
   mt_admission_settle(relay, r, p->engine);
   mt_relay_engage(relay, r, p);
   relay->counters.attempts++;
@@ -187,11 +202,12 @@
   return false;
 }
 
-static mt_relay_refusal_t last_word (const mt_relay_request_t *r,
+static mt_relay_refusal_t last_word (const mt_relay_t *relay,
+                                     const mt_relay_request_t *r,
                                      mt_relay_retry_t reason) {
   if (r->may_have_run) return MT_RELAY_ENGINE_LOST;
   if (reason == MT_RELAY_RETRY_SHED) return MT_RELAY_SHED;
-  if (reason == MT_RELAY_RETRY_NOTICE) return MT_RELAY_NO_ENGINE;
+  if (reason == MT_RELAY_RETRY_NOTICE) return mt_request_lack(relay, r);
   return MT_RELAY_UNREACHABLE;
 }
 
@@ -221,7 +237,7 @@
   bool again = mt_attempt_may_follow(relay, r, ran);
   if (ran) r->may_have_run = true;
   if (again && retry(relay, r, reason)) return;
-  mt_request_give_up(relay, r, last_word(r, reason));
+  mt_request_give_up(relay, r, last_word(relay, r, reason));
 }
 
 /* The engine's answer ended, or must end, before it was whole. */
--- a/src/relay/request.h
+++ b/src/relay/request.h
@@ -26,6 +26,11 @@
 void mt_request_note (mt_relay_t *relay, const mt_relay_request_t *request,
                       const char *outcome, const char *why);
 
+/* Why no engine can be chosen for it: there is none, or all that are there
+   rest. */
+mt_relay_refusal_t mt_request_lack (const mt_relay_t *relay,
+                                    const mt_relay_request_t *request);
+
 /* Answers in place of an engine; the request is over. */
 void mt_request_refuse (mt_relay_t *relay, mt_relay_request_t *request,
                         mt_relay_refusal_t why);
--- a/tests/engine_word_test.cc
+++ b/tests/engine_word_test.cc
@@ -1,6 +1,9 @@
 // engine_word_test.cc - what the relay makes of an engine's word of itself
 #include <gtest/gtest.h>
 
+#include <utility>
+#include <vector>
+
 #include "relay.h"
 
 namespace {
@@ -153,4 +156,150 @@
 
 // }==
 
+// {== Rest =================================================================
+
+// Words of an engine, each so long after the first, and when it may be tried
+// again at the earliest and at the latest, behind the first.
+TEST(EngineWord, TheLongestRestCounts) {
+  struct Row {
+    const char *what;
+    std::vector<std::pair<mt_ms_t, mt_ms_t>> words; // when, how long
+    mt_ms_t earliest, latest;
+  } rows[] = {
+      {"one", {{0, 3000}}, 3000, 3300},
+      {"a shorter one within it", {{0, 3000}, {500, 1000}}, 3000, 3300},
+      {"a longer one within it", {{0, 3000}, {500, 4000}}, 4500, 4900},
+      {"none within it", {{0, 3000}, {500, 0}}, 3000, 3300},
+      {"one behind it", {{0, 1000}, {3000, 1000}}, 4000, 4100},
+      {"without end", {{0, 1000000000}}, 60000, 66000},
+  };
+  for (const Row &row : rows) {
+    Heard r(1);
+    mt_ms_t begun = r.now;
+    mt_engine_t *e = r.find("p1");
+    for (auto &word : row.words) {
+      r.now = begun + word.first;
+      r.says("p1", false, word.second);
+    }
+    r.now = begun + row.earliest - 1;
+    EXPECT_FALSE(mt_engine_takes_work(e, r.now)) << row.what;
+    r.now = begun + row.latest;
+    EXPECT_TRUE(mt_engine_takes_work(e, r.now)) << row.what;
+  }
+}
+
+// What was sent before, a connection that comes up, a failure and a mechanism
+// that is off say nothing of it.
+TEST(EngineWord, NothingEndsARestEarly) {
+  Heard r(1);
+  mt_engine_t *e = r.find("p1");
+  EXPECT_EQ(r.goes_to(1), "p1");
+  EXPECT_EQ(r.goes_to(2), "p1");
+  r.sent(1);
+  r.sent(2);
+  r.relay->terms.off[MT_RELAY_REST] = true;
+  r.says("p1", false, 3000);
+  r.now += 100;
+  r.head(1, 200);
+  r.end(1);
+  mt_engine_reached(e, true, r.now);
+  r.head(2, 500);
+  mt_engine_failed(e, r.now);
+  e->state = MT_ENGINE_READY;
+  r.now += 2800;
+  EXPECT_EQ(r.goes_to(3), "");
+  EXPECT_EQ(r.refusal(), MT_RELAY_RESTING);
+}
+
+// Behind the rest one request goes first; the others when it was taken, or
+// was not turned away for a moment.
+TEST(EngineWord, OneRequestGoesFirst) {
+  enum class Outcome { Taken, Failed, TurnedAway, Nothing };
+  struct Row {
+    const char *what;
+    Outcome outcome;
+    mt_ms_t later;
+    bool open;
+  } rows[] = {
+      {"under way", Outcome::Nothing, 50, false},
+      {"not turned away for a moment", Outcome::Nothing, 100, true},
+      {"taken", Outcome::Taken, 5, true},
+      {"it failed, which says nothing", Outcome::Failed, 5, false},
+      {"turned away again", Outcome::TurnedAway, 100, false},
+  };
+  for (const Row &row : rows) {
+    Heard r(1);
+    r.says("p1", false, 1000);
+    r.now += 1100;
+    EXPECT_EQ(r.goes_to(1, "/once/x"), "p1") << row.what;
+    r.sent(1);
+    EXPECT_EQ(r.goes_to(2), "") << row.what;
+    r.now += row.later;
+    switch (row.outcome) {
+      case Outcome::Taken: r.head(1, 200); break;
+      case Outcome::Failed: r.head(1, 500); break;
+      case Outcome::TurnedAway:
+        r.says("p1", false, 1000);
+        r.head(1, 503, false, MT_RELAY_NOT_RUN);
+        break;
+      case Outcome::Nothing: break;
+    }
+    EXPECT_EQ(r.goes_to(3), row.open ? "p1" : "") << row.what;
+  }
+}
+
+// Whom nobody can serve before a rest is over comes back behind it, and not
+// all in one moment.
+TEST(EngineWord, CallersComeBackBehindTheRest) {
+  Heard r(2);
+  r.says("p1", false, 3000);
+  r.says("p2", false, 2000);
+  mt_ms_t least = 100000, most = 0;
+  for (uint64_t i = 1; i <= 50; i++) {
+    EXPECT_EQ(r.goes_to(i), "");
+    EXPECT_EQ(r.refusal(), MT_RELAY_RESTING);
+    mt_ms_t after = r.find(MT_RELAY_DO_REFUSE, i)->u.refuse.retry_after;
+    least = std::min(least, after);
+    most = std::max(most, after);
+  }
+  EXPECT_GE(least, 2000u);
+  EXPECT_LE(most, 3000u);
+  EXPECT_GT(most - least, 300u);
+}
+
+// Another engine that takes work is no reason to wait for a rest.
+TEST(EngineWord, ARestIsAwaitedOnlyWhereAllRest) {
+  Heard r(2);
+  r.says("p1", false, 3000);
+  EXPECT_EQ(r.goes_to(1), "p2");
+  r.sent(1);
+  r.head(1, 503, false, MT_RELAY_NOT_RUN);
+  EXPECT_EQ(r.refusal(), MT_RELAY_SHED);
+  EXPECT_LT(r.find(MT_RELAY_DO_REFUSE, 1)->u.refuse.retry_after, 400u);
+}
+
+// It is no failure: the engine is as good as before when its rest is over.
+TEST(EngineWord, AskingForRestIsNoFailure) {
+  Heard r(1);
+  for (uint64_t i = 1; i <= 3; i++) {
+    EXPECT_EQ(r.goes_to(i, "/once/x"), "p1");
+    r.sent(i);
+    r.says("p1", false, 1000);
+    r.head(i, 503);
+    r.end(i);
+    r.now += 1100;
+  }
+  EXPECT_EQ(r.find("p1")->failures, 0);
+}
+
+// Another start of the engine has asked nobody for anything.
+TEST(EngineWord, AnotherStartDoesNotRest) {
+  Heard r(1);
+  r.says("p1", false, 60000);
+  mt_engine_restarted(r.find("p1"));
+  EXPECT_EQ(r.goes_to(1), "p1");
+}
+
+// }==
+
 } // namespace
