Routers tell each other of engines that say that they leave

A leaving that an engine tells in its answers alone was known to the routers that it had answered; the others went on sending it work up to 9,805 ms after the first of them had passed it on. It is a fact of one start of the engine, so whoever hears it passes it on to a few others, and tells one other some times a second (leave_exchange), like suspects; who starts or was cut off hears it as it is greeted. It has no revision of the source and so no place among the news: it stands beside the list's state, for that start alone. Others' word lapses after a minute, since datagrams come from anybody; what the engine said to this router does not. Nothing goes round of engines of which the source said so first. The kind is one that builds without it drop unread.

Ways weighed: news with a made-up revision (would stand against the source's later ones), the keeper's answer alone (not asked by all routes, nor by fleets of one), the store (away when it matters).

A router of 85 spends under 2,000 bytes a second with 64 engines leaving (LeaveExchange.CostsLittle). PeerMessage.ComesOutAsItWentIn wanted every list in every kind; loads and leavings share one place, so it wants exactly one of the two of each kind, both values checked.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -51,7 +51,6 @@
 
 /* {== Effects ========================================================== */
 
-static void step (mt_gateway_t *g, mt_relay_event_t *event);
 static void tell_sent (attempt_t *a);
 
 static void release (mt_gateway_t *g, passage_t *p) {
@@ -219,7 +218,7 @@
 ** and those of QUOTED, TRIED and CALLER_LEFT are of the one request that was
 ** asked about or was to be sent.
 */
-static void step (mt_gateway_t *g, mt_relay_event_t *event) {
+void mt_gateway_step (mt_gateway_t *g, mt_relay_event_t *event) {
   mt_relay_effects_t effects = {0};
   event->now = mt_wake_clock_now(g->loop);
   mt_relay_step(g->relay, event, &effects);
@@ -234,7 +233,7 @@
   mt_relay_event_t event = {.kind = MT_RELAY_QUOTED, .request = request};
   event.u.quotes.list = quotes;
   event.u.quotes.count = count;
-  step(ud, &event);
+  mt_gateway_step(ud, &event);
 }
 
 static void on_tried (void *ud, const mt_suspect_word_t *word,
@@ -242,14 +241,14 @@
   mt_relay_event_t event = {.kind = MT_RELAY_TRIED, .request = word->request};
   event.u.tried.word = word;
   event.u.tried.verdict = verdict;
-  step(ud, &event);
+  mt_gateway_step(ud, &event);
 }
 
 void mt_gateway_engine_restarted (mt_gateway_t *g, const mt_engine_t *e) {
   mt_relay_event_t event = {.kind = MT_RELAY_RESTARTED};
   event.u.restarted = e->key;
   mt_http_client_forget(g->engines, e->key);
-  step(g, &event);
+  mt_gateway_step(g, &event);
 }
 
 static void on_tick (uv_timer_t *timer);
@@ -291,7 +290,7 @@
   g->dialect->read_request(headers, &ask);
   mt_relay_event_t event = {.kind = MT_RELAY_REQUEST, .request = p->number};
   event.u.ask = &ask;
-  step(g, &event);
+  mt_gateway_step(g, &event);
 }
 
 static void on_caller_gone (void *ud, mt_http_exchange_t *x) {
@@ -300,7 +299,7 @@
   if (p == NULL) return;
   mt_relay_event_t event = {.kind = MT_RELAY_CALLER_LEFT,
                             .request = p->number};
-  step(g, &event);
+  mt_gateway_step(g, &event);
   end_attempt(p);
   release(g, p);
 }
@@ -337,44 +336,18 @@
   mt_relay_event_t event = {.kind = MT_RELAY_GONE_OUT,
                             .request = a->passage->number,
                             .attempt = a->number};
-  step(a->gateway, &event);
+  mt_gateway_step(a->gateway, &event);
 }
 
 static void on_sent (void *ud, mt_http_call_t *call) {
   tell_sent(ud);
 }
 
-/*
-** What an engine says of itself holds whoever waits for the answer, and also
-** where the answer is an earlier request's: nobody else speaks on a
-** connection to it.
-*/
-static void take_notice (attempt_t *a, int status,
-                         const mt_http_headers_t *headers) {
-  mt_gateway_t *g = a->gateway;
-  mt_engine_notice_t says = g->dialect->notice(status, headers);
-  if (!says.leaving && says.rest == 0) return;
-  const mt_engine_t *e = mt_engines_get(&g->relay->engines, a->engine);
-  if (e == NULL || (a->born != 0 && a->born < e->born)) return;
-  mt_relay_event_t event = {.kind = MT_RELAY_NOTICE};
-  event.u.notice.engine = a->engine;
-  event.u.notice.says = says;
-  event.u.notice.leave =
-      (mt_engine_leave_t){mt_wake_clock_now(g->loop), a->born, false};
-  const mt_relay_counters_t before = g->relay->counters;
-  step(g, &event);
-  const mt_relay_counters_t *after = &g->relay->counters;
-  if (after->leaves != before.leaves)
-    mt_gateway_log_engine(g->log, event.now, e, "says-leaving");
-  if (after->rests != before.rests)
-    mt_gateway_log_engine(g->log, event.now, e, "asks-rest");
-}
-
 static bool on_head (void *ud, mt_http_call_t *call, int status,
                      const mt_http_headers_t *headers) {
   attempt_t *a = ud;
   mt_gateway_t *g = a->gateway;
-  take_notice(a, status, headers);
+  mt_gateway_take_notice(g, a->engine, a->born, status, headers);
   if (!g->dialect->belongs(headers, (mt_bytes_t){a->id, strlen(a->id)}))
     return false;
   passage_t *p = a->passage;
@@ -388,7 +361,7 @@
   event.u.head.events =
       type.n >= 17 && strncasecmp(type.p, "text/event-stream", 17) == 0;
   event.u.head.framed = mt_http_call_is_framed(call);
-  step(g, &event);
+  mt_gateway_step(g, &event);
   return true;
 }
 
@@ -400,7 +373,7 @@
                             .request = a->passage->number,
                             .attempt = a->number};
   event.u.data = (mt_bytes_t){bytes, n};
-  step(a->gateway, &event);
+  mt_gateway_step(a->gateway, &event);
 }
 
 /* The call is over: nothing refers to the attempt any more. */
@@ -415,7 +388,7 @@
   if (p != NULL) {
     mt_relay_event_t event = {
         .kind = MT_RELAY_END, .request = p->number, .attempt = a->number};
-    step(a->gateway, &event);
+    mt_gateway_step(a->gateway, &event);
   }
   free(a);
 }
@@ -429,7 +402,7 @@
     mt_relay_event_t event = {
         .kind = MT_RELAY_FAILED, .request = p->number, .attempt = a->number};
     event.u.not_sent = why == MT_HTTP_NOT_SENT;
-    step(a->gateway, &event);
+    mt_gateway_step(a->gateway, &event);
   }
   free(a);
 }
@@ -444,7 +417,7 @@
   if (e != NULL)
     mt_gateway_log_engine(g->log, mt_wake_clock_now(g->loop), e,
                           mt_gateway_probe_name(how));
-  step(ud, &event);
+  mt_gateway_step(ud, &event);
 }
 
 static const mt_http_call_handler_t engine_handler = {.sent = on_sent,
@@ -580,7 +553,7 @@
   judge_load(g);
   mt_gateway_peers_read(g->peers);
   mt_relay_event_t event = {.kind = MT_RELAY_TICK};
-  step(g, &event);
+  mt_gateway_step(g, &event);
   g->relay->routers = mt_gateway_peers_tick(g->peers);
   mt_http_client_tick(g->engines);
   mt_http_server_tick(g->callers);
@@ -647,7 +620,8 @@
       listen_on(g, &settings->metrics, &metrics_handler, reason, size);
   if (g->metrics == NULL) return NULL;
   const mt_gateway_peers_calls_t calls = {on_quoted, mt_gateway_take_change,
-                                          on_tried, g};
+                                          on_tried, mt_gateway_told_leaving,
+                                          g};
   g->peers = mt_gateway_peers_open(loop, settings, g->relay, g->log, &calls);
   uv_timer_init(loop, &g->tick);
   g->tick.data = g;
@@ -669,7 +643,7 @@
   g->stopping = mt_wake_clock_now(g->loop);
   mt_relay_event_t event = {.kind = MT_RELAY_STOP};
   event.u.stop_ms = g->settings.grace - LAST_MS;
-  step(g, &event);
+  mt_gateway_step(g, &event);
   mt_http_server_drain(g->callers, true);
   mt_log_line(g->log, MT_LOG_BELIEF, g->stopping, "stopping",
               "requests=%zu outcome=draining", g->relay->count);
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -118,6 +118,9 @@
   number(out, "engine_leaves_total", "counter",
          "Engines that said in an answer that they leave.",
          (double)c->leaves);
+  number(out, "engine_leaves_told_total", "counter",
+         "Engines of which other routers said that they leave.",
+         (double)c->leaves_told);
   number(out, "engine_rests_total", "counter",
          "Times that an engine asked for rest.", (double)c->rests);
   number(out, "events_total", "counter", "Stream events passed on.",
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "gateway_peers.h"
+#include "leave_exchange.h"
 #include "load_teller.h"
 #include "prompt_memory.h"
 #include "share_exchange.h"
@@ -27,6 +28,7 @@
   mt_share_exchange_t exchange;
   mt_feed_exchange_t feeds;
   mt_suspect_exchange_t suspects;
+  mt_leave_exchange_t leaving;
   bool led; /* at the last tick: it watched the source for others */
   mt_peer_traffic_t traffic[MT_PEER_KINDS];
   uint64_t news[MT_FEED_OUTCOMES];
@@ -177,6 +179,20 @@
 
 /* }== */
 
+/* {== Engines that leave =============================================== */
+
+static bool on_told_leaving (void *ud, const mt_peer_leave_t *leave,
+                             uint32_t router) {
+  mt_gateway_peers_t *peers = ud;
+  return peers->calls.leaving(peers->calls.ud, leave, router);
+}
+
+void mt_gateway_peers_leaves (mt_gateway_peers_t *peers, uint64_t engine) {
+  mt_leave_exchange_heard(&peers->leaving, engine);
+}
+
+/* }== */
+
 /* {== The source of declarations ======================================= */
 
 mt_peer_feed_t mt_gateway_peers_feed (const mt_gateway_peers_t *peers,
@@ -472,6 +488,9 @@
     case MT_PEER_VERDICT:
       mt_suspect_exchange_take(&peers->suspects, peer, m);
       break;
+    case MT_PEER_LEAVING:
+      mt_leave_exchange_take(&peers->leaving, peer->ip, m);
+      break;
     case MT_PEER_KINDS: break;
   }
 }
@@ -490,6 +509,7 @@
   if (!is_new) return;
   say(peers, ip, "heard");
   mt_suspect_exchange_greet(&peers->suspects, ip);
+  mt_leave_exchange_greet(&peers->leaving, ip);
   if (m->kind == MT_PEER_HELLO) welcome(peers, ip, m->groups);
 }
 
@@ -543,6 +563,7 @@
   mt_share_exchange_tick(&peers->exchange);
   mt_feed_exchange_tick(&peers->feeds);
   mt_suspect_exchange_tick(&peers->suspects);
+  mt_leave_exchange_tick(&peers->leaving);
   peers->relay->reach = mt_membership_reach(&peers->members);
   note_role(peers);
   return peers->members.live;
@@ -575,6 +596,10 @@
                                              on_verdict, note_suspect, peers};
   mt_suspect_exchange_open(&peers->suspects, members, &relay->suspects,
                            &words, peers->boot);
+  const mt_leave_exchange_calls_t leaving = {begin_round, send_news,
+                                             on_told_leaving, peers};
+  mt_leave_exchange_open(&peers->leaving, members, &relay->engines, &leaving,
+                         peers->boot);
   uv_udp_init(loop, &peers->udp);
   peers->udp.data = peers;
   if (uv_udp_bind(&peers->udp, (const struct sockaddr *)&addr, 0) == 0)
@@ -609,6 +634,7 @@
   mt_gateway_peers_t *peers = h->data;
   mt_share_exchange_free(&peers->exchange);
   mt_feed_exchange_free(&peers->feeds);
+  mt_leave_exchange_free(&peers->leaving);
   mt_membership_free(&peers->members);
   mt_load_teller_free(&peers->teller);
   free(peers);
--- a/src/gateway/membership.c
+++ b/src/gateway/membership.c
@@ -266,6 +266,17 @@
   return best;
 }
 
+size_t mt_membership_some (const mt_membership_t *members, uint64_t *random,
+                           uint32_t *to, size_t most) {
+  size_t count = 0, first = 0;
+  if (members->count > 0) first = mtV_random(random) % members->count;
+  for (size_t i = 0; i < members->count && count < most; i++) {
+    const mt_peer_t *peer = members->list[(first + i) % members->count];
+    if (mt_membership_is_live(members, peer)) to[count++] = peer->ip;
+  }
+  return count;
+}
+
 uint32_t mt_membership_keeper (const mt_membership_t *m, uint64_t engine,
                                mt_id_t domain) {
   uint32_t keeper = heaviest(m, engine, domain, false);
--- a/src/gateway/membership.h
+++ b/src/gateway/membership.h
@@ -108,6 +108,10 @@
 size_t mt_membership_spoken_to (const mt_membership_t *members,
                                 mt_peer_t **list, size_t most);
 
+/* Some routers that serve, from a random one on; how many. */
+size_t mt_membership_some (const mt_membership_t *members, uint64_t *random,
+                           uint32_t *to, size_t most);
+
 /*
 ** The router that keeps an engine: one of the engine's failure domain if any
 ** serves there. The own address when it is this one.
--- a/src/gateway/peer_message.c
+++ b/src/gateway/peer_message.c
@@ -18,6 +18,7 @@
 #define MEMBER_NUMBERS 3
 #define SHARE_NUMBERS 3
 #define ENGINE_NUMBERS 7
+#define LEAVE_NUMBERS 3
 #define PART_NUMBERS 2
 #define CHANGE_MEMBERS 5
 #define CHANGE_ENGINE_MEMBERS 7
@@ -53,6 +54,7 @@
     case MT_PEER_SUSPECTS: return "suspects";
     case MT_PEER_WORD: return "word";
     case MT_PEER_VERDICT: return "verdict";
+    case MT_PEER_LEAVING: return "leaving";
     case MT_PEER_KINDS: break;
   }
   return "";
@@ -69,7 +71,7 @@
   }
   m->members_count = m->shares_count = 0;
   m->engines_count = m->parts_count = m->changes_count = 0;
-  m->suspects_count = 0;
+  m->suspects_count = m->leaves_count = 0;
   m->word = (mt_suspect_word_t){.kind = MT_WORDS};
   m->verdict = MT_TRIALS;
 }
@@ -113,6 +115,15 @@
   }
 }
 
+static void pack_leaves (const mt_peer_message_t *m, msgpack_packer *pk) {
+  msgpack_pack_array(pk, m->leaves_count * LEAVE_NUMBERS);
+  for (size_t i = 0; i < m->leaves_count; i++) {
+    msgpack_pack_uint64(pk, m->leaves[i].engine);
+    msgpack_pack_uint64(pk, whole((double)m->leaves[i].born));
+    msgpack_pack_uint64(pk, m->leaves[i].age);
+  }
+}
+
 static void pack_parts (const mt_peer_message_t *m, msgpack_packer *pk) {
   msgpack_pack_array(pk, m->parts_count * PART_NUMBERS);
   for (size_t i = 0; i < m->parts_count; i++) {
@@ -245,7 +256,10 @@
   for (int i = 0; i < NUMBERS; i++) msgpack_pack_uint64(&pk, numbers[i]);
   pack_members(m, &pk);
   pack_shares(m, &pk);
-  pack_engines(m, &pk);
+  if (m->kind == MT_PEER_LEAVING) /* in their place: it has no others */
+    pack_leaves(m, &pk);
+  else
+    pack_engines(m, &pk);
   pack_parts(m, &pk);
   pack_changes(m, &pk);
   pack_suspects(m, &pk);
@@ -316,6 +330,17 @@
   }
 }
 
+static void unpack_leaves (mt_peer_message_t *m, const msgpack_object *o) {
+  size_t n = rows_of(o, LEAVE_NUMBERS, MT_PEER_LEAVES_MAX);
+  for (size_t i = 0; i < n; i++) {
+    const msgpack_object *at = &o->via.array.ptr[i * LEAVE_NUMBERS];
+    m->leaves[i] =
+        (mt_peer_leave_t){number_of(&at[0]), bounded(&at[1], INT64_MAX),
+                          (mt_ms_t)bounded(&at[2], MS_MOST)};
+  }
+  m->leaves_count = n;
+}
+
 static void unpack_parts (mt_peer_message_t *m, const msgpack_object *o) {
   m->parts_count = rows_of(o, PART_NUMBERS, MT_PEER_PARTS_MAX);
   for (size_t i = 0; i < m->parts_count; i++) {
@@ -467,7 +492,10 @@
   unpack_numbers(m, at);
   unpack_members(m, &at[NUMBERS]);
   unpack_shares(m, &at[NUMBERS + 1]);
-  unpack_engines(m, &at[NUMBERS + 2]);
+  if (m->kind == MT_PEER_LEAVING)
+    unpack_leaves(m, &at[NUMBERS + 2]);
+  else
+    unpack_engines(m, &at[NUMBERS + 2]);
   unpack_parts(m, &at[NUMBERS + 3]);
   unpack_changes(m, &at[NUMBERS + 4]);
   unpack_suspects(m, &at[NUMBERS + 5]);
--- a/src/gateway/suspect_exchange.c
+++ b/src/gateway/suspect_exchange.c
@@ -15,18 +15,6 @@
 
 /* {== Telling ========================================================== */
 
-/* Some routers that serve, from a random one on; how many. */
-static size_t choose (mt_suspect_exchange_t *x, uint32_t *to, size_t most) {
-  const mt_membership_t *members = x->members;
-  size_t count = 0, first = 0;
-  if (members->count > 0) first = mtV_random(&x->random) % members->count;
-  for (size_t i = 0; i < members->count && count < most; i++) {
-    const mt_peer_t *peer = members->list[(first + i) % members->count];
-    if (mt_membership_is_live(members, peer)) to[count++] = peer->ip;
-  }
-  return count;
-}
-
 /* The keeper may know less of it than who asks: it may have just started. */
 static void add_row (mt_suspect_exchange_t *x, mt_peer_message_t *m,
                      uint64_t digest) {
@@ -38,7 +26,7 @@
 /* Passes one on. */
 static void spread (mt_suspect_exchange_t *x, uint64_t digest) {
   uint32_t to[FANOUT];
-  size_t count = choose(x, to, FANOUT);
+  size_t count = mt_membership_some(x->members, &x->random, to, FANOUT);
   if (count == 0) return;
   add_row(x, x->calls.begin(x->calls.ud, MT_PEER_SUSPECTS), digest);
   x->calls.send(x->calls.ud, to, count);
@@ -64,7 +52,7 @@
   uint32_t ip;
   if (x->members->now < x->next) return;
   x->next = x->members->now + TELL_MS;
-  if (choose(x, &ip, 1) > 0) tell_all(x, ip);
+  if (mt_membership_some(x->members, &x->random, &ip, 1) > 0) tell_all(x, ip);
 }
 
 /* }== */
--- a/src/relay/engine.c
+++ b/src/relay/engine.c
@@ -10,9 +10,6 @@
 #define HOLD_MAX_MS 3200
 #define PROBE_MS 200    /* between tries to reach one */
 #define FREE_FAILURES 1 /* in a row that do not rest it yet */
-/* Others' word that it leaves counts for so long: datagrams come from
-   anybody, and one of them must not take an engine away for good. */
-#define TOLD_MS 60000
 /* An engine that turns requests away knows little of what comes after a
    minute, and one that says a year by mistake is not to be lost. */
 #define REST_MAX_MS 60000
@@ -121,26 +118,25 @@
   if (up) mt_engine_worked(e, now);
 }
 
-/* Believed of its present start. */
-static bool leaves (const mt_engine_t *e, mt_ms_t now) {
+bool mt_engine_leaves (const mt_engine_t *e, mt_ms_t now) {
   if (e->leave.said == 0) return false;
   if (e->leave.born != 0 && e->leave.born < e->born) return false;
-  return !e->leave.told || now < e->leave.said + TOLD_MS;
+  return !e->leave.told || now < e->leave.said + MT_ENGINE_TOLD_MS;
 }
 
 bool mt_engine_stays (const mt_engine_t *e, mt_ms_t now) {
-  return e->state == MT_ENGINE_READY && !leaves(e, now);
+  return e->state == MT_ENGINE_READY && !mt_engine_leaves(e, now);
 }
 
 bool mt_engine_take_leave (mt_engine_t *e, const mt_engine_leave_t *leave,
                            mt_ms_t now) {
-  bool known = leaves(e, now);
+  bool known = mt_engine_leaves(e, now);
   if (leave->born != 0 && leave->born < e->born) return false;
   if (known && leave->told && leave->said <= e->leave.said) return false;
   bool told = leave->told && (!known || e->leave.told);
   e->leave = *leave;
   e->leave.told = told;
-  return !known && leaves(e, now);
+  return !known && mt_engine_leaves(e, now);
 }
 
 bool mt_engine_take_rest (mt_engine_t *e, mt_ms_t rest, mt_ms_t now) {
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -23,6 +23,10 @@
                    of that */
 } mt_engine_notice_t;
 
+/* Others' word that an engine leaves counts for so long: datagrams come from
+   anybody, and one of them must not take an engine away for good. */
+#define MT_ENGINE_TOLD_MS 60000
+
 /* That an engine leaves, by its own word. */
 typedef struct mt_engine_leave_t {
   mt_ms_t said; /* last, then; 0: it has not */
@@ -113,6 +117,9 @@
 bool mt_engine_take_leave (mt_engine_t *engine,
                            const mt_engine_leave_t *leave, mt_ms_t now);
 
+/* True while it is believed that its present start leaves. */
+bool mt_engine_leaves (const mt_engine_t *engine, mt_ms_t now);
+
 /*
 ** True for one that is listed as ready and does not say that it leaves. Its
 ** own word stands against the list: a list may be old, and the source may not
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -314,7 +314,9 @@
   if (e == NULL) return;
   if (says->leaving &&
       mt_engine_take_leave(e, &ev->u.notice.leave, relay->now)) {
-    relay->counters.leaves++;
+    uint64_t *counter = ev->u.notice.leave.told ? &relay->counters.leaves_told
+                                                : &relay->counters.leaves;
+    (*counter)++;
     withdraw_unsent(relay, e);
   }
   if (mt_engine_take_rest(e, says->rest, relay->now)) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -76,6 +76,7 @@
   uint64_t retries_denied;
   uint64_t fetches, tokens_fetched; /* parts moved between engines */
   uint64_t probes;                  /* connections tried for no request */
+  uint64_t leaves_told;       /* engines of which other routers said so */
   uint64_t leaves, rests;     /* that engines said they leave, and asked this
                                  router for rest */
   uint64_t ends;              /* runs that were lost as their engine ended */
