--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -415,6 +415,8 @@
   size_t count, cap;
   mt_relay_request_t *finished; /* freed by the next step */
   mt_ms_t next_update;
+  mt_ms_t lacked; /* no engine took the last request that was refused for it,
+                     then; 0: there was none */
   mt_relay_counters_t counters;
   mt_relay_effects_t *effects; /* of the step being taken */
   void (*log)(void *ud, const mt_relay_request_t *request,
--- a/src/relay/request.c
+++ b/src/relay/request.c
@@ -103,8 +103,18 @@
   return rest ? MT_RELAY_RESTING : MT_RELAY_NO_ENGINE;
 }
 
+static bool lacked_engine (mt_relay_refusal_t why) {
+  switch (why) {
+    case MT_RELAY_NO_ENGINE:
+    case MT_RELAY_RESTING:
+    case MT_RELAY_UNREACHABLE: return true;
+    default: return false;
+  }
+}
+
 void mt_request_refuse (mt_relay_t *relay, mt_relay_request_t *r,
                         mt_relay_refusal_t why) {
+  if (lacked_engine(why)) relay->lacked = relay->now;
   mt_admission_give_back(relay, r);
   mt_relay_effect_t *fx = mt_request_effect(relay, MT_RELAY_DO_REFUSE, r);
   fx->u.refuse.why = why;
--- a/tests/engine_word_test.cc
+++ b/tests/engine_word_test.cc
@@ -267,6 +267,18 @@
   EXPECT_GT(most - least, 300u);
 }
 
+// Whoever reads the source learns that more engines are needed.
+TEST(EngineWord, ALackIsNoted) {
+  Heard r(2);
+  EXPECT_EQ(r.relay->lacked, 0u);
+  r.says("p1", false, 3000);
+  EXPECT_EQ(r.goes_to(1), "p2");
+  EXPECT_EQ(r.relay->lacked, 0u);
+  r.says("p2", true, 0);
+  EXPECT_EQ(r.goes_to(2), "");
+  EXPECT_EQ(r.relay->lacked, r.now);
+}
+
 // Another engine that takes work is no reason to wait for a rest.
 TEST(EngineWord, ARestIsAwaitedOnlyWhereAllRest) {
   Heard r(2);
