A rest counts from when its answer is read

The loop's time is that of the turn's begin: in a long turn a rest ended as much earlier than the engine had asked. No test can bring a long turn about without waiting for it.

--- a/src/gateway/gateway_notices.c
+++ b/src/gateway/gateway_notices.c
@@ -24,11 +24,12 @@
 */
 void mt_gateway_take_notice (mt_gateway_t *g, uint64_t engine, int64_t born,
                              int status, const mt_http_headers_t *headers) {
-  mt_ms_t now = mt_wake_clock_now(g->loop);
   const mt_engine_t *e = mt_engines_get(&g->relay->engines, engine);
   const mt_engine_notice_t says = g->dialect->notice(status, headers);
-  const mt_engine_leave_t leave = {now, born, false};
   if (!says.leaving && says.rest == 0) return;
+  uv_update_time(g->loop); /* in a long turn a rest would end too early */
+  mt_ms_t now = mt_wake_clock_now(g->loop);
+  const mt_engine_leave_t leave = {now, born, false};
   if (e == NULL || (born != 0 && born < e->born)) return;
   const mt_relay_counters_t before = g->relay->counters;
   take(g, engine, &says, &leave);
