--- a/tests/soak/selftest.h
+++ b/tests/soak/selftest.h
@@ -69,6 +69,47 @@
   return wrong;
 }
 
+// Requests at an engine that wanted rest, or had said that it leaves.
+inline int selftest_notices () {
+  struct Row {
+    const char *what;
+    bool leaving;       // else it asked for 3 s of rest at 10,000
+    long at, disturbed; // the requests; the gateway, until then, 0: never
+    int requests;
+    bool breach;
+  } rows[] = {
+      {"within the rest", false, 11000, 0, 3, true},
+      {"two of them", false, 11000, 0, 2, false},
+      {"in the first half second", false, 10500, 0, 9, false},
+      {"behind the rest", false, 13000, 0, 9, false},
+      {"disturbed since", false, 11000, 10600, 9, false},
+      {"disturbed before", false, 11000, 9900, 3, true},
+      {"it had said so", true, 12001, 0, 1, true},
+      {"a short while ago", true, 12000, 0, 1, false},
+      {"restarted since", true, 12001, 10001, 1, false},
+  };
+  int wrong = 0;
+  for (const Row &row : rows) {
+    Checker k;
+    k.asked["a"] = {Kind::Again, "w1", 0, false, 1, row.at, "", "/a/"};
+    if (row.disturbed) k.touch.disturbed(1, row.disturbed);
+    if (row.leaving)
+      k.passes_on(1, "e", 10000);
+    else
+      k.asks_rest("a", "e", 10000, 3000);
+    for (int i = 0; i < row.requests; i++) {
+      if (!row.leaving)
+        k.heeds_rest("a", k.asked["a"], "e", row.at, row.at);
+      else
+        k.arrives("a", "e", row.at);
+    }
+    if (k.breaches.empty() == !row.breach) continue;
+    printf("judged wrongly: %s\n", row.what);
+    wrong++;
+  }
+  return wrong;
+}
+
 // Each promise broken on purpose: the checker must see it.
 inline int selftest () {
   struct Row {
@@ -130,6 +171,23 @@
        [] (Checker &k) {
          k.streamed("s", Checker::event_of("s", 0) + "\n\n", true);
        }},
+      {"REST",
+       [] (Checker &k) {
+         k.asks_rest("a", "e", 10000, 3000);
+         for (int i = 0; i <= RESTS_ALLOWED; i++)
+           k.heeds_rest("a", k.asked["a"], "e", 11000, 11000);
+       }},
+      {"SAID",
+       [] (Checker &k) {
+         k.passes_on(1, "e", 20000 - DRAIN_MS - 1);
+         k.touch.disturbed(1, 17002); // in touch or not
+         k.arrives("a", "e", 20001);
+       }},
+      {"TOLD",
+       [] (Checker &k) {
+         k.passes_on(2, "e", 20000);
+         k.arrives("a", "e", 20000 + DRAIN_MS + 1);
+       }},
       {"BUDGET",
        [] (Checker &k) {
          for (int i = 0; i < ENDS_KNOWN; i++) k.ended_under("x", 10000);
@@ -154,7 +212,9 @@
   printf("checker: %d of %zu breaches seen\n",
          (int)(sizeof rows / sizeof *rows) - missed,
          sizeof rows / sizeof *rows);
-  return missed + selftest_excuses() + selftest_arrivals() != 0;
+  return missed + selftest_excuses() + selftest_arrivals() +
+             selftest_notices() !=
+         0;
 }
 
 } // namespace soak
