--- a/src/gateway/feed_exchange.c
+++ b/src/gateway/feed_exchange.c
@@ -134,8 +134,7 @@
 /*
 ** Adds what is known of a feed behind a revision; false when some is left. Of
 ** more than a message holds, engines that have come are not named: who hears
-** of them has to read them at the source all the same. When 10,000 come at
-** 986 routers, to name them took some 100 KB a second at each.
+** of them has to read them at the source all the same.
 ** What may have been dropped from the log is not vouched for by the span.
 */
 static bool pack_since (mt_feed_exchange_t *x, mt_peer_message_t *m,
@@ -251,9 +250,8 @@
 ** Takes the changes of one feed. They are of use in whatever order they come:
 ** what leaves has left, also if something before it is not known here. `all`
 ** is set to false where only the source may tell some of it. True when some
-** are to be passed on. Of those as old as what the log dropped none is: with
-** 2,500 engines new, a router that could not read its first list passed the
-** same 143 on to its failure domain 30 times a second.
+** are to be passed on. Of those as old as what the log dropped none is: it
+** may have been passed on before, again and again.
 */
 static bool take_changes (mt_feed_exchange_t *x, mt_feed_kind_t kind,
                           const mt_peer_message_t *m, bool *all) {
--- a/src/gateway/feed_exchange.h
+++ b/src/gateway/feed_exchange.h
@@ -65,9 +65,9 @@
 
 /*
 ** Since when others know of changes of a feed that were not told here; 0: of
-** none. What a list no longer shows may have gone as early as that. Where its
-** time ran from the list's, an engine that left without a word as both
-** watchers of its domain ended got work for up to 2,385 ms instead of 2,000.
+** none. What a list no longer shows may have gone as early as that: else an
+** engine that left without a word as both watchers of its domain ended would
+** get work for too long.
 */
 mt_ms_t mt_feed_exchange_lacking (const mt_feed_exchange_t *exchange,
                                   mt_feed_kind_t kind);
--- a/src/gateway/feed_state.h
+++ b/src/gateway/feed_state.h
@@ -29,8 +29,7 @@
 ** Some router heard that from the source; true when that is a new change.
 ** Who has everything up to the last change has everything up to `at`: else
 ** the next change would seem to leave a gap, for the source's revision rises
-** with the other feed's changes, too (in 30 s of 12 routers 250 news were of
-** no use to whom the source turned away, and 34 requests came too late).
+** with the other feed's changes, too.
 */
 bool mt_feed_state_heard (mt_feed_state_t *feed, int64_t newest, int64_t at,
                           mt_ms_t confirmed);
--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -73,8 +73,8 @@
 
 /*
 ** A router that did not read the versions in between tells what they began
-** and this one ends: it has heard of that. Without this a key of a version
-** that its reader had skipped was let in by others for 2.8 s.
+** and this one ends: it has heard of that. Without this others would let in a
+** key of a version that its reader has skipped.
 */
 static void tell_of_skipped (mt_gateway_t *g, const mt_catalog_t *catalog,
                              int64_t rev) {
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -126,8 +126,7 @@
 /*
 ** Tells a router that has just come who else there is, if it seems to know
 ** less, in as many messages as it takes. When all start at once everybody
-*hears everybody else for the first
-** time: each telling each of all took 28 MB of 295 routers.
+** hears everybody else for the first time, and each would tell each of all.
 */
 static void welcome (mt_gateway_peers_t *peers, uint32_t ip,
                      uint32_t its_groups) {
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -28,10 +28,8 @@
 #define MISS_WEIGHT_EASY 13.0
 #define MOVE_WEIGHT 3.0
 /* Of the wait limit, at engines of other failure domains, and the same for a
-   workspace that had its share: bytes between domains cost 0.035 of a day's
-   worth where they cost 0.058 when the whole limit counted and all domains
-   were asked (eight days of 91 routers). 1.0 for both, with domains still
-   chosen by how full they are, is 0.013 of worth less (four days). */
+   workspace that had its share: bytes between domains are dear, and work
+   abroad displaces what has its parts there. */
 #define FAR_PART 0.6
 #define FAR_PART_OVER 0.1
 /* Keeps requests and answers in their failure domain where that is as good;
--- a/src/gateway/share_exchange.c
+++ b/src/gateway/share_exchange.c
@@ -10,7 +10,7 @@
 #define BYTES_PER_S 8000    /* that a router sends in rounds, about */
 /*
 ** Rounds hold a row for each workspace, so they come rarely where boxes and
-** workspaces are many: each 8.6 s at 986 and 333. Who serves is then told in
+** workspaces are many. Who serves is then told in
 ** heartbeats between them, or routers that have ended would count for three
 ** rounds: engines' keepers, and watchers of the source that nobody follows.
 */
--- a/src/relay/candidates.c
+++ b/src/relay/candidates.c
@@ -10,9 +10,8 @@
 
 /*
 ** Engines that are looked at for one question. Each request looks at others,
-** in an order of its own. While all looked at all, and in the same order, all
-** routers went to the same few of 160 engines: the busiest got 1.60 times the
-** mean; and a question took a router longer the more engines there were.
+** in an order of its own: in one order all routers would go to the same few
+** engines, and a question would take longer the more engines there are.
 */
 #define LOOKED_AT_MOST 16
 #define HOMES 2 /* of the own failure domain, asked before other engines */
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -82,9 +82,8 @@
   mt_map_t by_key;
   mt_engine_t **list;
   size_t count, cap;
-  /* Those that a tick may have to do something about. A router of a large
-     fleet uses few of its engines: to look at 10,000 took 35 us of a core,
-     80 times a second. */
+  /* Those that a tick may have to do something about: a router of a large
+     fleet uses few of its engines. */
   mt_engine_t **attended;
   size_t attended_count, attended_cap;
 } mt_engines_t;
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -21,7 +21,7 @@
 #define OVER_BOTTOM 1.25
 #define OVER_LIMIT_MS 2500.0 /* there it would be refused */
 /* How full a failure domain was counts for so long; then it is asked again.
-   With 400 ms a day's worth was 0.005 less (eight days of 91 routers). */
+ */
 #define FULL_MS 2000
 
 static int running (const mt_engine_t *e) {
