A rest outlasts the list of another start

Whose rest it is cannot be told from an answer, so a rest stays over a restart: at worst a start rests for what is left of an earlier one's, seconds as a rule, a minute at most. A leaving is still the earlier start's: one that says it leaves before it is listed is heard again by its next answer. Comments beside.

--- a/src/relay/engine.c
+++ b/src/relay/engine.c
@@ -180,7 +180,8 @@
   e->slowness = 1.0;
   e->failures = 0;
   e->hold = 0;
-  e->rest = e->resumed = 0;
+  /* A rest stays: the start answers before it is listed, so that it may be
+     the one that asked for it. */
   if (e->leave.born <= e->born) e->leave = (mt_engine_leave_t){0};
   e->unreachable = false;
   e->heard = 0;
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -66,9 +66,7 @@
   int failures;    /* in a row */
   mt_ms_t hold;    /* gets no work before this time */
   mt_ms_t rest;    /* it asked this router for rest until then; 0: no */
-  mt_ms_t
-      resumed; /* the first request behind that rest went then; 0: none has
-                */
+  mt_ms_t resumed; /* the first request behind it went then; 0: none has */
   mt_engine_leave_t leave;
   bool unreachable; /* no connection comes up: no work until one does */
   bool probing;     /* one is being tried */
@@ -148,7 +146,8 @@
 /* It took the request that went to it at `sent`. */
 void mt_engine_took (mt_engine_t *engine, mt_ms_t sent);
 
-/* It has started again: nothing that is believed of it holds. */
+/* It has started again: nothing that is believed of it holds, but for a rest
+   that it asked for. */
 void mt_engine_restarted (mt_engine_t *engine);
 
 /* A connection to it came up, or did not: then another is tried soon. */
