Retries need room like first attempts

A retry chose an engine but was never asked whether it may wait there, so retries filled the sound engines and first attempts of workspaces that were owed found them over the wait limit. Now a retry of what has not run needs room as a first attempt does. What has run, or streams already, is retried as before: work done is not given up.

Rejection.ARetryNeedsRoomLikeAFirstAttempt failed before in its two rows with a queue elsewhere.

One cause of the class; what is left follows.

--- a/src/relay/request.c
+++ b/src/relay/request.c
@@ -221,12 +221,25 @@
   return MT_RELAY_UNREACHABLE;
 }
 
-/* Starts anew elsewhere; false when there is no engine or budget for it. */
+/*
+** A retry of what has not run needs room like a first attempt, or retries
+** alone would fill the engines that still take work. What has run is not
+** given up for want of room.
+*/
+static bool retry_has_room (mt_relay_t *relay, const mt_relay_request_t *r,
+                            const mt_placement_t *p) {
+  mt_relay_refusal_t why;
+  if (r->may_have_run || r->phase == MT_RELAY_STREAMING) return true;
+  return mt_placement_admits(relay, r, p, &why);
+}
+
+/* Starts anew elsewhere; false when there is no engine, room or budget. */
 static bool retry (mt_relay_t *relay, mt_relay_request_t *r,
                    mt_relay_retry_t reason) {
   mt_candidates_find_homes(relay, r);
   mt_placement_t p = mt_placement_choose(relay, r);
-  if (p.engine == NULL || !take_budget(relay, r)) return false;
+  if (p.engine == NULL || !retry_has_room(relay, r, &p)) return false;
+  if (!take_budget(relay, r)) return false;
   relay->counters.retries[reason]++;
   mt_request_note(relay, r, "retried", mt_relay_retry_code(reason));
   mt_attempt_start(relay, r, &p);
