Placement passes over engines that reject most attempts

An engine that rejects its work is idle, so every queue-length comparison prefers it, and all that a rejection did was a pause of 30 ms.

Each router now keeps the part of its latest attempts that an engine rejected, and placement counts it like a full engine's wait. It fades within seconds, so engines are tried again; another start begins at zero; where all others are full a rejecting engine is still tried.

Rejection.EnginesThatRejectAttractNoWork fails in two rows without the penalty.

--- a/src/relay/answer.c
+++ b/src/relay/answer.c
@@ -11,7 +11,6 @@
 
 /* A longer answer is passed on as it comes. */
 #define HOLD_BODY_MAX (256u << 10)
-#define SHED_HOLD_MS 30 /* rest of an engine that refused */
 
 void mt_answer_head (mt_relay_t *relay, mt_relay_request_t *r,
                      const mt_relay_event_t *ev) {
@@ -27,8 +26,7 @@
       mt_attempt_failed(relay, r, MT_RELAY_RETRY_MOVED, false);
       return;
     case MT_RELAY_NOT_RUN:
-      e->hold = mt_max(e->hold, relay->now + SHED_HOLD_MS);
-      e->heard = relay->now;
+      mt_engine_rejected(e, relay->now);
       /* Its short answer is read to the end; the connection stays. */
       mt_attempt_failed(relay, r, MT_RELAY_RETRY_SHED, false);
       return;
@@ -42,7 +40,7 @@
   }
   if (r->status < 500) {
     mt_engine_worked(e, relay->now);
-    mt_engine_took(e, r->sent);
+    mt_engine_took(e, r->sent, relay->now);
     return;
   }
   if (e->rest <= relay->now) /* else it asked for rest, and is well */
--- a/src/relay/engine.c
+++ b/src/relay/engine.c
@@ -1,6 +1,7 @@
 /*
 ** engine.c - the table of engines
 */
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -19,6 +20,9 @@
 /* An engine that turns a request away does so at once: one that has not in
    that time takes it. */
 #define RESUME_MS 100
+#define REJECTION_WEIGHT 0.2     /* of one attempt in the rejection rate */
+#define REJECTION_FADE_MS 2000.0 /* time constant without attempts */
+#define REJECTION_HOLD_MS 30     /* no work behind a rejection */
 
 uint64_t mt_engine_key (const char *name, size_t size) {
   return mtV_hash(name, size) | 1;
@@ -167,8 +171,27 @@
     e->rest = e->resumed = 0;
 }
 
-void mt_engine_took (mt_engine_t *e, mt_ms_t sent) {
+double mt_engine_rejection_rate (const mt_engine_t *e, mt_ms_t now) {
+  if (e->judged == 0) return 0;
+  return e->rejection_rate *
+         exp(-(double)(now - e->judged) / REJECTION_FADE_MS);
+}
+
+static void judge (mt_engine_t *e, bool rejected, mt_ms_t now) {
+  double rate = mt_engine_rejection_rate(e, now);
+  e->rejection_rate = rate + ((rejected ? 1 : 0) - rate) * REJECTION_WEIGHT;
+  e->judged = now;
+}
+
+void mt_engine_took (mt_engine_t *e, mt_ms_t sent, mt_ms_t now) {
   if (e->resumed != 0 && sent >= e->resumed) e->rest = e->resumed = 0;
+  judge(e, false, now);
+}
+
+void mt_engine_rejected (mt_engine_t *e, mt_ms_t now) {
+  e->hold = mt_max(e->hold, now + REJECTION_HOLD_MS);
+  e->heard = now;
+  judge(e, true, now);
 }
 
 void mt_engine_restarted (mt_engine_t *e) {
@@ -180,6 +203,7 @@
   e->slowness = 1.0;
   e->failures = 0;
   e->hold = 0;
+  e->rejection_rate = 0;
   /* A rest stays: the start answers before it is listed, so that it may be
      the one that asked for it. */
   if (e->leave.born <= e->born) e->leave = (mt_engine_leave_t){0};
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -64,8 +64,10 @@
   mt_ms_t told;    /* its keeper was told last then */
   double slowness; /* time to first event, seen over expected; 1: usual */
   int failures;    /* in a row */
-  mt_ms_t hold;    /* gets no work before this time */
-  mt_ms_t rest;    /* it asked this router for rest until then; 0: no */
+  double rejection_rate; /* of this router's attempts, as of `judged` */
+  mt_ms_t judged;        /* it last took or rejected one; 0: never */
+  mt_ms_t hold;          /* gets no work before this time */
+  mt_ms_t rest;          /* it asked this router for rest until then; 0: no */
   mt_ms_t resumed; /* the first request behind it went then; 0: none has */
   mt_engine_leave_t leave;
   bool unreachable; /* no connection comes up: no work until one does */
@@ -144,7 +146,16 @@
 void mt_engine_sent (mt_engine_t *engine, mt_ms_t now);
 
 /* It took the request that went to it at `sent`. */
-void mt_engine_took (mt_engine_t *engine, mt_ms_t sent);
+void mt_engine_took (mt_engine_t *engine, mt_ms_t sent, mt_ms_t now);
+
+/* It rejected a request without running it. */
+void mt_engine_rejected (mt_engine_t *engine, mt_ms_t now);
+
+/*
+** Part of this router's latest attempts that it rejected, 0 to 1. Fades
+** without attempts, so that an engine is tried again.
+*/
+double mt_engine_rejection_rate (const mt_engine_t *engine, mt_ms_t now);
 
 /* It has started again: nothing that is believed of it holds, but for a rest
    that it asked for. */
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -9,9 +9,10 @@
 #include "placement.h"
 #include "quotes.h"
 
-#define FULL_PENALTY_MS 2000.0   /* a slot has to be waited for */
-#define MEMORY_PENALTY_MS 1000.0 /* running requests would be preempted */
-#define FAILING_PENALTY_MS 50.0  /* one failure in a row */
+#define FULL_PENALTY_MS 2000.0      /* a slot has to be waited for */
+#define MEMORY_PENALTY_MS 1000.0    /* running requests would be preempted */
+#define FAILING_PENALTY_MS 50.0     /* one failure in a row */
+#define REJECTION_PENALTY_MS 2000.0 /* it rejects every attempt */
 #define RUNNING_MS 1.0 /* each running request slows all others a little */
 #define ROOM_POWER 3   /* how fast room falls beyond the share */
 /* Whoever got so much of the level, and so much of what another backlogged
@@ -148,6 +149,8 @@
   if (full) cost += FULL_PENALTY_MS;
   if (memory > 0 && held > memory) cost += MEMORY_PENALTY_MS;
   cost += e->failures * FAILING_PENALTY_MS;
+  /* An engine that rejects its work is idle, and would attract all of it. */
+  cost += mt_engine_rejection_rate(e, c->relay->now) * REJECTION_PENALTY_MS;
   if (e->far) cost += terms->cross_ms;
   *p = (mt_placement_t){.engine = e,
                         .miss = miss,
--- a/tests/rejection_test.cc
+++ b/tests/rejection_test.cc
@@ -1,6 +1,7 @@
 // rejection_test.cc - requests that an engine rejects without running them
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <string>
 
 #include "relay.h"
@@ -66,4 +67,44 @@
   }
 }
 
+// An engine that rejected nearly everything looked idle and got as much work
+// as any other, while sound engines had room.
+TEST(Rejection, EnginesThatRejectAttractNoWork) {
+  struct Row {
+    const char *what;
+    int rejected, taken; // by m1, in this order
+    mt_ms_t later;       // ms since
+    int64_t queued;      // tokens at m2
+    const char *engine;  // that a request goes to
+  } rows[] = {
+      {"it is idle", 0, 0, 0, 2000, "m1"},
+      {"it rejected a few", 3, 0, 0, 2000, "m2"},
+      {"it rejected many", 10, 0, 0, 2000, "m2"},
+      {"it rejected many, others are full", 10, 0, 0, 100000, "m1"},
+      {"it takes work again", 10, 20, 0, 2000, "m1"},
+      {"that was long ago", 10, 0, 10000, 2000, "m1"},
+  };
+  for (const Row &row : rows) {
+    Rejecting r(2);
+    mt_engine_t *e = r.find("m1");
+    for (int i = 0; i < row.rejected; i++) mt_engine_rejected(e, r.now);
+    for (int i = 0; i < row.taken; i++) mt_engine_took(e, r.now, r.now);
+    r.now += std::max(row.later, (mt_ms_t)100); // behind the hold
+    r.find("m2")->peers.unread = row.queued;
+    r.ask(1, "/stream/x");
+    ASSERT_NE(r.started(1), nullptr) << row.what;
+    EXPECT_STREQ(r.started(1)->name, row.engine) << row.what;
+  }
+}
+
+// What an earlier start rejected is no reason to pass over the present one.
+TEST(Rejection, AStartIsJudgedByItself) {
+  Rejecting r(1);
+  mt_engine_t *e = r.find("m1");
+  for (int i = 0; i < 10; i++) mt_engine_rejected(e, r.now);
+  EXPECT_GT(mt_engine_rejection_rate(e, r.now), 0.5);
+  mt_engine_restarted(e);
+  EXPECT_EQ(mt_engine_rejection_rate(e, r.now), 0);
+}
+
 } // namespace
