Retries of rejected requests go to workspaces below their share

Where most engines reject, the fleet's retry budget covers a part of the rejected requests. While somebody is short, a rejected request is retried only for a workspace that is not above its share. Requests that were not sent or may have run are retried as before.

Rejection.RetriesAreForWorkspacesBelowTheirShare failed before in the row "above its share".

--- a/src/relay/request.c
+++ b/src/relay/request.c
@@ -233,13 +233,24 @@
   return mt_placement_admits(relay, r, p, &why);
 }
 
+/*
+** While engines reject most requests the budget is short, and whoever asks
+** most would use most of it: it is kept for workspaces below their share.
+*/
+static bool is_owed_retry (mt_relay_t *relay, const mt_relay_request_t *r,
+                           mt_relay_retry_t reason) {
+  if (reason != MT_RELAY_RETRY_SHED || r->workspace == 0) return true;
+  return mt_fair_share_standing(&relay->shares, r->workspace) <= 1;
+}
+
 /* Starts anew elsewhere; false when there is no engine, room or budget. */
 static bool retry (mt_relay_t *relay, mt_relay_request_t *r,
                    mt_relay_retry_t reason) {
   mt_candidates_find_homes(relay, r);
   mt_placement_t p = mt_placement_choose(relay, r);
   if (p.engine == NULL || !retry_has_room(relay, r, &p)) return false;
-  if (!take_budget(relay, r)) return false;
+  if (!is_owed_retry(relay, r, reason) || !take_budget(relay, r))
+    return false;
   relay->counters.retries[reason]++;
   mt_request_note(relay, r, "retried", mt_relay_retry_code(reason));
   mt_attempt_start(relay, r, &p);
--- a/tests/rejection_test.cc
+++ b/tests/rejection_test.cc
@@ -97,6 +97,37 @@
   }
 }
 
+// Whoever asked most also had most of the retries, which were then denied to
+// workspaces that had got a sixth of what they asked.
+TEST(Rejection, RetriesAreForWorkspacesBelowTheirShare) {
+  struct Row {
+    const char *what;
+    double served; // thousands of tokens a second, of a level of 10
+    double others; // likewise, got by the other workspace
+    End end;
+    bool retried;
+  } rows[] = {
+      {"below its share", 5, 12, End::REJECTED, true},
+      {"above its share", 12, 5, End::REJECTED, false},
+      {"above its share, not sent", 12, 5, End::NOT_SENT, true},
+      {"above its share, lost", 12, 5, End::LOST, true},
+      {"nobody is short", 100, 100, End::REJECTED, true},
+  };
+  for (const Row &row : rows) {
+    Rejecting r(2);
+    r.relay->catalog->limits.tokens_per_s = 20000;
+    mt_fair_share_get(&r.relay->shares, mtV_id("w1", 2))->peers = {
+        100000, row.served * 1000};
+    mt_fair_share_get(&r.relay->shares, mtV_id("w2", 2))->peers = {
+        100000, row.others * 1000};
+    r.pass(200);
+    r.ask(1, "/stream/x");
+    ASSERT_NE(r.started(1), nullptr) << row.what;
+    r.finish(1, row.end);
+    EXPECT_EQ(r.started(1) != nullptr, row.retried) << row.what;
+  }
+}
+
 // What an earlier start rejected is no reason to pass over the present one.
 TEST(Rejection, AStartIsJudgedByItself) {
   Rejecting r(1);
