A leaving told before the engine is listed is kept

A word of an engine that is not listed was dropped. Now it is kept for the minute that it holds, for 256 engines at most since datagrams may be forged, and taken when the engine is listed; a later start is not held to an earlier one's word.

EngineWord.ALeavingToldBeforeTheEntryHolds failed before in four rows.

Looked for elsewhere: loads, holders of parts, suspects and emptied failure domains are kept by key or name whether the engine is listed or not.

--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -212,8 +212,11 @@
     e->domain_id = mtV_id(e->domain, strlen(e->domain));
     e->far = strcmp(e->domain, g->relay->domain) != 0;
   }
+  uint64_t told = g->relay->counters.leaves_told;
   mt_relay_engine_listed(g->relay, e, engine->cold,
                          mt_wake_clock_now(g->loop));
+  if (g->relay->counters.leaves_told != told)
+    log_engine(g, e, "told-leaving-early");
   set_state(g, e, engine->leaving ? MT_ENGINE_LEAVING : MT_ENGINE_READY,
             is_new);
 }
--- a/src/gateway/gateway_notices.c
+++ b/src/gateway/gateway_notices.c
@@ -49,10 +49,9 @@
   const mt_engine_leave_t leave = {now - mt_min(told->age, now), told->born,
                                    true};
   char text[INET_ADDRSTRLEN];
-  if (e == NULL) return false;
   uint64_t before = g->relay->counters.leaves_told;
   take(g, told->engine, &says, &leave);
-  if (g->relay->counters.leaves_told == before) return false;
+  if (e == NULL || g->relay->counters.leaves_told == before) return false;
   inet_ntop(AF_INET, &router, text, sizeof text);
   mt_log_line(g->log, MT_LOG_BELIEF, now, "engine",
               "engine=%s age=%llu peer=%s outcome=told-leaving", e->name,
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -311,7 +311,12 @@
 static void on_notice (mt_relay_t *relay, const mt_relay_event_t *ev) {
   mt_engine_t *e = mt_engines_get(&relay->engines, ev->u.notice.engine);
   const mt_engine_notice_t *says = &ev->u.notice.says;
-  if (e == NULL) return;
+  if (e == NULL) {
+    if (says->leaving && ev->u.notice.leave.told)
+      mt_early_leaves_note(&relay->early_leaves, ev->u.notice.engine,
+                           &ev->u.notice.leave);
+    return;
+  }
   if (says->leaving &&
       mt_engine_take_leave(e, &ev->u.notice.leave, relay->now)) {
     uint64_t *counter = ev->u.notice.leave.told ? &relay->counters.leaves_told
--- a/tests/engine_word_test.cc
+++ b/tests/engine_word_test.cc
@@ -23,6 +23,15 @@
     event.u.notice.leave = {now - age, born, told};
     step(event);
   }
+  // Another router says that an engine leaves, whether listed here or not.
+  void told_of (const std::string &engine, int64_t born) {
+    mt_relay_event_t event{};
+    event.kind = MT_RELAY_NOTICE;
+    event.u.notice.engine = mt_engine_key(engine.data(), engine.size());
+    event.u.notice.says = {true, 0};
+    event.u.notice.leave = {now, born, true};
+    step(event);
+  }
   using Relay::find;
   // The engine that a request goes to now; empty: none.
   std::string goes_to (uint64_t number, const char *path = "/again/x") {
@@ -68,6 +77,41 @@
   }
 }
 
+// A router that was told of a leaving before it listed the engine dropped the
+// word, and sent requests there for seconds.
+TEST(EngineWord, ALeavingToldBeforeTheEntryHolds) {
+  struct Row {
+    const char *what;
+    int64_t listed, said; // starts
+    mt_ms_t later;        // it is listed so long after the word
+    int others;           // engines that others told of since
+    bool stays;
+  } rows[] = {
+      {"listed soon after", 5, 5, 2000, 0, false},
+      {"starts that are not told", 0, 0, 2000, 0, false},
+      {"a later start is listed", 6, 5, 2000, 0, true},
+      {"an earlier start is listed", 4, 5, 2000, 0, false},
+      {"told too long ago", 5, 5, 60000, 0, true},
+      {"others were told of", 5, 5, 0, MT_EARLY_LEAVES_MAX - 1, false},
+      {"more than are kept", 5, 5, 0, MT_EARLY_LEAVES_MAX, true},
+  };
+  for (const Row &row : rows) {
+    Heard r(0);
+    r.told_of("late", row.said);
+    for (int i = 0; i < row.others; i++) {
+      r.now++;
+      r.told_of("other" + std::to_string(i), 5);
+    }
+    EXPECT_LE(r.relay->early_leaves.count, (size_t)MT_EARLY_LEAVES_MAX);
+    r.now += row.later;
+    mt_engine_t *e = r.engine("late", "plain", 4);
+    e->born = row.listed;
+    mt_relay_engine_listed(r.relay, e, 0, r.now);
+    EXPECT_EQ(mt_engine_stays(e, r.now), row.stays) << row.what;
+    EXPECT_EQ(r.goes_to(1), row.stays ? "late" : "") << row.what;
+  }
+}
+
 // What this router heard itself is not forgotten for others' older word.
 TEST(EngineWord, OwnWordOutlastsOthers) {
   Heard r(1);
