A cancelled call waits shortly for the head of its answer

A call that ends before that head now keeps its connection for 50 ms for it, then closes it. What comes as the head is taken like any notice; the body is not read.

HttpClient.ALingeringCallReadsTheHeadOfItsAnswer and HttpClient.ACallWhoseAnswerHasBegunDoesNotLinger; the call did not exist before, so the first one has nothing to fail on but its absence.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -24,7 +24,9 @@
 #define LEAVE_MS 2500
 #define CALLERS_PART 0.55 /* of the descriptors, for callers' connections */
 #define ENGINES_PART 0.35 /* for those to engines */
-#define LAST_MS 400       /* of the grace, kept for the last bytes */
+/* An engine that rejects a request does so within that time. */
+#define LINGER_MS 50
+#define LAST_MS 400 /* of the grace, kept for the last bytes */
 
 /* One request at the gateway: a caller's connection and an engine's. */
 typedef struct passage_t {
@@ -60,10 +62,14 @@
   free(p);
 }
 
+/* An engine that rejects at once may ask for backoff in that answer, so the
+   connection stays open for it when the caller leaves first. */
 static void end_attempt (passage_t *p) {
   attempt_t *a = p->attempt;
   if (a == NULL) return;
   p->attempt = NULL;
+  a->passage = NULL;
+  if (mt_http_call_linger(a->call, LINGER_MS)) return;
   mt_http_call_cancel(a->call);
   free(a);
 }
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -25,7 +25,10 @@
   uint64_t key;
   void *ud;
   bool busy, connected, closing, keep, skipping, closed_framing, paused;
-  bool probing; /* it is being connected for no call */
+  bool probing;  /* it is being connected for no call */
+  bool answered; /* the head of the call's answer has come */
+  mt_ms_t
+      linger;   /* the call has ended, and its connection ends then; 0: no */
   bool refused; /* the other side said that nobody listens */
   int surplus;
   size_t writing;
@@ -163,6 +166,8 @@
   c->skipping =
       !c->client->handler.head(c->ud, c, parser->status_code, &c->headers);
   if (c->closing) return 1;
+  c->answered = !c->skipping;
+  if (c->answered && c->linger != 0) return -1;
   if (c->skipping && ++c->surplus > SURPLUS_MAX) return -1;
   return 0;
 }
@@ -283,6 +288,7 @@
   c->skipping = false;
   c->closed_framing = false;
   c->keep = false;
+  c->answered = false;
 }
 
 static void end_probe (mt_http_call_t *c) {
@@ -419,6 +425,14 @@
   close_connection(c);
 }
 
+bool mt_http_call_linger (mt_http_call_t *c, mt_ms_t ms) {
+  if (c->closing || !c->connected || c->writing > 0 || c->answered)
+    return false;
+  mt_http_call_pause(c, false);
+  c->linger = mt_wake_clock_now(c->client->loop) + ms;
+  return true;
+}
+
 bool mt_http_call_is_sent (const mt_http_call_t *c) {
   return c->connected;
 }
@@ -452,7 +466,12 @@
 
 /* Connections free themselves in the loop's next turns. */
 void mt_http_client_close (mt_http_client_t *client) {
-  while (client->all != NULL) close_connection(client->all);
+  while (client->all != NULL) {
+    if (client->all->linger != 0)
+      fail(client->all, MT_HTTP_CLOSED);
+    else
+      close_connection(client->all);
+  }
   mtV_free(&client->idle);
   free(client);
 }
@@ -473,6 +492,8 @@
       fail(c, MT_HTTP_NOT_SENT);
     else if (c->connected && !c->busy && now - c->since > c->idle_limit)
       close_connection(c);
+    else if (c->linger != 0 && now >= c->linger)
+      fail(c, MT_HTTP_CLOSED);
   }
   client->ticked = now;
 }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -83,6 +83,14 @@
 /* Ends a call at once and its connection with it; no further callback. */
 void mt_http_call_cancel (mt_http_call_t *call);
 
+/*
+** Ends a call, but waits up to `ms` for the head of its answer, which may say
+** something of the server. HEAD comes at most once more, then FAILED. False,
+** and nothing is done, where no such head can come: the request has not gone
+** out whole, or the answer has begun.
+*/
+bool mt_http_call_linger (mt_http_call_t *call, mt_ms_t ms);
+
 /* True when bytes of the request may have gone out. */
 bool mt_http_call_is_sent (const mt_http_call_t *call);
 
--- /dev/null
+++ b/tests/http_client_test.cc
@@ -0,0 +1,158 @@
+// http_client_test.cc - calls that end before their answer
+#include <gtest/gtest.h>
+
+#include <string>
+
+extern "C" {
+#include "http_client.h"
+}
+
+namespace {
+
+// A client and a server of one connection, in one loop.
+class Pair {
+public:
+  std::string answer; // that the server sends when it has been told to
+  int heads = 0, ends = 0, failures = 0;
+  bool sent = false, closed = false; // as the server saw it
+
+  Pair() {
+    sockaddr_in any{};
+    uv_loop_init(&loop);
+    uv_tcp_init(&loop, &server);
+    server.data = this;
+    uv_ip4_addr("127.0.0.1", 0, &any);
+    uv_tcp_bind(&server, (const sockaddr *)&any, 0);
+    uv_listen((uv_stream_t *)&server, 1, on_connection);
+    const mt_http_client_options_t options = {1000, 20000, 0, 2000};
+    const mt_http_call_handler_t handler = {on_sent, on_head,   on_data,
+                                            on_end,  on_failed, nullptr};
+    client = mt_http_client_open(&loop, &options, &handler);
+  }
+  ~Pair() {
+    mt_http_client_close(client);
+    uv_close((uv_handle_t *)&server, nullptr);
+    if (accepted) uv_close((uv_handle_t *)&peer, nullptr);
+    while (uv_run(&loop, UV_RUN_DEFAULT) != 0) continue;
+    uv_loop_close(&loop);
+  }
+  mt_http_call_t *call () {
+    sockaddr_in addr{};
+    int size = sizeof addr;
+    uv_tcp_getsockname(&server, (sockaddr *)&addr, &size);
+    const mt_http_endpoint_t endpoint = {1, "127.0.0.1",
+                                         ntohs(addr.sin_port)};
+    static const char head[] = "GET / HTTP/1.1\r\n\r\n";
+    return mt_http_client_call(client, &endpoint, {head, sizeof head - 1},
+                               {"", 0}, 0, this);
+  }
+  void respond () {
+    uv_buf_t buf = uv_buf_init(&answer[0], (unsigned)answer.size());
+    uv_try_write((uv_stream_t *)&peer, &buf, 1);
+  }
+  void hang_up () {
+    accepted = false;
+    uv_close((uv_handle_t *)&peer, nullptr);
+  }
+  // Runs the loop and the client's clock until it is so.
+  template <class F> void until (F so) {
+    while (!so()) {
+      uv_run(&loop, UV_RUN_NOWAIT);
+      mt_http_client_tick(client);
+    }
+  }
+
+private:
+  uv_loop_t loop{}; // without a clock of its own
+  uv_tcp_t server, peer;
+  bool accepted = false;
+  mt_http_client_t *client;
+  char input[4096];
+
+  static void on_alloc (uv_handle_t *h, size_t, uv_buf_t *buf) {
+    auto *p = (Pair *)h->data;
+    *buf = uv_buf_init(p->input, sizeof p->input);
+  }
+  static void on_read (uv_stream_t *s, ssize_t n, const uv_buf_t *) {
+    if (n < 0) ((Pair *)s->data)->closed = true;
+    if (n < 0) uv_read_stop(s);
+  }
+  static void on_connection (uv_stream_t *s, int) {
+    auto *p = (Pair *)s->data;
+    uv_tcp_init(&p->loop, &p->peer);
+    p->peer.data = p;
+    p->accepted = true;
+    uv_accept(s, (uv_stream_t *)&p->peer);
+    uv_read_start((uv_stream_t *)&p->peer, on_alloc, on_read);
+  }
+  static void on_sent (void *ud, mt_http_call_t *) {
+    ((Pair *)ud)->sent = true;
+  }
+  static bool on_head (void *ud, mt_http_call_t *, int,
+                       const mt_http_headers_t *) {
+    ((Pair *)ud)->heads++;
+    return true;
+  }
+  static void on_data (void *, mt_http_call_t *, const char *, size_t) {
+  }
+  static void on_end (void *ud, mt_http_call_t *) {
+    ((Pair *)ud)->ends++;
+  }
+  static void on_failed (void *ud, mt_http_call_t *, mt_http_failure_t) {
+    ((Pair *)ud)->failures++;
+  }
+};
+
+// A caller left as its request went out, and the engine's refusal with the
+// backoff that it asked for was never read: requests came during the backoff.
+TEST(HttpClient, ALingeringCallReadsTheHeadOfItsAnswer) {
+  enum class Then { ANSWERS, SILENT, HANGS_UP, CLIENT_CLOSES };
+  struct Row {
+    const char *what;
+    Then then;
+    int heads;
+  } rows[] = {
+      {"the server answers", Then::ANSWERS, 1},
+      {"it stays silent", Then::SILENT, 0},
+      {"it hangs up", Then::HANGS_UP, 0},
+      {"the client closes", Then::CLIENT_CLOSES, 0},
+  };
+  for (const Row &row : rows) {
+    int failures = 0;
+    {
+      Pair p;
+      p.answer = "HTTP/1.1 503 Busy\r\nRetry-After: 4\r\n"
+                 "Content-Length: 4\r\n\r\nbusy";
+      mt_http_call_t *call = p.call();
+      EXPECT_FALSE(mt_http_call_linger(call, 20)) << "not sent yet";
+      p.until([&] { return p.sent; });
+      ASSERT_TRUE(mt_http_call_linger(call, 20)) << row.what;
+      if (row.then == Then::ANSWERS) p.respond();
+      if (row.then == Then::HANGS_UP) p.hang_up();
+      if (row.then != Then::CLIENT_CLOSES)
+        p.until([&] { return p.failures > 0; });
+      if (row.then == Then::ANSWERS || row.then == Then::SILENT)
+        p.until([&] { return p.closed; });
+      EXPECT_EQ(p.heads, row.heads) << row.what;
+      EXPECT_EQ(p.ends, 0) << row.what;
+      failures = p.failures;
+    }
+    EXPECT_EQ(failures, row.then == Then::CLIENT_CLOSES ? 0 : 1) << row.what;
+  }
+}
+
+// Behind the head there is nothing to wait for.
+TEST(HttpClient, ACallWhoseAnswerHasBegunDoesNotLinger) {
+  Pair p;
+  p.answer = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nsome";
+  mt_http_call_t *call = p.call();
+  p.until([&] { return p.sent; });
+  p.respond();
+  p.until([&] { return p.heads > 0; });
+  EXPECT_FALSE(mt_http_call_linger(call, 20));
+  mt_http_call_cancel(call);
+  p.until([&] { return p.closed; });
+  EXPECT_EQ(p.failures, 0);
+}
+
+} // namespace
