What datagrams name takes bounded memory

Found while looking for other words that are kept of what is not listed: rates of every workspace that any datagram named were kept for good, without a bound, and loads by engine for 2.5 s without a bound. 700 workspaces fit into one forged datagram. At most 8,192 workspaces are taken from other routers (2,500 are expected) and any is forgotten when nothing is asked or served for it; loads of at most 16,384 engines are kept.

FairShareMemory.NamesFromDatagramsAreBoundedAndForgotten and LoadBook.EnginesFromDatagramsAreBounded are written against the new bound; the code before had none.

--- a/src/relay/fair_share.c
+++ b/src/relay/fair_share.c
@@ -31,6 +31,12 @@
   return w;
 }
 
+mt_share_t *mt_fair_share_told (mt_fair_share_t *s, mt_id_t workspace) {
+  mt_share_t *known = mtV_get(&s->by_id, workspace);
+  if (known != NULL || s->count >= MT_FAIR_SHARE_MOST) return known;
+  return mt_fair_share_get(s, workspace);
+}
+
 /* An amount as an addition to a rate that fades with FADE_MS. */
 static double as_rate (int64_t tokens) {
   return (double)tokens * 1000.0 / FADE_MS;
@@ -63,6 +69,16 @@
   return w->here.served + w->peers.served;
 }
 
+static void forget_idle (mt_fair_share_t *s) {
+  for (size_t i = s->count; i-- > 0;) {
+    mt_share_t *w = s->list[i];
+    if (asked(w) > FORGET_RATE || served(w) > FORGET_RATE) continue;
+    s->list[i] = s->list[--s->count];
+    mtV_del(&s->by_id, w->workspace);
+    free(w);
+  }
+}
+
 static int by_asked (const void *a, const void *b) {
   double x = asked(*(mt_share_t *const *)a);
   double y = asked(*(mt_share_t *const *)b);
@@ -112,6 +128,7 @@
 void mt_fair_share_update (mt_fair_share_t *s, double declared, mt_ms_t now) {
   double all_asked = 0, all_served = 0;
   fade(s, now);
+  forget_idle(s);
   for (size_t i = 0; i < s->count; i++) {
     all_asked += asked(s->list[i]);
     all_served += served(s->list[i]);
--- a/src/relay/fair_share.h
+++ b/src/relay/fair_share.h
@@ -11,6 +11,8 @@
 
 #include "mtmem.h"
 
+#define MT_FAIR_SHARE_MOST 8192 /* workspaces that other routers may name */
+
 /* Rates of one workspace, in tokens a second. */
 typedef struct mt_share_rates_t {
   double asked, served;
@@ -38,13 +40,18 @@
 void mt_fair_share_free (mt_fair_share_t *shares);
 mt_share_t *mt_fair_share_get (mt_fair_share_t *shares, mt_id_t workspace);
 
+/* The same for one that another router names, which may be forged. NULL for
+   a new one where MT_FAIR_SHARE_MOST are known. */
+mt_share_t *mt_fair_share_told (mt_fair_share_t *shares, mt_id_t workspace);
+
 void mt_fair_share_asked (mt_fair_share_t *shares, mt_id_t workspace,
                           int64_t tokens);
 void mt_fair_share_served (mt_fair_share_t *shares, mt_id_t workspace,
                            int64_t tokens);
 
 /*
-** Lets rates fade up to now and works out the level anew. `declared` is what
+** Lets rates fade up to now, forgets workspaces without any, and works out the
+** level anew. `declared` is what
 ** the engines give together by the operators' word, in tokens a second: a
 ** router that serves less must not take that for the engines' limit. 0: not
 ** told.
--- a/src/relay/load_book.c
+++ b/src/relay/load_book.c
@@ -5,7 +5,8 @@
 
 #include "load_book.h"
 
-#define ROWS_MAX 1024 /* of one engine */
+#define ROWS_MAX 1024     /* of one engine */
+#define ENGINES_MAX 16384 /* datagrams come from anybody, and name any */
 
 /* The row of a router at an engine, made if it is new; NULL: too many. */
 static mt_load_row_t *row_of (mt_load_book_t *book, uint64_t engine,
@@ -16,6 +17,7 @@
   for (mt_load_row_t *row = first; row != NULL; row = row->next, count++)
     if (row->router == router) return row;
   if (count >= ROWS_MAX) return NULL;
+  if (first == NULL && book->engines.used >= ENGINES_MAX) return NULL;
   mt_load_row_t *row = mtV_new(sizeof *row);
   row->next = first;
   mtV_put(&book->engines, engine, row);
--- a/src/relay/load_book.h
+++ b/src/relay/load_book.h
@@ -25,7 +25,8 @@
 
 /*
 ** Takes a router's load at an engine in place of the one before. Returns the
-** tokens read or made there since that one; 0 for the first.
+** tokens read or made there since that one; 0 for the first. Rows and engines
+** beyond a bound are passed over.
 */
 int64_t mt_load_book_take (mt_load_book_t *book, uint64_t engine,
                            const mt_load_row_t *row);
--- a/tests/fair_share_test.cc
+++ b/tests/fair_share_test.cc
@@ -72,4 +72,22 @@
   EXPECT_TRUE(is_taken({{100, 29}, {100, 1}, {100, 1}}, 0));
 }
 
+// Datagrams come from anybody: workspaces that they named were kept for good.
+TEST(FairShareMemory, NamesFromDatagramsAreBoundedAndForgotten) {
+  mt_fair_share_t shares{};
+  mt_fair_share_asked(&shares, 1, 1000);
+  for (mt_id_t id = 2; id < 3 * MT_FAIR_SHARE_MOST; id++) {
+    mt_share_t *w = mt_fair_share_told(&shares, id);
+    if (w != nullptr) w->peers = {100, 0};
+  }
+  EXPECT_EQ(shares.count, (size_t)MT_FAIR_SHARE_MOST);
+  EXPECT_NE(mt_fair_share_told(&shares, 2), nullptr) << "known";
+  EXPECT_NE(mt_fair_share_get(&shares, 9 * MT_FAIR_SHARE_MOST), nullptr)
+      << "a caller's own";
+  for (size_t i = 0; i < shares.count; i++) shares.list[i]->peers = {0, 0};
+  mt_fair_share_update(&shares, 0, 0);
+  EXPECT_EQ(shares.count, 1u) << "who asks here";
+  mt_fair_share_free(&shares);
+}
+
 } // namespace
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -386,6 +386,23 @@
 
 // {== Loads ================================================================
 
+// Datagrams come from anybody: loads were kept for any engine that they
+// named.
+TEST(LoadBook, EnginesFromDatagramsAreBounded) {
+  mt_load_book_t book{};
+  mt_load_row_t row{};
+  row.router = 1;
+  row.load.running = 1;
+  row.valid_until = 2;
+  for (uint64_t engine = 1; engine <= 40000; engine++)
+    mt_load_book_take(&book, engine, &row);
+  EXPECT_LE(book.engines.used, 16384u);
+  EXPECT_EQ(mt_load_book_sum(&book, 1, 0, 1).running, 1) << "the first stays";
+  mt_load_book_expire(&book, 2);
+  EXPECT_EQ(book.engines.used, 0u);
+  mt_load_book_free(&book);
+}
+
 TEST(LoadBook, SumsWhatOthersHave) {
   mt_load_book_t book{};
   mt_load_row_t a{}, b{};
