--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -24,7 +24,8 @@
 #define LEAVE_MS 2500
 #define CALLERS_PART 0.55 /* of the descriptors, for callers' connections */
 #define ENGINES_PART 0.35 /* for those to engines */
-/* An engine that rejects a request does so within that time. */
+/* Wait for an answer's head when the caller has left; an engine that rejects
+   a request does so at once. */
 #define LINGER_MS 50
 #define LAST_MS 400 /* of the grace, kept for the last bytes */
 
--- a/src/gateway/share_exchange.c
+++ b/src/gateway/share_exchange.c
@@ -138,7 +138,7 @@
 static void add_rates (mt_share_exchange_t *x, const mt_peer_share_t *rows,
                        size_t count) {
   for (size_t i = 0; i < count; i++) {
-    mt_share_t *share = mt_fair_share_told(x->shares, rows[i].workspace);
+    mt_share_t *share = mt_fair_share_of_peer(x->shares, rows[i].workspace);
     if (share == NULL) continue;
     share->peers.asked += rows[i].rates.asked;
     share->peers.served += rows[i].rates.served;
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -25,11 +25,10 @@
   uint64_t key;
   void *ud;
   bool busy, connected, closing, keep, skipping, closed_framing, paused;
-  bool probing;  /* it is being connected for no call */
-  bool answered; /* the head of the call's answer has come */
-  mt_ms_t
-      linger;   /* the call has ended, and its connection ends then; 0: no */
-  bool refused; /* the other side said that nobody listens */
+  bool probing;   /* it is being connected for no call */
+  bool answered;  /* the head of the call's answer has come */
+  mt_ms_t linger; /* the call has ended; the connection ends then; 0: no */
+  bool refused;   /* the other side said that nobody listens */
   int surplus;
   size_t writing;
   char *request; /* until the connection is up */
--- a/src/relay/early_leaves.c
+++ b/src/relay/early_leaves.c
@@ -1,5 +1,5 @@
 /*
-** early_leaves.c - engines that leave, by word that came before their entry
+** early_leaves.c - leave notices that come before their engine is listed
 */
 #include "early_leaves.h"
 
--- a/src/relay/early_leaves.h
+++ b/src/relay/early_leaves.h
@@ -1,5 +1,5 @@
 /*
-** early_leaves.h - engines that leave, by word that came before their entry
+** early_leaves.h - leave notices that come before their engine is listed
 **
 ** Routers read the source at different times, so one may be told that an
 ** engine leaves before it lists that engine. The table is bounded, since
@@ -10,7 +10,7 @@
 
 #include "engine.h"
 
-#define MT_EARLY_LEAVES_MAX 256 /* beyond, the oldest word is dropped */
+#define MT_EARLY_LEAVES_MAX 256 /* beyond, the oldest is dropped */
 
 typedef struct mt_early_leave_t {
   uint64_t engine;
@@ -22,11 +22,11 @@
   size_t count;
 } mt_early_leaves_t;
 
-/* Keeps the word of the engine's latest start. */
+/* Keeps the notice; of one engine, that of its latest start. */
 void mt_early_leaves_note (mt_early_leaves_t *leaves, uint64_t engine,
                            const mt_engine_leave_t *leave);
 
-/* Takes the engine's word out of the table; false when there is none. */
+/* Takes the engine's notice out of the table; false when there is none. */
 bool mt_early_leaves_take (mt_early_leaves_t *leaves, uint64_t engine,
                            mt_engine_leave_t *leave);
 
--- a/src/relay/engine.c
+++ b/src/relay/engine.c
@@ -172,26 +172,26 @@
 }
 
 double mt_engine_rejection_rate (const mt_engine_t *e, mt_ms_t now) {
-  if (e->judged == 0) return 0;
+  if (e->rate_at == 0) return 0;
   return e->rejection_rate *
-         exp(-(double)(now - e->judged) / REJECTION_FADE_MS);
+         exp(-(double)(now - e->rate_at) / REJECTION_FADE_MS);
 }
 
-static void judge (mt_engine_t *e, bool rejected, mt_ms_t now) {
+static void record_attempt (mt_engine_t *e, bool rejected, mt_ms_t now) {
   double rate = mt_engine_rejection_rate(e, now);
   e->rejection_rate = rate + ((rejected ? 1 : 0) - rate) * REJECTION_WEIGHT;
-  e->judged = now;
+  e->rate_at = now;
 }
 
 void mt_engine_took (mt_engine_t *e, mt_ms_t sent, mt_ms_t now) {
   if (e->resumed != 0 && sent >= e->resumed) e->rest = e->resumed = 0;
-  judge(e, false, now);
+  record_attempt(e, false, now);
 }
 
 void mt_engine_rejected (mt_engine_t *e, mt_ms_t now) {
   e->hold = mt_max(e->hold, now + REJECTION_HOLD_MS);
   e->heard = now;
-  judge(e, true, now);
+  record_attempt(e, true, now);
 }
 
 void mt_engine_restarted (mt_engine_t *e) {
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -64,8 +64,8 @@
   mt_ms_t told;    /* its keeper was told last then */
   double slowness; /* time to first event, seen over expected; 1: usual */
   int failures;    /* in a row */
-  double rejection_rate; /* of this router's attempts, as of `judged` */
-  mt_ms_t judged;        /* it last took or rejected one; 0: never */
+  double rejection_rate; /* of this router's attempts, as of `rate_at` */
+  mt_ms_t rate_at;       /* it last took or rejected one; 0: never */
   mt_ms_t hold;          /* gets no work before this time */
   mt_ms_t rest;          /* it asked this router for rest until then; 0: no */
   mt_ms_t resumed; /* the first request behind it went then; 0: none has */
--- a/src/relay/fair_share.c
+++ b/src/relay/fair_share.c
@@ -31,7 +31,7 @@
   return w;
 }
 
-mt_share_t *mt_fair_share_told (mt_fair_share_t *s, mt_id_t workspace) {
+mt_share_t *mt_fair_share_of_peer (mt_fair_share_t *s, mt_id_t workspace) {
   mt_share_t *known = mtV_get(&s->by_id, workspace);
   if (known != NULL || s->count >= MT_FAIR_SHARE_MOST) return known;
   return mt_fair_share_get(s, workspace);
--- a/src/relay/fair_share.h
+++ b/src/relay/fair_share.h
@@ -42,7 +42,8 @@
 
 /* The same for one that another router names, which may be forged. NULL for
    a new one where MT_FAIR_SHARE_MOST are known. */
-mt_share_t *mt_fair_share_told (mt_fair_share_t *shares, mt_id_t workspace);
+mt_share_t *mt_fair_share_of_peer (mt_fair_share_t *shares,
+                                   mt_id_t workspace);
 
 void mt_fair_share_asked (mt_fair_share_t *shares, mt_id_t workspace,
                           int64_t tokens);
@@ -50,11 +51,10 @@
                            int64_t tokens);
 
 /*
-** Lets rates fade up to now, forgets workspaces without any, and works out the
-** level anew. `declared` is what
-** the engines give together by the operators' word, in tokens a second: a
-** router that serves less must not take that for the engines' limit. 0: not
-** told.
+** Lets rates fade up to now, forgets workspaces without any, and works out
+** the level anew. `declared` is what the engines give together by the
+** operators' word, in tokens a second: a router that serves less must not
+** take that for the engines' limit. 0: not told.
 */
 void mt_fair_share_update (mt_fair_share_t *shares, double declared,
                            mt_ms_t now);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -406,7 +406,7 @@
   mt_domain_load_t domain_loads[MT_DOMAIN_LOADS_MAX];
   size_t domain_loads_count;
   mt_evacuations_t evacuations;
-  mt_early_leaves_t early_leaves; /* of engines that are not listed yet */
+  mt_early_leaves_t early_leaves;
   mt_denials_t denials; /* of what the declarations here still allow */
   mt_fair_share_t shares;
   mt_suspects_t suspects;
--- a/tests/fair_share_test.cc
+++ b/tests/fair_share_test.cc
@@ -77,11 +77,11 @@
   mt_fair_share_t shares{};
   mt_fair_share_asked(&shares, 1, 1000);
   for (mt_id_t id = 2; id < 3 * MT_FAIR_SHARE_MOST; id++) {
-    mt_share_t *w = mt_fair_share_told(&shares, id);
+    mt_share_t *w = mt_fair_share_of_peer(&shares, id);
     if (w != nullptr) w->peers = {100, 0};
   }
   EXPECT_EQ(shares.count, (size_t)MT_FAIR_SHARE_MOST);
-  EXPECT_NE(mt_fair_share_told(&shares, 2), nullptr) << "known";
+  EXPECT_NE(mt_fair_share_of_peer(&shares, 2), nullptr) << "known";
   EXPECT_NE(mt_fair_share_get(&shares, 9 * MT_FAIR_SHARE_MOST), nullptr)
       << "a caller's own";
   for (size_t i = 0; i < shares.count; i++) shares.list[i]->peers = {0, 0};
