--- a/tests/rejection_test.cc
+++ b/tests/rejection_test.cc
@@ -98,7 +98,7 @@
 }
 
 // Whoever asked most also had most of the retries, which were then denied to
-// workspaces that had got a sixth of what they asked.
+// workspaces that had got little of what they asked.
 TEST(Rejection, RetriesAreForWorkspacesBelowTheirShare) {
   struct Row {
     const char *what;
