--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -485,6 +485,7 @@
       .log = g->log,
       .traffic = mt_gateway_peers_traffic(g->peers),
       .news = mt_gateway_peers_news(g->peers),
+      .source_events = g->source_events,
       .addresses_refused = mt_gateway_peers_refused(g->peers)};
   mt_gateway_metrics(&from, &g->scratch);
   answer_text(g, x, 200);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -92,6 +92,15 @@
 bool mt_gateway_watches (const mt_gateway_t *gateway);
 bool mt_gateway_leads (const mt_gateway_t *gateway);
 
+/* What becomes of calls to the source, counted. */
+typedef enum mt_source_event_t {
+  MT_SOURCE_LISTED,       /* a whole range was read */
+  MT_SOURCE_HISTORY_GONE, /* it no longer has the changes behind a revision */
+  MT_SOURCE_EVENTS
+} mt_source_event_t;
+
+void mt_gateway_count_source (mt_gateway_t *gateway, mt_source_event_t event);
+
 /* Takes no role any more, finishes what is at hand, then stops the loop. */
 void mt_gateway_stop (mt_gateway_t *gateway);
 
--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -354,6 +354,10 @@
   mt_gateway_peers_set_source(g->peers, reachable);
 }
 
+void mt_gateway_count_source (mt_gateway_t *g, mt_source_event_t event) {
+  g->source_events[event]++;
+}
+
 bool mt_gateway_watches (const mt_gateway_t *g) {
   return mt_gateway_peers_watches(g->peers);
 }
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -96,6 +96,17 @@
                    (unsigned long long)counts[i]);
 }
 
+static void source_events (const uint64_t *counts, mt_text_t *out) {
+  static const char *const names[MT_SOURCE_EVENTS] = {
+      [MT_SOURCE_LISTED] = "listed",
+      [MT_SOURCE_HISTORY_GONE] = "history_gone"};
+  describe(out, "source_events_total", "counter",
+           "What became of calls to the source of declarations.");
+  for (int i = 0; i < MT_SOURCE_EVENTS; i++)
+    mt_text_format(out, PREFIX "source_events_total{event=\"%s\"} %llu\n",
+                   names[i], (unsigned long long)counts[i]);
+}
+
 static double processor_seconds (void) {
   struct timespec ts;
   clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
@@ -153,6 +164,7 @@
   suspects(relay, out);
   peers(from->traffic, out);
   news(from->news, out);
+  source_events(from->source_events, out);
   number(out, "requests", "gauge", "Requests in progress.",
          (double)relay->count);
   number(out, "engines", "gauge", "Engines known.",
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -20,6 +20,7 @@
   const mt_log_writer_t *log;
   const mt_peer_traffic_t *traffic; /* by kind of message */
   const uint64_t *news;             /* by outcome */
+  const uint64_t *source_events;    /* by mt_source_event_t */
   uint64_t addresses_refused;
 } mt_gateway_metrics_t;
 
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -29,6 +29,7 @@
   mt_ms_t busy;              /* a request was in progress last */
   mt_ms_t asleep;            /* that the machine had slept then */
   mt_overload_t overload;
+  uint64_t source_events[MT_SOURCE_EVENTS];
   mt_text_t scratch;
 };
 
