--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -126,6 +126,11 @@
   std::set<std::string> forgot;        // ranges whose next watch gets 410
   std::map<std::string, Item> past;    // what lists from the past show
   int past_asked = 0;
+  int era = 0; // that the store's answers name; 0: they name none
+  int lists_asked = 0, watches_gone = 0;
+  size_t page = 0; // items of one answer; 0: all
+  // Called behind each answer to a list, with its range.
+  std::function<void(const std::string &)> on_list;
   std::string seeds; // addresses of other routers, quoted
   Listener *store;
   pid_t pid = -1;
@@ -303,27 +308,44 @@
     size_t at = line.find("path_prefix=") + 12;
     std::string prefix = line.substr(at, line.find_first_of("& ", at) - at);
     if (line.find("/-/kv-watch") != std::string::npos) {
-      at = line.find("since_rev=") + 10;
-      if (forgot.erase(prefix) > 0) {
-        c.send(answer(410, "", ""));
+      long since = std::stol(line.substr(line.find("since_rev=") + 10));
+      if (forgot.erase(prefix) > 0 || since > rev) {
+        watches_gone++;
+        c.send(answer(410, era_field(), ""));
         return;
       }
-      watches.push_back({&c, prefix, std::stol(line.substr(at))});
+      watches.push_back({&c, prefix, since});
       tell();
       return;
     }
-    std::string all;
+    lists_asked++;
+    size_t from = line.find("since_rev="), count = 0;
+    std::string all, behind, more = "false";
+    if (from != std::string::npos)
+      behind =
+          line.substr(from + 10, line.find_first_of("& ", from) - from - 10);
     bool old = !past.empty() && line.find("stale=1") != std::string::npos;
     past_asked += old;
     std::map<std::string, Item> now = items;
     if (old) items = past;
-    for (auto &i : items)
-      if (i.first.compare(0, prefix.size(), prefix) == 0)
-        all += (all.empty() ? "" : ",") + item(i.first);
+    for (auto &i : items) {
+      if (i.first.compare(0, prefix.size(), prefix) != 0) continue;
+      if (i.first <= behind) continue;
+      if (page > 0 && count == page) {
+        more = "true";
+        break;
+      }
+      count++;
+      all += (all.empty() ? "" : ",") + item(i.first);
+    }
     items = now;
-    c.send(answer(200, "Content-Type: application/json\r\n",
-                  "{\"items\":[" + all + "],\"more\":false,\"at\":" +
-                      std::to_string(rev) + "}"));
+    c.send(answer(200, "Content-Type: application/json\r\n" + era_field(),
+                  "{\"items\":[" + all + "],\"more\":" + more +
+                      ",\"at\":" + std::to_string(rev) + "}"));
+    if (on_list) on_list(prefix);
+  }
+  std::string era_field () const {
+    return era > 0 ? "Store-Era: " + std::to_string(era) + "\r\n" : "";
   }
   void tell () {
     for (size_t w = watches.size(); w-- > 0;) {
@@ -342,7 +364,7 @@
       if (all.empty()) continue;
       if (watches[w].conn->fd >= 0)
         watches[w].conn->send(answer(
-            200, "",
+            200, era_field(),
             "{\"events\":[" + all + "],\"at\":" + std::to_string(rev) + "}"));
       watches.erase(watches.begin() + (long)w);
     }
@@ -359,6 +381,26 @@
     if (told) removed[key] = rev;
     tell();
   }
+  // What the store holds, to come back to.
+  struct Copy {
+    std::map<std::string, Item> items;
+    std::map<std::string, long> removed;
+    long rev;
+  };
+  Copy copy () const {
+    return {items, removed, rev};
+  }
+  // The store is away for a moment and comes back from a copy: all watches
+  // are cut, and its revisions go on from the copy's.
+  void restore (const Copy &from) {
+    items = from.items;
+    removed = from.removed;
+    rev = from.rev;
+    era++;
+    for (Watch &w : watches)
+      if (w.conn->fd >= 0) w.conn->abort();
+    watches.clear();
+  }
   // All watches end; the store has no history for the next one of each range.
   void forget () {
     forgot = {"op/", "servers/"};
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -16,7 +16,10 @@
 const long RECOVER_MS = 30000;
 const long PARTS_REST_MS = 1500; // longer between troubles of them all
 const long GRACE_MS = 8000;      // as in the gateways' settings
-const int BODIES = 3;            // that come again and again, of each sort
+const long RESTORE_FIRST_MS = 6000;
+const long LEAVINGS_MS = 2500; // engines leave for so long behind a restore
+const size_t LIST_PAGE = 4;    // items of an answer, with restores
+const int BODIES = 3;          // that come again and again, of each sort
 
 struct Options {
   unsigned seed = 1;
@@ -32,6 +35,7 @@
   bool streams = false;  // of the two above: at the model's engines
   bool notices = false;  // engines say that they leave, and ask for rest
   bool all_rest = false; // the same, most of the time all of a service
+  bool restores = false; // the store comes back from copies
 };
 
 // {== The soak =============================================================
@@ -58,6 +62,8 @@
       world.deadly.insert(body_of(true, i));
     if (options.ends) world.down_ms = 1500;
     world.random_of_notices.seed(chosen.seed * 32452843);
+    of_restores.seed(chosen.seed * 86028121);
+    if (options.restores) world.page = LIST_PAGE;
   }
   ~Soak() {
     for (Gateway &g : gateways) {
@@ -72,7 +78,8 @@
     await_ports();
     long end = now_ms() + options.seconds * 1000L,
          next_fault = now_ms() + 500, next_part = next_fault,
-         next_end = next_fault, next_notice = next_fault;
+         next_end = next_fault, next_notice = next_fault,
+         next_restore = now_ms() + RESTORE_FIRST_MS, next_change = next_fault;
     while (now_ms() < end) {
       if (!options.calm && now_ms() >= next_fault) {
         fault();
@@ -88,6 +95,10 @@
         next_notice =
             now_ms() + 300 + (long)(world.random_of_notices() % 800);
       }
+      if (options.restores && now_ms() >= next_restore)
+        next_restore = now_ms() + restore();
+      if (options.restores && now_ms() >= next_change)
+        next_change = now_ms() + change();
       if (options.ends && now_ms() >= next_end) {
         world.end_any(options.streams ? "model" : "plain", choices);
         next_end = now_ms() + 1000;
@@ -104,6 +115,8 @@
   World world;
   Random random, more; // of the troubles, of those of a part
   Random choices;      // of callers, beyond what the first draws
+  Random of_restores;
+  long restored_at = 0; // 0: it never was
   std::unique_ptr<Network> network;
   long network_until = 0;
   std::string dir;
@@ -171,7 +184,7 @@
         break;
       case 1: spoil_network(); break;
       case 2: cut_domain(200 + (long)(more() % 4000)); break;
-      case 3: world.retire_any(true); break;
+      case 3: world.retire_any(true, world.random); break;
       case 4:
       case 5: world.evacuate("d2"); break;
       default:
@@ -180,7 +193,7 @@
         else if (kind < 20)
           world.configure();
         else
-          world.retire_any(false);
+          world.retire_any(false, world.random);
     }
   }
   // An engine begins to say that it leaves, or turns all away for a while.
@@ -200,6 +213,27 @@
           world.shed_one(service, rest);
     }
   }
+  // The store goes back some seconds, at times twice in a row; when the next
+  // restore is due.
+  long restore () {
+    world.restore(1000 + (long)(of_restores() % 3500), of_restores);
+    restored_at = now_ms();
+    if (chance(of_restores, 0.2)) return 200;
+    return 8000 + (long)(of_restores() % 3000);
+  }
+  // Versions follow each other fast, so that the next restore goes back by
+  // many revisions. Behind one nothing changes until gateways are bound
+  // again; then engines leave, each among versions. When the next change is
+  // due.
+  long change () {
+    long since = now_ms() - restored_at,
+         quiet = World::WRITE_AGAIN_MS + CONTACT_MS;
+    if (restored_at != 0 && since < quiet) return quiet - since;
+    bool leaves = restored_at != 0 && since < quiet + LEAVINGS_MS;
+    if (leaves) world.retire_any(false, of_restores);
+    for (unsigned i = 0; i < 1 + of_restores() % 4; i++) world.configure();
+    return leaves ? 200 + (long)(of_restores() % 300) : 150;
+  }
   void store_away (int kind, long ms) {
     world.trouble.store_kind = kind;
     world.trouble.store_until = now_ms() + ms;
@@ -497,7 +531,8 @@
            "breaches\n",
            options.seed, asked, k.answers, k.streams, k.cuts, k.refusals,
            k.failures, kills, pauses, stops, k.breaches.size());
-    if (options.parts) {
+    if (options.restores) printf("  %d restores\n", world.restores);
+    if (options.parts || options.restores) {
       printf("  late:");
       for (auto &row : k.late)
         printf(" %s %ld", row.first.c_str(), row.second);
@@ -588,6 +623,8 @@
       options.notices = true;
     else if (name == "--all-rest")
       options.notices = options.all_rest = true;
+    else if (name == "--restores")
+      options.restores = true;
     else if (name == "--keep")
       options.keep = true;
     else if (name == "--calm")
@@ -599,7 +636,7 @@
                       "[--gateways N] [--callers N] [--seeds FILE] "
                       "[--parts] [--times] [--no-kills] [--calm] [--keep] "
                       "[--deadly] [--ends] [--streams] "
-                      "[--notices] [--all-rest] [--selftest]\n");
+                      "[--notices] [--all-rest] [--restores] [--selftest]\n");
       return 2;
     }
   }
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -64,6 +64,8 @@
   };
   std::vector<Watch> watches;
   long rev = 10, forgotten = 0;
+  int era = 0;     // of the store, in all its answers; 0: they name none
+  size_t page = 0; // items of one answer of a list; 0: all
   int version = 1, engines_made = 0;
   bool parts; // troubles of a part of the gateways; more to declare
   std::vector<Listener *> stores; // the store's address for each gateway
@@ -95,15 +97,93 @@
   // {== The store
 
   void put (const std::string &key, const std::string &value) {
+    lost.erase(key);
     items[key] = {value, ++rev};
     gone_at.erase(key);
     tell();
   }
   void drop (const std::string &key) {
+    lost.erase(key);
     items.erase(key);
     gone_at[key] = ++rev;
     tell();
   }
+
+  // {== Restores
+
+  // What the store held at a moment.
+  struct Copy {
+    long at;
+    std::map<std::string, Item> items;
+    std::map<std::string, long> gone_at;
+    long rev;
+  };
+  // What a restore lost and its writer writes again; an empty value drops it.
+  struct Lost {
+    std::string value;
+    long due;
+  };
+  std::list<Copy> copies; // the last first
+  std::map<std::string, Lost> lost;
+  int restores = 0;
+
+  void copy_now () {
+    if (!copies.empty() && now_ms() - copies.front().at < COPY_MS) return;
+    copies.push_front({now_ms(), items, gone_at, rev});
+    if (copies.size() > COPIES_MAX) copies.pop_back();
+  }
+  // The store comes back from a copy that is so old. Its revisions go on from
+  // the copy's, and what was written since is written again.
+  void restore (long age, Random &draw) {
+    auto copy = std::find_if(copies.begin(), copies.end(), [&] (Copy &c) {
+      return now_ms() - c.at >= age;
+    });
+    if (copy == copies.end()) return;
+    std::map<std::string, Item> now;
+    now.swap(items);
+    items = copy->items;
+    gone_at = copy->gone_at;
+    rev = copy->rev;
+    forgotten = std::min(forgotten, rev);
+    copies.erase(copies.begin(), copy);
+    era++;
+    restores++;
+    note_lost(now, draw);
+    for (Watch &w : watches)
+      if (w.conn->fd >= 0 && !is_silent(w.gateway)) w.conn->abort();
+    watches.clear();
+    checker.touch.store_unstable(now_ms() + WRITE_AGAIN_MS);
+  }
+  void note_lost (const std::map<std::string, Item> &now, Random &draw) {
+    std::map<std::string, Lost> before;
+    before.swap(lost);
+    auto lose = [&] (const std::string &key, const std::string &value) {
+      lost[key] = {value, now_ms() + (long)(draw() % WRITE_AGAIN_MS)};
+    };
+    for (auto &i : now)
+      if (items.count(i.first) == 0 || items[i.first].value != i.second.value)
+        lose(i.first, i.second.value);
+    for (auto &i : items)
+      if (now.count(i.first) == 0) lose(i.first, "");
+    for (auto &l : before) lose(l.first, l.second.value);
+  }
+  void write_again () {
+    std::map<std::string, Lost> all = lost;
+    for (auto &l : all) {
+      if (now_ms() < l.second.due) continue;
+      if (!l.second.value.empty())
+        put(l.first, l.second.value);
+      else if (items.count(l.first))
+        drop(l.first);
+      else
+        lost.erase(l.first);
+    }
+  }
+  static const long COPY_MS = 250, WRITE_AGAIN_MS = 1500;
+  static const size_t COPIES_MAX = 60;
+
+  // }==
+
   // Each version has a route of its own and lets the last one's go; with part
   // troubles its second workspace has a new key, and one route changes sides.
   void configure () {
@@ -180,7 +260,7 @@
       if (all.empty() && now_ms() < w.until) continue;
       if (is_silent(w.gateway)) continue;
       if (w.conn->fd >= 0)
-        w.conn->send(answer(200, "",
+        w.conn->send(answer(200, era_field(),
                             "{\"events\":[" + all +
                                 "],\"at\":" + std::to_string(rev) + "}"));
       watches.erase(watches.begin() + (long)i);
@@ -196,7 +276,7 @@
   // True when a call is done with, since the store is in trouble.
   bool refuses (Conn &c, int kind) {
     switch (kind) {
-      case 0: c.send(answer(503, "", "")); return true;
+      case 0: c.send(answer(503, era_field(), "")); return true;
       case 1: return true;
       case 2: c.abort(); return true;
       default: forgotten = rev; return false;
@@ -210,8 +290,8 @@
       return;
     if (line.find("/-/kv-watch") != std::string::npos) {
       long since = std::stol("0" + query(line, "since_rev"));
-      if (since < forgotten) {
-        c.send(answer(410, "", ""));
+      if (since < forgotten || since > rev) {
+        c.send(answer(410, era_field(), ""));
         return;
       }
       long wait = std::stol("0" + query(line, "wait_ms"));
@@ -219,13 +299,27 @@
       tell();
       return;
     }
-    std::string all;
-    for (auto &i : items)
-      if (begins(i.first, prefix))
-        all += (all.empty() ? "" : ",") + event(i.first);
-    c.send(answer(200, "",
-                  "{\"items\":[" + all + "],\"more\":false,\"at\":" +
-                      std::to_string(rev) + "}"));
+    list(c, prefix, query(line, "since_rev"));
+  }
+  // A page of the items behind a key.
+  void list (Conn &c, const std::string &prefix, const std::string &behind) {
+    std::string all, more = "false";
+    size_t count = 0;
+    for (auto &i : items) {
+      if (!begins(i.first, prefix) || i.first <= behind) continue;
+      if (page > 0 && count == page) {
+        more = "true";
+        break;
+      }
+      count++;
+      all += (all.empty() ? "" : ",") + event(i.first);
+    }
+    c.send(answer(200, era_field(),
+                  "{\"items\":[" + all + "],\"more\":" + more +
+                      ",\"at\":" + std::to_string(rev) + "}"));
+  }
+  std::string era_field () const {
+    return era > 0 ? "Store-Era: " + std::to_string(era) + "\r\n" : "";
   }
 
   // }==
@@ -278,13 +372,13 @@
     add_engine(service);
   }
   // `forgets`: the store drops its history around that.
-  void retire_any (bool forgets) {
+  void retire_any (bool forgets, Random &draw) {
     static const char *const services[] = {"model", "plain", "plain", "desk"};
-    std::string service = services[random() % 4];
+    std::string service = services[draw() % (parts ? 4 : 3)];
     auto &ids = ids_of(service);
-    std::string id = ids[random() % ids.size()];
+    std::string id = ids[draw() % ids.size()];
     if (forgets) forget();
-    retire(service, id, chance(random, 0.5));
+    retire(service, id, chance(draw, 0.5));
     if (forgets) forget();
   }
   // The history goes, with all that watch; they have to read lists.
@@ -292,7 +386,7 @@
     forgotten = ++rev;
     for (Watch &w : watches)
       if (w.conn->fd >= 0 && !is_silent(w.gateway))
-        w.conn->send(answer(410, "", ""));
+        w.conn->send(answer(410, era_field(), ""));
     watches.clear();
     checker.touch.store_unstable(now_ms());
   }
@@ -630,6 +724,8 @@
     send_due();
     end_due();
     end_leaving();
+    copy_now();
+    write_again();
     tell();
     forget_closed();
   }
--- /dev/null
+++ b/tests/store_restored_test.cc
@@ -0,0 +1,71 @@
+// store_restored_test.cc - a gateway whose store comes back from a copy, with
+// revisions that are given out again.
+#include <gtest/gtest.h>
+
+#include "gateway_world.h"
+
+namespace {
+
+// A store, engines of one service, and which of them ran requests.
+struct Fleet {
+  World w;
+  std::map<std::string, int> ran;
+  std::map<std::string, Listener *> engines;
+
+  explicit Fleet(int count) {
+    w.era = 1;
+    for (int i = 1; i <= count; i++) add("i-" + std::to_string(i));
+  }
+  void add (const std::string &id) {
+    engines[id] = w.listen([this] (Conn &c, const Request &r) {
+      ran[r.field("X-Expect-Instance")]++;
+      c.send(answer(200,
+                    "X-Attempt-Id: " + r.field("X-Attempt-Id") +
+                        "\r\nX-Engine-Seal: s\r\n",
+                    "x"));
+    });
+    set(id, "ready");
+  }
+  void set (const std::string &id, const char *state) {
+    w.engine(id, "plain", engines[id], state);
+  }
+  // Raises the store's revision without a change of anything.
+  void pass_revisions (int count) {
+    for (int i = 0; i < count; i++)
+      w.put("op/config", World::config(7, "key-w1"));
+  }
+  bool logs (const std::string &text) {
+    return w.until([&] { return w.log.find(text) != w.log.npos; });
+  }
+  // Requests of `count` that ran at an engine.
+  int runs_at (const std::string &id, int count) {
+    int before = ran[id];
+    for (int i = 0; i < count; i++)
+      EXPECT_EQ(World::status_of(
+                    w.call(World::ask("/safe/x", "q" + std::to_string(i)))),
+                200);
+    return ran[id] - before;
+  }
+};
+
+// Between the list and the next watch the store reaches the revision that the
+// router knew before the restore.
+TEST(StoreRestored, ALeavingAtARevisionSeenBeforeIsTaken) {
+  Fleet f(2);
+  World::Copy copy = f.w.copy();
+  f.pass_revisions(6);
+  f.w.start();
+  f.w.restore(copy);
+  f.w.on_list = [&] (const std::string &range) {
+    if (range != "servers/") return;
+    f.w.on_list = nullptr;
+    f.set("i-1", "draining");
+    f.pass_revisions(5);
+  };
+  EXPECT_TRUE(f.logs("engine=i-1 address=127.0.0.1:" +
+                     std::to_string(f.engines["i-1"]->port) +
+                     " running=0 outcome=leaving"));
+  EXPECT_EQ(f.runs_at("i-1", 5), 0);
+}
+
+} // namespace
