--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -58,6 +58,9 @@
 void mt_gateway_declare (mt_gateway_t *gateway, mt_catalog_t *catalog,
                          int64_t rev);
 
+/* The declarations cannot be read, for that reason: those in force stay. */
+void mt_gateway_unreadable (mt_gateway_t *gateway, const char *reason);
+
 /* Takes what a listing says of an engine; NULL engine: it is gone. */
 void mt_gateway_engine (mt_gateway_t *gateway, const char *name,
                         const mt_gateway_engine_t *engine, int64_t rev);
--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -129,6 +129,11 @@
   mt_http_server_limits(g->callers, &limits);
 }
 
+void mt_gateway_unreadable (mt_gateway_t *g, const char *reason) {
+  mt_log_line(g->log, MT_LOG_BELIEF, mt_wake_clock_now(g->loop),
+              "configuration", "outcome=unreadable why=\"%s\"", reason);
+}
+
 static void empty_domain (mt_gateway_t *g, const char *domain, bool on) {
   if (!mt_relay_evacuate(g->relay, domain, on, mt_wake_clock_now(g->loop)))
     return;
