A revision has the era of the store that gave it

Callers saw: requests reached an engine over 2,000 ms after the store had acknowledged that it leaves. Cause: a store that comes back from a copy counts on from the copy's revision, and everything here took revisions for one rising order. Behind a restore a router kept its old, higher position after each list; the watch from there got 410 until the store had passed that position, and what was written between the last list and that moment was shown by no list and no watch.

Change: the era that the store names in its answers stands above its count in every revision that is kept, compared, logged or told to other routers (revision.h), so all orders go on to hold over restores. What is known up to some point of an era says nothing of the next. Messages count eras back from their latest one: they are as long as before. Their format is 8: builds before this one would take such revisions for plain ones.

Why it works: after a restore no comparison mixes counts of two histories. Who is turned away by the store takes what neighbours tell of the new era, and nothing older after it.

StoreRestored.ALeavingAtARevisionSeenBeforeIsTaken failed before and passes; with it InTheMiddleOfAPagedList and AnAnswerOfAnEarlierEraMovesNothingBack (both fail on the code before), SeveralTimesInARow (passes on it), 15 times in a row beside the other tests.

--- a/src/gateway/change.c
+++ b/src/gateway/change.c
@@ -34,14 +34,14 @@
 }
 
 mt_change_t mt_change_named (mt_change_kind_t kind, const char *name,
-                             int64_t rev) {
+                             mt_revision_t rev) {
   mt_change_t change = {.kind = kind, .rev = rev};
   snprintf(change.name, sizeof change.name, "%s", name);
   return change;
 }
 
 mt_change_t mt_change_of_route (mt_change_kind_t kind, mt_id_t route,
-                                mt_id_t service, int64_t rev) {
+                                mt_id_t service, mt_revision_t rev) {
   mt_change_t change = {.kind = kind, .rev = rev};
   snprintf(change.name, sizeof change.name, "%08x %08x", route, service);
   change.u.path.route = route;
--- a/src/gateway/change.h
+++ b/src/gateway/change.h
@@ -9,7 +9,7 @@
 #ifndef change_h
 #define change_h
 
-#include "mtobject.h"
+#include "revision.h"
 
 #define MT_CHANGE_NAME_SIZE 72 /* a SHA-256 digest in hexadecimal fits */
 #define MT_CHANGE_TEXT_SIZE 64
@@ -62,7 +62,7 @@
   mt_change_kind_t kind;
   char name[MT_CHANGE_NAME_SIZE]; /* the engine's or failure domain's; the
                                      digest of the key; route and service */
-  int64_t rev;                    /* of the source, when it took the change */
+  mt_revision_t rev;              /* of the source, when it took the change */
   mt_ms_t age; /* since a router heard it from the source */
   union {
     mt_change_engine_t engine;
@@ -80,10 +80,10 @@
 
 /* A change of something that its name alone tells; `age` 0. */
 mt_change_t mt_change_named (mt_change_kind_t kind, const char *name,
-                             int64_t rev);
+                             mt_revision_t rev);
 
 /* A change of what a route leads to. */
 mt_change_t mt_change_of_route (mt_change_kind_t kind, mt_id_t route,
-                                mt_id_t service, int64_t rev);
+                                mt_id_t service, mt_revision_t rev);
 
 #endif
--- a/src/gateway/change_log.c
+++ b/src/gateway/change_log.c
@@ -144,14 +144,14 @@
 
 /* Of changes with the same revision none is told without the others. */
 static size_t whole_revisions (const mt_change_t *list, size_t count,
-                               int64_t next) {
+                               mt_revision_t next) {
   size_t whole = count;
   while (whole > 0 && list[whole - 1].rev == next) whole--;
   return whole;
 }
 
 /* The first place in the order that is behind a revision. */
-static size_t find_behind (const mt_change_log_t *log, int64_t rev) {
+static size_t find_behind (const mt_change_log_t *log, mt_revision_t rev) {
   size_t low = log->first, high = log->order_count;
   while (low < high) {
     size_t middle = low + (high - low) / 2;
@@ -164,17 +164,17 @@
 }
 
 /* Adds the change that stands for engines that have come, as the last. */
-static size_t add_several (mt_change_t *to, size_t count, int64_t rev) {
+static size_t add_several (mt_change_t *to, size_t count, mt_revision_t rev) {
   if (count > 0) rev = mt_max(rev, to[count - 1].rev);
   to[count] = mt_change_named(MT_CHANGE_ENGINE_READY, MT_CHANGE_SEVERAL, rev);
   return count + 1;
 }
 
-size_t mt_change_log_since (mt_change_log_t *log, int64_t rev, mt_ms_t now,
-                            bool brief, mt_change_t *to, size_t most,
-                            int64_t *reach) {
+size_t mt_change_log_since (mt_change_log_t *log, mt_revision_t rev,
+                            mt_ms_t now, bool brief, mt_change_t *to,
+                            size_t most, mt_revision_t *reach) {
   size_t count = 0, room = most;
-  int64_t several = 0; /* the last of them that was left out */
+  mt_revision_t several = 0; /* the last of them that was left out */
   if (!log->sorted) sort(log);
   if (brief && most > 0) most--; /* kept for MT_CHANGE_SEVERAL */
   for (size_t i = find_behind(log, rev); i < log->order_count; i++) {
--- a/src/gateway/change_log.h
+++ b/src/gateway/change_log.h
@@ -22,7 +22,7 @@
 /* One change in the order of revisions. It is over when its slot holds a
    change with another serial. */
 typedef struct mt_change_log_place_t {
-  int64_t rev;
+  mt_revision_t rev;
   uint32_t slot, serial;
 } mt_change_log_place_t;
 
@@ -38,8 +38,8 @@
       order_cap;   /* `first`: those before it are over */
   bool sorted;     /* `order` has rising revisions */
   uint32_t serial; /* the last that was given */
-  size_t most;  /* changes that are kept; beyond it the oldest are dropped */
-  int64_t from; /* changes up to there may have been dropped */
+  size_t most; /* changes that are kept; beyond it the oldest are dropped */
+  mt_revision_t from; /* changes up to there may have been dropped */
 } mt_change_log_t;
 
 void mt_change_log_free (mt_change_log_t *log);
@@ -78,8 +78,8 @@
 ** `brief`: one change, MT_CHANGE_SEVERAL, stands for all engines that have
 ** come; what ends, or goes on after an end, is there as ever.
 */
-size_t mt_change_log_since (mt_change_log_t *log, int64_t rev, mt_ms_t now,
-                            bool brief, mt_change_t *to, size_t most,
-                            int64_t *reach);
+size_t mt_change_log_since (mt_change_log_t *log, mt_revision_t rev,
+                            mt_ms_t now, bool brief, mt_change_t *to,
+                            size_t most, mt_revision_t *reach);
 
 #endif
--- a/src/gateway/feed_exchange.c
+++ b/src/gateway/feed_exchange.c
@@ -109,19 +109,19 @@
 }
 
 static void add_changes (mt_feed_exchange_t *x, mt_peer_message_t *m,
-                         mt_feed_kind_t kind, int64_t rev, bool brief,
-                         size_t most, int64_t *reach) {
+                         mt_feed_kind_t kind, mt_revision_t rev, bool brief,
+                         size_t most, mt_revision_t *reach) {
   m->changes_count +=
       mt_change_log_since(&x->feeds[kind].log, rev, x->members->now, brief,
                           m->changes + m->changes_count, most, reach);
 }
 
 /* Adds as much as fits; how far that reaches. */
-static int64_t add_fitting (mt_feed_exchange_t *x, mt_peer_message_t *m,
-                            mt_feed_kind_t kind, int64_t rev, int64_t reach,
-                            bool brief) {
+static mt_revision_t add_fitting (mt_feed_exchange_t *x, mt_peer_message_t *m,
+                                  mt_feed_kind_t kind, mt_revision_t rev,
+                                  mt_revision_t reach, bool brief) {
   size_t before = m->changes_count;
-  int64_t end = reach;
+  mt_revision_t end = reach;
   add_changes(x, m, kind, rev, brief, MT_PEER_CHANGES_MAX - before, &end);
   size_t most = fitting(m) - before;
   if (before + most == m->changes_count) return end;
@@ -138,9 +138,10 @@
 ** What may have been dropped from the log is not vouched for by the span.
 */
 static bool pack_since (mt_feed_exchange_t *x, mt_peer_message_t *m,
-                        mt_feed_kind_t kind, int64_t rev, int64_t reach) {
+                        mt_feed_kind_t kind, mt_revision_t rev,
+                        mt_revision_t reach) {
   size_t before = m->changes_count;
-  int64_t end = add_fitting(x, m, kind, rev, reach, false);
+  mt_revision_t end = add_fitting(x, m, kind, rev, reach, false);
   if (end < reach && m->changes_count > before) {
     m->changes_count = before;
     end = add_fitting(x, m, kind, rev, reach, true);
@@ -151,8 +152,9 @@
 }
 
 /* Tells routers what is known of a feed behind `base` up to `reach`. */
-static void tell (mt_feed_exchange_t *x, mt_feed_kind_t kind, int64_t base,
-                  int64_t reach, const uint32_t *to, size_t count) {
+static void tell (mt_feed_exchange_t *x, mt_feed_kind_t kind,
+                  mt_revision_t base, mt_revision_t reach, const uint32_t *to,
+                  size_t count) {
   bool all = false;
   for (int i = 0; i < NEWS_MOST && !all && count > 0; i++) {
     mt_peer_message_t *m = x->calls.begin(x->calls.ud, MT_PEER_NEWS);
@@ -194,7 +196,7 @@
 /* True for one that was told of, is not among `seen` and not known to be
    gone. */
 static bool is_unseen (const mt_change_t *change, const mt_map_t *seen,
-                       int64_t rev) {
+                       mt_revision_t rev) {
   if (change == NULL || change->rev > rev) return false;
   if (mt_change_subject(change->kind) != MT_SUBJECT_ENGINE) return false;
   if (change->kind == MT_CHANGE_ENGINE_GONE) return false;
@@ -204,7 +206,7 @@
 }
 
 void mt_feed_exchange_listed (mt_feed_exchange_t *x, const mt_map_t *seen,
-                              int64_t rev) {
+                              mt_revision_t rev) {
   mt_feed_t *feed = &x->feeds[MT_FEED_ENGINES];
   for (size_t i = 0; i < feed->log.slots; i++) {
     const mt_change_t *change = mt_change_log_at(&feed->log, i);
@@ -222,12 +224,12 @@
 ** nothing before it. One that did made its neighbours pass over the word of
 ** an engine that had left in between, and it got work for 14.7 s.
 */
-static void begin_log (mt_feed_t *feed, int64_t at) {
+static void begin_log (mt_feed_t *feed, mt_revision_t at) {
   feed->log.from = mt_max(feed->log.from, at);
 }
 
 void mt_feed_exchange_read (mt_feed_exchange_t *x, mt_feed_kind_t kind,
-                            int64_t newest, int64_t at,
+                            mt_revision_t newest, mt_revision_t at,
                             mt_feed_reading_t reading) {
   mt_feed_t *feed = &x->feeds[kind];
   uint32_t to[MT_PEER_MEMBERS_MAX];
@@ -320,7 +322,7 @@
   mt_peer_message_t *m = x->calls.begin(x->calls.ud, MT_PEER_NEWS);
   bool some = false;
   for (int i = 0; i < MT_FEEDS; i++) {
-    int64_t told = x->feeds[i].state.told, theirs = lack->feeds[i].told;
+    mt_revision_t told = x->feeds[i].state.told, theirs = lack->feeds[i].told;
     if (theirs == 0 || theirs >= told) continue;
     pack_since(x, m, (mt_feed_kind_t)i, theirs, told);
     some = true;
--- a/src/gateway/feed_exchange.h
+++ b/src/gateway/feed_exchange.h
@@ -89,14 +89,14 @@
 ** router itself never read. Before `read`.
 */
 void mt_feed_exchange_listed (mt_feed_exchange_t *exchange,
-                              const mt_map_t *seen, int64_t rev);
+                              const mt_map_t *seen, mt_revision_t rev);
 
 /*
 ** The source has told all changes of a feed up to `at`; the last one is
 ** `newest`. Tells others what is news to them.
 */
 void mt_feed_exchange_read (mt_feed_exchange_t *exchange, mt_feed_kind_t kind,
-                            int64_t newest, int64_t at,
+                            mt_revision_t newest, mt_revision_t at,
                             mt_feed_reading_t reading);
 
 /* Takes NEWS. */
--- a/src/gateway/feed_state.c
+++ b/src/gateway/feed_state.c
@@ -3,12 +3,15 @@
 */
 #include "feed_state.h"
 
-static void advance (int64_t *known, const mt_feed_state_t *feed) {
-  if (*known > 0 && *known >= feed->newest) *known = mt_max(*known, feed->at);
+/* In a later era, what is known of an earlier one says nothing. */
+static void advance (mt_revision_t *known, const mt_feed_state_t *feed) {
+  bool same_era = mt_revision_era(*known) == mt_revision_era(feed->at);
+  if (*known > 0 && *known >= feed->newest && same_era)
+    *known = mt_max(*known, feed->at);
 }
 
-bool mt_feed_state_heard (mt_feed_state_t *feed, int64_t newest, int64_t at,
-                          mt_ms_t confirmed) {
+bool mt_feed_state_heard (mt_feed_state_t *feed, mt_revision_t newest,
+                          mt_revision_t at, mt_ms_t confirmed) {
   bool changed = newest > feed->newest;
   feed->newest = mt_max(feed->newest, newest);
   feed->at = mt_max(feed->at, at);
@@ -18,11 +21,12 @@
   return changed;
 }
 
-mt_feed_news_t mt_feed_state_read (mt_feed_state_t *feed, int64_t newest,
-                                   int64_t at, mt_ms_t now, bool fresh) {
+mt_feed_news_t mt_feed_state_read (mt_feed_state_t *feed,
+                                   mt_revision_t newest, mt_revision_t at,
+                                   mt_ms_t now, bool fresh) {
   /* Nothing changed from the last change on, however far that is known. */
-  int64_t last = feed->newest > 0 ? feed->newest : feed->told;
-  int64_t base = mt_min(feed->told, last);
+  mt_revision_t last = feed->newest > 0 ? feed->newest : feed->told;
+  mt_revision_t base = mt_min(feed->told, last);
   bool first = feed->told == 0, changed = newest > feed->newest;
   feed->taken = mt_max(feed->taken, at);
   feed->told = mt_max(feed->told, at);
@@ -45,13 +49,14 @@
 }
 
 mt_feed_outcome_t mt_feed_state_judge (const mt_feed_state_t *feed,
-                                       int64_t base, int64_t reach) {
+                                       mt_revision_t base,
+                                       mt_revision_t reach) {
   if (feed->told >= reach) return MT_FEED_KNOWN;
   return base > 0 && feed->told >= base ? MT_FEED_TAKEN : MT_FEED_GAP;
 }
 
-void mt_feed_state_took (mt_feed_state_t *feed, int64_t base, int64_t reach,
-                         bool all) {
+void mt_feed_state_took (mt_feed_state_t *feed, mt_revision_t base,
+                         mt_revision_t reach, bool all) {
   if (all && feed->taken >= base) feed->taken = mt_max(feed->taken, reach);
   feed->told = mt_max(feed->told, reach);
   feed->newest = mt_max(feed->newest, reach);
--- a/src/gateway/feed_state.h
+++ b/src/gateway/feed_state.h
@@ -8,7 +8,7 @@
 #ifndef feed_state_h
 #define feed_state_h
 
-#include "mtobject.h"
+#include "revision.h"
 
 /* How the source told of a feed. */
 typedef enum mt_feed_reading_t {
@@ -18,10 +18,11 @@
 } mt_feed_reading_t;
 
 typedef struct mt_feed_state_t {
-  int64_t newest;    /* the feed's last change, by whomever it was told */
-  int64_t at;        /* the source's revision when it was the last one */
-  int64_t taken;     /* all changes up to there are known here */
-  int64_t told;      /* likewise, but for what only the source itself tells */
+  mt_revision_t newest; /* the feed's last change, by whomever it was told */
+  mt_revision_t at;     /* the source's revision when it was the last one */
+  mt_revision_t taken;  /* all changes up to there are known here */
+  mt_revision_t
+      told;          /* likewise, but for what only the source itself tells */
   mt_ms_t confirmed; /* the source last said so then; 0: never */
 } mt_feed_state_t;
 
@@ -31,14 +32,14 @@
 ** the next change would seem to leave a gap, for the source's revision rises
 ** with the other feed's changes, too.
 */
-bool mt_feed_state_heard (mt_feed_state_t *feed, int64_t newest, int64_t at,
-                          mt_ms_t confirmed);
+bool mt_feed_state_heard (mt_feed_state_t *feed, mt_revision_t newest,
+                          mt_revision_t at, mt_ms_t confirmed);
 
 /* What a router that has read has to tell. */
 typedef struct mt_feed_news_t {
   bool due;
-  int64_t base, reach; /* the changes are all those in between; base 0: what
-                          was before them is not known here */
+  mt_revision_t base, reach; /* the changes are all those in between; base 0:
+                          what was before them is not known here */
 } mt_feed_news_t;
 
 /*
@@ -47,8 +48,9 @@
 ** others do not learn from it how far the feed has gone. `fresh`: some of the
 ** changes had been told by nobody.
 */
-mt_feed_news_t mt_feed_state_read (mt_feed_state_t *feed, int64_t newest,
-                                   int64_t at, mt_ms_t now, bool fresh);
+mt_feed_news_t mt_feed_state_read (mt_feed_state_t *feed,
+                                   mt_revision_t newest, mt_revision_t at,
+                                   mt_ms_t now, bool fresh);
 
 /* What became of news that were told or came. */
 typedef enum mt_feed_outcome_t {
@@ -65,11 +67,12 @@
 
 /* News hold all changes behind `base` up to `reach`. */
 mt_feed_outcome_t mt_feed_state_judge (const mt_feed_state_t *feed,
-                                       int64_t base, int64_t reach);
+                                       mt_revision_t base,
+                                       mt_revision_t reach);
 
 /* They have been taken; `all`: none of them is for the source to tell. */
-void mt_feed_state_took (mt_feed_state_t *feed, int64_t base, int64_t reach,
-                         bool all);
+void mt_feed_state_took (mt_feed_state_t *feed, mt_revision_t base,
+                         mt_revision_t reach, bool all);
 
 /* True when others know changes that were not told here. */
 bool mt_feed_state_lacks (const mt_feed_state_t *feed);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -56,23 +56,23 @@
 */
 /* Takes a newer version of the declarations, which it then owns. */
 void mt_gateway_declare (mt_gateway_t *gateway, mt_catalog_t *catalog,
-                         int64_t rev);
+                         mt_revision_t rev);
 
 /* The declarations cannot be read, for that reason: those in force stay. */
 void mt_gateway_unreadable (mt_gateway_t *gateway, const char *reason);
 
 /* Takes what a listing says of an engine; NULL engine: it is gone. */
 void mt_gateway_engine (mt_gateway_t *gateway, const char *name,
-                        const mt_gateway_engine_t *engine, int64_t rev);
+                        const mt_gateway_engine_t *engine, mt_revision_t rev);
 
 /* All engines were listed; `seen` holds the keys of their names. Any other is
    gone. */
 void mt_gateway_listed (mt_gateway_t *gateway, const mt_map_t *seen,
-                        int64_t rev);
+                        mt_revision_t rev);
 
 /* The operators empty a failure domain of work, or use it again. */
 void mt_gateway_evacuate (mt_gateway_t *gateway, const char *domain, bool on,
-                          int64_t rev);
+                          mt_revision_t rev);
 
 /* Whether newer declarations may exist that cannot be seen from here. */
 void mt_gateway_set_unsure (mt_gateway_t *gateway, bool unsure);
@@ -85,12 +85,14 @@
 mt_peer_feed_t mt_gateway_feed (const mt_gateway_t *gateway,
                                 mt_feed_kind_t kind);
 void mt_gateway_set_feed (mt_gateway_t *gateway, mt_feed_kind_t kind,
-                          int64_t newest, int64_t at,
+                          mt_revision_t newest, mt_revision_t at,
                           mt_feed_reading_t reading);
 /* Up to which revision all changes of a feed are known here. */
-int64_t mt_gateway_taken (const mt_gateway_t *gateway, mt_feed_kind_t kind);
+mt_revision_t mt_gateway_taken (const mt_gateway_t *gateway,
+                                mt_feed_kind_t kind);
 /* The same, but for engines that have come and that only the source tells. */
-int64_t mt_gateway_told (const mt_gateway_t *gateway, mt_feed_kind_t kind);
+mt_revision_t mt_gateway_told (const mt_gateway_t *gateway,
+                               mt_feed_kind_t kind);
 void mt_gateway_set_source (mt_gateway_t *gateway, bool reachable);
 bool mt_gateway_watches (const mt_gateway_t *gateway);
 bool mt_gateway_leads (const mt_gateway_t *gateway);
@@ -99,6 +101,7 @@
 typedef enum mt_source_event_t {
   MT_SOURCE_LISTED,       /* a whole range was read */
   MT_SOURCE_HISTORY_GONE, /* it no longer has the changes behind a revision */
+  MT_SOURCE_RESTORED,     /* it came back from a copy */
   MT_SOURCE_EVENTS
 } mt_source_event_t;
 
--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -20,7 +20,7 @@
 /* A newer version, while others are told how it differs. */
 typedef struct declaring_t {
   mt_gateway_t *gateway;
-  int64_t rev;
+  mt_revision_t rev;
   int begins; /* told of things that begin */
 } declaring_t;
 
@@ -51,7 +51,8 @@
 /* The change that a version makes of what others told; false: none.
    `digests`: of its keys. */
 static bool flip (const mt_catalog_t *c, const mt_map_t *digests,
-                  const mt_change_t *told, int64_t rev, mt_change_t *change) {
+                  const mt_change_t *told, mt_revision_t rev,
+                  mt_change_t *change) {
   bool holds = false;
   *change = *told;
   change->rev = rev;
@@ -77,7 +78,7 @@
 ** key of a version that its reader has skipped.
 */
 static void tell_of_skipped (mt_gateway_t *g, const mt_catalog_t *catalog,
-                             int64_t rev) {
+                             mt_revision_t rev) {
   mt_change_t flips[MT_DENIALS_MAX], change;
   mt_map_t digests = {0};
   size_t count = 0;
@@ -96,7 +97,7 @@
 }
 
 static void tell_version (mt_gateway_t *g, const mt_catalog_t *catalog,
-                          int64_t rev) {
+                          mt_revision_t rev) {
   declaring_t declaring = {g, rev, 0};
   const mt_catalog_diff_calls_t calls = {tell_key, tell_route, &declaring};
   mt_change_t document =
@@ -109,7 +110,7 @@
 }
 
 void mt_gateway_declare (mt_gateway_t *g, mt_catalog_t *catalog,
-                         int64_t rev) {
+                         mt_revision_t rev) {
   mt_http_server_limits_t limits = {.header_bytes =
                                         catalog->limits.header_bytes,
                                     .body_bytes = catalog->limits.body_bytes,
@@ -142,7 +143,7 @@
 }
 
 void mt_gateway_evacuate (mt_gateway_t *g, const char *domain, bool on,
-                          int64_t rev) {
+                          mt_revision_t rev) {
   mt_change_t change = mt_change_named(
       on ? MT_CHANGE_DOMAIN_EMPTIED : MT_CHANGE_DOMAIN_USED, domain, rev);
   if (mt_gateway_peers_changed(g->peers, &change))
@@ -228,7 +229,7 @@
 
 static mt_change_t change_of_engine (const char *name,
                                      const mt_gateway_engine_t *engine,
-                                     int64_t rev) {
+                                     mt_revision_t rev) {
   mt_change_t change = mt_change_named(MT_CHANGE_ENGINE_GONE, name, rev);
   mt_change_engine_t *details = &change.u.engine;
   if (engine == NULL) return change;
@@ -245,14 +246,16 @@
 }
 
 void mt_gateway_engine (mt_gateway_t *g, const char *name,
-                        const mt_gateway_engine_t *engine, int64_t rev) {
+                        const mt_gateway_engine_t *engine,
+                        mt_revision_t rev) {
   mt_change_t change = change_of_engine(name, engine, rev);
   if (mt_gateway_peers_changed(g->peers, &change))
     take_engine(g, name, engine, mt_wake_clock_now(g->loop));
 }
 
 /* A list no longer shows it: it went at some time since others know more. */
-static void engine_unlisted (mt_gateway_t *g, const char *name, int64_t rev) {
+static void engine_unlisted (mt_gateway_t *g, const char *name,
+                             mt_revision_t rev) {
   mt_ms_t now = mt_wake_clock_now(g->loop);
   mt_ms_t since = mt_gateway_peers_lacking(g->peers, MT_FEED_ENGINES);
   mt_change_t gone = mt_change_named(MT_CHANGE_ENGINE_GONE, name, rev);
@@ -262,7 +265,8 @@
     take_engine(g, name, NULL, since);
 }
 
-void mt_gateway_listed (mt_gateway_t *g, const mt_map_t *seen, int64_t rev) {
+void mt_gateway_listed (mt_gateway_t *g, const mt_map_t *seen,
+                        mt_revision_t rev) {
   mt_engines_t *engines = &g->relay->engines;
   for (size_t i = 0; i < engines->count; i++) {
     const mt_engine_t *e = engines->list[i];
@@ -341,16 +345,16 @@
   return mt_gateway_peers_feed(g->peers, kind);
 }
 
-int64_t mt_gateway_taken (const mt_gateway_t *g, mt_feed_kind_t kind) {
+mt_revision_t mt_gateway_taken (const mt_gateway_t *g, mt_feed_kind_t kind) {
   return mt_gateway_peers_taken(g->peers, kind);
 }
 
-int64_t mt_gateway_told (const mt_gateway_t *g, mt_feed_kind_t kind) {
+mt_revision_t mt_gateway_told (const mt_gateway_t *g, mt_feed_kind_t kind) {
   return mt_gateway_peers_told(g->peers, kind);
 }
 
 void mt_gateway_set_feed (mt_gateway_t *g, mt_feed_kind_t kind,
-                          int64_t newest, int64_t at,
+                          mt_revision_t newest, mt_revision_t at,
                           mt_feed_reading_t reading) {
   mt_gateway_peers_set_feed(g->peers, kind, newest, at, reading);
 }
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -54,16 +54,20 @@
   static const char *const names[MT_FEEDS] = {"declarations", "engines"};
   mt_gateway_peers_t *peers = ud;
   const mt_feed_state_t *feed = &peers->feeds.feeds[kind].state;
-  char text[INET_ADDRSTRLEN];
+  char text[INET_ADDRSTRLEN], base[MT_REVISION_TEXT_SIZE],
+      reach[MT_REVISION_TEXT_SIZE], told[MT_REVISION_TEXT_SIZE],
+      taken[MT_REVISION_TEXT_SIZE], newest[MT_REVISION_TEXT_SIZE];
   inet_ntop(AF_INET, &ip, text, sizeof text);
   peers->news[outcome]++;
   mt_log_line(
       peers->log, MT_LOG_BELIEF, mt_wake_clock_now(peers->loop), "news",
-      "peer=%s feed=%s base=%lld reach=%lld changes=%zu told=%lld "
-      "taken=%lld newest=%lld outcome=%s",
-      text, names[kind], (long long)span->base, (long long)span->reach,
-      changes, (long long)feed->told, (long long)feed->taken,
-      (long long)feed->newest, mt_feed_outcome_name(outcome));
+      "peer=%s feed=%s base=%s reach=%s changes=%zu told=%s taken=%s "
+      "newest=%s outcome=%s",
+      text, names[kind], mt_revision_text(span->base, base),
+      mt_revision_text(span->reach, reach), changes,
+      mt_revision_text(feed->told, told),
+      mt_revision_text(feed->taken, taken),
+      mt_revision_text(feed->newest, newest), mt_feed_outcome_name(outcome));
 }
 
 static mt_peer_message_t *begin (mt_gateway_peers_t *peers,
@@ -210,15 +214,15 @@
 }
 
 void mt_gateway_peers_set_feed (mt_gateway_peers_t *peers,
-                                mt_feed_kind_t kind, int64_t newest,
-                                int64_t at, mt_feed_reading_t reading) {
+                                mt_feed_kind_t kind, mt_revision_t newest,
+                                mt_revision_t at, mt_feed_reading_t reading) {
   peers->members.now = mt_wake_clock_now(peers->loop);
   mt_feed_exchange_expect(&peers->feeds, peers->relay->engines.count);
   mt_feed_exchange_read(&peers->feeds, kind, newest, at, reading);
 }
 
 void mt_gateway_peers_listed (mt_gateway_peers_t *peers, const mt_map_t *seen,
-                              int64_t rev) {
+                              mt_revision_t rev) {
   peers->members.now = mt_wake_clock_now(peers->loop);
   mt_feed_exchange_listed(&peers->feeds, seen, rev);
 }
@@ -233,13 +237,13 @@
   return &peers->feeds.feeds[kind].log;
 }
 
-int64_t mt_gateway_peers_taken (const mt_gateway_peers_t *peers,
-                                mt_feed_kind_t kind) {
+mt_revision_t mt_gateway_peers_taken (const mt_gateway_peers_t *peers,
+                                      mt_feed_kind_t kind) {
   return peers->feeds.feeds[kind].state.taken;
 }
 
-int64_t mt_gateway_peers_told (const mt_gateway_peers_t *peers,
-                               mt_feed_kind_t kind) {
+mt_revision_t mt_gateway_peers_told (const mt_gateway_peers_t *peers,
+                                     mt_feed_kind_t kind) {
   return peers->feeds.feeds[kind].state.told;
 }
 
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -77,11 +77,11 @@
                                       mt_feed_kind_t kind);
 /* The source itself said so; all up to there is known here. */
 void mt_gateway_peers_set_feed (mt_gateway_peers_t *peers,
-                                mt_feed_kind_t kind, int64_t newest,
-                                int64_t at, mt_feed_reading_t reading);
+                                mt_feed_kind_t kind, mt_revision_t newest,
+                                mt_revision_t at, mt_feed_reading_t reading);
 /* All engines were listed: as in feed_exchange.h. */
 void mt_gateway_peers_listed (mt_gateway_peers_t *peers, const mt_map_t *seen,
-                              int64_t rev);
+                              mt_revision_t rev);
 /* The source itself told of this change, before the next set_feed. False
    when a later one of the same thing stands. */
 bool mt_gateway_peers_changed (mt_gateway_peers_t *peers,
@@ -93,11 +93,11 @@
 const mt_change_log_t *mt_gateway_peers_log (const mt_gateway_peers_t *peers,
                                              mt_feed_kind_t kind);
 /* Up to which revision everything is known here, by whomever. */
-int64_t mt_gateway_peers_taken (const mt_gateway_peers_t *peers,
-                                mt_feed_kind_t kind);
+mt_revision_t mt_gateway_peers_taken (const mt_gateway_peers_t *peers,
+                                      mt_feed_kind_t kind);
 /* The same, but for engines that have come and that only the source tells. */
-int64_t mt_gateway_peers_told (const mt_gateway_peers_t *peers,
-                               mt_feed_kind_t kind);
+mt_revision_t mt_gateway_peers_told (const mt_gateway_peers_t *peers,
+                                     mt_feed_kind_t kind);
 /* Whether this router reaches the source. */
 void mt_gateway_peers_set_source (mt_gateway_peers_t *peers, bool reachable);
 /* Whether this router should watch the source, and for others, too. */
--- a/src/gateway/membership.h
+++ b/src/gateway/membership.h
@@ -26,9 +26,10 @@
   mt_ms_t heartbeats_valid; /* its last heartbeat did; 0: none came */
   mt_ms_t probed;           /* last message to it while it did not serve */
   uint64_t boot, number;
-  int64_t told[MT_FEEDS]; /* all changes of a feed up to there it knows */
-  mt_ms_t asked;   /* the oldest question it has not answered; 0: none */
-  mt_ms_t suspect; /* keeps no engine until then */
+  mt_revision_t
+      told[MT_FEEDS]; /* all changes of a feed up to there it knows */
+  mt_ms_t asked;      /* the oldest question it has not answered; 0: none */
+  mt_ms_t suspect;    /* keeps no engine until then */
   mt_ms_t shares_heard, shares_valid; /* they count for so long */
   mt_peer_share_t *shares;            /* of its own, for its group */
   size_t shares_count, shares_cap;
--- a/src/gateway/peer_message.c
+++ b/src/gateway/peer_message.c
@@ -8,12 +8,13 @@
 #include "mtmsg.h"
 #include "peer_message.h"
 
-#define FORMAT_VERSION 7
-#define NUMBERS 20 /* before the lists */
+#define FORMAT_VERSION 8
+#define NUMBERS 21 /* before the lists */
 #define FEEDS_AT 8 /* the first number of the feeds */
 #define FEED_NUMBERS 4
 #define SPANS_AT (FEEDS_AT + MT_FEEDS * FEED_NUMBERS)
 #define SPAN_NUMBERS 2
+#define ERA_AT (SPANS_AT + MT_FEEDS * SPAN_NUMBERS)
 #define LISTS 7
 #define MEMBER_NUMBERS 3
 #define SHARE_NUMBERS 3
@@ -173,13 +174,35 @@
   }
 }
 
-static void pack_changes (const mt_peer_message_t *m, msgpack_packer *pk) {
+/* The latest era of the message's revisions. */
+static int64_t era_of (const mt_peer_message_t *m) {
+  mt_revision_t last = 0;
+  for (int i = 0; i < MT_FEEDS; i++) {
+    const mt_peer_feed_t *feed = &m->feeds[i];
+    last = mt_max(last, mt_max(feed->newest, feed->at));
+    last = mt_max(last, mt_max(feed->told, m->spans[i].reach));
+    last = mt_max(last, m->spans[i].base);
+  }
+  for (size_t i = 0; i < m->changes_count; i++)
+    last = mt_max(last, m->changes[i].rev);
+  return mt_revision_era(last);
+}
+
+/* Eras are counted back from the message's: most numbers stay short. */
+static uint64_t wire_revision (int64_t era, mt_revision_t rev) {
+  if (rev == 0) return 0;
+  return (uint64_t)mt_revision(era - mt_revision_era(rev),
+                               mt_revision_count(rev));
+}
+
+static void pack_changes (const mt_peer_message_t *m, int64_t era,
+                          msgpack_packer *pk) {
   msgpack_pack_array(pk, m->changes_count * CHANGE_MEMBERS);
   for (size_t i = 0; i < m->changes_count; i++) {
     const mt_change_t *change = &m->changes[i];
     msgpack_pack_uint8(pk, (uint8_t)change->kind);
     pack_text(pk, change->name);
-    msgpack_pack_uint64(pk, (uint64_t)change->rev);
+    msgpack_pack_uint64(pk, wire_revision(era, change->rev));
     msgpack_pack_uint64(pk, change->age);
     pack_details(pk, change);
   }
@@ -229,16 +252,18 @@
   return 0;
 }
 
-static void list_feeds (const mt_peer_message_t *m, uint64_t *numbers) {
+static void list_feeds (const mt_peer_message_t *m, int64_t era,
+                        uint64_t *numbers) {
+  numbers[ERA_AT] = (uint64_t)era;
   for (int i = 0; i < MT_FEEDS; i++) {
     uint64_t *feed = &numbers[FEEDS_AT + i * FEED_NUMBERS];
     uint64_t *span = &numbers[SPANS_AT + i * SPAN_NUMBERS];
-    feed[0] = (uint64_t)m->feeds[i].newest;
-    feed[1] = (uint64_t)m->feeds[i].at;
-    feed[2] = (uint64_t)m->feeds[i].told;
+    feed[0] = wire_revision(era, m->feeds[i].newest);
+    feed[1] = wire_revision(era, m->feeds[i].at);
+    feed[2] = wire_revision(era, m->feeds[i].told);
     feed[3] = m->feeds[i].age;
-    span[0] = (uint64_t)m->spans[i].base;
-    span[1] = (uint64_t)m->spans[i].reach;
+    span[0] = wire_revision(era, m->spans[i].base);
+    span[1] = wire_revision(era, m->spans[i].reach);
   }
 }
 
@@ -251,7 +276,8 @@
       FORMAT_VERSION, m->kind, m->boot,   m->number,
       m->token,       m->pace, m->groups, m->group,
   };
-  list_feeds(m, numbers);
+  int64_t era = era_of(m);
+  list_feeds(m, era, numbers);
   msgpack_pack_array(&pk, NUMBERS + LISTS);
   for (int i = 0; i < NUMBERS; i++) msgpack_pack_uint64(&pk, numbers[i]);
   pack_members(m, &pk);
@@ -261,7 +287,7 @@
   else
     pack_engines(m, &pk);
   pack_parts(m, &pk);
-  pack_changes(m, &pk);
+  pack_changes(m, era, &pk);
   pack_suspects(m, &pk);
   pack_word(m, &pk);
   if (room.p == NULL) return 0; /* something did not fit */
@@ -282,6 +308,14 @@
   return number > (uint64_t)most ? most : (int64_t)number;
 }
 
+/* 0 for one of an era before the first. */
+static mt_revision_t revision_of (const msgpack_object *o, int64_t era) {
+  mt_revision_t wire = bounded(o, INT64_MAX);
+  int64_t back = mt_revision_era(wire);
+  if (wire == 0 || back > era) return 0;
+  return mt_revision(era - back, mt_revision_count(wire));
+}
+
 /* How many rows of a list are there, and no more than there is room for. */
 static size_t rows_of (const msgpack_object *list, size_t numbers,
                        size_t most) {
@@ -389,7 +423,8 @@
   }
 }
 
-static void unpack_changes (mt_peer_message_t *m, const msgpack_object *o) {
+static void unpack_changes (mt_peer_message_t *m, const msgpack_object *o,
+                            int64_t era) {
   size_t n = rows_of(o, CHANGE_MEMBERS, MT_PEER_CHANGES_MAX);
   for (size_t i = 0; i < n; i++) {
     const msgpack_object *at = &o->via.array.ptr[i * CHANGE_MEMBERS];
@@ -398,7 +433,7 @@
     if (number_of(&at[0]) >= MT_CHANGE_KINDS) continue;
     change->kind = (mt_change_kind_t)number_of(&at[0]);
     unpack_text(&at[1], change->name, sizeof change->name);
-    change->rev = bounded(&at[2], INT64_MAX);
+    change->rev = revision_of(&at[2], era);
     change->age = (mt_ms_t)bounded(&at[3], MS_MOST);
     if (change->name[0] == '\0' || change->rev == 0) continue;
     m->changes_count += unpack_details(&at[4], change);
@@ -452,15 +487,16 @@
   m->pace = (mt_ms_t)bounded(&at[5], MS_MOST);
   m->groups = (uint32_t)bounded(&at[6], MT_PEER_MEMBERS_MAX);
   m->group = (uint32_t)bounded(&at[7], MT_PEER_MEMBERS_MAX);
+  int64_t era = bounded(&at[ERA_AT], MT_REVISION_ERA_MAX);
   for (int i = 0; i < MT_FEEDS; i++) {
     const msgpack_object *feed = &at[FEEDS_AT + i * FEED_NUMBERS];
     const msgpack_object *span = &at[SPANS_AT + i * SPAN_NUMBERS];
-    m->feeds[i].newest = bounded(&feed[0], INT64_MAX);
-    m->feeds[i].at = bounded(&feed[1], INT64_MAX);
-    m->feeds[i].told = bounded(&feed[2], INT64_MAX);
+    m->feeds[i].newest = revision_of(&feed[0], era);
+    m->feeds[i].at = revision_of(&feed[1], era);
+    m->feeds[i].told = revision_of(&feed[2], era);
     m->feeds[i].age = (mt_ms_t)bounded(&feed[3], MS_MOST);
-    m->spans[i].base = bounded(&span[0], INT64_MAX);
-    m->spans[i].reach = bounded(&span[1], INT64_MAX);
+    m->spans[i].base = revision_of(&span[0], era);
+    m->spans[i].reach = revision_of(&span[1], era);
   }
 }
 
@@ -497,7 +533,8 @@
   else
     unpack_engines(m, &at[NUMBERS + 2]);
   unpack_parts(m, &at[NUMBERS + 3]);
-  unpack_changes(m, &at[NUMBERS + 4]);
+  unpack_changes(m, &at[NUMBERS + 4],
+                 bounded(&at[ERA_AT], MT_REVISION_ERA_MAX));
   unpack_suspects(m, &at[NUMBERS + 5]);
   unpack_word(m, &at[NUMBERS + 6]);
 done:
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -79,13 +79,13 @@
 ** told of all changes up to `told`.
 */
 typedef struct mt_peer_feed_t {
-  int64_t newest, at, told;
+  mt_revision_t newest, at, told;
   mt_ms_t age;
 } mt_peer_feed_t;
 
 /* All changes of a feed behind `base` up to `reach`; both 0: none. */
 typedef struct mt_peer_span_t {
-  int64_t base, reach;
+  mt_revision_t base, reach;
 } mt_peer_span_t;
 
 /* Lists that a kind does not use are empty. */
--- a/src/relay/denials.c
+++ b/src/relay/denials.c
@@ -23,8 +23,8 @@
   return i;
 }
 
-void mt_denials_set_key (mt_denials_t *d, const char *digest, int64_t rev,
-                         bool on) {
+void mt_denials_set_key (mt_denials_t *d, const char *digest,
+                         mt_revision_t rev, bool on) {
   size_t at = find_key(d, digest);
   if (!on && at < d->keys_count) d->keys[at] = d->keys[--d->keys_count];
   if (!on || at == MT_DENIALS_MAX) return;
@@ -34,7 +34,7 @@
 }
 
 void mt_denials_set_route (mt_denials_t *d, mt_id_t route, mt_id_t service,
-                           int64_t rev, bool on) {
+                           mt_revision_t rev, bool on) {
   size_t at = find_route(d, route, service);
   if (!on && at < d->routes_count)
     d->routes[at] = d->routes[--d->routes_count];
@@ -55,7 +55,7 @@
   return find_route(d, route, service) < d->routes_count;
 }
 
-void mt_denials_settle (mt_denials_t *d, int64_t rev) {
+void mt_denials_settle (mt_denials_t *d, mt_revision_t rev) {
   for (size_t i = d->keys_count; i-- > 0;)
     if (d->keys[i].rev <= rev) d->keys[i] = d->keys[--d->keys_count];
   for (size_t i = d->routes_count; i-- > 0;)
--- a/src/relay/denials.h
+++ b/src/relay/denials.h
@@ -9,16 +9,16 @@
 #ifndef denials_h
 #define denials_h
 
-#include "mtobject.h"
+#include "revision.h"
 
 typedef struct mt_denied_key_t {
   char digest[MT_DIGEST_HEX + 1]; /* of the key, never the key itself */
-  int64_t rev;                    /* of the source, as it was revoked */
+  mt_revision_t rev;              /* of the source, as it was revoked */
 } mt_denied_key_t;
 
 typedef struct mt_denied_route_t {
   mt_id_t route, service;
-  int64_t rev;
+  mt_revision_t rev;
 } mt_denied_route_t;
 
 #define MT_DENIALS_MAX 256 /* of each kind; more are passed over */
@@ -32,15 +32,15 @@
 
 /* Denies something (`on`) or allows it again. */
 void mt_denials_set_key (mt_denials_t *denials, const char *digest,
-                         int64_t rev, bool on);
+                         mt_revision_t rev, bool on);
 void mt_denials_set_route (mt_denials_t *denials, mt_id_t route,
-                           mt_id_t service, int64_t rev, bool on);
+                           mt_id_t service, mt_revision_t rev, bool on);
 
 bool mt_denials_has_key (const mt_denials_t *denials, mt_bytes_t key);
 bool mt_denials_has_route (const mt_denials_t *denials, mt_id_t route,
                            mt_id_t service);
 
 /* The declarations of that revision are in force: they say it themselves. */
-void mt_denials_settle (mt_denials_t *denials, int64_t rev);
+void mt_denials_settle (mt_denials_t *denials, mt_revision_t rev);
 
 #endif
--- /dev/null
+++ b/src/relay/revision.c
@@ -0,0 +1,17 @@
+/*
+** revision.c - a point in the history of the source of declarations
+*/
+#include <inttypes.h>
+#include <stdio.h>
+
+#include "revision.h"
+
+const char *mt_revision_text (mt_revision_t rev,
+                              char text[MT_REVISION_TEXT_SIZE]) {
+  int64_t era = mt_revision_era(rev), count = mt_revision_count(rev);
+  if (era == 0)
+    snprintf(text, MT_REVISION_TEXT_SIZE, "%" PRId64, count);
+  else
+    snprintf(text, MT_REVISION_TEXT_SIZE, "%" PRId64 "/%" PRId64, era, count);
+  return text;
+}
--- /dev/null
+++ b/src/relay/revision.h
@@ -0,0 +1,42 @@
+/*
+** revision.h - a point in the history of the source of declarations
+**
+** The source counts its changes. When it is restored from a copy it goes on
+** from the copy's count, which begins a new era. A revision holds the era
+** above the count, so revisions compare as plain numbers: whatever is of a
+** later era is newer.
+*/
+#ifndef revision_h
+#define revision_h
+
+#include "mtobject.h"
+
+#define MT_REVISION_COUNT_BITS 40
+#define MT_REVISION_COUNT_MAX (((int64_t)1 << MT_REVISION_COUNT_BITS) - 1)
+#define MT_REVISION_ERA_MAX \
+  (((int64_t)1 << (63 - MT_REVISION_COUNT_BITS)) - 1)
+#define MT_REVISION_TEXT_SIZE 32
+
+/* 0: none. A source that names no era is in era 0. */
+typedef int64_t mt_revision_t;
+
+/* Out of range, the nearest that fits. */
+static inline mt_revision_t mt_revision (int64_t era, int64_t count) {
+  era = mt_min(mt_max(era, (int64_t)0), MT_REVISION_ERA_MAX);
+  count = mt_min(mt_max(count, (int64_t)0), MT_REVISION_COUNT_MAX);
+  return era << MT_REVISION_COUNT_BITS | count;
+}
+
+static inline int64_t mt_revision_era (mt_revision_t rev) {
+  return rev >> MT_REVISION_COUNT_BITS;
+}
+
+static inline int64_t mt_revision_count (mt_revision_t rev) {
+  return rev & MT_REVISION_COUNT_MAX;
+}
+
+/* Writes "ERA/COUNT", or the count alone in era 0; returns `text`. */
+const char *mt_revision_text (mt_revision_t rev,
+                              char text[MT_REVISION_TEXT_SIZE]);
+
+#endif
--- a/tests/feed_exchange_test.cc
+++ b/tests/feed_exchange_test.cc
@@ -180,6 +180,15 @@
     begin(r, MT_PEER_HELLO);
     send(r, to, count);
   }
+  // The source comes back from a copy, and who reads it lists it.
+  void restore (int64_t count) {
+    rev = mt_revision(mt_revision_era(rev) + 1, count);
+    changes.clear();
+    for (auto &r : routers)
+      for (int i = 0; i < MT_FEEDS && !r->turned_away; i++)
+        mt_feed_exchange_read(&r->feeds, (mt_feed_kind_t)i, rev, rev,
+                              MT_FEED_LISTING);
+  }
   int ignorant (const std::string &name, mt_change_kind_t kind) {
     int count = 0;
     for (auto &r : routers)
@@ -228,6 +237,53 @@
     }
 }
 
+// Behind a restore changes have lower counts than what is known.
+TEST(FeedExchange, ARestoreReachesWhoIsTurnedAway) {
+  for (unsigned lost : {0u, 300u})
+    for (unsigned seed = 1; seed <= 10; seed++) {
+      World w(12, 2, seed);
+      w.turn_away(0.35);
+      w.change(MT_CHANGE_ENGINE_READY, "i-1");
+      w.run(500);
+      w.lost = lost;
+      for (int restores = 1; restores <= 3; restores++) {
+        std::string name = "i-" + std::to_string(restores);
+        w.restore(90 - restores);
+        w.change(MT_CHANGE_ENGINE_LEAVING, name);
+        w.change(MT_CHANGE_DOMAIN_EMPTIED, "d-" + name);
+        w.run(lost ? 2000 : 500);
+        EXPECT_EQ(w.ignorant(name, MT_CHANGE_ENGINE_LEAVING), 0)
+            << "seed " << seed << ", restore " << restores;
+        EXPECT_EQ(w.ignorant("d-" + name, MT_CHANGE_DOMAIN_EMPTIED), 0)
+            << "seed " << seed << ", restore " << restores;
+      }
+    }
+}
+
+// A datagram that is older than the restore changes nothing behind it.
+TEST(FeedExchange, NewsOfAnEarlierEraMoveNothingBack) {
+  World w(4, 1, 1);
+  Router *late = w.routers[1].get(), *reader = w.routers[2].get();
+  late->turned_away = true;
+  w.run(300);
+  w.restore(50);
+  w.change(MT_CHANGE_ENGINE_LEAVING, "i-1");
+  w.lost = 1000; // `late` hears nothing of it
+  w.run(100);
+  ASSERT_EQ(reader->known["i-1"], MT_CHANGE_ENGINE_LEAVING);
+  const mt_feed_state_t before = reader->feeds.feeds[MT_FEED_ENGINES].state;
+  mt_peer_message_t *m = World::begin(late, MT_PEER_NEWS);
+  m->changes[m->changes_count++] =
+      mt_change_named(MT_CHANGE_ENGINE_READY, "i-1", 900);
+  m->spans[MT_FEED_ENGINES] = {100, 900};
+  auto copy = std::make_unique<mt_peer_message_t>(*m);
+  w.deliver(late, reader, *copy);
+  EXPECT_EQ(reader->known["i-1"], MT_CHANGE_ENGINE_LEAVING);
+  const mt_feed_state_t &after = reader->feeds.feeds[MT_FEED_ENGINES].state;
+  EXPECT_EQ(after.told, before.told);
+  EXPECT_EQ(after.newest, before.newest);
+}
+
 // The other feed's changes raise the source's revision; nothing is lacking.
 TEST(FeedExchange, ChangesOfOneFeedLeaveNoGapInTheOther) {
   World w(12, 2, 1);
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -480,7 +480,7 @@
       w.listen([&] (Conn &c, const Request &r) { c.send(good(r, "x")); });
   w.engine("i-1", "plain", e);
   w.start();
-  // Twenty numbers, then lists: members, shares, engines, parts, changes,
+  // 21 numbers, then lists: members, shares, engines, parts, changes,
   // suspects, a word.
   auto message = [] (uint64_t kind, const std::vector<uint64_t> &rows,
                      uint64_t rest = 1, size_t lists = 7) {
@@ -488,10 +488,10 @@
     msgpack_packer pk;
     msgpack_sbuffer_init(&out);
     msgpack_packer_init(&pk, &out, msgpack_sbuffer_write);
-    msgpack_pack_array(&pk, 20 + lists);
-    msgpack_pack_uint64(&pk, 7); // of the format
+    msgpack_pack_array(&pk, 21 + lists);
+    msgpack_pack_uint64(&pk, 8); // of the format
     msgpack_pack_uint64(&pk, kind);
-    for (int i = 2; i < 20; i++) msgpack_pack_uint64(&pk, rest);
+    for (int i = 2; i < 21; i++) msgpack_pack_uint64(&pk, rest);
     for (size_t list = 0; list < lists; list++) {
       msgpack_pack_array(&pk, rows.size());
       for (uint64_t n : rows) msgpack_pack_uint64(&pk, n);
--- a/tests/store_restored_test.cc
+++ b/tests/store_restored_test.cc
@@ -37,6 +37,11 @@
   bool logs (const std::string &text) {
     return w.until([&] { return w.log.find(text) != w.log.npos; });
   }
+  bool leaves (const std::string &id) {
+    return logs("engine=" + id +
+                " address=127.0.0.1:" + std::to_string(engines[id]->port) +
+                " running=0 outcome=leaving");
+  }
   // Requests of `count` that ran at an engine.
   int runs_at (const std::string &id, int count) {
     int before = ran[id];
@@ -62,9 +67,64 @@
     f.set("i-1", "draining");
     f.pass_revisions(5);
   };
-  EXPECT_TRUE(f.logs("engine=i-1 address=127.0.0.1:" +
-                     std::to_string(f.engines["i-1"]->port) +
-                     " running=0 outcome=leaving"));
+  EXPECT_TRUE(f.leaves("i-1"));
+  EXPECT_EQ(f.runs_at("i-1", 5), 0);
+}
+
+// Each restore is noticed, also where the store is back before it was missed.
+TEST(StoreRestored, SeveralTimesInARow) {
+  Fleet f(4);
+  World::Copy copy = f.w.copy();
+  f.pass_revisions(6);
+  f.w.start();
+  for (int i = 1; i <= 3; i++) {
+    std::string id = "i-" + std::to_string(i);
+    f.w.restore(copy);
+    f.w.restore(copy);
+    for (int k = 1; k <= i; k++) f.set("i-" + std::to_string(k), "draining");
+    ASSERT_TRUE(f.leaves(id));
+    EXPECT_EQ(f.runs_at(id, 5), 0);
+    f.pass_revisions(6);
+  }
+}
+
+// The pages of a list that a restore divides are not of one state.
+TEST(StoreRestored, InTheMiddleOfAPagedList) {
+  Fleet f(6);
+  World::Copy copy = f.w.copy();
+  f.pass_revisions(6);
+  f.w.page = 2;
+  int lists = 0;
+  f.w.on_list = [&] (const std::string &range) {
+    if (range != "servers/" || ++lists != 2) return;
+    f.w.restore(copy);
+    f.set("i-1", "draining");
+    f.pass_revisions(5);
+  };
+  f.w.start();
+  EXPECT_TRUE(f.leaves("i-1"));
+  EXPECT_GE(lists, 5);
+  EXPECT_EQ(f.runs_at("i-1", 5), 0);
+}
+
+// A part of the store that was not restored, or an answer that comes late.
+TEST(StoreRestored, AnAnswerOfAnEarlierEraMovesNothingBack) {
+  Fleet f(3);
+  f.w.era = 2;
+  f.w.start();
+  f.set("i-1", "draining");
+  ASSERT_TRUE(f.leaves("i-1"));
+  World::Copy now = f.w.copy();
+  size_t before = f.w.log.size();
+  f.w.era = 1;
+  f.set("i-1", "ready");
+  f.w.forget();
+  ASSERT_TRUE(f.logs("era=1 at=2/"));
+  EXPECT_EQ(f.runs_at("i-1", 5), 0);
+  f.w.restore(now);
+  f.set("i-2", "draining");
+  EXPECT_TRUE(f.leaves("i-2"));
+  EXPECT_EQ(f.w.log.find("engine=i-1 ", before), f.w.log.npos);
   EXPECT_EQ(f.runs_at("i-1", 5), 0);
 }
 
