What a restore lost stands until it can be written again

Callers could see: engines that came after the copy got no work behind a restore; one that leaves, or left without a word, got work again, and so did an emptied failure domain, until their writers had written again. Cause: the first list of a new era was taken at its word, though it shows the copy: it lacks what is newer, and shows what had ended as it was.

Change: for 2.5 s behind a restore a list ends nothing by what it lacks, an entry that shows an engine as ready does not undo an end of an earlier era (unless a later start wrote it), nothing that begins is told of a version that may be the copy's, and denials stay. What an engine stands by keeps its revision (engine.rev), so that a cut-off router does not take others' word of a later era for a leaving engine's return. Where an engine stands as it was, its entry is no news.

Why it works: ends and beginnings that are read are taken at once as before; only what the copy cannot know waits, for as long as writers take.

--- a/Makefile
+++ b/Makefile
@@ -92,6 +92,8 @@
 	  --gateways 12 --callers 30 --seconds 10
 	MT_BIN=build/san ASAN_OPTIONS=detect_leaks=0 build/san/soak --seeds tests/soak/notices.txt --parts --notices \
 	  --gateways 12 --callers 30 --seconds 8
+	MT_BIN=build/san ASAN_OPTIONS=detect_leaks=0 build/san/soak --seeds tests/soak/restores.txt --parts --restores \
+	  --gateways 12 --callers 30 --seconds 12
 
 # What the users' platform builds: the program alone, under target/.
 release:
@@ -104,6 +106,7 @@
 	MT_BIN=$(B) $(B)/soak --seeds tests/soak/parts.txt --parts --times --gateways 12 --callers 30 --seconds 30
 	MT_BIN=$(B) $(B)/soak --seeds tests/soak/repeats.txt --parts --deadly --times --gateways 12 --callers 30 --seconds 30
 	MT_BIN=$(B) $(B)/soak --seeds tests/soak/notices.txt --notices --calm --times --gateways 12 --callers 30 --seconds 30
+	MT_BIN=$(B) $(B)/soak --seeds tests/soak/restores.txt --restores --calm --times --gateways 12 --callers 30 --seconds 28
 
 bench: all
 	sh scripts/bench.sh
--- a/src/gateway/change.c
+++ b/src/gateway/change.c
@@ -28,6 +28,23 @@
   return engine ? MT_FEED_ENGINES : MT_FEED_DECLARATIONS;
 }
 
+bool mt_change_ends (mt_change_kind_t kind) {
+  switch (kind) {
+    case MT_CHANGE_ENGINE_LEAVING:
+    case MT_CHANGE_ENGINE_GONE:
+    case MT_CHANGE_DOMAIN_EMPTIED:
+    case MT_CHANGE_KEY_REVOKED:
+    case MT_CHANGE_ROUTE_CLOSED: return true;
+    case MT_CHANGE_ENGINE_READY:
+    case MT_CHANGE_DOMAIN_USED:
+    case MT_CHANGE_KEY_GRANTED:
+    case MT_CHANGE_ROUTE_OPENED:
+    case MT_CHANGE_DOCUMENT:
+    case MT_CHANGE_KINDS: break;
+  }
+  return false;
+}
+
 bool mt_change_same_subject (const mt_change_t *a, const mt_change_t *b) {
   return mt_change_subject(a->kind) == mt_change_subject(b->kind) &&
          strcmp(a->name, b->name) == 0;
--- a/src/gateway/change.h
+++ b/src/gateway/change.h
@@ -74,6 +74,8 @@
 
 mt_change_subject_t mt_change_subject (mt_change_kind_t kind);
 mt_feed_kind_t mt_change_feed (mt_change_kind_t kind);
+/* True for a change by which something is no longer to be used. */
+bool mt_change_ends (mt_change_kind_t kind);
 
 /* True when both are about the same engine, domain, key, ... */
 bool mt_change_same_subject (const mt_change_t *a, const mt_change_t *b);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -65,6 +65,15 @@
 void mt_gateway_engine (mt_gateway_t *gateway, const char *name,
                         const mt_gateway_engine_t *engine, mt_revision_t rev);
 
+/*
+** The source came back from a copy. Until its writers have written again what
+** that lost, nothing that it lacks is taken as ended, and nothing that had
+** ended as undone. Lists of that time do not tell what is gone.
+*/
+void mt_gateway_restored (mt_gateway_t *gateway);
+/* True until then. */
+bool mt_gateway_restoring (const mt_gateway_t *gateway);
+
 /* All engines were listed; `seen` holds the keys of their names. Any other is
    gone. */
 void mt_gateway_listed (mt_gateway_t *gateway, const mt_map_t *seen,
--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -11,6 +11,18 @@
 #include "gateway_state.h"
 #include "mtcrypt.h"
 
+/* Writers that reach the source have written again by then. */
+#define RESTORE_MS 2500
+
+void mt_gateway_restored (mt_gateway_t *g) {
+  g->restored = mt_wake_clock_now(g->loop);
+}
+
+bool mt_gateway_restoring (const mt_gateway_t *g) {
+  mt_ms_t now = mt_wake_clock_now(g->loop);
+  return g->restored != 0 && now < g->restored + RESTORE_MS;
+}
+
 /* {== Declarations ===================================================== */
 
 /* What begins is told only while it is little; a large change of routes would
@@ -21,11 +33,12 @@
 typedef struct declaring_t {
   mt_gateway_t *gateway;
   mt_revision_t rev;
-  int begins; /* told of things that begin */
+  int begins;     /* told of things that begin */
+  bool ends_only; /* a later version may have ended what this one begins */
 } declaring_t;
 
 static void tell_of (declaring_t *d, const mt_change_t *change, bool begins) {
-  if (begins && d->begins++ >= BEGINS_MOST) return;
+  if (begins && (d->ends_only || d->begins++ >= BEGINS_MOST)) return;
   mt_gateway_peers_changed(d->gateway->peers, change);
 }
 
@@ -77,8 +90,8 @@
 ** and this one ends: it has heard of that. Without this others would let in a
 ** key of a version that its reader has skipped.
 */
-static void tell_of_skipped (mt_gateway_t *g, const mt_catalog_t *catalog,
-                             mt_revision_t rev) {
+static void tell_of_skipped (declaring_t *d, const mt_catalog_t *catalog) {
+  mt_gateway_t *g = d->gateway;
   mt_change_t flips[MT_DENIALS_MAX], change;
   mt_map_t digests = {0};
   size_t count = 0;
@@ -87,18 +100,19 @@
   mt_catalog_digests(catalog, &digests);
   for (size_t i = 0; i < log->slots && count < mt_countof(flips); i++) {
     const mt_change_t *told = mt_change_log_at(log, i);
-    if (told != NULL && told->rev < rev &&
-        flip(catalog, &digests, told, rev, &change))
+    if (told != NULL && told->rev < d->rev &&
+        flip(catalog, &digests, told, d->rev, &change))
       flips[count++] = change;
   }
   mtV_free(&digests);
   for (size_t i = 0; i < count; i++)
-    mt_gateway_peers_changed(g->peers, &flips[i]);
+    if (!d->ends_only || mt_change_ends(flips[i].kind))
+      mt_gateway_peers_changed(g->peers, &flips[i]);
 }
 
 static void tell_version (mt_gateway_t *g, const mt_catalog_t *catalog,
                           mt_revision_t rev) {
-  declaring_t declaring = {g, rev, 0};
+  declaring_t declaring = {g, rev, 0, mt_gateway_restoring(g)};
   const mt_catalog_diff_calls_t calls = {tell_key, tell_route, &declaring};
   mt_change_t document =
       mt_change_named(MT_CHANGE_DOCUMENT, "declarations", rev);
@@ -106,7 +120,7 @@
   const mt_catalog_t *old = g->relay->catalog;
   if (old == NULL || catalog->version <= old->version) return;
   mt_catalog_diff(old, catalog, &calls);
-  tell_of_skipped(g, catalog, rev);
+  tell_of_skipped(&declaring, catalog);
 }
 
 void mt_gateway_declare (mt_gateway_t *g, mt_catalog_t *catalog,
@@ -125,9 +139,9 @@
       g->log, MT_LOG_BELIEF, mt_wake_clock_now(g->loop), "configuration",
       "version=%lld routes=%zu workspaces=%zu outcome=%s", (long long)version,
       routes, workspaces, taken ? "in-force" : "older");
-  if (!taken) return;
-  mt_denials_settle(&g->relay->denials, rev);
-  mt_http_server_limits(g->callers, &limits);
+  if (version == g->relay->catalog->version && !mt_gateway_restoring(g))
+    mt_denials_settle(&g->relay->denials, rev);
+  if (taken) mt_http_server_limits(g->callers, &limits);
 }
 
 void mt_gateway_unreadable (mt_gateway_t *g, const char *reason) {
@@ -192,15 +206,19 @@
 
 /* `since`: some router heard of it from the source then. */
 static void take_engine (mt_gateway_t *g, const char *name,
-                         const mt_gateway_engine_t *engine, mt_ms_t since) {
+                         const mt_gateway_engine_t *engine, mt_revision_t rev,
+                         mt_ms_t since) {
   uint64_t key = mt_engine_key(name, strlen(name));
   mt_engine_t *e = mt_engines_get(&g->relay->engines, key);
   if (engine == NULL) {
-    if (e != NULL) engine_left(g, e, since);
+    if (e == NULL) return;
+    e->rev = mt_max(e->rev, rev);
+    engine_left(g, e, since);
     return;
   }
   bool is_new = e == NULL;
   if (is_new) e = mt_engines_add(&g->relay->engines, name);
+  e->rev = mt_max(e->rev, rev);
   if (is_earlier_start(e, engine)) return;
   if (is_later_start(e, engine)) {
     log_engine(g, e, "restarted");
@@ -245,12 +263,38 @@
   return change;
 }
 
+/* It ended in an earlier era than that of a change which shows it as ready:
+   the copy may be from before that. */
+static bool may_have_ended (const mt_engine_t *e, const mt_change_t *change) {
+  bool ended = e->state != MT_ENGINE_READY || e->vanished != 0;
+  bool again = change->u.engine.born > e->born;
+  bool earlier = mt_revision_era(e->rev) < mt_revision_era(change->rev);
+  return change->kind == MT_CHANGE_ENGINE_READY && ended && earlier && !again;
+}
+
+static bool is_unchanged (const mt_engine_t *e,
+                          const mt_change_engine_t *read) {
+  return e->state == MT_ENGINE_READY && e->vanished == 0 &&
+         e->born == read->born && strcmp(e->ip, read->ip) == 0 &&
+         e->port == read->port && e->slots == read->slots;
+}
+
+/* Behind a restore, what a list shows of an engine as ready is no news where
+   it stands as it was. */
+static bool is_no_news (const mt_gateway_t *g, const mt_change_t *change) {
+  uint64_t key = mt_engine_key(change->name, strlen(change->name));
+  const mt_engine_t *e = mt_engines_get(&g->relay->engines, key);
+  if (e == NULL || change->kind != MT_CHANGE_ENGINE_READY) return false;
+  return may_have_ended(e, change) || is_unchanged(e, &change->u.engine);
+}
+
 void mt_gateway_engine (mt_gateway_t *g, const char *name,
                         const mt_gateway_engine_t *engine,
                         mt_revision_t rev) {
   mt_change_t change = change_of_engine(name, engine, rev);
+  if (mt_gateway_restoring(g) && is_no_news(g, &change)) return;
   if (mt_gateway_peers_changed(g->peers, &change))
-    take_engine(g, name, engine, mt_wake_clock_now(g->loop));
+    take_engine(g, name, engine, rev, mt_wake_clock_now(g->loop));
 }
 
 /* A list no longer shows it: it went at some time since others know more. */
@@ -262,12 +306,13 @@
   if (since == 0) since = now;
   gone.age = now - since;
   if (mt_gateway_peers_changed(g->peers, &gone))
-    take_engine(g, name, NULL, since);
+    take_engine(g, name, NULL, rev, since);
 }
 
 void mt_gateway_listed (mt_gateway_t *g, const mt_map_t *seen,
                         mt_revision_t rev) {
   mt_engines_t *engines = &g->relay->engines;
+  if (mt_gateway_restoring(g)) return;
   for (size_t i = 0; i < engines->count; i++) {
     const mt_engine_t *e = engines->list[i];
     if (e->vanished != 0 || e->state == MT_ENGINE_GONE) continue;
@@ -297,12 +342,15 @@
   uint64_t key = mt_engine_key(change->name, strlen(change->name));
   const mt_engine_t *e = mt_engines_get(&g->relay->engines, key);
   if (change->kind == MT_CHANGE_ENGINE_GONE) {
-    take_engine(g, change->name, NULL, since);
+    take_engine(g, change->name, NULL, change->rev, since);
     return true;
   }
+  if (e != NULL && may_have_ended(e, change) &&
+      (mt_gateway_restoring(g) || e->state == MT_ENGINE_LEAVING))
+    return false;
   bool known =
       e != NULL && strcmp(e->ip, told->ip) == 0 && e->port == told->port;
-  if (known) take_engine(g, change->name, &engine, since);
+  if (known) take_engine(g, change->name, &engine, change->rev, since);
   return known;
 }
 
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -30,6 +30,7 @@
   mt_ms_t asleep;            /* that the machine had slept then */
   mt_overload_t overload;
   uint64_t source_events[MT_SOURCE_EVENTS];
+  mt_ms_t restored; /* the source was last; 0: it was not */
   mt_text_t scratch;
 };
 
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -9,6 +9,7 @@
 #define engine_h
 
 #include "prefix_cache.h"
+#include "revision.h"
 
 typedef enum mt_engine_state_t {
   MT_ENGINE_READY,
@@ -54,10 +55,11 @@
   mt_id_t service;
   int slots;
   mt_engine_state_t state;
-  bool far;         /* in another failure domain than this router */
-  bool evacuated;   /* the operators emptied its failure domain */
-  mt_ms_t vanished; /* it left the list without a word then; 0: it did not */
-  mt_ms_t gone;     /* gone since */
+  bool far;          /* in another failure domain than this router */
+  bool evacuated;    /* the operators emptied its failure domain */
+  mt_ms_t vanished;  /* it left the list without a word then; 0: it did not */
+  mt_ms_t gone;      /* gone since */
+  mt_revision_t rev; /* of the source, as it last told of it */
   mt_engine_load_t here, peers;
   mt_ms_t quoted;  /* its keeper last told `peers` then; 0: never */
   bool untold;     /* `here` has changed since its keeper was told */
--- a/tests/store_restored_test.cc
+++ b/tests/store_restored_test.cc
@@ -2,6 +2,8 @@
 // revisions that are given out again.
 #include <gtest/gtest.h>
 
+#include <regex>
+
 #include "gateway_world.h"
 
 namespace {
@@ -128,4 +130,77 @@
   EXPECT_EQ(f.runs_at("i-1", 5), 0);
 }
 
+// What is written behind the copy, and the lines by which a router takes it
+// and undoes it.
+struct Written {
+  const char *what;
+  std::function<void(Fleet &)> write;
+  const char *range;
+  std::string taken, undone;
+};
+
+std::vector<Written> all_written () {
+  return {{"an engine came", [] (Fleet &f) { f.set("i-3", "ready"); },
+           "servers/", "engine=i-3 .*outcome=ready",
+           "engine=i-3 .*outcome=vanished"},
+          {"an engine leaves", [] (Fleet &f) { f.set("i-1", "draining"); },
+           "servers/", "engine=i-1 .*outcome=leaving",
+           "engine=i-1 .*outcome=ready"},
+          {"an engine left without a word",
+           [] (Fleet &f) { f.w.remove("servers/i-1"); }, "servers/",
+           "engine=i-1 .*outcome=vanished", "engine=i-1 .*outcome=ready"},
+          {"a failure domain is emptied",
+           [] (Fleet &f) { f.w.put("op/evacuate/d9", "{}"); }, "op/",
+           "domain=d9 outcome=begun", "domain=d9 outcome=over"}};
+}
+
+// Plays one row: the restore, and what was lost is written again or not.
+// True when the router undid it.
+bool is_undone (const Written &row, bool again) {
+  Fleet f(3);
+  f.w.items.erase("servers/i-3");
+  World::Copy copy = f.w.copy();
+  f.w.start();
+  auto logged = [&] (const std::string &pattern, size_t from) {
+    return std::regex_search(f.w.log.substr(from), std::regex(pattern));
+  };
+  row.write(f);
+  EXPECT_TRUE(f.w.until([&] { return logged(row.taken, 0); })) << row.what;
+  f.pass_revisions(4);
+  size_t before = f.w.log.size();
+  int lists = 0;
+  f.w.on_list = [&] (const std::string &range) {
+    if (range == row.range && ++lists == 1 && again) row.write(f);
+  };
+  f.w.restore(copy);
+  EXPECT_TRUE(f.w.until([&] {
+    return lists >= 2 && (again || logged(row.undone, before));
+  })) << row.what;
+  EXPECT_EQ(World::status_of(f.w.call(World::ask("/safe/x", "q"))), 200);
+  return logged(row.undone, before);
+}
+
+// The copy lacks what was written last; its writers write that again.
+TEST(StoreRestored, WhatIsWrittenAgainStandsMeanwhile) {
+  for (const Written &row : all_written())
+    EXPECT_FALSE(is_undone(row, true)) << row.what;
+}
+
+TEST(StoreRestored, WhatIsNotWrittenAgainIsTakenFromTheStore) {
+  for (const Written &row : all_written())
+    EXPECT_TRUE(is_undone(row, false)) << row.what;
+}
+
+// The copy has an older document, in which the key was valid.
+TEST(StoreRestored, ARevokedKeyStaysRevoked) {
+  Fleet f(1);
+  World::Copy copy = f.w.copy();
+  f.w.start();
+  f.w.put("op/config", World::config(8, "key-new"));
+  ASSERT_TRUE(f.logs("version=8 "));
+  f.w.restore(copy);
+  ASSERT_TRUE(f.logs("version=7 routes=3 workspaces=1 outcome=older"));
+  EXPECT_EQ(World::status_of(f.w.call(World::ask("/safe/x", "q"))), 401);
+}
+
 } // namespace
