--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -39,7 +39,7 @@
                                                    [MT_ADMIT_PLACE] = "place",
                                                    [MT_ADMIT_NONE] = "none"};
   describe(out, "admissions_total", "counter",
-           "What keepers answered about sending an engine a request.");
+           "What owners answered about sending an engine a request.");
   for (int i = 0; i < MT_ADMISSIONS; i++)
     mt_text_format(out, PREFIX "admissions_total{answer=\"%s\"} %llu\n",
                    names[i], (unsigned long long)c->admissions[i]);
@@ -60,7 +60,7 @@
                    mt_suspects_count(&relay->suspects, state, relay->now));
   }
   describe(out, "trials_total", "counter",
-           "What keepers answered about running a suspect.");
+           "What owners answered about running a suspect.");
   for (int i = 0; i < MT_TRIALS; i++)
     mt_text_format(out, PREFIX "trials_total{answer=\"%s\"} %llu\n", names[i],
                    (unsigned long long)relay->counters.trials[i]);
@@ -155,10 +155,10 @@
   number(out, "retries_denied_total", "counter",
          "Retries that the budget did not allow.", (double)c->retries_denied);
   number(out, "quote_rounds_total", "counter",
-         "Questions to the keepers of engines, in rounds.",
+         "Questions to the owners of engines, in rounds.",
          (double)c->quotes_asked);
   number(out, "quote_rounds_late_total", "counter",
-         "Rounds that some keeper did not answer in time.",
+         "Rounds that some owner did not answer in time.",
          (double)c->quotes_late);
   reasons(c, out);
   admissions(c, out);
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -272,22 +272,22 @@
 
 /* {== Loads and quotes ================================================= */
 
-static uint32_t keeper_of (const mt_gateway_peers_t *peers,
-                           const mt_engine_t *e) {
+static uint32_t owner_of (const mt_gateway_peers_t *peers,
+                          const mt_engine_t *e) {
   mt_id_t domain = e->domain ? mtV_id(e->domain, strlen(e->domain)) : 0;
-  return mt_membership_keeper(&peers->members, e->key, domain);
+  return mt_membership_owner(&peers->members, e->key, domain);
 }
 
 /*
-** True when no router that this one hears of keeps the engine. Others may
-** pass over a keeper that did not answer them; that one still hands out
+** True when no router that this one hears of owns the engine. Others may
+** pass over an owner that did not answer them; that one still hands out
 ** places, so whoever they take instead must not.
 */
-static bool keeps (const mt_gateway_peers_t *peers, uint64_t key) {
+static bool owns (const mt_gateway_peers_t *peers, uint64_t key) {
   const mt_engine_t *e = mt_engines_get(&peers->relay->engines, key);
   if (e == NULL || e->domain == NULL) return false;
-  return mt_membership_keeps(&peers->members, key,
-                             mtV_id(e->domain, strlen(e->domain)));
+  return mt_membership_owns(&peers->members, key,
+                            mtV_id(e->domain, strlen(e->domain)));
 }
 
 static void pack_load (mt_gateway_peers_t *peers, mt_peer_message_t *m,
@@ -298,15 +298,15 @@
   e->told = mt_wake_clock_now(peers->loop);
 }
 
-/* Tells the keeper of the home where parts were read instead. */
+/* Tells the owner of the home where parts were read instead. */
 static void tell_holder (mt_gateway_peers_t *peers,
                          const mt_relay_request_t *r) {
   const mt_engine_t *home =
       mt_engines_get(&peers->relay->engines, r->home_of_all);
   if (home == NULL || !mt_prompt_memory_is_news(r)) return;
-  uint32_t keeper = keeper_of(peers, home);
+  uint32_t owner = owner_of(peers, home);
   uint64_t part = mt_prompt_memory_home_part(r->parts, r->parts_count);
-  if (keeper == peers->members.own_ip) {
+  if (owner == peers->members.own_ip) {
     mt_part_holders_note(&peers->relay->holders, part, r->engine->key,
                          mt_wake_clock_now(peers->loop));
     return;
@@ -314,7 +314,7 @@
   mt_peer_message_t *m = begin(peers, MT_PEER_HOLDS);
   m->engines[m->engines_count++] = (mt_peer_engine_t){.key = r->engine->key};
   m->parts[m->parts_count++] = (mt_prefix_part_t){.id = part};
-  send_out(peers, keeper);
+  send_out(peers, owner);
 }
 
 static void on_holds (mt_gateway_peers_t *peers, const mt_peer_message_t *m) {
@@ -327,8 +327,8 @@
                               const mt_relay_request_t *r) {
   if (r->engine == NULL) return;
   tell_holder(peers, r);
-  uint32_t keeper = keeper_of(peers, r->engine);
-  if (keeper == peers->members.own_ip) {
+  uint32_t owner = owner_of(peers, r->engine);
+  if (owner == peers->members.own_ip) {
     if (!r->has_place)
       mt_cold_starts_charge(&peers->relay->cold, r->engine->key);
     return;
@@ -339,19 +339,19 @@
   if (r->has_place) m->engines[0].admission = MT_ADMIT_PLACE;
   m->parts_count = r->parts_count;
   memcpy(m->parts, r->parts, r->parts_count * sizeof *r->parts);
-  send_out(peers, keeper);
+  send_out(peers, owner);
 }
 
 void mt_gateway_peers_give_back (mt_gateway_peers_t *peers, uint64_t key) {
   const mt_engine_t *e = mt_engines_get(&peers->relay->engines, key);
-  uint32_t keeper = e != NULL ? keeper_of(peers, e) : 0;
-  if (keeper == peers->members.own_ip) {
+  uint32_t owner = e != NULL ? owner_of(peers, e) : 0;
+  if (owner == peers->members.own_ip) {
     mt_cold_starts_give_back(&peers->relay->cold, key);
     return;
   }
   mt_peer_message_t *m = begin(peers, MT_PEER_BACK);
   m->engines[m->engines_count++] = (mt_peer_engine_t){.key = key};
-  if (keeper != 0) send_out(peers, keeper);
+  if (owner != 0) send_out(peers, owner);
 }
 
 static void on_back (mt_gateway_peers_t *peers, const mt_peer_message_t *m) {
@@ -359,55 +359,55 @@
     mt_cold_starts_give_back(&peers->relay->cold, m->engines[i].key);
 }
 
-/* Sends rows that go to one keeper. */
-static void tell_loads (void *ud, uint32_t keeper, mt_engine_t **engines,
+/* Sends rows that go to one owner. */
+static void tell_loads (void *ud, uint32_t owner, mt_engine_t **engines,
                         size_t count) {
   mt_gateway_peers_t *peers = ud;
   mt_peer_message_t *m = begin(peers, MT_PEER_LOAD);
   for (size_t i = 0; i < count; i++) pack_load(peers, m, engines[i]);
-  if (keeper != peers->members.own_ip) send_out(peers, keeper);
+  if (owner != peers->members.own_ip) send_out(peers, owner);
 }
 
-static uint32_t find_keeper (void *ud, const mt_engine_t *e) {
-  return keeper_of(ud, e);
+static uint32_t find_owner (void *ud, const mt_engine_t *e) {
+  return owner_of(ud, e);
 }
 
-static void ask_keeper (mt_gateway_peers_t *peers, uint32_t keeper,
-                        const mt_relay_request_t *r) {
-  mt_peer_t *peer = mt_membership_know(&peers->members, keeper);
+static void ask_owner (mt_gateway_peers_t *peers, uint32_t owner,
+                       const mt_relay_request_t *r) {
+  mt_peer_t *peer = mt_membership_know(&peers->members, owner);
   if (peer == NULL || peers->out.engines_count == 0) return;
   peers->out.token = r->number;
   peers->out.parts_count = r->parts_count;
   memcpy(peers->out.parts, r->parts, r->parts_count * sizeof *r->parts);
   if (peer->asked == 0) peer->asked = mt_wake_clock_now(peers->loop);
-  send_out(peers, keeper);
+  send_out(peers, owner);
 }
 
 void mt_gateway_peers_ask (mt_gateway_peers_t *peers,
                            const mt_relay_request_t *r) {
-  uint32_t keepers[MT_RELAY_CANDIDATES_MAX];
+  uint32_t owners[MT_RELAY_CANDIDATES_MAX];
   mt_relay_quote_t own[MT_RELAY_CANDIDATES_MAX];
   size_t own_count = 0, first = r->round_first, end = r->candidates_count;
   for (size_t i = first; i < end; i++) {
     uint64_t key = r->candidates[i].engine;
     const mt_engine_t *e = mt_engines_get(&peers->relay->engines, key);
-    keepers[i] = e ? keeper_of(peers, e) : 0;
-    if (keepers[i] != peers->members.own_ip) continue;
+    owners[i] = e ? owner_of(peers, e) : 0;
+    if (owners[i] != peers->members.own_ip) continue;
     own[own_count] =
         mt_relay_quote(peers->relay, key, 0, r->parts, r->parts_count);
     own[own_count++].admission =
-        mt_relay_admission(peers->relay, key, keeps(peers, key));
+        mt_relay_admission(peers->relay, key, owns(peers, key));
   }
   for (size_t i = first; i < end; i++) {
-    uint32_t keeper = keepers[i];
-    if (keeper == 0 || keeper == peers->members.own_ip) continue;
+    uint32_t owner = owners[i];
+    if (owner == 0 || owner == peers->members.own_ip) continue;
     mt_peer_message_t *m = begin(peers, MT_PEER_ASK);
     for (size_t k = i; k < end; k++) {
-      if (keepers[k] != keeper) continue;
+      if (owners[k] != owner) continue;
       m->engines[m->engines_count++].key = r->candidates[k].engine;
-      keepers[k] = 0;
+      owners[k] = 0;
     }
-    ask_keeper(peers, keeper, r);
+    ask_owner(peers, owner, r);
   }
   if (own_count > 0)
     peers->calls.quoted(peers->calls.ud, r->number, own, own_count);
@@ -425,7 +425,7 @@
         mt_relay_quote(peers->relay, key, ip, ask->parts, ask->parts_count);
     m->engines[m->engines_count++] = (mt_peer_engine_t){
         quote.engine, quote.peers, quote.kept, quote.holder,
-        mt_relay_admission(peers->relay, key, keeps(peers, key))};
+        mt_relay_admission(peers->relay, key, owns(peers, key))};
   }
   send_out(peers, ip);
 }
@@ -580,7 +580,7 @@
 
 int mt_gateway_peers_tick (mt_gateway_peers_t *peers) {
   mt_ms_t now = mt_wake_clock_now(peers->loop);
-  const mt_load_teller_calls_t calls = {find_keeper, tell_loads, peers};
+  const mt_load_teller_calls_t calls = {find_owner, tell_loads, peers};
   mt_membership_update(&peers->members, now);
   mt_load_teller_tick(&peers->teller, &peers->relay->engines, now, &calls);
   mt_share_exchange_tick(&peers->exchange);
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -1,7 +1,7 @@
 /*
 ** gateway_peers.h - what routers tell each other, as datagrams
 **
-** Shares go round in groups (membership.h); loads go to the keepers of the
+** Shares go round in groups (membership.h); loads go to the owners of the
 ** engines, who answer what a request asks; changes at the source of
 ** declarations go to all (feed_exchange.h); so does what engines ended under
 ** (suspect_exchange.h), and which say that they leave (leave_exchange.h).
@@ -14,7 +14,7 @@
 
 typedef struct mt_gateway_peers_t mt_gateway_peers_t;
 
-/* Keepers' answers to what a request asked. */
+/* Owners' answers to what a request asked. */
 typedef void (*mt_gateway_quoted_t)(void *ud, uint64_t request,
                                     const mt_relay_quote_t *quotes,
                                     size_t count);
@@ -23,7 +23,7 @@
 typedef bool (*mt_gateway_change_t)(void *ud, const mt_change_t *change,
                                     mt_ms_t since);
 
-/* A keeper's answer to a suspect that asked whether it may run. */
+/* An owner's answer to a suspect that asked whether it may run. */
 typedef void (*mt_gateway_tried_t)(void *ud, const mt_suspect_word_t *word,
                                    mt_trial_t verdict);
 
@@ -51,20 +51,20 @@
 int mt_gateway_peers_tick (mt_gateway_peers_t *peers);
 
 /*
-** Asks the keepers of the request's candidates of this round. What this
+** Asks the owners of the request's candidates of this round. What this
 ** router keeps itself is answered before the call returns.
 */
 void mt_gateway_peers_ask (mt_gateway_peers_t *peers,
                            const mt_relay_request_t *request);
 
-/* A place at a cold engine was not used: its keeper gets it back. */
+/* A place at a cold engine was not used: its owner gets it back. */
 void mt_gateway_peers_give_back (mt_gateway_peers_t *peers, uint64_t engine);
 
-/* A request went to an engine: its keeper is told at once. */
+/* A request went to an engine: its owner is told at once. */
 void mt_gateway_peers_placed (mt_gateway_peers_t *peers,
                               const mt_relay_request_t *request);
 
-/* Tells the keeper of a suspect. A question that this router keeps itself is
+/* Tells the owner of a suspect. A question that this router keeps itself is
    answered before the call returns. */
 void mt_gateway_peers_say (mt_gateway_peers_t *peers,
                            const mt_suspect_word_t *word);
--- a/src/gateway/load_teller.c
+++ b/src/gateway/load_teller.c
@@ -1,5 +1,5 @@
 /*
-** load_teller.c - which loads have to be told to which keepers
+** load_teller.c - which loads have to be told to which owners
 */
 #include <stdlib.h>
 
@@ -12,22 +12,22 @@
   return e->here.running > 0 && now - e->told >= REPEAT_MS;
 }
 
-static int by_keeper (const void *a, const void *b) {
-  uint32_t x = ((const mt_load_due_t *)a)->keeper;
-  uint32_t y = ((const mt_load_due_t *)b)->keeper;
+static int by_owner (const void *a, const void *b) {
+  uint32_t x = ((const mt_load_due_t *)a)->owner;
+  uint32_t y = ((const mt_load_due_t *)b)->owner;
   return (x > y) - (x < y);
 }
 
-/* Tells the loads of one keeper; returns how many rows that were. */
+/* Tells the loads of one owner; returns how many rows that were. */
 static size_t tell_run (const mt_load_due_t *due, size_t left,
                         const mt_load_teller_calls_t *calls) {
   mt_engine_t *engines[MT_LOADS_TOLD];
   size_t n = 0;
-  while (n < left && n < MT_LOADS_TOLD && due[n].keeper == due[0].keeper) {
+  while (n < left && n < MT_LOADS_TOLD && due[n].owner == due[0].owner) {
     engines[n] = due[n].engine;
     n++;
   }
-  calls->tell(calls->ud, due[0].keeper, engines, n);
+  calls->tell(calls->ud, due[0].owner, engines, n);
   return n;
 }
 
@@ -39,10 +39,10 @@
     mt_engine_t *e = engines->attended[i];
     if (!is_due(e, now)) continue;
     *mtV_push(t->due, t->count, t->cap) =
-        (mt_load_due_t){calls->keeper(calls->ud, e), e};
+        (mt_load_due_t){calls->owner(calls->ud, e), e};
   }
   if (t->count == 0) return;
-  qsort(t->due, t->count, sizeof *t->due, by_keeper);
+  qsort(t->due, t->count, sizeof *t->due, by_owner);
   for (size_t i = 0; i < t->count;)
     i += tell_run(&t->due[i], t->count - i, calls);
 }
--- a/src/gateway/load_teller.h
+++ b/src/gateway/load_teller.h
@@ -1,5 +1,5 @@
 /*
-** load_teller.h - which loads have to be told to which keepers
+** load_teller.h - which loads have to be told to which owners
 */
 #ifndef load_teller_h
 #define load_teller_h
@@ -8,7 +8,7 @@
 
 /* An engine and the router that keeps it. */
 typedef struct mt_load_due_t {
-  uint32_t keeper;
+  uint32_t owner;
   mt_engine_t *engine;
 } mt_load_due_t;
 
@@ -18,10 +18,9 @@
 } mt_load_teller_t;
 
 typedef struct mt_load_teller_calls_t {
-  uint32_t (*keeper)(void *ud, const mt_engine_t *engine);
-  /* Tells the loads at engines of one keeper, at most MT_LOADS_TOLD. */
-  void (*tell)(void *ud, uint32_t keeper, mt_engine_t **engines,
-               size_t count);
+  uint32_t (*owner)(void *ud, const mt_engine_t *engine);
+  /* Tells the loads at engines of one owner, at most MT_LOADS_TOLD. */
+  void (*tell)(void *ud, uint32_t owner, mt_engine_t **engines, size_t count);
   void *ud;
 } mt_load_teller_calls_t;
 
--- a/src/gateway/membership.c
+++ b/src/gateway/membership.c
@@ -15,7 +15,7 @@
 /* Anybody may name addresses, so they are bounded: those of 2,000 routers and
    of as many that replaced others lately. */
 #define ADDRESSES_MAX 4096
-#define ANSWER_MS 80   /* a keeper answers within that */
+#define ANSWER_MS 80   /* an owner answers within that */
 #define SUSPECT_MS 700 /* one that did not keeps nothing for so long */
 #define WATCHERS 2     /* of the source, in each failure domain */
 #define ALL_WATCH 9    /* a fleet below that is all watchers */
@@ -277,17 +277,17 @@
   return count;
 }
 
-uint32_t mt_membership_keeper (const mt_membership_t *m, uint64_t engine,
-                               mt_id_t domain) {
-  uint32_t keeper = heaviest(m, engine, domain, false);
-  return keeper != 0 ? keeper : heaviest(m, engine, 0, false);
+uint32_t mt_membership_owner (const mt_membership_t *m, uint64_t engine,
+                              mt_id_t domain) {
+  uint32_t owner = heaviest(m, engine, domain, false);
+  return owner != 0 ? owner : heaviest(m, engine, 0, false);
 }
 
-bool mt_membership_keeps (const mt_membership_t *m, uint64_t engine,
-                          mt_id_t domain) {
-  uint32_t keeper = heaviest(m, engine, domain, true);
-  if (keeper == 0) keeper = heaviest(m, engine, 0, true);
-  return keeper == m->own_ip;
+bool mt_membership_owns (const mt_membership_t *m, uint64_t engine,
+                         mt_id_t domain) {
+  uint32_t owner = heaviest(m, engine, domain, true);
+  if (owner == 0) owner = heaviest(m, engine, 0, true);
+  return owner == m->own_ip;
 }
 
 double mt_membership_reach (const mt_membership_t *m) {
--- a/src/gateway/membership.h
+++ b/src/gateway/membership.h
@@ -1,5 +1,5 @@
 /*
-** membership.h - which routers serve, in which groups, and who keeps what
+** membership.h - which routers serve, in which groups, and who owns what
 **
 ** The routers of a failure domain are divided into groups by a hash of their
 ** address. Each hears the routers of its own group directly, and of every
@@ -31,7 +31,7 @@
   mt_revision_t
       told[MT_FEEDS]; /* all changes of a feed up to there it knows */
   mt_ms_t asked;      /* the oldest question it has not answered; 0: none */
-  mt_ms_t suspect;    /* keeps no engine until then */
+  mt_ms_t suspect;    /* owns no engine until then */
   mt_ms_t shares_heard, shares_valid; /* they count for so long */
   mt_peer_share_t *shares;            /* of its own, for its group */
   size_t shares_count, shares_cap;
@@ -116,18 +116,19 @@
                            uint32_t *to, size_t most);
 
 /*
-** The router that keeps an engine: one of the engine's failure domain if any
+** The router that owns an engine's book: one of the engine's failure domain
+*if any
 ** serves there. The own address when it is this one.
 */
-uint32_t mt_membership_keeper (const mt_membership_t *members,
-                               uint64_t engine, mt_id_t domain);
+uint32_t mt_membership_owner (const mt_membership_t *members, uint64_t engine,
+                              mt_id_t domain);
 
 /*
-** True when this router keeps the engine whomever others pass over since it
+** True when this router owns the engine whomever others pass over since it
 ** left a question unanswered.
 */
-bool mt_membership_keeps (const mt_membership_t *members, uint64_t engine,
-                          mt_id_t domain);
+bool mt_membership_owns (const mt_membership_t *members, uint64_t engine,
+                         mt_id_t domain);
 
 /*
 ** The part of all known routers that serve as far as is known here, 0 to 1.
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -33,13 +33,13 @@
                       group, to others of its failure domain */
   MT_PEER_NEWS,    /* what has changed at the source */
   MT_PEER_LACK,    /* what changed there behind what the header tells? */
-  MT_PEER_ASK,     /* what do these engines, kept by you, have? */
+  MT_PEER_ASK,     /* what do these engines, owned by you, have? */
   MT_PEER_QUOTE,   /* the answer */
-  MT_PEER_LOAD,    /* what the sender has at engines kept by you */
-  MT_PEER_HOLDS,   /* this engine read parts whose home is kept by you */
-  MT_PEER_BACK,    /* a place at this cold engine, kept by you, is not used */
+  MT_PEER_LOAD,    /* what the sender has at engines owned by you */
+  MT_PEER_HOLDS,   /* this engine read parts whose home is owned by you */
+  MT_PEER_BACK, /* a place at this cold engine, owned by you, is not used */
   MT_PEER_SUSPECTS, /* requests that run one copy at a time, or not at all */
-  MT_PEER_WORD,     /* what came of a request that is kept by you */
+  MT_PEER_WORD,     /* what came of a request that is owned by you */
   MT_PEER_VERDICT,  /* the answer to a word that asks whether it may run */
   MT_PEER_LEAVING,  /* these engines have said that they leave */
   MT_PEER_KINDS
--- a/src/gateway/share_exchange.c
+++ b/src/gateway/share_exchange.c
@@ -12,7 +12,7 @@
 ** Rounds hold a row for each workspace, so they come rarely where boxes and
 ** workspaces are many. Who serves is then told in
 ** heartbeats between them, or routers that have ended would count for three
-** rounds: engines' keepers, and watchers of the source that nobody follows.
+** rounds: engines' owners, and watchers of the source that nobody follows.
 */
 #define HEARTBEAT_MS 1000
 #define HEARTBEAT_BYTES_PER_S 4000 /* that a router sends in them, about */
--- a/src/gateway/suspect_exchange.c
+++ b/src/gateway/suspect_exchange.c
@@ -5,7 +5,7 @@
 
 #define FANOUT 5     /* routers that something newer is passed on to */
 #define TELL_MS 250  /* between tellings of everything */
-#define EVERYWHERE 0 /* a request's keeper may be of any failure domain */
+#define EVERYWHERE 0 /* a request's owner may be of any failure domain */
 
 static void note (const mt_suspect_exchange_t *x, uint64_t digest,
                   uint32_t router, const char *why) {
@@ -15,7 +15,7 @@
 
 /* {== Telling ========================================================== */
 
-/* The keeper may know less of it than who asks: it may have just started. */
+/* The owner may know less of it than who asks: it may have just started. */
 static void add_row (mt_suspect_exchange_t *x, mt_peer_message_t *m,
                      uint64_t digest) {
   const mt_suspect_t *s = mt_suspects_get(x->suspects, digest);
@@ -57,7 +57,7 @@
 
 /* }== */
 
-/* {== The keeper ======================================================= */
+/* {== The owner ======================================================= */
 
 /* Whose router keeps what a word is about. */
 static uint64_t subject_of (const mt_suspect_word_t *word) {
@@ -139,20 +139,20 @@
 
 void mt_suspect_exchange_say (mt_suspect_exchange_t *x,
                               const mt_suspect_word_t *word) {
-  uint32_t keeper =
-      mt_membership_keeper(x->members, subject_of(word), EVERYWHERE);
-  if (keeper == x->members->own_ip) {
-    keep(x, keeper, word);
+  uint32_t owner =
+      mt_membership_owner(x->members, subject_of(word), EVERYWHERE);
+  if (owner == x->members->own_ip) {
+    keep(x, owner, word);
     return;
   }
-  mt_peer_t *peer = mt_membership_know(x->members, keeper);
+  mt_peer_t *peer = mt_membership_know(x->members, owner);
   if (peer == NULL) return;
   bool asks = word->kind == MT_WORD_TRY || word->kind == MT_WORD_HOLD;
   if (asks && peer->asked == 0) peer->asked = x->members->now;
   mt_peer_message_t *m = x->calls.begin(x->calls.ud, MT_PEER_WORD);
   m->word = *word;
   if (asks) add_row(x, m, word->digest);
-  x->calls.send(x->calls.ud, &keeper, 1);
+  x->calls.send(x->calls.ud, &owner, 1);
 }
 
 /* {== Receiving ======================================================== */
--- a/src/gateway/suspect_exchange.h
+++ b/src/gateway/suspect_exchange.h
@@ -1,7 +1,7 @@
 /*
 ** suspect_exchange.h - how routers tell each other of suspects (suspects.h)
 **
-** What came of a request goes to its keeper alone, the router with the
+** What came of a request goes to its owner alone, the router with the
 ** greatest hash of all that serve: an engine that ends under 64 requests is
 ** 64 small datagrams, whatever the size of the fleet. What follows from it
 ** goes round: whoever takes something newer passes it on to a few routers,
@@ -28,7 +28,7 @@
   /* Begins a message, and sends the one that was begun. */
   mt_peer_message_t *(*begin)(void *ud, mt_peer_kind_t kind);
   void (*send)(void *ud, const uint32_t *to, size_t count);
-  /* A keeper's answer to a request of this router. */
+  /* An owner's answer to a request of this router. */
   void (*tried)(void *ud, const mt_suspect_word_t *word, mt_trial_t verdict);
   mt_suspect_note_t note;
   void *ud;
@@ -49,7 +49,7 @@
                                const mt_suspect_exchange_calls_t *calls,
                                uint64_t seed);
 
-/* Tells the request's keeper, which may be this router: then a question is
+/* Tells the request's owner, which may be this router: then a question is
    answered before the call returns. */
 void mt_suspect_exchange_say (mt_suspect_exchange_t *exchange,
                               const mt_suspect_word_t *word);
--- a/src/relay/admission.h
+++ b/src/relay/admission.h
@@ -2,7 +2,7 @@
 ** admission.h - which engines may be sent a request now
 **
 ** Not those of a failure domain that is evacuated, and cold ones only with a
-** place from their keeper (cold_start.h).
+** place from their owner (cold_start.h).
 */
 #ifndef admission_h
 #define admission_h
--- a/src/relay/candidates.h
+++ b/src/relay/candidates.h
@@ -29,7 +29,7 @@
                                mt_relay_request_t *request);
 
 /*
-** The next engine whose keeper should be asked for the request, or NULL: in
+** The next engine whose owner should be asked for the request, or NULL: in
 ** the first round homes and others of the own failure domain, in the second
 ** homes in other domains that may have room. None is named twice.
 */
--- a/src/relay/cold_start.h
+++ b/src/relay/cold_start.h
@@ -3,15 +3,15 @@
 **
 ** An engine that has just started, or was emptied and is used again, bears
 ** few requests a second until it is warm. The bound holds for all routers
-** together, so it is handed out in one place: the engine's keeper gives each
+** together, so it is handed out in one place: the engine's owner gives each
 ** request that asks one place of a token bucket, or none. Without a place
 ** nobody sends a request to a cold engine. A place counts for a short time. A
-** router that does not use one gives it back; whatever the keeper hears
+** router that does not use one gives it back; whatever the owner hears
 ** nothing of is taken for used, so lost messages make the engine get less,
 ** never more: when silence counted as unused, 38 requests came in a second
 ** where 19.7 are allowed (tests, half of the messages lost).
 **
-** Keepers may be mistaken about who keeps an engine while routers are cut off
+** Owners may be mistaken about who owns an engine while routers are cut off
 ** from each other. Each hands out only the part of the bucket that its
 ** routers are of all it knows, so parts that do not see each other hand out
 ** one bucket together.
@@ -24,9 +24,9 @@
 /* A place that is used counts from its question for at most so long. */
 #define MT_COLD_PLACE_MS 50
 
-/* What an engine's keeper says of sending it one request. */
+/* What an engine's owner says of sending it one request. */
 typedef enum mt_admission_t {
-  MT_ADMIT_UNKNOWN, /* the keeper knows of nothing against it */
+  MT_ADMIT_UNKNOWN, /* the owner knows of nothing against it */
   MT_ADMIT_WARM,    /* it was cold and is not any more */
   MT_ADMIT_PLACE,   /* it is cold; the request has a place there */
   MT_ADMIT_NONE,    /* it is cold and has none now, or gets no work */
@@ -60,7 +60,7 @@
 size_t mt_cold_starts_count (const mt_cold_starts_t *starts, mt_ms_t now);
 
 /*
-** The keeper's answer to whoever asks for one request. `rate`: requests
+** The owner's answer to whoever asks for one request. `rate`: requests
 ** a second that a cold engine of the service bears. `part`: of the bucket, 0
 ** to 1; 0 hands out nothing.
 */
--- a/src/relay/domain_load.c
+++ b/src/relay/domain_load.c
@@ -1,5 +1,5 @@
 /*
-** domain_load.c - how full other failure domains are, as keepers there tell
+** domain_load.c - how full other failure domains are, as owners there tell
 */
 #include "domain_load.h"
 
--- a/src/relay/domain_load.h
+++ b/src/relay/domain_load.h
@@ -1,5 +1,5 @@
 /*
-** domain_load.h - how full other failure domains are, as keepers there tell
+** domain_load.h - how full other failure domains are, as owners there tell
 **
 ** A request that finds no room in the own domain asks in others. Each answer
 ** is also a sample of how full that domain is, so that requests which would
@@ -14,7 +14,7 @@
 mt_domain_load_t *mt_domain_loads_get (mt_relay_t *relay,
                                        const mt_engine_t *engine);
 
-/* A keeper told what all others have at an engine. */
+/* An owner told what all others have at an engine. */
 void mt_domain_loads_learn (mt_relay_t *relay, const mt_engine_t *engine,
                             const mt_engine_load_t *load);
 
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -61,9 +61,9 @@
   mt_ms_t gone;      /* gone since */
   mt_revision_t rev; /* of the source, as it last told of it */
   mt_engine_load_t here, peers;
-  mt_ms_t quoted;  /* its keeper last told `peers` then; 0: never */
-  bool untold;     /* `here` has changed since its keeper was told */
-  mt_ms_t told;    /* its keeper was told last then */
+  mt_ms_t quoted;  /* its owner last told `peers` then; 0: never */
+  bool untold;     /* `here` has changed since its owner was told */
+  mt_ms_t told;    /* its owner was told last then */
   double slowness; /* time to first event, seen over expected; 1: usual */
   int failures;    /* in a row */
   double rejection_rate; /* of this router's attempts, as of `rate_at` */
@@ -99,7 +99,7 @@
 void mt_engines_remove (mt_engines_t *engines, mt_engine_t *engine);
 void mt_engines_free (mt_engines_t *engines);
 
-/* The router's load there has changed, which its keeper is to be told. */
+/* The router's load there has changed, which its owner is to be told. */
 void mt_engine_load_changed (mt_engine_t *engine);
 
 /* Takes those from the list of attended ones that have no load of this router
--- a/src/relay/lease_table.h
+++ b/src/relay/lease_table.h
@@ -1,7 +1,7 @@
 /*
 ** lease_table.h - who may use what nobody else may use meanwhile
 **
-** The keeper of a name hands its lease to one holder at a time. A holder that
+** The owner of a name hands its lease to one holder at a time. A holder that
 ** says nothing any more loses it by time.
 */
 #ifndef lease_table_h
--- a/src/relay/load_book.h
+++ b/src/relay/load_book.h
@@ -1,7 +1,7 @@
 /*
 ** load_book.h - what every router has at the engines this router keeps
 **
-** The keeper of an engine is one of the routers. The others tell it their
+** The owner of an engine is one of the routers. The others tell it their
 ** whole load there, so a lost or repeated message does no harm; what a router
 ** has not repeated in time no longer counts.
 */
--- a/src/relay/part_holders.h
+++ b/src/relay/part_holders.h
@@ -3,7 +3,7 @@
 **
 ** A part belongs at its home engine, but when that has too much to do it is
 ** read elsewhere, and no other router knows where. So whoever sends it there
-** tells the keeper of the home, which is asked for every request with that
+** tells the owner of the home, which is asked for every request with that
 ** part. What is noted here may be lost or wrong: then it is read again.
 */
 #ifndef part_holders_h
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -18,7 +18,7 @@
 } mt_placement_t;
 
 /*
-** The best engine for the request: of those whose keepers answered, if any
+** The best engine for the request: of those whose owners answered, if any
 ** can take it, else of all. Language models: the least expected time to the
 ** first event, reading of unkept parts weighed more; else the least used
 ** share of slots. Those of the router's own failure domain go before others
--- a/src/relay/prompt_memory.c
+++ b/src/relay/prompt_memory.c
@@ -49,7 +49,7 @@
   return e->failures == 0 && e->vanished == 0;
 }
 
-/* An engine that some keeper names as holder of all shared parts. */
+/* An engine that some owner names as holder of all shared parts. */
 static mt_engine_t *told_holder (const mt_relay_t *relay,
                                  const mt_relay_request_t *r) {
   if (relay->terms.off[MT_RELAY_HOLDERS]) return NULL;
--- a/src/relay/prompt_memory.h
+++ b/src/relay/prompt_memory.h
@@ -27,7 +27,7 @@
 
 /*
 ** True when this router's request makes its engine read parts that others
-** share, away from their home: the keeper of the home should know.
+** share, away from their home: the owner of the home should know.
 */
 bool mt_prompt_memory_is_news (const mt_relay_request_t *request);
 
@@ -35,7 +35,7 @@
 int64_t mt_prompt_memory_room (const mt_engine_t *engine, int64_t memory);
 
 /*
-** Leading tokens of the prompt that the engine keeps, as its keeper says or
+** Leading tokens of the prompt that the engine keeps, as its owner says or
 ** else as this router believes.
 */
 int64_t mt_prompt_memory_kept (const mt_relay_request_t *request,
--- a/src/relay/quarantine.c
+++ b/src/relay/quarantine.c
@@ -6,7 +6,7 @@
 #include "placement.h"
 #include "quarantine.h"
 
-#define WAIT_MS 40    /* for the keeper's answer */
+#define WAIT_MS 40    /* for the owner's answer */
 #define SLACK_MS 1000 /* a trial's lease beyond the request's own end */
 #define LEASE_MOST_MS 30000
 #define PENDING_MS 5000 /* an engine's entry lapses within that */
--- a/src/relay/quarantine.h
+++ b/src/relay/quarantine.h
@@ -3,7 +3,7 @@
 **
 ** Stands between the life of a request (relay.c) and what is known of it
 ** (suspects.h): says before each placement whether it may run, and tells its
-** keeper what came of it.
+** owner what came of it.
 **
 ** A run that is lost with its connection is no end by itself: connections
 ** break, are cut and reset for many reasons. It counts as an end once the
@@ -19,7 +19,7 @@
 
 typedef enum mt_quarantine_gate_t {
   MT_QUARANTINE_PASS,
-  MT_QUARANTINE_ASK,   /* a keeper has to say; the effect is there */
+  MT_QUARANTINE_ASK,   /* an owner has to say; the effect is there */
   MT_QUARANTINE_BUSY,  /* no engine, or none for it now */
   MT_QUARANTINE_REFUSE /* it is in quarantine */
 } mt_quarantine_gate_t;
@@ -27,14 +27,14 @@
 mt_quarantine_gate_t mt_quarantine_gate (mt_relay_t *relay,
                                          mt_relay_request_t *request);
 
-/* What follows from a keeper's answer: the request's is asked first, then
+/* What follows from an owner's answer: the request's is asked first, then
    that of the engine where the least runs that would end with it. */
 mt_quarantine_gate_t mt_quarantine_tried (mt_relay_t *relay,
                                           mt_relay_request_t *request,
                                           const mt_suspect_word_t *word,
                                           mt_trial_t verdict);
 
-/* True when the keeper has let a question rest for too long. */
+/* True when the owner has let a question rest for too long. */
 bool mt_quarantine_overdue (const mt_relay_t *relay,
                             const mt_relay_request_t *request);
 
@@ -53,10 +53,10 @@
 void mt_quarantine_leave (mt_relay_t *relay, mt_relay_request_t *request);
 
 /* The engine has ended: what was lost there lately was lost with it. May be
-   called between steps; the next tells the keepers. */
+   called between steps; the next tells the owners. */
 void mt_quarantine_engine_ended (mt_relay_t *relay, uint64_t engine);
 
-/* Tells the keepers now what is due. */
+/* Tells the owners now what is due. */
 void mt_quarantine_tell (mt_relay_t *relay);
 
 /* A lease was granted to a request that does not wait for it any more. */
--- a/src/relay/quotes.c
+++ b/src/relay/quotes.c
@@ -1,12 +1,12 @@
 /*
-** quotes.c - asks the keepers of a few engines before a request is placed
+** quotes.c - asks the owners of a few engines before a request is placed
 */
 #include "candidates.h"
 #include "domain_load.h"
 #include "quotes.h"
 
-#define WAIT_MS 20      /* for answers of keepers */
-#define USUAL_FADE 0.95 /* per answer of a home's keeper */
+#define WAIT_MS 20      /* for answers of owners */
+#define USUAL_FADE 0.95 /* per answer of a home's owner */
 #define ROUNDS_MOST 2   /* the own failure domain's engines, then others' */
 #define FAR_ASKED 2     /* failure domains, in the second round */
 #define FRESH_MS 250    /* an answer is taken as it is for so long */
--- a/src/relay/quotes.h
+++ b/src/relay/quotes.h
@@ -1,8 +1,8 @@
 /*
-** quotes.h - asks the keepers of a few engines before a request is placed
+** quotes.h - asks the owners of a few engines before a request is placed
 **
 ** Each engine has one router that keeps its book (load_book.h). A request for
-** a language model asks the keepers of a few engines that suit it, and is
+** a language model asks the owners of a few engines that suit it, and is
 ** placed by their answers; without answers in time it is placed by what this
 ** router believes by itself.
 */
@@ -31,7 +31,7 @@
 const mt_relay_candidate_t *mt_quotes_find (const mt_relay_request_t *request,
                                             uint64_t engine);
 
-/* True when any keeper answered. */
+/* True when any owner answered. */
 bool mt_quotes_any (const mt_relay_request_t *request);
 
 /* What was told long ago tends to what is usual; some times a second. */
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -128,8 +128,8 @@
   return r->expires > relay->stop_until;
 }
 
-/* Asks the keepers of the next engines; false when there are none to ask. */
-static bool ask_keepers (mt_relay_t *relay, mt_relay_request_t *r) {
+/* Asks the owners of the next engines; false when there are none to ask. */
+static bool ask_owners (mt_relay_t *relay, mt_relay_request_t *r) {
   if (!mt_quotes_ask(relay, r)) return false;
   r->phase = MT_RELAY_ASKING;
   relay->counters.quotes_asked++;
@@ -162,19 +162,19 @@
   mt_placement_t p = mt_placement_choose(relay, r);
   r->wait_expected = p.wait_ms;
   if (admits(relay, r, &p, &why)) {
-    if (leaves_for_better(r, &p) && ask_keepers(relay, r)) return;
+    if (leaves_for_better(r, &p) && ask_owners(relay, r)) return;
     mt_attempt_start(relay, r, &p);
     return;
   }
-  if (!ask_keepers(relay, r)) mt_request_refuse(relay, r, why);
+  if (!ask_owners(relay, r)) mt_request_refuse(relay, r, why);
 }
 
 /* Looks for an engine. */
 static void seek (mt_relay_t *relay, mt_relay_request_t *r) {
   mt_candidates_find_homes(relay, r);
-  if (ask_keepers(relay, r)) return;
+  if (ask_owners(relay, r)) return;
   r->rounds = mt_max(r->rounds, 1); /* there is nobody to ask here */
-  if (!ask_keepers(relay, r)) place(relay, r);
+  if (!ask_owners(relay, r)) place(relay, r);
 }
 
 /* What engines ended under is refused, or runs one copy at a time. */
@@ -228,7 +228,7 @@
     mt_request_refuse(relay, r, why);
 }
 
-/* Keepers answer to a suspect. */
+/* Owners answer to a suspect. */
 static void on_tried (mt_relay_t *relay, mt_relay_request_t *r,
                       const mt_suspect_word_t *word, mt_trial_t verdict) {
   relay->counters.trials[verdict]++;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -81,10 +81,10 @@
   uint64_t leaves, rests;     /* that engines said they leave, and asked this
                                  router for rest */
   uint64_t ends;              /* runs that were lost as their engine ended */
-  uint64_t trials[MT_TRIALS]; /* what keepers answered to who wanted to run
+  uint64_t trials[MT_TRIALS]; /* what owners answered to who wanted to run
                                  what is on probation */
-  uint64_t quotes_asked, quotes_late; /* rounds of questions to keepers */
-  uint64_t admissions[MT_ADMISSIONS]; /* what keepers answered, by kind */
+  uint64_t quotes_asked, quotes_late; /* rounds of questions to owners */
+  uint64_t admissions[MT_ADMISSIONS]; /* what owners answered, by kind */
 } mt_relay_counters_t;
 
 const char *mt_relay_refusal_code (mt_relay_refusal_t why);
@@ -118,15 +118,15 @@
   MT_RELAY_DATA,      /* bytes of its body */
   MT_RELAY_END,       /* it is whole */
   MT_RELAY_FAILED,    /* it ended otherwise */
-  MT_RELAY_QUOTED,    /* keepers say what their engines have */
+  MT_RELAY_QUOTED,    /* owners say what their engines have */
   MT_RELAY_PROBED,    /* a connection to an engine came up, or did not */
-  MT_RELAY_TRIED,     /* the keeper of a suspect says whether it may run */
+  MT_RELAY_TRIED,     /* the owner of a suspect says whether it may run */
   MT_RELAY_RESTARTED, /* an engine has, under its name */
   MT_RELAY_NOTICE,    /* what an engine's answer says of the engine */
   MT_RELAY_STOP       /* finish what is at hand */
 } mt_relay_event_kind_t;
 
-/* What an engine's keeper says of it, when a request asked. */
+/* What an engine's owner says of it, when a request asked. */
 typedef struct mt_relay_quote_t {
   uint64_t engine;
   mt_engine_load_t peers; /* of all routers but the one that asked */
@@ -185,7 +185,7 @@
 
 typedef enum mt_relay_effect_kind_t {
   MT_RELAY_DO_REFUSE,    /* answer in place of an engine */
-  MT_RELAY_DO_ASK,       /* ask the keepers of the request's candidates */
+  MT_RELAY_DO_ASK,       /* ask the owners of the request's candidates */
   MT_RELAY_DO_START,     /* send the request to an engine */
   MT_RELAY_DO_CANCEL,    /* end the attempt and its connection */
   MT_RELAY_DO_HEAD,      /* pass on the head that came first */
@@ -193,8 +193,8 @@
   MT_RELAY_DO_END,       /* the caller's answer is whole */
   MT_RELAY_DO_ABORT,     /* cut the caller's connection */
   MT_RELAY_DO_PROBE,     /* try to connect to an engine, for no request */
-  MT_RELAY_DO_GIVE_BACK, /* a place at a cold engine, to its keeper */
-  MT_RELAY_DO_TELL       /* a word to a suspect's keeper */
+  MT_RELAY_DO_GIVE_BACK, /* a place at a cold engine, to its owner */
+  MT_RELAY_DO_TELL       /* a word to a suspect's owner */
 } mt_relay_effect_kind_t;
 
 #define MT_RELAY_LENGTH_UNKNOWN (-1)
@@ -241,14 +241,14 @@
   MT_RELAY_SENT,      /* no event or end of an answer yet */
   MT_RELAY_HOLDING,   /* a short answer is gathered before it is passed on */
   MT_RELAY_STREAMING, /* the head has been passed on */
-  MT_RELAY_ASKING,    /* not placed: keepers of engines were asked */
-  MT_RELAY_TRYING     /* the same: its own keeper was asked, as a suspect's */
+  MT_RELAY_ASKING,    /* not placed: owners of engines were asked */
+  MT_RELAY_TRYING     /* the same: its own owner was asked, as a suspect's */
 } mt_relay_phase_t;
 
-#define MT_RELAY_ROUND_MAX 4      /* keepers of engines asked at a time */
+#define MT_RELAY_ROUND_MAX 4      /* owners of engines asked at a time */
 #define MT_RELAY_CANDIDATES_MAX 8 /* and in all rounds */
 
-/* An engine that a request may go to, if its keeper says that it has room. */
+/* An engine that a request may go to, if its owner says that it has room. */
 typedef struct mt_relay_candidate_t {
   uint64_t engine;
   bool quoted;
@@ -317,7 +317,7 @@
   mt_read_time_t read_time;
   mt_retry_budget_t budget;
   int ready;                          /* engines, counted by the tick */
-  double usual_unread, usual_running; /* at homes, as keepers told lately */
+  double usual_unread, usual_running; /* at homes, as owners told lately */
 } mt_relay_service_t;
 
 /*
@@ -330,7 +330,7 @@
   ROW(MT_RELAY_DECLARED_LEVEL, "declared_level")                            \
   ROW(MT_RELAY_HOME, "home")               /* of shared parts */            \
   ROW(MT_RELAY_SECOND_HOME, "second_home") /* is asked, too */              \
-  ROW(MT_RELAY_QUOTES, "quotes")           /* of keepers */                 \
+  ROW(MT_RELAY_QUOTES, "quotes")           /* of owners */                  \
   ROW(MT_RELAY_FAR_ROUND, "far_round")     /* others' when own are full */  \
   ROW(MT_RELAY_HOLDERS, "holders")         /* of parts read away */         \
   ROW(MT_RELAY_OWED, "owed")               /* leaving home below a share */ \
@@ -365,7 +365,7 @@
   bool off[MT_RELAY_MECHANISM_COUNT]; /* mechanisms that are not used */
 } mt_relay_terms_t;
 
-/* How full another failure domain was, as keepers there told lately. */
+/* How full another failure domain was, as owners there told lately. */
 typedef struct mt_domain_load_t {
   mt_id_t domain, service;
   double unread; /* at one engine, smoothed */
@@ -377,7 +377,7 @@
 /* A run whose connection ended before a whole answer. */
 typedef struct mt_lost_run_t {
   uint64_t digest, engine, request;
-  mt_ms_t at, next; /* next: its keeper is told again then */
+  mt_ms_t at, next; /* next: its owner is told again then */
   bool alone, holds_engine;
   bool ended; /* its engine has */
   int told;   /* times */
@@ -445,7 +445,7 @@
 /*
 ** An engine is no longer listed. One that had said that it leaves is gone;
 ** one that had not may be back at once (a list can lose entries while its
-** keeper is in trouble), so it gets work for `vanish_ms` more from `since`,
+** owner is in trouble), so it gets work for `vanish_ms` more from `since`,
 ** when the first router heard of it: counted from when this one did, requests
 ** came up to 1.2 s later than they might.
 */
@@ -474,14 +474,14 @@
                           const mt_load_row_t *row,
                           const mt_prefix_part_t *parts, size_t count);
 
-/* What this router, as the engine's keeper, tells a router that asks. */
+/* What this router, as the engine's owner, tells a router that asks. */
 mt_relay_quote_t mt_relay_quote (mt_relay_t *relay, uint64_t engine,
                                  uint64_t router,
                                  const mt_prefix_part_t *parts, size_t count);
 
 /*
 ** Whether the engine may be sent one request of whoever asks. `keeps`: all
-** routers that this one hears of take it for the engine's keeper.
+** routers that this one hears of take it for the engine's owner.
 */
 mt_admission_t mt_relay_admission (mt_relay_t *relay, uint64_t engine,
                                    bool keeps);
--- a/src/relay/relay_load.c
+++ b/src/relay/relay_load.c
@@ -205,7 +205,7 @@
       mt_catalog_service(relay->catalog, e->service);
   mt_engine_load_t all =
       mt_load_book_sum(&relay->book, engine, 0, relay->now);
-  if (router != 0) { /* the keeper's own is another's, too */
+  if (router != 0) { /* the owner's own is another's, too */
     quote.peers.unread += e->here.unread;
     quote.peers.held += e->here.held;
     quote.peers.running += e->here.running;
--- a/src/relay/suspects.c
+++ b/src/relay/suspects.c
@@ -179,7 +179,7 @@
 
 /* }== */
 
-/* {== The keeper's part ================================================= */
+/* {== The owner's part ================================================= */
 
 static mt_ms_t kept_for (const mt_suspect_t *s) {
   if (count_ends(s) == 0) return CLEARED_MS;
@@ -268,7 +268,7 @@
 }
 
 /* Of two that say the same version the graver is right: two routers may have
-   taken themselves for the keeper. */
+   taken themselves for the owner. */
 static bool is_newer (const mt_suspect_t *s, const mt_suspect_row_t *row) {
   if (row->version != s->version) return row->version > s->version;
   return row->earlier + row->listed > count_ends(s);
@@ -293,7 +293,7 @@
   return true;
 }
 
-/* One with one end is its keeper's alone. */
+/* One with one end is its owner's alone. */
 static bool goes_round (const mt_suspect_t *s) {
   return s->version > 0 && count_ends(s) != 1;
 }
--- a/src/relay/suspects.h
+++ b/src/relay/suspects.h
@@ -17,9 +17,9 @@
 ** other is cleared the end counts again, so nothing is derived but from the
 ** ends themselves.
 **
-** Each request has one keeper among the routers, which counts ends and hands
+** Each request has one owner among the routers, which counts ends and hands
 ** out trials. Rows of the requests on probation and in quarantine go round,
-** so that all routers have them and another can take over as keeper; who has
+** so that all routers have them and another can take over as owner; who has
 ** the greater version is right.
 */
 #ifndef suspects_h
@@ -61,7 +61,7 @@
   mt_ms_t age, rest; /* since `since`, until `expires` */
 } mt_suspect_row_t;
 
-/* A keeper's word to who wants to run a copy. */
+/* An owner's word to who wants to run a copy. */
 typedef enum mt_trial_t {
   MT_TRIAL_FREE,    /* nothing against it: any number may run */
   MT_TRIAL_GRANTED, /* this one may, and no other until it is over */
@@ -70,7 +70,7 @@
   MT_TRIALS
 } mt_trial_t;
 
-/* What a router tells the keeper of a request. */
+/* What a router tells the owner of a request. */
 typedef enum mt_word_kind_t {
   MT_WORD_ENDED,    /* an engine ended under it */
   MT_WORD_ANSWERED, /* it was answered whole */
@@ -123,7 +123,7 @@
 mt_suspicion_t mt_suspects_state (const mt_suspects_t *suspects,
                                   uint64_t digest, mt_ms_t now);
 
-/* {== The keeper's part ================================================= */
+/* {== The owner's part ================================================= */
 
 /* Counts an end once, whoever tells of it; true when others have to know. */
 bool mt_suspects_ended (mt_suspects_t *suspects, uint64_t digest,
--- a/tests/cold_start_test.cc
+++ b/tests/cold_start_test.cc
@@ -23,24 +23,24 @@
 
 // {== The bucket ===========================================================
 
-// Keepers that do not hear each other, each with a part of the routers.
-struct Keepers {
+// Owners that do not hear each other, each with a part of the routers.
+struct Owners {
   std::vector<mt_cold_starts_t> all;
   std::vector<double> parts;
   mt_ms_t now = 50000;
   std::vector<mt_ms_t> sent;
 
-  explicit Keepers(std::vector<double> p) : all(p.size()), parts(p) {
+  explicit Owners(std::vector<double> p) : all(p.size()), parts(p) {
     for (mt_cold_starts_t &s : all) s = mt_cold_starts_t{};
   }
-  ~Keepers() {
+  ~Owners() {
     for (mt_cold_starts_t &s : all) mt_cold_starts_free(&s);
   }
   void cold (mt_ms_t ms) {
     for (mt_cold_starts_t &s : all) mt_cold_starts_note(&s, 7, now + ms, now);
   }
-  mt_admission_t ask (size_t keeper) {
-    return mt_cold_starts_ask(&all[keeper], 7, rate, &terms, parts[keeper],
+  mt_admission_t ask (size_t owner) {
+    return mt_cold_starts_ask(&all[owner], 7, rate, &terms, parts[owner],
                               now);
   }
   // The most that arrived in any second.
@@ -61,7 +61,7 @@
     const char *what;
     std::vector<double> parts;
     double uses;     // part of the places that are used
-    double back;     // part of the others that the keeper gets back
+    double back;     // part of the others that the owner gets back
     size_t at_least; // requests in 3 s
   } rows[] = {{"all use them", {1}, 1, 1, 36},
               {"some do", {1}, 0.3, 1, 30},
@@ -73,7 +73,7 @@
     for (unsigned seed = 1; seed <= 10; seed++) {
       std::mt19937 random(seed);
       auto chance = [&] (double p) { return (random() % 1000) < p * 1000; };
-      Keepers w(row.parts);
+      Owners w(row.parts);
       w.cold(3000);
       std::vector<std::pair<mt_ms_t, size_t>> backs;
       for (int ms = 0; ms < 3000; ms++, w.now++) {
@@ -99,7 +99,7 @@
 
 // What came without a place is taken from those that follow.
 TEST(ColdStart, RequestsWithoutAPlaceAreOwed) {
-  Keepers w({1});
+  Owners w({1});
   w.cold(3000);
   ASSERT_EQ(w.ask(0), MT_ADMIT_PLACE);
   for (int i = 0; i < 10; i++) mt_cold_starts_charge(&w.all[0], 7);
@@ -109,7 +109,7 @@
   EXPECT_EQ(w.ask(0), MT_ADMIT_PLACE);
 }
 
-TEST(ColdStart, WhatKeepersAnswer) {
+TEST(ColdStart, WhatOwnersAnswer) {
   struct Row {
     const char *what;
     mt_ms_t cold; // from the note on; 0: none was made
@@ -119,12 +119,12 @@
   } rows[] = {
       {"never heard of", 0, 100, 1, MT_ADMIT_UNKNOWN},
       {"cold", 3000, 100, 1, MT_ADMIT_PLACE},
-      {"cold, the keeper is not sure to be one", 3000, 100, 0, MT_ADMIT_NONE},
+      {"cold, the owner is not sure to be one", 3000, 100, 0, MT_ADMIT_NONE},
       {"warm again", 3000, 3000, 1, MT_ADMIT_WARM},
       {"warm again, not sure", 3000, 3001, 0, MT_ADMIT_WARM},
       {"long ago", 3000, 20000, 1, MT_ADMIT_UNKNOWN}};
   for (const Row &row : rows) {
-    Keepers w({row.part});
+    Owners w({row.part});
     if (row.cold > 0) w.cold(row.cold);
     w.now += row.after;
     mt_cold_starts_expire(&w.all[0], w.now);
@@ -133,7 +133,7 @@
 }
 
 TEST(ColdStart, ItMayBeToldOtherwiseAtAnyTime) {
-  Keepers w({1});
+  Owners w({1});
   w.cold(3000);
   EXPECT_TRUE(mt_cold_starts_is_cold(&w.all[0], 7, w.now));
   EXPECT_EQ(mt_cold_starts_count(&w.all[0], w.now), 1u);
@@ -175,7 +175,7 @@
   void cold (mt_engine_t *e, mt_ms_t left = 3000) {
     mt_relay_engine_listed(relay, e, left, now);
   }
-  // All keepers answer the same; the engine chosen, or 0.
+  // All owners answer the same; the engine chosen, or 0.
   uint64_t told (uint64_t number, mt_admission_t cold_ones,
                  mt_admission_t others = MT_ADMIT_UNKNOWN) {
     std::vector<mt_relay_quote_t> quotes;
@@ -207,7 +207,7 @@
     bool cold_gets, any_gets;
   } rows[] = {
       {"no place", false, MT_ADMIT_NONE, MT_ADMIT_UNKNOWN, false, true},
-      {"the keeper knows nothing", false, MT_ADMIT_UNKNOWN, MT_ADMIT_UNKNOWN,
+      {"the owner knows nothing", false, MT_ADMIT_UNKNOWN, MT_ADMIT_UNKNOWN,
        false, true},
       {"a place, others get no work", false, MT_ADMIT_PLACE, MT_ADMIT_NONE,
        true, true},
@@ -300,8 +300,8 @@
   EXPECT_EQ(w.effects.list[0].u.place, keys[0]);
 }
 
-// Keepers that say nothing in time hand out nothing.
-TEST(ColdEngines, SilentKeepersGiveNoPlaces) {
+// Owners that say nothing in time hand out nothing.
+TEST(ColdEngines, SilentOwnersGiveNoPlaces) {
   for (bool alone : {false, true}) {
     Fleet w;
     w.relay->routers = alone ? 1 : 2;
@@ -335,7 +335,7 @@
   }
 }
 
-TEST(ColdEngines, AKeeperAnswersForItsEngines) {
+TEST(ColdEngines, AOwnerAnswersForItsEngines) {
   struct Row {
     const char *what;
     bool cold, leaving, evacuated, keeps;
@@ -343,7 +343,7 @@
   } rows[] = {
       {"warm", false, false, false, true, MT_ADMIT_UNKNOWN},
       {"cold", true, false, false, true, MT_ADMIT_PLACE},
-      {"cold, of another keeper", true, false, false, false, MT_ADMIT_NONE},
+      {"cold, of another owner", true, false, false, false, MT_ADMIT_NONE},
       {"leaves", false, true, false, false, MT_ADMIT_NONE},
       {"emptied", false, false, true, false, MT_ADMIT_NONE}};
   for (const Row &row : rows) {
@@ -497,12 +497,12 @@
   other->domain = 1;
   other->heard = 100000;
   uint64_t engine = 1;
-  while (mt_membership_keeper(&m, engine, 1) == m.own_ip) engine++;
+  while (mt_membership_owner(&m, engine, 1) == m.own_ip) engine++;
   other->suspect = 100700;
-  EXPECT_EQ(mt_membership_keeper(&m, engine, 1), m.own_ip);
-  EXPECT_FALSE(mt_membership_keeps(&m, engine, 1));
+  EXPECT_EQ(mt_membership_owner(&m, engine, 1), m.own_ip);
+  EXPECT_FALSE(mt_membership_owns(&m, engine, 1));
   mt_membership_update(&m, 105000); // it is gone
-  EXPECT_TRUE(mt_membership_keeps(&m, engine, 1));
+  EXPECT_TRUE(mt_membership_owns(&m, engine, 1));
   mt_membership_free(&m);
 }
 
--- a/tests/engine_word_test.cc
+++ b/tests/engine_word_test.cc
@@ -162,8 +162,8 @@
   }
 }
 
-// A keeper hands out no place at it, and no home is there.
-TEST(EngineWord, KeepersOfferNoLeavingEngine) {
+// An owner hands out no place at it, and no home is there.
+TEST(EngineWord, OwnersOfferNoLeavingEngine) {
   Heard r(2);
   uint64_t key = r.find("m1")->key;
   EXPECT_NE(mt_relay_admission(r.relay, key, true), MT_ADMIT_NONE);
--- a/tests/far_round_test.cc
+++ b/tests/far_round_test.cc
@@ -42,7 +42,7 @@
   mt_id_t domain_of (uint64_t key) {
     return mt_engines_get(&relay->engines, key)->domain_id;
   }
-  // The keepers that were asked answer; `near`, `far`: unread at engines.
+  // The owners that were asked answer; `near`, `far`: unread at engines.
   void answer (uint64_t number, int64_t near, int64_t far, int running = 0) {
     std::vector<mt_relay_quote_t> quotes;
     for (uint64_t key : asked(number)) {
@@ -114,7 +114,7 @@
   }
 }
 
-// What keepers told of a domain is not asked for again at once.
+// What owners told of a domain is not asked for again at once.
 TEST(FarRound, ADomainThatWasFullIsLeftAlone) {
   struct Row {
     const char *what;
@@ -185,7 +185,7 @@
   EXPECT_NE(w.started(1), 0u);
 }
 
-TEST(DomainLoad, FollowsWhatKeepersTell) {
+TEST(DomainLoad, FollowsWhatOwnersTell) {
   Fleet w;
   const mt_engine_load_t load = {1000, 0, 0}, none = {0, 0, 0};
   w.relay->now = 5;
--- a/tests/mechanism_test.cc
+++ b/tests/mechanism_test.cc
@@ -45,18 +45,18 @@
     Relay r(2);
     r.declare();
     r.relay->terms.off[MT_RELAY_FETCH] = off;
-    mt_engine_t *keeper = r.find("m1");
-    mt_prefix_cache_use(&keeper->kept, &part, 1, 100000);
-    keeper->here.unread = 100000;
+    mt_engine_t *owner = r.find("m1");
+    mt_prefix_cache_use(&owner->kept, &part, 1, 100000);
+    owner->here.unread = 100000;
     r.ask(1, "/stream/x", "key-w1", 5000, 8000);
     EXPECT_EQ(r.find(MT_RELAY_DO_START)->u.start.source,
-              off ? 0 : keeper->key);
-    keeper->here.unread = 0;
+              off ? 0 : owner->key);
+    owner->here.unread = 0;
     r.relay->terms.off[MT_RELAY_PROBE] = off;
-    mt_engine_reached(keeper, false, r.now);
+    mt_engine_reached(owner, false, r.now);
     r.pass(1100); // less with the effect of a probe
     EXPECT_EQ(r.find(MT_RELAY_DO_PROBE) != nullptr, !off);
-    EXPECT_EQ(keeper->unreachable, !off);
+    EXPECT_EQ(owner->unreachable, !off);
   }
 }
 
--- a/tests/part_holders_test.cc
+++ b/tests/part_holders_test.cc
@@ -39,13 +39,13 @@
   mt_part_holders_free(&h);
 }
 
-// m3 read the part, which neither m1 nor m2 keeps; m1's keeper says so.
-TEST(PartHolders, AHolderThatAKeeperNamesGives) {
+// m3 read the part, which neither m1 nor m2 keeps; m1's owner says so.
+TEST(PartHolders, AHolderThatAOwnerNamesGives) {
   struct Row {
     const char *what;
     bool told, gone, off, fetched;
   } rows[] = {{"nobody says", false, false, false, false},
-              {"its keeper says", true, false, false, true},
+              {"its owner says", true, false, false, true},
               {"the holder is gone", true, true, false, false},
               {"switched off", true, false, true, false}};
   for (const Row &row : rows) {
@@ -99,7 +99,7 @@
   }
 }
 
-TEST(PartHolders, AKeeperNamesTheHolder) {
+TEST(PartHolders, AOwnerNamesTheHolder) {
   Relay r(2);
   r.declare();
   const mt_prefix_part_t parts[] = {{11, 300}, {13, 200}};
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -287,19 +287,18 @@
   mt_membership_free(&m);
 }
 
-TEST(Membership, AllAgreeOnKeepersWithinTheFailureDomain) {
+TEST(Membership, AllAgreeOnOwnersWithinTheFailureDomain) {
   for (int count : {6, 58, 300}) {
     Fleet fleet(count, 5);
     std::map<uint32_t, int> kept;
     for (uint64_t engine = 1; engine <= 500; engine++) {
       mt_id_t domain = (mt_id_t)(1 + engine % 5);
-      uint32_t keeper =
-          mt_membership_keeper(&fleet.routers[0], engine, domain);
-      kept[keeper]++;
+      uint32_t owner = mt_membership_owner(&fleet.routers[0], engine, domain);
+      kept[owner]++;
       for (mt_membership_t &m : fleet.routers)
-        ASSERT_EQ(mt_membership_keeper(&m, engine, domain), keeper);
+        ASSERT_EQ(mt_membership_owner(&m, engine, domain), owner);
       for (mt_membership_t &m : fleet.routers)
-        EXPECT_TRUE(m.own_ip != keeper || m.own_domain == domain);
+        EXPECT_TRUE(m.own_ip != owner || m.own_domain == domain);
     }
     for (auto &k : kept)
       EXPECT_LE(k.second, 500 / count * 3 + 12); // evenly, about
@@ -326,24 +325,24 @@
   }
 }
 
-TEST(Membership, KeepersThatDoNotAnswerAreLeft) {
+TEST(Membership, OwnersThatDoNotAnswerAreLeft) {
   Fleet fleet(12, 3);
   mt_membership_t &m = fleet.routers[0];
   uint64_t engine = 1;
-  while (mt_membership_keeper(&m, engine, 2) == m.own_ip) engine++;
-  uint32_t first = mt_membership_keeper(&m, engine, 2);
+  while (mt_membership_owner(&m, engine, 2) == m.own_ip) engine++;
+  uint32_t first = mt_membership_owner(&m, engine, 2);
   fleet.peer(m, first)->asked = fleet.now;
   mt_membership_update(&m, fleet.now + 50);
-  EXPECT_EQ(mt_membership_keeper(&m, engine, 2), first); // it still may
+  EXPECT_EQ(mt_membership_owner(&m, engine, 2), first); // it still may
   mt_membership_update(&m, fleet.now + 100);
-  uint32_t second = mt_membership_keeper(&m, engine, 2);
+  uint32_t second = mt_membership_owner(&m, engine, 2);
   EXPECT_NE(second, first);
   EXPECT_EQ(fleet.peer(m, second)->domain, 2u);
   mt_membership_update(&m, fleet.now + 1000); // it gets another chance
-  EXPECT_EQ(mt_membership_keeper(&m, engine, 2), first);
+  EXPECT_EQ(mt_membership_owner(&m, engine, 2), first);
   for (size_t i = 0; i < m.count; i++)
     if (m.list[i]->domain == 2) m.list[i]->heard = 1; // all of them lost
-  uint32_t other = mt_membership_keeper(&m, engine, 2);
+  uint32_t other = mt_membership_owner(&m, engine, 2);
   EXPECT_NE(other, 0u);
   EXPECT_TRUE(other == m.own_ip || fleet.peer(m, other)->domain != 2);
 }
@@ -434,7 +433,7 @@
 
 struct Told {
   std::map<uint32_t, std::vector<uint64_t>> rows;
-  static uint32_t keeper (void *, const mt_engine_t *e) {
+  static uint32_t owner (void *, const mt_engine_t *e) {
     return (uint32_t)(e->key % 2) + 1;
   }
   static void tell (void *ud, uint32_t to, mt_engine_t **engines,
@@ -455,7 +454,7 @@
   }
   Told told;
   mt_load_teller_t teller{};
-  const mt_load_teller_calls_t calls = {Told::keeper, Told::tell, &told};
+  const mt_load_teller_calls_t calls = {Told::owner, Told::tell, &told};
   mt_load_teller_tick(&teller, &engines, 1000, &calls);
   EXPECT_EQ(told.rows[1].size() + told.rows[2].size(), 80u);
   for (auto &to : told.rows)
@@ -463,7 +462,7 @@
   told.rows.clear();
   engines.list[0]->here.running = 1;
   mt_engine_load_changed(engines.list[0]);
-  engines.list[0]->untold = false; // its keeper was told at once
+  engines.list[0]->untold = false; // its owner was told at once
   mt_load_teller_tick(&teller, &engines, 1100, &calls);
   EXPECT_TRUE(told.rows.empty());
   mt_load_teller_tick(&teller, &engines, 2000, &calls);
@@ -478,7 +477,7 @@
     mt_engines_t engines{};
     Told told;
     mt_load_teller_t teller{};
-    const mt_load_teller_calls_t calls = {Told::keeper, Told::tell, &told};
+    const mt_load_teller_calls_t calls = {Told::owner, Told::tell, &told};
     for (int i = 0; i < count; i++)
       mt_engines_add(&engines, std::to_string(i).c_str());
     for (size_t i = 0; i < 10; i++) mt_engine_load_changed(engines.list[i]);
@@ -530,7 +529,7 @@
   return q;
 }
 
-TEST(RelayQuotes, ARequestGoesWhereKeepersSayThereIsRoom) {
+TEST(RelayQuotes, ARequestGoesWhereOwnersSayThereIsRoom) {
   Relay w(8);
   w.declare();
   w.relay->routers = 2;
@@ -563,7 +562,7 @@
   EXPECT_EQ(w.find(MT_RELAY_DO_START, 1)->u.start.engine, keys[3]);
 }
 
-TEST(RelayQuotes, SilentKeepersHoldNothingUp) {
+TEST(RelayQuotes, SilentOwnersHoldNothingUp) {
   Relay w(8);
   w.declare();
   w.relay->routers = 2;
@@ -575,7 +574,7 @@
 }
 
 // Asking others once more was worth nothing: the refusal comes at once.
-TEST(RelayQuotes, KeepersAreAskedOnceThenItIsDecided) {
+TEST(RelayQuotes, OwnersAreAskedOnceThenItIsDecided) {
   struct Row {
     const char *what;
     int64_t unread; // at every engine that was asked for
@@ -684,7 +683,7 @@
   EXPECT_TRUE(w.idle());
 }
 
-TEST(RelayQuotes, AKeeperTellsWhatOthersHaveAndWhatIsKept) {
+TEST(RelayQuotes, AOwnerTellsWhatOthersHaveAndWhatIsKept) {
   Relay w(1);
   w.declare();
   mt_engine_t *e = w.find("m1");
--- a/tests/prompt_memory_test.cc
+++ b/tests/prompt_memory_test.cc
@@ -22,7 +22,7 @@
 TEST(PromptMemory, WhoMayGive) {
   struct Row {
     const char *what;
-    void (*change)(Relay &r, mt_engine_t *keeper);
+    void (*change)(Relay &r, mt_engine_t *owner);
     bool fetched;
   } rows[] = {
       {"a ready engine", [] (Relay &, mt_engine_t *) {}, true},
@@ -45,21 +45,21 @@
   for (const Row &row : rows) {
     Relay r(2);
     r.declare();
-    mt_engine_t *keeper = r.find("m1");
-    keep(r, keeper);
-    keeper->here.unread = 100000;
-    row.change(r, keeper);
+    mt_engine_t *owner = r.find("m1");
+    keep(r, owner);
+    owner->here.unread = 100000;
+    row.change(r, owner);
     r.ask(1, "/stream/x", "key-w1", 5000, 8000);
     const mt_relay_effect_t *fx = r.find(MT_RELAY_DO_START);
     ASSERT_NE(fx, nullptr) << row.what;
     EXPECT_EQ(fx->u.start.engine, r.find("m2")->key) << row.what;
-    EXPECT_EQ(fx->u.start.source, row.fetched ? keeper->key : 0) << row.what;
+    EXPECT_EQ(fx->u.start.source, row.fetched ? owner->key : 0) << row.what;
     EXPECT_EQ(r.relay->counters.tokens_fetched, row.fetched ? 4000u : 0u)
         << row.what;
     // What was moved is not read: it is no load.
     EXPECT_EQ(r.find("m2")->here.unread, row.fetched ? 4000 : 8000)
         << row.what;
-    keeper->here.unread = 0;
+    owner->here.unread = 0;
   }
 }
 
@@ -78,17 +78,17 @@
 TEST(PromptMemory, AFurtherAttemptLooksForASourceAnew) {
   Relay r(3);
   r.declare();
-  mt_engine_t *keeper = r.find("m1");
-  keep(r, keeper);
-  keeper->here.unread = 100000;
+  mt_engine_t *owner = r.find("m1");
+  keep(r, owner);
+  owner->here.unread = 100000;
   r.ask(1, "/stream/x", "key-w1", 5000, 8000);
-  ASSERT_EQ(r.find(MT_RELAY_DO_START)->u.start.source, keeper->key);
-  mt_engine_failed(keeper, r.now);
+  ASSERT_EQ(r.find(MT_RELAY_DO_START)->u.start.source, owner->key);
+  mt_engine_failed(owner, r.now);
   r.fail(1, true);
   const mt_relay_effect_t *fx = r.find(MT_RELAY_DO_START);
   ASSERT_NE(fx, nullptr);
-  EXPECT_NE(fx->u.start.source, keeper->key);
-  keeper->here.unread = 0;
+  EXPECT_NE(fx->u.start.source, owner->key);
+  owner->here.unread = 0;
 }
 
 // Two engines of a real gateway: the one that keeps a part has a long prompt
--- a/tests/quarantine_test.cc
+++ b/tests/quarantine_test.cc
@@ -45,7 +45,7 @@
     event.u.tried.verdict = verdict;
     step(event);
   }
-  // Both keepers let it run; the engine that it goes to.
+  // Both owners let it run; the engine that it goes to.
   uint64_t granted (uint64_t number) {
     tried(number, MT_TRIAL_GRANTED);
     if (word(MT_WORD_HOLD) == nullptr) return 0;
@@ -141,7 +141,7 @@
   EXPECT_NE(r.started(), 0u); // another request
 }
 
-TEST(Quarantine, ASuspectAsksItsKeeper) {
+TEST(Quarantine, ASuspectAsksItsOwner) {
   struct Row {
     const char *what;
     mt_trial_t verdict;
--- a/tests/relay.h
+++ b/tests/relay.h
@@ -183,7 +183,7 @@
         return &effects.list[i];
     return nullptr;
   }
-  // The engines whose keepers a request asks in this step.
+  // The engines whose owners a request asks in this step.
   std::vector<uint64_t> asked (uint64_t number) const {
     std::vector<uint64_t> keys;
     auto *r = (mt_relay_request_t *)mtV_get(&relay->requests, number);
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -317,7 +317,7 @@
   }
 }
 
-// All entries of a list can vanish while its keeper is in trouble (incident).
+// All entries of a list can vanish while its owner is in trouble (incident).
 TEST(RelayPlacement, AnEngineThatVanishesServesOnForAWhile) {
   struct Row {
     mt_engine_state_t before;
--- a/tests/suspects_test.cc
+++ b/tests/suspects_test.cc
@@ -205,7 +205,7 @@
   EXPECT_TRUE(mt_suspects_take(&other.suspects, &row, other.now));
   EXPECT_FALSE(mt_suspects_take(&other.suspects, &row, other.now));
   EXPECT_EQ(other.state(), MT_SUSPICION_PROBATION);
-  other.now += 2000; // who takes over as keeper goes on counting
+  other.now += 2000; // who takes over as owner goes on counting
   EXPECT_TRUE(other.ended('c', true));
   EXPECT_TRUE(other.ended('d', true));
   EXPECT_EQ(other.state(), MT_SUSPICION_QUARANTINE);
@@ -395,7 +395,7 @@
       Fleet f(row.routers, seed, row.lost);
       size_t n = (size_t)row.routers;
       f.ended(0, 'a');
-      EXPECT_LE(f.that_are(MT_SUSPICION_NOTED), 1u); // its keeper's alone
+      EXPECT_LE(f.that_are(MT_SUSPICION_NOTED), 1u); // its owner's alone
       f.ended(1 % n, 'b');
       f.pass(2500);
       EXPECT_EQ(f.that_are(MT_SUSPICION_PROBATION), n);
@@ -444,7 +444,7 @@
   EXPECT_EQ(f.attempt(2), MT_TRIAL_FREE);
 }
 
-TEST(SuspectExchange, OutlivesItsKeeperAndRestarts) {
+TEST(SuspectExchange, OutlivesItsOwnerAndRestarts) {
   Fleet f(6, 6);
   f.ended(0, 'a');
   f.ended(1, 'b');
