--- a/src/gateway/feed_exchange.c
+++ b/src/gateway/feed_exchange.c
@@ -74,9 +74,8 @@
 }
 
 /*
-** One router of each other failure domain, another one for each that tells.
-** A domain whose watchers the source turned away in silence heard of nothing
-** for 2.2 s, though one of its routers and all of the other domain knew.
+** One router of each other failure domain, another one for each sender: a
+** domain whose own watchers get no answers from the source depends on these.
 */
 static size_t list_far (const mt_membership_t *members, uint32_t *to,
                         size_t most) {
@@ -220,9 +219,9 @@
 }
 
 /*
-** A list shows what is there and not what went, so its reader vouches for
-** nothing before it. One that did made its neighbours pass over the word of
-** an engine that had left in between, and it got work for 14.7 s.
+** A list shows what exists and not what was deleted, so its reader vouches
+** for nothing before it: neighbours would skip the removal of an engine that
+** was deleted in between.
 */
 static void begin_log (mt_feed_t *feed, mt_revision_t at) {
   feed->log.from = mt_max(feed->log.from, at);
@@ -355,9 +354,10 @@
 }
 
 /*
-** A router that the source turns away has its neighbours alone; one that
-** missed a datagram would wait for a list. With a third of 12 turned away by
-** turns, requests came to leaving engines up to 5.4 s late before.
+** A router that the source rejects depends on its neighbours. Without asking,
+** one that missed a datagram would send requests to draining engines until
+*its
+** next list.
 */
 static void ask (mt_feed_exchange_t *x, mt_feed_kind_t kind) {
   mt_feed_t *feed = &x->feeds[kind];
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -446,8 +446,7 @@
 ** An engine is no longer listed. One that had said that it leaves is gone;
 ** one that had not may be back at once (a list can lose entries while its
 ** owner is in trouble), so it gets work for `vanish_ms` more from `since`,
-** when the first router heard of it: counted from when this one did, requests
-** came up to 1.2 s later than they might.
+** when the first router heard of it.
 */
 void mt_relay_engine_left (mt_relay_t *relay, mt_engine_t *engine,
                            mt_ms_t since, mt_ms_t now);
