--- a/src/gateway/change.c
+++ b/src/gateway/change.c
@@ -9,7 +9,7 @@
 mt_change_subject_t mt_change_subject (mt_change_kind_t kind) {
   switch (kind) {
     case MT_CHANGE_ENGINE_READY:
-    case MT_CHANGE_ENGINE_LEAVING:
+    case MT_CHANGE_ENGINE_DRAINING:
     case MT_CHANGE_ENGINE_GONE: return MT_SUBJECT_ENGINE;
     case MT_CHANGE_DOMAIN_EMPTIED:
     case MT_CHANGE_DOMAIN_USED: return MT_SUBJECT_DOMAIN;
@@ -30,7 +30,7 @@
 
 bool mt_change_ends (mt_change_kind_t kind) {
   switch (kind) {
-    case MT_CHANGE_ENGINE_LEAVING:
+    case MT_CHANGE_ENGINE_DRAINING:
     case MT_CHANGE_ENGINE_GONE:
     case MT_CHANGE_DOMAIN_EMPTIED:
     case MT_CHANGE_KEY_REVOKED:
--- a/src/gateway/change.h
+++ b/src/gateway/change.h
@@ -1,7 +1,7 @@
 /*
 ** change.h - one change at the source of declarations, as routers tell it
 **
-** By others' word things only end (an engine leaves, a key is revoked), or
+** Taken from peers, things only end (an engine drains, a key is revoked), or
 ** such an end is undone. What begins (an engine's address, a key, a route)
 ** is taken from the source alone, since datagrams come from anybody; it is
 ** told so that its end can be.
@@ -23,7 +23,7 @@
 
 typedef enum mt_change_kind_t {
   MT_CHANGE_ENGINE_READY,
-  MT_CHANGE_ENGINE_LEAVING,
+  MT_CHANGE_ENGINE_DRAINING,
   MT_CHANGE_ENGINE_GONE,
   MT_CHANGE_DOMAIN_EMPTIED, /* a failure domain is to get no work */
   MT_CHANGE_DOMAIN_USED,
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -628,8 +628,8 @@
       listen_on(g, &settings->metrics, &metrics_handler, reason, size);
   if (g->metrics == NULL) return NULL;
   const mt_gateway_peers_calls_t calls = {on_quoted, mt_gateway_take_change,
-                                          on_tried, mt_gateway_told_leaving,
-                                          g};
+                                          on_tried,
+                                          mt_gateway_take_peer_drain, g};
   g->peers = mt_gateway_peers_open(loop, settings, g->relay, g->log, &calls);
   uv_timer_init(loop, &g->tick);
   g->tick.data = g;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -39,7 +39,7 @@
   uint16_t port;
   const char *service;
   int slots;
-  bool leaving;
+  bool draining;
   int64_t born; /* ms of the time of day when it started; 0: not told */
   mt_ms_t cold; /* for so long from when it was listed; 0: it is warm */
 } mt_gateway_engine_t;
@@ -72,7 +72,7 @@
 */
 void mt_gateway_restored (mt_gateway_t *gateway);
 /* True until then. */
-bool mt_gateway_restoring (const mt_gateway_t *gateway);
+bool mt_gateway_in_restore_grace (const mt_gateway_t *gateway);
 
 /* All engines were listed; `seen` holds the keys of their names. Any other is
    gone. */
--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -12,15 +12,15 @@
 #include "mtcrypt.h"
 
 /* Writers that reach the source have written again by then. */
-#define RESTORE_MS 2500
+#define RESTORE_GRACE_MS 2500
 
 void mt_gateway_restored (mt_gateway_t *g) {
   g->restored = mt_wake_clock_now(g->loop);
 }
 
-bool mt_gateway_restoring (const mt_gateway_t *g) {
+bool mt_gateway_in_restore_grace (const mt_gateway_t *g) {
   mt_ms_t now = mt_wake_clock_now(g->loop);
-  return g->restored != 0 && now < g->restored + RESTORE_MS;
+  return g->restored != 0 && now < g->restored + RESTORE_GRACE_MS;
 }
 
 /* {== Declarations ===================================================== */
@@ -112,7 +112,7 @@
 
 static void tell_version (mt_gateway_t *g, const mt_catalog_t *catalog,
                           mt_revision_t rev) {
-  declaring_t declaring = {g, rev, 0, mt_gateway_restoring(g)};
+  declaring_t declaring = {g, rev, 0, mt_gateway_in_restore_grace(g)};
   const mt_catalog_diff_calls_t calls = {tell_key, tell_route, &declaring};
   mt_change_t document =
       mt_change_named(MT_CHANGE_DOCUMENT, "declarations", rev);
@@ -139,7 +139,8 @@
       g->log, MT_LOG_BELIEF, mt_wake_clock_now(g->loop), "configuration",
       "version=%lld routes=%zu workspaces=%zu outcome=%s", (long long)version,
       routes, workspaces, taken ? "in-force" : "older");
-  if (version == g->relay->catalog->version && !mt_gateway_restoring(g))
+  if (version == g->relay->catalog->version &&
+      !mt_gateway_in_restore_grace(g))
     mt_denials_settle(&g->relay->denials, rev);
   if (taken) mt_http_server_limits(g->callers, &limits);
 }
@@ -236,12 +237,12 @@
     e->domain_id = mtV_id(e->domain, strlen(e->domain));
     e->far = strcmp(e->domain, g->relay->domain) != 0;
   }
-  uint64_t told = g->relay->counters.leaves_told;
+  uint64_t told = g->relay->counters.drains_heard;
   mt_relay_engine_listed(g->relay, e, engine->cold,
                          mt_wake_clock_now(g->loop));
-  if (g->relay->counters.leaves_told != told)
+  if (g->relay->counters.drains_heard != told)
     log_engine(g, e, "told-leaving-early");
-  set_state(g, e, engine->leaving ? MT_ENGINE_LEAVING : MT_ENGINE_READY,
+  set_state(g, e, engine->draining ? MT_ENGINE_DRAINING : MT_ENGINE_READY,
             is_new);
 }
 
@@ -252,7 +253,7 @@
   mt_change_engine_t *details = &change.u.engine;
   if (engine == NULL) return change;
   change.kind =
-      engine->leaving ? MT_CHANGE_ENGINE_LEAVING : MT_CHANGE_ENGINE_READY;
+      engine->draining ? MT_CHANGE_ENGINE_DRAINING : MT_CHANGE_ENGINE_READY;
   snprintf(details->domain, sizeof details->domain, "%s", engine->domain);
   snprintf(details->ip, sizeof details->ip, "%s", engine->ip);
   snprintf(details->service, sizeof details->service, "%s", engine->service);
@@ -281,7 +282,7 @@
 
 /* Behind a restore, what a list shows of an engine as ready is no news where
    it stands as it was. */
-static bool is_no_news (const mt_gateway_t *g, const mt_change_t *change) {
+static bool is_redundant (const mt_gateway_t *g, const mt_change_t *change) {
   uint64_t key = mt_engine_key(change->name, strlen(change->name));
   const mt_engine_t *e = mt_engines_get(&g->relay->engines, key);
   if (e == NULL || change->kind != MT_CHANGE_ENGINE_READY) return false;
@@ -292,7 +293,7 @@
                         const mt_gateway_engine_t *engine,
                         mt_revision_t rev) {
   mt_change_t change = change_of_engine(name, engine, rev);
-  if (mt_gateway_restoring(g) && is_no_news(g, &change)) return;
+  if (mt_gateway_in_restore_grace(g) && is_redundant(g, &change)) return;
   if (mt_gateway_peers_changed(g->peers, &change))
     take_engine(g, name, engine, rev, mt_wake_clock_now(g->loop));
 }
@@ -312,7 +313,7 @@
 void mt_gateway_listed (mt_gateway_t *g, const mt_map_t *seen,
                         mt_revision_t rev) {
   mt_engines_t *engines = &g->relay->engines;
-  if (mt_gateway_restoring(g)) return;
+  if (mt_gateway_in_restore_grace(g)) return;
   for (size_t i = 0; i < engines->count; i++) {
     const mt_engine_t *e = engines->list[i];
     if (e->vanished != 0 || e->state == MT_ENGINE_GONE) continue;
@@ -336,8 +337,8 @@
                                       .service = told->service,
                                       .slots = told->slots,
                                       .born = told->born,
-                                      .leaving = change->kind ==
-                                                 MT_CHANGE_ENGINE_LEAVING,
+                                      .draining = change->kind ==
+                                                  MT_CHANGE_ENGINE_DRAINING,
                                       .cold = told->cold};
   uint64_t key = mt_engine_key(change->name, strlen(change->name));
   const mt_engine_t *e = mt_engines_get(&g->relay->engines, key);
@@ -346,7 +347,7 @@
     return true;
   }
   if (e != NULL && may_have_ended(e, change) &&
-      (mt_gateway_restoring(g) || e->state == MT_ENGINE_LEAVING))
+      (mt_gateway_in_restore_grace(g) || e->state == MT_ENGINE_DRAINING))
     return false;
   bool known =
       e != NULL && strcmp(e->ip, told->ip) == 0 && e->port == told->port;
@@ -362,7 +363,7 @@
   mt_denials_t *denials = &g->relay->denials;
   switch (change->kind) {
     case MT_CHANGE_ENGINE_READY:
-    case MT_CHANGE_ENGINE_LEAVING:
+    case MT_CHANGE_ENGINE_DRAINING:
     case MT_CHANGE_ENGINE_GONE: return take_told_engine(g, change, since);
     case MT_CHANGE_DOMAIN_EMPTIED:
     case MT_CHANGE_DOMAIN_USED:
--- a/src/gateway/gateway_log.c
+++ b/src/gateway/gateway_log.c
@@ -10,7 +10,7 @@
 const char *mt_gateway_state_name (mt_engine_state_t state) {
   switch (state) {
     case MT_ENGINE_READY: return "ready";
-    case MT_ENGINE_LEAVING: return "leaving";
+    case MT_ENGINE_DRAINING: return "leaving";
     case MT_ENGINE_GONE: return "gone";
   }
   return "";
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -128,13 +128,13 @@
   number(out, "attempts_total", "counter", "Requests sent to engines.",
          (double)c->attempts);
   number(out, "engine_leaves_total", "counter",
-         "Engines that said in an answer that they leave.",
-         (double)c->leaves);
+         "Engines that advertised in an answer that they drain.",
+         (double)c->drains);
   number(out, "engine_leaves_told_total", "counter",
-         "Engines of which other routers said that they leave.",
-         (double)c->leaves_told);
+         "Engines that drain by what other routers gossip.",
+         (double)c->drains_heard);
   number(out, "engine_rests_total", "counter",
-         "Times that an engine asked for rest.", (double)c->rests);
+         "Times that an engine asked for backoff.", (double)c->backoffs);
   number(out, "events_total", "counter", "Stream events passed on.",
          (double)c->events);
   number(out, "prompt_tokens_total", "counter", "Prompt tokens sent.",
--- a/src/gateway/gateway_notices.c
+++ b/src/gateway/gateway_notices.c
@@ -8,50 +8,52 @@
 #include "gateway_state.h"
 
 static void take (mt_gateway_t *g, uint64_t engine,
-                  const mt_engine_notice_t *says,
-                  const mt_engine_leave_t *leave) {
+                  const mt_engine_notice_t *notice,
+                  const mt_engine_drain_t *drain) {
   mt_relay_event_t event = {.kind = MT_RELAY_NOTICE};
   event.u.notice.engine = engine;
-  event.u.notice.says = *says;
-  event.u.notice.leave = *leave;
+  event.u.notice.says = *notice;
+  event.u.notice.drain = *drain;
   mt_gateway_step(g, &event);
 }
 
 /*
-** What an engine says of itself holds whoever waits for the answer, and also
+** What an engine advertises of itself holds whoever waits for the answer, and
+*also
 ** where the answer is an earlier request's: nobody else speaks on a
 ** connection to it.
 */
 void mt_gateway_take_notice (mt_gateway_t *g, uint64_t engine, int64_t born,
                              int status, const mt_http_headers_t *headers) {
   const mt_engine_t *e = mt_engines_get(&g->relay->engines, engine);
-  const mt_engine_notice_t says = g->dialect->notice(status, headers);
-  if (!says.leaving && says.rest == 0) return;
-  uv_update_time(g->loop); /* in a long turn a rest would end too early */
+  const mt_engine_notice_t notice = g->dialect->notice(status, headers);
+  if (!notice.draining && notice.backoff == 0) return;
+  uv_update_time(g->loop); /* in a long turn a backoff would end too early */
   mt_ms_t now = mt_wake_clock_now(g->loop);
-  const mt_engine_leave_t leave = {now, born, false};
+  const mt_engine_drain_t drain = {now, born, false};
   if (e == NULL || (born != 0 && born < e->born)) return;
   const mt_relay_counters_t before = g->relay->counters;
-  take(g, engine, &says, &leave);
-  if (g->relay->counters.rests != before.rests)
+  take(g, engine, &notice, &drain);
+  if (g->relay->counters.backoffs != before.backoffs)
     mt_gateway_log_engine(g->log, now, e, "asks-rest");
-  if (g->relay->counters.leaves == before.leaves) return;
+  if (g->relay->counters.drains == before.drains) return;
   mt_gateway_log_engine(g->log, now, e, "says-leaving");
-  if (e->state == MT_ENGINE_READY) mt_gateway_peers_leaves(g->peers, engine);
+  if (e->state == MT_ENGINE_READY)
+    mt_gateway_peers_draining(g->peers, engine);
 }
 
-bool mt_gateway_told_leaving (void *ud, const mt_peer_leave_t *told,
-                              uint32_t router) {
+bool mt_gateway_take_peer_drain (void *ud, const mt_peer_drain_t *told,
+                                 uint32_t router) {
   mt_gateway_t *g = ud;
   mt_ms_t now = mt_wake_clock_now(g->loop);
   const mt_engine_t *e = mt_engines_get(&g->relay->engines, told->engine);
-  const mt_engine_notice_t says = {.leaving = true};
-  const mt_engine_leave_t leave = {now - mt_min(told->age, now), told->born,
+  const mt_engine_notice_t notice = {.draining = true};
+  const mt_engine_drain_t drain = {now - mt_min(told->age, now), told->born,
                                    true};
   char text[INET_ADDRSTRLEN];
-  uint64_t before = g->relay->counters.leaves_told;
-  take(g, told->engine, &says, &leave);
-  if (e == NULL || g->relay->counters.leaves_told == before) return false;
+  uint64_t before = g->relay->counters.drains_heard;
+  take(g, told->engine, &notice, &drain);
+  if (e == NULL || g->relay->counters.drains_heard == before) return false;
   inet_ntop(AF_INET, &router, text, sizeof text);
   mt_log_line(g->log, MT_LOG_BELIEF, now, "engine",
               "engine=%s age=%llu peer=%s outcome=told-leaving", e->name,
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #include "gateway_peers.h"
-#include "leave_exchange.h"
+#include "drain_exchange.h"
 #include "load_teller.h"
 #include "prompt_memory.h"
 #include "share_exchange.h"
@@ -31,7 +31,7 @@
   mt_share_exchange_t exchange;
   mt_feed_exchange_t feeds;
   mt_suspect_exchange_t suspects;
-  mt_leave_exchange_t leaving;
+  mt_drain_exchange_t draining;
   bool led; /* at the last tick: it watched the source for others */
   mt_peer_traffic_t traffic[MT_PEER_KINDS];
   uint64_t news[MT_FEED_OUTCOMES];
@@ -185,16 +185,16 @@
 
 /* }== */
 
-/* {== Engines that leave =============================================== */
+/* {== Engines that drain =============================================== */
 
-static bool on_told_leaving (void *ud, const mt_peer_leave_t *leave,
-                             uint32_t router) {
+static bool on_peer_drain (void *ud, const mt_peer_drain_t *drain,
+                           uint32_t router) {
   mt_gateway_peers_t *peers = ud;
-  return peers->calls.leaving(peers->calls.ud, leave, router);
+  return peers->calls.draining(peers->calls.ud, drain, router);
 }
 
-void mt_gateway_peers_leaves (mt_gateway_peers_t *peers, uint64_t engine) {
-  mt_leave_exchange_heard(&peers->leaving, engine);
+void mt_gateway_peers_draining (mt_gateway_peers_t *peers, uint64_t engine) {
+  mt_drain_exchange_heard(&peers->draining, engine);
 }
 
 /* }== */
@@ -494,8 +494,8 @@
     case MT_PEER_VERDICT:
       mt_suspect_exchange_take(&peers->suspects, peer, m);
       break;
-    case MT_PEER_LEAVING:
-      mt_leave_exchange_take(&peers->leaving, peer->ip, m);
+    case MT_PEER_DRAINING:
+      mt_drain_exchange_take(&peers->draining, peer->ip, m);
       break;
     case MT_PEER_KINDS: break;
   }
@@ -505,8 +505,8 @@
 ** True for a process that knows nothing yet. One that starts again at once is
 ** still taken to serve, though it has lost what it was told.
 */
-static bool is_to_be_greeted (const mt_membership_t *members,
-                              const mt_peer_t *peer, uint64_t boot) {
+static bool needs_greeting (const mt_membership_t *members,
+                            const mt_peer_t *peer, uint64_t boot) {
   if (!mt_membership_is_live(members, peer)) return true;
   return boot != peer->greeted &&
          members->now >= peer->greeted_at + GREET_LEAST_MS;
@@ -518,7 +518,7 @@
   peer->greeted_at = peers->members.now;
   say(peers, peer->ip, "heard");
   mt_suspect_exchange_greet(&peers->suspects, peer->ip);
-  mt_leave_exchange_greet(&peers->leaving, peer->ip);
+  mt_drain_exchange_greet(&peers->draining, peer->ip);
   if (m->kind == MT_PEER_HELLO) welcome(peers, peer->ip, m->groups);
 }
 
@@ -529,7 +529,7 @@
   peers->members.now = mt_wake_clock_now(peers->loop);
   mt_peer_t *peer = mt_membership_know(&peers->members, ip);
   if (peer == NULL) return;
-  bool is_new = is_to_be_greeted(&peers->members, peer, m->boot);
+  bool is_new = needs_greeting(&peers->members, peer, m->boot);
   peer->heard = peers->members.now;
   mt_feed_exchange_heard(&peers->feeds, peer, m);
   dispatch(peers, peer, m);
@@ -586,7 +586,7 @@
   mt_share_exchange_tick(&peers->exchange);
   mt_feed_exchange_tick(&peers->feeds);
   mt_suspect_exchange_tick(&peers->suspects);
-  mt_leave_exchange_tick(&peers->leaving);
+  mt_drain_exchange_tick(&peers->draining);
   peers->relay->reach = mt_membership_reach(&peers->members);
   note_role(peers);
   return peers->members.live;
@@ -619,9 +619,9 @@
                                              on_verdict, note_suspect, peers};
   mt_suspect_exchange_open(&peers->suspects, members, &relay->suspects,
                            &words, peers->boot);
-  const mt_leave_exchange_calls_t leaving = {begin_round, send_news,
-                                             on_told_leaving, peers};
-  mt_leave_exchange_open(&peers->leaving, members, &relay->engines, &leaving,
+  const mt_drain_exchange_calls_t drains = {begin_round, send_news,
+                                            on_peer_drain, peers};
+  mt_drain_exchange_open(&peers->draining, members, &relay->engines, &drains,
                          peers->boot);
   uv_udp_init(loop, &peers->udp);
   peers->udp.data = peers;
@@ -657,7 +657,7 @@
   mt_gateway_peers_t *peers = h->data;
   mt_share_exchange_free(&peers->exchange);
   mt_feed_exchange_free(&peers->feeds);
-  mt_leave_exchange_free(&peers->leaving);
+  mt_drain_exchange_free(&peers->draining);
   mt_membership_free(&peers->members);
   mt_load_teller_free(&peers->teller);
   free(peers);
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -4,7 +4,7 @@
 ** Shares go round in groups (membership.h); loads go to the owners of the
 ** engines, who answer what a request asks; changes at the source of
 ** declarations go to all (feed_exchange.h); so does what engines ended under
-** (suspect_exchange.h), and which say that they leave (leave_exchange.h).
+** (suspect_exchange.h), and which drain (drain_exchange.h).
 */
 #ifndef gateway_peers_h
 #define gateway_peers_h
@@ -27,15 +27,15 @@
 typedef void (*mt_gateway_tried_t)(void *ud, const mt_suspect_word_t *word,
                                    mt_trial_t verdict);
 
-/* Another router says that an engine leaves: as in leave_exchange.h. */
-typedef bool (*mt_gateway_leaving_t)(void *ud, const mt_peer_leave_t *leave,
-                                     uint32_t router);
+/* Another router sent that an engine drains: as in drain_exchange.h. */
+typedef bool (*mt_gateway_drain_t)(void *ud, const mt_peer_drain_t *drain,
+                                   uint32_t router);
 
 typedef struct mt_gateway_peers_calls_t {
   mt_gateway_quoted_t quoted;
   mt_gateway_change_t change;
   mt_gateway_tried_t tried;
-  mt_gateway_leaving_t leaving;
+  mt_gateway_drain_t draining;
   void *ud;
 } mt_gateway_peers_calls_t;
 
@@ -69,8 +69,8 @@
 void mt_gateway_peers_say (mt_gateway_peers_t *peers,
                            const mt_suspect_word_t *word);
 
-/* An engine has just said to this router that it leaves. */
-void mt_gateway_peers_leaves (mt_gateway_peers_t *peers, uint64_t engine);
+/* An answer to this router has just advertised that an engine drains. */
+void mt_gateway_peers_draining (mt_gateway_peers_t *peers, uint64_t engine);
 
 /* What is known of a feed, also from others. */
 mt_peer_feed_t mt_gateway_peers_feed (const mt_gateway_peers_t *peers,
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -43,9 +43,9 @@
                              int64_t born, int status,
                              const mt_http_headers_t *headers);
 
-/* The peers' call: as in leave_exchange.h. */
-bool mt_gateway_told_leaving (void *gateway, const mt_peer_leave_t *told,
-                              uint32_t router);
+/* The peers' call: as in drain_exchange.h. */
+bool mt_gateway_take_peer_drain (void *gateway, const mt_peer_drain_t *told,
+                                 uint32_t router);
 
 /* The relay's call: an engine is gone; nothing waits for it any more. */
 void mt_gateway_engine_gone (void *gateway, const mt_engine_t *engine);
--- a/src/gateway/peer_message.c
+++ b/src/gateway/peer_message.c
@@ -19,7 +19,7 @@
 #define MEMBER_NUMBERS 3
 #define SHARE_NUMBERS 3
 #define ENGINE_NUMBERS 7
-#define LEAVE_NUMBERS 3
+#define DRAIN_NUMBERS 3
 #define PART_NUMBERS 2
 #define CHANGE_MEMBERS 5
 #define CHANGE_ENGINE_MEMBERS 7
@@ -55,7 +55,7 @@
     case MT_PEER_SUSPECTS: return "suspects";
     case MT_PEER_WORD: return "word";
     case MT_PEER_VERDICT: return "verdict";
-    case MT_PEER_LEAVING: return "leaving";
+    case MT_PEER_DRAINING: return "leaving";
     case MT_PEER_KINDS: break;
   }
   return "";
@@ -72,7 +72,7 @@
   }
   m->members_count = m->shares_count = 0;
   m->engines_count = m->parts_count = m->changes_count = 0;
-  m->suspects_count = m->leaves_count = 0;
+  m->suspects_count = m->drains_count = 0;
   m->word = (mt_suspect_word_t){.kind = MT_WORDS};
   m->verdict = MT_TRIALS;
 }
@@ -116,12 +116,12 @@
   }
 }
 
-static void pack_leaves (const mt_peer_message_t *m, msgpack_packer *pk) {
-  msgpack_pack_array(pk, m->leaves_count * LEAVE_NUMBERS);
-  for (size_t i = 0; i < m->leaves_count; i++) {
-    msgpack_pack_uint64(pk, m->leaves[i].engine);
-    msgpack_pack_uint64(pk, whole((double)m->leaves[i].born));
-    msgpack_pack_uint64(pk, m->leaves[i].age);
+static void pack_drains (const mt_peer_message_t *m, msgpack_packer *pk) {
+  msgpack_pack_array(pk, m->drains_count * DRAIN_NUMBERS);
+  for (size_t i = 0; i < m->drains_count; i++) {
+    msgpack_pack_uint64(pk, m->drains[i].engine);
+    msgpack_pack_uint64(pk, whole((double)m->drains[i].born));
+    msgpack_pack_uint64(pk, m->drains[i].age);
   }
 }
 
@@ -152,7 +152,7 @@
 static void pack_details (msgpack_packer *pk, const mt_change_t *change) {
   switch (change->kind) {
     case MT_CHANGE_ENGINE_READY:
-    case MT_CHANGE_ENGINE_LEAVING: pack_engine(pk, &change->u.engine); break;
+    case MT_CHANGE_ENGINE_DRAINING: pack_engine(pk, &change->u.engine); break;
     case MT_CHANGE_ROUTE_CLOSED:
     case MT_CHANGE_ROUTE_OPENED:
       msgpack_pack_array(pk, CHANGE_ROUTE_MEMBERS);
@@ -168,7 +168,7 @@
   size_t size = CHANGE_BYTES + strlen(change->name);
   switch (change->kind) {
     case MT_CHANGE_ENGINE_READY:
-    case MT_CHANGE_ENGINE_LEAVING:
+    case MT_CHANGE_ENGINE_DRAINING:
       return size + strlen(e->domain) + strlen(e->ip) + strlen(e->service);
     default: return size;
   }
@@ -282,8 +282,8 @@
   for (int i = 0; i < NUMBERS; i++) msgpack_pack_uint64(&pk, numbers[i]);
   pack_members(m, &pk);
   pack_shares(m, &pk);
-  if (m->kind == MT_PEER_LEAVING) /* in their place: it has no others */
-    pack_leaves(m, &pk);
+  if (m->kind == MT_PEER_DRAINING) /* in their place: it has no others */
+    pack_drains(m, &pk);
   else
     pack_engines(m, &pk);
   pack_parts(m, &pk);
@@ -364,15 +364,15 @@
   }
 }
 
-static void unpack_leaves (mt_peer_message_t *m, const msgpack_object *o) {
-  size_t n = rows_of(o, LEAVE_NUMBERS, MT_PEER_LEAVES_MAX);
+static void unpack_drains (mt_peer_message_t *m, const msgpack_object *o) {
+  size_t n = rows_of(o, DRAIN_NUMBERS, MT_PEER_DRAINS_MAX);
   for (size_t i = 0; i < n; i++) {
-    const msgpack_object *at = &o->via.array.ptr[i * LEAVE_NUMBERS];
-    m->leaves[i] =
-        (mt_peer_leave_t){number_of(&at[0]), bounded(&at[1], INT64_MAX),
+    const msgpack_object *at = &o->via.array.ptr[i * DRAIN_NUMBERS];
+    m->drains[i] =
+        (mt_peer_drain_t){number_of(&at[0]), bounded(&at[1], INT64_MAX),
                           (mt_ms_t)bounded(&at[2], MS_MOST)};
   }
-  m->leaves_count = n;
+  m->drains_count = n;
 }
 
 static void unpack_parts (mt_peer_message_t *m, const msgpack_object *o) {
@@ -409,7 +409,7 @@
   size_t size = o->via.array.size;
   switch (change->kind) {
     case MT_CHANGE_ENGINE_READY:
-    case MT_CHANGE_ENGINE_LEAVING:
+    case MT_CHANGE_ENGINE_DRAINING:
       if (size != CHANGE_ENGINE_MEMBERS) return false;
       unpack_engine(at, &change->u.engine);
       return true;
@@ -528,8 +528,8 @@
   unpack_numbers(m, at);
   unpack_members(m, &at[NUMBERS]);
   unpack_shares(m, &at[NUMBERS + 1]);
-  if (m->kind == MT_PEER_LEAVING)
-    unpack_leaves(m, &at[NUMBERS + 2]);
+  if (m->kind == MT_PEER_DRAINING)
+    unpack_drains(m, &at[NUMBERS + 2]);
   else
     unpack_engines(m, &at[NUMBERS + 2]);
   unpack_parts(m, &at[NUMBERS + 3]);
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -21,7 +21,7 @@
 #define MT_PEER_PARTS_MAX 16
 #define MT_PEER_CHANGES_MAX 256
 #define MT_PEER_SUSPECTS_MAX 64
-#define MT_PEER_LEAVES_MAX 64
+#define MT_PEER_DRAINS_MAX 64
 
 typedef enum mt_peer_kind_t {
   MT_PEER_HELLO,   /* a router's own shares, to the routers of its group */
@@ -41,7 +41,7 @@
   MT_PEER_SUSPECTS, /* requests that run one copy at a time, or not at all */
   MT_PEER_WORD,     /* what came of a request that is owned by you */
   MT_PEER_VERDICT,  /* the answer to a word that asks whether it may run */
-  MT_PEER_LEAVING,  /* these engines have said that they leave */
+  MT_PEER_DRAINING, /* these engines drain, by their own answers */
   MT_PEER_KINDS
 } mt_peer_kind_t;
 
@@ -66,12 +66,12 @@
                                now: PLACE if it had one */
 } mt_peer_engine_t;
 
-/* An engine that has said in an answer that it leaves. */
-typedef struct mt_peer_leave_t {
+/* An engine that advertised in an answer that it drains. */
+typedef struct mt_peer_drain_t {
   uint64_t engine; /* its key */
-  int64_t born;    /* the start of it that leaves; 0: not told */
-  mt_ms_t age;     /* since it last said so to any router */
-} mt_peer_leave_t;
+  int64_t born;    /* the start of it that drains; 0: not known */
+  mt_ms_t age;     /* since any router last heard so from it */
+} mt_peer_drain_t;
 
 /*
 ** What some router knows of a feed: when the source stood at revision `at`,
@@ -113,8 +113,8 @@
   size_t changes_count;
   mt_suspect_row_t suspects[MT_PEER_SUSPECTS_MAX];
   size_t suspects_count;
-  mt_peer_leave_t leaves[MT_PEER_LEAVES_MAX];
-  size_t leaves_count;
+  mt_peer_drain_t drains[MT_PEER_DRAINS_MAX];
+  size_t drains_count;
   mt_suspect_word_t word; /* WORD; VERDICT: the one that it answers */
   mt_trial_t verdict;     /* VERDICT */
 } mt_peer_message_t;
--- a/src/relay/answer.c
+++ b/src/relay/answer.c
@@ -43,7 +43,7 @@
     mt_engine_took(e, r->sent, relay->now);
     return;
   }
-  if (e->rest <= relay->now) /* else it asked for rest, and is well */
+  if (e->backoff <= relay->now) /* else it asked for rest, and is well */
     mt_engine_failed(e, relay->now);
   if (!mt_attempt_may_follow(relay, r, true)) return;
   mt_attempt_failed(relay, r, MT_RELAY_RETRY_ERROR, true);
--- a/src/relay/candidates.c
+++ b/src/relay/candidates.c
@@ -32,14 +32,14 @@
   return !was_tried(r, e->key);
 }
 
-mt_ms_t mt_candidates_rest_left (const mt_relay_t *relay,
-                                 const mt_relay_request_t *r) {
+mt_ms_t mt_candidates_backoff_left (const mt_relay_t *relay,
+                                    const mt_relay_request_t *r) {
   mt_ms_t least = 0;
   for (size_t i = 0; i < relay->engines.count; i++) {
     const mt_engine_t *e = relay->engines.list[i];
     if (e->service != r->service || !mt_engine_stays(e, relay->now)) continue;
     if (e->unreachable || e->evacuated) continue;
-    mt_ms_t left = mt_engine_rest_left(e, relay->now);
+    mt_ms_t left = mt_engine_backoff_left(e, relay->now);
     if (left == 0) return 0;
     if (least == 0 || left < least) least = left;
   }
--- a/src/relay/candidates.h
+++ b/src/relay/candidates.h
@@ -17,11 +17,12 @@
                            const mt_engine_t *engine);
 
 /*
-** How long until one of the service's engines that rest may take work; 0: one
+** How long until one of the service's engines under backoff may take work; 0:
+*one
 ** does now, or none will.
 */
-mt_ms_t mt_candidates_rest_left (const mt_relay_t *relay,
-                                 const mt_relay_request_t *request);
+mt_ms_t mt_candidates_backoff_left (const mt_relay_t *relay,
+                                    const mt_relay_request_t *request);
 
 /* Finds the homes of the request's shared parts, among engines as they are.
  */
--- /dev/null
+++ b/src/relay/early_drains.c
@@ -0,0 +1,41 @@
+/*
+** early_drains.c - drain notices that come before their engine is listed
+*/
+#include "early_drains.h"
+
+static mt_early_drain_t *find (mt_early_drains_t *l, uint64_t engine) {
+  for (size_t i = 0; i < l->count; i++)
+    if (l->list[i].engine == engine) return &l->list[i];
+  return NULL;
+}
+
+static mt_early_drain_t *oldest (mt_early_drains_t *l) {
+  mt_early_drain_t *old = &l->list[0];
+  for (size_t i = 1; i < l->count; i++)
+    if (l->list[i].drain.since < old->drain.since) old = &l->list[i];
+  return old;
+}
+
+static bool is_newer (const mt_engine_drain_t *a,
+                      const mt_engine_drain_t *b) {
+  if (a->born != b->born) return a->born > b->born;
+  return a->since > b->since;
+}
+
+void mt_early_drains_note (mt_early_drains_t *l, uint64_t engine,
+                           const mt_engine_drain_t *drain) {
+  mt_early_drain_t *known = find(l, engine);
+  if (known != NULL && !is_newer(drain, &known->drain)) return;
+  if (known == NULL)
+    known = l->count < MT_EARLY_DRAINS_MAX ? &l->list[l->count++] : oldest(l);
+  *known = (mt_early_drain_t){engine, *drain};
+}
+
+bool mt_early_drains_take (mt_early_drains_t *l, uint64_t engine,
+                           mt_engine_drain_t *drain) {
+  mt_early_drain_t *known = find(l, engine);
+  if (known == NULL) return false;
+  *drain = known->drain;
+  *known = l->list[--l->count];
+  return true;
+}
--- a/src/relay/engine.c
+++ b/src/relay/engine.c
@@ -10,13 +10,13 @@
 #define HOLD_FIRST_MS 200
 #define HOLD_MAX_MS 3200
 #define PROBE_MS 200    /* between tries to reach one */
-#define FREE_FAILURES 1 /* in a row that do not rest it yet */
+#define FREE_FAILURES 1 /* in a row that do not hold it yet */
 /* An engine that turns requests away knows little of what comes after a
    minute, and one that says a year by mistake is not to be lost. */
-#define REST_MAX_MS 60000
-/* Part of a rest by which its end may be put off: many routers are turned
-   away in the same moment, and would come back in the same one. */
-#define REST_SPREAD 10
+#define BACKOFF_MAX_MS 60000
+/* Part of a backoff by which its end may be put off: many routers are
+   rejected in the same moment, and would come back in the same one. */
+#define BACKOFF_SPREAD 10
 /* An engine that turns a request away does so at once: one that has not in
    that time takes it. */
 #define RESUME_MS 100
@@ -104,8 +104,7 @@
   e->failures++;
   if (e->failures <= FREE_FAILURES) return;
   int doublings = mt_min(e->failures - FREE_FAILURES - 1, 8);
-  mt_ms_t rest = mt_min((mt_ms_t)HOLD_FIRST_MS << doublings, HOLD_MAX_MS);
-  e->hold = now + rest;
+  e->hold = now + mt_min((mt_ms_t)HOLD_FIRST_MS << doublings, HOLD_MAX_MS);
 }
 
 void mt_engine_worked (mt_engine_t *e, mt_ms_t now) {
@@ -122,53 +121,54 @@
   if (up) mt_engine_worked(e, now);
 }
 
-bool mt_engine_leaves (const mt_engine_t *e, mt_ms_t now) {
-  if (e->leave.said == 0) return false;
-  if (e->leave.born != 0 && e->leave.born < e->born) return false;
-  return !e->leave.told || now < e->leave.said + MT_ENGINE_TOLD_MS;
+bool mt_engine_drains (const mt_engine_t *e, mt_ms_t now) {
+  if (e->drain.since == 0) return false;
+  if (e->drain.born != 0 && e->drain.born < e->born) return false;
+  return !e->drain.gossiped || now < e->drain.since + MT_ENGINE_GOSSIP_MS;
 }
 
 bool mt_engine_stays (const mt_engine_t *e, mt_ms_t now) {
-  return e->state == MT_ENGINE_READY && !mt_engine_leaves(e, now);
+  return e->state == MT_ENGINE_READY && !mt_engine_drains(e, now);
 }
 
-bool mt_engine_take_leave (mt_engine_t *e, const mt_engine_leave_t *leave,
+bool mt_engine_take_drain (mt_engine_t *e, const mt_engine_drain_t *drain,
                            mt_ms_t now) {
-  bool known = mt_engine_leaves(e, now);
-  if (leave->born != 0 && leave->born < e->born) return false;
-  if (known && leave->told && leave->said <= e->leave.said) return false;
-  bool told = leave->told && (!known || e->leave.told);
-  e->leave = *leave;
-  e->leave.told = told;
-  return !known && mt_engine_leaves(e, now);
-}
-
-bool mt_engine_take_rest (mt_engine_t *e, mt_ms_t rest, mt_ms_t now) {
-  bool rests = e->rest > now;
-  rest = mt_min(rest, (mt_ms_t)REST_MAX_MS);
-  if (rest == 0) return false;
-  rest += mtV_mix(e->key, now) % (rest / REST_SPREAD + 1);
-  if (now + rest <= e->rest) return false;
-  e->rest = now + rest;
+  bool known = mt_engine_drains(e, now);
+  if (drain->born != 0 && drain->born < e->born) return false;
+  if (known && drain->gossiped && drain->since <= e->drain.since)
+    return false;
+  bool told = drain->gossiped && (!known || e->drain.gossiped);
+  e->drain = *drain;
+  e->drain.gossiped = told;
+  return !known && mt_engine_drains(e, now);
+}
+
+bool mt_engine_back_off (mt_engine_t *e, mt_ms_t backoff, mt_ms_t now) {
+  bool known = e->backoff > now;
+  backoff = mt_min(backoff, (mt_ms_t)BACKOFF_MAX_MS);
+  if (backoff == 0) return false;
+  backoff += mtV_mix(e->key, now) % (backoff / BACKOFF_SPREAD + 1);
+  if (now + backoff <= e->backoff) return false;
+  e->backoff = now + backoff;
   e->resumed = 0;
-  return !rests;
+  return !known;
 }
 
-mt_ms_t mt_engine_rest_left (const mt_engine_t *e, mt_ms_t now) {
-  mt_ms_t over = e->resumed != 0 ? e->resumed + RESUME_MS : e->rest;
+mt_ms_t mt_engine_backoff_left (const mt_engine_t *e, mt_ms_t now) {
+  mt_ms_t over = e->resumed != 0 ? e->resumed + RESUME_MS : e->backoff;
   return over > now ? over - now : 0;
 }
 
 bool mt_engine_takes_work (const mt_engine_t *e, mt_ms_t now) {
-  return mt_engine_stays(e, now) && mt_engine_rest_left(e, now) == 0;
+  return mt_engine_stays(e, now) && mt_engine_backoff_left(e, now) == 0;
 }
 
 void mt_engine_sent (mt_engine_t *e, mt_ms_t now) {
-  if (e->rest == 0) return;
+  if (e->backoff == 0) return;
   if (e->resumed == 0)
     e->resumed = now;
   else
-    e->rest = e->resumed = 0;
+    e->backoff = e->resumed = 0;
 }
 
 double mt_engine_rejection_rate (const mt_engine_t *e, mt_ms_t now) {
@@ -184,7 +184,7 @@
 }
 
 void mt_engine_took (mt_engine_t *e, mt_ms_t sent, mt_ms_t now) {
-  if (e->resumed != 0 && sent >= e->resumed) e->rest = e->resumed = 0;
+  if (e->resumed != 0 && sent >= e->resumed) e->backoff = e->resumed = 0;
   record_attempt(e, false, now);
 }
 
@@ -204,9 +204,9 @@
   e->failures = 0;
   e->hold = 0;
   e->rejection_rate = 0;
-  /* A rest stays: the start answers before it is listed, so that it may be
+  /* A backoff stays: the start answers before it is listed, so that it may be
      the one that asked for it. */
-  if (e->leave.born <= e->born) e->leave = (mt_engine_leave_t){0};
+  if (e->drain.born <= e->born) e->drain = (mt_engine_drain_t){0};
   e->unreachable = false;
   e->heard = 0;
 }
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -13,27 +13,27 @@
 
 typedef enum mt_engine_state_t {
   MT_ENGINE_READY,
-  MT_ENGINE_LEAVING, /* finishes its work, gets none */
-  MT_ENGINE_GONE     /* no longer listed */
+  MT_ENGINE_DRAINING, /* finishes its work, gets none */
+  MT_ENGINE_GONE      /* no longer listed */
 } mt_engine_state_t;
 
-/* What an engine says of itself in an answer. */
+/* What an answer of an engine advertises of the engine. */
 typedef struct mt_engine_notice_t {
-  bool leaving; /* it ends soon and is to get no new work */
-  mt_ms_t rest; /* it wants nothing from this router for so long; 0: no word
-                   of that */
+  bool draining;   /* it ends soon and is to get no new work */
+  mt_ms_t backoff; /* it asks this router to send nothing for so long; 0: it
+                      does not */
 } mt_engine_notice_t;
 
-/* Others' word that an engine leaves counts for so long: datagrams come from
+/* A drain that other routers gossip counts for so long: datagrams come from
    anybody, and one of them must not take an engine away for good. */
-#define MT_ENGINE_TOLD_MS 60000
+#define MT_ENGINE_GOSSIP_MS 60000
 
-/* That an engine leaves, by its own word. */
-typedef struct mt_engine_leave_t {
-  mt_ms_t said; /* last, then; 0: it has not */
-  int64_t born; /* the start of it that said so; 0: not told */
-  bool told;    /* other routers heard it, not this one */
-} mt_engine_leave_t;
+/* That an engine drains, as it advertises itself. */
+typedef struct mt_engine_drain_t {
+  mt_ms_t since; /* it last did so then; 0: never */
+  int64_t born;  /* the start of it that did; 0: not known */
+  bool gossiped; /* other routers heard it, not this one */
+} mt_engine_drain_t;
 
 /* Work at an engine. */
 typedef struct mt_engine_load_t {
@@ -69,9 +69,9 @@
   double rejection_rate; /* of this router's attempts, as of `rate_at` */
   mt_ms_t rate_at;       /* it last took or rejected one; 0: never */
   mt_ms_t hold;          /* gets no work before this time */
-  mt_ms_t rest;          /* it asked this router for rest until then; 0: no */
+  mt_ms_t backoff;       /* it asked for none until then; 0: no */
   mt_ms_t resumed; /* the first request behind it went then; 0: none has */
-  mt_engine_leave_t leave;
+  mt_engine_drain_t drain;
   bool unreachable; /* no connection comes up: no work until one does */
   bool probing;     /* one is being tried */
   mt_ms_t probe;    /* the next is tried then */
@@ -106,42 +106,42 @@
    that was not told, run nothing for it and are not out of reach. */
 void mt_engines_settle (mt_engines_t *engines);
 
-/* Notes a failure of the engine itself: it rests for a growing while. */
+/* Notes a failure of the engine itself: it gets no work for a growing while.
+ */
 void mt_engine_failed (mt_engine_t *engine, mt_ms_t now);
 void mt_engine_worked (mt_engine_t *engine, mt_ms_t now);
 
 /*
-** Takes that the start `born` of it leaves, as it said at `said`; `told`: to
-** another router. False when that was known, or it is an earlier start's
-** word.
+** Takes that a start of it drains. False when that was known, or it is an
+** earlier start's.
 */
-bool mt_engine_take_leave (mt_engine_t *engine,
-                           const mt_engine_leave_t *leave, mt_ms_t now);
+bool mt_engine_take_drain (mt_engine_t *engine,
+                           const mt_engine_drain_t *drain, mt_ms_t now);
 
-/* True while it is believed that its present start leaves. */
-bool mt_engine_leaves (const mt_engine_t *engine, mt_ms_t now);
+/* True while its present start is believed to drain. */
+bool mt_engine_drains (const mt_engine_t *engine, mt_ms_t now);
 
 /*
-** True for one that is listed as ready and does not say that it leaves. Its
-** own word stands against the list: a list may be old, and the source may not
+** True for one that is listed as ready and does not drain. What it advertises
+** itself stands against the list: a list may be old, and the source may not
 ** answer.
 */
 bool mt_engine_stays (const mt_engine_t *engine, mt_ms_t now);
 
 /*
-** It asked this router for rest; of several the longest counts. False when
-** it rested already.
+** It asked this router to back off; of several times the longest counts.
+** False when the router did so already.
 */
-bool mt_engine_take_rest (mt_engine_t *engine, mt_ms_t rest, mt_ms_t now);
+bool mt_engine_back_off (mt_engine_t *engine, mt_ms_t backoff, mt_ms_t now);
 
 /*
-** How long until it is known whether its rest is over: behind the rest one
-** request goes first, and the others when that was not turned away. 0: it
-** does not rest.
+** How long until it is known whether its backoff is over: behind it one
+** request goes first, and the others when that was not rejected. 0: there is
+** none.
 */
-mt_ms_t mt_engine_rest_left (const mt_engine_t *engine, mt_ms_t now);
+mt_ms_t mt_engine_backoff_left (const mt_engine_t *engine, mt_ms_t now);
 
-/* True for one that stays and does not rest: it may get a request. */
+/* True for one that stays and asks for no backoff: it may get a request. */
 bool mt_engine_takes_work (const mt_engine_t *engine, mt_ms_t now);
 
 /* A request goes to it. */
@@ -159,8 +159,8 @@
 */
 double mt_engine_rejection_rate (const mt_engine_t *engine, mt_ms_t now);
 
-/* It has started again: nothing that is believed of it holds, but for a rest
-   that it asked for. */
+/* It has started again: nothing that is believed of it holds, but for a
+   backoff that it asked for. */
 void mt_engine_restarted (mt_engine_t *engine);
 
 /* A connection to it came up, or did not: then another is tried soon. */
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -312,20 +312,21 @@
   mt_engine_t *e = mt_engines_get(&relay->engines, ev->u.notice.engine);
   const mt_engine_notice_t *says = &ev->u.notice.says;
   if (e == NULL) {
-    if (says->leaving && ev->u.notice.leave.told)
-      mt_early_leaves_note(&relay->early_leaves, ev->u.notice.engine,
-                           &ev->u.notice.leave);
+    if (says->draining && ev->u.notice.drain.gossiped)
+      mt_early_drains_note(&relay->early_drains, ev->u.notice.engine,
+                           &ev->u.notice.drain);
     return;
   }
-  if (says->leaving &&
-      mt_engine_take_leave(e, &ev->u.notice.leave, relay->now)) {
-    uint64_t *counter = ev->u.notice.leave.told ? &relay->counters.leaves_told
-                                                : &relay->counters.leaves;
+  if (says->draining &&
+      mt_engine_take_drain(e, &ev->u.notice.drain, relay->now)) {
+    uint64_t *counter = ev->u.notice.drain.gossiped
+                            ? &relay->counters.drains_heard
+                            : &relay->counters.drains;
     (*counter)++;
     withdraw_unsent(relay, e);
   }
-  if (mt_engine_take_rest(e, says->rest, relay->now)) {
-    relay->counters.rests++;
+  if (mt_engine_back_off(e, says->backoff, relay->now)) {
+    relay->counters.backoffs++;
     withdraw_unsent(relay, e);
   }
 }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -10,7 +10,7 @@
 
 #include "catalog.h"
 #include "cold_start.h"
-#include "early_leaves.h"
+#include "early_drains.h"
 #include "engine.h"
 #include "denials.h"
 #include "evacuation.h"
@@ -77,10 +77,9 @@
   uint64_t retries_denied;
   uint64_t fetches, tokens_fetched; /* parts moved between engines */
   uint64_t probes;                  /* connections tried for no request */
-  uint64_t leaves_told;       /* engines of which other routers said so */
-  uint64_t leaves, rests;     /* that engines said they leave, and asked this
-                                 router for rest */
-  uint64_t ends;              /* runs that were lost as their engine ended */
+  uint64_t drains_heard;     /* engines that drain by other routers' gossip */
+  uint64_t drains, backoffs; /* engines that advertised one to this router */
+  uint64_t ends;             /* runs that were lost as their engine ended */
   uint64_t trials[MT_TRIALS]; /* what owners answered to who wanted to run
                                  what is on probation */
   uint64_t quotes_asked, quotes_late; /* rounds of questions to owners */
@@ -171,7 +170,7 @@
     struct {
       uint64_t engine;
       mt_engine_notice_t says;
-      mt_engine_leave_t leave; /* when it says that it leaves */
+      mt_engine_drain_t drain; /* where the notice has one */
     } notice;
     uint64_t restarted; /* the engine */
     bool not_sent;      /* FAILED */
@@ -406,7 +405,7 @@
   mt_domain_load_t domain_loads[MT_DOMAIN_LOADS_MAX];
   size_t domain_loads_count;
   mt_evacuations_t evacuations;
-  mt_early_leaves_t early_leaves;
+  mt_early_drains_t early_drains;
   mt_denials_t denials; /* of what the declarations here still allow */
   mt_fair_share_t shares;
   mt_suspects_t suspects;
@@ -443,7 +442,7 @@
 bool mt_relay_declare (mt_relay_t *relay, mt_catalog_t *catalog);
 
 /*
-** An engine is no longer listed. One that had said that it leaves is gone;
+** An engine is no longer listed. One that drained is gone;
 ** one that had not may be back at once (a list can lose entries while its
 ** owner is in trouble), so it gets work for `vanish_ms` more from `since`,
 ** when the first router heard of it.
--- a/src/relay/request.c
+++ b/src/relay/request.c
@@ -87,7 +87,7 @@
   if (mt_relay_refusal_status(why) != 503) return 0;
   if (why == MT_RELAY_QUARANTINED)
     return mt_suspects_standing(&relay->suspects, r->digest, relay->now).left;
-  mt_ms_t rest = mt_candidates_rest_left(relay, r);
+  mt_ms_t rest = mt_candidates_backoff_left(relay, r);
   mt_ms_t base = RETRY_SOON_MS;
   if (rest > 0)
     return rest +
@@ -99,7 +99,7 @@
 
 mt_relay_refusal_t mt_request_lack (const mt_relay_t *relay,
                                     const mt_relay_request_t *r) {
-  bool rest = mt_candidates_rest_left(relay, r) > 0;
+  bool rest = mt_candidates_backoff_left(relay, r) > 0;
   return rest ? MT_RELAY_RESTING : MT_RELAY_NO_ENGINE;
 }
 
--- a/tests/change_log_test.cc
+++ b/tests/change_log_test.cc
@@ -37,8 +37,8 @@
 
 TEST(ChangeLog, OfEachThingTheLastChangeStands) {
   const auto ready = MT_CHANGE_ENGINE_READY,
-             leaving = MT_CHANGE_ENGINE_LEAVING, gone = MT_CHANGE_ENGINE_GONE,
-             emptied = MT_CHANGE_DOMAIN_EMPTIED;
+             leaving = MT_CHANGE_ENGINE_DRAINING,
+             gone = MT_CHANGE_ENGINE_GONE, emptied = MT_CHANGE_DOMAIN_EMPTIED;
   struct Row {
     mt_change_kind_t kind;
     const char *name;
@@ -108,7 +108,8 @@
 TEST(ChangeLog, ManyThatHaveComeAreToldAsOne) {
   Log log;
   const auto ready = MT_CHANGE_ENGINE_READY,
-             leaving = MT_CHANGE_ENGINE_LEAVING, gone = MT_CHANGE_ENGINE_GONE;
+             leaving = MT_CHANGE_ENGINE_DRAINING,
+             gone = MT_CHANGE_ENGINE_GONE;
   const struct {
     mt_change_kind_t kind;
     const char *name;
@@ -193,7 +194,7 @@
     for (int64_t rev : revs)
       log.add(MT_CHANGE_ENGINE_READY, std::to_string(rev).c_str(), rev);
     for (int i = 0; i < things; i += 3) // some have changed once more
-      log.add(MT_CHANGE_ENGINE_LEAVING, std::to_string(i + 1).c_str(),
+      log.add(MT_CHANGE_ENGINE_DRAINING, std::to_string(i + 1).c_str(),
               things + i + 1);
     std::vector<mt_change_t> told((size_t)things);
     int64_t reach = 0;
--- a/tests/cold_start_test.cc
+++ b/tests/cold_start_test.cc
@@ -335,7 +335,7 @@
   }
 }
 
-TEST(ColdEngines, AOwnerAnswersForItsEngines) {
+TEST(ColdEngines, AnOwnerAnswersForItsEngines) {
   struct Row {
     const char *what;
     bool cold, leaving, evacuated, keeps;
@@ -351,7 +351,7 @@
     mt_engine_t *e = w.m(1);
     w.relay->now = w.now;
     if (row.cold) w.cold(e);
-    if (row.leaving) e->state = MT_ENGINE_LEAVING;
+    if (row.leaving) e->state = MT_ENGINE_DRAINING;
     if (row.evacuated) mt_relay_evacuate(w.relay, "d1", true, w.now);
     EXPECT_EQ(mt_relay_admission(w.relay, e->key, row.keeps), row.answer)
         << row.what;
--- a/tests/dialect_test.cc
+++ b/tests/dialect_test.cc
@@ -48,7 +48,7 @@
       {"no number", 200, {{"Server-Leaving", "no"}}, false},
   };
   for (const Row &row : rows)
-    EXPECT_EQ(notice_of(row.status, row.fields).leaving, row.leaving)
+    EXPECT_EQ(notice_of(row.status, row.fields).draining, row.leaving)
         << row.what;
 }
 
@@ -77,7 +77,8 @@
       {"not turned away", 200, {{"Retry-After", "3"}}, 0},
   };
   for (const Row &row : rows)
-    EXPECT_EQ(notice_of(row.status, row.fields).rest, row.rest) << row.what;
+    EXPECT_EQ(notice_of(row.status, row.fields).backoff, row.rest)
+        << row.what;
 }
 
 } // namespace
--- a/tests/documents_test.cc
+++ b/tests/documents_test.cc
@@ -21,7 +21,7 @@
   json_t *doc = json_loadb(text.data(), text.size(), 0, nullptr);
   bool usable = mt_platform_engine(doc, "i-1", ip, &e);
   json_decref(doc);
-  return {usable, e.leaving, e.slots, e.born};
+  return {usable, e.draining, e.slots, e.born};
 }
 
 // A whole entry, but for one member: its text instead, or nothing.
--- a/tests/leave_exchange_test.cc
+++ b/tests/drain_exchange_test.cc
@@ -1,4 +1,4 @@
-// leave_exchange_test.cc - engines that leave, told from router to router
+// drain_exchange_test.cc - engines that leave, told from router to router
 #include <gtest/gtest.h>
 
 #include <map>
@@ -8,7 +8,7 @@
 #include <vector>
 
 extern "C" {
-#include "leave_exchange.h"
+#include "drain_exchange.h"
 }
 
 namespace {
@@ -24,11 +24,11 @@
   Mesh *mesh = nullptr;
   mt_membership_t members{};
   mt_engines_t engines{};
-  mt_leave_exchange_t exchange{};
+  mt_drain_exchange_t exchange{};
   mt_peer_message_t out{};
   bool cut = false;
   ~Member() {
-    mt_leave_exchange_free(&exchange);
+    mt_drain_exchange_free(&exchange);
     mt_engines_free(&engines);
     mt_membership_free(&members);
   }
@@ -68,8 +68,8 @@
     return mt_engines_get(&m->engines, key(number));
   }
   void open (Member *m) {
-    const mt_leave_exchange_calls_t calls = {begin, send, take, m};
-    mt_leave_exchange_open(&m->exchange, &m->members, &m->engines, &calls,
+    const mt_drain_exchange_calls_t calls = {begin, send, take, m};
+    mt_drain_exchange_open(&m->exchange, &m->members, &m->engines, &calls,
                            random());
   }
   void hear_each_other () {
@@ -87,12 +87,12 @@
   // It knows nothing any more; others hear of it as of one that is new.
   void restart (Member *m) {
     for (size_t i = 0; i < m->engines.count; i++)
-      m->engines.list[i]->leave = mt_engine_leave_t{};
-    mt_leave_exchange_free(&m->exchange);
+      m->engines.list[i]->drain = mt_engine_drain_t{};
+    mt_drain_exchange_free(&m->exchange);
     open(m);
     for (auto &other : all)
       if (other.get() != m && !other->cut)
-        mt_leave_exchange_greet(&other->exchange, m->members.own_ip);
+        mt_drain_exchange_greet(&other->exchange, m->members.own_ip);
   }
   static mt_peer_message_t *begin (void *ud, mt_peer_kind_t kind) {
     auto *m = (Member *)ud;
@@ -112,37 +112,37 @@
       mesh->bytes += n;
       if (other->cut != m->cut) continue;
       if (mesh->random() % 1000 < mesh->lost) continue;
-      mt_leave_exchange_take(&other->exchange, m->members.own_ip, copy.get());
+      mt_drain_exchange_take(&other->exchange, m->members.own_ip, copy.get());
     }
   }
-  static bool take (void *ud, const mt_peer_leave_t *told, uint32_t) {
+  static bool take (void *ud, const mt_peer_drain_t *told, uint32_t) {
     auto *m = (Member *)ud;
     mt_engine_t *e = mt_engines_get(&m->engines, told->engine);
-    const mt_engine_leave_t leave = {m->mesh->now - told->age, told->born,
+    const mt_engine_drain_t leave = {m->mesh->now - told->age, told->born,
                                      true};
-    return e != nullptr && mt_engine_take_leave(e, &leave, m->mesh->now);
+    return e != nullptr && mt_engine_take_drain(e, &leave, m->mesh->now);
   }
   void pass (mt_ms_t ms) {
     for (mt_ms_t end = now + ms; now < end; now += 25) {
       hear_each_other();
-      for (auto &m : all) mt_leave_exchange_tick(&m->exchange);
+      for (auto &m : all) mt_drain_exchange_tick(&m->exchange);
     }
   }
   void says (size_t member, int number, int64_t born = kBorn) {
     Member *m = all[member].get();
-    const mt_engine_leave_t leave = {now, born, false};
-    if (mt_engine_take_leave(engine(m, number), &leave, now))
-      mt_leave_exchange_heard(&m->exchange, key(number));
+    const mt_engine_drain_t leave = {now, born, false};
+    if (mt_engine_take_drain(engine(m, number), &leave, now))
+      mt_drain_exchange_heard(&m->exchange, key(number));
   }
   size_t that_know (int number) {
     size_t count = 0;
     for (auto &m : all)
-      count += mt_engine_leaves(engine(m.get(), number), now);
+      count += mt_engine_drains(engine(m.get(), number), now);
     return count;
   }
 };
 
-TEST(LeaveExchange, AllKnowWithinTheTimeThatIsAllowed) {
+TEST(DrainExchange, AllKnowWithinTheTimeThatIsAllowed) {
   struct Row {
     int routers;
     unsigned lost; // of 1,000 messages
@@ -159,7 +159,7 @@
   }
 }
 
-TEST(LeaveExchange, ManyAtOnceAreTold) {
+TEST(DrainExchange, ManyAtOnceAreTold) {
   const int engines = 200;
   Mesh mesh(12, engines);
   for (int i = 0; i < engines; i++) mesh.says((size_t)i % 12, i);
@@ -168,7 +168,7 @@
 }
 
 // Who restarted or was cut off hears of it, while those that know run on.
-TEST(LeaveExchange, WhoMissedItHearsOfIt) {
+TEST(DrainExchange, WhoMissedItHearsOfIt) {
   Mesh mesh(12, 2);
   mesh.all[3]->cut = true;
   mesh.hear_each_other();
@@ -182,10 +182,10 @@
 }
 
 // Others' word lapses, however long they go on to tell each other.
-TEST(LeaveExchange, OthersWordLapses) {
+TEST(DrainExchange, OthersWordLapses) {
   Mesh mesh(12, 1);
   mesh.says(0, 0);
-  mesh.pass(MT_ENGINE_TOLD_MS + 1000);
+  mesh.pass(MT_ENGINE_GOSSIP_MS + 1000);
   EXPECT_EQ(mesh.that_know(0), 1u);
   mesh.says(4, 0);
   mesh.pass(kAimMs);
@@ -193,7 +193,7 @@
 }
 
 // Word of a start that is over, told late, says nothing of the present one.
-TEST(LeaveExchange, AnEarlierStartIsPassedOver) {
+TEST(DrainExchange, AnEarlierStartIsPassedOver) {
   Mesh mesh(6, 1);
   for (auto &m : mesh.all) Mesh::engine(m.get(), 0)->born = kBorn + 5;
   mesh.says(0, 0, kBorn);
@@ -202,7 +202,7 @@
 }
 
 // With as many engines leaving as one router may ever tell of at once.
-TEST(LeaveExchange, CostsLittle) {
+TEST(DrainExchange, CostsLittle) {
   const int routers = 85, engines = 64;
   const double most = 2000; // bytes a second of one router
   Mesh mesh(routers, engines);
--- a/tests/engine_word_test.cc
+++ b/tests/engine_word_test.cc
@@ -20,7 +20,7 @@
     event.kind = MT_RELAY_NOTICE;
     event.u.notice.engine = find(engine)->key;
     event.u.notice.says = {leaving, rest};
-    event.u.notice.leave = {now - age, born, told};
+    event.u.notice.drain = {now - age, born, told};
     step(event);
   }
   // Another router says that an engine leaves, whether listed here or not.
@@ -29,7 +29,7 @@
     event.kind = MT_RELAY_NOTICE;
     event.u.notice.engine = mt_engine_key(engine.data(), engine.size());
     event.u.notice.says = {true, 0};
-    event.u.notice.leave = {now, born, true};
+    event.u.notice.drain = {now, born, true};
     step(event);
   }
   using Relay::find;
@@ -92,8 +92,8 @@
       {"a later start is listed", 6, 5, 2000, 0, true},
       {"an earlier start is listed", 4, 5, 2000, 0, false},
       {"told too long ago", 5, 5, 60000, 0, true},
-      {"others were told of", 5, 5, 0, MT_EARLY_LEAVES_MAX - 1, false},
-      {"more than are kept", 5, 5, 0, MT_EARLY_LEAVES_MAX, true},
+      {"others were told of", 5, 5, 0, MT_EARLY_DRAINS_MAX - 1, false},
+      {"more than are kept", 5, 5, 0, MT_EARLY_DRAINS_MAX, true},
   };
   for (const Row &row : rows) {
     Heard r(0);
@@ -102,7 +102,7 @@
       r.now++;
       r.told_of("other" + std::to_string(i), 5);
     }
-    EXPECT_LE(r.relay->early_leaves.count, (size_t)MT_EARLY_LEAVES_MAX);
+    EXPECT_LE(r.relay->early_drains.count, (size_t)MT_EARLY_DRAINS_MAX);
     r.now += row.later;
     mt_engine_t *e = r.engine("late", "plain", 4);
     e->born = row.listed;
--- a/tests/feed_exchange_test.cc
+++ b/tests/feed_exchange_test.cc
@@ -225,7 +225,8 @@
       w.run(500);
       for (int round = 0; round < 5; round++) {
         std::string name = "i-" + std::to_string(round);
-        w.change(round % 2 ? MT_CHANGE_ENGINE_GONE : MT_CHANGE_ENGINE_LEAVING,
+        w.change(round % 2 ? MT_CHANGE_ENGINE_GONE
+                           : MT_CHANGE_ENGINE_DRAINING,
                  name);
         w.change(MT_CHANGE_DOMAIN_EMPTIED, "d-" + name);
         w.run(row.within);
@@ -249,10 +250,10 @@
       for (int restores = 1; restores <= 3; restores++) {
         std::string name = "i-" + std::to_string(restores);
         w.restore(90 - restores);
-        w.change(MT_CHANGE_ENGINE_LEAVING, name);
+        w.change(MT_CHANGE_ENGINE_DRAINING, name);
         w.change(MT_CHANGE_DOMAIN_EMPTIED, "d-" + name);
         w.run(lost ? 2000 : 500);
-        EXPECT_EQ(w.ignorant(name, MT_CHANGE_ENGINE_LEAVING), 0)
+        EXPECT_EQ(w.ignorant(name, MT_CHANGE_ENGINE_DRAINING), 0)
             << "seed " << seed << ", restore " << restores;
         EXPECT_EQ(w.ignorant("d-" + name, MT_CHANGE_DOMAIN_EMPTIED), 0)
             << "seed " << seed << ", restore " << restores;
@@ -267,10 +268,10 @@
   late->turned_away = true;
   w.run(300);
   w.restore(50);
-  w.change(MT_CHANGE_ENGINE_LEAVING, "i-1");
+  w.change(MT_CHANGE_ENGINE_DRAINING, "i-1");
   w.lost = 1000; // `late` hears nothing of it
   w.run(100);
-  ASSERT_EQ(reader->known["i-1"], MT_CHANGE_ENGINE_LEAVING);
+  ASSERT_EQ(reader->known["i-1"], MT_CHANGE_ENGINE_DRAINING);
   const mt_feed_state_t before = reader->feeds.feeds[MT_FEED_ENGINES].state;
   mt_peer_message_t *m = World::begin(late, MT_PEER_NEWS);
   m->changes[m->changes_count++] =
@@ -278,7 +279,7 @@
   m->spans[MT_FEED_ENGINES] = {100, 900};
   auto copy = std::make_unique<mt_peer_message_t>(*m);
   w.deliver(late, reader, *copy);
-  EXPECT_EQ(reader->known["i-1"], MT_CHANGE_ENGINE_LEAVING);
+  EXPECT_EQ(reader->known["i-1"], MT_CHANGE_ENGINE_DRAINING);
   const mt_feed_state_t &after = reader->feeds.feeds[MT_FEED_ENGINES].state;
   EXPECT_EQ(after.told, before.told);
   EXPECT_EQ(after.newest, before.newest);
@@ -290,7 +291,7 @@
   for (int round = 0; round < 4; round++) {
     w.change(MT_CHANGE_DOCUMENT, "declarations");
     w.run(400);
-    w.change(MT_CHANGE_ENGINE_LEAVING, "i-" + std::to_string(round));
+    w.change(MT_CHANGE_ENGINE_DRAINING, "i-" + std::to_string(round));
     w.run(400);
   }
   for (auto &r : w.routers) EXPECT_EQ(r->outcomes[MT_FEED_GAP], 0u);
@@ -303,15 +304,15 @@
   deaf->turned_away = true;
   w.run(300);
   w.lost = 1000;
-  w.change(MT_CHANGE_ENGINE_LEAVING, "i-1");
+  w.change(MT_CHANGE_ENGINE_DRAINING, "i-1");
   w.run(100);
   EXPECT_EQ(deaf->known.count("i-1"), 0u);
   w.lost = 0;
-  w.change(MT_CHANGE_ENGINE_LEAVING, "i-2");
+  w.change(MT_CHANGE_ENGINE_DRAINING, "i-2");
   w.run(kTick);
-  EXPECT_EQ(deaf->known["i-2"], MT_CHANGE_ENGINE_LEAVING);
+  EXPECT_EQ(deaf->known["i-2"], MT_CHANGE_ENGINE_DRAINING);
   w.run(300);
-  EXPECT_EQ(deaf->known["i-1"], MT_CHANGE_ENGINE_LEAVING);
+  EXPECT_EQ(deaf->known["i-1"], MT_CHANGE_ENGINE_DRAINING);
   EXPECT_FALSE(
       mt_feed_state_lacks(&deaf->feeds.feeds[MT_FEED_ENGINES].state));
 }
@@ -337,7 +338,7 @@
 TEST(FeedExchange, AFirstListIsToldToWhoLacksIt) {
   World w(4, 1, 1);
   for (auto &r : w.routers) r->turned_away = true;
-  w.change(MT_CHANGE_ENGINE_LEAVING, "i-1"); // nobody hears of it
+  w.change(MT_CHANGE_ENGINE_DRAINING, "i-1"); // nobody hears of it
   w.run(300);
   Router *started = w.routers[1].get();
   mt_feed_exchange_free(&started->feeds);
@@ -346,7 +347,7 @@
   mt_feed_exchange_open(&started->feeds, &started->members, &calls);
   started->turned_away = false;
   w.run(500);
-  EXPECT_EQ(w.ignorant("i-1", MT_CHANGE_ENGINE_LEAVING), 0);
+  EXPECT_EQ(w.ignorant("i-1", MT_CHANGE_ENGINE_DRAINING), 0);
 }
 
 // A list does not show what went. Its reader tells of engines that it knows
@@ -479,14 +480,14 @@
       w.change(MT_CHANGE_ENGINE_READY, "i-" + std::to_string(i));
       if (i % 500 == 499) w.run(kTick); // as many as the source tells at once
     }
-    w.change(MT_CHANGE_ENGINE_LEAVING, "before");
+    w.change(MT_CHANGE_ENGINE_DRAINING, "before");
     w.run(500);
     size_t readers = 0;
     for (auto &r : w.routers) {
       after += r->sent;
       const mt_feed_state_t &feed = r->feeds.feeds[MT_FEED_ENGINES].state;
       EXPECT_EQ(feed.told, w.rev);
-      EXPECT_EQ(r->known["before"], MT_CHANGE_ENGINE_LEAVING);
+      EXPECT_EQ(r->known["before"], MT_CHANGE_ENGINE_DRAINING);
       bool has_all = r->known.count("i-0") != 0;
       readers += has_all;
       EXPECT_EQ(feed.taken == w.rev, has_all);
@@ -505,7 +506,7 @@
   uint64_t before = 0, after = 0, crossed = 0;
   for (auto &r : w.routers) before += r->sent, crossed -= r->crossed;
   for (int round = 0; round < 20; round++) {
-    w.change(MT_CHANGE_ENGINE_LEAVING, "i-" + std::to_string(round));
+    w.change(MT_CHANGE_ENGINE_DRAINING, "i-" + std::to_string(round));
     w.run(kTick);
   }
   size_t asked = 0;
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -609,7 +609,8 @@
   };
   ASSERT_TRUE(w.until([&] { return said("engine=i-1 ", "outcome=ready"); }));
   const auto ready = MT_CHANGE_ENGINE_READY,
-             leaving = MT_CHANGE_ENGINE_LEAVING, gone = MT_CHANGE_ENGINE_GONE;
+             leaving = MT_CHANGE_ENGINE_DRAINING,
+             gone = MT_CHANGE_ENGINE_GONE;
   struct Row {
     const char *name, *ip;
     mt_change_kind_t kind;
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -45,11 +45,11 @@
     in->engines[in->engines_count++] = {
         99, {10, 20, 3}, 400, 77, MT_ADMIT_PLACE};
     in->parts[in->parts_count++] = {5, 600};
-    in->leaves[in->leaves_count++] = {99, 1780000000000, 700};
+    in->drains[in->drains_count++] = {99, 1780000000000, 700};
     in->spans[MT_FEED_ENGINES] = {4, 6};
     for (int k = 0; k < MT_CHANGE_KINDS; k++) {
       mt_change_t change = mt_change_named((mt_change_kind_t)k, "i-1", 5 + k);
-      if (k == MT_CHANGE_ENGINE_READY || k == MT_CHANGE_ENGINE_LEAVING)
+      if (k == MT_CHANGE_ENGINE_READY || k == MT_CHANGE_ENGINE_DRAINING)
         change.u.engine = {"d1", "10.0.0.1", "s",          80,
                            64,   2500,       1780000000000};
       if (k == MT_CHANGE_ROUTE_CLOSED || k == MT_CHANGE_ROUTE_OPENED)
@@ -99,13 +99,13 @@
     ASSERT_EQ(out->shares_count, 1u);
     EXPECT_EQ(out->shares[0].rates.served, 500);
     // Loads, or what leaves: each kind has one of the two.
-    bool leaving = kind == MT_PEER_LEAVING;
+    bool leaving = kind == MT_PEER_DRAINING;
     ASSERT_EQ(out->engines_count, leaving ? 0u : 1u);
-    ASSERT_EQ(out->leaves_count, leaving ? 1u : 0u);
+    ASSERT_EQ(out->drains_count, leaving ? 1u : 0u);
     if (leaving) {
-      EXPECT_EQ(out->leaves[0].engine, 99u);
-      EXPECT_EQ(out->leaves[0].born, 1780000000000);
-      EXPECT_EQ(out->leaves[0].age, 700u);
+      EXPECT_EQ(out->drains[0].engine, 99u);
+      EXPECT_EQ(out->drains[0].born, 1780000000000);
+      EXPECT_EQ(out->drains[0].age, 700u);
     } else {
       EXPECT_EQ(out->engines[0].load.running, 3);
       EXPECT_EQ(out->engines[0].tokens, 400);
@@ -125,7 +125,7 @@
       EXPECT_EQ(out->changes[k].age, 30u);
     }
     const mt_change_engine_t &e =
-        out->changes[MT_CHANGE_ENGINE_LEAVING].u.engine;
+        out->changes[MT_CHANGE_ENGINE_DRAINING].u.engine;
     EXPECT_STREQ(e.domain, "d1");
     EXPECT_STREQ(e.ip, "10.0.0.1");
     EXPECT_STREQ(e.service, "s");
--- a/tests/prompt_memory_test.cc
+++ b/tests/prompt_memory_test.cc
@@ -27,7 +27,8 @@
   } rows[] = {
       {"a ready engine", [] (Relay &, mt_engine_t *) {}, true},
       {"one that leaves",
-       [] (Relay &, mt_engine_t *e) { e->state = MT_ENGINE_LEAVING; }, false},
+       [] (Relay &, mt_engine_t *e) { e->state = MT_ENGINE_DRAINING; },
+       false},
       {"one that is gone",
        [] (Relay &, mt_engine_t *e) { e->state = MT_ENGINE_GONE; }, false},
       {"one that has just failed",
--- a/tests/reach_test.cc
+++ b/tests/reach_test.cc
@@ -76,7 +76,7 @@
 }
 
 TEST(Reach, WhoIsGoneIsNotProbed) {
-  for (mt_engine_state_t state : {MT_ENGINE_LEAVING, MT_ENGINE_GONE}) {
+  for (mt_engine_state_t state : {MT_ENGINE_DRAINING, MT_ENGINE_GONE}) {
     Relay r(1);
     r.declare();
     r.ask(1, "/once/x");
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -301,7 +301,7 @@
 }
 
 TEST(RelayPlacement, OnlyReadyEnginesGetWork) {
-  for (mt_engine_state_t state : {MT_ENGINE_LEAVING, MT_ENGINE_GONE}) {
+  for (mt_engine_state_t state : {MT_ENGINE_DRAINING, MT_ENGINE_GONE}) {
     Relay r(2);
     r.declare();
     r.find("p1")->state = state;
@@ -327,7 +327,7 @@
               {MT_ENGINE_READY, 1000, false, true},
               {MT_ENGINE_READY, 1400, false, false},
               {MT_ENGINE_READY, 1400, true, true},
-              {MT_ENGINE_LEAVING, 0, false, false}};
+              {MT_ENGINE_DRAINING, 0, false, false}};
   for (const Row &row : rows) {
     Relay r(1);
     r.declare();
@@ -557,7 +557,7 @@
       if (what == 10) {
         mt_engine_t *e =
             r.relay->engines.list[random() % r.relay->engines.count];
-        e->state = random() % 3 ? MT_ENGINE_READY : MT_ENGINE_LEAVING;
+        e->state = random() % 3 ? MT_ENGINE_READY : MT_ENGINE_DRAINING;
         continue;
       }
       if (open.empty()) continue;
--- a/tests/restart_test.cc
+++ b/tests/restart_test.cc
@@ -14,7 +14,7 @@
   const mt_prefix_part_t part = {7, 500};
   mt_prefix_cache_use(&e->kept, &part, 1, 100000);
   mt_part_holders_note(&r.relay->holders, 7, e->key, r.now);
-  e->state = MT_ENGINE_LEAVING;
+  e->state = MT_ENGINE_DRAINING;
   e->vanished = r.now;
   e->peers.running = 60;
   e->failures = 5;
--- a/tests/store_restored_test.cc
+++ b/tests/store_restored_test.cc
@@ -2,7 +2,7 @@
 // revisions that are given out again.
 #include <gtest/gtest.h>
 
-#include <regex>
+#include <sstream>
 
 #include "gateway_world.h"
 
@@ -131,27 +131,24 @@
 }
 
 // What is written behind the copy, and the lines by which a router takes it
-// and undoes it.
+// and undoes it: of whom, and their outcomes.
 struct Written {
   const char *what;
   std::function<void(Fleet &)> write;
-  const char *range;
-  std::string taken, undone;
+  const char *range, *subject, *taken, *undone;
 };
 
 std::vector<Written> all_written () {
   return {{"an engine came", [] (Fleet &f) { f.set("i-3", "ready"); },
-           "servers/", "engine=i-3 .*outcome=ready",
-           "engine=i-3 .*outcome=vanished"},
+           "servers/", "engine=i-3 ", "ready", "vanished"},
           {"an engine leaves", [] (Fleet &f) { f.set("i-1", "draining"); },
-           "servers/", "engine=i-1 .*outcome=leaving",
-           "engine=i-1 .*outcome=ready"},
+           "servers/", "engine=i-1 ", "leaving", "ready"},
           {"an engine left without a word",
            [] (Fleet &f) { f.w.remove("servers/i-1"); }, "servers/",
-           "engine=i-1 .*outcome=vanished", "engine=i-1 .*outcome=ready"},
+           "engine=i-1 ", "vanished", "ready"},
           {"a failure domain is emptied",
            [] (Fleet &f) { f.w.put("op/evacuate/d9", "{}"); }, "op/",
-           "domain=d9 outcome=begun", "domain=d9 outcome=over"}};
+           "domain=d9 ", "begun", "over"}};
 }
 
 // Plays one row: the restore, and what was lost is written again or not.
@@ -161,8 +158,13 @@
   f.w.items.erase("servers/i-3");
   World::Copy copy = f.w.copy();
   f.w.start();
-  auto logged = [&] (const std::string &pattern, size_t from) {
-    return std::regex_search(f.w.log.substr(from), std::regex(pattern));
+  auto logged = [&] (const std::string &outcome, size_t from) {
+    std::istringstream lines(f.w.log.substr(from));
+    for (std::string line; std::getline(lines, line);)
+      if (line.find(row.subject) != line.npos &&
+          line.find("outcome=" + outcome) != line.npos)
+        return true;
+    return false;
   };
   row.write(f);
   EXPECT_TRUE(f.w.until([&] { return logged(row.taken, 0); })) << row.what;
