--- a/Makefile
+++ b/Makefile
@@ -60,6 +60,9 @@
 $(B):
 	mkdir -p $(B)
 
+# A header that is gone: what named it is built anew.
+%.h: ;
+
 -include $(DEPS)
 
 deps:
