--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -66,12 +66,12 @@
                         const mt_gateway_engine_t *engine, mt_revision_t rev);
 
 /*
-** The source came back from a copy. Until its writers have written again what
-** that lost, nothing that it lacks is taken as ended, and nothing that had
-** ended as undone. Lists of that time do not tell what is gone.
+** The source was restored from a copy. A grace follows, in which its writers
+** write again what the copy lacks: meanwhile lists end nothing by what they
+** lack, and undo no end of an earlier era.
 */
 void mt_gateway_restored (mt_gateway_t *gateway);
-/* True until then. */
+/* True in that grace. */
 bool mt_gateway_in_restore_grace (const mt_gateway_t *gateway);
 
 /* All engines were listed; `seen` holds the keys of their names. Any other is
--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -264,8 +264,8 @@
   return change;
 }
 
-/* It ended in an earlier era than that of a change which shows it as ready:
-   the copy may be from before that. */
+/* True for one that ended in an earlier era than the change which shows it as
+   ready: the store's copy may be from before that end. */
 static bool may_have_ended (const mt_engine_t *e, const mt_change_t *change) {
   bool ended = e->state != MT_ENGINE_READY || e->vanished != 0;
   bool again = change->u.engine.born > e->born;
@@ -280,8 +280,8 @@
          e->port == read->port && e->slots == read->slots;
 }
 
-/* Behind a restore, what a list shows of an engine as ready is no news where
-   it stands as it was. */
+/* In the grace of a restore, an entry that shows an engine as ready changes
+   nothing where that is known, or may be the copy's. */
 static bool is_redundant (const mt_gateway_t *g, const mt_change_t *change) {
   uint64_t key = mt_engine_key(change->name, strlen(change->name));
   const mt_engine_t *e = mt_engines_get(&g->relay->engines, key);
