Callers without room return while they can be served in time

Retry-After of requests refused as engines_busy or over_share was half to one and a half objectives: a caller that came back was late before it was placed. It is now a twentieth to three twentieths of the objective, 50 to 150 ms at least, after which a whole attempt still fits into the objective.

--- a/src/relay/request.c
+++ b/src/relay/request.c
@@ -13,6 +13,11 @@
 
 #define MIN_TIME_LEFT_MS 20 /* with less time left no attempt is started */
 #define RETRY_AFTER_BASE_MS 200 /* mean Retry-After by default */
+/* Mean Retry-After without room at any engine, as a fraction of the
+   objective: a caller that returns after 3/20 of it has time left for a whole
+   attempt. */
+#define RETRY_AFTER_NO_ROOM_FRACTION 0.1
+#define RETRY_AFTER_NO_ROOM_MIN_MS 100 /* the least such mean */
 /* Retry-After is spread over the base and 1/4 of a backoff. */
 #define BACKOFF_SPREAD 4
 /* Longest idle time of a connection that is reused. It is short for a request
@@ -81,6 +86,13 @@
   relay->finished = r;
 }
 
+/* Room for a request comes free within a fraction of its objective, and a
+   later return is too late to be served in time. */
+static mt_ms_t no_room_base_ms (const mt_relay_request_t *r) {
+  double base = (double)r->objective * RETRY_AFTER_NO_ROOM_FRACTION;
+  return mt_max((mt_ms_t)base, (mt_ms_t)RETRY_AFTER_NO_ROOM_MIN_MS);
+}
+
 /*
 ** Value of Retry-After in ms, spread so that callers do not return all at
 ** once; 0: none. Never before the first backoff of an engine is over, when
@@ -98,7 +110,7 @@
     return backoff +
            mtV_mix(r->number, r->arrived) % (base + backoff / BACKOFF_SPREAD);
   if (why == MT_RELAY_BUSY || why == MT_RELAY_OVER_SHARE)
-    base = mt_max(r->objective, RETRY_AFTER_BASE_MS);
+    base = no_room_base_ms(r);
   return base / 2 + mtV_mix(r->number, r->arrived) % base;
 }
 
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -378,6 +378,49 @@
   EXPECT_GT(r.find(MT_RELAY_DO_REFUSE)->u.refuse.retry_after, 0u);
 }
 
+// Guards against a Retry-After so late that the caller, refused for want of
+// room, cannot be served within its objective any more, and against one that
+// brings all callers back at once.
+TEST(RelayPlacement, CallersWithoutRoomReturnWhileTheyCanBeServedInTime) {
+  struct Row {
+    const char *what, *path;
+    mt_ms_t objective;
+    double served; // by all, of the workspace, thousands of tokens/s
+    mt_relay_refusal_t why;
+  } rows[] = {
+      {"objective 600 ms", "/stream/x", 600, 0, MT_RELAY_BUSY},
+      {"objective 1000 ms", "/events/x", 1000, 0, MT_RELAY_BUSY},
+      {"beyond its share", "/stream/x", 600, 900, MT_RELAY_OVER_SHARE},
+  };
+  for (const Row &row : rows) {
+    Relay r(2);
+    r.declare();
+    r.relay->catalog->limits.tokens_per_s = 500000;
+    if (row.served > 0) {
+      mt_fair_share_get(&r.relay->shares, mtV_id("w1", 2))->peers = {
+          2000000, row.served * 1000};
+      mt_fair_share_get(&r.relay->shares, mtV_id("w2", 2))->peers = {2000000,
+                                                                     100000};
+      r.pass(200);
+    }
+    for (size_t i = 0; i < r.relay->engines.count; i++)
+      r.relay->engines.list[i]->peers.pending_prefill = 1000000;
+    // The wait limit and a first token need three quarters of the objective.
+    mt_ms_t time_left = row.objective / 4;
+    mt_ms_t shortest = 100000, longest = 0;
+    for (uint64_t i = 1; i <= 100; i++) {
+      r.request(i, row.path);
+      ASSERT_EQ(r.refusal(), row.why) << row.what;
+      mt_ms_t after = r.find(MT_RELAY_DO_REFUSE, i)->u.refuse.retry_after;
+      shortest = std::min(shortest, after);
+      longest = std::max(longest, after);
+    }
+    EXPECT_LE(longest, time_left) << row.what;
+    EXPECT_GE(shortest, 50u) << row.what;
+    EXPECT_GE(longest - shortest, 50u) << row.what;
+  }
+}
+
 TEST(PrefixCache, SegmentsAgeByTokensRead) {
   mt_prefix_cache_t cache{};
   mt_prefix_segment_t chain[] = {{1, 100}, {2, 200}, {3, 300}};
