The last user of a shared prefix is reported to its home's owner

Only an engine that had prefilled a shared prefix away from its home was reported as holder. One that fetched it was not, so that later requests fetched from the older copy, which had been evicted meanwhile, and prefilled the prefix again. Each use away from the home is now reported, where engines can transfer KV cache.

The test said that a request with its shared segments cached there is not reported; that was the fault. The new table has a case more for each reason not to report.

--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -305,13 +305,16 @@
   e->reported_at = mt_boot_clock_now(peers->loop);
 }
 
-/* Reports to the owner of a segment's home engine that the segment was
-   prefilled at another engine instead. */
+/* Reports to the owner of a segment's home engine that the segment is used at
+   another engine instead. */
 static void report_holder (mt_gateway_peers_t *peers,
                            const mt_relay_request_t *r) {
   const mt_engine_t *home =
       mt_engines_get(&peers->relay->engines, r->home_global);
-  if (home == NULL || !mt_kv_cache_should_report(r)) return;
+  const mt_catalog_service_t *service =
+      mt_catalog_find_service(peers->relay->catalog, r->service);
+  if (home == NULL || service == NULL) return;
+  if (!mt_kv_cache_should_report(service, r)) return;
   uint32_t owner = owner_of(peers, home);
   uint64_t segment = mt_kv_cache_home_segment(r->segments, r->segments_count);
   if (owner == peers->members.own_ip) {
--- a/src/relay/kv_cache.c
+++ b/src/relay/kv_cache.c
@@ -23,10 +23,11 @@
   return shared;
 }
 
-bool mt_kv_cache_should_report (const mt_relay_request_t *r) {
+bool mt_kv_cache_should_report (const mt_catalog_service_t *service,
+                                const mt_relay_request_t *r) {
   if (r->segments_count < 2 || r->home) return false;
-  int64_t unshared = r->segments[r->segments_count - 1].tokens;
-  return r->pending_prefill >= unshared + TRANSFER_MIN_TOKENS;
+  if (!service->kv_transfer) return false;
+  return mt_kv_cache_shared_tokens(r) >= TRANSFER_MIN_TOKENS;
 }
 
 int64_t mt_kv_cache_available (const mt_engine_t *e, int64_t kv_capacity) {
--- a/src/relay/kv_cache.h
+++ b/src/relay/kv_cache.h
@@ -27,10 +27,13 @@
 int64_t mt_kv_cache_shared_tokens (const mt_relay_request_t *request);
 
 /*
-** True if the request makes an engine other than the home engine prefill
-** shared segments, which the owner of the home engine should know.
+** True if the request uses shared segments at an engine other than the home
+** engine, which the owner of the home engine should know. Uses of cached
+** segments count, too: caches evict what was not used for some seconds, so
+** the last engine that used a segment is the best one to fetch it from.
 */
-bool mt_kv_cache_should_report (const mt_relay_request_t *request);
+bool mt_kv_cache_should_report (const mt_catalog_service_t *service,
+                                const mt_relay_request_t *request);
 
 /* Tokens of KV cache that running requests leave free; at least an eighth of
    its capacity. */
--- a/src/relay/prefix_holders.h
+++ b/src/relay/prefix_holders.h
@@ -2,11 +2,11 @@
 ** prefix_holders.h - engines other than the home that cache a shared prefix
 **
 ** A shared prefix segment is assigned to a home engine by a hash. When the
-** home is overloaded the segment is prefilled at another engine, which other
-** routers cannot know. So the router that placed the request reports that
-** engine to the owner of the home, which is queried for every request with
-** that segment. An entry may be missing or wrong; the segment is then
-** prefilled again.
+** home is overloaded, or in another failure domain, the segment is used at
+** another engine, which other routers cannot know. So the router that placed
+** the request reports that engine to the owner of the home, which is queried
+** for every request with that segment. An entry may be missing or wrong; the
+** segment is then prefilled again.
 */
 #ifndef prefix_holders_h
 #define prefix_holders_h
@@ -20,11 +20,11 @@
 
 void mt_prefix_holders_free (mt_prefix_holders_t *holders);
 
-/* Records that the engine has prefilled the segment and all before it. */
+/* Records that the engine has used the segment and all before it. */
 void mt_prefix_holders_set (mt_prefix_holders_t *holders, uint64_t segment,
                             uint64_t engine, mt_ms_t now);
 
-/* The engine that prefilled it last; 0: unknown. */
+/* The engine that used it last; 0: unknown. */
 uint64_t mt_prefix_holders_find (const mt_prefix_holders_t *holders,
                                  uint64_t segment);
 
--- a/tests/prefix_holders_test.cc
+++ b/tests/prefix_holders_test.cc
@@ -80,23 +80,31 @@
   }
 }
 
-TEST(PrefixHolders, ReportsOnlySharedSegmentsComputedAwayFromHome) {
+// Guards against fetches from an engine that has evicted the segment,
+// although a later user still caches it: each use away from the home is
+// reported.
+TEST(PrefixHolders, ReportsSharedSegmentsUsedAwayFromHome) {
   struct Row {
     const char *what;
-    bool home;
-    int64_t pending_prefill; // of 4,000 shared and 1,000 unshared tokens
+    bool home, kv_transfer;
+    int64_t shared, pending_prefill; // tokens, 1,000 more are unshared
     bool report;
-  } rows[] = {{"shared segments, away from home", false, 5000, true},
-              {"the unshared segment only", false, 1000, false},
-              {"at home", true, 5000, false}};
+  } rows[] = {{"prefilled away from home", false, true, 4000, 5000, true},
+              {"cached or fetched there", false, true, 4000, 1000, true},
+              {"at home", true, true, 4000, 5000, false},
+              {"too short to fetch", false, true, 100, 1100, false},
+              {"no transfers", false, false, 4000, 5000, false}};
   for (const Row &row : rows) {
+    mt_catalog_service_t service{};
     mt_relay_request_t r{};
-    r.segments[0] = {7, 4000};
+    service.kv_transfer = row.kv_transfer;
+    r.segments[0] = {7, row.shared};
     r.segments[1] = {9, 1000};
     r.segments_count = 2;
     r.home = row.home;
     r.pending_prefill = row.pending_prefill;
-    EXPECT_EQ(mt_kv_cache_should_report(&r), row.report) << row.what;
+    EXPECT_EQ(mt_kv_cache_should_report(&service, &r), row.report)
+        << row.what;
   }
 }
 
