Engine slowness as the whole fleet measures it

Cause: each router learned an engine's slowness alone, from the one answer in 60 to 87 that it saw, and forgot it with a time constant of 50 s. Change: routers report sums of expected and measured ms to first token with MT_PEER_LOAD; the owner merges the differences (engine_speed.[ch]) and its quotes carry slowness and age. Placement uses mt_relay_slowness: the owner's figure for 2 s, else the router's own. Mechanism fleet_speed; the log field slowness=; metrics speed_reports_total{outcome}, engine_slowness_max. Both messages stay in format version 8, with a trailing element of the engines list.

Model: a usual speed (10 s) with deviations over 150 ms and 2 s. Most answers that a slowdown delays come when it is half over, so a quick sum alone is late.

--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -45,6 +45,25 @@
                      names[i], (unsigned long long)c->admissions[i]);
 }
 
+static double max_slowness (const mt_relay_t *relay) {
+  double max = 0;
+  for (size_t i = 0; i < relay->engines.count; i++)
+    max = mt_max(max, mt_relay_slowness(relay, relay->engines.list[i]));
+  return max;
+}
+
+static void speeds (const mt_relay_t *relay, mt_strbuf_t *out) {
+  describe(out, "speed_reports_total", "counter",
+           "Reports of routers on engines owned here, by outcome.");
+  for (int i = 0; i < MT_SPEED_REPORT_COUNT; i++)
+    mt_strbuf_format(out, PREFIX "speed_reports_total{outcome=\"%s\"} %llu\n",
+                     mt_speed_report_name((mt_speed_report_t)i),
+                     (unsigned long long)relay->counters.speed_reports[i]);
+  number(out, "engine_slowness_max", "gauge",
+         "Time to first token at the slowest engine, measured over expected.",
+         max_slowness(relay));
+}
+
 static void suspects (const mt_relay_t *relay, mt_strbuf_t *out) {
   static const char *const names[MT_TRIAL_COUNT] = {
       [MT_TRIAL_FREE] = "free",
@@ -163,6 +182,7 @@
          (double)c->quotes_late);
   reasons(c, out);
   admissions(c, out);
+  speeds(relay, out);
   suspects(relay, out);
   peers(from->traffic, out);
   updates(from->updates, out);
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -297,10 +297,20 @@
                             mtV_id(e->domain, strlen(e->domain)));
 }
 
+static mt_speed_sums_t measured_sums (const mt_gateway_peers_t *peers,
+                                      const mt_engine_t *e) {
+  mt_speed_sums_t sums = e->measured;
+  sums.known = !peers->relay->params.off[MT_RELAY_FLEET_SPEED];
+  return sums;
+}
+
 static void add_load (mt_gateway_peers_t *peers, mt_peer_message_t *m,
                       mt_engine_t *e) {
-  m->engines[m->engines_count++] = (mt_peer_engine_t){
-      .key = e->key, .load = e->local, .tokens = e->tokens_processed};
+  m->engines[m->engines_count++] =
+      (mt_peer_engine_t){.key = e->key,
+                         .load = e->local,
+                         .tokens = e->tokens_processed,
+                         .measured = measured_sums(peers, e)};
   e->load_dirty = false;
   e->reported_at = mt_boot_clock_now(peers->loop);
 }
@@ -437,8 +447,12 @@
     mt_relay_quote_t quote = mt_relay_quote(
         peers->relay, key, ip, request->segments, request->segments_count);
     m->engines[m->engines_count++] = (mt_peer_engine_t){
-        quote.engine, quote.peers, quote.cached, quote.holder,
-        mt_relay_admission(peers->relay, key, owns(peers, key))};
+        .key = quote.engine,
+        .load = quote.peers,
+        .tokens = quote.cached,
+        .holder = quote.holder,
+        .admission = mt_relay_admission(peers->relay, key, owns(peers, key)),
+        .speed = quote.speed};
   }
   send_message(peers, ip);
 }
@@ -447,9 +461,12 @@
                       const mt_peer_message_t *m) {
   mt_relay_quote_t quotes[MT_PEER_ENGINES_MAX];
   for (size_t i = 0; i < m->engines_count; i++)
-    quotes[i] = (mt_relay_quote_t){m->engines[i].key, m->engines[i].load,
-                                   m->engines[i].tokens, m->engines[i].holder,
-                                   m->engines[i].admission};
+    quotes[i] = (mt_relay_quote_t){.engine = m->engines[i].key,
+                                   .peers = m->engines[i].load,
+                                   .cached = m->engines[i].tokens,
+                                   .holder = m->engines[i].holder,
+                                   .admission = m->engines[i].admission,
+                                   .speed = m->engines[i].speed};
   peer->unanswered_since = 0;
   peer->suspect_until = 0;
   peers->callbacks.quoted(peers->callbacks.ud, m->request_number, quotes,
@@ -465,6 +482,7 @@
     mt_load_row_t row = {.router = ip,
                          .load = e->load,
                          .tokens_processed = e->tokens,
+                         .measured = e->measured,
                          .valid_until = now + LOAD_VALID_MS};
     mt_relay_update_peer_load(peers->relay, e->key, &row, m->segments,
                               m->segments_count);
--- a/src/gateway/peer_message.c
+++ b/src/gateway/peer_message.c
@@ -3,7 +3,10 @@
 **
 ** A message is an array: first the header's numbers, then lists. A list is a
 ** flat array with a fixed number of fields per row. The last field of a
-** change is itself an array.
+** change is itself an array. A list may end with an array that is no row:
+** readers that don't know it ignore it. The list of engines ends with the
+** measurements (LOAD) or figures (QUOTE) of its rows: first the number of
+** fields per row, then the rows. Unknown fields are ignored.
 */
 #include <msgpack.h>
 #include <stdio.h>
@@ -23,6 +26,9 @@
 #define MEMBER_FIELDS 3
 #define SHARE_FIELDS 3
 #define ENGINE_FIELDS 7
+#define SPEED_SUM_FIELDS 3    /* of a row's measurements */
+#define SPEED_FIGURE_FIELDS 2 /* of a row's figures */
+#define SPEED_FIELDS_MAX 32
 #define DRAIN_FIELDS 3
 #define SEGMENT_FIELDS 2
 #define CHANGE_FIELDS 5
@@ -40,6 +46,7 @@
 #define RUNNING_MAX 1000000
 #define TOKENS_PROCESSED_MAX ((int64_t)1 << 52)
 #define DURATION_MAX_MS 600000
+#define SLOWNESS_SCALE 1000.0 /* slowness on the wire is in thousandths */
 #define SUSPECT_AGE_MAX_MS 7200000
 #define EARLIER_ENDS_MAX 1000
 
@@ -107,8 +114,46 @@
   }
 }
 
+/* Number of fields of each row in the element after the engines; 0: there is
+   none, as no row has anything to say. */
+static uint32_t count_speed_fields (const mt_peer_message_t *m) {
+  bool sums = false, figures = false;
+  for (size_t i = 0; i < m->engines_count; i++) {
+    sums = sums || m->engines[i].measured.known;
+    figures = figures || m->engines[i].speed.slowness > 0;
+  }
+  if (m->kind == MT_PEER_LOAD && sums) return SPEED_SUM_FIELDS;
+  return m->kind == MT_PEER_QUOTE && figures ? SPEED_FIGURE_FIELDS : 0;
+}
+
+static void pack_speed_sums (const mt_speed_sums_t *s, msgpack_packer *pk) {
+  msgpack_pack_uint64(pk, to_unsigned((double)s->answers));
+  msgpack_pack_uint64(pk, to_unsigned((double)s->expected_ms));
+  msgpack_pack_uint64(pk, to_unsigned((double)s->measured_ms));
+}
+
+static void pack_speed_figures (const mt_speed_figures_t *f,
+                                msgpack_packer *pk) {
+  msgpack_pack_uint64(pk, to_unsigned(f->slowness * SLOWNESS_SCALE + 0.5));
+  msgpack_pack_uint64(pk, f->age);
+}
+
+static void pack_speeds (const mt_peer_message_t *m, uint32_t fields,
+                         msgpack_packer *pk) {
+  msgpack_pack_array(pk, 1 + m->engines_count * fields);
+  msgpack_pack_uint32(pk, fields);
+  for (size_t i = 0; i < m->engines_count; i++) {
+    if (m->kind == MT_PEER_LOAD)
+      pack_speed_sums(&m->engines[i].measured, pk);
+    else
+      pack_speed_figures(&m->engines[i].speed, pk);
+  }
+}
+
 static void pack_engines (const mt_peer_message_t *m, msgpack_packer *pk) {
-  msgpack_pack_array(pk, m->engines_count * ENGINE_FIELDS);
+  uint32_t speed_fields = count_speed_fields(m);
+  msgpack_pack_array(pk,
+                     m->engines_count * ENGINE_FIELDS + (speed_fields > 0));
   for (size_t i = 0; i < m->engines_count; i++) {
     const mt_peer_engine_t *e = &m->engines[i];
     msgpack_pack_uint64(pk, e->key);
@@ -119,6 +164,7 @@
     msgpack_pack_uint64(pk, e->holder);
     msgpack_pack_uint8(pk, (uint8_t)e->admission);
   }
+  if (speed_fields > 0) pack_speeds(m, speed_fields, pk);
 }
 
 static void pack_drains (const mt_peer_message_t *m, msgpack_packer *pk) {
@@ -356,7 +402,45 @@
   }
 }
 
+static mt_speed_sums_t unpack_speed_sums (const msgpack_object *at) {
+  return (mt_speed_sums_t){
+      .known = true,
+      .answers = unpack_bounded(&at[0], TOKENS_PROCESSED_MAX),
+      .expected_ms = unpack_bounded(&at[1], TOKENS_PROCESSED_MAX),
+      .measured_ms = unpack_bounded(&at[2], TOKENS_PROCESSED_MAX)};
+}
+
+static mt_speed_figures_t unpack_speed_figures (const msgpack_object *at) {
+  int64_t slowness =
+      unpack_bounded(&at[0], (int64_t)(MT_SLOWNESS_MAX * SLOWNESS_SCALE));
+  return (mt_speed_figures_t){
+      .slowness = (double)slowness / SLOWNESS_SCALE,
+      .age = (mt_ms_t)unpack_bounded(&at[1], DURATION_MAX_MS)};
+}
+
+/* The element after the engines' rows, if it is one that holds a row of at
+   least `least` fields for each of them, whose number `fields` gets; else
+   NULL. */
+static const msgpack_object *find_speeds (const msgpack_object *engines,
+                                          size_t least, size_t *fields) {
+  size_t size = engines->via.array.size, rows = size / ENGINE_FIELDS;
+  if (size != rows * ENGINE_FIELDS + 1) return NULL;
+  const msgpack_object *last = &engines->via.array.ptr[size - 1];
+  if (last->type != MSGPACK_OBJECT_ARRAY || last->via.array.size == 0)
+    return NULL;
+  *fields = unpack_number(&last->via.array.ptr[0]);
+  if (*fields < least || *fields > SPEED_FIELDS_MAX) return NULL;
+  if (last->via.array.size != 1 + rows * *fields) return NULL;
+  return &last->via.array.ptr[1];
+}
+
 static void unpack_engines (mt_peer_message_t *m, const msgpack_object *o) {
+  size_t fields = 0;
+  const msgpack_object *sums = NULL, *figures = NULL;
+  if (m->kind == MT_PEER_LOAD)
+    sums = find_speeds(o, SPEED_SUM_FIELDS, &fields);
+  if (m->kind == MT_PEER_QUOTE)
+    figures = find_speeds(o, SPEED_FIGURE_FIELDS, &fields);
   size_t n = count_rows(o, ENGINE_FIELDS, MT_PEER_ENGINES_MAX);
   for (size_t i = 0; i < n; i++) {
     const msgpack_object *at = &o->via.array.ptr[i * ENGINE_FIELDS];
@@ -370,6 +454,11 @@
     e->tokens = unpack_bounded(&at[4], TOKENS_PROCESSED_MAX);
     e->holder = unpack_number(&at[5]);
     e->admission = (mt_admission_t)unpack_bounded(&at[6], MT_ADMIT_NONE);
+    e->measured = (mt_speed_sums_t){.known = false};
+    e->speed = (mt_speed_figures_t){0};
+    if (sums != NULL) e->measured = unpack_speed_sums(&sums[i * fields]);
+    if (figures != NULL)
+      e->speed = unpack_speed_figures(&figures[i * fields]);
   }
 }
 
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -85,6 +85,8 @@
   /* QUOTE: whether the engine may get the request; LOAD of a request sent
      just now: MT_ADMIT_PERMIT if it had a permit. */
   mt_admission_t admission;
+  mt_speed_sums_t measured; /* LOAD: by the sender */
+  mt_speed_figures_t speed; /* QUOTE */
 } mt_peer_engine_t;
 
 /* An engine that advertised in a response that it drains. */
--- a/src/relay/engine.c
+++ b/src/relay/engine.c
@@ -210,6 +210,8 @@
   e->quoted = 0;
   e->unlisted_since = 0;
   e->slowness = 1.0;
+  e->speed = (mt_engine_speed_t){.measured_at = 0};
+  e->quoted_speed = (mt_speed_figures_t){0};
   e->failures = 0;
   e->suspended_until = 0;
   e->rejection_rate = 0;
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -8,6 +8,7 @@
 #ifndef engine_h
 #define engine_h
 
+#include "engine_speed.h"
 #include "prefix_cache.h"
 #include "revision.h"
 
@@ -67,8 +68,13 @@
   mt_ms_t quoted;  /* when its owner last reported `peers`; 0: never */
   bool load_dirty; /* `local` has changed since it was sent to the owner */
   mt_ms_t reported_at; /* when `local` was last sent to the owner */
-  double slowness; /* time to first token, measured over expected; smoothed */
-  int failures;    /* in a row */
+  /* Time to first token, measured over expected, of this router's requests
+     alone; smoothed. */
+  double slowness;
+  mt_speed_sums_t measured; /* by this router, for the engine's owner */
+  mt_engine_speed_t speed;  /* model, complete at the engine's owner */
+  mt_speed_figures_t quoted_speed; /* the owner's, as of `quoted` */
+  int failures;                    /* in a row */
   double rejection_rate;   /* of this router's attempts, as of `rate_at` */
   mt_ms_t rate_at;         /* last accepted or rejected attempt; 0: none */
   mt_ms_t suspended_until; /* gets no requests before this time */
--- a/src/relay/load_table.c
+++ b/src/relay/load_table.c
@@ -40,6 +40,13 @@
   return mt_max(processed, 0);
 }
 
+const mt_load_row_t *mt_load_table_find (const mt_load_table_t *table,
+                                         uint64_t engine, uint64_t router) {
+  const mt_load_row_t *row = mtV_get(&table->engines, engine);
+  while (row != NULL && row->router != router) row = row->next;
+  return row;
+}
+
 mt_engine_load_t mt_load_table_sum (const mt_load_table_t *table,
                                     uint64_t engine, uint64_t except,
                                     mt_ms_t now) {
--- a/src/relay/load_table.h
+++ b/src/relay/load_table.h
@@ -17,6 +17,7 @@
   mt_engine_load_t load;
   int64_t tokens_processed; /* of its requests there, prompt and output */
   mt_ms_t valid_until;
+  mt_speed_sums_t measured; /* by the router at the engine */
 } mt_load_row_t;
 
 typedef struct mt_load_table_t {
@@ -31,6 +32,10 @@
 int64_t mt_load_table_set (mt_load_table_t *table, uint64_t engine,
                            const mt_load_row_t *report);
 
+/* The last report of a router on an engine; NULL: none. */
+const mt_load_row_t *mt_load_table_find (const mt_load_table_t *table,
+                                         uint64_t engine, uint64_t router);
+
 /* Sums the load at an engine over all routers except one. */
 mt_engine_load_t mt_load_table_sum (const mt_load_table_t *table,
                                     uint64_t engine, uint64_t except,
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -152,7 +152,8 @@
   int64_t miss = mt_max(r->tokens_in - cached - fetch.tokens, 1);
   bool is_home = e->key == r->home_global || e->key == r->home_local;
   int64_t weighted = is_home ? mt_min(miss, c->unshared) : miss;
-  double per_token = c->prefill.ms_per_token * e->slowness;
+  double slowness = mt_relay_slowness(c->relay, e);
+  double per_token = c->prefill.ms_per_token * slowness;
   double wait = (double)pending_prefill(e) * per_token;
   double prefill = (double)miss * per_token;
   bool full = running(e) >= e->slots;
@@ -173,6 +174,7 @@
                         .wait_ms = wait,
                         .ttft_ms =
                             c->prefill.fixed_ms + wait + prefill + fetch.ms,
+                        .slowness = slowness,
                         .full = full,
                         .home = e->key == r->home_global,
                         .fetch = fetch};
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -12,6 +12,7 @@
   int64_t miss;        /* prompt tokens it probably has to prefill */
   double wait_ms;      /* expected until it begins to prefill this prompt */
   double ttft_ms;      /* expected time to first token */
+  double slowness;     /* of the engine, as used for these times */
   bool full;           /* all its slots are taken */
   bool home;           /* it is the fleet's home of the segments */
   mt_kv_fetch_t fetch; /* KV cache to fetch from another engine */
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -109,6 +109,8 @@
   uint64_t trials[MT_TRIAL_COUNT];
   uint64_t quotes_asked, quotes_late;  /* rounds: sent, timed out */
   uint64_t admissions[MT_ADMIT_COUNT]; /* quotes received, by admission */
+  /* Routers' reports of measurements at engines, by what became of them. */
+  uint64_t speed_reports[MT_SPEED_REPORT_COUNT];
 } mt_relay_counters_t;
 
 const char *mt_relay_refusal_code (mt_relay_refusal_t why);
@@ -159,6 +161,7 @@
   int64_t cached;         /* leading prompt tokens, probably cached */
   uint64_t holder; /* another engine with the shared segments; 0: none */
   mt_admission_t admission;
+  mt_speed_figures_t speed; /* all zero: the owner doesn't know */
 } mt_relay_quote_t;
 
 /* Whether an engine ran the request, by its response head. */
@@ -338,6 +341,7 @@
   /* At placement: expected wait in ms; service ratio of the workspace. */
   double wait_expected, service_ratio;
   double ttft_expected;        /* time to first token in ms */
+  double slowness;             /* of the engine, as used */
   mt_ms_t ttft;                /* the same as measured; 0: none yet */
   mt_ms_t sent, last_received; /* time sent; of the last byte received */
   int status;                  /* of the response; 0: none yet */
@@ -385,7 +389,9 @@
   /* Engines that fail repeatedly get no work for a while. */             \
   ROW(MT_RELAY_SUSPEND, "rest")                                           \
   /* Connections to unreachable engines are tested without a request. */  \
-  ROW(MT_RELAY_PROBE, "probe")
+  ROW(MT_RELAY_PROBE, "probe")                                            \
+  /* Owners merge what all routers measure of an engine's slowness. */    \
+  ROW(MT_RELAY_FLEET_SPEED, "fleet_speed")
 
 typedef enum mt_relay_mechanism_t {
 #define MT_RELAY_SYMBOL(symbol, name) symbol,
@@ -538,6 +544,11 @@
                                 const mt_prefix_segment_t *segments,
                                 size_t count);
 
+/* The slowness of an engine, by which its times to first token are
+   multiplied: its owner's figure while it is recent, else this router's own.
+ */
+double mt_relay_slowness (const mt_relay_t *relay, const mt_engine_t *engine);
+
 /* The owner's quote for `router`; 0: for this router itself. Its admission
    is left unknown. */
 mt_relay_quote_t mt_relay_quote (mt_relay_t *relay, uint64_t engine,
--- a/src/relay/relay_load.c
+++ b/src/relay/relay_load.c
@@ -55,6 +55,11 @@
   return 1 / mt_relay_prefill_time(relay, service).ms_per_token;
 }
 
+static void learn_own_slowness (mt_engine_t *e, double ratio) {
+  e->slowness = e->slowness * SLOWNESS_DECAY + ratio * (1 - SLOWNESS_DECAY);
+  e->slowness = fmin(fmax(e->slowness, SLOWNESS_MIN), SLOWNESS_MAX);
+}
+
 void mt_relay_learn_prefill (mt_relay_t *relay, mt_relay_request_t *r) {
   mt_relay_service_t *s = mt_relay_service(relay, r->service);
   double took = mt_max((double)(relay->now - r->sent), 1.0);
@@ -62,12 +67,18 @@
   double expected =
       model.fixed_ms + (double)r->work_ahead * model.ms_per_token;
   mt_prefill_time_add(&s->prefill_time, (double)r->work_ahead, took);
-  double ratio = took / mt_max(expected, 1.0);
-  if (relay->params.off[MT_RELAY_SLOWNESS]) return;
   if (expected < (double)r->objective / 8) return; /* mostly constant term */
-  mt_engine_t *e = r->engine;
-  e->slowness = e->slowness * SLOWNESS_DECAY + ratio * (1 - SLOWNESS_DECAY);
-  e->slowness = fmin(fmax(e->slowness, SLOWNESS_MIN), SLOWNESS_MAX);
+  if (!relay->params.off[MT_RELAY_SLOWNESS])
+    learn_own_slowness(r->engine, took / mt_max(expected, 1.0));
+  if (relay->params.off[MT_RELAY_FLEET_SPEED]) return;
+  mt_speed_sums_add(&r->engine->measured, expected, took);
+  mt_engine_speed_add(&r->engine->speed, expected, took, relay->now);
+}
+
+double mt_relay_slowness (const mt_relay_t *relay, const mt_engine_t *e) {
+  if (relay->params.off[MT_RELAY_FLEET_SPEED]) return e->slowness;
+  mt_ms_t elapsed = relay->now > e->quoted ? relay->now - e->quoted : 0;
+  return mt_speed_slowness(&e->quoted_speed, elapsed, e->slowness);
 }
 
 /* }== */
@@ -92,6 +103,7 @@
       e->local.pending_prefill + e->peers.pending_prefill + p->miss;
   r->wait_expected = p->wait_ms;
   r->ttft_expected = p->ttft_ms;
+  r->slowness = p->slowness;
   e->local.running++;
   e->local.pending_prefill += r->pending_prefill;
   e->local.held += r->held;
@@ -189,11 +201,26 @@
 
 /* {== Owned engines ==================================================== */
 
+/* Merges what a peer has measured since its last report; to be called before
+   that one is replaced. */
+static void take_speed_report (mt_relay_t *relay, mt_engine_t *e,
+                               uint64_t engine, const mt_load_row_t *row) {
+  if (!row->measured.known || relay->params.off[MT_RELAY_FLEET_SPEED]) return;
+  const mt_load_row_t *last =
+      mt_load_table_find(&relay->router_loads, engine, row->router);
+  mt_speed_report_t outcome = MT_SPEED_REPORT_IGNORED;
+  if (e != NULL)
+    outcome = mt_engine_speed_report(&e->speed, last ? &last->measured : NULL,
+                                     &row->measured, relay->now);
+  relay->counters.speed_reports[outcome]++;
+}
+
 void mt_relay_update_peer_load (mt_relay_t *relay, uint64_t engine,
                                 const mt_load_row_t *row,
                                 const mt_prefix_segment_t *segments,
                                 size_t count) {
   mt_engine_t *e = mt_engines_get(&relay->engines, engine);
+  take_speed_report(relay, e, engine, row);
   int64_t tokens_processed =
       mt_load_table_set(&relay->router_loads, engine, row);
   if (e == NULL) return;
@@ -213,6 +240,8 @@
   mt_engine_t *e = mt_engines_get(&relay->engines, engine);
   quote.peers =
       mt_load_table_sum(&relay->router_loads, engine, router, relay->now);
+  if (e != NULL && !relay->params.off[MT_RELAY_FLEET_SPEED])
+    quote.speed = mt_engine_speed_figures(&e->speed, relay->now);
   if (e == NULL || relay->catalog == NULL) return quote;
   const mt_catalog_service_t *s =
       mt_catalog_find_service(relay->catalog, e->service);
--- a/tests/restart_test.cc
+++ b/tests/restart_test.cc
@@ -22,7 +22,7 @@
   e->suspended_until = r.now + 3000;
   e->unreachable = true;
   e->slowness = 6;
-  const mt_load_row_t row = {nullptr, 9, {100, 200, 3}, 50, r.now + 2500};
+  const mt_load_row_t row = {nullptr, 9, {100, 200, 3}, 50, r.now + 2500, {}};
   mt_load_table_set(&r.relay->router_loads, e->key, &row);
   mt_relay_event_t event{};
   event.kind = MT_RELAY_RESTARTED;
