Pauses of engines' streams, as the whole fleet measures them

Cause: one gap between events in hundreds is over a route's gap_aim_ms, most at few engines; no router sees enough of them, and placement didn't know of them. On routes with a gap_aim_ms placement adds the chance that a stream of this length is late by a gap, and of the streams there that run while its prompt is prefilled, times the objective. That decides among engines with room alone, so it refuses nobody. How many events a stream has is learnt by service. Mechanism pauses; log fields pause= and gap=. Gaps while the router didn't read or was overloaded, and between two engines, are not learnt.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -52,6 +52,7 @@
   mt_gateway_t *gateway;
   mt_http_call_t *call;
   int number;
+  bool paused;        /* reading was paused since the last data */
   uint64_t engine;    /* its key */
   int64_t started_at; /* the start of the engine that it was sent to */
   char id[64];        /* the caller's id of the request */
@@ -176,9 +177,11 @@
 
 static void do_data (inflight_t *p, const mt_relay_effect_t *fx) {
   mt_http_exchange_data(p->exchange, fx->u.data.p, fx->u.data.n);
-  if (p->attempt != NULL &&
-      mt_http_exchange_backlog(p->exchange) > BACKLOG_MAX_BYTES)
-    mt_http_call_pause(p->attempt->call, true);
+  if (p->attempt == NULL ||
+      mt_http_exchange_backlog(p->exchange) <= BACKLOG_MAX_BYTES)
+    return;
+  p->attempt->paused = true;
+  mt_http_call_pause(p->attempt->call, true);
 }
 
 static void do_probe (mt_gateway_t *g, const mt_relay_effect_t *fx) {
@@ -390,7 +393,9 @@
   if (a->inflight == NULL) return;
   mt_relay_event_t event = {.kind = MT_RELAY_DATA,
                             .request = a->inflight->number,
-                            .attempt = a->number};
+                            .attempt = a->number,
+                            .delayed = a->paused};
+  a->paused = false;
   event.u.data = (mt_bytes_t){bytes, n};
   mt_gateway_step(a->gateway, &event);
 }
--- a/src/gateway/gateway_log.c
+++ b/src/gateway/gateway_log.c
@@ -47,6 +47,7 @@
       log, routine ? MT_LOG_DETAIL : MT_LOG_FAILURE, relay->now, "request",
       "id=%s digest=%016llx route=%08x workspace=%08x engine=%s attempt=%d age=%llu "
       "status=%d wait=%.0f expected=%.0f first=%llu slowness=%.2f "
+      "pause=%.0f gap=%llu "
       "standing=%.2f "
       "tokens=%lld own=%lld unread=%lld fetched=%lld home=%d last=%lld "
       "version=%lld "
@@ -54,8 +55,9 @@
       r->id, (number_t)r->digest, r->route, r->workspace,
       r->engine_name[0] ? r->engine_name : "-", r->attempt,
       (number_t)(relay->now - r->arrived), r->status, r->wait_expected,
-      r->ttft_expected, (number_t)r->ttft, r->slowness, r->service_ratio,
-      (long long)r->tokens_in, (long long)unshared_tokens(r),
-      (long long)r->pending_prefill, (long long)r->fetched, r->home,
-      (long long)r->last_event, (long long)version, outcome, why);
+      r->ttft_expected, (number_t)r->ttft, r->slowness, r->pause_expected,
+      (number_t)r->longest_gap, r->service_ratio, (long long)r->tokens_in,
+      (long long)unshared_tokens(r), (long long)r->pending_prefill,
+      (long long)r->fetched, r->home, (long long)r->last_event,
+      (long long)version, outcome, why);
 }
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -301,6 +301,7 @@
                                       const mt_engine_t *e) {
   mt_speed_sums_t sums = e->measured;
   sums.known = !peers->relay->params.off[MT_RELAY_FLEET_SPEED];
+  sums.gaps.known = !peers->relay->params.off[MT_RELAY_PAUSES];
   return sums;
 }
 
--- a/src/gateway/peer_message.c
+++ b/src/gateway/peer_message.c
@@ -26,8 +26,12 @@
 #define MEMBER_FIELDS 3
 #define SHARE_FIELDS 3
 #define ENGINE_FIELDS 7
-#define SPEED_SUM_FIELDS 3    /* of a row's measurements */
-#define SPEED_FIGURE_FIELDS 2 /* of a row's figures */
+/* Of a row's measurements and figures: of times to first token, and then of
+   gaps between events, which an older build doesn't send. */
+#define SPEED_SUM_FIELDS 3
+#define GAP_SUM_FIELDS (2 + MT_GAP_BOUNDS)
+#define SPEED_FIGURE_FIELDS 2
+#define GAP_FIGURE_FIELDS (2 + MT_GAP_BOUNDS)
 #define SPEED_FIELDS_MAX 32
 #define DRAIN_FIELDS 3
 #define SEGMENT_FIELDS 2
@@ -47,6 +51,9 @@
 #define TOKENS_PROCESSED_MAX ((int64_t)1 << 52)
 #define DURATION_MAX_MS 600000
 #define SLOWNESS_SCALE 1000.0 /* slowness on the wire is in thousandths */
+/* Fractions of gaps are in ten-thousandths: a stream of 56 events that pauses
+   once in 180 is no matter. */
+#define FRACTION_SCALE 10000.0
 #define SUSPECT_AGE_MAX_MS 7200000
 #define EARLIER_ENDS_MAX 1000
 
@@ -117,13 +124,37 @@
 /* Number of fields of each row in the element after the engines; 0: there is
    none, as no row has anything to say. */
 static uint32_t count_speed_fields (const mt_peer_message_t *m) {
-  bool sums = false, figures = false;
+  bool sums = false, gap_sums = false, figures = false, gap_figures = false;
   for (size_t i = 0; i < m->engines_count; i++) {
-    sums = sums || m->engines[i].measured.known;
-    figures = figures || m->engines[i].speed.slowness > 0;
+    const mt_peer_engine_t *e = &m->engines[i];
+    sums = sums || e->measured.known;
+    gap_sums = gap_sums || e->measured.gaps.known;
+    figures = figures || e->speed.slowness > 0;
+    gap_figures = gap_figures || e->speed.gaps.mean_ms > 0;
+  }
+  switch (m->kind) {
+    case MT_PEER_LOAD:
+      if (gap_sums) return SPEED_SUM_FIELDS + GAP_SUM_FIELDS;
+      return sums ? SPEED_SUM_FIELDS : 0;
+    case MT_PEER_QUOTE:
+      if (gap_figures) return SPEED_FIGURE_FIELDS + GAP_FIGURE_FIELDS;
+      return figures ? SPEED_FIGURE_FIELDS : 0;
+    default: return 0;
   }
-  if (m->kind == MT_PEER_LOAD && sums) return SPEED_SUM_FIELDS;
-  return m->kind == MT_PEER_QUOTE && figures ? SPEED_FIGURE_FIELDS : 0;
+}
+
+static void pack_gap_sums (const mt_gap_sums_t *s, msgpack_packer *pk) {
+  msgpack_pack_uint64(pk, to_unsigned((double)s->count));
+  msgpack_pack_uint64(pk, to_unsigned((double)s->ms));
+  for (int i = 0; i < MT_GAP_BOUNDS; i++)
+    msgpack_pack_uint64(pk, to_unsigned((double)s->over[i]));
+}
+
+static void pack_gap_figures (const mt_gap_figures_t *f, msgpack_packer *pk) {
+  msgpack_pack_uint64(pk, to_unsigned(f->mean_ms + 0.5));
+  msgpack_pack_uint64(pk, f->age);
+  for (int i = 0; i < MT_GAP_BOUNDS; i++)
+    msgpack_pack_uint64(pk, to_unsigned(f->over[i] * FRACTION_SCALE + 0.5));
 }
 
 static void pack_speed_sums (const mt_speed_sums_t *s, msgpack_packer *pk) {
@@ -143,10 +174,14 @@
   msgpack_pack_array(pk, 1 + m->engines_count * fields);
   msgpack_pack_uint32(pk, fields);
   for (size_t i = 0; i < m->engines_count; i++) {
-    if (m->kind == MT_PEER_LOAD)
-      pack_speed_sums(&m->engines[i].measured, pk);
-    else
-      pack_speed_figures(&m->engines[i].speed, pk);
+    const mt_peer_engine_t *e = &m->engines[i];
+    if (m->kind == MT_PEER_LOAD) {
+      pack_speed_sums(&e->measured, pk);
+      if (fields > SPEED_SUM_FIELDS) pack_gap_sums(&e->measured.gaps, pk);
+    } else {
+      pack_speed_figures(&e->speed, pk);
+      if (fields > SPEED_FIGURE_FIELDS) pack_gap_figures(&e->speed.gaps, pk);
+    }
   }
 }
 
@@ -402,20 +437,48 @@
   }
 }
 
-static mt_speed_sums_t unpack_speed_sums (const msgpack_object *at) {
-  return (mt_speed_sums_t){
+static mt_gap_sums_t unpack_gap_sums (const msgpack_object *at) {
+  mt_gap_sums_t s = {.known = true,
+                     .count = unpack_bounded(&at[0], TOKENS_PROCESSED_MAX),
+                     .ms = unpack_bounded(&at[1], TOKENS_PROCESSED_MAX)};
+  for (int i = 0; i < MT_GAP_BOUNDS; i++)
+    s.over[i] = unpack_bounded(&at[2 + i], TOKENS_PROCESSED_MAX);
+  return s;
+}
+
+static mt_gap_figures_t unpack_gap_figures (const msgpack_object *at) {
+  mt_gap_figures_t f = {
+      .mean_ms = (double)unpack_bounded(&at[0], DURATION_MAX_MS),
+      .age = (mt_ms_t)unpack_bounded(&at[1], DURATION_MAX_MS)};
+  for (int i = 0; i < MT_GAP_BOUNDS; i++)
+    f.over[i] = (double)unpack_bounded(&at[2 + i], (int64_t)FRACTION_SCALE) /
+                FRACTION_SCALE;
+  return f;
+}
+
+/* `fields`: number of fields of the row. */
+static mt_speed_sums_t unpack_speed_sums (const msgpack_object *at,
+                                          size_t fields) {
+  mt_speed_sums_t s = {
       .known = true,
       .answers = unpack_bounded(&at[0], TOKENS_PROCESSED_MAX),
       .expected_ms = unpack_bounded(&at[1], TOKENS_PROCESSED_MAX),
       .measured_ms = unpack_bounded(&at[2], TOKENS_PROCESSED_MAX)};
+  if (fields >= SPEED_SUM_FIELDS + GAP_SUM_FIELDS)
+    s.gaps = unpack_gap_sums(&at[SPEED_SUM_FIELDS]);
+  return s;
 }
 
-static mt_speed_figures_t unpack_speed_figures (const msgpack_object *at) {
+static mt_speed_figures_t unpack_speed_figures (const msgpack_object *at,
+                                                size_t fields) {
   int64_t slowness =
       unpack_bounded(&at[0], (int64_t)(MT_SLOWNESS_MAX * SLOWNESS_SCALE));
-  return (mt_speed_figures_t){
+  mt_speed_figures_t f = {
       .slowness = (double)slowness / SLOWNESS_SCALE,
       .age = (mt_ms_t)unpack_bounded(&at[1], DURATION_MAX_MS)};
+  if (fields >= SPEED_FIGURE_FIELDS + GAP_FIGURE_FIELDS)
+    f.gaps = unpack_gap_figures(&at[SPEED_FIGURE_FIELDS]);
+  return f;
 }
 
 /* The element after the engines' rows, if it is one that holds a row of at
@@ -456,9 +519,10 @@
     e->admission = (mt_admission_t)unpack_bounded(&at[6], MT_ADMIT_NONE);
     e->measured = (mt_speed_sums_t){.known = false};
     e->speed = (mt_speed_figures_t){0};
-    if (sums != NULL) e->measured = unpack_speed_sums(&sums[i * fields]);
+    if (sums != NULL)
+      e->measured = unpack_speed_sums(&sums[i * fields], fields);
     if (figures != NULL)
-      e->speed = unpack_speed_figures(&figures[i * fields]);
+      e->speed = unpack_speed_figures(&figures[i * fields], fields);
   }
 }
 
--- a/src/net/log_writer.h
+++ b/src/net/log_writer.h
@@ -25,7 +25,7 @@
 void mt_log_writer_close (mt_log_writer_t *log);
 
 /* Adds a line that starts with time, node and event; `now` is the loop's
-   time. A line is cut at 478 bytes; control characters become '?'. */
+   time. A line is cut at 638 bytes; control characters become '?'. */
 void mt_log_line (mt_log_writer_t *log, mt_log_class_t line_class,
                   mt_ms_t now, const char *event, const char *format, ...)
     __attribute__((format(printf, 5, 6)));
--- a/src/relay/engine_speed.c
+++ b/src/relay/engine_speed.c
@@ -1,6 +1,6 @@
 /*
-** engine_speed.c - how slow an engine is, from the measurements of all
-*routers
+** engine_speed.c - the performance of an engine, from the measurements of
+** all routers
 */
 #include <math.h>
 
@@ -127,11 +127,12 @@
          sums->measured_ms < last->measured_ms;
 }
 
-mt_speed_report_t mt_engine_speed_report (mt_engine_speed_t *speed,
-                                          const mt_speed_sums_t *last,
-                                          const mt_speed_sums_t *sums,
-                                          mt_ms_t now) {
-  if (last == NULL || !last->known || has_restarted(last, sums))
+static mt_speed_report_t report_answers (mt_engine_speed_t *speed,
+                                         const mt_speed_sums_t *last,
+                                         const mt_speed_sums_t *sums,
+                                         mt_ms_t now) {
+  if (!sums->known) return MT_SPEED_REPORT_UNCHANGED;
+  if (!last->known || has_restarted(last, sums))
     return MT_SPEED_REPORT_BASELINE;
   if (sums->answers == last->answers) return MT_SPEED_REPORT_UNCHANGED;
   mt_speed_window_t sample = {
@@ -143,6 +144,30 @@
   return bounded ? MT_SPEED_REPORT_BOUNDED : MT_SPEED_REPORT_USED;
 }
 
+static mt_speed_report_t report_gaps (mt_engine_gaps_t *gaps,
+                                      const mt_gap_sums_t *last,
+                                      const mt_gap_sums_t *sums,
+                                      mt_ms_t now) {
+  if (!sums->known) return MT_SPEED_REPORT_UNCHANGED;
+  if (!last->known || mt_gap_sums_fell(last, sums))
+    return MT_SPEED_REPORT_BASELINE;
+  if (sums->count == last->count) return MT_SPEED_REPORT_UNCHANGED;
+  bool bounded = mt_engine_gaps_add(gaps, last, sums, now);
+  return bounded ? MT_SPEED_REPORT_BOUNDED : MT_SPEED_REPORT_USED;
+}
+
+/* Of the two outcomes the one that says more counts. */
+mt_speed_report_t mt_engine_speed_report (mt_engine_speed_t *speed,
+                                          const mt_speed_sums_t *last,
+                                          const mt_speed_sums_t *sums,
+                                          mt_ms_t now) {
+  if (last == NULL) return MT_SPEED_REPORT_BASELINE;
+  mt_speed_report_t answers = report_answers(speed, last, sums, now);
+  mt_speed_report_t gaps =
+      report_gaps(&speed->gaps, &last->gaps, &sums->gaps, now);
+  return mt_max(answers, gaps);
+}
+
 /* }== */
 
 static double bounded_slowness (double slowness) {
@@ -172,16 +197,26 @@
                                             mt_ms_t now) {
   mt_engine_speed_t present = *speed;
   mt_ms_t age = now > speed->measured_at ? now - speed->measured_at : 0;
-  if (speed->measured_at == 0 || age > FORGET_MS)
-    return (mt_speed_figures_t){0};
+  mt_speed_figures_t figures = {
+      .age = age, .gaps = mt_engine_gaps_figures(&speed->gaps, now)};
+  if (speed->measured_at == 0 || age > FORGET_MS) return figures;
   advance(&present, now);
-  return (mt_speed_figures_t){slowness_of(&present), age};
+  figures.slowness = slowness_of(&present);
+  return figures;
+}
+
+static bool is_fresh (mt_ms_t age, mt_ms_t elapsed) {
+  return age <= FRESH_MS && elapsed <= FRESH_MS - age;
 }
 
 double mt_speed_slowness (const mt_speed_figures_t *figures, mt_ms_t elapsed,
                           double own) {
-  if (figures->slowness <= 0) return own;
-  if (figures->age > FRESH_MS || elapsed > FRESH_MS - figures->age)
-    return own;
+  if (figures->slowness <= 0 || !is_fresh(figures->age, elapsed)) return own;
   return bounded_slowness(figures->slowness);
 }
+
+mt_gap_figures_t mt_speed_gaps (const mt_speed_figures_t *figures,
+                                mt_ms_t elapsed) {
+  if (!is_fresh(figures->gaps.age, elapsed)) return (mt_gap_figures_t){0};
+  return figures->gaps;
+}
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -103,11 +103,35 @@
   int64_t unshared; /* tokens of the last segment */
   /* Wait limits in ms; how much prefix locality is relaxed, 0 to 1. */
   double limit, remote_limit, relaxation;
-  double miss_factor;  /* weight of prefill time against waiting time */
-  mt_placement_t best; /* so far */
-  double best_cost;
+  double miss_factor; /* weight of prefill time against waiting time */
+  double events;      /* expected in the response; 0: unknown */
+  /* So far: without the costs of pauses, and with them, of engines that have
+     room. */
+  mt_placement_t best, calmest;
+  double best_cost, calmest_cost;
 } costs_t;
 
+/*
+** Cost of gaps between events that are over the request's target, in ms of
+** expected time to first token. A stream that will be late by a gap is worth
+** no more than one whose first event is late by a whole objective. While the
+** prompt is prefilled between the steps of the streams that run there, these
+** have gaps over the target at the same rate, and those that are late by them
+** count as much.
+*/
+static double pause_cost (const costs_t *c, const mt_engine_t *e,
+                          double prefill_ms) {
+  const mt_relay_request_t *r = c->request;
+  if (r->pause == 0) return 0;
+  mt_gap_figures_t gaps = mt_relay_gaps(c->relay, e);
+  if (gaps.mean_ms <= 0) return 0;
+  double target = (double)r->pause;
+  double late = mt_gap_late_fraction(&gaps, c->events, target);
+  double events_meanwhile = 1 + prefill_ms / gaps.mean_ms;
+  late += running(e) * mt_gap_late_fraction(&gaps, events_meanwhile, target);
+  return late * (double)r->objective;
+}
+
 static costs_t begin_costs (mt_relay_t *relay, const mt_relay_request_t *r) {
   const mt_catalog_service_t *service =
       mt_catalog_find_service(relay->catalog, r->service);
@@ -116,6 +140,7 @@
   c.service = service;
   c.prefill = mt_relay_prefill_time(relay, r->service);
   c.unshared = mt_max(r->tokens_in - mt_kv_cache_shared_tokens(r), 1);
+  c.events = r->pause > 0 ? mt_relay_expected_events(relay, r) : 0;
   c.limit = wait_limit(relay, r, service);
   c.remote_limit = c.limit * remote_wait_fraction(relay, r);
   c.relaxation = relaxation_of(relay, r);
@@ -134,6 +159,11 @@
   return e->remote && c->request->rounds > 1 ? c->remote_limit : c->limit;
 }
 
+static double expected_pause (const costs_t *c, const mt_engine_t *e) {
+  mt_gap_figures_t gaps = mt_relay_gaps(c->relay, e);
+  return c->request->pause > 0 ? mt_gap_longest(&gaps, c->events) : 0;
+}
+
 /*
 ** Expected time to first token, with the prefill of uncached tokens weighted
 ** more, and penalties. At a home the prefill of shared segments is not
@@ -160,7 +190,8 @@
   int64_t held = e->local.held + e->peers.held + miss;
   double cost = wait + (double)weighted * per_token * c->miss_factor;
   cost += fetch.ms * params->kv_transfer_weight * c->miss_factor;
-  if (wait > limit_at(c, e))
+  bool over_limit = wait > limit_at(c, e);
+  if (over_limit)
     cost += (r->rounds > 1 ? 1 : c->relaxation) * OVER_LIMIT_PENALTY_MS;
   cost += running(e) * RUNNING_PENALTY_MS;
   if (full) cost += FULL_PENALTY_MS;
@@ -175,7 +206,10 @@
                         .ttft_ms =
                             c->prefill.fixed_ms + wait + prefill + fetch.ms,
                         .slowness = slowness,
+                        .pause_ms = expected_pause(c, e),
                         .full = full,
+                        .has_room = !full && !over_limit,
+                        .pause_cost = pause_cost(c, e, prefill),
                         .home = e->key == r->home_global,
                         .fetch = fetch};
   return cost;
@@ -199,14 +233,28 @@
   return running(e) + (double)order / 1000;
 }
 
+static void keep_cheaper (mt_placement_t *best, double *best_cost,
+                          const mt_placement_t *p, double cost) {
+  if (best->engine != NULL && cost >= *best_cost) return;
+  *best = *p;
+  *best_cost = cost;
+}
+
 /* Keeps the engine if its cost is the least so far. */
 static void consider (costs_t *c, mt_engine_t *e) {
   mt_placement_t p;
   double cost = c->service ? model_cost(c, e, &p) : slot_cost(c, e, &p);
   if (c->request->on_trial) cost = trial_cost(c, e);
-  if (c->best.engine != NULL && cost >= c->best_cost) return;
-  c->best = p;
-  c->best_cost = cost;
+  keep_cheaper(&c->best, &c->best_cost, &p, cost);
+  if (p.has_room)
+    keep_cheaper(&c->calmest, &c->calmest_cost, &p, cost + p.pause_cost);
+}
+
+/* Pauses decide among engines with room alone: they never lead to one that
+   refuses the request. */
+static mt_placement_t result_of (const costs_t *c) {
+  bool by_pauses = c->best.has_room && !c->request->on_trial;
+  return by_pauses ? c->calmest : c->best;
 }
 
 /* }== */
@@ -229,12 +277,12 @@
     if (candidate->quoted && e != NULL && may_go_to(relay, r, e))
       consider(&c, e);
   }
-  if (c.best.engine != NULL) return c.best;
+  if (c.best.engine != NULL) return result_of(&c);
   for (size_t i = 0; i < relay->engines.count; i++) {
     mt_engine_t *e = relay->engines.list[i];
     if (may_go_to(relay, r, e)) consider(&c, e);
   }
-  return c.best;
+  return result_of(&c);
 }
 
 bool mt_placement_may_have_room (mt_relay_t *relay,
@@ -255,7 +303,7 @@
   costs_t c = begin_costs(relay, r);
   for (size_t i = 0; i < count; i++)
     if (mt_candidates_usable(relay, r, engines[i])) consider(&c, engines[i]);
-  return c.best.engine;
+  return result_of(&c).engine;
 }
 
 /*
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -13,8 +13,11 @@
   double wait_ms;      /* expected until it begins to prefill this prompt */
   double ttft_ms;      /* expected time to first token */
   double slowness;     /* of the engine, as used for these times */
+  double pause_ms;     /* expected longest gap between events; 0: unknown */
   bool full;           /* all its slots are taken */
-  bool home;           /* it is the fleet's home of the segments */
+  bool has_room;       /* a slot, and the wait is within the limit */
+  double pause_cost; /* of gaps over the target, ms of time to first token */
+  bool home;         /* it is the fleet's home of the segments */
   mt_kv_fetch_t fetch; /* KV cache to fetch from another engine */
 } mt_placement_t;
 
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -79,6 +79,7 @@
   int64_t out = incoming->tokens_hint > 0 ? incoming->tokens_hint
                                           : incoming->tokens_out;
   if (incoming->tokens_out > 0) out = mt_min(out, incoming->tokens_out);
+  r->tokens_expected = out;
   r->cost = mt_max(incoming->tokens_in + OUTPUT_WEIGHT * out, 1);
 }
 
@@ -431,7 +432,9 @@
   switch (ev->kind) {
     case MT_RELAY_WRITTEN: r->written = true; break;
     case MT_RELAY_HEAD: mt_response_head(relay, r, ev); break;
-    case MT_RELAY_DATA: mt_response_data(relay, r, ev->u.data); break;
+    case MT_RELAY_DATA:
+      mt_response_data(relay, r, ev->u.data, ev->delayed);
+      break;
     case MT_RELAY_FAILED: mt_response_failed(relay, r, ev->u.not_sent); break;
     case MT_RELAY_END: mt_response_end(relay, r); break;
     default: break;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -176,6 +176,9 @@
   mt_ms_t now;
   uint64_t request; /* number that the adapter gave it */
   int attempt;
+  /* DATA: the adapter had stopped reading for a while, as the caller didn't.
+   */
+  bool delayed;
   union {
     const mt_relay_incoming_t *incoming; /* REQUEST */
     struct {
@@ -308,6 +311,7 @@
   /* From the incoming request; cost: weighted tokens that its workspace is
      charged. */
   int64_t tokens_in, tokens_out, cost, last_event;
+  int64_t tokens_expected; /* completion tokens, as hinted; 0: unknown */
   mt_prefix_segment_t segments[MT_RELAY_SEGMENTS_MAX];
   size_t segments_count;
   /* Home engines of its shared segments (candidates.h): of the fleet, of this
@@ -340,18 +344,30 @@
   int64_t work_ahead; /* pending prefill there when sent, its own included */
   /* At placement: expected wait in ms; service ratio of the workspace. */
   double wait_expected, service_ratio;
-  double ttft_expected;        /* time to first token in ms */
-  double slowness;             /* of the engine, as used */
-  mt_ms_t ttft;                /* the same as measured; 0: none yet */
+  double ttft_expected;  /* time to first token in ms */
+  double slowness;       /* of the engine, as used */
+  double pause_expected; /* longest gap between events, ms; 0: unknown */
+  mt_ms_t ttft;          /* the same as measured; 0: none yet */
   mt_ms_t sent, last_received; /* time sent; of the last byte received */
   int status;                  /* of the response; 0: none yet */
   uint64_t tried[MT_RELAY_TRIES_MAX];
   int tried_count;
   mt_event_stream_t stream;
-  char *body; /* BUFFERING: the body so far */
+  /* Last event that came, and the last one forwarded; 0: none. */
+  mt_ms_t event_received, event_forwarded;
+  mt_ms_t longest_gap;  /* between events as forwarded, ms */
+  bool delayed;         /* the router didn't read since the last event */
+  int64_t events_count; /* forwarded */
+  char *body;           /* BUFFERING: the body so far */
   size_t body_size, body_cap;
 } mt_relay_request_t;
 
+/* Decaying sums over complete streams: how many events they had, and the
+   completion tokens that were expected of them. */
+typedef struct mt_stream_length_t {
+  double streams, events, tokens;
+} mt_stream_length_t;
+
 /* This router's measurements of a service's engines, and its retry budget. */
 typedef struct mt_relay_service_t {
   mt_id_t id;
@@ -359,6 +375,7 @@
   mt_retry_budget_t budget;
   int ready; /* available engines, as last counted */
   double avg_pending_prefill, avg_running; /* at homes, smoothed */
+  mt_stream_length_t stream_length;
 } mt_relay_service_t;
 
 /*
@@ -391,7 +408,9 @@
   /* Connections to unreachable engines are tested without a request. */  \
   ROW(MT_RELAY_PROBE, "probe")                                            \
   /* Owners merge what all routers measure of an engine's slowness. */    \
-  ROW(MT_RELAY_FLEET_SPEED, "fleet_speed")
+  ROW(MT_RELAY_FLEET_SPEED, "fleet_speed")                                \
+  /* The same of the pauses of its streams, which count as costs. */      \
+  ROW(MT_RELAY_PAUSES, "pauses")
 
 typedef enum mt_relay_mechanism_t {
 #define MT_RELAY_SYMBOL(symbol, name) symbol,
@@ -549,6 +568,15 @@
  */
 double mt_relay_slowness (const mt_relay_t *relay, const mt_engine_t *engine);
 
+/* Gaps between the events of an engine's streams by its owner's recent
+   figures; unknown without them. */
+mt_gap_figures_t mt_relay_gaps (const mt_relay_t *relay,
+                                const mt_engine_t *engine);
+
+/* Expected number of events in the response to a request; 0: unknown. */
+double mt_relay_expected_events (mt_relay_t *relay,
+                                 const mt_relay_request_t *request);
+
 /* The owner's quote for `router`; 0: for this router itself. Its admission
    is left unknown. */
 mt_relay_quote_t mt_relay_quote (mt_relay_t *relay, uint64_t engine,
--- a/src/relay/relay_load.c
+++ b/src/relay/relay_load.c
@@ -20,6 +20,9 @@
 #define SLOWNESS_RECOVERY 0.998 /* of the distance to 1 left per update */
 /* Without probes an unreachable engine gets no request for this long. */
 #define UNPROBED_WAIT_MS 800
+/* Weight of the old sums of stream lengths against one stream: some hundred
+   count. */
+#define STREAM_LENGTH_DECAY 0.99
 /* A gone engine, with the record of its cache, is kept for this long. */
 #define FORGET_MS 10000
 
@@ -75,10 +78,52 @@
   mt_engine_speed_add(&r->engine->speed, expected, took, relay->now);
 }
 
+static mt_ms_t since_quote (const mt_relay_t *relay, const mt_engine_t *e) {
+  return relay->now > e->quoted ? relay->now - e->quoted : 0;
+}
+
 double mt_relay_slowness (const mt_relay_t *relay, const mt_engine_t *e) {
   if (relay->params.off[MT_RELAY_FLEET_SPEED]) return e->slowness;
-  mt_ms_t elapsed = relay->now > e->quoted ? relay->now - e->quoted : 0;
-  return mt_speed_slowness(&e->quoted_speed, elapsed, e->slowness);
+  return mt_speed_slowness(&e->quoted_speed, since_quote(relay, e),
+                           e->slowness);
+}
+
+/* }== */
+
+/* {== Gaps between the events of streams =============================== */
+
+void mt_relay_learn_gap (mt_relay_t *relay, mt_relay_request_t *r,
+                         mt_ms_t gap) {
+  const mt_gap_sums_t none = {.count = 0};
+  mt_gap_sums_t one = {.count = 0};
+  if (relay->params.off[MT_RELAY_PAUSES]) return;
+  mt_gap_sums_add(&r->engine->measured.gaps, gap);
+  mt_gap_sums_add(&one, gap);
+  mt_engine_gaps_add(&r->engine->speed.gaps, &none, &one, relay->now);
+}
+
+mt_gap_figures_t mt_relay_gaps (const mt_relay_t *relay,
+                                const mt_engine_t *e) {
+  if (relay->params.off[MT_RELAY_PAUSES]) return (mt_gap_figures_t){0};
+  return mt_speed_gaps(&e->quoted_speed, since_quote(relay, e));
+}
+
+void mt_relay_learn_stream (mt_relay_t *relay, const mt_relay_request_t *r) {
+  mt_stream_length_t *l = &mt_relay_service(relay, r->service)->stream_length;
+  l->streams = l->streams * STREAM_LENGTH_DECAY + 1;
+  l->events = l->events * STREAM_LENGTH_DECAY + (double)r->events_count;
+  l->tokens = l->tokens * STREAM_LENGTH_DECAY + (double)r->tokens_expected;
+}
+
+/* By its tokens where callers state them, else as many as others have. */
+double mt_relay_expected_events (mt_relay_t *relay,
+                                 const mt_relay_request_t *r) {
+  const mt_stream_length_t *l =
+      &mt_relay_service(relay, r->service)->stream_length;
+  if (l->streams <= 0) return (double)r->tokens_expected;
+  if (r->tokens_expected <= 0 || l->tokens <= 0)
+    return l->events / l->streams;
+  return (double)r->tokens_expected * l->events / l->tokens;
 }
 
 /* }== */
@@ -104,6 +149,7 @@
   r->wait_expected = p->wait_ms;
   r->ttft_expected = p->ttft_ms;
   r->slowness = p->slowness;
+  r->pause_expected = p->pause_ms;
   e->local.running++;
   e->local.pending_prefill += r->pending_prefill;
   e->local.held += r->held;
@@ -205,13 +251,16 @@
    that one is replaced. */
 static void take_speed_report (mt_relay_t *relay, mt_engine_t *e,
                                uint64_t engine, const mt_load_row_t *row) {
-  if (!row->measured.known || relay->params.off[MT_RELAY_FLEET_SPEED]) return;
+  mt_speed_sums_t sums = row->measured;
+  if (relay->params.off[MT_RELAY_FLEET_SPEED]) sums.known = false;
+  if (relay->params.off[MT_RELAY_PAUSES]) sums.gaps.known = false;
+  if (!sums.known && !sums.gaps.known) return;
   const mt_load_row_t *last =
       mt_load_table_find(&relay->router_loads, engine, row->router);
   mt_speed_report_t outcome = MT_SPEED_REPORT_IGNORED;
   if (e != NULL)
     outcome = mt_engine_speed_report(&e->speed, last ? &last->measured : NULL,
-                                     &row->measured, relay->now);
+                                     &sums, relay->now);
   relay->counters.speed_reports[outcome]++;
 }
 
@@ -232,6 +281,14 @@
     mt_prefix_cache_use(&e->cached, segments, count, s->kv_capacity);
 }
 
+static mt_speed_figures_t owned_figures (const mt_relay_t *relay,
+                                         const mt_engine_t *e) {
+  mt_speed_figures_t f = mt_engine_speed_figures(&e->speed, relay->now);
+  if (relay->params.off[MT_RELAY_FLEET_SPEED]) f.slowness = 0;
+  if (relay->params.off[MT_RELAY_PAUSES]) f.gaps = (mt_gap_figures_t){0};
+  return f;
+}
+
 mt_relay_quote_t mt_relay_quote (mt_relay_t *relay, uint64_t engine,
                                  uint64_t router,
                                  const mt_prefix_segment_t *segments,
@@ -240,8 +297,7 @@
   mt_engine_t *e = mt_engines_get(&relay->engines, engine);
   quote.peers =
       mt_load_table_sum(&relay->router_loads, engine, router, relay->now);
-  if (e != NULL && !relay->params.off[MT_RELAY_FLEET_SPEED])
-    quote.speed = mt_engine_speed_figures(&e->speed, relay->now);
+  if (e != NULL) quote.speed = owned_figures(relay, e);
   if (e == NULL || relay->catalog == NULL) return quote;
   const mt_catalog_service_t *s =
       mt_catalog_find_service(relay->catalog, e->service);
--- a/src/relay/relay_load.h
+++ b/src/relay/relay_load.h
@@ -22,6 +22,13 @@
    called before mt_relay_prefill_done. */
 void mt_relay_learn_prefill (mt_relay_t *relay, mt_relay_request_t *request);
 
+/* Learns from the gap between two events of a stream, in ms, and from the
+   length of a complete one. */
+void mt_relay_learn_gap (mt_relay_t *relay, mt_relay_request_t *request,
+                         mt_ms_t gap);
+void mt_relay_learn_stream (mt_relay_t *relay,
+                            const mt_relay_request_t *request);
+
 /* Marks the engine as gone: it gets no more work. */
 void mt_relay_engine_gone (mt_relay_t *relay, mt_engine_t *engine);
 
--- a/src/relay/response.c
+++ b/src/relay/response.c
@@ -68,6 +68,22 @@
     mt_request_effect(relay, MT_RELAY_DO_DATA, r)->u.data = data;
 }
 
+/* An event came from the engine. Gaps that are not the engine's are not
+   learnt: from the engine of an earlier attempt, or while the router did not
+   read or was overloaded. */
+static void note_received (mt_relay_t *relay, mt_relay_request_t *r) {
+  if (!r->awaiting_event && !r->delayed && !relay->overloaded)
+    mt_relay_learn_gap(relay, r, relay->now - r->event_received);
+  r->event_received = relay->now;
+  r->delayed = false;
+}
+
+static void note_forwarded (mt_relay_t *relay, mt_relay_request_t *r) {
+  if (r->events_count++ > 0)
+    r->longest_gap = mt_max(r->longest_gap, relay->now - r->event_forwarded);
+  r->event_forwarded = relay->now;
+}
+
 static void on_event_data (mt_relay_t *relay, mt_relay_request_t *r,
                            mt_bytes_t data) {
   mt_stream_event_t event;
@@ -77,6 +93,7 @@
     return;
   }
   while (mt_event_stream_next(&r->stream, &event)) {
+    note_received(relay, r);
     if (r->awaiting_event) {
       r->ttft = mt_max(relay->now - r->sent, (mt_ms_t)1);
       mt_relay_learn_prefill(relay, r);
@@ -85,6 +102,7 @@
     relay->counters.events++;
     if (event.id >= 0 && event.id <= r->last_event) continue;
     if (event.id >= 0) r->last_event = event.id;
+    note_forwarded(relay, r);
     forward_head(relay, r, MT_RELAY_LENGTH_UNKNOWN);
     forward_data(relay, r, event.text);
   }
@@ -110,9 +128,10 @@
 }
 
 void mt_response_data (mt_relay_t *relay, mt_relay_request_t *r,
-                       mt_bytes_t data) {
+                       mt_bytes_t data, bool delayed) {
   r->last_received = relay->now;
   r->engine->last_received = relay->now;
+  r->delayed = r->delayed || delayed;
   if (r->events)
     on_event_data(relay, r, data);
   else
@@ -132,6 +151,7 @@
     forward_data(relay, r, (mt_bytes_t){r->body, r->body_size});
   }
   if (r->status < 500) mt_engine_succeeded(r->engine, relay->now);
+  if (r->events) mt_relay_learn_stream(relay, r);
   mt_quarantine_run_answered(relay, r);
   mt_request_effect(relay, MT_RELAY_DO_END, r);
   relay->counters.answers++;
--- a/tests/engine_speed_test.cc
+++ b/tests/engine_speed_test.cc
@@ -111,7 +111,7 @@
 // {== Reports ==============================================================
 
 mt_speed_sums_t sums (int64_t answers, int64_t expected, int64_t measured) {
-  return {true, answers, expected, measured};
+  return {true, answers, expected, measured, {}};
 }
 
 // False, absurd or repeated sums must not move the model beyond its bounds,
@@ -172,23 +172,30 @@
 TEST(EngineSpeed, OldFiguresAreNotUsed) {
   struct Row {
     const char *what;
-    mt_speed_figures_t figures;
-    mt_ms_t elapsed;
+    double slowness;
+    mt_ms_t age, elapsed;
     double used; // own: 1.1
+    bool fresh;
   } rows[] = {
-      {"fresh", {2.5, 0}, 0, 2.5},
-      {"two seconds in all", {2.5, 1500}, 500, 2.5},
-      {"more than that", {2.5, 1500}, 501, 1.1},
-      {"old at the owner, as without reports", {2.5, 2001}, 0, 1.1},
-      {"a long time ago", {2.5, 0}, 1000000, 1.1},
-      {"huge age", {2.5, UINT64_MAX}, UINT64_MAX, 1.1},
-      {"unknown", {0, 0}, 0, 1.1},
-      {"out of range", {100, 0}, 0, MT_SLOWNESS_MAX},
-      {"negative", {-3, 0}, 0, 1.1},
+      {"fresh", 2.5, 0, 0, 2.5, true},
+      {"two seconds in all", 2.5, 1500, 500, 2.5, true},
+      {"more than that", 2.5, 1500, 501, 1.1, false},
+      {"old at the owner, as without reports", 2.5, 2001, 0, 1.1, false},
+      {"a long time ago", 2.5, 0, 1000000, 1.1, false},
+      {"huge age", 2.5, UINT64_MAX, UINT64_MAX, 1.1, false},
+      {"unknown", 0, 0, 0, 1.1, true},
+      {"out of range", 100, 0, 0, MT_SLOWNESS_MAX, true},
+      {"negative", -3, 0, 0, 1.1, true},
   };
-  for (const Row &row : rows)
-    EXPECT_EQ(mt_speed_slowness(&row.figures, row.elapsed, 1.1), row.used)
+  for (const Row &row : rows) {
+    mt_speed_figures_t f{};
+    f.slowness = row.slowness;
+    f.age = f.gaps.age = row.age;
+    f.gaps.mean_ms = 40;
+    EXPECT_EQ(mt_speed_slowness(&f, row.elapsed, 1.1), row.used) << row.what;
+    EXPECT_EQ(mt_speed_gaps(&f, row.elapsed).mean_ms > 0, row.fresh)
         << row.what;
+  }
 }
 
 // }==
@@ -268,7 +275,7 @@
   return fields;
 }
 
-Message with_engines (mt_peer_kind_t kind, size_t count) {
+Message with_engines (mt_peer_kind_t kind, size_t count, bool gaps = true) {
   Message m = message_of(kind);
   for (size_t i = 0; i < count; i++) {
     mt_peer_engine_t e{};
@@ -277,7 +284,11 @@
     e.tokens = 400;
     e.holder = 77;
     e.measured = sums(5 + (int64_t)i, 600, 900);
-    e.speed = {1.25, 40 + i};
+    e.speed = {1.25, 40 + i, {}};
+    if (gaps) {
+      e.measured.gaps = {true, 700, 30000, {30, 20, 10}};
+      e.speed.gaps = {43, {0.04, 0.0125, 0}, 60};
+    }
     m->engines[m->engines_count++] = e;
   }
   return m;
@@ -301,10 +312,50 @@
       EXPECT_EQ(q.speed.slowness, 1.25);
       EXPECT_EQ(q.speed.age, 40 + i);
       EXPECT_EQ(q.tokens, 400);
+      EXPECT_TRUE(l.measured.gaps.known);
+      EXPECT_EQ(l.measured.gaps.count, 700);
+      EXPECT_EQ(l.measured.gaps.ms, 30000);
+      EXPECT_EQ(l.measured.gaps.over[2], 10);
+      EXPECT_EQ(q.speed.gaps.mean_ms, 43);
+      EXPECT_EQ(q.speed.gaps.over[1], 0.0125);
+      EXPECT_EQ(q.speed.gaps.age, 60u);
     }
   }
 }
 
+// A router that doesn't measure gaps, or on the build before it did.
+TEST(EngineSpeed, RowsWithoutGapsAreRead) {
+  Message load = unpack(pack(with_engines(MT_PEER_LOAD, 2, false))),
+          quote = unpack(pack(with_engines(MT_PEER_QUOTE, 2, false)));
+  ASSERT_TRUE(load && quote);
+  EXPECT_EQ(load->engines[1].measured.answers, 6);
+  EXPECT_FALSE(load->engines[1].measured.gaps.known);
+  EXPECT_EQ(quote->engines[1].speed.slowness, 1.25);
+  EXPECT_EQ(quote->engines[1].speed.gaps.mean_ms, 0);
+}
+
+// Every request has three reports and up to eight quotes: their size decides
+// what a router sends.
+TEST(EngineSpeed, AnEngineTakesFewBytes) {
+  struct Row {
+    mt_peer_kind_t kind;
+    size_t most;
+  } rows[] = {{MT_PEER_LOAD, 36}, {MT_PEER_QUOTE, 22}};
+  for (const Row &row : rows) {
+    Message with = with_engines(row.kind, 1),
+            without = with_engines(row.kind, 1);
+    mt_peer_engine_t &e = with->engines[0];
+    // After a day at 45 answers/s, 60 routers and 56 events.
+    e.measured = sums(64800, 9720000, 11000000);
+    e.measured.gaps = {true, 3600000, 144000000, {36000, 7200, 1800}};
+    e.speed.gaps = {43, {0.02, 0.0125, 0.001}, 300};
+    e.speed.age = 300;
+    without->engines[0].measured = {};
+    without->engines[0].speed = {};
+    EXPECT_LE(pack(with).size(), pack(without).size() + row.most);
+  }
+}
+
 // Routers of both builds work in one fleet while it is updated.
 TEST(EngineSpeed, TheFormatStaysReadableBothWays) {
   for (mt_peer_kind_t kind : {MT_PEER_LOAD, MT_PEER_QUOTE}) {
@@ -385,6 +436,9 @@
         ASSERT_GE(m->engines[e].measured.answers, 0);
         ASSERT_LE(m->engines[e].measured.measured_ms, (int64_t)1 << 52);
         ASSERT_LE(m->engines[e].speed.slowness, MT_SLOWNESS_MAX);
+        ASSERT_GE(m->engines[e].measured.gaps.count, 0);
+        ASSERT_LE(m->engines[e].speed.gaps.over[0], 1);
+        ASSERT_LE(m->engines[e].speed.gaps.mean_ms, 600000);
       }
     }
   }
@@ -470,6 +524,52 @@
   }
 }
 
+// The owner's figure after failures on the way: what 60 routers measure at an
+// engine that takes 2.5 times as long, in 20 reports each.
+TEST(EngineSpeed, FailuresOnTheWayDoLittleHarm) {
+  struct Row {
+    const char *what;
+    uint64_t lost;        // one of so many reports is lost; 0: none
+    int successor;        // after so many reports there is a new owner
+    int router_restarted; // after so many reports routers start again
+    bool repeated;        // each report comes twice
+    double least;
+  } rows[] = {{"none", 0, 0, 0, false, 2},
+              {"one of two reports is lost", 2, 0, 0, false, 2},
+              {"each report comes twice", 0, 0, 0, true, 2},
+              {"the owner is replaced", 0, 15, 0, false, 2},
+              {"the routers restart", 0, 0, 15, false, 2},
+              {"the owner was replaced just now", 0, 19, 0, false, 0}};
+  for (const Row &row : rows) {
+    Relay first(1), second(1);
+    Relay *owner = &first;
+    for (int report = 1; report <= 20; report++) {
+      if (report == row.successor + 1 && row.successor > 0) owner = &second;
+      owner->now = first.now = first.now + 100;
+      owner->relay->now = owner->now;
+      for (uint64_t router = 1; router <= 60; router++) {
+        int64_t n = report;
+        if (row.router_restarted > 0 && report > row.router_restarted)
+          n -= row.router_restarted;
+        if (row.lost > 0 && (router + (uint64_t)report) % row.lost == 0)
+          continue;
+        mt_load_row_t load{};
+        load.router = router;
+        load.valid_until = owner->now + 2500;
+        load.measured = sums(n, n * 150, n * 375);
+        for (int k = 0; k <= row.repeated; k++)
+          mt_relay_update_peer_load(owner->relay, owner->find("m1")->key,
+                                    &load, nullptr, 0);
+      }
+    }
+    double seen =
+        mt_relay_quote(owner->relay, owner->find("m1")->key, 99, nullptr, 0)
+            .speed.slowness;
+    EXPECT_GE(seen, row.least) << row.what;
+    EXPECT_LE(seen, 2.6) << row.what;
+  }
+}
+
 // What a router measures itself goes into its reports, and at the engine's
 // owner into its own model.
 TEST(EngineSpeed, OwnAnswersAreMeasured) {
@@ -528,7 +628,7 @@
   mt_engine_t *e = w.find("m1");
   mt_engine_speed_add(&e->speed, 100, 400, w.now);
   e->quoted = w.now;
-  e->quoted_speed = {4, 0};
+  e->quoted_speed = {4, 0, {}};
   w.relay->now = w.now;
   EXPECT_EQ(mt_relay_slowness(w.relay, e), 4);
   mt_engine_restarted(e);
