Tests of engine figures and gaps with a running gateway

Cause: the path from a peer's report over the owner's model to its quote, and the log field gap=, were tested in their parts alone.

--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -577,6 +577,94 @@
   close(fd);
 }
 
+// What a peer measures at an engine comes back in the owner's quotes; the
+// owner here is the gateway, the only one that is live.
+TEST(Gateway, QuotesWhatPeersMeasure) {
+  World w;
+  w.engine("i-1", "model", w.listen([] (Conn &, const Request &) {}));
+  int fd = socket(AF_INET, SOCK_DGRAM, 0);
+  sockaddr_in from = loopback(0);
+  socklen_t length = sizeof from;
+  inet_pton(AF_INET, "127.0.0.2", &from.sin_addr);
+  ASSERT_EQ(bind(fd, (sockaddr *)&from, sizeof from), 0);
+  getsockname(fd, (sockaddr *)&from, &length);
+  w.peers_port = ntohs(from.sin_port);
+  w.start();
+  sockaddr_in to = loopback(w.peers_port);
+  uint64_t number = 0;
+  auto m = std::make_unique<mt_peer_message_t>();
+  char bytes[MT_PEER_DATAGRAM_MAX];
+  mt_speed_sums_t sums{};
+  sums.known = sums.gaps.known = true;
+  mt_speed_figures_t quoted{};
+  auto send = [&] (mt_peer_kind_t kind) {
+    mt_peer_message_begin(m.get(), kind);
+    m->boot = 7;
+    m->number = ++number;
+    mt_peer_engine_t e{};
+    e.key = mt_engine_key("i-1", 3);
+    e.measured = sums;
+    m->engines[m->engines_count++] = e;
+    size_t n = mt_peer_message_pack(m.get(), bytes, sizeof bytes);
+    sendto(fd, bytes, n, 0, (sockaddr *)&to, sizeof to);
+  };
+  bool learnt = w.until([&] {
+    sums.answers += 10;
+    sums.expected_ms += 1500;
+    sums.measured_ms += 3750;
+    sums.gaps.count += 500;
+    sums.gaps.ms += 20000;
+    sums.gaps.over[0] += 10;
+    sums.gaps.over[1] += 5;
+    send(MT_PEER_LOAD);
+    send(MT_PEER_QUOTE_REQUEST);
+    ssize_t size;
+    while ((size = recv(fd, bytes, sizeof bytes, MSG_DONTWAIT)) > 0)
+      if (mt_peer_message_unpack(m.get(), bytes, (size_t)size) &&
+          m->kind == MT_PEER_QUOTE && m->engines_count == 1)
+        quoted = m->engines[0].speed;
+    return quoted.slowness > 1.9 && quoted.gaps.over[1] > 0.005;
+  });
+  EXPECT_TRUE(learnt);
+  EXPECT_LT(quoted.slowness, 2.6);
+  EXPECT_EQ(quoted.gaps.mean_ms, 40);
+  EXPECT_LT(quoted.age, 2000u);
+  std::string page =
+      w.fetch(w.metrics, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+  EXPECT_NE(page.find("speed_reports_total{outcome=\"used\"} "), page.npos);
+  EXPECT_EQ(page.find("speed_reports_total{outcome=\"used\"} 0\n"),
+            page.npos);
+  EXPECT_NE(page.find("engine_slowness_max "), page.npos);
+  close(fd);
+}
+
+// The log says what the caller saw of a stream.
+TEST(Gateway, LogsTheLongestGapOfAStream) {
+  World w;
+  Conn *engine = nullptr;
+  w.engine("i-1", "model", w.listen([&] (Conn &c, const Request &r) {
+    engine = &c;
+    c.send(stream_head(r) + chunk(event(1)));
+  }));
+  w.start();
+  Conn *c = w.connect(w.callers);
+  c->send(World::ask("/gen/x", "id-gap"));
+  ASSERT_TRUE(w.until([&] { return c->in.find("e1") != c->in.npos; }));
+  for (int i = 0; i < 15; i++) {
+    usleep(20000);
+    w.pump();
+  }
+  engine->send(chunk(event(2)) + "0\r\n\r\n");
+  ASSERT_TRUE(w.until([&] {
+    return w.log.find("outcome=answered", w.log.find("id=id-gap")) !=
+           w.log.npos;
+  }));
+  size_t line = w.log.find("id=id-gap"), at = w.log.find(" gap=", line);
+  ASSERT_NE(at, w.log.npos);
+  EXPECT_GE(atoi(w.log.c_str() + at + 5), 250);
+  EXPECT_LT(atoi(w.log.c_str() + at + 5), 5000);
+}
+
 // Changes of engines come from other routers, but new engines and addresses
 // are only accepted from the store. A drain or removal is applied even if
 // earlier changes are missing, and no older change undoes it.
