A request whose connect failed asks for quotes again

Cause: a request whose connect failed was refused as engines_unreachable when none of its quoted engines had room, though it was never sent and other engines may have had room. Its quotes were also older than the connect time-out by then.

Change: such a request asks for a further round of quotes: two more engines of the local failure domain and one in each of two remote ones, none of which it has asked about. One round follows each failed connect, so MT_RELAY_TRIES_MAX bounds them, besides the 16 candidates of a request (8 before). Retry budget, attempts_max and time are checked as before, when the quotes have come; without room or quotes the request is refused as engines_unreachable. While it waits its workspace is not charged for it. Requests that have run, or may have, streams that have begun and trials of suspects ask nobody, as before. The validity of a permit counts from the round that asked for it: a late quote of the first round would otherwise be taken for a fresh one in a further round.

--- a/src/relay/admission.c
+++ b/src/relay/admission.c
@@ -29,7 +29,8 @@
     admission = candidate->admission;
   switch (admission) {
     case MT_ADMIT_WARM: return true;
-    case MT_ADMIT_PERMIT: return relay->now <= r->asked + MT_COLD_PERMIT_MS;
+    case MT_ADMIT_PERMIT:
+      return relay->now <= candidate->asked + MT_COLD_PERMIT_MS;
     case MT_ADMIT_NONE: return false;
     case MT_ADMIT_UNKNOWN:
     case MT_ADMIT_COUNT: break;
--- a/src/relay/candidates.c
+++ b/src/relay/candidates.c
@@ -227,3 +227,13 @@
   if (e == NULL) e = best_of_sample(relay, r);
   return e;
 }
+
+const mt_engine_t *mt_candidates_next_local (mt_relay_t *relay,
+                                             const mt_relay_request_t *r) {
+  return best_of_sample(relay, r);
+}
+
+const mt_engine_t *mt_candidates_next_remote (mt_relay_t *relay,
+                                              const mt_relay_request_t *r) {
+  return next_remote_home(relay, r);
+}
--- a/src/relay/candidates.h
+++ b/src/relay/candidates.h
@@ -40,4 +40,13 @@
 const mt_engine_t *mt_candidates_next (mt_relay_t *relay,
                                        const mt_relay_request_t *request);
 
+/* The next engine of the local failure domain, or the next home in a remote
+   one, for a further round of a request whose connect failed; NULL: none. */
+const mt_engine_t *
+mt_candidates_next_local (mt_relay_t *relay,
+                          const mt_relay_request_t *request);
+const mt_engine_t *
+mt_candidates_next_remote (mt_relay_t *relay,
+                           const mt_relay_request_t *request);
+
 #endif
--- a/src/relay/quotes.c
+++ b/src/relay/quotes.c
@@ -8,7 +8,9 @@
 #define QUOTE_TIMEOUT_MS 20  /* a round's quotes are awaited for this long */
 #define AVG_DECAY 0.95       /* weight of the old average against one quote */
 #define ROUNDS_MAX 2         /* local failure domain, then remote ones */
-#define REMOTE_DOMAINS_MAX 2 /* failure domains asked in the second round */
+#define REMOTE_DOMAINS_MAX 2 /* failure domains asked in one round */
+/* Engines of the local failure domain that are asked in a further round. */
+#define FURTHER_LOCAL_MAX (MT_RELAY_ROUND_MAX - REMOTE_DOMAINS_MAX)
 /* The load of a quote is used unchanged for this long; then it decays towards
    the average of the service. */
 #define FRESH_MS 250
@@ -27,32 +29,55 @@
   return false;
 }
 
-static void add_candidate (mt_relay_request_t *r, const mt_engine_t *e) {
+/* Adds the engine to the round; false if there is none, or no space. */
+static bool add_candidate (mt_relay_t *relay, mt_relay_request_t *r,
+                           const mt_engine_t *e) {
+  if (e == NULL || r->candidates_count == MT_RELAY_CANDIDATES_MAX)
+    return false;
   r->candidates[r->candidates_count++] =
-      (mt_relay_candidate_t){.engine = e->key};
+      (mt_relay_candidate_t){.engine = e->key, .asked = relay->now};
+  return true;
 }
 
-bool mt_quotes_ask (mt_relay_t *relay, mt_relay_request_t *r) {
-  size_t before = r->candidates_count;
-  r->round_first = before;
-  bool alone = relay->routers < 2;
-  if (alone && mt_cold_starts_count(&relay->cold, relay->now) == 0)
-    return false;
-  if (r->rounds >= ROUNDS_MAX) return false;
+/* True if the relay asks owners at all: there is another router, or a cold
+   engine. */
+static bool asks_owners (const mt_relay_t *relay) {
   if (relay->params.off[MT_RELAY_QUOTES]) return false;
-  if (r->rounds > 0 && relay->params.off[MT_RELAY_REMOTE_ROUND]) return false;
-  int limit = r->rounds > 0 ? REMOTE_DOMAINS_MAX : MT_RELAY_ROUND_MAX;
-  for (int i = 0; i < limit; i++) {
-    const mt_engine_t *e = mt_candidates_next(relay, r);
-    if (e == NULL) break;
-    add_candidate(r, e);
-  }
-  if (r->candidates_count == before) return false;
+  return relay->routers >= 2 ||
+         mt_cold_starts_count(&relay->cold, relay->now) > 0;
+}
+
+/* Ends the choice of the engines of a round; false if there are none. */
+static bool begin_round (mt_relay_t *relay, mt_relay_request_t *r) {
+  if (r->candidates_count == r->round_first) return false;
   r->rounds++;
   r->asked = relay->now;
   return true;
 }
 
+bool mt_quotes_ask (mt_relay_t *relay, mt_relay_request_t *r) {
+  r->round_first = r->candidates_count;
+  if (!asks_owners(relay) || r->rounds >= ROUNDS_MAX) return false;
+  if (r->rounds > 0 && relay->params.off[MT_RELAY_REMOTE_ROUND]) return false;
+  int limit = r->rounds > 0 ? REMOTE_DOMAINS_MAX : MT_RELAY_ROUND_MAX;
+  for (int i = 0; i < limit; i++)
+    if (!add_candidate(relay, r, mt_candidates_next(relay, r))) break;
+  return begin_round(relay, r);
+}
+
+bool mt_quotes_ask_further (mt_relay_t *relay, mt_relay_request_t *r) {
+  r->round_first = r->candidates_count;
+  if (!asks_owners(relay)) return false;
+  for (int i = 0; i < FURTHER_LOCAL_MAX; i++)
+    if (!add_candidate(relay, r, mt_candidates_next_local(relay, r))) break;
+  bool remote = !relay->params.off[MT_RELAY_REMOTE_ROUND];
+  for (int i = 0; remote && i < REMOTE_DOMAINS_MAX; i++)
+    if (!add_candidate(relay, r, mt_candidates_next_remote(relay, r))) break;
+  /* The limits of remote failure domains apply from the second round on. */
+  r->rounds = mt_max(r->rounds, ROUNDS_MAX - 1);
+  return begin_round(relay, r);
+}
+
 /* Called for the first candidate only, mostly a home: homes are chosen by
    hash, so their load is an unbiased sample. */
 static void update_averages (mt_relay_t *relay, const mt_relay_request_t *r,
--- a/src/relay/quotes.h
+++ b/src/relay/quotes.h
@@ -19,6 +19,13 @@
 */
 bool mt_quotes_ask (mt_relay_t *relay, mt_relay_request_t *request);
 
+/*
+** Starts a further round for a request whose connect failed: in the local
+** failure domain and in remote ones, among engines that it has not asked
+** about. False if nobody is to be asked.
+*/
+bool mt_quotes_ask_further (mt_relay_t *relay, mt_relay_request_t *request);
+
 /* Takes quotes; true if all engines of the round have one now. */
 bool mt_quotes_receive (mt_relay_t *relay, mt_relay_request_t *request,
                         const mt_relay_quote_t *quotes, size_t count);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -172,6 +172,10 @@
 /* Sends the request to the best engine, asks another round of owners, or
    refuses it. */
 static void place (mt_relay_t *relay, mt_relay_request_t *r) {
+  if (r->attempt > 0) { /* a connect failed before */
+    mt_attempt_retry_quoted(relay, r);
+    return;
+  }
   mt_relay_refusal_t why;
   mt_placement_t p = mt_placement_choose(relay, r);
   r->wait_expected = p.wait_ms;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -272,12 +272,13 @@
   MT_RELAY_AWAITING_TRIAL   /* not placed yet: waits for a suspect's lease */
 } mt_relay_phase_t;
 
-#define MT_RELAY_ROUND_MAX 4      /* engines asked about in one round */
-#define MT_RELAY_CANDIDATES_MAX 8 /* in all rounds */
+#define MT_RELAY_ROUND_MAX 4       /* engines asked about in one round */
+#define MT_RELAY_CANDIDATES_MAX 16 /* in all rounds */
 
 /* An engine whose owner was asked for a quote. */
 typedef struct mt_relay_candidate_t {
   uint64_t engine;
+  mt_ms_t asked;   /* when its owner was asked */
   bool quoted;     /* the fields below are valid */
   int64_t cached;  /* leading prompt tokens, probably cached */
   uint64_t holder; /* an engine with the shared segments; 0: unknown */
--- a/src/relay/request.c
+++ b/src/relay/request.c
@@ -8,6 +8,7 @@
 #include "admission.h"
 #include "candidates.h"
 #include "quarantine.h"
+#include "quotes.h"
 #include "relay_load.h"
 #include "request.h"
 
@@ -260,13 +261,32 @@
   return mt_fair_share_service_ratio(&relay->shares, r->workspace) <= 1;
 }
 
-/* Sends the request to another engine; false if there is no engine, room or
-   budget. */
+/*
+** Asks for quotes of further engines after a failed connect: the quotes at
+** hand are older than the connect time-out, and more engines may have become
+** unreachable meanwhile. Its cost is not charged while it waits.
+*/
+static bool ask_further (mt_relay_t *relay, mt_relay_request_t *r) {
+  bool asking = r->phase == MT_RELAY_AWAITING_QUOTES;
+  if (asking || r->phase == MT_RELAY_STREAMING || r->may_have_run ||
+      r->on_trial)
+    return false;
+  if (!mt_quotes_ask_further(relay, r)) return false;
+  mt_request_refund(relay, r);
+  r->phase = MT_RELAY_AWAITING_QUOTES;
+  relay->counters.quotes_asked++;
+  mt_request_effect(relay, MT_RELAY_DO_GET_QUOTES, r);
+  return true;
+}
+
+/* Sends the request to another engine, or asks for quotes of further ones;
+   false if there is no engine, room or budget. */
 static bool retry (mt_relay_t *relay, mt_relay_request_t *r,
                    mt_relay_retry_t reason) {
   mt_candidates_find_homes(relay, r);
   mt_placement_t p = mt_placement_choose(relay, r);
-  if (p.engine == NULL || !retry_has_room(relay, r, &p)) return false;
+  if (p.engine == NULL || !retry_has_room(relay, r, &p))
+    return reason == MT_RELAY_RETRY_CONNECT && ask_further(relay, r);
   if (!may_use_budget(relay, r, reason) || !take_budget(relay, r))
     return false;
   relay->counters.retries[reason]++;
@@ -291,6 +311,13 @@
   mt_request_give_up(relay, r, final_refusal(relay, r, reason));
 }
 
+void mt_attempt_retry_quoted (mt_relay_t *relay, mt_relay_request_t *r) {
+  const mt_relay_retry_t reason = MT_RELAY_RETRY_CONNECT;
+  bool again = mt_attempt_may_retry(relay, r, false);
+  if (again && retry(relay, r, reason)) return;
+  mt_request_refuse(relay, r, final_refusal(relay, r, reason));
+}
+
 void mt_attempt_lost (mt_relay_t *relay, mt_relay_request_t *r,
                       mt_relay_retry_t reason) {
   mt_engine_failed(r->engine, relay->now);
--- a/src/relay/request.h
+++ b/src/relay/request.h
@@ -64,8 +64,12 @@
 void mt_attempt_failed (mt_relay_t *relay, mt_relay_request_t *request,
                         mt_relay_retry_t reason, bool ran);
 
-/* The same when the response ended early or is invalid: counts as a failure
-   of the engine, which may have crashed. */
+/* The further round of quotes that a request asked for after a failed connect
+   is over: retries at an engine with room, or refuses the request. */
+void mt_attempt_retry_quoted (mt_relay_t *relay, mt_relay_request_t *request);
+
+/* The same as mt_attempt_failed when the response ended early or is invalid:
+   counts as a failure of the engine, which may have crashed. */
 void mt_attempt_lost (mt_relay_t *relay, mt_relay_request_t *request,
                       mt_relay_retry_t reason);
 
