Failure domains that connects cannot reach get no requests

Cause: when a failure domain is cut off, each router finds out about each remote engine by itself, each at the cost of a request that waits for the connect time-out: 672 time-outs and 544 refusals in 4 s at the 27 routers of one such domain.

Change: src/relay/domain_reach.[ch] keeps for each remote failure domain the outcomes of connects. Time-outs of two of its engines within 1 s, without a success in between, mark it unreachable; a connect that is made or refused ends that. While it lasts, its engines are no candidates for quotes and placements and no KV cache sources, lost requests do not count as failures of them, and one of them at a time is probed every 250 ms. Requests that have no other engine left ignore the marks. src/relay/connects.[ch] applies this to the relay: requests that are still connecting to the domain when it is marked are retried elsewhere if another engine is left; a repeated time-out of an engine that is itself marked is no evidence, or two engines that are down would mark their domain again and again. The adapter reports new connections (as opposed to reused ones) and refused connects to the relay. New: mechanism `domain_reach`, counter domain_cuts_total, gauge domains_unreachable, log line event=domain.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -59,7 +59,7 @@
 
 /* {== Effects ========================================================== */
 
-static void notify_sent (attempt_t *a);
+static void notify_sent (attempt_t *a, bool connected);
 
 static void release (mt_gateway_t *g, inflight_t *p) {
   if (p->attempt != NULL) p->attempt->inflight = NULL;
@@ -165,7 +165,7 @@
   a->call = mt_http_client_call(
       g->engines, &endpoint, (mt_bytes_t){g->scratch.p, g->scratch.n},
       mt_http_exchange_body(p->exchange), fx->u.start.max_idle_ms, a);
-  if (mt_http_call_is_sent(a->call)) notify_sent(a);
+  if (mt_http_call_is_sent(a->call)) notify_sent(a, false);
   if (r != NULL) mt_gateway_peers_request_sent(g->peers, r);
 }
 
@@ -350,16 +350,17 @@
   }
 }
 
-static void notify_sent (attempt_t *a) {
+static void notify_sent (attempt_t *a, bool connected) {
   if (a->inflight == NULL) return;
   mt_relay_event_t event = {.kind = MT_RELAY_WRITTEN,
                             .request = a->inflight->number,
                             .attempt = a->number};
+  event.u.connected = connected;
   mt_gateway_step(a->gateway, &event);
 }
 
 static void on_sent (void *ud, mt_http_call_t *call) {
-  notify_sent(ud);
+  notify_sent(ud, true);
 }
 
 static bool on_head (void *ud, mt_http_call_t *call, int status,
@@ -420,7 +421,8 @@
   if (p != NULL) {
     mt_relay_event_t event = {
         .kind = MT_RELAY_FAILED, .request = p->number, .attempt = a->number};
-    event.u.not_sent = why == MT_HTTP_NOT_SENT;
+    event.u.failed.not_sent = why == MT_HTTP_NOT_SENT;
+    event.u.failed.refused = mt_http_call_was_refused(call);
     mt_gateway_step(a->gateway, &event);
   }
   free(a);
@@ -611,6 +613,12 @@
   mt_gateway_log_request(g->log, g->relay, r, outcome, why);
 }
 
+static void on_domain_changed (void *ud, const mt_engine_t *e,
+                               bool reachable) {
+  mt_gateway_t *g = ud;
+  mt_gateway_log_domain(g->log, mt_boot_clock_now(g->loop), e, reachable);
+}
+
 static mt_http_server_t *listen_on (mt_gateway_t *g, const mt_addr_t *addr,
                                     const mt_http_server_handler_t *handler,
                                     char *reason, size_t size) {
@@ -638,6 +646,7 @@
   g->relay = mt_relay_new(settings->domain, &settings->params);
   g->relay->log = on_request_outcome;
   g->relay->log_engine = mt_gateway_engine_gone;
+  g->relay->log_domain = on_domain_changed;
   g->relay->log_ud = g;
   g->engines = mt_http_client_open(loop, &options, &engine_handler);
   g->callers =
--- a/src/gateway/gateway_log.c
+++ b/src/gateway/gateway_log.c
@@ -32,6 +32,13 @@
               e->port, e->local.running, outcome);
 }
 
+void mt_gateway_log_domain (mt_log_writer_t *log, mt_ms_t now,
+                            const mt_engine_t *e, bool reachable) {
+  mt_log_line(log, MT_LOG_STATE, now, "domain",
+              "domain=%s engine=%s outcome=%s", e->domain, e->name,
+              reachable ? "reachable" : "unreachable");
+}
+
 /* Tokens of the prompt's last segment, which no other request shares. */
 static int64_t unshared_tokens (const mt_relay_request_t *r) {
   return r->segments_count > 0 ? r->segments[r->segments_count - 1].tokens
--- a/src/gateway/gateway_log.h
+++ b/src/gateway/gateway_log.h
@@ -20,6 +20,11 @@
 void mt_gateway_log_engine (mt_log_writer_t *log, mt_ms_t now,
                             const mt_engine_t *engine, const char *outcome);
 
+/* Logs that the engine's failure domain became reachable or unreachable, by a
+   connect to the engine. */
+void mt_gateway_log_domain (mt_log_writer_t *log, mt_ms_t now,
+                            const mt_engine_t *engine, bool reachable);
+
 /* Names in log lines. */
 const char *mt_gateway_state_name (mt_engine_state_t state);
 const char *mt_gateway_probe_name (mt_http_probe_t how);
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -151,6 +151,9 @@
          (double)c->tokens_fetched);
   number(out, "engine_probes_total", "counter",
          "Connections tried to engines for no request.", (double)c->probes);
+  number(out, "domain_cuts_total", "counter",
+         "Times that a failure domain became unreachable.",
+         (double)c->domain_cuts);
   number(out, "ends_total", "counter",
          "Runs that were lost as their engine ended.", (double)c->runs_lost);
   number(out, "retries_denied_total", "counter",
@@ -174,6 +177,9 @@
   number(out, "cold_engines", "gauge",
          "Engines that take requests only with a place.",
          (double)mt_cold_starts_count(&relay->cold, relay->now));
+  number(out, "domains_unreachable", "gauge",
+         "Failure domains whose engines get no connects but probes.",
+         (double)relay->reaches.unreachable);
   number(out, "evacuated_domains", "gauge",
          "Failure domains whose engines get no work.",
          (double)relay->evacuations.count);
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -444,6 +444,10 @@
   return c->connected;
 }
 
+bool mt_http_call_was_refused (const mt_http_call_t *c) {
+  return c->refused;
+}
+
 bool mt_http_call_is_framed (const mt_http_call_t *c) {
   return !c->until_close;
 }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -97,6 +97,10 @@
 /* True when bytes of the request may have been sent. */
 bool mt_http_call_is_sent (const mt_http_call_t *call);
 
+/* In `failed`: true if the connection was refused, as nothing listens on the
+   port. */
+bool mt_http_call_was_refused (const mt_http_call_t *call);
+
 /*
 ** False when only the end of the connection ends the response: a truncated
 ** one looks like a complete one then.
--- a/src/relay/candidates.c
+++ b/src/relay/candidates.c
@@ -6,6 +6,7 @@
 
 #include "admission.h"
 #include "candidates.h"
+#include "connects.h"
 #include "placement.h"
 #include "quotes.h"
 
@@ -24,6 +25,13 @@
   return false;
 }
 
+/* True if the failure domain of the engine is unreachable, and others are
+   not. */
+static bool is_cut_off (const mt_relay_t *relay, const mt_relay_request_t *r,
+                        const mt_engine_t *e) {
+  return !r->ignores_cuts && mt_connects_cut_off(relay, e);
+}
+
 bool mt_candidates_usable (const mt_relay_t *relay,
                            const mt_relay_request_t *r,
                            const mt_engine_t *e) {
@@ -32,7 +40,15 @@
   if (e->unreachable || e->evacuated) return false;
   if (e->suspended_until > relay->now && !relay->params.off[MT_RELAY_SUSPEND])
     return false;
-  return !was_tried(r, e->key);
+  return !was_tried(r, e->key) && !is_cut_off(relay, r, e);
+}
+
+void mt_candidates_check_cuts (mt_relay_t *relay, mt_relay_request_t *r) {
+  r->ignores_cuts = false;
+  if (relay->reaches.unreachable == 0) return;
+  for (size_t i = 0; i < relay->engines.count; i++)
+    if (mt_candidates_usable(relay, r, relay->engines.list[i])) return;
+  r->ignores_cuts = true;
 }
 
 mt_ms_t mt_candidates_backoff_left (const mt_relay_t *relay,
@@ -42,7 +58,7 @@
     const mt_engine_t *e = relay->engines.list[i];
     if (e->service != r->service || !mt_engine_is_available(e, relay->now))
       continue;
-    if (e->unreachable || e->evacuated) continue;
+    if (e->unreachable || e->evacuated || is_cut_off(relay, r, e)) continue;
     mt_ms_t left = mt_engine_backoff_left(e, relay->now);
     if (left == 0) return 0;
     if (least == 0 || left < least) least = left;
@@ -93,6 +109,7 @@
 
 void mt_candidates_find_homes (mt_relay_t *relay, mt_relay_request_t *r) {
   home_t global, local;
+  mt_candidates_check_cuts(relay, r);
   find_homes(relay, r, 0, &global, &local);
   r->home_global = global.engine != NULL ? global.engine->key : 0;
   r->home_local = local.engine != NULL ? local.engine->key : 0;
--- a/src/relay/candidates.h
+++ b/src/relay/candidates.h
@@ -19,6 +19,11 @@
                            const mt_relay_request_t *request,
                            const mt_engine_t *engine);
 
+/* Finds out whether engines of unreachable failure domains are all that is
+   left for the request; they are usable for it then. */
+void mt_candidates_check_cuts (mt_relay_t *relay,
+                               mt_relay_request_t *request);
+
 /*
 ** Time in ms until the first backoff of the service's engines is over; 0: one
 ** of them is not in backoff, or none is available.
@@ -27,7 +32,7 @@
                                     const mt_relay_request_t *request);
 
 /* Sets the homes of the request's shared segments, among the engines known
-   now. */
+   now, after mt_candidates_check_cuts. */
 void mt_candidates_find_homes (mt_relay_t *relay,
                                mt_relay_request_t *request);
 
--- a/src/relay/kv_cache.c
+++ b/src/relay/kv_cache.c
@@ -1,6 +1,7 @@
 /*
 ** kv_cache.c - cached prefixes of a prompt, and KV transfers between engines
 */
+#include "connects.h"
 #include "kv_cache.h"
 #include "quotes.h"
 
@@ -50,6 +51,7 @@
   if (e->service != r->service || !mt_engine_takes_work(e, relay->now))
     return false;
   if (e->unreachable || e->suspended_until > relay->now) return false;
+  if (mt_connects_cut_off(relay, e)) return false;
   return e->failures == 0 && e->unlisted_since == 0;
 }
 
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -8,6 +8,7 @@
 #include "admission.h"
 #include "response.h"
 #include "candidates.h"
+#include "connects.h"
 #include "quarantine.h"
 #include "quotes.h"
 #include "relay_load.h"
@@ -177,6 +178,7 @@
     return;
   }
   mt_relay_refusal_t why;
+  mt_candidates_check_cuts(relay, r);
   mt_placement_t p = mt_placement_choose(relay, r);
   r->wait_expected = p.wait_ms;
   if (admits(relay, r, &p, &why)) {
@@ -385,7 +387,7 @@
   mt_placement_t other = mt_placement_choose(relay, r);
   if (other.engine == NULL) return;
   mt_attempt_cancel(relay, r);
-  mt_engine_failed(e, relay->now);
+  mt_connects_engine_failed(relay, e);
   mt_attempt_failed(relay, r, MT_RELAY_RETRY_SILENT, r->written);
 }
 
@@ -395,18 +397,13 @@
   return relay->catalog ? (double)relay->catalog->limits.tokens_per_s : 0;
 }
 
-/* A connection that opens clears the failures of an engine that was
-   unreachable, not those of one that failed requests. */
 static void on_probed (mt_relay_t *relay, uint64_t key, bool up,
                        bool refused) {
   mt_engine_t *e = mt_engines_get(&relay->engines, key);
   if (e == NULL) return;
   if (refused) mt_quarantine_engine_ended(relay, key);
   mt_quarantine_send_reports(relay);
-  if (up && !e->unreachable)
-    e->probing = false;
-  else
-    mt_engine_set_reachable(e, up, relay->now);
+  mt_connects_probed(relay, e, up, refused);
 }
 
 static void on_tick (mt_relay_t *relay) {
@@ -414,6 +411,7 @@
     if (i < relay->count) check_request(relay, relay->list[i]);
   relay->last_tick = relay->now;
   mt_relay_probe_engines(relay);
+  mt_connects_probe_domains(relay);
   mt_quarantine_tick(relay);
   if (relay->now < relay->next_update) return;
   relay->next_update = relay->now + UPDATE_MS;
@@ -433,10 +431,16 @@
   if (r->engine == NULL || ev->attempt != r->attempt)
     return; /* of an earlier attempt */
   switch (ev->kind) {
-    case MT_RELAY_WRITTEN: r->written = true; break;
+    case MT_RELAY_WRITTEN:
+      r->written = true;
+      if (ev->u.connected) mt_connects_made(relay, r->engine);
+      break;
     case MT_RELAY_HEAD: mt_response_head(relay, r, ev); break;
     case MT_RELAY_DATA: mt_response_data(relay, r, ev->u.data); break;
-    case MT_RELAY_FAILED: mt_response_failed(relay, r, ev->u.not_sent); break;
+    case MT_RELAY_FAILED:
+      mt_response_failed(relay, r, ev->u.failed.not_sent,
+                         ev->u.failed.refused);
+      break;
     case MT_RELAY_END: mt_response_end(relay, r); break;
     default: break;
   }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -23,6 +23,7 @@
 
 #include "catalog.h"
 #include "cold_start.h"
+#include "domain_reach.h"
 #include "early_drains.h"
 #include "engine.h"
 #include "denials.h"
@@ -102,6 +103,7 @@
   uint64_t retries_denied;
   uint64_t fetches, tokens_fetched; /* KV cache moved between engines */
   uint64_t probes;                  /* connections opened to test an engine */
+  uint64_t domain_cuts; /* times that a failure domain became unreachable */
   uint64_t drains_gossiped;  /* draining engines known from gossip only */
   uint64_t drains, backoffs; /* advertised by engines to this router */
   uint64_t runs_lost;        /* attempts lost as their engine exited */
@@ -201,8 +203,12 @@
       mt_engine_drain_t drain; /* if the notice announces one */
     } notice;
     uint64_t restarted; /* RESTARTED: the engine */
-    bool not_sent;      /* FAILED: no byte reached the engine */
-    mt_ms_t stop_ms;    /* STOP: time until the process exits */
+    bool connected;     /* WRITTEN: a new connection was made for it */
+    struct {
+      bool not_sent; /* no byte reached the engine */
+      bool refused;  /* not sent: no process listens on the port */
+    } failed;
+    mt_ms_t stop_ms; /* STOP: time until the process exits */
   } u;
 } mt_relay_event_t;
 
@@ -314,7 +320,10 @@
   mt_relay_candidate_t candidates[MT_RELAY_CANDIDATES_MAX];
   /* round_first: index of the first candidate of the last round. */
   size_t candidates_count, round_first;
-  int rounds;    /* of quotes asked for */
+  int rounds; /* of quotes asked for */
+  /* Only engines of unreachable failure domains are left for it: those are
+     tried. */
+  bool ignores_cuts;
   mt_ms_t asked; /* when an owner was last asked */
   /* Leases of a suspect request (quarantine.h): no other copy of it may run
      meanwhile; no other suspect may run at trial_engine. */
@@ -386,7 +395,9 @@
   /* Engines that fail repeatedly get no work for a while. */             \
   ROW(MT_RELAY_SUSPEND, "rest")                                           \
   /* Connections to unreachable engines are tested without a request. */  \
-  ROW(MT_RELAY_PROBE, "probe")
+  ROW(MT_RELAY_PROBE, "probe")                                            \
+  /* Failure domains count as unreachable after connects timed out. */    \
+  ROW(MT_RELAY_DOMAIN_REACH, "domain_reach")
 
 typedef enum mt_relay_mechanism_t {
 #define MT_RELAY_SYMBOL(symbol, name) symbol,
@@ -466,6 +477,7 @@
   mt_cold_starts_t cold;        /* cold engines and their permits */
   mt_domain_load_t domain_loads[MT_DOMAIN_LOADS_MAX];
   size_t domain_loads_count;
+  mt_domain_reaches_t reaches; /* of remote failure domains */
   mt_evacuations_t evacuations;
   mt_early_drains_t early_drains;
   mt_denials_t denials; /* revoked, but still in the catalog here */
@@ -484,6 +496,8 @@
   void (*log)(void *ud, const mt_relay_request_t *request,
               const char *outcome, const char *why);
   void (*log_engine)(void *ud, const mt_engine_t *engine);
+  /* The failure domain of the engine became reachable or unreachable. */
+  void (*log_domain)(void *ud, const mt_engine_t *engine, bool reachable);
   void *log_ud;
 } mt_relay_t;
 
--- a/src/relay/relay_load.c
+++ b/src/relay/relay_load.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "connects.h"
 #include "kv_cache.h"
 #include "quotes.h"
 #include "relay_load.h"
@@ -162,6 +163,7 @@
     mt_engine_t *e = relay->engines.active[i];
     if (!e->unreachable || e->probing || e->next_probe > relay->now) continue;
     if (!mt_engine_is_available(e, relay->now)) continue;
+    if (mt_connects_cut_off(relay, e)) continue; /* probed by domain */
     e->probing = true;
     mt_relay_effect(relay, MT_RELAY_DO_PROBE)->u.probe = e->key;
     relay->counters.probes++;
--- a/src/relay/request.c
+++ b/src/relay/request.c
@@ -7,6 +7,7 @@
 
 #include "admission.h"
 #include "candidates.h"
+#include "connects.h"
 #include "quarantine.h"
 #include "quotes.h"
 #include "relay_load.h"
@@ -320,7 +321,7 @@
 
 void mt_attempt_lost (mt_relay_t *relay, mt_relay_request_t *r,
                       mt_relay_retry_t reason) {
-  mt_engine_failed(r->engine, relay->now);
+  mt_connects_engine_failed(relay, r->engine);
   mt_quarantine_run_lost(relay, r);
   mt_attempt_failed(relay, r, reason, true);
 }
--- a/src/relay/response.c
+++ b/src/relay/response.c
@@ -5,6 +5,8 @@
 #include <string.h>
 
 #include "response.h"
+#include "candidates.h"
+#include "connects.h"
 #include "quarantine.h"
 #include "relay_load.h"
 #include "request.h"
@@ -139,13 +141,32 @@
   mt_request_remove(relay, r);
 }
 
+/*
+** Requests whose connects to the failure domain are in progress are retried
+** elsewhere: each would only wait for its time-out. One for which no other
+** engine is left stays.
+*/
+static void withdraw_unsent (mt_relay_t *relay, mt_id_t domain) {
+  for (size_t i = relay->count; i-- > 0;) {
+    if (i >= relay->count) continue;
+    mt_relay_request_t *r = relay->list[i];
+    if (r->engine == NULL || r->written) continue;
+    if (!r->engine->remote || r->engine->domain_id != domain) continue;
+    mt_candidates_check_cuts(relay, r);
+    if (r->ignores_cuts) continue;
+    mt_request_effect(relay, MT_RELAY_DO_CANCEL, r);
+    mt_attempt_failed(relay, r, MT_RELAY_RETRY_CONNECT, false);
+  }
+}
+
 void mt_response_failed (mt_relay_t *relay, mt_relay_request_t *r,
-                         bool not_sent) {
+                         bool not_sent, bool refused) {
   if (!not_sent) {
     mt_attempt_lost(relay, r, MT_RELAY_RETRY_LOST);
     return;
   }
-  mt_engine_set_reachable(r->engine, false, relay->now);
-  r->engine->next_probe = relay->now;
+  mt_id_t domain = r->engine->domain_id;
+  bool lost = mt_connects_failed(relay, r->engine, refused);
   mt_attempt_failed(relay, r, MT_RELAY_RETRY_CONNECT, false);
+  if (lost) withdraw_unsent(relay, domain);
 }
--- a/src/relay/response.h
+++ b/src/relay/response.h
@@ -8,13 +8,13 @@
 
 /* Events of the request's current attempt: response head, body bytes, end of
    the response, and failure of the connection (`not_sent`: no byte reached
-   the engine). */
+   the engine; `refused`: as no process listens on the port). */
 void mt_response_head (mt_relay_t *relay, mt_relay_request_t *request,
                        const mt_relay_event_t *event);
 void mt_response_data (mt_relay_t *relay, mt_relay_request_t *request,
                        mt_bytes_t data);
 void mt_response_end (mt_relay_t *relay, mt_relay_request_t *request);
 void mt_response_failed (mt_relay_t *relay, mt_relay_request_t *request,
-                         bool not_sent);
+                         bool not_sent, bool refused);
 
 #endif
--- a/tests/mechanism_test.cc
+++ b/tests/mechanism_test.cc
@@ -21,6 +21,7 @@
   } rows[] = {{"[]", true, 0},
               {"[\"fetch\"]", true, 1},
               {"[\"fetch\",\"fixed_part\",\"probe\"]", true, 3},
+              {"[\"domain_reach\"]", true, 1},
               {"[\"fetsh\"]", false, 0},
               {"[7]", false, 0}};
   for (const Row &row : rows) {
--- a/tests/reach_test.cc
+++ b/tests/reach_test.cc
@@ -123,4 +123,112 @@
   EXPECT_EQ(e->accepted, 1); // the request used the probe's connection
 }
 
+// An engine of a remote domain at a listener that the test opens and closes.
+struct RemoteEngine {
+  Listener *listener;
+  int fd; // while the listener is closed
+  int filler = -1;
+  RemoteEngine(World &w, const std::string &id, const char *domain = "d2") {
+    listener = w.listen([] (Conn &c, const Request &r) {
+      c.send(answer(200,
+                    "X-Attempt-Id: " + r.field("X-Attempt-Id") +
+                        "\r\nX-Engine-Seal: s\r\n",
+                    "x"));
+    });
+    fd = listener->fd;
+    listener->fd = -1;
+    w.put("servers/" + id, "{\"service\":\"plain\",\"addr\":\"127.0.0.1:" +
+                               std::to_string(listener->port) +
+                               "\",\"zone\":\"" + domain +
+                               "\",\"slots\":8,\"state\":\"ready\"}");
+  }
+  ~RemoteEngine() {
+    if (filler >= 0) ::close(filler);
+    if (fd >= 0) ::close(fd);
+  }
+  // Connects are refused.
+  void close () {
+    ::close(fd);
+    fd = -1;
+  }
+  // Connects time out: the listener's queue is full.
+  void block () {
+    ::listen(fd, 0);
+    sockaddr_in at = loopback(listener->port);
+    filler = socket(AF_INET, SOCK_STREAM, 0);
+    ASSERT_EQ(connect(filler, (sockaddr *)&at, sizeof at), 0);
+  }
+  // Connects succeed.
+  void open () {
+    ::listen(fd, 64);
+    std::swap(fd, listener->fd);
+  }
+};
+
+// The outcome of connects reaches the relay: time-outs at two engines mark
+// their domain, refused connects do not, and a probe that succeeds ends it.
+TEST(Reach, DomainIsMarkedByTimeouts) {
+  for (bool timeouts : {true, false}) {
+    World w;
+    RemoteEngine a(w, "i-1"), b(w, "i-2");
+    for (RemoteEngine *e : {&a, &b}) {
+      if (timeouts)
+        e->block();
+      else
+        e->close();
+    }
+    w.start();
+    auto metric = [&] (const std::string &name) {
+      std::string in =
+          w.fetch(w.metrics, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+      size_t n = in.rfind("_" + name + " ");
+      return n == in.npos ? -1 : atoi(in.c_str() + n + name.size() + 2);
+    };
+    EXPECT_EQ(World::status_of(w.call(World::ask("/once/x", "id1"))), 503);
+    EXPECT_EQ(metric("domain_cuts_total"), timeouts);
+    EXPECT_EQ(metric("domains_unreachable"), timeouts);
+    auto logged = [&] (const char *outcome) {
+      size_t line = w.log.find("event=domain domain=d2 engine=i-");
+      return line != w.log.npos &&
+             w.log.find(std::string("outcome=") + outcome + "\n", line) !=
+                 w.log.npos;
+    };
+    if (!timeouts) {
+      EXPECT_EQ(w.log.find("event=domain "), w.log.npos);
+      continue;
+    }
+    EXPECT_TRUE(w.until([&] { return logged("unreachable"); }));
+    a.open();
+    EXPECT_TRUE(w.until([&] { return logged("reachable"); }));
+    EXPECT_EQ(metric("domains_unreachable"), 0);
+    EXPECT_TRUE(w.until([&] {
+      return World::status_of(w.call(World::ask("/once/x", "id2"))) == 200;
+    }));
+  }
+}
+
+// Requests whose connects are withdrawn are served by another domain, and
+// their calls end without harm to others.
+TEST(Reach, WithdrawnRequestsAreServedElsewhere) {
+  World w;
+  RemoteEngine a(w, "i-1"), b(w, "i-2"), c(w, "i-3", "d3");
+  a.block();
+  b.block();
+  c.open();
+  w.start();
+  std::vector<Conn *> callers;
+  for (int i = 0; i < 12; i++) {
+    callers.push_back(w.connect(w.callers));
+    ASSERT_NE(callers.back(), nullptr);
+    callers.back()->send(World::ask("/once/x", "id" + std::to_string(i)));
+  }
+  for (Conn *caller : callers) {
+    EXPECT_TRUE(w.until(
+        [&] { return caller->closed || World::is_complete(caller->in); }));
+    EXPECT_EQ(World::status_of(caller->in), 200);
+  }
+  EXPECT_TRUE(w.until(
+      [&] { return w.log.find("event=domain domain=d2") != w.log.npos; }));
+}
+
 } // namespace
--- a/tests/relay.h
+++ b/tests/relay.h
@@ -178,7 +178,7 @@
   }
   void fail (uint64_t number, bool not_sent = false) {
     mt_relay_event_t event = make_event(MT_RELAY_FAILED, number);
-    event.u.not_sent = not_sent;
+    event.u.failed.not_sent = not_sent;
     step(event);
   }
   const mt_relay_effect_t *find (mt_relay_effect_kind_t kind,
