Trials of suspects ignore unreachable domains as other requests do

Cause: a suspect request chose its engine without checking whether only engines of unreachable failure domains are left, and was refused then.

Change: the check is made for replies about trials, too.

Tests: DomainReach.TrialsIgnoreMarksWhenNoOtherEngineIsLeft fails without it.

--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -257,6 +257,7 @@
                                const mt_suspect_message_t *message,
                                mt_trial_verdict_t verdict) {
   relay->counters.trials[verdict]++;
+  mt_candidates_check_cuts(relay, r);
   switch (mt_quarantine_on_verdict(relay, r, message, verdict)) {
     case MT_QUARANTINE_PASS:
       r->phase = MT_RELAY_SENT;
--- a/tests/domain_reach_test.cc
+++ b/tests/domain_reach_test.cc
@@ -452,6 +452,40 @@
   EXPECT_EQ(w.remote_answers, 1);
 }
 
+// The same holds for a request that may run only as a trial.
+TEST(DomainReach, TrialsIgnoreMarksWhenNoOtherEngineIsLeft) {
+  Network w;
+  w.run(5);
+  for (int i = 1; i <= 12; i++)
+    if (w.m(i)->domain_id != Network::domain(2))
+      w.m(i)->state = MT_ENGINE_GONE;
+  for (int i : {5, 7}) mt_connects_failed(w.relay, w.m(i), false);
+  ASSERT_TRUE(w.unreachable(2));
+  uint64_t digest = mtV_mix(99, mtV_id("w1", 2)) | 1;
+  for (uint64_t engine : {1001, 1002}) {
+    const mt_suspect_end_t end = {engine, w.now - 3000 + engine, false};
+    mt_suspects_add_end(&w.relay->suspects, digest, &end, w.now);
+  }
+  w.request(1, "/stream/x", "key-w1", 5000, 1000, "h.example", 99);
+  const mt_relay_effect_t *fx = w.find(MT_RELAY_DO_SEND_TO_OWNER);
+  ASSERT_NE(fx, nullptr);
+  for (auto kind :
+       {MT_SUSPECT_MESSAGE_LEASE, MT_SUSPECT_MESSAGE_LEASE_ENGINE}) {
+    ASSERT_NE(fx, nullptr);
+    mt_suspect_message_t message = fx->u.message;
+    ASSERT_EQ(message.kind, kind);
+    mt_relay_event_t event{};
+    event.kind = MT_RELAY_TRIAL_ANSWERED;
+    event.request = 1;
+    event.u.tried.message = &message;
+    event.u.tried.verdict = MT_TRIAL_GRANTED;
+    w.step(event);
+    fx = w.find(MT_RELAY_DO_SEND_TO_OWNER);
+  }
+  EXPECT_EQ(w.refusal(), MT_RELAY_REFUSAL_COUNT);
+  EXPECT_NE(w.started(1), 0u);
+}
+
 // A request with the shared segments in the KV cache of an engine that cannot
 // be reached does not wait for a transfer from there.
 TEST(DomainReach, NoKvCacheIsFetchedFromACutDomain) {
