Prompts wait no longer than their own prefill leaves time for

Admission went by the wait alone: 9.5 % of the streams of the largest route had their first token after the objective, most of them long prompts or at engines that were slower than usual. The limit is now reduced so that the expected time to first token is within 0.6 of the objective (first_part), and the general limit is 0.38 of the shortest objective instead of 0.45 (wait_part), as callers without room return soon.

--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -26,7 +26,9 @@
 #define COLD_SLACK 0.0       /* requests */
 #define RUNNING_FRACTION 0.3 /* of the descriptors: requests in progress */
 /* Weights and limits of choosing an engine: mt_relay_params_t in relay.h. */
-#define WAIT_FRACTION 0.45
+#define WAIT_FRACTION 0.38
+/* Nine of ten first tokens come within 1/0.6 of the expected time. */
+#define TTFT_FRACTION 0.6
 #define OBJECTIVE_POWER 1.0
 #define NEAR_IDLE_FRACTION 0.1
 #define OVER_SHARE_POWER 10.0
@@ -105,6 +107,7 @@
   params->cold.overage = get_double(cold, "overage", COLD_OVERAGE);
   params->cold.slack = get_double(cold, "slack", COLD_SLACK);
   params->wait_fraction = get_double(relay, "wait_part", WAIT_FRACTION);
+  params->ttft_fraction = get_double(relay, "first_part", TTFT_FRACTION);
   params->objective_power =
       get_double(relay, "urgency_power", OBJECTIVE_POWER);
   params->near_idle_fraction =
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -8,6 +8,7 @@
 #include "candidates.h"
 #include "placement.h"
 #include "quotes.h"
+#include "wait_limit.h"
 
 /* Terms of an engine's cost, in ms of expected time to first token. */
 #define FULL_PENALTY_MS 2000.0      /* no free slot */
@@ -149,6 +150,20 @@
   return c;
 }
 
+/* Reduces a wait limit by what the request itself needs at an engine until
+   its first token, in ms. */
+static double limit_in_time (const mt_relay_t *relay,
+                             const mt_relay_request_t *r, double limit,
+                             double own_ms) {
+  const mt_relay_params_t *params = &relay->params;
+  return mt_wait_limit_in_time(
+      &(mt_wait_case_t){.limit = limit,
+                        .objective = (double)r->objective,
+                        .ttft_fraction = params->ttft_fraction,
+                        .own = own_ms,
+                        .near_idle = limit * params->near_idle_fraction});
+}
+
 /*
 ** Wait limit at the engine. It is lower in remote failure domains, where the
 ** request costs traffic between domains and displaces cached segments of the
@@ -190,7 +205,8 @@
   int64_t held = e->local.held + e->peers.held + miss;
   double cost = wait + (double)weighted * per_token * c->miss_factor;
   cost += fetch.ms * params->kv_transfer_weight * c->miss_factor;
-  bool over_limit = wait > limit_at(c, e);
+  double own = c->prefill.fixed_ms + prefill + fetch.ms;
+  bool over_limit = wait > limit_in_time(c->relay, r, limit_at(c, e), own);
   if (over_limit)
     cost += (r->rounds > 1 ? 1 : c->relaxation) * OVER_LIMIT_PENALTY_MS;
   cost += running(e) * RUNNING_PENALTY_MS;
@@ -203,8 +219,7 @@
   *p = (mt_placement_t){.engine = e,
                         .miss = miss,
                         .wait_ms = wait,
-                        .ttft_ms =
-                            c->prefill.fixed_ms + wait + prefill + fetch.ms,
+                        .ttft_ms = own + wait,
                         .slowness = slowness,
                         .pause_ms = expected_pause(c, e),
                         .full = full,
@@ -329,5 +344,6 @@
   double limit = wait_limit(relay, r, service);
   if (p->engine->remote && r->rounds > 1)
     limit *= remote_wait_fraction(relay, r);
+  limit = limit_in_time(relay, r, limit, p->ttft_ms - p->wait_ms);
   return limit <= 0 || p->wait_ms <= limit;
 }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -447,6 +447,9 @@
      s^-3 and s^-over_share_power. */
   double near_idle_fraction;
   double over_share_power;
+  /* The wait limit is reduced where the expected time to first token would
+     exceed this fraction of the objective (wait_limit.h); 0: it is not. */
+  double ttft_fraction;
   /* Weight of prefill time against waiting time, for the workspace with the
      highest service ratio and for one that was served nothing. */
   double miss_weight;
