--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -160,8 +160,7 @@
       &(mt_wait_case_t){.limit = limit,
                         .objective = (double)r->objective,
                         .ttft_fraction = params->ttft_fraction,
-                        .own = own_ms,
-                        .near_idle = limit * params->near_idle_fraction});
+                        .own = own_ms});
 }
 
 /*
--- a/src/relay/wait_limit.h
+++ b/src/relay/wait_limit.h
@@ -16,15 +16,14 @@
   /* Largest part of the objective that the expected time to first token may
      take; 0: no such limit. */
   double ttft_fraction;
-  double own;       /* expected time to first token without waiting */
-  double near_idle; /* wait that a nearly idle engine has at most */
+  double own; /* expected time to first token without waiting */
 } mt_wait_case_t;
 
 /*
 ** Longest expected wait, in ms: the limit, reduced so that the expected time
-** to first token stays within its part of the objective. Nearly idle engines
-** take any prompt: one that cannot be in time anywhere is served late rather
-** than never.
+** to first token stays within its part of the objective. A third of the limit
+** is left to any prompt: one that cannot be in time anywhere is served late
+** rather than never.
 */
 double mt_wait_limit_in_time (const mt_wait_case_t *request);
 
