--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -108,6 +108,8 @@
   params->cold.slack = get_double(cold, "slack", COLD_SLACK);
   params->wait_fraction = get_double(relay, "wait_part", WAIT_FRACTION);
   params->ttft_fraction = get_double(relay, "first_part", TTFT_FRACTION);
+  if (params->ttft_fraction < 0 || params->ttft_fraction > 1)
+    mtJ_fault(faults, "relay.first_part", "must be from 0 to 1");
   params->objective_power =
       get_double(relay, "urgency_power", OBJECTIVE_POWER);
   params->near_idle_fraction =
--- a/src/relay/domain_reach.h
+++ b/src/relay/domain_reach.h
@@ -19,9 +19,8 @@
 
 #include "mtmem.h"
 
-#define MT_DOMAIN_REACH_MAX                       \
-  64 /* failure domains; further ones are ignored \
-      */
+/* Failure domains; further ones are ignored. */
+#define MT_DOMAIN_REACH_MAX 64
 
 typedef enum mt_connect_outcome_t {
   MT_CONNECT_MADE,
--- a/src/relay/engine_speed.c
+++ b/src/relay/engine_speed.c
@@ -24,8 +24,7 @@
 /* Figures that rest on older measurements are not used, ms: slowdowns last
    some 600 ms. */
 #define FRESH_MS 2000
-/* Without answers for this long nothing is known of the engine any more, ms.
- */
+/* Without answers for so many ms nothing is known of the engine any more. */
 #define FORGET_MS 60000
 /* Bounds of one report: a router has no more answers of an engine between two
    reports (25 ms to 800 ms), and none is expected to take longer. */
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -178,8 +178,7 @@
   mt_ms_t now;
   uint64_t request; /* number that the adapter gave it */
   int attempt;
-  /* DATA: the adapter had stopped reading for a while, as the caller didn't.
-   */
+  /* DATA: the adapter had stopped reading, as the caller did not read. */
   bool delayed;
   union {
     const mt_relay_incoming_t *incoming; /* REQUEST */
--- a/tests/mechanism_test.cc
+++ b/tests/mechanism_test.cc
@@ -22,6 +22,7 @@
               {"[\"fetch\"]", true, 1},
               {"[\"fetch\",\"fixed_part\",\"probe\"]", true, 3},
               {"[\"domain_reach\"]", true, 1},
+              {"[\"fleet_speed\",\"pauses\"]", true, 2},
               {"[\"fetsh\"]", false, 0},
               {"[7]", false, 0}};
   for (const Row &row : rows) {
@@ -40,6 +41,28 @@
   }
 }
 
+// Guards against a fraction that admits no prompt, or silently any.
+TEST(Mechanisms, FirstPartIsAFraction) {
+  struct Row {
+    const char *first_part; // JSON
+    bool valid;
+  } rows[] = {{"0", true},
+              {"0.75", true},
+              {"1", true},
+              {"-0.1", false},
+              {"60", false}};
+  for (const Row &row : rows) {
+    std::string text = std::string("{") + required_settings +
+                       ",\"relay\":{\"first_part\":" + row.first_part + "}}";
+    json_t *doc = json_loads(text.c_str(), 0, nullptr);
+    mt_gateway_settings_t set;
+    mt_faults_t faults{};
+    EXPECT_EQ(mt_gateway_settings_read(doc, &set, &faults), row.valid)
+        << row.first_part;
+    json_decref(doc);
+  }
+}
+
 TEST(Mechanisms, DisabledMechanismIsNotUsed) {
   const mt_prefix_segment_t segment = {7, 4000};
   for (bool off : {false, true}) {
