Engines listed after an empty first list reach every router

Cause: a router whose first list shows an empty feed has received everything up to revision 0, and 0 also stands for "nothing received". That router then watched on from 3.

Evidence: event=engine lines of i-e2ebbff7a7 at 3 of 8 routers, and at the others event=news feed=engines base=1 reach=3 changes=0 outcome=taken.

Change: the state of a feed says whether this router has read it; the revision no longer stands for that.

Tested: the new test failed before in its first three rows; it passes, with 35 tests of feeds, change log and peers.

--- a/src/gateway/feed_exchange.c
+++ b/src/gateway/feed_exchange.c
@@ -176,8 +176,7 @@
 ** only fill the log. Withdrawals are kept for routers that missed them.
 */
 static bool should_keep (const mt_feed_t *feed, const mt_change_t *change) {
-  if (feed->state.received == 0)
-    return change->kind != MT_CHANGE_ENGINE_READY;
+  if (!feed->state.read) return change->kind != MT_CHANGE_ENGINE_READY;
   return change->rev > feed->state.received;
 }
 
--- a/src/gateway/feed_state.c
+++ b/src/gateway/feed_state.c
@@ -30,7 +30,8 @@
   /* Where `newest` is less than `received`, no change lies between them. */
   mt_revision_t last = feed->newest > 0 ? feed->newest : feed->received;
   mt_revision_t base = mt_min(feed->received, last);
-  bool first = feed->received == 0, changed = newest > feed->newest;
+  bool first = !feed->read, changed = newest > feed->newest;
+  feed->read = true;
   feed->applied = mt_max(feed->applied, at);
   feed->received = mt_max(feed->received, at);
   if (now != 0) mt_feed_state_merge(feed, newest, at, now);
--- a/src/gateway/feed_state.h
+++ b/src/gateway/feed_state.h
@@ -25,6 +25,9 @@
   mt_revision_t received; /* likewise, except for details (of new engines,
                          say) that can only be read from the source */
   mt_ms_t confirmed; /* when a router last read this at the source, or 0 */
+  /* This router has read the feed. The revisions above do not show it: a list
+     of an empty feed is of revision 0. */
+  bool read;
 } mt_feed_state_t;
 
 /*
--- a/tests/feed_exchange_test.cc
+++ b/tests/feed_exchange_test.cc
@@ -41,12 +41,13 @@
   std::vector<std::unique_ptr<Router>> routers;
   std::map<uint32_t, Router *> by_ip;
   std::vector<mt_change_t> changes; // at the source, rising revisions
-  int64_t rev = 100;
+  int64_t rev;
   mt_ms_t now = 100000;
   std::mt19937 random;
   unsigned loss = 0; // of 1,000 messages
 
-  Fleet(int count, int domains, unsigned seed) : random(seed) {
+  Fleet(int count, int domains, unsigned seed, int64_t first_rev = 100)
+      : rev(first_rev), random(seed) {
     for (int i = 0; i < count; i++) {
       routers.push_back(std::make_unique<Router>());
       Router *r = routers.back().get();
@@ -359,6 +360,35 @@
   EXPECT_EQ(w.count_missing("i-1", MT_CHANGE_ENGINE_DRAINING), 0);
 }
 
+// Guards against a first list of an empty source, at revision 0, taken for no
+// list: what the router read next was then neither kept nor sent, and to the
+// others it claimed that there was no change. They never learnt of an engine.
+TEST(FeedExchange, ChangesAfterAnEmptyFirstListAreSent) {
+  struct Row {
+    const char *what;
+    mt_change_kind_t kind;
+    int64_t received; // by the other routers: the source without an engine
+  } rows[] = {
+      {"a new engine, others have the same list", MT_CHANGE_ENGINE_READY, 0},
+      {"a new engine, others have read on", MT_CHANGE_ENGINE_READY, 1},
+      {"a drain, others have the same list", MT_CHANGE_ENGINE_DRAINING, 0},
+      {"a drain, others have read on", MT_CHANGE_ENGINE_DRAINING, 1},
+  };
+  for (const Row &row : rows) {
+    Fleet w(4, 2, 1, 0);
+    w.rev = 1;
+    for (auto &r : w.routers) {
+      r->rejected = r != w.routers[0];
+      if (row.received > 0 && r->rejected)
+        mt_feed_exchange_source_read(&r->feeds, MT_FEED_ENGINES, 0,
+                                     row.received, MT_FEED_CHANGES);
+    }
+    w.change(row.kind, "i-1");
+    w.run(500);
+    EXPECT_EQ(w.count_missing("i-1", row.kind), 0) << row.what;
+  }
+}
+
 // A list does not show removed engines. Its reader sends removals of unlisted
 // engines, also of those known from peers only, but does not claim to know
 // all changes up to the list. When it did, a gateway that took its changes
