Prompts that an engine has not run do not count as cached there

Callers saw: where most engines reject, the same request came back to the engines that had just rejected it, and was rejected again; one prompt was rejected four times by the same two engines within 0.3 s.

Cause: the segments of a prompt are marked as cached when it is sent, at this router and at the engine's owner, and the clock of the engine's cache counts its tokens. After a rejection, or when the request was never sent, nothing took that back: a rejecting engine seemed to have every prompt that it had rejected, so it saved the prefill in the cost of placement, and was offered as a source of KV transfers; and what it did have seemed to be evicted.

Change: an attempt that was not run withdraws its use of the segments; the owner is told by a new message, which older builds drop. Tokens count as processed when the engine accepts the request.

Tested: the new test fails without the withdrawal.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -200,6 +200,10 @@
     mt_gateway_peers_return_permit(g->peers, fx->u.permit);
     return;
   }
+  if (fx->kind == MT_RELAY_DO_REPORT_NOT_RUN) {
+    mt_gateway_peers_prompt_not_run(g->peers, &fx->u.not_run);
+    return;
+  }
   if (fx->kind == MT_RELAY_DO_SEND_TO_OWNER) {
     mt_gateway_peers_send_suspect_message(g->peers, &fx->u.message);
     return;
@@ -227,6 +231,7 @@
       break;
     case MT_RELAY_DO_PROBE:
     case MT_RELAY_DO_RETURN_PERMIT:
+    case MT_RELAY_DO_REPORT_NOT_RUN:
     case MT_RELAY_DO_SEND_TO_OWNER:
       break; /* not for a request: handled above */
   }
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -365,6 +365,28 @@
   send_message(peers, owner);
 }
 
+void mt_gateway_peers_prompt_not_run (mt_gateway_peers_t *peers,
+                                      const mt_prompt_not_run_t *prompt) {
+  const mt_engine_t *e =
+      mt_engines_get(&peers->relay->engines, prompt->engine);
+  uint32_t owner = e != NULL ? owner_of(peers, e) : 0;
+  if (owner == 0 || owner == peers->members.own_ip) return;
+  mt_peer_message_t *m = begin(peers, MT_PEER_NOT_RUN);
+  m->engines[m->engines_count++] = (mt_peer_engine_t){.key = prompt->engine};
+  m->segments_count = prompt->count;
+  memcpy(m->segments, prompt->segments,
+         prompt->count * sizeof *prompt->segments);
+  send_message(peers, owner);
+}
+
+static void on_not_run (mt_gateway_peers_t *peers,
+                        const mt_peer_message_t *m) {
+  if (m->engines_count == 0) return;
+  mt_engine_t *e = mt_engines_get(&peers->relay->engines, m->engines[0].key);
+  if (e != NULL)
+    mt_prefix_cache_withdraw(&e->cached, m->segments, m->segments_count);
+}
+
 void mt_gateway_peers_return_permit (mt_gateway_peers_t *peers,
                                      uint64_t key) {
   const mt_engine_t *e = mt_engines_get(&peers->relay->engines, key);
@@ -521,6 +543,7 @@
       if (is_newest(peer, m)) on_load(peers, peer->ip, m);
       break;
     case MT_PEER_PREFIX_HOLDER: on_prefix_holder(peers, m); break;
+    case MT_PEER_NOT_RUN: on_not_run(peers, m); break;
     case MT_PEER_PERMIT_RETURN: on_permit_return(peers, m); break;
     case MT_PEER_QUOTE_REQUEST: on_quote_request(peers, peer->ip, m); break;
     case MT_PEER_QUOTE: on_quote(peers, peer, m); break;
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -73,6 +73,11 @@
 void mt_gateway_peers_request_sent (mt_gateway_peers_t *peers,
                                     const mt_relay_request_t *request);
 
+/* A request was not run: its prompt is not cached there, as the engine's
+   owner was told when it was sent. */
+void mt_gateway_peers_prompt_not_run (mt_gateway_peers_t *peers,
+                                      const mt_prompt_not_run_t *prompt);
+
 /* Sends a message about a suspect to the suspect's owner. If that is this
    router, a question is answered (callback) before this returns. */
 void mt_gateway_peers_send_suspect_message (
--- a/src/gateway/peer_message.c
+++ b/src/gateway/peer_message.c
@@ -74,6 +74,7 @@
     case MT_PEER_SUSPECT_MESSAGE: return "word";
     case MT_PEER_TRIAL_VERDICT: return "verdict";
     case MT_PEER_DRAINS: return "leaving";
+    case MT_PEER_NOT_RUN: return "not-run";
     case MT_PEER_KINDS: break;
   }
   return "";
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -59,6 +59,9 @@
   MT_PEER_TRIAL_VERDICT,
   /* Engines that advertise that they drain. */
   MT_PEER_DRAINS,
+  /* An engine that the receiver owns has not run a prompt that the sender had
+     reported as sent there. */
+  MT_PEER_NOT_RUN,
   MT_PEER_KINDS
 } mt_peer_kind_t;
 
--- a/src/relay/prefix_cache.c
+++ b/src/relay/prefix_cache.c
@@ -9,6 +9,7 @@
   struct mt_prefix_entry_t *newer, *older;
   mt_prefix_segment_t segment;
   int64_t used_at; /* the cache's clock at its last use */
+  int32_t uses;    /* since it was added, without those withdrawn */
 } mt_prefix_entry_t;
 
 static void detach (mt_prefix_cache_t *c, mt_prefix_entry_t *e) {
@@ -32,15 +33,14 @@
   c->newest = e;
 }
 
-static void drop_oldest (mt_prefix_cache_t *c) {
-  mt_prefix_entry_t *e = c->oldest;
+static void drop (mt_prefix_cache_t *c, mt_prefix_entry_t *e) {
   detach(c, e);
   mtV_del(&c->entries, e->segment.id);
   free(e);
 }
 
 void mt_prefix_cache_free (mt_prefix_cache_t *c) {
-  while (c->oldest != NULL) drop_oldest(c);
+  while (c->oldest != NULL) drop(c, c->oldest);
   mtV_free(&c->entries);
 }
 
@@ -71,8 +71,18 @@
       mtV_put(&c->entries, e->segment.id, e);
     }
     e->used_at = c->clock;
+    e->uses++;
     attach(c, e);
   }
   while (c->oldest != NULL && c->clock - c->oldest->used_at > capacity)
-    drop_oldest(c);
+    drop(c, c->oldest);
+}
+
+void mt_prefix_cache_withdraw (mt_prefix_cache_t *c,
+                               const mt_prefix_segment_t *segments,
+                               size_t count) {
+  for (size_t i = 0; i < count; i++) {
+    mt_prefix_entry_t *e = mtV_get(&c->entries, segments[i].id);
+    if (e != NULL && --e->uses <= 0) drop(c, e);
+  }
 }
--- a/src/relay/prefix_cache.h
+++ b/src/relay/prefix_cache.h
@@ -39,4 +39,12 @@
                           const mt_prefix_segment_t *segments, size_t count,
                           int64_t capacity);
 
+/*
+** Takes back one use of the segments by a prompt that the engine did not
+** prefill: those without another use are not cached.
+*/
+void mt_prefix_cache_withdraw (mt_prefix_cache_t *cache,
+                               const mt_prefix_segment_t *segments,
+                               size_t count);
+
 #endif
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -222,19 +222,28 @@
 /* {== Effects ========================================================== */
 
 typedef enum mt_relay_effect_kind_t {
-  MT_RELAY_DO_REFUSE,        /* send an error response to the caller */
-  MT_RELAY_DO_GET_QUOTES,    /* ask owners of this round's candidates */
-  MT_RELAY_DO_START,         /* send the request to an engine */
-  MT_RELAY_DO_CANCEL,        /* end the attempt and close its connection */
-  MT_RELAY_DO_HEAD,          /* forward the first response head */
-  MT_RELAY_DO_DATA,          /* forward body bytes */
-  MT_RELAY_DO_END,           /* finish the caller's response */
-  MT_RELAY_DO_ABORT,         /* close the caller's connection mid-response */
-  MT_RELAY_DO_PROBE,         /* test whether an engine accepts connections */
-  MT_RELAY_DO_RETURN_PERMIT, /* return an unused permit to its owner */
-  MT_RELAY_DO_SEND_TO_OWNER  /* send a message to a suspect request's owner */
+  MT_RELAY_DO_REFUSE,         /* send an error response to the caller */
+  MT_RELAY_DO_GET_QUOTES,     /* ask owners of this round's candidates */
+  MT_RELAY_DO_START,          /* send the request to an engine */
+  MT_RELAY_DO_CANCEL,         /* end the attempt and close its connection */
+  MT_RELAY_DO_HEAD,           /* forward the first response head */
+  MT_RELAY_DO_DATA,           /* forward body bytes */
+  MT_RELAY_DO_END,            /* finish the caller's response */
+  MT_RELAY_DO_ABORT,          /* close the caller's connection mid-response */
+  MT_RELAY_DO_PROBE,          /* test whether an engine accepts connections */
+  MT_RELAY_DO_RETURN_PERMIT,  /* return an unused permit to its owner */
+  MT_RELAY_DO_REPORT_NOT_RUN, /* report a prompt to the engine's owner */
+  MT_RELAY_DO_SEND_TO_OWNER /* send a message to a suspect request's owner */
 } mt_relay_effect_kind_t;
 
+/* A prompt that was sent to an engine, or was about to be, and not run. */
+typedef struct mt_prompt_not_run_t {
+  uint64_t engine;
+  const mt_prefix_segment_t *segments; /* borrowed until the next step */
+  size_t count;
+  bool rejected; /* by the engine; else it did not receive the request */
+} mt_prompt_not_run_t;
+
 #define MT_RELAY_LENGTH_UNKNOWN (-1)
 #define MT_RELAY_LENGTH_UNFRAMED (-2) /* body ends with the connection */
 
@@ -257,6 +266,7 @@
     } start;
     uint64_t probe;               /* PROBE: the engine */
     uint64_t permit;              /* RETURN_PERMIT: the engine */
+    mt_prompt_not_run_t not_run;  /* REPORT_NOT_RUN */
     mt_suspect_message_t message; /* SEND_TO_OWNER */
     int64_t length;  /* HEAD: of the body, or MT_RELAY_LENGTH_* */
     mt_bytes_t data; /* borrowed until the next step */
--- a/src/relay/relay_load.c
+++ b/src/relay/relay_load.c
@@ -154,14 +154,28 @@
   e->local.running++;
   e->local.pending_prefill += r->pending_prefill;
   e->local.held += r->held;
-  e->tokens_processed += p->miss + r->tokens_out;
-  e->cached.clock += p->miss + r->tokens_out;
   mt_engine_load_changed(e);
   if (s == NULL || s->kv_capacity == 0 || r->segments_count == 0) return;
   mt_prefix_cache_use(&e->cached, r->segments, r->segments_count,
                       s->kv_capacity);
 }
 
+void mt_relay_prompt_accepted (mt_relay_request_t *r) {
+  int64_t tokens = r->pending_prefill + r->tokens_out;
+  r->engine->tokens_processed += tokens;
+  r->engine->cached.clock += tokens;
+}
+
+void mt_relay_prompt_not_run (mt_relay_t *relay, mt_relay_request_t *r,
+                              bool rejected) {
+  if (r->engine == NULL || r->segments_count == 0) return;
+  mt_prefix_cache_withdraw(&r->engine->cached, r->segments,
+                           r->segments_count);
+  mt_relay_effect(relay, MT_RELAY_DO_REPORT_NOT_RUN)->u.not_run =
+      (mt_prompt_not_run_t){r->engine->key, r->segments, r->segments_count,
+                            rejected};
+}
+
 void mt_relay_engine_gone (mt_relay_t *relay, mt_engine_t *e) {
   if (e->state == MT_ENGINE_GONE) return;
   e->state = MT_ENGINE_GONE;
--- a/src/relay/request.c
+++ b/src/relay/request.c
@@ -304,6 +304,8 @@
 void mt_attempt_failed (mt_relay_t *relay, mt_relay_request_t *r,
                         mt_relay_retry_t reason, bool ran) {
   mt_request_log(relay, r, "attempt-failed", mt_relay_retry_code(reason));
+  if (!ran)
+    mt_relay_prompt_not_run(relay, r, reason == MT_RELAY_RETRY_REJECTED);
   mt_relay_remove_load(r);
   if (!was_sent(reason)) r->attempts_sent--;
   bool again = mt_attempt_may_retry(relay, r, ran);
--- a/tests/rejection_test.cc
+++ b/tests/rejection_test.cc
@@ -131,6 +131,48 @@
   }
 }
 
+// Guards against prompts counted as cached by an engine that has not run
+// them. Such an engine looks idle and seems to save the prefill, so it
+// attracts the same request and all others with its shared segments again.
+TEST(Rejection, APromptThatWasNotRunIsNotCached) {
+  struct Row {
+    const char *what;
+    End end;
+    bool shared_before; // an earlier request with the same first segment ran
+    int64_t cached;     // tokens of the prompt, afterwards
+  } rows[] = {
+      {"rejected", End::REJECTED, false, 0},
+      {"not sent", End::NOT_SENT, false, 0},
+      {"lost, may have run", End::LOST, false, 1000},
+      {"rejected, the first segment is cached", End::REJECTED, true, 500},
+      {"not sent, the first segment is cached", End::NOT_SENT, true, 500},
+  };
+  for (const Row &row : rows) {
+    Rejecting r(1);
+    mt_engine_t *e = r.find("m1");
+    if (row.shared_before) {
+      r.request(1, "/stream/x");
+      r.sent(1);
+      r.head(1, 200, true);
+    }
+    int64_t clock = e->cached.clock;
+    r.request(2, "/stream/x");
+    ASSERT_EQ(r.started(2), e) << row.what;
+    r.finish(2, row.end);
+    const mt_prefix_segment_t prompt[] = {{7, 500}, {2 * 2 + 1001, 500}};
+    EXPECT_EQ(mt_prefix_cache_match(&e->cached, prompt, 2, 100000),
+              row.cached)
+        << row.what;
+    EXPECT_EQ(e->cached.clock, clock) << row.what;
+    const mt_relay_effect_t *fx = r.find(MT_RELAY_DO_REPORT_NOT_RUN);
+    ASSERT_EQ(fx != nullptr, row.end != End::LOST) << row.what;
+    if (fx == nullptr) continue;
+    EXPECT_EQ(fx->u.not_run.engine, e->key) << row.what;
+    EXPECT_EQ(fx->u.not_run.count, 2u) << row.what;
+    EXPECT_EQ(fx->u.not_run.rejected, row.end == End::REJECTED) << row.what;
+  }
+}
+
 // Rejections by an engine's previous process do not count after a restart.
 TEST(Rejection, RestartClearsTheRejectionRate) {
   Rejecting r(1);
