Routers share how often engines reject, and homes avoid those that do

Cause: each router knows only its own attempts, in a large fleet less than one a second at an engine. Homes of prompt segments are chosen by hash alone, so two of the four engines that a request compares are mostly rejecting ones, and nothing leads it to a sound engine of another failure domain.

Change: the owner of an engine counts the attempts of all routers (accepted ones by the tokens that they report, rejections by the message of prompts that were not run) and quotes the rate; an older build neither sends nor reads it. Mechanism fleet_rejections.

--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -372,7 +372,8 @@
   uint32_t owner = e != NULL ? owner_of(peers, e) : 0;
   if (owner == 0 || owner == peers->members.own_ip) return;
   mt_peer_message_t *m = begin(peers, MT_PEER_NOT_RUN);
-  m->engines[m->engines_count++] = (mt_peer_engine_t){.key = prompt->engine};
+  m->engines[m->engines_count++] =
+      (mt_peer_engine_t){.key = prompt->engine, .tokens = prompt->rejected};
   m->segments_count = prompt->count;
   memcpy(m->segments, prompt->segments,
          prompt->count * sizeof *prompt->segments);
@@ -382,9 +383,12 @@
 static void on_not_run (mt_gateway_peers_t *peers,
                         const mt_peer_message_t *m) {
   if (m->engines_count == 0) return;
-  mt_engine_t *e = mt_engines_get(&peers->relay->engines, m->engines[0].key);
-  if (e != NULL)
-    mt_prefix_cache_withdraw(&e->cached, m->segments, m->segments_count);
+  mt_ms_t now = mt_boot_clock_now(peers->loop);
+  peers->relay->now = mt_max(peers->relay->now, now);
+  const mt_prompt_not_run_t prompt = {m->engines[0].key, m->segments,
+                                      m->segments_count,
+                                      m->engines[0].tokens != 0};
+  mt_relay_peer_not_run(peers->relay, &prompt);
 }
 
 void mt_gateway_peers_return_permit (mt_gateway_peers_t *peers,
@@ -478,7 +482,8 @@
         .tokens = quote.cached,
         .holder = quote.holder,
         .admission = mt_relay_admission(peers->relay, key, owns(peers, key)),
-        .speed = quote.speed};
+        .speed = quote.speed,
+        .rejection_rate = quote.rejection_rate};
   }
   send_message(peers, ip);
 }
@@ -487,12 +492,14 @@
                       const mt_peer_message_t *m) {
   mt_relay_quote_t quotes[MT_PEER_ENGINES_MAX];
   for (size_t i = 0; i < m->engines_count; i++)
-    quotes[i] = (mt_relay_quote_t){.engine = m->engines[i].key,
-                                   .peers = m->engines[i].load,
-                                   .cached = m->engines[i].tokens,
-                                   .holder = m->engines[i].holder,
-                                   .admission = m->engines[i].admission,
-                                   .speed = m->engines[i].speed};
+    quotes[i] =
+        (mt_relay_quote_t){.engine = m->engines[i].key,
+                           .peers = m->engines[i].load,
+                           .cached = m->engines[i].tokens,
+                           .holder = m->engines[i].holder,
+                           .admission = m->engines[i].admission,
+                           .speed = m->engines[i].speed,
+                           .rejection_rate = m->engines[i].rejection_rate};
   peer->unanswered_since = 0;
   peer->suspect_until = 0;
   peers->callbacks.quoted(peers->callbacks.ud, m->request_number, quotes,
--- a/src/gateway/peer_message.c
+++ b/src/gateway/peer_message.c
@@ -32,6 +32,10 @@
 #define GAP_SUM_FIELDS (2 + MT_GAP_BOUNDS)
 #define SPEED_FIGURE_FIELDS 2
 #define GAP_FIGURE_FIELDS (2 + MT_GAP_BOUNDS)
+/* A quote's rejection rate, which an older build doesn't send. */
+#define REJECTION_FIELDS 1
+#define FIGURE_FIELDS \
+  (SPEED_FIGURE_FIELDS + GAP_FIGURE_FIELDS + REJECTION_FIELDS)
 #define SPEED_FIELDS_MAX 32
 #define DRAIN_FIELDS 3
 #define SEGMENT_FIELDS 2
@@ -51,7 +55,7 @@
 #define TOKENS_PROCESSED_MAX ((int64_t)1 << 52)
 #define DURATION_MAX_MS 600000
 #define SLOWNESS_SCALE 1000.0 /* slowness on the wire is in thousandths */
-/* Fractions of gaps are in ten-thousandths: a stream of 56 events that pauses
+/* Fractions are in ten-thousandths: a stream of 56 events that pauses
    once in 180 is no matter. */
 #define FRACTION_SCALE 10000.0
 #define SUSPECT_AGE_MAX_MS 7200000
@@ -125,19 +129,22 @@
 /* Number of fields of each row in the element after the engines; 0: there is
    none, as no row has anything to say. */
 static uint32_t count_speed_fields (const mt_peer_message_t *m) {
-  bool sums = false, gap_sums = false, figures = false, gap_figures = false;
+  bool sums = false, gap_sums = false;
+  bool figures = false, gap_figures = false, rejections = false;
   for (size_t i = 0; i < m->engines_count; i++) {
     const mt_peer_engine_t *e = &m->engines[i];
     sums = sums || e->measured.known;
     gap_sums = gap_sums || e->measured.gaps.known;
     figures = figures || e->speed.slowness > 0;
     gap_figures = gap_figures || e->speed.gaps.mean_ms > 0;
+    rejections = rejections || e->rejection_rate > 0;
   }
   switch (m->kind) {
     case MT_PEER_LOAD:
       if (gap_sums) return SPEED_SUM_FIELDS + GAP_SUM_FIELDS;
       return sums ? SPEED_SUM_FIELDS : 0;
     case MT_PEER_QUOTE:
+      if (rejections) return FIGURE_FIELDS;
       if (gap_figures) return SPEED_FIGURE_FIELDS + GAP_FIGURE_FIELDS;
       return figures ? SPEED_FIGURE_FIELDS : 0;
     default: return 0;
@@ -151,11 +158,14 @@
     msgpack_pack_uint64(pk, to_unsigned((double)s->over[i]));
 }
 
+static void pack_fraction (double fraction, msgpack_packer *pk) {
+  msgpack_pack_uint64(pk, to_unsigned(fraction * FRACTION_SCALE + 0.5));
+}
+
 static void pack_gap_figures (const mt_gap_figures_t *f, msgpack_packer *pk) {
   msgpack_pack_uint64(pk, to_unsigned(f->mean_ms + 0.5));
   msgpack_pack_uint64(pk, f->age);
-  for (int i = 0; i < MT_GAP_BOUNDS; i++)
-    msgpack_pack_uint64(pk, to_unsigned(f->over[i] * FRACTION_SCALE + 0.5));
+  for (int i = 0; i < MT_GAP_BOUNDS; i++) pack_fraction(f->over[i], pk);
 }
 
 static void pack_speed_sums (const mt_speed_sums_t *s, msgpack_packer *pk) {
@@ -182,6 +192,7 @@
     } else {
       pack_speed_figures(&e->speed, pk);
       if (fields > SPEED_FIGURE_FIELDS) pack_gap_figures(&e->speed.gaps, pk);
+      if (fields == FIGURE_FIELDS) pack_fraction(e->rejection_rate, pk);
     }
   }
 }
@@ -447,13 +458,16 @@
   return s;
 }
 
+static double unpack_fraction (const msgpack_object *at) {
+  return (double)unpack_bounded(at, (int64_t)FRACTION_SCALE) / FRACTION_SCALE;
+}
+
 static mt_gap_figures_t unpack_gap_figures (const msgpack_object *at) {
   mt_gap_figures_t f = {
       .mean_ms = (double)unpack_bounded(&at[0], DURATION_MAX_MS),
       .age = (mt_ms_t)unpack_bounded(&at[1], DURATION_MAX_MS)};
   for (int i = 0; i < MT_GAP_BOUNDS; i++)
-    f.over[i] = (double)unpack_bounded(&at[2 + i], (int64_t)FRACTION_SCALE) /
-                FRACTION_SCALE;
+    f.over[i] = unpack_fraction(&at[2 + i]);
   return f;
 }
 
@@ -520,10 +534,14 @@
     e->admission = (mt_admission_t)unpack_bounded(&at[6], MT_ADMIT_NONE);
     e->measured = (mt_speed_sums_t){.known = false};
     e->speed = (mt_speed_figures_t){0};
+    e->rejection_rate = 0;
     if (sums != NULL)
       e->measured = unpack_speed_sums(&sums[i * fields], fields);
     if (figures != NULL)
       e->speed = unpack_speed_figures(&figures[i * fields], fields);
+    if (figures != NULL && fields >= FIGURE_FIELDS)
+      e->rejection_rate =
+          unpack_fraction(&figures[i * fields + FIGURE_FIELDS - 1]);
   }
 }
 
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -82,7 +82,8 @@
   uint64_t key;
   mt_engine_load_t load;
   int64_t tokens;  /* QUOTE: cached tokens of the prompt; LOAD: read and
-                      generated for the sender, in total */
+                      generated for the sender, in total; NOT_RUN: 1 if the
+                      engine rejected the prompt, else 0 */
   uint64_t holder; /* QUOTE: another engine that has the prompt's shared
                       segments cached; 0: none */
   /* QUOTE: whether the engine may get the request; LOAD of a request sent
@@ -90,6 +91,7 @@
   mt_admission_t admission;
   mt_speed_sums_t measured; /* LOAD: by the sender */
   mt_speed_figures_t speed; /* QUOTE */
+  double rejection_rate;    /* QUOTE: of all routers' attempts, 0 to 1 */
 } mt_peer_engine_t;
 
 /* An engine that advertised in a response that it drains. */
--- a/src/relay/candidates.c
+++ b/src/relay/candidates.c
@@ -2,6 +2,7 @@
 ** candidates.c - which engines are asked for quotes before a request is
 ** placed
 */
+#include <math.h>
 #include <string.h>
 
 #include "admission.h"
@@ -68,16 +69,20 @@
 
 /* {== Homes ============================================================ */
 
-/* The home found so far and its rendezvous weight; NULL: none. */
+/* The home found so far and its rendezvous score; NULL: none. */
 typedef struct home_t {
   const mt_engine_t *engine;
-  uint64_t weight;
+  double score;
 } home_t;
 
-static void keep_heaviest (home_t *home, const mt_engine_t *e,
-                           uint64_t weight) {
-  if (home->engine != NULL && weight <= home->weight) return;
-  *home = (home_t){e, weight};
+/* Keeps the engine if its score is the least so far. */
+static void keep_best (const mt_relay_t *relay, home_t *home,
+                       const mt_engine_t *e, uint64_t hash) {
+  double rate = mt_engine_rejection_rate(e, relay->now);
+  double score =
+      -log(((double)hash + 1) / 0x1p64) / mt_rejections_home_weight(rate);
+  if (home->engine != NULL && score >= home->score) return;
+  *home = (home_t){e, score};
 }
 
 /* True if the engine can be a home for the request's segments. */
@@ -88,10 +93,10 @@
 }
 
 /*
-** Rendezvous hashing, so that all routers find the same homes without
-** exchanging messages: the engines with the greatest hash of segment and
-** engine, of all and of the local failure domain. `except`: key of an engine
-** to leave out.
+** Weighted rendezvous hashing, so that all routers find the same homes
+** without exchanging messages: engines by the hash of segment and engine, and
+** by how often they reject, of all and of the local failure domain. `except`:
+** key of an engine to leave out.
 */
 static void find_homes (const mt_relay_t *relay, const mt_relay_request_t *r,
                         uint64_t except, home_t *global, home_t *local) {
@@ -101,9 +106,9 @@
   for (size_t i = 0; i < relay->engines.count; i++) {
     const mt_engine_t *e = relay->engines.list[i];
     if (e->key == except || !may_be_home(relay, r, e)) continue;
-    uint64_t weight = mtV_mix(segment, e->key);
-    keep_heaviest(global, e, weight);
-    if (!e->remote) keep_heaviest(local, e, weight);
+    uint64_t hash = mtV_mix(segment, e->key);
+    keep_best(relay, global, e, hash);
+    if (!e->remote) keep_best(relay, local, e, hash);
   }
 }
 
@@ -194,7 +199,7 @@
     const mt_engine_t *e = relay->engines.list[i];
     if (!e->remote || e->domain_id != load->domain) continue;
     if (!may_ask(relay, r, e)) continue;
-    keep_heaviest(&home, e, mtV_mix(segment, e->key));
+    keep_best(relay, &home, e, mtV_mix(segment, e->key));
   }
   return home.engine;
 }
--- a/src/relay/engine.c
+++ b/src/relay/engine.c
@@ -23,7 +23,9 @@
 #define HALF_OPEN_MS 100
 #define REJECTION_WEIGHT 0.2      /* of one attempt in the rejection rate */
 #define REJECTION_DECAY_MS 2000.0 /* time constant without attempts */
-#define REJECTION_SUSPEND_MS 30   /* suspension after a rejection */
+/* A quoted rejection rate is used for this long. */
+#define QUOTED_RATE_VALID_MS 2000
+#define REJECTION_SUSPEND_MS 30 /* suspension after a rejection */
 
 uint64_t mt_engine_key (const char *name, size_t size) {
   return mtV_hash(name, size) | 1;
@@ -179,14 +181,22 @@
     e->backoff_until = e->half_open_since = 0;
 }
 
-double mt_engine_rejection_rate (const mt_engine_t *e, mt_ms_t now) {
+/* Of this router's attempts. */
+static double own_rejection_rate (const mt_engine_t *e, mt_ms_t now) {
   if (e->rate_at == 0) return 0;
   return e->rejection_rate *
          exp(-(double)(now - e->rate_at) / REJECTION_DECAY_MS);
 }
 
+double mt_engine_rejection_rate (const mt_engine_t *e, mt_ms_t now) {
+  double own = own_rejection_rate(e, now);
+  bool is_recent = e->quoted != 0 && now < e->quoted + QUOTED_RATE_VALID_MS;
+  return is_recent ? fmax(own, e->quoted_rejection_rate) : own;
+}
+
 static void record_attempt (mt_engine_t *e, bool rejected, mt_ms_t now) {
-  double rate = mt_engine_rejection_rate(e, now);
+  double rate = own_rejection_rate(e, now);
+  mt_rejections_add(&e->rejections, rejected, now);
   e->rejection_rate = rate + ((rejected ? 1 : 0) - rate) * REJECTION_WEIGHT;
   e->rate_at = now;
 }
@@ -214,7 +224,8 @@
   e->quoted_speed = (mt_speed_figures_t){0};
   e->failures = 0;
   e->suspended_until = 0;
-  e->rejection_rate = 0;
+  e->rejection_rate = e->quoted_rejection_rate = 0;
+  e->rejections = (mt_rejections_t){0};
   /* The backoff stays: a new incarnation answers before it is listed and may
      have asked for it already. */
   if (e->drain.started_at <= e->started_at) e->drain = (mt_engine_drain_t){0};
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -10,6 +10,7 @@
 
 #include "engine_speed.h"
 #include "prefix_cache.h"
+#include "rejections.h"
 #include "revision.h"
 
 typedef enum mt_engine_state_t {
@@ -75,9 +76,11 @@
   mt_engine_speed_t speed;  /* model, complete at the engine's owner */
   mt_speed_figures_t quoted_speed; /* the owner's, as of `quoted` */
   int failures;                    /* in a row */
-  double rejection_rate;   /* of this router's attempts, as of `rate_at` */
-  mt_ms_t rate_at;         /* last accepted or rejected attempt; 0: none */
-  mt_ms_t suspended_until; /* gets no requests before this time */
+  double rejection_rate;      /* of this router's attempts, as of `rate_at` */
+  mt_ms_t rate_at;            /* last accepted or rejected attempt; 0: none */
+  mt_rejections_t rejections; /* complete at the engine's owner */
+  double quoted_rejection_rate; /* the owner's, as of `quoted` */
+  mt_ms_t suspended_until;      /* gets no requests before this time */
   mt_ms_t backoff_until;   /* end of the backoff that it asked for; 0: none */
   mt_ms_t half_open_since; /* when the trial request was sent; 0: not yet */
   mt_engine_drain_t drain;
@@ -171,8 +174,9 @@
 void mt_engine_request_rejected (mt_engine_t *engine, mt_ms_t now);
 
 /*
-** Fraction of this router's recent attempts that it rejected. Decays
-** without attempts, so that the engine is tried again.
+** Fraction of the recent attempts that it rejected: of this router's, or, if
+** that is more, of all routers' by its owner's quote while the quote is
+** recent. Decays without attempts, so that the engine is tried again.
 */
 double mt_engine_rejection_rate (const mt_engine_t *engine, mt_ms_t now);
 
--- a/src/relay/quotes.c
+++ b/src/relay/quotes.c
@@ -99,6 +99,9 @@
       e->peers = quote->peers;
       e->quoted = relay->now;
       e->quoted_speed = quote->speed;
+      e->quoted_rejection_rate = relay->params.off[MT_RELAY_FLEET_REJECTIONS]
+                                     ? 0
+                                     : quote->rejection_rate;
       if (e->remote) mt_domain_loads_learn(relay, e, &quote->peers);
       if (quote->admission == MT_ADMIT_WARM)
         mt_cold_starts_set(&relay->cold, e->key, relay->now, relay->now);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -164,6 +164,7 @@
   uint64_t holder; /* another engine with the shared segments; 0: none */
   mt_admission_t admission;
   mt_speed_figures_t speed; /* all zero: the owner doesn't know */
+  double rejection_rate;    /* of all routers' attempts, 0 to 1 */
 } mt_relay_quote_t;
 
 /* Whether an engine ran the request, by its response head. */
@@ -431,7 +432,9 @@
   /* The same of the pauses of its streams, which count as costs. */      \
   ROW(MT_RELAY_PAUSES, "pauses")                                          \
   /* Failure domains count as unreachable after connects timed out. */    \
-  ROW(MT_RELAY_DOMAIN_REACH, "domain_reach")
+  ROW(MT_RELAY_DOMAIN_REACH, "domain_reach")                              \
+  /* Owners count how often their engines reject, and quote the rate. */  \
+  ROW(MT_RELAY_FLEET_REJECTIONS, "fleet_rejections")
 
 typedef enum mt_relay_mechanism_t {
 #define MT_RELAY_SYMBOL(symbol, name) symbol,
@@ -590,6 +593,11 @@
                                 const mt_prefix_segment_t *segments,
                                 size_t count);
 
+/* A peer reports a prompt that an engine which this router owns has not run:
+   its segments were counted as cached with the peer's load. */
+void mt_relay_peer_not_run (mt_relay_t *relay,
+                            const mt_prompt_not_run_t *prompt);
+
 /* The slowness of an engine, by which its times to first token are
    multiplied: its owner's figure while it is recent, else this router's own.
  */
--- a/src/relay/relay_load.c
+++ b/src/relay/relay_load.c
@@ -176,6 +176,14 @@
                             rejected};
 }
 
+void mt_relay_peer_not_run (mt_relay_t *relay,
+                            const mt_prompt_not_run_t *prompt) {
+  mt_engine_t *e = mt_engines_get(&relay->engines, prompt->engine);
+  if (e == NULL) return;
+  mt_prefix_cache_withdraw(&e->cached, prompt->segments, prompt->count);
+  if (prompt->rejected) mt_rejections_add(&e->rejections, true, relay->now);
+}
+
 void mt_relay_engine_gone (mt_relay_t *relay, mt_engine_t *e) {
   if (e->state == MT_ENGINE_GONE) return;
   e->state = MT_ENGINE_GONE;
@@ -290,6 +298,9 @@
       mt_load_table_set(&relay->router_loads, engine, row);
   if (e == NULL) return;
   e->cached.clock += tokens_processed;
+  /* The peer's engine has accepted a request since its last report. */
+  if (tokens_processed > 0)
+    mt_rejections_add(&e->rejections, false, relay->now);
   if (count == 0 || relay->catalog == NULL) return;
   const mt_catalog_service_t *s =
       mt_catalog_find_service(relay->catalog, e->service);
@@ -313,7 +324,10 @@
   mt_engine_t *e = mt_engines_get(&relay->engines, engine);
   quote.peers =
       mt_load_table_sum(&relay->router_loads, engine, router, relay->now);
-  if (e != NULL) quote.speed = owned_figures(relay, e);
+  if (e != NULL) {
+    quote.speed = owned_figures(relay, e);
+    quote.rejection_rate = mt_rejections_rate(&e->rejections, relay->now);
+  }
   if (e == NULL || relay->catalog == NULL) return quote;
   const mt_catalog_service_t *s =
       mt_catalog_find_service(relay->catalog, e->service);
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -44,7 +44,7 @@
     in->members[in->members_count++] = {0x0a000001, 77, 1};
     in->shares[in->shares_count++] = {12, {1000, 500}};
     in->engines[in->engines_count++] = {
-        99, {10, 20, 3}, 400, 77, MT_ADMIT_PERMIT, {}, {}};
+        99, {10, 20, 3}, 400, 77, MT_ADMIT_PERMIT, {}, {}, 0};
     in->segments[in->segments_count++] = {5, 600};
     in->drains[in->drains_count++] = {99, 1780000000000, 700};
     in->spans[MT_FEED_ENGINES] = {4, 6};
