A refund takes back no more than what is left of its charge

Callers saw nothing of it by itself: the served rate of a workspace whose requests are rejected after an update of the rates fell below zero, so the workspace that is rejected most counted as served least, and went first.

Cause: a request that was not run gave back its whole cost, while the rate that it was charged to had decayed since.

Evidence: with a rejected request of 1,100 tokens charged before an update and given back behind it, the served rate was -107 tokens/s.

Change: a request keeps when the rates had last been decayed as it was charged, and the refund decays as they have.

Tested: the new test failed before in the row behind an update.

--- a/src/relay/fair_share.c
+++ b/src/relay/fair_share.c
@@ -53,8 +53,18 @@
   mt_fair_share_get(s, workspace)->local.served += as_rate(tokens);
 }
 
+static double decay_factor (mt_ms_t since, mt_ms_t now) {
+  return exp(-(double)(now - since) / DECAY_MS);
+}
+
+void mt_fair_share_refund (mt_fair_share_t *s, mt_id_t workspace,
+                           int64_t tokens, mt_ms_t recorded_at) {
+  mt_fair_share_get(s, workspace)->local.served -=
+      as_rate(tokens) * decay_factor(recorded_at, s->decayed_at);
+}
+
 static void decay (mt_fair_share_t *s, mt_ms_t now) {
-  double factor = exp(-(double)(now - s->decayed_at) / DECAY_MS);
+  double factor = decay_factor(s->decayed_at, now);
   s->decayed_at = now;
   for (size_t i = 0; i < s->count; i++) {
     s->list[i]->local.demand *= factor;
--- a/src/relay/fair_share.h
+++ b/src/relay/fair_share.h
@@ -57,6 +57,11 @@
 void mt_fair_share_record_served (mt_fair_share_t *shares, mt_id_t workspace,
                                   int64_t tokens);
 
+/* Takes back what is left of a service that was recorded when the rates were
+   last decayed at `recorded_at`. */
+void mt_fair_share_refund (mt_fair_share_t *shares, mt_id_t workspace,
+                           int64_t tokens, mt_ms_t recorded_at);
+
 /*
 ** Decays the rates, drops idle workspaces and recomputes the level.
 ** `declared`: the configured capacity of all engines together, tokens/s; 0:
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -357,6 +357,7 @@
      to the workspace. */
   bool awaiting_event, may_have_run, events, framed, framed_to_caller,
       charged;
+  mt_ms_t charged_at; /* when the rates had last been decayed then */
   int64_t pending_prefill, held; /* tokens: its part of the engine's load */
   int64_t fetched;    /* tokens of KV cache that the engine fetches */
   bool home;          /* the engine is the fleet's home of its segments */
--- a/src/relay/request.c
+++ b/src/relay/request.c
@@ -151,7 +151,7 @@
 
 void mt_request_refund (mt_relay_t *relay, mt_relay_request_t *r) {
   if (!r->charged) return;
-  mt_fair_share_record_served(&relay->shares, r->workspace, -r->cost);
+  mt_fair_share_refund(&relay->shares, r->workspace, r->cost, r->charged_at);
   r->charged = false;
 }
 
@@ -189,6 +189,7 @@
   if (!r->charged && r->workspace != 0 && r->segments_count > 0) {
     mt_fair_share_record_served(&relay->shares, r->workspace, r->cost);
     r->charged = true;
+    r->charged_at = relay->shares.decayed_at;
   }
   mt_relay_effect_t *fx = mt_request_effect(relay, MT_RELAY_DO_START, r);
   fx->u.start.engine = p->engine->key;
--- a/tests/rejection_test.cc
+++ b/tests/rejection_test.cc
@@ -183,4 +183,29 @@
   EXPECT_EQ(mt_engine_rejection_rate(e, r.now), 0);
 }
 
+// Guards against refunds that exceed what is left of the charge: a workspace
+// would count as served less with each rejection, most of all the one that
+// sends most.
+TEST(Rejection, RefundIsNoMoreThanTheCharge) {
+  struct Row {
+    const char *what;
+    mt_ms_t at; // of the request, after an update; 100 ms between them
+  } rows[] = {{"rejected before an update", 0},
+              {"rejected after an update", 97}};
+  for (const Row &row : rows) {
+    Rejecting r(1);
+    r.pass(25);
+    r.now += row.at;
+    r.request(1, "/stream/x");
+    ASSERT_NE(r.started(1), nullptr) << row.what;
+    r.pass(5);
+    r.finish(1, End::REJECTED);
+    ASSERT_EQ(r.refusal(), MT_RELAY_REJECTED) << row.what;
+    EXPECT_NEAR(
+        mt_fair_share_get(&r.relay->shares, mtV_id("w1", 2))->local.served, 0,
+        1)
+        << row.what;
+  }
+}
+
 } // namespace
