Room at engines that accept is shared by what engines accept

Cause: the share level counts the declared capacity of all engines, so nearly everybody was below the share, and the few engines that took everything, and the retry budget, went to whoever asked most.

Change: a second level, of the declared capacity times the fraction of requests that engines accept (the mean of the rates that this router knows). The wait limit at engines that accept, and the use of the retry budget, go by it. At engines that reject most requests the first level holds as before: they decide themselves what they have room for, and a request that is refused there beforehand makes room for nobody. Gauge accepted_fraction.

--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -62,6 +62,9 @@
   number(out, "engine_slowness_max", "gauge",
          "Time to first token at the slowest engine, measured over expected.",
          max_slowness(relay));
+  number(out, "accepted_fraction", "gauge",
+         "Part of the requests with prompts that engines accept, on average.",
+         relay->accepted);
 }
 
 static void suspects (const mt_relay_t *relay, mt_strbuf_t *out) {
--- a/src/relay/engine.c
+++ b/src/relay/engine.c
@@ -23,8 +23,9 @@
 #define HALF_OPEN_MS 100
 #define REJECTION_WEIGHT 0.2      /* of one attempt in the rejection rate */
 #define REJECTION_DECAY_MS 2000.0 /* time constant without attempts */
-/* A quoted rejection rate is used for this long. */
-#define QUOTED_RATE_VALID_MS 2000
+/* A quoted rejection rate is used for this long, and counts as known. */
+#define RATE_VALID_MS 2000
+#define REJECTING_RATE 0.5      /* above it an engine rejects most requests */
 #define REJECTION_SUSPEND_MS 30 /* suspension after a rejection */
 
 uint64_t mt_engine_key (const char *name, size_t size) {
@@ -188,10 +189,22 @@
          exp(-(double)(now - e->rate_at) / REJECTION_DECAY_MS);
 }
 
+static bool is_recent (mt_ms_t at, mt_ms_t now) {
+  return at != 0 && now < at + RATE_VALID_MS;
+}
+
 double mt_engine_rejection_rate (const mt_engine_t *e, mt_ms_t now) {
   double own = own_rejection_rate(e, now);
-  bool is_recent = e->quoted != 0 && now < e->quoted + QUOTED_RATE_VALID_MS;
-  return is_recent ? fmax(own, e->quoted_rejection_rate) : own;
+  return is_recent(e->quoted, now) ? fmax(own, e->quoted_rejection_rate)
+                                   : own;
+}
+
+bool mt_engine_rejection_is_known (const mt_engine_t *e, mt_ms_t now) {
+  return is_recent(e->quoted, now) || is_recent(e->rate_at, now);
+}
+
+bool mt_engine_is_rejecting (const mt_engine_t *e, mt_ms_t now) {
+  return mt_engine_rejection_rate(e, now) > REJECTING_RATE;
 }
 
 static void record_attempt (mt_engine_t *e, bool rejected, mt_ms_t now) {
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -180,6 +180,13 @@
 */
 double mt_engine_rejection_rate (const mt_engine_t *engine, mt_ms_t now);
 
+/* True if the rate rests on recent attempts or a recent quote. */
+bool mt_engine_rejection_is_known (const mt_engine_t *engine, mt_ms_t now);
+
+/* True if it rejects most requests. Such an engine decides itself what it has
+   room for: it may look idle, and refuses all the same. */
+bool mt_engine_is_rejecting (const mt_engine_t *engine, mt_ms_t now);
+
 /* Resets what is known of its previous incarnation after a restart. A backoff
    stays, and so does a drain of its new incarnation. */
 void mt_engine_restarted (mt_engine_t *engine);
--- a/src/relay/fair_share.c
+++ b/src/relay/fair_share.c
@@ -140,7 +140,8 @@
   }
 }
 
-void mt_fair_share_update (mt_fair_share_t *s, double declared, mt_ms_t now) {
+void mt_fair_share_update (mt_fair_share_t *s, double declared,
+                           double accepted, mt_ms_t now) {
   double total_demand = 0, total_served = 0;
   decay(s, now);
   remove_idle(s);
@@ -150,11 +151,22 @@
   }
   bool scarce = total_served < SCARCITY_RATIO * total_demand;
   s->level = scarce ? water_level(s, fmax(total_served, declared)) : 0;
+  s->accepted_level =
+      scarce ? water_level(s, fmax(total_served, declared * accepted)) : 0;
   find_max_service_ratio(s);
   find_min_service_ratio(s, declared);
 }
 
+static double served_over (mt_fair_share_t *s, mt_id_t workspace,
+                           double level) {
+  if (level <= 0) return 0;
+  return served(mt_fair_share_get(s, workspace)) / level;
+}
+
 double mt_fair_share_service_ratio (mt_fair_share_t *s, mt_id_t workspace) {
-  if (s->level <= 0) return 0;
-  return served(mt_fair_share_get(s, workspace)) / s->level;
+  return served_over(s, workspace, s->level);
+}
+
+double mt_fair_share_accepted_ratio (mt_fair_share_t *s, mt_id_t workspace) {
+  return served_over(s, workspace, s->accepted_level);
 }
--- a/src/relay/fair_share.h
+++ b/src/relay/fair_share.h
@@ -31,6 +31,8 @@
   size_t count, cap;
   mt_ms_t decayed_at; /* when the rates were last decayed */
   double level;       /* tokens/s; 0: all demand is served */
+  /* The level of what engines accept: lower while they reject requests. */
+  double accepted_level;
   /* Highest service ratio of the workspaces that ask for more than the level,
      at least 1. */
   double max_service_ratio;
@@ -66,9 +68,10 @@
 ** Decays the rates, drops idle workspaces and recomputes the level.
 ** `declared`: the configured capacity of all engines together, tokens/s; 0:
 ** unknown. With it a lower served rate is not taken for their capacity.
+** `accepted`: the fraction of requests that they accept.
 */
 void mt_fair_share_update (mt_fair_share_t *shares, double declared,
-                           mt_ms_t now);
+                           double accepted, mt_ms_t now);
 
 /*
 ** Served rate of the workspace as a multiple of the level; below 1 it has had
@@ -77,4 +80,8 @@
 double mt_fair_share_service_ratio (mt_fair_share_t *shares,
                                     mt_id_t workspace);
 
+/* The same as a multiple of the level of what engines accept. */
+double mt_fair_share_accepted_ratio (mt_fair_share_t *shares,
+                                     mt_id_t workspace);
+
 #endif
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -38,6 +38,14 @@
   return e->local.pending_prefill + e->peers.pending_prefill;
 }
 
+/* Service ratio of the request's workspace by what engines accept; 0 without
+   one. */
+static double accepted_ratio_of (mt_relay_t *relay,
+                                 const mt_relay_request_t *r) {
+  if (r->workspace == 0) return 0;
+  return mt_fair_share_accepted_ratio(&relay->shares, r->workspace);
+}
+
 /* Service ratio of the request's workspace; 0 without one. */
 static double service_ratio_of (mt_relay_t *relay,
                                 const mt_relay_request_t *r) {
@@ -67,11 +75,11 @@
 ** most of that room.
 */
 static double wait_limit (mt_relay_t *relay, const mt_relay_request_t *r,
-                          const mt_catalog_service_t *service) {
+                          const mt_catalog_service_t *service,
+                          double service_ratio) {
   const mt_relay_params_t *params = &relay->params;
   mt_ms_t shortest = service->objective ? service->objective : r->objective;
   double limit = (double)shortest * params->wait_fraction;
-  double service_ratio = service_ratio_of(relay, r);
   if (r->objective > shortest)
     limit *=
         pow((double)shortest / (double)r->objective, params->objective_power);
@@ -82,6 +90,19 @@
   return limit;
 }
 
+/*
+** Wait limit at engines that reject most requests, or at the others. While
+** engines reject, room at those that do not is what there is to share, by the
+** level of what is accepted.
+*/
+static double wait_limit_at (mt_relay_t *relay, const mt_relay_request_t *r,
+                             const mt_catalog_service_t *service,
+                             bool rejecting) {
+  double service_ratio =
+      rejecting ? service_ratio_of(relay, r) : accepted_ratio_of(relay, r);
+  return wait_limit(relay, r, service, service_ratio);
+}
+
 /* Fraction of the wait limit that applies in remote failure domains. */
 static double remote_wait_fraction (mt_relay_t *relay,
                                     const mt_relay_request_t *r) {
@@ -102,8 +123,10 @@
   mt_engine_t *source;
   int64_t source_tokens;
   int64_t unshared; /* tokens of the last segment */
-  /* Wait limits in ms; how much prefix locality is relaxed, 0 to 1. */
-  double limit, remote_limit, relaxation;
+  /* Wait limits in ms, at engines that reject most requests and at others;
+     the fraction of them that applies in remote failure domains. */
+  double rejecting_limit, limit, remote_fraction;
+  double relaxation;  /* how much prefix locality is relaxed, 0 to 1 */
   double miss_factor; /* weight of prefill time against waiting time */
   double events;      /* expected in the response; 0: unknown */
   /* So far: without the costs of pauses, and with them, of engines that have
@@ -142,8 +165,9 @@
   c.prefill = mt_relay_prefill_time(relay, r->service);
   c.unshared = mt_max(r->tokens_in - mt_kv_cache_shared_tokens(r), 1);
   c.events = r->pause > 0 ? mt_relay_expected_events(relay, r) : 0;
-  c.limit = wait_limit(relay, r, service);
-  c.remote_limit = c.limit * remote_wait_fraction(relay, r);
+  c.limit = wait_limit_at(relay, r, service, false);
+  c.rejecting_limit = wait_limit_at(relay, r, service, true);
+  c.remote_fraction = remote_wait_fraction(relay, r);
   c.relaxation = relaxation_of(relay, r);
   c.miss_factor = relay->params.miss_weight * (1 - c.relaxation) +
                   relay->params.miss_weight_relaxed * c.relaxation;
@@ -170,7 +194,10 @@
 ** used.
 */
 static double limit_at (const costs_t *c, const mt_engine_t *e) {
-  return e->remote && c->request->rounds > 1 ? c->remote_limit : c->limit;
+  bool rejecting = mt_engine_is_rejecting(e, c->relay->now);
+  double limit = rejecting ? c->rejecting_limit : c->limit;
+  bool in_remote_round = e->remote && c->request->rounds > 1;
+  return in_remote_round ? limit * c->remote_fraction : limit;
 }
 
 static double expected_pause (const costs_t *c, const mt_engine_t *e) {
@@ -307,7 +334,8 @@
     return true;
   costs_t c = begin_costs(relay, r);
   if (c.service == NULL) return true;
-  return load->pending_prefill * c.prefill.ms_per_token <= c.remote_limit;
+  double wait = load->pending_prefill * c.prefill.ms_per_token;
+  return wait <= c.limit * c.remote_fraction;
 }
 
 mt_engine_t *mt_placement_best_of (mt_relay_t *relay,
@@ -336,11 +364,14 @@
                           const mt_placement_t *p, mt_relay_refusal_t *why) {
   const mt_catalog_service_t *service =
       mt_catalog_find_service(relay->catalog, r->service);
-  *why = service_ratio_of(relay, r) > 1 ? MT_RELAY_OVER_SHARE : MT_RELAY_BUSY;
+  bool rejecting = mt_engine_is_rejecting(p->engine, relay->now);
+  double service_ratio =
+      rejecting ? service_ratio_of(relay, r) : accepted_ratio_of(relay, r);
+  *why = service_ratio > 1 ? MT_RELAY_OVER_SHARE : MT_RELAY_BUSY;
   if (service == NULL || !service->model)
     return true; /* its engines reject what they have no room for */
   if (p->full || is_far_over_share(relay, r)) return false;
-  double limit = wait_limit(relay, r, service);
+  double limit = wait_limit(relay, r, service, service_ratio);
   if (p->engine->remote && r->rounds > 1)
     limit *= remote_wait_fraction(relay, r);
   limit = limit_in_time(relay, r, limit, p->ttft_ms - p->wait_ms);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -399,6 +399,24 @@
   return relay->catalog ? (double)relay->catalog->limits.tokens_per_s : 0;
 }
 
+/* Fraction of requests with prompts that engines accept: the mean of those
+   whose rates are known, or 1. */
+static double accepted_fraction (const mt_relay_t *relay) {
+  double accepted = 0;
+  int known = 0;
+  for (size_t i = 0; i < relay->engines.count; i++) {
+    const mt_engine_t *e = relay->engines.list[i];
+    if (!mt_engine_is_available(e, relay->now)) continue;
+    if (!mt_engine_rejection_is_known(e, relay->now)) continue;
+    const mt_catalog_service_t *service =
+        mt_catalog_find_service(relay->catalog, e->service);
+    if (service == NULL || !service->model) continue;
+    accepted += 1 - mt_engine_rejection_rate(e, relay->now);
+    known++;
+  }
+  return known > 0 ? accepted / known : 1;
+}
+
 static void on_probed (mt_relay_t *relay, uint64_t key, bool up,
                        bool refused) {
   mt_engine_t *e = mt_engines_get(&relay->engines, key);
@@ -417,7 +435,9 @@
   mt_quarantine_tick(relay);
   if (relay->now < relay->next_update) return;
   relay->next_update = relay->now + UPDATE_MS;
-  mt_fair_share_update(&relay->shares, declared_tokens(relay), relay->now);
+  relay->accepted = relay->catalog ? accepted_fraction(relay) : 1;
+  mt_fair_share_update(&relay->shares, declared_tokens(relay),
+                       relay->accepted, relay->now);
   mt_relay_update_engines(relay);
   mt_load_table_expire(&relay->router_loads, relay->now);
   mt_prefix_holders_expire(&relay->holders, relay->now);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -523,6 +523,7 @@
   mt_early_drains_t early_drains;
   mt_denials_t denials; /* revoked, but still in the catalog here */
   mt_fair_share_t shares;
+  double accepted; /* fraction of requests that engines accept, 0 to 1 */
   mt_suspects_t suspects;
   mt_lost_runs_t lost; /* recent ones */
   mt_map_t services;   /* id -> mt_relay_service_t, owned */
--- a/src/relay/request.c
+++ b/src/relay/request.c
@@ -260,7 +260,7 @@
 static bool may_use_budget (mt_relay_t *relay, const mt_relay_request_t *r,
                             mt_relay_retry_t reason) {
   if (reason != MT_RELAY_RETRY_REJECTED || r->workspace == 0) return true;
-  return mt_fair_share_service_ratio(&relay->shares, r->workspace) <= 1;
+  return mt_fair_share_accepted_ratio(&relay->shares, r->workspace) <= 1;
 }
 
 /*
--- a/tests/fair_share_test.cc
+++ b/tests/fair_share_test.cc
@@ -84,7 +84,7 @@
             nullptr)
       << "workspace of a caller";
   for (size_t i = 0; i < shares.count; i++) shares.list[i]->peers = {0, 0};
-  mt_fair_share_update(&shares, 0, 0);
+  mt_fair_share_update(&shares, 0, 1, 0);
   EXPECT_EQ(shares.count, 1u) << "with demand at this router";
   mt_fair_share_free(&shares);
 }
--- a/tests/rejection_test.cc
+++ b/tests/rejection_test.cc
@@ -4,7 +4,12 @@
 #include <algorithm>
 #include <string>
 
-#include "relay.h"
+#include "three_domains.h"
+
+extern "C" {
+#include "domain_load.h"
+#include "relay_load.h"
+}
 
 namespace {
 
@@ -183,6 +188,109 @@
   EXPECT_EQ(mt_engine_rejection_rate(e, r.now), 0);
 }
 
+// What the engine is believed to have cached of a request's prompt, by this
+// router as its owner.
+int64_t cached_of (Rejecting &r, const char *engine, uint64_t number,
+                   int64_t tokens) {
+  const mt_prefix_segment_t segments[] = {
+      {7, tokens / 2}, {number * 2 + 1001, tokens - tokens / 2}};
+  return mt_relay_quote(r.relay, r.find(engine)->key, 0, segments, 2).cached;
+}
+
+// Guards against rejected prompts that advance the clock of an engine's cache
+// here and, by the reported tokens, at its owner: what the engine has cached
+// is then taken to be evicted.
+TEST(Rejection, RejectedPromptEvictsNothing) {
+  Rejecting r(1);
+  mt_engine_t *e = r.find("m1");
+  r.request(1, "/stream/x");
+  r.sent(1);
+  r.head(1, 200, true);
+  r.event(1, 1);
+  r.end(1);
+  int64_t processed = e->tokens_processed;
+  ASSERT_EQ(cached_of(r, "m1", 1, 1000), 1000);
+  for (uint64_t i = 2; i < 22; i++) { // more than the cache holds
+    r.now += 100;
+    r.request(i, "/stream/x", "key-w1", 5000, 10000);
+    ASSERT_EQ(r.started(i), e) << i;
+    r.finish(i, End::REJECTED);
+  }
+  EXPECT_EQ(cached_of(r, "m1", 1, 1000), 1000);
+  EXPECT_EQ(e->tokens_processed, processed);
+}
+
+// Guards against KV transfers from an engine that rejected the prompt: it has
+// nothing of it.
+TEST(Rejection, NothingIsFetchedFromTheEngineThatRejected) {
+  Rejecting r(2);
+  r.request(1, "/stream/x", "key-w1", 5000, 4000);
+  mt_engine_t *first = r.started(1);
+  ASSERT_NE(first, nullptr);
+  mt_engine_t *other = r.find(first == r.find("m1") ? "m2" : "m1");
+  other->peers.pending_prefill = 100000;
+  r.finish(1, End::REJECTED);
+  ASSERT_EQ(r.refusal(), MT_RELAY_REJECTED);
+  r.now += 100;
+  std::swap(first->peers.pending_prefill, other->peers.pending_prefill);
+  r.request(2, "/stream/x", "key-w1", 5000, 4000);
+  ASSERT_EQ(r.started(2), other);
+  EXPECT_EQ(r.find(MT_RELAY_DO_START, 2)->u.start.source, 0u);
+}
+
+// Guards against a caller's next try that goes to the engine that rejected
+// the first one, although an idle engine has as much of the prompt cached:
+// none.
+TEST(Rejection, NextTryGoesToAnotherEngine) {
+  Rejecting r(2);
+  r.relay->params.off[MT_RELAY_HOME] = true;
+  r.relay->params.off[MT_RELAY_FETCH] = true;
+  r.request(1, "/stream/x", "key-w1", 5000, 8000);
+  mt_engine_t *first = r.started(1);
+  ASSERT_NE(first, nullptr);
+  mt_engine_t *other = r.find(first == r.find("m1") ? "m2" : "m1");
+  other->peers.pending_prefill = 100000;
+  r.finish(1, End::REJECTED);
+  ASSERT_EQ(r.refusal(), MT_RELAY_REJECTED);
+  r.now += r.find(MT_RELAY_DO_REFUSE)->u.refuse.retry_after;
+  other->peers.pending_prefill = 0;
+  r.request(1, "/stream/x", "key-w1", 5000, 8000);
+  EXPECT_EQ(r.started(1), other);
+}
+
+// Guards against home engines that get work whatever they reject: prefill at
+// home is weighted less, and the more so the longer the shared segments.
+TEST(Rejection, HomeThatRejectsEverythingIsPassedOver) {
+  struct Row {
+    const char *what;
+    int64_t tokens;
+    double service_ratio;
+  } rows[] = {
+      {"short prompt, served nothing", 1000, 0},
+      {"long prompt, served nothing", 8000, 0},
+      {"short prompt, at the share", 2400, 1},
+  };
+  for (const Row &row : rows) {
+    Rejecting r(2);
+    r.relay->params.miss_weight = 50;
+    r.relay->params.miss_weight_relaxed = 13;
+    r.relay->shares.level = 10000;
+    mt_fair_share_get(&r.relay->shares, mtV_id("w1", 2))->peers.served =
+        row.service_ratio * 10000;
+    r.request(1, "/stream/x", "key-w1", 5000, row.tokens);
+    mt_engine_t *home = r.started(1);
+    ASSERT_NE(home, nullptr) << row.what;
+    r.step(r.make_event(MT_RELAY_CALLER_DISCONNECTED, 1));
+    mt_prefix_cache_free(&home->cached);
+    home->cached = {};
+    for (int i = 0; i < 20; i++) mt_engine_request_rejected(home, r.now);
+    r.now += 100;
+    r.request(2, "/stream/x", "key-w1", 5000, row.tokens);
+    ASSERT_NE(r.started(2), nullptr) << row.what;
+    EXPECT_NE(r.started(2), home) << row.what;
+  }
+}
+
 // Guards against refunds that exceed what is left of the charge: a workspace
 // would count as served less with each rejection, most of all the one that
 // sends most.
@@ -208,4 +316,103 @@
   }
 }
 
+// Rates of a workspace at the other routers, 1000 tokens per second.
+void set_rates (Rejecting &r, const char *workspace, double demand,
+                double served) {
+  mt_fair_share_get(&r.relay->shares, mtV_id(workspace, 2))->peers = {
+      demand * 1000, served * 1000};
+}
+
+// Most engines of ten reject all that they get; m1 accepts all.
+void reject_at_most_engines (Rejecting &r) {
+  for (int i = 1; i <= 10; i++) {
+    mt_engine_t *e = r.find("m" + std::to_string(i));
+    for (int k = 0; k < 20; k++) {
+      if (i == 1)
+        mt_engine_request_accepted(e, r.now, r.now);
+      else
+        mt_engine_request_rejected(e, r.now);
+    }
+  }
+}
+
+// Guards against a share level that counts capacity of engines that reject:
+// nobody is then above the share, and what is left goes to whoever asks most.
+TEST(Rejection, LevelCountsWhatEnginesAccept) {
+  struct Row {
+    const char *what;
+    bool rejecting;
+    double served; // 1000 tokens per second
+    bool above;    // the share
+  } rows[] = {
+      {"engines accept, served less than the share", false, 4.5, false},
+      {"engines accept, served more than the share", false, 30, true},
+      {"nine in ten reject, served most of the rest", true, 4.5, true},
+  };
+  for (const Row &row : rows) {
+    Rejecting r(10);
+    r.relay->catalog->limits.tokens_per_s = 50000; // 5000 of each engine
+    r.now += 1000;
+    if (row.rejecting) reject_at_most_engines(r);
+    set_rates(r, "w1", 100, row.served);
+    set_rates(r, "w2", 100, 0.5);
+    r.pass(200);
+    double w1 =
+        mt_fair_share_accepted_ratio(&r.relay->shares, mtV_id("w1", 2));
+    double w2 =
+        mt_fair_share_accepted_ratio(&r.relay->shares, mtV_id("w2", 2));
+    EXPECT_EQ(w1 > 1, row.above) << row.what << ": " << w1;
+    EXPECT_LT(w2, 1) << row.what;
+  }
+}
+
+// Guards against room at the engines that accept going to whoever asks most:
+// as nobody is above the share by declared capacity, all wait alike.
+TEST(Rejection, RoomAtAcceptingEnginesIsForTheLeastServed) {
+  struct Row {
+    const char *what, *key;
+    bool admitted;
+  } rows[] = {
+      {"served most of what engines accept", "key-w1", false},
+      {"served little", "key-w2", true},
+  };
+  for (const Row &row : rows) {
+    Rejecting r(10);
+    r.relay->catalog->limits.tokens_per_s = 50000;
+    r.now += 1000;
+    reject_at_most_engines(r);
+    set_rates(r, "w1", 100, 4.5);
+    set_rates(r, "w2", 100, 0.5);
+    r.pass(200);
+    double ms = 600 * r.relay->params.wait_fraction * 0.9;
+    r.find("m1")->peers.pending_prefill =
+        (int64_t)(ms * mt_relay_prefill_rate(r.relay, mtV_id("model", 5)));
+    r.request(1, "/stream/x", row.key, 5000, 200);
+    EXPECT_EQ(r.started(1) == r.find("m1"), row.admitted) << row.what;
+  }
+}
+
+// Guards against the retry budget being used up by a workspace that is below
+// a share of declared capacity, but has got many times as much as another.
+TEST(Rejection, RetriesAreLeftForTheLeastServed) {
+  Rejecting r(2);
+  r.relay->catalog->limits.tokens_per_s = 20000; // a share of 10000
+  set_rates(r, "w1", 100, 9);
+  set_rates(r, "w2", 100, 0.5);
+  r.pass(200);
+  uint64_t number = 0;
+  while (r.relay->counters.retries_denied == 0 && number < 200) {
+    r.pass(40);
+    r.request(++number, "/stream/x", "key-w1", 5000, 100);
+    ASSERT_NE(r.started(number), nullptr);
+    r.finish(number, End::REJECTED);
+    if (r.started(number) != nullptr) r.finish(number, End::REJECTED);
+  }
+  r.pass(40);
+  r.request(++number, "/stream/x", "key-w2", 5000, 100);
+  ASSERT_NE(r.started(number), nullptr);
+  r.finish(number, End::REJECTED);
+  EXPECT_NE(r.started(number), nullptr);
+}
+
 } // namespace
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -454,12 +454,12 @@
   };
   for (const Row &row : rows) {
     mt_fair_share_t s{};
-    mt_fair_share_update(&s, row.declared, 1000);
+    mt_fair_share_update(&s, row.declared, 1, 1000);
     for (size_t i = 0; i < row.asked.size(); i++) {
       mt_fair_share_record_demand(&s, (mt_id_t)i + 1, row.asked[i]);
       mt_fair_share_record_served(&s, (mt_id_t)i + 1, row.served[i]);
     }
-    mt_fair_share_update(&s, row.declared, 1000);
+    mt_fair_share_update(&s, row.declared, 1, 1000);
     EXPECT_NEAR(s.level, row.level, 0.5);
     mt_fair_share_free(&s);
   }
