Other failure domains are asked where the local engines reject

Cause: other domains are asked when there is no room, and an engine that rejects looks idle. The domain with the least load was asked first, and that is one whose engines reject.

Change: before a request goes to an engine that rejects most requests, one more round of owners is asked, and domains whose engines all reject come last.

--- a/src/relay/candidates.c
+++ b/src/relay/candidates.c
@@ -171,18 +171,23 @@
 }
 
 /* The least loaded remote failure domain of those that may have room and are
-   not asked in this round; NULL: none. */
+   not asked in this round, one whose engines all reject last; NULL: none. */
 static const mt_domain_load_t *next_domain (mt_relay_t *relay,
                                             const mt_relay_request_t *r) {
   const mt_domain_load_t *best = NULL;
+  bool best_rejects = false;
   for (size_t i = 0; i < relay->engines.count; i++) {
     const mt_engine_t *e = relay->engines.list[i];
     if (!e->remote || !may_ask(relay, r, e)) continue;
     const mt_domain_load_t *load = mt_domain_loads_get(relay, e);
-    if (best != NULL && load->pending_prefill >= best->pending_prefill)
-      continue;
-    if (is_domain_asked(relay, r, e->domain_id)) continue;
-    if (mt_placement_may_have_room(relay, r, load)) best = load;
+    bool rejects = mt_engine_is_rejecting(e, relay->now);
+    bool better = best == NULL || (best_rejects && !rejects) ||
+                  (best_rejects == rejects &&
+                   load->pending_prefill < best->pending_prefill);
+    if (!better || is_domain_asked(relay, r, e->domain_id)) continue;
+    if (!mt_placement_may_have_room(relay, r, load)) continue;
+    best = load;
+    best_rejects = rejects;
   }
   return best;
 }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -163,6 +163,16 @@
   return p->full || p->engine->failures > 0;
 }
 
+/* True if further owners should be asked before the request is sent to the
+   engine that was chosen. An engine that rejects looks idle, and the request
+   would never leave a failure domain where all do. */
+static bool should_ask_further (const mt_relay_t *relay,
+                                const mt_relay_request_t *r,
+                                const mt_placement_t *p) {
+  return should_leave_domain(r, p) ||
+         mt_engine_is_rejecting(p->engine, relay->now);
+}
+
 /* False, with the reason, if there is no engine or no room at it. */
 static bool admits (mt_relay_t *relay, const mt_relay_request_t *r,
                     const mt_placement_t *p, mt_relay_refusal_t *why) {
@@ -183,7 +193,7 @@
   mt_placement_t p = mt_placement_choose(relay, r);
   r->wait_expected = p.wait_ms;
   if (admits(relay, r, &p, &why)) {
-    if (should_leave_domain(r, &p) && request_quotes(relay, r)) return;
+    if (should_ask_further(relay, r, &p) && request_quotes(relay, r)) return;
     mt_attempt_start(relay, r, &p);
     return;
   }
--- a/tests/rejection_test.cc
+++ b/tests/rejection_test.cc
@@ -415,4 +415,83 @@
   EXPECT_NE(r.started(number), nullptr);
 }
 
+class RejectingDomains : public ThreeDomains {
+public:
+  void reject (int from, int to, int except = 0) {
+    for (int i = from; i <= to; i++)
+      for (int k = 0; k < 20 && i != except; k++)
+        mt_engine_request_rejected(m(i), now);
+  }
+  bool asks (uint64_t number, int engine) {
+    std::vector<uint64_t> keys = asked(number);
+    return std::count(keys.begin(), keys.end(), m(engine)->key) > 0;
+  }
+};
+
+// Guards against requests that never leave a failure domain whose engines
+// reject everything: they look idle, so no other domain is asked.
+TEST(Rejection, RemoteDomainsAreAskedWhereLocalEnginesReject) {
+  struct Row {
+    const char *what;
+    int except; // the only local engine that accepts, or 0
+  } rows[] = {{"all local engines reject", 0}, {"a local one accepts", 2}};
+  for (const Row &row : rows) {
+    RejectingDomains w;
+    w.reject(1, 4, row.except);
+    w.now += 100;
+    w.request(1, "/stream/x");
+    int remote = 0;
+    for (int round = 0; round < 2 && w.started(1) == 0; round++) {
+      for (uint64_t key : w.asked(1))
+        remote += mt_engines_get(&w.relay->engines, key)->remote;
+      w.reply(1, 0, 0);
+    }
+    ASSERT_NE(w.started(1), 0u) << row.what;
+    if (row.except == 0) {
+      EXPECT_GE(remote, 1) << row.what;
+      EXPECT_TRUE(mt_engines_get(&w.relay->engines, w.started(1))->remote)
+          << row.what;
+    } else {
+      EXPECT_EQ(w.started(1), w.m(row.except)->key) << row.what;
+    }
+  }
+}
+
+// Guards against asking the engine of a remote domain that has the greatest
+// hash, whatever it rejects: the one that accepts there is never asked.
+TEST(Rejection, AcceptingEnginesOfRemoteDomainsAreAsked) {
+  for (int sound = 5; sound <= 8; sound++) {
+    RejectingDomains w;
+    w.reject(5, 8, sound);
+    w.now += 100;
+    w.request(1, "/stream/x");
+    w.reply(1, full, full);
+    ASSERT_FALSE(w.asked(1).empty()) << sound;
+    EXPECT_TRUE(w.asks(1, sound)) << sound;
+  }
+}
+
+// Guards against a domain whose engines reject being asked first because it
+// has the least load, while one that accepts and has room is not asked.
+TEST(Rejection, RejectingDomainsAreNotAskedFirst) {
+  RejectingDomains w;
+  for (int i = 5; i <= 12; i++) { // two engines in each of d2 to d5
+    free(w.m(i)->domain);
+    ThreeDomains::place(w.m(i), (i - 1) / 2);
+    w.m(i)->quoted = w.now;
+  }
+  w.reject(5, 10);
+  w.now += 100;
+  for (int i = 5; i <= 12; i += 2) {
+    mt_engine_load_t load{};
+    load.pending_prefill = i == 11 ? 1000 : 0;
+    w.relay->now = w.now;
+    mt_domain_loads_learn(w.relay, w.m(i), &load);
+  }
+  w.request(1, "/stream/x");
+  w.reply(1, full, full);
+  ASSERT_FALSE(w.asked(1).empty());
+  EXPECT_TRUE(w.asks(1, 11) || w.asks(1, 12));
+}
+
 } // namespace
