A refused gateway's open watches are refused, too

Callers saw nothing: the fault is in the tests' store. Known failures had StoreRefusal.RefusesRevokedKeysAndClosedRoutes, in which gateway 0, refused by the store, at times never answered 503 for a revoked key and closed routes.

Cause: reject_store_calls refused new calls only. A watch of op/ that was open was still answered, with the version that gateway 0 was not to read. It then answered 401, 404 and 200 as that version says, rightly, and the test waited for a 503 in vain. The first watch starts 400 ms after a gateway's start, so that only slow starts showed it.

reject_store_calls now fails open watches as it fails calls. So a refused gateway learns of changes from its peers alone, whenever the refusal comes, which is what these tests are about. The new test forces the order.

--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -88,10 +88,17 @@
     size_t at = text.find(name);
     return at == text.npos ? 0 : atoi(text.c_str() + at + name.size());
   }
-  // From now on the store fails all calls of this gateway. `kind` as in
-  // Rejection.
+  // From now on the store fails all calls of this gateway, also its open
+  // watches: they would report the next change. `kind` as in Rejection.
   void reject_store_calls (int gateway, int kind) {
     world.rejections[(size_t)gateway] = {now_ms() + 3600000, kind};
+    world.fail_watches(gateway, kind);
+  }
+  // A gateway with an open watch of this range of keys; -1: there is none.
+  int find_watcher (const std::string &prefix) const {
+    for (const World::Watch &w : world.watches)
+      if (w.prefix == prefix && w.conn->fd >= 0) return w.gateway;
+    return -1;
   }
   // Waits until two gateways of the first gateway's failure domain, other
   // than itself, watch the engines from the store's current revision on.
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -306,6 +306,16 @@
       default: compacted_rev = rev; return false;
     }
   }
+  // Fails a gateway's open watches. Those that get no reply stay open, see
+  // is_silent.
+  void fail_watches (int gateway, int kind) {
+    for (size_t i = watches.size(); i-- > 0;) {
+      const Watch &w = watches[i];
+      if (w.gateway != gateway || kind == 1) continue;
+      if (w.conn->fd >= 0) inject_store_fault(*w.conn, kind);
+      watches.erase(watches.begin() + (long)i);
+    }
+  }
   void on_store_request (Conn &c, const Request &r, int gateway) {
     std::string line = r.line(), prefix = query(line, "path_prefix");
     const Rejection &rejection = rejections[(size_t)gateway];
--- a/tests/store_refusal_test.cc
+++ b/tests/store_refusal_test.cc
@@ -118,6 +118,45 @@
   }
 }
 
+// Guards against a refused gateway whose open watch still reports the next
+// version: it then answers 401 and 404 as that version says, and the tests
+// above wait in vain for the 503 of one that cannot read it.
+TEST(StoreRefusal, ReadsNothingOnceRefusedWhileItsWatchIsOpen) {
+  const struct {
+    const char *what;
+    int gateways;
+    int refusal; // as in Case
+  } rows[] = {{"503", 3, 0},
+              {"no answer", 3, 1},
+              {"reset", 3, 2},
+              {"some gateways watch for all", 10, 0}};
+  for (const auto &row : rows) {
+    SCOPED_TRACE(row.what);
+    Fleet fleet(row.gateways);
+    ASSERT_TRUE(fleet.wait_ready());
+    ASSERT_TRUE(fleet.all_logged("configuration version=2 outcome=in-force"));
+    std::string key = fleet.world.keys.back();
+    for (int i = 0; i < row.gateways; i++) {
+      EXPECT_EQ(fleet.ask(i, "/safe/x", key, "w2"), 200);
+      EXPECT_EQ(fleet.ask(i, "/v2/x", "key-w1"), 200);
+    }
+    int refused = -1;
+    ASSERT_TRUE(fleet.until(
+        [&] { return (refused = fleet.find_watcher("op/")) >= 0; }));
+    int other = refused == 1 ? 2 : 1;
+    fleet.reject_store_calls(refused, row.refusal);
+    fleet.world.configure();
+    ASSERT_TRUE(fleet.until([&] {
+      return fleet.logged(other, "configuration version=3 outcome=in-force");
+    }));
+    EXPECT_TRUE(fleet.until([&] {
+      return fleet.ask(refused, "/safe/x", key, "w2") == 503 &&
+             fleet.ask(refused, "/v2/x", "key-w1") == 503;
+    }));
+    EXPECT_FALSE(fleet.logged(refused, "configuration version=3"));
+  }
+}
+
 // A gateway that reads a version may have missed the one before. It knows
 // what the missed version added, and this one removes, only from other
 // routers, and must still announce the removal.
