A gateway that is short of processor time logs why once a second

Gateways that refuse as router_full could not be told apart from the lines: too many requests in progress, or a loop that lags, and whether anything was answered meanwhile: lines of requests are limited to 100 a second.

event=load says for each second of overload how many requests came, were answered and refused, how many connections were accepted, how long the longest turn was and how much processor time it took. It and event=overload have a limit of lines of their own, so that lines of engines that end at once cannot use it up. refused_lagging_total counts streams refused as the loop lags.

Measured: tests/gateway_load_test.cc, 2 of 2 pass, with gateway_log_test.cc; the whole suite was not run for this commit.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "gateway.h"
@@ -542,6 +543,21 @@
   if (since + FLUSH_RESERVE_MS > g->settings.grace) finish(g, "out-of-time");
 }
 
+/* Processor time that this process has used, ms. */
+static mt_ms_t processor_ms (void) {
+  struct timespec ts;
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
+  return (mt_ms_t)ts.tv_sec * 1000 + (mt_ms_t)ts.tv_nsec / 1000000;
+}
+
+static void log_load (mt_gateway_t *g, mt_ms_t elapsed, mt_ms_t now) {
+  const mt_gateway_load_view_t view = {.relay = g->relay,
+                                       .callers = g->callers,
+                                       .overload = &g->overload,
+                                       .processor = processor_ms()};
+  mt_gateway_load_tick(&g->load, &view, g->log, elapsed, now);
+}
+
 /* While overloaded the gateway is not ready and each answer closes its
    connection, so that callers connect to other gateways. */
 static void check_overload (mt_gateway_t *g) {
@@ -550,10 +566,11 @@
   g->last_tick = now;
   bool changed = mt_overload_update(&g->overload, elapsed, g->tick_ms);
   g->relay->overloaded = g->overload.severe;
+  log_load(g, elapsed, now);
   if (!changed) return;
   bool overloaded = g->overload.overloaded;
   mt_http_server_drain(g->callers, overloaded || g->stopping != 0);
-  mt_log_line(g->log, MT_LOG_STATE, now, "overload",
+  mt_log_line(g->log, MT_LOG_LOAD, now, "overload",
               "lag=%.0f requests=%zu connections=%zu outcome=%s",
               g->overload.lag, g->relay->count,
               mt_http_server_connections(g->callers),
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -187,6 +187,9 @@
          "Rounds that some owner did not answer in time.",
          (double)c->quotes_late);
   reasons(c, out);
+  number(out, "refused_lagging_total", "counter",
+         "Of the refusals as router_full: streams, as the loop's turns lag.",
+         (double)c->refused_lagging);
   admissions(c, out);
   speeds(relay, out);
   suspects(relay, out);
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -9,6 +9,7 @@
 #define gateway_state_h
 
 #include "gateway.h"
+#include "gateway_load.h"
 #include "gateway_peers.h"
 #include "overload.h"
 
@@ -30,6 +31,7 @@
   mt_ms_t last_busy; /* when a request was last in progress */
   mt_ms_t suspended_ms; /* total time suspended, as of the last tick */
   mt_overload_t overload;
+  mt_gateway_load_t load;
   uint64_t source_events[MT_SOURCE_EVENTS];
   mt_ms_t restored_at; /* when the source was last restored; 0: never */
   mt_strbuf_t scratch; /* for heads and pages that are being written */
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -59,6 +59,7 @@
   mt_http_server_limits_t limits;
   mt_http_exchange_t *all, *dirty;
   size_t count, max_connections; /* connections; maximum 0: no limit */
+  uint64_t accepted;
   int spare_fd; /* closed to free a descriptor when none is left; -1: none */
   bool draining;
   char input[READ_BYTES];
@@ -400,6 +401,7 @@
   if (x->next) x->next->prev = x;
   server->all = x;
   server->count++;
+  server->accepted++;
   begin_reading(x);
   return x;
 }
@@ -584,6 +586,10 @@
   return server->count;
 }
 
+uint64_t mt_http_server_accepted (const mt_http_server_t *server) {
+  return server->accepted;
+}
+
 void mt_http_server_set_max_connections (mt_http_server_t *server,
                                          size_t connections) {
   server->max_connections = connections;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -45,6 +45,8 @@
 void mt_http_server_set_limits (mt_http_server_t *server,
                                 const mt_http_server_limits_t *limits);
 size_t mt_http_server_connections (const mt_http_server_t *server);
+/* Connections accepted since the start. */
+uint64_t mt_http_server_accepted (const mt_http_server_t *server);
 
 /*
 ** Limits the number of connections; 0: no limit. A further one evicts the
--- a/src/net/log_writer.c
+++ b/src/net/log_writer.c
@@ -14,7 +14,7 @@
 
 #define BUFFER_BYTES 65536
 #define LINE_BYTES 640 /* a request with all names at their longest */
-#define CLASSES 3
+#define CLASSES 4
 #define SECOND_MS 1000
 
 struct mt_log_writer_t {
--- a/src/net/log_writer.h
+++ b/src/net/log_writer.h
@@ -16,7 +16,9 @@
 typedef enum mt_log_class_t {
   MT_LOG_DETAIL,  /* a request that succeeded at the first attempt */
   MT_LOG_FAILURE, /* any other request */
-  MT_LOG_STATE    /* changes of state, start and stop */
+  MT_LOG_STATE,   /* changes of state, start and stop */
+  MT_LOG_LOAD     /* of this process: when engines change state at once, their
+                     lines must not crowd these out */
 } mt_log_class_t;
 
 /* Makes `fd` non-blocking. `lines_per_s` limits each class. */
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -236,9 +236,9 @@
     mt_request_refuse(relay, r, MT_RELAY_STOPPING);
     return;
   }
-  bool stream = r->kind == MT_ROUTE_STREAM;
-  if (relay->count > relay->params.max_running ||
-      (stream && relay->overloaded)) {
+  bool lagging = r->kind == MT_ROUTE_STREAM && relay->overloaded;
+  if (lagging || relay->count > relay->params.max_running) {
+    relay->counters.refused_lagging += lagging;
     mt_request_refuse(relay, r, MT_RELAY_FULL);
     return;
   }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -100,6 +100,7 @@
   uint64_t prompt_tokens, prompt_tokens_missed;
   uint64_t refusals[MT_RELAY_REFUSAL_COUNT];
   uint64_t retries[MT_RELAY_RETRY_COUNT];
+  uint64_t refused_lagging; /* of FULL: because ticks come late */
   uint64_t retries_denied;
   uint64_t fetches, tokens_fetched; /* KV cache moved between engines */
   uint64_t probes;                  /* connections opened to test an engine */
