What a router refuses as router_full counts as demand

Demand was recorded only after the check for router_full. A workspace whose callers all come to a router that is short of processor time had no demand while that router refused it: the level rose and others got its share.

on_request records it before the check. The test failed before: demand 0 in place of 110,000 tokens/s, and a level of 100,000 in place of 50,000 tokens/s for the other workspace.

Measured: 70 of 70 tests of gateway_load, gateway_log, full_router, relay, fair_share, peers, rejection, mechanism and share_exchange pass; the whole suite was not run.

--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -236,6 +236,10 @@
     mt_request_refuse(relay, r, MT_RELAY_STOPPING);
     return;
   }
+  /* Demand that this router refuses is demand all the same: else the shares
+     of other workspaces would grow by it. */
+  if (r->workspace != 0 && r->segments_count > 0)
+    mt_fair_share_record_demand(&relay->shares, r->workspace, r->cost);
   bool lagging = r->kind == MT_ROUTE_STREAM && relay->overloaded;
   if (lagging || relay->count > relay->params.max_running) {
     relay->counters.refused_lagging += lagging;
@@ -244,8 +248,6 @@
   }
   mt_relay_service_t *s = mt_relay_service(relay, r->service);
   mt_retry_budget_request(&s->budget, &relay->params.retry, relay->now);
-  if (r->workspace != 0 && r->segments_count > 0)
-    mt_fair_share_record_demand(&relay->shares, r->workspace, r->cost);
   if (r->workspace != 0)
     r->service_ratio =
         mt_fair_share_service_ratio(&relay->shares, r->workspace);
