Soak: log what the store and the faults do

The logs of the gateways show when each of them learned of a change, but not when the store took it, whose calls it failed, or which requests were rejected with free capacity. events.log has these with the same clock. Fleet keeps its logs when the test has failed; before, a failure that shows once left nothing. No check is changed.

--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -18,6 +18,7 @@
   explicit Fleet(int count) : world(1, count, true), gateways((size_t)count) {
     char name[] = "/tmp/mt-turned-XXXXXX";
     dir = mkdtemp(name);
+    world.open_event_log(dir + "/events.log");
     int peers = free_datagram_port();
     for (int i = 0; i < count; i++) {
       Gateway &g = gateways[(size_t)i];
@@ -26,13 +27,21 @@
       g.start(peers, world.stores[(size_t)i]->port, count);
     }
   }
+  // Keeps the logs if the test has failed.
   ~Fleet() {
     for (Gateway &g : gateways) {
       kill(g.pid, SIGKILL);
       waitpid(g.pid, nullptr, 0);
+    }
+    if (::testing::Test::HasFailure()) {
+      printf("logs: %s\n", dir.c_str());
+      return;
+    }
+    for (Gateway &g : gateways) {
       unlink(g.log.c_str());
       unlink((dir + "/g" + std::to_string(g.index) + ".json").c_str());
     }
+    unlink((dir + "/events.log").c_str());
     rmdir(dir.c_str());
   }
   // Waits for a condition; the bound only ends a test that has failed.
@@ -92,6 +101,8 @@
   // watches: they would report the next change. `kind` as in Rejection.
   void reject_store_calls (int gateway, int kind) {
     world.rejections[(size_t)gateway] = {now_ms() + 3600000, kind};
+    world.log_event("store fails kind=" + std::to_string(kind) + ": g" +
+                    std::to_string(gateway));
     world.fail_watches(gateway, kind);
   }
   // A gateway with an open watch of this range of keys; -1: there is none.
@@ -126,8 +137,13 @@
     std::string id = "id" + std::to_string(++sent_requests);
     Gateway &g = gateways[(size_t)gateway];
     world.checker.ask(id, RouteKind::Safe, workspace);
-    return ::World::status_of(
-        exchange(g, g.port, ::World::ask(path, id, "", "", key)));
+    std::string in = exchange(g, g.port, ::World::ask(path, id, "", "", key));
+    int status = ::World::status_of(in);
+    size_t body = in.find("\r\n\r\n");
+    world.log_event("asked g" + std::to_string(gateway) + " " + path + " " +
+                    key + " status=" + std::to_string(status) + " " +
+                    (body == in.npos ? "" : in.substr(body + 4)));
+    return status;
   }
   // Sends `text` on a new connection and returns all that is received until
   // the reply is complete or the connection closed; empty if refused.
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -57,6 +57,7 @@
     dir = mkdtemp(name);
     network.reset(new Network(dir + "/links"));
     world.checker.check_deadlines = options.check_times;
+    world.open_event_log(dir + "/events.log");
     peers = free_datagram_port();
     gateways.resize((size_t)options.gateways);
     for (int i = 0; i < options.gateways; i++) {
@@ -138,6 +139,7 @@
   long repeated = 0, repeated_ok = 0;
 
   void start (Gateway &g) {
+    world.log_event("start g" + std::to_string(g.index));
     world.checker.disturbances.disturb(g.index, now_ms());
     g.start(peers, world.stores[(size_t)g.index]->port, options.gateways,
             options.partial_faults ? network->file : "");
@@ -160,6 +162,8 @@
     Gateway &g = gateways[random() % gateways.size()];
     long now = now_ms();
     unsigned kind = random() % 9;
+    world.log_event("fault kind=" + std::to_string(kind) + " g" +
+                    std::to_string(g.index));
     if (!options.kills && (kind < 3 || kind == 8)) return;
     // inject_partial_fault() makes the store fail instead.
     if (options.partial_faults && kind == 3) return;
@@ -191,6 +195,7 @@
   // so that enough requests are checked.
   void inject_partial_fault () {
     unsigned kind = partial_random() % 40;
+    world.log_event("partial fault kind=" + std::to_string(kind));
     switch (kind) {
       case 0:
         fail_store((int)(partial_random() % 4),
@@ -253,14 +258,22 @@
   void fail_store (int kind, long ms) {
     world.faults.store_kind = kind;
     world.faults.store_until = now_ms() + ms;
+    world.log_event("whole store fails kind=" + std::to_string(kind) +
+                    " for " + std::to_string(ms) + " ms");
     world.checker.disturbances.store_unstable(world.faults.store_until);
   }
   // The store fails the calls of a random fraction of the gateways for `ms`;
   // `kind` as in Rejection. The other gateways' calls succeed again.
   void reject_store_calls (double fraction, int kind, long ms) {
-    for (Rejection &rejection : world.rejections)
+    std::string chosen;
+    for (size_t i = 0; i < world.rejections.size(); i++) {
+      Rejection &rejection = world.rejections[i];
       rejection = {chance(partial_random, fraction) ? now_ms() + ms : 0,
                    kind};
+      if (rejection.until != 0) chosen += " g" + std::to_string(i);
+    }
+    world.log_event("store fails kind=" + std::to_string(kind) + " for " +
+                    std::to_string(ms) + " ms:" + chosen);
   }
   // Drops or delays datagrams between some pairs of gateways, in one
   // direction or both.
@@ -271,6 +284,11 @@
       if (!chance(partial_random, 0.3)) continue;
       int other = (int)(partial_random() % gateways.size());
       network->set(g.index, other, lost, delay);
+      world.log_event("network g" + std::to_string(g.index) + " g" +
+                      std::to_string(other) +
+                      " lost=" + std::to_string(lost) +
+                      " delay=" + std::to_string(delay) +
+                      " until=" + std::to_string(network_until));
       if (chance(partial_random, 0.5))
         network->set(other, g.index, lost, delay);
       world.checker.disturbances.disturb(g.index, network_until);
@@ -281,6 +299,8 @@
   void partition_domain (long ms) {
     int domain = (int)(partial_random() % 2);
     network_until = now_ms() + ms;
+    world.log_event("partition d" + std::to_string(domain + 1) + " for " +
+                    std::to_string(ms) + " ms");
     for (Gateway &g : gateways) {
       if (g.index % 2 != domain) continue;
       world.rejections[(size_t)g.index] = {network_until, 1};
@@ -295,6 +315,7 @@
   void kill_one (Gateway &g) {
     if (g.pid <= 0 || g.stopping) return;
     kills++;
+    world.log_event("kill g" + std::to_string(g.index));
     world.checker.disturbances.disturb(g.index, now_ms());
     kill(g.pid, SIGKILL);
     waitpid(g.pid, nullptr, 0);
@@ -313,6 +334,8 @@
   void pause (Gateway &g, long ms) {
     if (g.pid <= 0 || g.resume_at != 0 || g.stopping) return;
     pauses++;
+    world.log_event("pause g" + std::to_string(g.index) + " for " +
+                    std::to_string(ms) + " ms");
     kill(g.pid, SIGSTOP);
     bool suspended = options.partial_faults && chance(caller_random, 0.5);
     g.suspended_at = suspended ? now_ms() : 0;
@@ -323,6 +346,7 @@
   void stop (Gateway &g) {
     if (g.pid <= 0 || g.stopping || g.resume_at != 0) return;
     stops++;
+    world.log_event("stop g" + std::to_string(g.index));
     g.stopping = true;
     world.checker.disturbances.disturb(g.index, now_ms() + GRACE_MS);
     kill(g.pid, SIGTERM);
@@ -471,6 +495,11 @@
     if (sent.path == "/side/") return; // its service changes
     if (!world.has_capacity(service, sent.at)) return;
     world.checker.rejected_with_capacity[a.body]++;
+    world.log_event(
+        "rejected with capacity id=" + c.id + " g" +
+        std::to_string(sent.gateway) + " service=" + service +
+        " sent=" + std::to_string(sent.at) + " path=" + sent.path +
+        " key=" + (sent.key.empty() ? "key-w1" : sent.key) + " " + a.body);
   }
   void update (Caller &c, bool sending) {
     long now = now_ms();
@@ -506,6 +535,7 @@
 
   void heal_network () {
     network_until = 0;
+    world.log_event("network healed");
     network->heal();
   }
 
@@ -622,6 +652,7 @@
         unlink(g.log.c_str());
         unlink((clean + "/g" + std::to_string(g.index) + ".json").c_str());
       }
+      unlink((clean + "/events.log").c_str());
       rmdir(clean.c_str());
     }
     fflush(stdout);
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -2,6 +2,7 @@
 #ifndef tests_soak_world_h
 #define tests_soak_world_h
 
+#include <fstream>
 #include <random>
 #include <set>
 
@@ -106,18 +107,35 @@
       if (row.second >= 0) ::close(row.second);
   }
 
+  // {== The event log
+
+  // Opens a log of what the store, the engines and the faults did. Its times
+  // are those of the gateways' logs in `ms`.
+  void open_event_log (const std::string &file) {
+    event_log.open(file);
+  }
+  void log_event (const std::string &text) {
+    if (event_log.is_open())
+      event_log << "ms=" << now_ms() << " " << text << std::endl;
+  }
+  std::ofstream event_log;
+
+  // }==
+
   // {== The store
 
   void put (const std::string &key, const std::string &value) {
     lost.erase(key);
     items[key] = {value, ++rev};
     deleted_at.erase(key);
+    log_event("store put key=" + key + " rev=" + std::to_string(rev));
     notify_watches();
   }
   void drop (const std::string &key) {
     lost.erase(key);
     items.erase(key);
     deleted_at[key] = ++rev;
+    log_event("store delete key=" + key + " rev=" + std::to_string(rev));
     notify_watches();
   }
 
@@ -282,6 +300,10 @@
       std::string all = changes(w.prefix, w.since);
       if (all.empty() && now_ms() < w.until) continue;
       if (is_silent(w.gateway)) continue;
+      log_event("store watch-reply g" + std::to_string(w.gateway) +
+                " prefix=" + w.prefix + " since=" + std::to_string(w.since) +
+                " at=" + std::to_string(rev) + (all.empty() ? " empty" : "") +
+                (w.conn->fd < 0 ? " closed" : ""));
       if (w.conn->fd >= 0)
         w.conn->send(answer(200, era_field(),
                             "{\"events\":[" + all +
@@ -319,11 +341,14 @@
   void on_store_request (Conn &c, const Request &r, int gateway) {
     std::string line = r.line(), prefix = query(line, "path_prefix");
     const Rejection &rejection = rejections[(size_t)gateway];
-    if (now_ms() < rejection.until && inject_store_fault(c, rejection.kind))
-      return;
-    if (now_ms() < faults.store_until &&
-        inject_store_fault(c, faults.store_kind))
-      return;
+    bool faulty = (now_ms() < rejection.until &&
+                   inject_store_fault(c, rejection.kind)) ||
+                  (now_ms() < faults.store_until &&
+                   inject_store_fault(c, faults.store_kind));
+    log_event("store call g" + std::to_string(gateway) + " " +
+              line.substr(0, line.rfind(" HTTP")) +
+              (faulty ? " failed" : ""));
+    if (faulty) return;
     if (line.find("/-/kv-watch") != std::string::npos) {
       long since = std::stol("0" + query(line, "since_rev"));
       if (since < compacted_rev || since > rev) {
@@ -425,6 +450,7 @@
   // by lists.
   void forget () {
     compacted_rev = ++rev;
+    log_event("store forgets rev=" + std::to_string(rev));
     for (Watch &w : watches)
       if (w.conn->fd >= 0 && !is_silent(w.gateway))
         w.conn->send(answer(410, era_field(), ""));
@@ -576,7 +602,10 @@
       return;
     }
     engine_requests[engine]++;
+    size_t breaches = checker.breaches.size();
     checker.on_arrival(id, engine, previous_poll_at);
+    for (; breaches < checker.breaches.size(); breaches++)
+      log_event("breach " + checker.breaches[breaches]);
     auto sent = checker.sent_requests.find(id);
     if (sent != checker.sent_requests.end() && sent->second.gateway >= 0)
       checker.check_backoff(id, sent->second, engine, previous_poll_at,
