Missing changes are requested from each peer once before any again

Cause: a router that lost an update drew a peer of its failure domain at random for each request. Peers that have listed the source since, or have ended, cannot close the gap; they were drawn again, a peer of another domain never, and each reply with a gap doubled the interval up to 1,200 ms. Once the source had dropped its history the interval stayed there for later lost updates.

Change: for each gap every peer that knows more is asked once, the first of the own domain, then of any; the interval doubles after eight requests, or when all were asked. A restore, or a change whose message has not come 60 ms after others are known to have it, counts as a new gap.

Both new tests fail without the change.

--- a/src/gateway/feed_exchange.c
+++ b/src/gateway/feed_exchange.c
@@ -10,6 +10,9 @@
 #define REQUEST_DELAY_MS 60
 #define REQUEST_INTERVAL_MS 150      /* between two requests */
 #define REQUEST_INTERVAL_MAX_MS 1200 /* while no peer can close the gap */
+/* For one gap, at the shorter interval. If so many peers of all domains could
+   not close it, hardly any can. */
+#define QUICK_REQUESTS_MAX 8
 /* Sent after a read of the source; peers request what is left. */
 #define MESSAGES_PER_READ_MAX 8
 
@@ -33,12 +36,43 @@
   }
 }
 
+/* Peers that could not close an earlier gap may close this one. */
+static void start_gap (mt_feed_t *feed, mt_ms_t now) {
+  feed->gap_began = now;
+  feed->gap_newest = feed->state.newest;
+  feed->gap_requests = 0;
+  feed->unheard_since = 0;
+  feed->got_gap = false;
+  feed->retry_ms = REQUEST_INTERVAL_MS;
+}
+
+/*
+** True if the source was restored since the gap began, or a change since then
+** has not come, though others know it: its message was lost. An earlier gap
+** that no peer can close must not delay the requests for such a change.
+*/
+static bool is_another_gap (mt_feed_t *feed, mt_ms_t now) {
+  mt_revision_t newest = feed->state.newest;
+  if (mt_revision_era(newest) != mt_revision_era(feed->gap_newest))
+    return true;
+  if (newest <= mt_max(feed->gap_newest, feed->heard)) {
+    feed->unheard_since = 0;
+    return false;
+  }
+  if (feed->unheard_since == 0) feed->unheard_since = now;
+  return now - feed->unheard_since >= REQUEST_DELAY_MS;
+}
+
 /* `since`: when some router knew the changes that may be missing here. */
-static void update_behind_since (mt_feed_t *feed, mt_ms_t since) {
-  if (!mt_feed_state_is_behind(&feed->state))
+static void update_behind_since (mt_feed_t *feed, mt_ms_t since,
+                                 mt_ms_t now) {
+  if (!mt_feed_state_is_behind(&feed->state)) {
     feed->behind_since = 0;
-  else if (feed->behind_since == 0)
-    feed->behind_since = since;
+    return;
+  }
+  bool is_new = feed->behind_since == 0;
+  if (is_new) feed->behind_since = since;
+  if (is_new || is_another_gap(feed, now)) start_gap(feed, now);
 }
 
 void mt_feed_exchange_receive_header (mt_feed_exchange_t *x, mt_peer_t *peer,
@@ -50,7 +84,7 @@
     peer->received[i] = known->received;
     mt_feed_state_merge(&x->feeds[i].state, known->newest, known->at,
                         now - known->age);
-    update_behind_since(&x->feeds[i], now - known->age);
+    update_behind_since(&x->feeds[i], now - known->age, now);
   }
 }
 
@@ -299,26 +333,28 @@
               out->changes_count, MT_FEED_SENT);
 }
 
-static void receive_span (mt_feed_exchange_t *x, const mt_peer_t *peer,
+static void receive_span (mt_feed_exchange_t *x, mt_peer_t *peer,
                           mt_feed_kind_t kind, const mt_peer_message_t *m) {
   mt_feed_state_t *feed = &x->feeds[kind].state;
   const mt_peer_span_t *span = &m->spans[kind];
   /* Declarations must always be read at the source. */
   bool all = kind == MT_FEED_ENGINES;
   if (span->reach == 0) return;
+  x->feeds[kind].heard = mt_max(x->feeds[kind].heard, span->reach);
   mt_feed_outcome_t outcome =
       mt_feed_state_classify(feed, span->base, span->reach);
   bool has_new = merge_changes(x, kind, m, &all);
   log_outcome(x, peer->ip, kind, span, m->changes_count, outcome);
   if (outcome == MT_FEED_GAP) x->feeds[kind].got_gap = true;
-  if (outcome == MT_FEED_APPLIED)
+  if (outcome == MT_FEED_APPLIED) {
     mt_feed_state_apply(feed, span->base, span->reach, all);
+    peer->requested_at[kind] = 0; /* it may have the rest, too */
+  }
   if (has_new && !mt_membership_is_local(x->members, peer))
     forward_changes(x, kind, m);
 }
 
-void mt_feed_exchange_receive_changes (mt_feed_exchange_t *x,
-                                       const mt_peer_t *peer,
+void mt_feed_exchange_receive_changes (mt_feed_exchange_t *x, mt_peer_t *peer,
                                        const mt_peer_message_t *m) {
   for (int i = 0; i < MT_FEEDS; i++)
     receive_span(x, peer, (mt_feed_kind_t)i, m);
@@ -343,24 +379,38 @@
   if (has_changes) x->callbacks.send(x->callbacks.ud, &peer->ip, 1);
 }
 
-/* Peers that know more go first, then those of this failure domain, then in
-   an order that differs with each request. */
+/* True if the peer was requested to close the present gap. */
+static bool was_requested (const mt_feed_exchange_t *x, mt_feed_kind_t kind,
+                           const mt_peer_t *peer) {
+  return peer->requested_at[kind] != 0 &&
+         peer->requested_at[kind] >= x->feeds[kind].gap_began;
+}
+
+/*
+** Peers that know more go first, then those not requested yet, then, for the
+** first request, those of this failure domain, then in an order that differs
+** with each request. Neither a peer that has listed the source lately can
+** close the gap nor one that has ended, and a whole domain may be like that.
+*/
 static uint64_t request_priority (const mt_feed_exchange_t *x,
                                   mt_feed_kind_t kind,
                                   const mt_peer_t *peer) {
   const mt_feed_t *feed = &x->feeds[kind];
-  uint64_t order = mtV_mix(peer->ip, feed->requests) >> 2;
+  uint64_t order = mtV_mix(peer->ip, feed->requests) >> 3;
   bool more = peer->received[kind] > feed->state.received;
-  bool local = mt_membership_is_local(x->members, peer);
-  return (uint64_t)more << 63 | (uint64_t)local << 62 | order;
+  bool fresh = !was_requested(x, kind, peer);
+  bool local =
+      feed->gap_requests == 0 && mt_membership_is_local(x->members, peer);
+  return (uint64_t)more << 63 | (uint64_t)fresh << 62 |
+         (uint64_t)local << 61 | order;
 }
 
-static const mt_peer_t *choose_peer (const mt_feed_exchange_t *x,
-                                     mt_feed_kind_t kind) {
+static mt_peer_t *choose_peer (const mt_feed_exchange_t *x,
+                               mt_feed_kind_t kind) {
   const mt_membership_t *members = x->members;
-  const mt_peer_t *best = NULL;
+  mt_peer_t *best = NULL;
   for (size_t i = 0; i < members->count; i++) {
-    const mt_peer_t *peer = members->list[i];
+    mt_peer_t *peer = members->list[i];
     if (!mt_membership_is_live(members, peer)) continue;
     if (best == NULL ||
         request_priority(x, kind, peer) > request_priority(x, kind, best))
@@ -369,6 +419,16 @@
   return best;
 }
 
+/* True if the next request is more likely to close the gap than the ones
+   before were. */
+static bool may_close_gap (const mt_feed_exchange_t *x, mt_feed_kind_t kind,
+                           const mt_peer_t *peer) {
+  const mt_feed_t *feed = &x->feeds[kind];
+  return feed->gap_requests < QUICK_REQUESTS_MAX &&
+         peer->received[kind] > feed->state.received &&
+         !was_requested(x, kind, peer);
+}
+
 /*
 ** A router that the source rejects depends on its peers. If it lost a
 ** datagram and did not request the changes, it would send work to draining
@@ -377,16 +437,18 @@
 static void request_changes (mt_feed_exchange_t *x, mt_feed_kind_t kind) {
   mt_feed_t *feed = &x->feeds[kind];
   const mt_peer_span_t span = {feed->state.received, feed->state.newest};
-  const mt_peer_t *peer = choose_peer(x, kind);
+  mt_peer_t *peer = choose_peer(x, kind);
   if (peer == NULL) return;
   mt_ms_t longer =
       mt_min(feed->retry_ms * 2, (mt_ms_t)REQUEST_INTERVAL_MAX_MS);
   feed->retry_ms = REQUEST_INTERVAL_MS;
-  if (feed->got_gap)
+  if (feed->got_gap && !may_close_gap(x, kind, peer))
     feed->retry_ms = mt_max(longer, (mt_ms_t)REQUEST_INTERVAL_MS);
   feed->got_gap = false;
   feed->requested_at = x->members->now;
+  peer->requested_at[kind] = x->members->now;
   feed->requests++;
+  feed->gap_requests++;
   x->callbacks.begin(x->callbacks.ud, MT_PEER_CHANGES_REQUEST);
   x->callbacks.send(x->callbacks.ud, &peer->ip, 1);
   log_outcome(x, peer->ip, kind, &span, 0, MT_FEED_REQUESTED);
@@ -396,7 +458,7 @@
   mt_ms_t now = x->members->now;
   for (int i = 0; i < MT_FEEDS; i++) {
     mt_feed_t *feed = &x->feeds[i];
-    update_behind_since(feed, now);
+    update_behind_since(feed, now, now);
     if (feed->behind_since == 0 ||
         now - feed->behind_since < REQUEST_DELAY_MS)
       continue;
--- a/src/gateway/feed_exchange.h
+++ b/src/gateway/feed_exchange.h
@@ -40,10 +40,17 @@
   mt_change_log_t log;
   bool unannounced;     /* changes were read that no peer has sent */
   mt_ms_t behind_since; /* peers know changes not received here; 0: none */
-  mt_ms_t requested_at; /* time of the last request to a peer */
-  mt_ms_t retry_ms;     /* from that request to the next */
-  bool got_gap;         /* a span received since then did not close the gap */
-  uint64_t requests;    /* requests since the start */
+  /* The present gap: when this router learned of it, the last change that
+     was known then, and the requests for it. */
+  mt_ms_t gap_began;
+  mt_revision_t gap_newest;
+  uint64_t gap_requests;
+  mt_revision_t heard;   /* the greatest reach of a span received */
+  mt_ms_t unheard_since; /* since when peers know later changes; 0: none */
+  mt_ms_t requested_at;  /* time of the last request to a peer */
+  mt_ms_t retry_ms;      /* from that request to the next */
+  bool got_gap;      /* a span received since then did not close the gap */
+  uint64_t requests; /* requests since the start */
 } mt_feed_t;
 
 typedef struct mt_feed_exchange_t {
@@ -109,7 +116,7 @@
 
 /* Handles a CHANGES message. */
 void mt_feed_exchange_receive_changes (mt_feed_exchange_t *exchange,
-                                       const mt_peer_t *peer,
+                                       mt_peer_t *peer,
                                        const mt_peer_message_t *message);
 
 /* Answers a CHANGES_REQUEST with the changes that the sender is missing. */
--- a/src/gateway/membership.h
+++ b/src/gateway/membership.h
@@ -34,6 +34,8 @@
   mt_ms_t synced_at;
   /* By feed: the revision up to which it knows all changes. */
   mt_revision_t received[MT_FEEDS];
+  /* By feed: when it was last requested to send missing changes; 0: never. */
+  mt_ms_t requested_at[MT_FEEDS];
   mt_ms_t unanswered_since; /* when its oldest unanswered question was sent;
                                0: none */
   mt_ms_t suspect_until;    /* owns no engine until then */
--- a/tests/feed_exchange_test.cc
+++ b/tests/feed_exchange_test.cc
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr mt_ms_t kTickMs = 25, kHelloIntervalMs = 150;
+// No engine gets work later than this after it was removed.
+constexpr mt_ms_t kDrainMs = 2000;
 
 struct Fleet;
 
@@ -186,6 +188,16 @@
     begin(r, MT_PEER_HELLO);
     send(r, to, count);
   }
+  // The router loses its state and lists the engines at the source.
+  void restart (Router *r) {
+    mt_feed_exchange_free(&r->feeds);
+    const mt_feed_exchange_callbacks_t callbacks = {begin, send, apply,
+                                                    count_outcome, r};
+    mt_feed_exchange_open(&r->feeds, &r->members, &callbacks);
+    r->known.clear();
+    mt_feed_exchange_source_read(&r->feeds, MT_FEED_ENGINES, rev, rev,
+                                 MT_FEED_LISTING);
+  }
   // The source is restored from a backup in a new era, and routers that reach
   // it list it.
   void restore (int64_t count) {
@@ -326,6 +338,62 @@
       mt_feed_state_is_behind(&behind->feeds.feeds[MT_FEED_ENGINES].state));
 }
 
+// Guards against a router that goes on sending work to an engine that was
+// removed, because it asks for the change where it cannot be had: most
+// routers of its domain have just started, so they know the present revision
+// but not the change, and each reply with a gap doubled the time to the next
+// request.
+TEST(FeedExchange, AGapIsFilledByTheOnlyPeersThatKnowTheChange) {
+  for (unsigned seed = 1; seed <= 20; seed++) {
+    SCOPED_TRACE(seed);
+    Fleet w(12, 2, seed);
+    Router *behind = w.routers[4].get();
+    w.change(MT_CHANGE_ENGINE_READY, "i-1");
+    w.run(300); // all receive it
+    for (auto &r : w.routers) r->rejected = true;
+    w.loss = 1000;
+    w.change(MT_CHANGE_ENGINE_GONE, "i-1");
+    w.read(w.routers[3].get(), MT_FEED_ENGINES);
+    // All others of the domain restart and list the source.
+    for (int i = 0; i < 12; i += 2)
+      if (w.routers[i].get() != behind) w.restart(w.routers[i].get());
+    w.loss = 0;
+    mt_ms_t fell_behind = w.now;
+    while (behind->known["i-1"] != MT_CHANGE_ENGINE_GONE &&
+           w.now < fell_behind + 10000)
+      w.run(kTickMs);
+    EXPECT_LE(w.now - fell_behind, kDrainMs);
+  }
+}
+
+// Guards against the same after the source has dropped its history: no peer
+// can close that gap, requests become rare, and a later change whose message
+// is lost was requested as rarely.
+TEST(FeedExchange, AnOpenGapDoesNotDelayLaterChanges) {
+  mt_ms_t slowest = 0;
+  for (unsigned seed = 1; seed <= 200; seed++) {
+    Fleet w(12, 2, seed);
+    Router *behind = w.routers[4].get();
+    w.change(MT_CHANGE_ENGINE_READY, "i-1");
+    w.run(300); // all receive it
+    for (auto &r : w.routers) r->rejected = true;
+    w.change(MT_CHANGE_ENGINE_READY, "i-2"); // no router reads it
+    for (auto &r : w.routers)
+      if (r.get() != behind) w.restart(r.get());
+    w.run(5000 + 100 * (seed % 12));
+    w.loss = 1000;
+    w.change(MT_CHANGE_ENGINE_GONE, "i-1");
+    w.read(w.routers[3].get(), MT_FEED_ENGINES);
+    w.loss = 300;
+    mt_ms_t lost = w.now;
+    while (behind->known["i-1"] != MT_CHANGE_ENGINE_GONE &&
+           w.now < lost + 10000)
+      w.run(kTickMs);
+    slowest = std::max(slowest, w.now - lost);
+  }
+  EXPECT_LE(slowest, kDrainMs);
+}
+
 // The time of a removal is when it was first read, however late it arrives.
 TEST(FeedExchange, LateChangesKeepTheirTime) {
   Fleet w(4, 1, 1);
