A router short of time refuses the workspaces that send most there

Cause: a router whose loop lags refuses all streams alike.

Change: while it lags, a router takes the streams of workspaces whose demand there is below a part of the mean of those that ask; the part falls as the lag grows, so that an even load is shed as before.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -566,6 +566,7 @@
   g->last_tick = now;
   bool changed = mt_overload_update(&g->overload, elapsed, g->tick_ms);
   g->relay->overloaded = g->overload.severe;
+  g->relay->demand_limit = g->overload.demand_limit;
   log_load(g, elapsed, now);
   if (!changed) return;
   bool overloaded = g->overload.overloaded;
--- a/src/gateway/overload.c
+++ b/src/gateway/overload.c
@@ -19,5 +19,6 @@
   if (o->lag > BEGIN_LAG_MS) o->overloaded = true;
   if (o->lag < END_LAG_MS) o->overloaded = false;
   o->severe = o->lag > SEVERE_LAG_MS;
+  o->demand_limit = o->severe ? SEVERE_LAG_MS / o->lag : 0;
   return o->overloaded != before;
 }
--- a/src/gateway/overload.h
+++ b/src/gateway/overload.h
@@ -14,6 +14,9 @@
   double lag; /* ms by which ticks are late, smoothed */
   bool overloaded;
   bool severe; /* streams are refused: the balancer reacts too slowly */
+  /* While severe: streams are refused of workspaces whose demand here is at
+     least this multiple of the mean; the less, the more lag. */
+  double demand_limit;
 } mt_overload_t;
 
 /*
--- a/src/relay/fair_share.c
+++ b/src/relay/fair_share.c
@@ -140,6 +140,17 @@
   }
 }
 
+static void find_mean_local_demand (mt_fair_share_t *s) {
+  double total = 0;
+  size_t count = 0;
+  for (size_t i = 0; i < s->count; i++) {
+    if (s->list[i]->local.demand <= IDLE_RATE) continue;
+    total += s->list[i]->local.demand;
+    count++;
+  }
+  s->mean_local_demand = count > 0 ? total / (double)count : 0;
+}
+
 void mt_fair_share_update (mt_fair_share_t *s, double declared,
                            double accepted, mt_ms_t now) {
   double total_demand = 0, total_served = 0;
@@ -155,6 +166,12 @@
       scarce ? water_level(s, fmax(total_served, declared * accepted)) : 0;
   find_max_service_ratio(s);
   find_min_service_ratio(s, declared);
+  find_mean_local_demand(s);
+}
+
+double mt_fair_share_local_ratio (mt_fair_share_t *s, mt_id_t workspace) {
+  if (s->mean_local_demand <= 0) return 0;
+  return mt_fair_share_get(s, workspace)->local.demand / s->mean_local_demand;
 }
 
 static double served_over (mt_fair_share_t *s, mt_id_t workspace,
--- a/src/relay/fair_share.h
+++ b/src/relay/fair_share.h
@@ -29,8 +29,9 @@
   mt_map_t by_id;
   mt_share_t **list;
   size_t count, cap;
-  mt_ms_t decayed_at; /* when the rates were last decayed */
-  double level;       /* tokens/s; 0: all demand is served */
+  mt_ms_t decayed_at;       /* when the rates were last decayed */
+  double mean_local_demand; /* of the workspaces that ask at this router */
+  double level;             /* tokens/s; 0: all demand is served */
   /* The level of what engines accept: lower while they reject requests. */
   double accepted_level;
   /* Highest service ratio of the workspaces that ask for more than the level,
@@ -73,6 +74,10 @@
 void mt_fair_share_update (mt_fair_share_t *shares, double declared,
                            double accepted, mt_ms_t now);
 
+/* Demand of the workspace at this router as a multiple of the mean of those
+   that ask here; 0 if nobody does. */
+double mt_fair_share_local_ratio (mt_fair_share_t *shares, mt_id_t workspace);
+
 /*
 ** Served rate of the workspace as a multiple of the level; below 1 it has had
 ** less than its share. 0 while all demand is served.
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -223,6 +223,17 @@
   }
 }
 
+/*
+** True if this process has no time for the stream. The workspaces that send
+** most here go first: the others are not what it lacks time for.
+*/
+static bool is_shed (mt_relay_t *relay, const mt_relay_request_t *r) {
+  if (r->kind != MT_ROUTE_STREAM || !relay->overloaded) return false;
+  if (r->workspace == 0) return true;
+  return mt_fair_share_local_ratio(&relay->shares, r->workspace) >=
+         relay->demand_limit;
+}
+
 static void on_request (mt_relay_t *relay, uint64_t number,
                         const mt_relay_incoming_t *incoming) {
   mt_relay_request_t *r = mt_request_add(relay, number);
@@ -240,7 +251,7 @@
      of other workspaces would grow by it. */
   if (r->workspace != 0 && r->segments_count > 0)
     mt_fair_share_record_demand(&relay->shares, r->workspace, r->cost);
-  bool lagging = r->kind == MT_ROUTE_STREAM && relay->overloaded;
+  bool lagging = is_shed(relay, r);
   if (lagging || relay->count > relay->params.max_running) {
     relay->counters.refused_lagging += lagging;
     mt_request_refuse(relay, r, MT_RELAY_FULL);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -509,7 +509,10 @@
   mt_catalog_t *catalog; /* configuration in force; NULL: none yet */
   /* A newer configuration may exist that this router cannot read. */
   bool config_maybe_stale;
-  bool overloaded;                /* this process takes no more streams */
+  /* This process is short of processor time: it takes streams only of
+     workspaces whose demand here is below a multiple of the mean. */
+  bool overloaded;
+  double demand_limit;            /* that multiple */
   mt_ms_t stop_since, stop_until; /* 0: not stopping */
   int routers;                    /* alive, this one included */
   double reach; /* fraction of the known routers that are alive, 0 to 1 */
