Event loops are initialised in one place that sets their data

The same fault stood elsewhere: uv_loop_init leaves loop->data as it is, and mt_boot_clock_now takes it for a clock. Three places set it by hand, the others had zeroed memory, and a fixture that came in this week (gateway_load_test.cc) had the crash again.

Change: mt_boot_clock_init_loop is used in place of uv_loop_init everywhere. Handles and requests of all files were read for the same: each has its data set beside its start, or is in zeroed memory and does not use it.

Tested: the tests of boot clock, HTTP client and load lines pass; the sanitizer build fills local variables with a pattern, so a loop without it fails there.

--- a/bench/bbcluster.c
+++ b/bench/bbcluster.c
@@ -12,6 +12,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "boot_clock.h"
 #include "bbcluster.h"
 #include "mtcrypt.h"
 
@@ -489,7 +490,7 @@
   static int number;
   bb_cluster_t *cluster = mtV_new(sizeof *cluster);
   signal(SIGPIPE, SIG_IGN);
-  uv_loop_init(&cluster->loop);
+  mt_boot_clock_init_loop(&cluster->loop);
   cluster->http = mtY_open(&cluster->loop, MT_WAIT_MAX_MS);
   snprintf(cluster->bin, sizeof cluster->bin, "%s", bin);
   snprintf(cluster->dir, sizeof cluster->dir, "%s/lab-%d-%d", bin,
--- a/src/mtcli.c
+++ b/src/mtcli.c
@@ -8,6 +8,7 @@
 
 #include <argtable2.h>
 
+#include "boot_clock.h"
 #include "explain.h"
 #include "mtcall.h"
 #include "mtconf.h"
@@ -545,8 +546,7 @@
   }
   if (code == SUCCESS) {
     uv_loop_t loop;
-    uv_loop_init(&loop);
-    loop.data = NULL; /* no boot clock */
+    mt_boot_clock_init_loop(&loop);
     mt_http_t *http = mtY_open(&loop, MT_CONNECT_TIMEOUT_MS);
     reply_t p = request_router(&loop, http, &addr, drain ? "POST" : "GET",
                                drain ? "/drain" : "/status");
--- a/src/mtpublish.c
+++ b/src/mtpublish.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <time.h>
 
+#include "boot_clock.h"
 #include "mtconf.h"
 #include "mtcrypt.h"
 #include "mtpolicy.h"
@@ -79,7 +80,7 @@
 
 mt_publisher_t *mtU_open (const mt_addr_t *store) {
   mt_publisher_t *U = mtV_new(sizeof *U);
-  uv_loop_init(&U->loop);
+  mt_boot_clock_init_loop(&U->loop);
   uv_timer_init(&U->loop, &U->timer);
   U->store = mtD_open(&U->loop, store, NULL);
   return U;
--- a/src/mtrouter.c
+++ b/src/mtrouter.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <time.h>
 
+#include "boot_clock.h"
 #include "mtcrypt.h"
 #include "mtfront.h"
 #include "mtops.h"
@@ -238,7 +239,7 @@
   mtL_open(X->set.node, (mt_level_t)X->set.loglevel);
   signal(SIGPIPE, SIG_IGN);
   X->boot = bootnumber();
-  uv_loop_init(&X->loop);
+  mt_boot_clock_init_loop(&X->loop);
   if (!openall(X)) return 1;
   start_signal(X, &X->term, SIGTERM, onterm);
   start_signal(X, &X->intr, SIGINT, onterm);
--- a/src/net/boot_clock.c
+++ b/src/net/boot_clock.c
@@ -24,6 +24,11 @@
   if (total > (int64_t)clock->suspended) clock->suspended = (mt_ms_t)total;
 }
 
+void mt_boot_clock_init_loop (uv_loop_t *loop) {
+  uv_loop_init(loop);
+  loop->data = NULL;
+}
+
 void mt_boot_clock_open (mt_boot_clock_t *clock, uv_loop_t *loop) {
   int64_t boottime_ns = read_clock(CLOCK_BOOTTIME);
   clock->offset_ns = boottime_ns - read_clock(CLOCK_MONOTONIC);
--- a/src/net/boot_clock.h
+++ b/src/net/boot_clock.h
@@ -18,8 +18,13 @@
   mt_ms_t suspended; /* total since then; never decreases */
 } mt_boot_clock_t;
 
-/* Attaches the clock to the loop, as loop->data. A loop whose data is NULL
-   keeps its own time; uv_loop_init does not set the data. */
+/* Initialises a loop that has no clock. To be used in place of uv_loop_init,
+   which leaves loop->data unset: other functions here would take it for a
+   clock. */
+void mt_boot_clock_init_loop (uv_loop_t *loop);
+
+/* Attaches the clock to the loop, as loop->data. A loop without one keeps its
+   own time. */
 void mt_boot_clock_open (mt_boot_clock_t *clock, uv_loop_t *loop);
 
 /* Time spent suspended since mt_boot_clock_open; 0 for a loop without a
--- a/standin/standin.c
+++ b/standin/standin.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "boot_clock.h"
 #include "standin.h"
 
 const char *si_option (int argc, char **argv, const char *name,
@@ -66,8 +67,7 @@
 int main (int argc, char **argv) {
   uv_loop_t loop;
   signal(SIGPIPE, SIG_IGN);
-  uv_loop_init(&loop);
-  loop.data = NULL; /* no boot clock */
+  mt_boot_clock_init_loop(&loop);
   if (argc < 2) return help(2);
   int rc = 2;
   if (strcmp(argv[1], "store") == 0) rc = si_store(argc, argv, &loop);
--- a/tests/boot_clock_test.cc
+++ b/tests/boot_clock_test.cc
@@ -32,8 +32,7 @@
 
 TEST(BootClock, ALoopWithoutABootClockUsesItsOwnTime) {
   uv_loop_t loop;
-  uv_loop_init(&loop);
-  loop.data = nullptr;
+  mt_boot_clock_init_loop(&loop);
   EXPECT_EQ(mt_boot_clock_now(&loop), uv_now(&loop));
   mt_boot_clock_t clock;
   mt_boot_clock_open(&clock, &loop);
--- a/tests/gateway_load_test.cc
+++ b/tests/gateway_load_test.cc
@@ -9,6 +9,7 @@
 #include "relay.h"
 
 extern "C" {
+#include "boot_clock.h"
 #include "gateway_load.h"
 }
 
@@ -27,7 +28,7 @@
   Load() {
     EXPECT_EQ(pipe(fds), 0);
     log = mt_log_writer_open(fds[1], "r", 100);
-    uv_loop_init(&loop);
+    mt_boot_clock_init_loop(&loop);
     static const mt_http_server_handler_t handler{};
     char reason[128];
     server = mt_http_server_open(&loop, "127.0.0.1", 0, &handler, nullptr,
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 extern "C" {
+#include "boot_clock.h"
 #include "http_client.h"
 }
 
@@ -18,8 +19,7 @@
 
   ClientAndServer() {
     sockaddr_in any{};
-    uv_loop_init(&loop);
-    loop.data = nullptr; // no boot clock
+    mt_boot_clock_init_loop(&loop);
     uv_tcp_init(&loop, &server);
     server.data = this;
     uv_ip4_addr("127.0.0.1", 0, &any);
