Engines are reported as holders of shared segments when they accept

Callers saw nothing by itself: found by review as the cause of prompts counted as cached where they were rejected, in another place. An engine was named as the holder of shared segments when a prompt was sent there, for 30 s, in place of the true holder, also if it rejected the prompt; others then planned to fetch KV cache from it that it does not have.

Change: the report goes out when the engine accepts.

Tested: AHolderIsReportedWhenItAccepts.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -176,6 +176,11 @@
   if (r != NULL) mt_gateway_peers_request_quotes(g->peers, r);
 }
 
+static void do_report_holder (mt_gateway_t *g, const mt_relay_effect_t *fx) {
+  const mt_relay_request_t *r = mtV_get(&g->relay->requests, fx->request);
+  if (r != NULL) mt_gateway_peers_prompt_accepted(g->peers, r);
+}
+
 static void do_data (inflight_t *p, const mt_relay_effect_t *fx) {
   mt_http_exchange_data(p->exchange, fx->u.data.p, fx->u.data.n);
   if (p->attempt == NULL ||
@@ -215,6 +220,7 @@
     case MT_RELAY_DO_REFUSE: do_refuse(g, p, fx); break;
     case MT_RELAY_DO_GET_QUOTES: do_get_quotes(g, fx); break;
     case MT_RELAY_DO_START: do_start(g, p, fx); break;
+    case MT_RELAY_DO_REPORT_HOLDER: do_report_holder(g, fx); break;
     case MT_RELAY_DO_CANCEL: abandon_attempt(p); break;
     case MT_RELAY_DO_HEAD:
       mt_http_exchange_head(p->exchange, p->status, p->head.p, p->head.n,
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -319,10 +319,9 @@
   e->reported_at = mt_boot_clock_now(peers->loop);
 }
 
-/* Reports to the owner of a segment's home engine that the segment is used at
-   another engine instead. */
-static void report_holder (mt_gateway_peers_t *peers,
-                           const mt_relay_request_t *r) {
+void mt_gateway_peers_prompt_accepted (mt_gateway_peers_t *peers,
+                                       const mt_relay_request_t *r) {
+  if (r->engine == NULL) return;
   const mt_engine_t *home =
       mt_engines_get(&peers->relay->engines, r->home_global);
   const mt_catalog_service_t *service =
@@ -352,7 +351,6 @@
 void mt_gateway_peers_request_sent (mt_gateway_peers_t *peers,
                                     const mt_relay_request_t *r) {
   if (r->engine == NULL) return;
-  report_holder(peers, r);
   uint32_t owner = owner_of(peers, r->engine);
   if (owner == peers->members.own_ip) {
     if (!r->has_permit)
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -73,6 +73,11 @@
 void mt_gateway_peers_request_sent (mt_gateway_peers_t *peers,
                                     const mt_relay_request_t *request);
 
+/* An engine accepted a request. If it is not the home of the prompt's shared
+   segments, the owner of that one is told where they are cached now. */
+void mt_gateway_peers_prompt_accepted (mt_gateway_peers_t *peers,
+                                       const mt_relay_request_t *request);
+
 /* A request was not run: its prompt is not cached there, as the engine's
    owner was told when it was sent. */
 void mt_gateway_peers_prompt_not_run (mt_gateway_peers_t *peers,
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -234,6 +234,7 @@
   MT_RELAY_DO_ABORT,          /* close the caller's connection mid-response */
   MT_RELAY_DO_PROBE,          /* test whether an engine accepts connections */
   MT_RELAY_DO_RETURN_PERMIT,  /* return an unused permit to its owner */
+  MT_RELAY_DO_REPORT_HOLDER,  /* report where shared segments are cached */
   MT_RELAY_DO_REPORT_NOT_RUN, /* report a prompt to the engine's owner */
   MT_RELAY_DO_SEND_TO_OWNER /* send a message to a suspect request's owner */
 } mt_relay_effect_kind_t;
--- a/src/relay/response.c
+++ b/src/relay/response.c
@@ -45,6 +45,8 @@
   if (r->status < 500) {
     mt_engine_succeeded(e, relay->now);
     mt_engine_request_accepted(e, r->sent, relay->now);
+    if (r->segments_count > 0)
+      mt_request_effect(relay, MT_RELAY_DO_REPORT_HOLDER, r);
     return;
   }
   /* A 5xx that only asks for a backoff is not counted as a failure. */
--- a/tests/rejection_test.cc
+++ b/tests/rejection_test.cc
@@ -237,6 +237,31 @@
   EXPECT_EQ(reported.segments[1].id, 1003u);
 }
 
+// Guards against an engine named as the holder of shared segments from the
+// send on: one that rejects the prompt took the place of the true holder, and
+// others fetched KV cache from it that it does not have.
+TEST(Rejection, AHolderIsReportedWhenItAccepts) {
+  struct Row {
+    const char *what;
+    int status;
+    mt_relay_verdict_t verdict;
+    bool reported;
+  } rows[] = {{"accepted", 200, MT_RELAY_RAN, true},
+              {"failed", 500, MT_RELAY_RAN, false},
+              {"rejected", 503, MT_RELAY_NOT_RUN, false},
+              {"replaced", 421, MT_RELAY_REPLACED, false}};
+  for (const Row &row : rows) {
+    Rejecting r(1);
+    r.request(1, "/stream/x");
+    ASSERT_NE(r.started(1), nullptr) << row.what;
+    EXPECT_EQ(r.find(MT_RELAY_DO_REPORT_HOLDER), nullptr) << row.what;
+    r.sent(1);
+    r.head(1, row.status, true, row.verdict);
+    EXPECT_EQ(r.find(MT_RELAY_DO_REPORT_HOLDER) != nullptr, row.reported)
+        << row.what;
+  }
+}
+
 // Rejections by an engine's previous process do not count after a restart.
 TEST(Rejection, RestartClearsTheRejectionRate) {
   Rejecting r(1);
