Read through: one place chooses the service ratio, comments

wait_limit_at and mt_placement_admits chose the ratio twice in the same way; comments say what an engine's rate and a router's shedding rest on.

--- a/src/relay/engine.c
+++ b/src/relay/engine.c
@@ -23,7 +23,7 @@
 #define HALF_OPEN_MS 100
 #define REJECTION_WEIGHT 0.2      /* of one attempt in the rejection rate */
 #define REJECTION_DECAY_MS 2000.0 /* time constant without attempts */
-/* A quoted rejection rate is used for this long, and counts as known. */
+/* A rejection rate is known for this long after a quote or an attempt. */
 #define RATE_VALID_MS 2000
 #define REJECTING_RATE 0.5      /* above it an engine rejects most requests */
 #define REJECTION_SUSPEND_MS 30 /* suspension after a rejection */
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -38,14 +38,6 @@
   return e->local.pending_prefill + e->peers.pending_prefill;
 }
 
-/* Service ratio of the request's workspace by what engines accept; 0 without
-   one. */
-static double accepted_ratio_of (mt_relay_t *relay,
-                                 const mt_relay_request_t *r) {
-  if (r->workspace == 0) return 0;
-  return mt_fair_share_accepted_ratio(&relay->shares, r->workspace);
-}
-
 /* Service ratio of the request's workspace; 0 without one. */
 static double service_ratio_of (mt_relay_t *relay,
                                 const mt_relay_request_t *r) {
@@ -53,6 +45,17 @@
   return mt_fair_share_service_ratio(&relay->shares, r->workspace);
 }
 
+/*
+** The ratio that counts at engines that reject most requests, or at others.
+** While engines reject, room at those that do not is what there is to share,
+** by the level of what is accepted.
+*/
+static double service_ratio_at (mt_relay_t *relay,
+                                const mt_relay_request_t *r, bool rejecting) {
+  if (rejecting || r->workspace == 0) return service_ratio_of(relay, r);
+  return mt_fair_share_accepted_ratio(&relay->shares, r->workspace);
+}
+
 /*
 ** How much prefix locality is relaxed for a request, 0 to 1: 1 for a
 ** workspace that was served nothing, 0 for the one with the highest service
@@ -90,19 +93,6 @@
   return limit;
 }
 
-/*
-** Wait limit at engines that reject most requests, or at the others. While
-** engines reject, room at those that do not is what there is to share, by the
-** level of what is accepted.
-*/
-static double wait_limit_at (mt_relay_t *relay, const mt_relay_request_t *r,
-                             const mt_catalog_service_t *service,
-                             bool rejecting) {
-  double service_ratio =
-      rejecting ? service_ratio_of(relay, r) : accepted_ratio_of(relay, r);
-  return wait_limit(relay, r, service, service_ratio);
-}
-
 /* Fraction of the wait limit that applies in remote failure domains. */
 static double remote_wait_fraction (mt_relay_t *relay,
                                     const mt_relay_request_t *r) {
@@ -165,8 +155,9 @@
   c.prefill = mt_relay_prefill_time(relay, r->service);
   c.unshared = mt_max(r->tokens_in - mt_kv_cache_shared_tokens(r), 1);
   c.events = r->pause > 0 ? mt_relay_expected_events(relay, r) : 0;
-  c.limit = wait_limit_at(relay, r, service, false);
-  c.rejecting_limit = wait_limit_at(relay, r, service, true);
+  c.limit = wait_limit(relay, r, service, service_ratio_at(relay, r, false));
+  c.rejecting_limit =
+      wait_limit(relay, r, service, service_ratio_at(relay, r, true));
   c.remote_fraction = remote_wait_fraction(relay, r);
   c.relaxation = relaxation_of(relay, r);
   c.miss_factor = relay->params.miss_weight * (1 - c.relaxation) +
@@ -364,9 +355,8 @@
                           const mt_placement_t *p, mt_relay_refusal_t *why) {
   const mt_catalog_service_t *service =
       mt_catalog_find_service(relay->catalog, r->service);
-  bool rejecting = mt_engine_is_rejecting(p->engine, relay->now);
-  double service_ratio =
-      rejecting ? service_ratio_of(relay, r) : accepted_ratio_of(relay, r);
+  double service_ratio = service_ratio_at(
+      relay, r, mt_engine_is_rejecting(p->engine, relay->now));
   *why = service_ratio > 1 ? MT_RELAY_OVER_SHARE : MT_RELAY_BUSY;
   if (service == NULL || !service->model)
     return true; /* its engines reject what they have no room for */
--- a/src/relay/quotes.c
+++ b/src/relay/quotes.c
@@ -79,7 +79,7 @@
 }
 
 /* Called for the first candidate only, mostly a home: homes are chosen by
-   hash, so their load is an unbiased sample. */
+   hash, so their load is an unbiased sample of the engines that accept. */
 static void update_averages (mt_relay_t *relay, const mt_relay_request_t *r,
                              const mt_engine_load_t *load) {
   mt_relay_service_t *s = mt_relay_service(relay, r->service);
--- a/src/relay/rejections.h
+++ b/src/relay/rejections.h
@@ -30,10 +30,9 @@
 double mt_rejections_rate (const mt_rejections_t *rejections, mt_ms_t now);
 
 /*
-** Weight of an engine as a home of prompt segments, 0 to 1: engines that
-** reject a few requests keep their homes, and those that reject most lose
-*most
-** of them to engines that take work.
+** Weight of an engine as a home of prompt segments, 0 to 1. Engines that
+** reject a few requests keep their homes; those that reject most lose nearly
+** all to engines that take work.
 */
 double mt_rejections_home_weight (double rate);
 
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -226,7 +226,7 @@
 
 /*
 ** True if this process has no time for the stream. The workspaces that send
-** most here go first: the others are not what it lacks time for.
+** most here are refused first: it is their load that it has no time for.
 */
 static bool is_shed (mt_relay_t *relay, const mt_relay_request_t *r) {
   if (r->kind != MT_ROUTE_STREAM || !relay->overloaded) return false;
