Log which software version an engine has and which stream a request takes up

The lines of the incident did not show the version of an engine, whether a request took up a stream, or of which first request, so streams that changed the version in one answer and over a caller's tries could not be told apart.

Engine entries' version is parsed (another type makes the entry unusable), Resumes is read, both are logged (software, resumes, from), and counted: streams_taken_up_total, version_changes_total. No decision uses them.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -40,7 +40,8 @@
   const char *name, *domain, *ip;
   uint16_t port;
   const char *service;
-  int slots; /* requests that it runs at a time */
+  const char *version; /* of its software; NULL: not stated */
+  int slots;           /* requests that it runs at a time */
   bool draining;
   int64_t started_at; /* start time, ms since 1970; 0: unknown */
   mt_ms_t cold; /* time that it stays cold, with a limited request rate; 0:
--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -241,6 +241,7 @@
   e->port = engine->port;
   e->slots = engine->slots;
   e->service = mtV_id(engine->service, strlen(engine->service));
+  mt_engine_set_version(e, engine->version);
   if (e->domain == NULL || strcmp(e->domain, engine->domain) != 0) {
     free(e->domain);
     e->domain = strdup(engine->domain);
@@ -345,18 +346,19 @@
 static bool apply_peer_engine (mt_gateway_t *g, const mt_change_t *change,
                                mt_ms_t since) {
   const mt_change_engine_t *received = &change->u.engine;
-  const mt_gateway_engine_t engine = {.name = change->name,
-                                      .domain = received->domain,
-                                      .ip = received->ip,
-                                      .port = received->port,
-                                      .service = received->service,
-                                      .slots = received->slots,
-                                      .started_at = received->started_at,
-                                      .draining = change->kind ==
-                                                  MT_CHANGE_ENGINE_DRAINING,
-                                      .cold = received->cold};
   uint64_t key = mt_engine_key(change->name, strlen(change->name));
   const mt_engine_t *e = mt_engines_get(&g->relay->engines, key);
+  const mt_gateway_engine_t engine = {
+      .name = change->name,
+      .domain = received->domain,
+      .ip = received->ip,
+      .port = received->port,
+      .service = received->service,
+      .slots = received->slots,
+      .started_at = received->started_at,
+      .version = e != NULL ? e->version_name : NULL,
+      .draining = change->kind == MT_CHANGE_ENGINE_DRAINING,
+      .cold = received->cold};
   if (change->kind == MT_CHANGE_ENGINE_GONE) {
     apply_engine(g, change->name, NULL, change->rev, since);
     return true;
--- a/src/gateway/gateway_log.c
+++ b/src/gateway/gateway_log.c
@@ -25,11 +25,16 @@
   return "";
 }
 
+static const char *version_name (const mt_engine_t *e) {
+  return e->version_name != NULL ? e->version_name : "-";
+}
+
 void mt_gateway_log_engine (mt_log_writer_t *log, mt_ms_t now,
                             const mt_engine_t *e, const char *outcome) {
   mt_log_line(log, MT_LOG_STATE, now, "engine",
-              "engine=%s address=%s:%u running=%d outcome=%s", e->name, e->ip,
-              e->port, e->local.running, outcome);
+              "engine=%s address=%s:%u running=%d outcome=%s software=%s",
+              e->name, e->ip, e->port, e->local.running, outcome,
+              version_name(e));
 }
 
 void mt_gateway_log_domain (mt_log_writer_t *log, mt_ms_t now,
@@ -52,7 +57,8 @@
   int64_t version = relay->catalog ? relay->catalog->version : 0;
   mt_log_line(
       log, routine ? MT_LOG_DETAIL : MT_LOG_FAILURE, relay->now, "request",
-      "id=%s digest=%016llx route=%08x workspace=%08x engine=%s attempt=%d age=%llu "
+      "id=%s digest=%016llx route=%08x workspace=%08x engine=%s software=%s "
+      "resumes=%s from=%lld attempt=%d age=%llu "
       "status=%d wait=%.0f expected=%.0f first=%llu slowness=%.2f "
       "pause=%.0f gap=%llu "
       "standing=%.2f "
@@ -60,7 +66,9 @@
       "version=%lld "
       "outcome=%s why=%s",
       r->id, (number_t)r->digest, r->route, r->workspace,
-      r->engine_name[0] ? r->engine_name : "-", r->attempt,
+      r->engine_name[0] ? r->engine_name : "-",
+      r->engine_version[0] ? r->engine_version : "-",
+      r->resumes[0] ? r->resumes : "-", (long long)r->first_event, r->attempt,
       (number_t)(relay->now - r->arrived), r->status, r->wait_expected,
       r->ttft_expected, (number_t)r->ttft, r->slowness, r->pause_expected,
       (number_t)r->longest_gap, r->service_ratio, (long long)r->tokens_in,
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -148,6 +148,11 @@
   number(out, "callers_left_total", "counter",
          "Callers that left before their answer.",
          (double)c->callers_disconnected);
+  number(out, "streams_taken_up_total", "counter",
+         "Requests that take up a stream.", (double)c->taken_up);
+  number(out, "version_changes_total", "counter",
+         "Retries within an answer at another software version.",
+         (double)c->version_changes);
   number(out, "attempts_total", "counter", "Requests sent to engines.",
          (double)c->attempts);
   number(out, "engine_leaves_total", "counter",
--- a/src/relay/engine.c
+++ b/src/relay/engine.c
@@ -51,10 +51,19 @@
   return mtV_get(&engines->by_key, key);
 }
 
+void mt_engine_set_version (mt_engine_t *e, const char *version) {
+  const char *old = e->version_name;
+  if (old == version) return;
+  if (old != NULL && version != NULL && strcmp(old, version) == 0) return;
+  free(e->version_name);
+  e->version_name = version != NULL ? strdup(version) : NULL;
+}
+
 static void free_engine (mt_engine_t *e) {
   mt_prefix_cache_free(&e->cached);
   free(e->name);
   free(e->domain);
+  free(e->version_name);
   free(e);
 }
 
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -58,6 +58,7 @@
   char ip[46];
   uint16_t port;
   mt_id_t service;
+  char *version_name; /* of its software, as listed; NULL: not stated */
   int slots;
   mt_engine_state_t state;
   bool remote;            /* in another failure domain than this router */
@@ -109,6 +110,9 @@
 
 /* The engine of that name, added if it is new. */
 mt_engine_t *mt_engines_add (mt_engines_t *engines, const char *name);
+/* Sets the version of its software; NULL: not stated. */
+void mt_engine_set_version (mt_engine_t *engine, const char *version);
+
 /* NULL if there is none. */
 mt_engine_t *mt_engines_get (const mt_engines_t *engines, uint64_t key);
 /* Frees an engine; no pointer to it may remain in use. */
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -73,7 +73,9 @@
                          const mt_relay_incoming_t *incoming) {
   r->tokens_in = incoming->tokens_in;
   r->tokens_out = incoming->tokens_out;
-  r->last_event = incoming->last_event;
+  r->last_event = r->first_event = incoming->last_event;
+  snprintf(r->resumes, sizeof r->resumes, "%.*s", (int)incoming->resumes.n,
+           incoming->resumes.p);
   r->segments_count = incoming->segments_count;
   memcpy(r->segments, incoming->segments,
          incoming->segments_count * sizeof *r->segments);
@@ -242,6 +244,7 @@
   snprintf(r->id, sizeof r->id, "%.*s", (int)incoming->id.n, incoming->id.p);
   if (!resolve(relay, r, incoming)) return;
   copy_prompt(r, incoming);
+  relay->counters.taken_up += r->first_event >= 0 || r->resumes[0] != '\0';
   if (incoming->digest != 0)
     r->digest = mtV_mix(incoming->digest, r->workspace) | 1;
   if (is_too_late_to_start(relay, r)) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -108,6 +108,9 @@
   uint64_t drains_gossiped;  /* draining engines known from gossip only */
   uint64_t drains, backoffs; /* advertised by engines to this router */
   uint64_t runs_lost;        /* attempts lost as their engine exited */
+  uint64_t taken_up;         /* requests that take up a stream */
+  /* Retries within an answer, at an engine of another software version. */
+  uint64_t version_changes;
   /* Owners' replies to requests on probation. */
   uint64_t trials[MT_TRIAL_COUNT];
   uint64_t quotes_asked, quotes_late;  /* rounds: sent, timed out */
@@ -133,6 +136,8 @@
   uint64_t digest;     /* hash of the request text; 0: unknown */
   int64_t deadline_ms; /* how long the caller waits; -1: unknown */
   int64_t last_event;  /* id of the last event received; -1: none */
+  mt_bytes_t resumes;  /* id of the request whose stream it takes up; empty:
+                          none */
   /* Prompt tokens and the most completion tokens; 0: unknown. */
   int64_t tokens_in, tokens_out;
   int64_t tokens_hint; /* expected completion tokens; 0: unknown */
@@ -312,10 +317,12 @@
 
 typedef struct mt_relay_request_t {
   uint64_t number;
-  char id[40];          /* the caller's request id, for logs */
-  uint64_t digest;      /* hash of text and workspace; 0: unknown */
-  char engine_name[48]; /* of the last attempt, for logs */
-  size_t index;         /* in `list` of the relay */
+  char id[40];      /* the caller's request id, for logs */
+  uint64_t digest;  /* hash of text and workspace; 0: unknown */
+  char resumes[40]; /* id of the request whose stream it takes up, or empty */
+  char engine_name[48];    /* of the last attempt, for logs */
+  char engine_version[24]; /* its software version; empty: not stated */
+  size_t index;            /* in `list` of the relay */
   struct mt_relay_request_t *finished_next;
   mt_relay_phase_t phase;
   mt_relay_refusal_t outcome;
@@ -331,6 +338,7 @@
   /* From the incoming request; cost: weighted tokens that its workspace is
      charged. */
   int64_t tokens_in, tokens_out, cost, last_event;
+  int64_t first_event;     /* of last_event: its value on arrival */
   int64_t tokens_expected; /* completion tokens, as hinted; 0: unknown */
   mt_prefix_segment_t segments[MT_RELAY_SEGMENTS_MAX];
   size_t segments_count;
--- a/src/relay/relay_load.c
+++ b/src/relay/relay_load.c
@@ -143,6 +143,8 @@
       mt_catalog_find_service(relay->catalog, r->service);
   r->engine = e;
   snprintf(r->engine_name, sizeof r->engine_name, "%s", e->name);
+  snprintf(r->engine_version, sizeof r->engine_version, "%s",
+           e->version_name != NULL ? e->version_name : "");
   r->pending_prefill = p->miss;
   r->home = p->home;
   r->fetched = p->fetch.tokens;
--- a/src/relay/request.c
+++ b/src/relay/request.c
@@ -170,8 +170,18 @@
   mt_request_remove(relay, r);
 }
 
+/* True if the engine's software version is not that of the last attempt. */
+static bool changes_version (const mt_relay_request_t *r,
+                             const mt_engine_t *e) {
+  const char *version = e->version_name != NULL ? e->version_name : "";
+  return strncmp(r->engine_version, version, sizeof r->engine_version - 1) !=
+         0;
+}
+
 void mt_attempt_start (mt_relay_t *relay, mt_relay_request_t *r,
                        const mt_placement_t *p) {
+  if (r->phase == MT_RELAY_STREAMING && changes_version(r, p->engine))
+    relay->counters.version_changes++;
   r->attempt++;
   r->attempts_sent++;
   r->tried[r->tried_count++ % MT_RELAY_TRIES_MAX] = p->engine->key;
--- a/tests/dialect_test.cc
+++ b/tests/dialect_test.cc
@@ -13,7 +13,7 @@
 
 using Fields = std::vector<std::pair<std::string, std::string>>;
 
-mt_engine_notice_t notice_of (int status, const Fields &fields) {
+mt_http_headers_t headers_of (const Fields &fields) {
   mt_http_headers_t headers{};
   for (const auto &field : fields) {
     mt_http_headers_append_name(&headers, field.first.data(),
@@ -21,11 +21,43 @@
     mt_http_headers_append_value(&headers, field.second.data(),
                                  field.second.size());
   }
+  return headers;
+}
+
+mt_engine_notice_t notice_of (int status, const Fields &fields) {
+  mt_http_headers_t headers = headers_of(fields);
   mt_engine_notice_t notice = mt_platform_dialect.notice(status, &headers);
   mt_http_headers_free(&headers);
   return notice;
 }
 
+TEST(Dialect, ReadsWhichStreamIsTakenUp) {
+  struct Row {
+    const char *what;
+    Fields fields;
+    std::string resumes;
+    int64_t last_event;
+  } rows[] = {
+      {"a new stream", {{"X-Attempt-Id", "a1"}}, "", -1},
+      {"taken up", {{"Resumes", "a1"}, {"Last-Event-Id", "12"}}, "a1", 12},
+      {"in another case", {{"rEsUmEs", "a1"}}, "a1", -1},
+      {"the first one unknown", {{"Last-Event-Id", "0"}}, "", 0},
+      {"empty", {{"Resumes", ""}}, "", -1},
+  };
+  for (const Row &row : rows) {
+    mt_http_headers_t headers = headers_of(row.fields);
+    mt_relay_incoming_t incoming{};
+    incoming.last_event = -1;
+    mt_platform_dialect.read_request(&headers, &incoming);
+    EXPECT_EQ(std::string(incoming.resumes.p ? incoming.resumes.p : "",
+                          incoming.resumes.n),
+              row.resumes)
+        << row.what;
+    EXPECT_EQ(incoming.last_event, row.last_event) << row.what;
+    mt_http_headers_free(&headers);
+  }
+}
+
 TEST(Dialect, ReadsServerLeaving) {
   struct Row {
     const char *what;
--- a/tests/documents_test.cc
+++ b/tests/documents_test.cc
@@ -13,6 +13,7 @@
   bool usable, drains;
   int slots;
   int64_t started_at;
+  std::string version; // "-": not stated
 };
 
 ParsedEntry parse_entry (const std::string &text) {
@@ -20,8 +21,10 @@
   mt_gateway_engine_t e{};
   json_t *doc = json_loadb(text.data(), text.size(), 0, nullptr);
   bool usable = mt_platform_read_engine(doc, "i-1", ip, &e);
+  ParsedEntry parsed = {usable, e.draining, e.slots, e.started_at,
+                        e.version != nullptr ? e.version : "-"};
   json_decref(doc);
-  return {usable, e.draining, e.slots, e.started_at};
+  return parsed;
 }
 
 // A complete entry; member `name` has the text `value` instead, or is missing
@@ -29,10 +32,10 @@
 std::string entry (const std::string &name = "",
                    const std::string &value = "") {
   const char *const members[][2] = {
-      {"service", "\"s\""},     {"addr", "\"10.0.0.1:80\""},
-      {"zone", "\"a\""},        {"slots", "64"},
-      {"state", "\"ready\""},   {"cold_left_ms", "0"},
-      {"born", "1780000000000"}};
+      {"service", "\"s\""},      {"addr", "\"10.0.0.1:80\""},
+      {"zone", "\"a\""},         {"slots", "64"},
+      {"state", "\"ready\""},    {"cold_left_ms", "0"},
+      {"born", "1780000000000"}, {"version", "\"v1.2\""}};
   std::string all;
   for (auto &m : members) {
     std::string text = m[0] == name ? value : m[1];
@@ -67,6 +70,8 @@
       {"an address of another type", "addr", "null", false},
       {"the cold time as a string", "cold_left_ms", "\"long\"", false},
       {"no cold time", "cold_left_ms", "", true},
+      {"no version", "version", "", true},
+      {"a version of another type", "version", "1", false},
       {"no start time", "born", "", true},
       {"the start time as a string", "born", "\"1780000000000\"", false},
       {"a fractional start time", "born", "1780000000000.5", false},
@@ -80,6 +85,9 @@
   EXPECT_FALSE(complete.drains);
   EXPECT_EQ(complete.slots, 64);
   EXPECT_EQ(complete.started_at, 1780000000000);
+  EXPECT_EQ(complete.version, "v1.2");
+  EXPECT_EQ(parse_entry(entry("version", "\"\"")).version, "-");
+  EXPECT_EQ(parse_entry(entry("version", "")).version, "-");
   EXPECT_TRUE(parse_entry(entry("state", "\"draining\"")).drains);
 }
 
