--- a/tests/soak/checker.h
+++ b/tests/soak/checker.h
@@ -42,8 +42,34 @@
   int gateway = -1;      // index of the receiver; -1: deadlines not checked
   long at = 0;           // send time, ms
   std::string key, path;
+  std::string resumes = ""; // id that began the stream which it takes up
 };
 
+// A stream as its caller has it, over all its tries.
+struct Stream {
+  int next = 0;        // number of the next event
+  std::string version; // of the software of the engines of its events
+  bool ended = false;  // the last event has come
+  bool mixed = false;  // it has events of two versions
+};
+
+// Requests that took a stream up, and new streams, while the version served:
+// how many were sent, and how many of them got an event or a complete answer.
+struct Share {
+  long sent = 0, served = 0;
+  void add (const Share &other) {
+    sent += other.sent;
+    served += other.served;
+  }
+  double part () const {
+    return sent > 0 ? (double)served / (double)sent : 1;
+  }
+};
+
+// With at least so many streams taken up, the share of them that go on must
+// not be under half of the share of new streams that begin.
+const long TAKEN_UP_MIN = 12;
+
 // What the store lists of an engine.
 struct EngineEntry {
   std::string service, domain;
@@ -153,33 +179,75 @@
                  " after it was executed");
   }
 
-  // A caller has received this much of an event stream. `ended`: with the
-  // last chunk; without it the stream counts as truncated, which is no
-  // breach.
+  // By the id of the request that began it.
+  std::map<std::string, Stream> streams_by_id;
+  Share taken_up, begun;
+
+  // The id of the request that began the stream of this one.
+  std::string stream_id (const std::string &id) {
+    const std::string &resumes = sent_requests[id].resumes;
+    return resumes.empty() ? id : resumes;
+  }
+  // Checks the version that an event names, if any; returns the rest of its
+  // text.
+  std::string check_version (const std::string &id, Stream &stream,
+                             const std::string &rest) {
+    if (rest.compare(0, 2, " v") != 0) return rest;
+    std::string version = rest.substr(1, rest.find(' ', 1) - 1);
+    if (stream.version.empty()) stream.version = version;
+    bool mixed = version != stream.version;
+    if (mixed && !stream.mixed)
+      breach("ORDER", id,
+             "began at version " + stream.version + ", event of " + version);
+    stream.mixed = stream.mixed || mixed;
+    return rest.substr(1 + version.size());
+  }
+  // To be called at the end.
+  void check_taken_up () {
+    if (taken_up.sent < TAKEN_UP_MIN) return;
+    if (taken_up.part() < begun.part() / 2)
+      breach("LOST", "-",
+             std::to_string(taken_up.served) + " of " +
+                 std::to_string(taken_up.sent) +
+                 " streams taken up went on, " +
+                 std::to_string(begun.served) + " of " +
+                 std::to_string(begun.sent) + " new ones began");
+  }
+
+  // A caller has received this much of an event stream, in the answer to this
+  // request. `ended`: with the last chunk; without it the stream counts as
+  // truncated, which is no breach.
   void on_stream (const std::string &id, const std::string &text,
                   bool ended) {
     streams++;
     size_t at = 0;
-    int next = 0;
+    std::string first = stream_id(id);
+    Stream &stream = streams_by_id[first];
     bool last = false;
     while (at < text.size()) {
       size_t end = text.find("\n\n", at);
       if (end == std::string::npos) break; // a truncated event
-      std::string event = text.substr(at, end - at);
-      last = event == event_of(id, next) + " end";
-      if (!last && event != event_of(id, next)) {
+      std::string event = text.substr(at, end - at),
+                  expected = event_of(first, stream.next), rest;
+      bool matches = event.compare(0, expected.size(), expected) == 0;
+      if (matches)
+        rest = check_version(id, stream, event.substr(expected.size()));
+      last = rest == " end";
+      if (!matches || (!last && !rest.empty())) {
         breach("ORDER", id,
-               "expected event " + std::to_string(next) + ", got: " + event);
+               "expected event " + std::to_string(stream.next) +
+                   ", got: " + event);
         return;
       }
       at = end + 2;
-      next++;
+      stream.next++;
+      stream.ended = last;
     }
     if (!ended) truncated_streams++;
     if (ended && (!last || at < text.size()))
       breach("ORDER", id,
-             "stream marked as complete after " + std::to_string(next) +
-                 " events");
+             "stream marked as complete after " +
+                 std::to_string(stream.next) + " events");
   }
 
   // {== Requests that crash engines
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -15,11 +15,12 @@
   World world;
   std::vector<Gateway> gateways;
 
-  explicit Fleet(int count) : world(1, count, true), gateways((size_t)count) {
+  explicit Fleet(int count, const std::vector<std::string> &versions = {})
+      : world(1, count, true, versions), gateways((size_t)count) {
     char name[] = "/tmp/mt-turned-XXXXXX";
     dir = mkdtemp(name);
     world.open_event_log(dir + "/events.log");
-    int peers = free_datagram_port();
+    peers = free_datagram_port();
     for (int i = 0; i < count; i++) {
       Gateway &g = gateways[(size_t)i];
       g.index = i;
@@ -44,6 +45,15 @@
     unlink((dir + "/events.log").c_str());
     rmdir(dir.c_str());
   }
+  // Kills a gateway and starts its next process.
+  void restart (int gateway) {
+    Gateway &g = gateways[(size_t)gateway];
+    world.log_event("kill g" + std::to_string(gateway));
+    kill(g.pid, SIGKILL);
+    waitpid(g.pid, nullptr, 0);
+    world.checker.disturbances.disturb(gateway, now_ms());
+    g.start(peers, world.stores[(size_t)gateway]->port, (int)gateways.size());
+  }
   // Waits for a condition; the bound only ends a test that has failed.
   bool until (const std::function<bool()> &cond) {
     for (int i = 0; i < 6000; i++) {
@@ -166,7 +176,7 @@
 
 private:
   std::string dir;
-  int sent_requests = 0;
+  int peers, sent_requests = 0;
 };
 
 } // namespace soak
--- a/tests/soak/selftest.h
+++ b/tests/soak/selftest.h
@@ -192,6 +192,26 @@
        [] (Checker &k) {
          k.on_stream("s", Checker::event_of("s", 0) + "\n\n", true);
        }},
+      {"ORDER",
+       [] (Checker &k) {
+         k.on_stream("s",
+                     Checker::event_of("s", 0) + " v1\n\n" +
+                         Checker::event_of("s", 1) + " v2\n\n",
+                     false);
+       }},
+      {"ORDER",
+       [] (Checker &k) {
+         k.sent_requests["t"] = k.sent_requests["s"];
+         k.sent_requests["t"].resumes = "s";
+         k.on_stream("s", Checker::event_of("s", 0) + " v1\n\n", false);
+         k.on_stream("t", Checker::event_of("s", 1) + " v2 end\n\n", true);
+       }},
+      {"LOST",
+       [] (Checker &k) {
+         k.begun = {100, 80};
+         k.taken_up = {TAKEN_UP_MIN, 4};
+         k.check_taken_up();
+       }},
       {"REST",
        [] (Checker &k) {
          k.on_backoff_request("a", "e", 10000, 3000);
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -8,8 +8,8 @@
 // callers share one of them, so runs with the same seed differ with timing.
 #include <memory>
 
-#include "caller.h"
 #include "selftest.h"
+#include "stream_callers.h"
 
 namespace soak {
 
@@ -21,6 +21,8 @@
 const long RESTORE_FIRST_MS = 6000;
 // How long engines are drained after a restore.
 const long LEAVING_PERIOD_MS = 2500;
+// Engines of streams that --versions adds.
+const int ENGINES_ADDED = 6;
 // Items in a reply to a list, in runs with restores.
 const size_t LIST_PAGE_ITEMS = 4;
 // Number of poison bodies, and of harmless bodies that are sent often.
@@ -42,6 +44,7 @@
   bool notices = false;     // engines send Server-Leaving and Retry-After
   bool all_backoff = false; // --all-rest: often all engines of a service shed
   bool restores = false;    // the store is restored from copies
+  bool versions = false;    // engines of streams are upgraded, and crash
 };
 
 // {== The soak =============================================================
@@ -50,9 +53,12 @@
 public:
   Soak(const Options &chosen)
       : options(chosen),
-        world(chosen.seed, chosen.gateways, chosen.partial_faults),
+        world(chosen.seed, chosen.gateways, chosen.partial_faults,
+              chosen.versions ? std::vector<std::string>{"v1"}
+                              : std::vector<std::string>{}),
         random(chosen.seed * 7919), partial_random(chosen.seed * 104729),
-        caller_random(chosen.seed * 15485863) {
+        caller_random(chosen.seed * 15485863),
+        stream_callers(world, gateways, chosen.seed) {
     char name[] = "/tmp/mt-soak-XXXXXX";
     dir = mkdtemp(name);
     network.reset(new Network(dir + "/links"));
@@ -72,6 +78,7 @@
     world.notice_random.seed(chosen.seed * 32452843);
     restore_random.seed(chosen.seed * 86028121);
     if (options.restores) world.page = LIST_PAGE_ITEMS;
+    if (options.versions) add_versions();
   }
   ~Soak() {
     for (Gateway &g : gateways) {
@@ -87,7 +94,8 @@
     long end = now_ms() + options.seconds * 1000L,
          next_fault = now_ms() + 500, next_partial = next_fault,
          next_crash = next_fault, next_notice = next_fault,
-         next_restore = now_ms() + RESTORE_FIRST_MS, next_change = next_fault;
+         next_restore = now_ms() + RESTORE_FIRST_MS, next_change = next_fault,
+         next_roll = next_fault;
     while (now_ms() < end) {
       if (!options.calm && now_ms() >= next_fault) {
         inject_fault();
@@ -110,9 +118,12 @@
         world.crash_any(options.streams ? "model" : "plain", caller_random);
         next_crash = now_ms() + 1000;
       }
+      if (options.versions && now_ms() >= next_roll)
+        next_roll = now_ms() + change_versions();
       step(true);
     }
     check_recovery();
+    if (options.versions) world.checker.check_taken_up();
     report();
     return world.checker.breaches.empty();
   }
@@ -134,6 +145,7 @@
   int peers;
   std::vector<Gateway> gateways;
   std::vector<Caller> callers;
+  StreamCallers stream_callers;
   long sent_requests = 0, kills = 0, pauses = 0, stops = 0;
   // Harmless repeats, and those of them with status 200.
   long repeated = 0, repeated_ok = 0;
@@ -156,6 +168,24 @@
     }
   }
 
+  // Engines and callers of streams that last long enough to be broken off.
+  void add_versions () {
+    for (int i = 0; i < ENGINES_ADDED; i++) world.add_engine("model");
+    world.stream_events = 20;
+    world.stream_pause_ms = 60;
+    world.down_ms = 600;
+    world.restarts_upgraded = 0.4;
+    stream_callers.add(options.callers);
+  }
+  // A step of a rolling upgrade or a crash; returns the ms until the next.
+  long change_versions () {
+    if (chance(caller_random, 0.4))
+      world.crash_any("model", caller_random);
+    else
+      world.roll("model", caller_random);
+    return 100 + (long)(caller_random() % 400);
+  }
+
   // {== Faults
 
   void inject_fault () {
@@ -531,6 +561,7 @@
     if (network_until != 0 && now_ms() >= network_until) heal_network();
     for (Gateway &g : gateways) update(g);
     for (Caller &c : callers) update(c, sending);
+    stream_callers.step(sending);
   }
 
   void heal_network () {
@@ -567,6 +598,7 @@
   bool idle () const {
     for (const Caller &c : callers)
       if (c.busy) return false;
+    if (!stream_callers.idle()) return false;
     for (const Gateway &g : gateways)
       if (g.pid <= 0 || g.port == 0 || g.stopping) return false;
     return true;
@@ -607,6 +639,16 @@
            k.truncated_streams, k.rejections, k.failures, kills, pauses,
            stops, k.breaches.size());
     if (options.restores) printf("  %d restores\n", world.restores);
+    if (options.versions) {
+      printf("  %ld streams, %ld received whole, %d upgrades; taken up: %ld "
+             "of %ld went on, new: %ld of %ld began; not taken up:",
+             stream_callers.streams, stream_callers.finished, world.rolls,
+             k.taken_up.served, k.taken_up.sent, k.begun.served,
+             k.begun.sent);
+      for (auto &row : stream_callers.refused)
+        printf(" %s %ld", row.first.c_str(), row.second);
+      printf("\n");
+    }
     if (options.partial_faults || options.restores) {
       printf("  late:");
       for (auto &row : k.late)
@@ -710,6 +752,8 @@
       options.notices = options.all_backoff = true;
     else if (name == "--restores")
       options.restores = true;
+    else if (name == "--versions")
+      options.versions = true;
     else if (name == "--keep")
       options.keep = true;
     else if (name == "--calm")
@@ -721,7 +765,8 @@
                       "[--gateways N] [--callers N] [--seeds FILE] "
                       "[--parts] [--times] [--no-kills] [--calm] [--keep] "
                       "[--deadly] [--ends] [--streams] "
-                      "[--notices] [--all-rest] [--restores] [--selftest]\n");
+                      "[--notices] [--all-rest] [--restores] [--versions] "
+                      "[--selftest]\n");
       return 2;
     }
   }
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -81,14 +81,18 @@
   bool partial_faults;
   std::vector<Listener *> stores;    // the store's listener for each gateway
   std::vector<Rejection> rejections; // by gateway
+  // Software versions of new engines, in turn; empty: none is stated.
+  std::vector<std::string> versions;
+  std::map<std::string, std::string> version_by_engine;
   // Ids of the engines in use, by service.
   std::vector<std::string> model_engines, plain_engines, desk_engines;
   std::vector<std::string> keys; // of the second workspace; the last is valid
   std::set<std::string> evacuated; // failure domains
 
-  World(unsigned seed, int gateways, bool partial)
+  World(unsigned seed, int gateways, bool partial,
+        const std::vector<std::string> &software = {})
       : random(seed), notices(seed * 15485867), partial_faults(partial),
-        rejections((size_t)gateways) {
+        rejections((size_t)gateways), versions(software) {
     for (int i = 0; i < gateways; i++)
       stores.push_back(listen([this, i] (Conn &c, const Request &r) {
         on_store_request(c, r, i);
@@ -389,6 +393,9 @@
 
   void add_engine (const std::string &service) {
     std::string id = "i-" + std::to_string(++engines_created);
+    if (!versions.empty())
+      version_by_engine[id] =
+          versions[(size_t)engines_created % versions.size()];
     Listener *l = listen(
         [this, id] (Conn &c, const Request &r) { on_request(c, r, id); });
     ids_of(service).push_back(id);
@@ -419,7 +426,41 @@
             "\",\"addr\":\"127.0.0.1:" + std::to_string(port) +
             "\",\"zone\":\"" + checker.engines[id].domain +
             "\",\"slots\":8,\"born\":" + std::to_string(born_by_engine[id]) +
-            ",\"state\":\"" + state + "\"}");
+            version_member(id) + ",\"state\":\"" + state + "\"}");
+  }
+  std::string version_member (const std::string &id) const {
+    auto it = version_by_engine.find(id);
+    return it == version_by_engine.end()
+               ? ""
+               : ",\"version\":\"" + it->second + "\"";
+  }
+  // One step of a rolling upgrade: an engine that runs another version than
+  // the newest one, or than the one before if it is rolled back, is replaced.
+  // When none is left the next upgrade or rollback begins.
+  void roll (const std::string &service, Random &draw) {
+    for (const std::string &id : ids_of(service)) {
+      if (version_by_engine[id] == versions[0]) continue;
+      retire(service, std::string(id), chance(draw, 0.7));
+      return;
+    }
+    bool back = rolls > 0 && chance(draw, 0.3);
+    std::string last = versions[0];
+    versions[0] = back ? rolled_from : "v" + std::to_string(2 + rolls++);
+    rolled_from = last;
+    log_event("roll from " + last + " to " + versions[0]);
+  }
+  int rolls = 0;
+  std::string rolled_from;
+  // Fraction of the restarts under the same id that change the version.
+  double restarts_upgraded = 0;
+  // Engines of a service with this version that are listed as ready and up.
+  int serving (const std::string &service, const std::string &software) {
+    int count = 0;
+    for (const std::string &id : ids_of(service))
+      count += version_by_engine[id] == software &&
+               engine_listeners[id]->fd >= 0 &&
+               now_ms() - listed_at[id] >= LISTED_MIN_MS;
+    return count;
   }
   // Drains an engine: its entry in the store becomes "draining", or is
   // deleted without `announced`. It still answers requests. A new engine
@@ -535,6 +576,8 @@
     listener->fd = fd;
     const std::string &service = checker.engines[id].service;
     born_by_engine[id] = ++born;
+    if (restarts_upgraded > 0 && chance(random, restarts_upgraded))
+      version_by_engine[id] = versions[0];
     checker.on_engine_restart(id);
     if (renews)
       rename_engine(id);
@@ -547,6 +590,8 @@
     std::string id = "i-" + std::to_string(++engines_created);
     EngineEntry listed = checker.engines[old];
     checker.engines[id] = listed;
+    if (version_by_engine.count(old))
+      version_by_engine[id] = version_by_engine[old];
     engine_listeners[id] = engine_listeners[old];
     born_by_engine[id] = born;
     ports[id] = ports[old];
@@ -627,7 +672,7 @@
       return;
     }
     if (r.line().find("/gen/") != std::string::npos)
-      send_stream(c, r, id, seal, bad ? kind : 0);
+      send_stream(c, r, engine, id, seal, bad ? kind : 0);
     else
       send_plain(c, id, seal, bad ? kind : 0);
   }
@@ -726,20 +771,31 @@
     snprintf(size, sizeof size, "%zx\r\n", text.size());
     return size + text + "\r\n";
   }
-  // Streams the events after Last-Event-Id, the last one marked " end".
-  void send_stream (Conn &c, const Request &r, const std::string &id,
-                    const std::string &seal, int fault) {
-    std::string from = r.field("Last-Event-Id");
+  // Number of events of a stream, and the longest pause between two.
+  int stream_events = 6;
+  long stream_pause_ms = 20;
+
+  // Streams the events after Last-Event-Id, the last one marked " end". Each
+  // names the engine's version.
+  void send_stream (Conn &c, const Request &r, const std::string &engine,
+                    const std::string &id, const std::string &seal,
+                    int fault) {
+    std::string from = r.field("Last-Event-Id"), resumes = r.field("Resumes"),
+                stream = resumes.empty() ? id : resumes, suffix;
+    if (version_by_engine.count(engine))
+      suffix = " " + version_by_engine[engine];
     int first = from.empty() ? 0 : std::stoi(from) + 1;
-    const int count = 6;
+    const int count = stream_events;
     send_later(c,
                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
                    seal + "Transfer-Encoding: chunked\r\n\r\n",
                1);
-    int broken = fault > 0 ? first + (int)(random() % count) : count + 1;
+    int broken =
+        fault > 0 ? first + (int)(random() % (unsigned)count) : count + 1;
     long at = 5;
-    for (int i = first; i < count; i++, at += (long)(random() % 20)) {
-      std::string text = Checker::event_of(id, i);
+    for (int i = first; i < count;
+         i++, at += (long)(random() % (unsigned)stream_pause_ms)) {
+      std::string text = Checker::event_of(stream, i) + suffix;
       if (i + 1 == count) text += " end";
       text = chunk(text + "\n\n");
       if (i < broken) {
