--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -236,6 +236,7 @@
 */
 static void set_version (const mt_gateway_t *g, mt_engine_t *e,
                          const mt_gateway_engine_t *engine, bool new_start) {
+  if (engine->version_known) e->version_read_at = mt_boot_clock_now(g->loop);
   bool may_be_old = mt_gateway_in_restore_grace(g) &&
                     engine->started_at == 0 && states_other(e, engine);
   if (may_be_old || (new_start && !engine->version_known))
--- a/src/relay/engine.c
+++ b/src/relay/engine.c
@@ -264,5 +264,6 @@
      have asked for it already. */
   if (e->drain.started_at <= e->started_at) e->drain = (mt_engine_drain_t){0};
   e->unreachable = false;
+  e->doubted_at = 0;
   e->last_received = 0;
 }
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -58,8 +58,9 @@
   char ip[46];
   uint16_t port;
   mt_id_t service;
-  mt_id_t version;    /* of its software; 0: it cannot be told */
-  char *version_name; /* as listed; NULL: not stated */
+  mt_id_t version;         /* of its software; 0: it cannot be told */
+  char *version_name;      /* as listed; NULL: not stated */
+  mt_ms_t version_read_at; /* when the entry that states it was read */
   /* When a connection to it last failed: it may have restarted under its
      name, at another version; 0: never. */
   mt_ms_t doubted_at;
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -8,6 +8,7 @@
 #include "candidates.h"
 #include "placement.h"
 #include "quotes.h"
+#include "stream_resume.h"
 #include "wait_limit.h"
 
 /* Terms of an engine's cost, in ms of expected time to first token. */
@@ -26,7 +27,10 @@
 #define OVER_MIN_RATIO 1.25
 /* A stream that breaks off at an engine whose version cannot be told cannot
    go on. */
-#define UNKNOWN_VERSION_PENALTY_MS 500.0
+#define UNKNOWN_VERSION_PENALTY_MS 100.0
+/* Times the fraction of a version's engines that have left: a stream that is
+   broken off goes on only while engines of its version serve. */
+#define LEAVING_PENALTY_MS 50.0
 /* Beyond the wait limit the request would be refused. */
 #define OVER_LIMIT_PENALTY_MS 2500.0
 /* The load of a failure domain is used for this long; when it is older the
@@ -112,7 +116,8 @@
   const mt_relay_request_t *request;
   const mt_catalog_service_t *service; /* of a language model, or NULL */
   mt_prefill_model_t prefill;
-  bool may_fetch; /* engines may fetch KV cache */
+  const mt_service_versions_t *versions; /* of the service */
+  bool may_fetch;                        /* engines may fetch KV cache */
   /* Engine that those of `source_version` can fetch from, or NULL; prompt
      tokens cached there. */
   mt_id_t source_version; /* 0: not looked for yet */
@@ -159,6 +164,7 @@
   if (service == NULL || !service->model) return c;
   c.service = service;
   c.prefill = mt_relay_prefill_time(relay, r->service);
+  c.versions = &mt_relay_service(relay, r->service)->versions;
   c.unshared = mt_max(r->tokens_in - mt_kv_cache_shared_tokens(r), 1);
   c.events = r->pause > 0 ? mt_relay_expected_events(relay, r) : 0;
   c.limit = wait_limit(relay, r, service, service_ratio_at(relay, r, false));
@@ -245,7 +251,11 @@
   if (full) cost += FULL_PENALTY_MS;
   if (kv_capacity > 0 && held > kv_capacity) cost += MEMORY_PENALTY_MS;
   cost += e->failures * FAILURE_PENALTY_MS;
-  if (e->version == 0) cost += UNKNOWN_VERSION_PENALTY_MS;
+  if (mt_resume_engine_version(c->relay, e) == 0)
+    cost += UNKNOWN_VERSION_PENALTY_MS;
+  if (!r->bound)
+    cost += LEAVING_PENALTY_MS *
+            mt_service_versions_leaving(c->versions, e->version);
   /* An engine that rejects requests looks idle, and would attract more. */
   cost += mt_engine_rejection_rate(e, c->relay->now) * REJECTION_PENALTY_MS;
   if (e->remote) cost += params->cross_domain_ms;
--- a/src/relay/relay_load.c
+++ b/src/relay/relay_load.c
@@ -235,15 +235,20 @@
 
 void mt_relay_update_engines (mt_relay_t *relay) {
   mt_quotes_decay(relay);
-  mtV_each (&relay->services, i)
-    ((mt_relay_service_t *)relay->services.vals[i])->ready = 0;
+  mtV_each (&relay->services, i) {
+    mt_relay_service_t *s = relay->services.vals[i];
+    s->ready = 0;
+    mt_service_versions_begin_count(&s->versions);
+  }
   for (size_t i = relay->engines.count; i-- > 0;) {
     mt_engine_t *e = relay->engines.list[i];
     e->slowness = 1 + (e->slowness - 1) * SLOWNESS_RECOVERY;
     mt_relay_service_t *s = mt_relay_service(relay, e->service);
-    if (mt_engine_is_available(e, relay->now)) s->ready++;
+    bool ready = mt_engine_is_available(e, relay->now);
+    s->ready += ready;
     if (e->state != MT_ENGINE_GONE)
       mt_service_versions_listed(&s->versions, e->version, relay->now);
+    mt_service_versions_count_engine(&s->versions, e->version, ready);
     if (e->unlisted_since != 0 && e->state == MT_ENGINE_READY &&
         relay->now - e->unlisted_since >= relay->params.unlisted_grace_ms)
       mt_relay_engine_gone(relay, e);
--- a/src/relay/stream_origins.c
+++ b/src/relay/stream_origins.c
@@ -123,10 +123,41 @@
     at = oldest;
   }
   if (at == v->count) v->count++;
+  if (v->list[at].version != version)
+    v->list[at].ready = v->list[at].leaving = 0;
   v->list[at].version = version;
   v->list[at].listed_at = now;
 }
 
+void mt_service_versions_begin_count (mt_service_versions_t *v) {
+  for (size_t i = 0; i < v->count; i++)
+    v->list[i].ready = v->list[i].leaving = 0;
+}
+
+void mt_service_versions_count_engine (mt_service_versions_t *v,
+                                       mt_id_t version, bool ready) {
+  for (size_t i = 0; i < v->count; i++) {
+    if (v->list[i].version != version) continue;
+    v->list[i].ready += ready;
+    v->list[i].leaving += !ready;
+  }
+}
+
+double mt_service_versions_leaving (const mt_service_versions_t *v,
+                                    mt_id_t version) {
+  int ready = 0, leaving = 0;
+  bool others = false;
+  for (size_t i = 0; i < v->count; i++) {
+    if (v->list[i].version == version) {
+      ready = v->list[i].ready;
+      leaving = v->list[i].leaving;
+    } else if (v->list[i].ready > 0) {
+      others = true;
+    }
+  }
+  return others && leaving > 0 ? (double)leaving / (ready + leaving) : 0;
+}
+
 int mt_service_versions_count (const mt_service_versions_t *v, mt_ms_t period,
                                mt_ms_t now, mt_id_t *last) {
   int count = 0;
--- a/src/relay/stream_origins.h
+++ b/src/relay/stream_origins.h
@@ -67,7 +67,8 @@
 typedef struct mt_service_versions_t {
   struct {
     mt_id_t version;
-    mt_ms_t listed_at; /* when it was last in the list */
+    mt_ms_t listed_at;  /* when it was last in the list */
+    int ready, leaving; /* engines that serve; that drain or have left */
   } list[MT_SERVICE_VERSIONS_MAX];
   size_t count;
 } mt_service_versions_t;
@@ -76,6 +77,16 @@
 void mt_service_versions_listed (mt_service_versions_t *versions,
                                  mt_id_t version, mt_ms_t now);
 
+/* Begins a count of the engines of each version. */
+void mt_service_versions_begin_count (mt_service_versions_t *versions);
+void mt_service_versions_count_engine (mt_service_versions_t *versions,
+                                       mt_id_t version, bool ready);
+
+/* Fraction of the version's engines that drain or have left, while another
+   version serves; 0: none does. Such a version is being replaced. */
+double mt_service_versions_leaving (const mt_service_versions_t *versions,
+                                    mt_id_t version);
+
 /* The number of versions that were listed in the last `period` ms; `last`
    gets one of them. Engines whose version cannot be told count as version 0.
  */
--- a/src/relay/stream_resume.c
+++ b/src/relay/stream_resume.c
@@ -11,6 +11,9 @@
 #define LIST_LAG_MAX_MS 3000
 /* From the start of an engine until its entry can be read at the source. */
 #define ENTRY_LAG_MS 500
+/* An entry that was read or confirmed longer ago may be of an earlier start.
+   It is longer than a watch that reports no change is held by the source. */
+#define ENTRY_AGE_MAX_MS 9000
 #define ANSWER_TIMEOUT_MS 60 /* for replies of owners */
 /* Replies without a record that are enough where one version serves: a router
    that is gone, but not yet known to be, does not reply. */
@@ -95,10 +98,10 @@
 mt_id_t mt_resume_engine_version (const mt_relay_t *relay,
                                   const mt_engine_t *e) {
   if (e->started_at == 0 || e->version == 0) return e->version;
-  if (!is_list_current(relay)) return 0;
-  bool doubted = e->doubted_at != 0 &&
-                 relay->list_confirmed < e->doubted_at + ENTRY_LAG_MS;
-  if (!doubted) return e->version;
+  mt_ms_t known = mt_max(relay->list_confirmed, e->version_read_at);
+  if (relay->now > known + ENTRY_AGE_MAX_MS) return 0;
+  if (e->doubted_at == 0 || known >= e->doubted_at + ENTRY_LAG_MS)
+    return e->version;
   /* Unless an upgrade begins with it, it is of the only version. */
   return view_of(relay, e->service).sole == e->version ? e->version : 0;
 }
--- a/tests/soak/caller.h
+++ b/tests/soak/caller.h
@@ -22,6 +22,7 @@
   bool complete = false, event_stream = false, connection_close = false;
   std::string seal, body, engine;
   bool leaving = false; // has Server-Leaving: 1
+  long retry_after_ms = 0;
 };
 
 // Parses what a connection has received so far of a reply.
@@ -36,6 +37,7 @@
   a.event_stream = head.field("Content-Type") == "text/event-stream";
   a.engine = head.field("X-Engine");
   a.leaving = head.field("Server-Leaving") == "1";
+  a.retry_after_ms = (long)(1000 * atof(head.field("Retry-After").c_str()));
   a.connection_close = head.field("Connection") == "close";
   size_t at = end + 4;
   if (head.field("Transfer-Encoding") == "chunked") {
