--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -230,8 +230,7 @@
 /*
 ** Routers' changes do not state the version of a new start. Nor can the
 *source
-** be relied on right after a restore, when an entry may be an old one from
-*the
+** be relied on right after a restore: an entry may be an old one of the
 ** backup. The version is then unknown until the entry is read again.
 */
 static void set_version (const mt_gateway_t *g, mt_engine_t *e,
--- a/src/gateway/origin_exchange.h
+++ b/src/gateway/origin_exchange.h
@@ -6,9 +6,8 @@
 ** first are in reach where a domain is cut off, and the others where one is
 ** lost. Owners keep the origin for as long as the stream may be resumed.
 **
-** Datagrams are not trusted. With a forged one an attacker who knows the id
-*of
-** a request and its workspace can keep the stream from being resumed, or have
+** Datagrams are not trusted. With a forged one an attacker who knows a
+** request's id and workspace can keep the stream from being resumed, or have
 ** it go on at another version.
 */
 #ifndef origin_exchange_h
--- a/src/relay/kv_cache.h
+++ b/src/relay/kv_cache.h
@@ -49,7 +49,7 @@
                                    int64_t kv_capacity);
 
 /*
-** The engine that engines of a software version can fetch from: of those of
+** The engine to fetch from, for engines of a software version: of those of
 ** the same version that are available and have not just failed, the one with
 ** most of the prompt cached. Sets `tokens` to the number of its cached
 *tokens.
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -49,8 +49,7 @@
 ** ON_PROBATION, QUARANTINED: the request may have crashed engines
 ** (quarantine.h). STREAM_UNKNOWN, VERSION_GONE: the software version at which
 ** the stream began is not known, or no longer serves. ENGINE_LOST: an attempt
-*failed that may have run, and no
-** retry was possible.
+** failed that may have run, and no retry was possible.
 */
 #define MT_RELAY_REFUSALS(ROW)                                  \
   ROW(MT_RELAY_BAD_REQUEST, "bad_request", 400)                 \
@@ -128,7 +127,8 @@
   uint64_t resumed;          /* requests that resume a stream */
   uint64_t origins_told;     /* origins of streams told to owners */
   uint64_t origins_found[MT_ORIGIN_SOURCES]; /* of resumed streams */
-  /* Retries within an answer, at an engine of another software version. */
+  /* Retries within an answer at another software version; always 0, unless
+     a stream is not bound. */
   uint64_t version_changes;
   /* Owners' replies to requests on probation. */
   uint64_t trials[MT_TRIAL_COUNT];
--- a/src/relay/stream_origins.h
+++ b/src/relay/stream_origins.h
@@ -88,8 +88,7 @@
                                     mt_id_t version);
 
 /* The number of versions that were listed in the last `period` ms; `last`
-   gets one of them. Engines whose version cannot be told count as version 0.
- */
+   gets one of them. Engines whose version cannot be told count as 0. */
 int mt_service_versions_count (const mt_service_versions_t *versions,
                                mt_ms_t period, mt_ms_t now, mt_id_t *last);
 
--- a/src/relay/stream_resume.c
+++ b/src/relay/stream_resume.c
@@ -68,9 +68,8 @@
 
 /*
 ** True if every version was seen here at which streams began that may still
-*be
-** resumed: the list of engines has been up to date for as long as they live,
-** or since another router, for which that held, reported the only version.
+** be resumed: the list of engines has been up to date for as long as they
+** live, or since another router, for which that held, reported the only one.
 */
 static bool saw_all_versions (const mt_relay_t *relay,
                               const mt_relay_service_t *s, mt_id_t sole,
@@ -108,14 +107,13 @@
 
 void mt_resume_on_view (mt_relay_t *relay, mt_id_t service,
                         const mt_origin_answer_t *view) {
-  mt_relay_service_t *s = mt_relay_service(relay, service);
-  if (view->sole == 0 || !is_list_current(relay)) return;
+  mt_relay_service_t *s = mtV_get(&relay->services, service);
+  if (s == NULL || view->sole == 0 || !is_list_current(relay)) return;
   s->reported_sole = view->sole;
   s->reported_at = relay->now;
 }
 
-/* True if others may know what this router has not run long enough to know.
- */
+/* True if routers that have run for longer may know more. */
 static bool lacks_history (const mt_relay_t *relay,
                            const mt_relay_service_t *s) {
   mt_origin_answer_t view = view_of(relay, s->id);
@@ -198,7 +196,7 @@
 void mt_resume_version_changed (mt_relay_t *relay, const mt_engine_t *e) {
   for (size_t i = 0; i < relay->count; i++) {
     mt_relay_request_t *r = relay->list[i];
-    if (r->engine == e && r->bound) r->version = 0;
+    if (r->engine == e && r->events_count > 0) r->version = 0;
   }
   mt_ms_t life = stream_life_ms(relay, e->service);
   mt_ms_t lag = LIST_LAG_MAX_MS + relay->now -
--- a/src/relay/stream_resume.h
+++ b/src/relay/stream_resume.h
@@ -3,20 +3,17 @@
 **
 ** A stream is bound to the version of the engine that its first event came
 ** from, and goes on only there: within one answer, and when its caller
-*resumes
-** it with another request, often at another router since the first one is
-** gone. So the router that begins a stream keeps its origin and tells a few
-** owners, routers that follow from a hash of the stream's key, before it
-** forwards the first event. A router that does not know the origin of a
-*stream
-** asks them.
+** resumes it with another request, often at another router since the first
+** one is gone. So the router that begins a stream keeps its origin and tells
+** a few owners, routers that follow from a hash of the stream's key, before
+** it forwards the first event. A router that does not know the origin of a
+** stream asks them.
 **
 ** While a single version serves nothing has to be told: the origin follows
 ** from the list of engines. A router relies on that only if its list has been
 ** up to date, and has had a single version, for as long as a stream may live,
-** or since a router reported the same of its own list; until then it tells
-*the
-** origins of its streams. A router that cannot tell where a stream began
+** or since a router reported the same of its own list. Until then it tells
+** the origins of its streams. A router that cannot tell where a stream began
 ** refuses it.
 */
 #ifndef stream_resume_h
