--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -228,10 +228,9 @@
 }
 
 /*
-** Routers' changes do not state the version of a new start. Nor can the
-*source
-** be relied on right after a restore: an entry may be an old one of the
-** backup. The version is then unknown until the entry is read again.
+** Routers' changes do not state the version of a new start. Right after a
+** restore an entry may be an old one of the backup. The version is then
+** unknown until the entry is read again.
 */
 static void set_version (const mt_gateway_t *g, mt_engine_t *e,
                          const mt_gateway_engine_t *engine, bool new_start) {
--- a/src/relay/kv_cache.h
+++ b/src/relay/kv_cache.h
@@ -51,9 +51,8 @@
 /*
 ** The engine to fetch from, for engines of a software version: of those of
 ** the same version that are available and have not just failed, the one with
-** most of the prompt cached. Sets `tokens` to the number of its cached
-*tokens.
-** NULL if no engine has any, or the service does not support transfers.
+** most of the prompt cached; `tokens` gets how many it has. NULL if no engine
+** has any, or the service does not support transfers.
 */
 mt_engine_t *mt_kv_cache_find_source (mt_relay_t *relay,
                                       const mt_relay_request_t *request,
--- a/tests/stream_resume_test.cc
+++ b/tests/stream_resume_test.cc
@@ -614,6 +614,27 @@
   return sent->to;
 }
 
+// While several versions serve, each stream costs some of these.
+TEST(OriginExchange, MessagesAreSmall) {
+  char bytes[MT_PEER_DATAGRAM_MAX];
+  for (mt_peer_kind_t kind :
+       {MT_PEER_ORIGIN, MT_PEER_ORIGIN_REQUEST, MT_PEER_ORIGIN_REPLY}) {
+    auto m = std::make_unique<mt_peer_message_t>();
+    mt_peer_message_begin(m.get(), kind);
+    m->boot = UINT64_MAX;
+    m->number = m->request_number = 1u << 31;
+    m->groups = 16;
+    for (mt_peer_feed_t &feed : m->feeds)
+      feed = {1 << 30, 1 << 30, 1 << 30, 5000};
+    m->origin = {{UINT64_MAX, {UINT32_MAX, UINT32_MAX}, 600000},
+                 {true, {UINT32_MAX, UINT32_MAX}, UINT32_MAX, true}};
+    size_t n = mt_peer_message_pack(m.get(), bytes, sizeof bytes);
+    EXPECT_GT(n, 0u);
+    EXPECT_LE(n, 120u);
+    RecordProperty(mt_peer_kind_name(kind), (int)n);
+  }
+}
+
 // Each router that a stream's owners are asked by reaches all that were told,
 // whether or not it knows already that the one that began the stream is gone.
 TEST(OriginExchange, WhoIsToldIsAsked) {
--- a/tests/stream_version_test.cc
+++ b/tests/stream_version_test.cc
@@ -39,7 +39,7 @@
     for (int i = 0; i < 8; i++) world.add_engine("model");
     callers.add(row.callers);
   }
-  // Replaces a random engine of another version by one of `version`.
+  // Replaces an engine of another version by one of `version`.
   void roll (const std::string &version) {
     for (const std::string &id : world.model_engines) {
       if (world.version_by_engine[id] == version) continue;
