Resumed streams: a known ambiguity is final, a restart alone is no doubt

A stream whose version is known not to be tellable was refused with Retry-After where this router itself kept the row; waiting cannot help. A restart heard of from another router, which does not state the version, withdrew the origins of streams that had begun there before, though the version was mostly the same. Streams that begin before the entry is read have no version anyway.

--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -262,8 +262,7 @@
   if (is_earlier_start(e, engine)) return;
   if (is_later_start(e, engine) || (!is_new && states_other(e, engine))) {
     log_engine(g, e, "restarted");
-    mt_gateway_engine_restarted(
-        g, e, !engine->version_known || states_other(e, engine));
+    mt_gateway_engine_restarted(g, e, states_other(e, engine));
     is_new = true; /* nothing but its name is the same */
   }
   e->started_at = mt_max(e->started_at, engine->started_at);
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -63,7 +63,7 @@
 
 /* An engine has restarted under its name: the requests that ran there are
    lost, and idle connections to it are closed. `version_changed`: its
-   software version may be another one. */
+   software version is another one. */
 void mt_gateway_engine_restarted (mt_gateway_t *gateway,
                                   const mt_engine_t *engine,
                                   bool version_changed);
--- a/tests/stream_resume_test.cc
+++ b/tests/stream_resume_test.cc
@@ -323,6 +323,27 @@
   }
 }
 
+// A stream of which it is known that its version cannot be told, here or by
+// an owner: its caller need not come back.
+TEST(StreamResume, AmbiguousOriginIsFinal) {
+  for (bool local : {false, true}) {
+    Versions r({"v1", "v2"});
+    const mt_stream_origin_t origin = {mtV_id("model", 5), 0};
+    const mt_catalog_workspace_t *w =
+        mt_catalog_find_workspace(r.relay->catalog, {"key-w1", 6});
+    if (local)
+      mt_stream_origins_add(&r.relay->origins, mt_stream_key("r1", 2, w->id),
+                            &origin, 0, 1000, r.now);
+    r.resume();
+    if (!local) {
+      r.asked(3);
+      r.answer(known(nullptr));
+    }
+    EXPECT_EQ(r.refusal(), MT_RELAY_STREAM_UNKNOWN);
+    EXPECT_EQ(r.find(MT_RELAY_DO_REFUSE)->u.refuse.retry_after, 0u);
+  }
+}
+
 // Of a version that is left, a reason says whether waiting helps.
 TEST(StreamResume, RefusalsSayWhetherTheVersionComesBack) {
   struct Row {
