Revision 0 is a revision, not "nothing received"

Callers: a router that the store refuses, and whose first list was empty, kept sending work to an engine that drains or is gone, or accepting a revoked key, when the message of the source's first change was lost: for as long as it was watched, since no request for the change was ever sent.

Cause: 0 stood for "no revision is known" and is also the revision of a source without a change. So a router that had read up to 0 was not behind whatever its peers knew (mt_feed_state_is_behind), its request was taken for one of a router that knows nothing, and a span after 0 for one without a beginning. On the wire the same held for count 0 of any era.

Change: MT_REVISION_NONE is less than every revision and of no era, and stands for "not known" wherever a revision is kept, sent or compared; 0 is an ordinary revision. It replaces mt_feed_state_t.read. On the wire 0 still means "not known"; the first revision of an era is counted back from a later era, which today's builds decode to 0, as they would send it. Their span after 0 in era 0 is taken as such; their other zeros for "not known". A router that has read nothing is not behind and requests nothing until it has read the source.

Tests: LostChangesAfterAnEmptyFirstListAreRequested, ...SurviveLoss, ARouterThatHasReadNothing... and RevisionZeroIsARevision. The row "without a base" of FeedState.ClassifiesAndAppliesSpans had 0 for an unknown base, which was the fault; it has NONE now, and a row with base 0 that is applied stands beside it. The other rows are as they were; states that were all zero start as MT_FEED_STATE_UNREAD.

--- a/src/gateway/feed_exchange.c
+++ b/src/gateway/feed_exchange.c
@@ -80,7 +80,7 @@
   mt_ms_t now = x->members->now;
   for (int i = 0; i < MT_FEEDS; i++) {
     const mt_peer_feed_t *known = &m->feeds[i];
-    if (known->at == 0 || known->age > now) continue;
+    if (known->at == MT_REVISION_NONE || known->age > now) continue;
     peer->received[i] = known->received;
     mt_feed_state_merge(&x->feeds[i].state, known->newest, known->at,
                         now - known->age);
@@ -210,7 +210,8 @@
 ** only fill the log. Withdrawals are kept for routers that missed them.
 */
 static bool should_keep (const mt_feed_t *feed, const mt_change_t *change) {
-  if (!feed->state.read) return change->kind != MT_CHANGE_ENGINE_READY;
+  if (feed->state.received == MT_REVISION_NONE)
+    return change->kind != MT_CHANGE_ENGINE_READY;
   return change->rev > feed->state.received;
 }
 
@@ -372,7 +373,7 @@
   for (int i = 0; i < MT_FEEDS; i++) {
     mt_revision_t ours = x->feeds[i].state.received,
                   theirs = request->feeds[i].received;
-    if (theirs == 0 || theirs >= ours) continue;
+    if (theirs == MT_REVISION_NONE || theirs >= ours) continue;
     pack_since(x, m, (mt_feed_kind_t)i, theirs, ours);
     has_changes = true;
   }
@@ -472,6 +473,7 @@
 void mt_feed_exchange_open (mt_feed_exchange_t *x, mt_membership_t *members,
                             const mt_feed_exchange_callbacks_t *callbacks) {
   *x = (mt_feed_exchange_t){.members = members, .callbacks = *callbacks};
+  for (int i = 0; i < MT_FEEDS; i++) x->feeds[i].state = MT_FEED_STATE_UNREAD;
 }
 
 void mt_feed_exchange_free (mt_feed_exchange_t *x) {
--- a/src/gateway/feed_state.c
+++ b/src/gateway/feed_state.c
@@ -9,7 +9,7 @@
 static void advance_to_source (mt_revision_t *known,
                                const mt_feed_state_t *feed) {
   bool same_era = mt_revision_era(*known) == mt_revision_era(feed->at);
-  if (*known > 0 && *known >= feed->newest && same_era)
+  if (*known != MT_REVISION_NONE && *known >= feed->newest && same_era)
     *known = mt_max(*known, feed->at);
 }
 
@@ -28,10 +28,11 @@
                                      mt_revision_t newest, mt_revision_t at,
                                      mt_ms_t now, bool unannounced) {
   /* Where `newest` is less than `received`, no change lies between them. */
-  mt_revision_t last = feed->newest > 0 ? feed->newest : feed->received;
+  bool unheard = feed->newest == MT_REVISION_NONE;
+  mt_revision_t last = unheard ? feed->received : feed->newest;
   mt_revision_t base = mt_min(feed->received, last);
-  bool first = !feed->read, changed = newest > feed->newest;
-  feed->read = true;
+  bool first = feed->received == MT_REVISION_NONE;
+  bool changed = newest > feed->newest;
   feed->applied = mt_max(feed->applied, at);
   feed->received = mt_max(feed->received, at);
   if (now != 0) mt_feed_state_merge(feed, newest, at, now);
@@ -56,7 +57,8 @@
                                           mt_revision_t base,
                                           mt_revision_t reach) {
   if (feed->received >= reach) return MT_FEED_KNOWN;
-  return base > 0 && feed->received >= base ? MT_FEED_APPLIED : MT_FEED_GAP;
+  bool complete = base != MT_REVISION_NONE && feed->received >= base;
+  return complete ? MT_FEED_APPLIED : MT_FEED_GAP;
 }
 
 void mt_feed_state_apply (mt_feed_state_t *feed, mt_revision_t base,
@@ -68,5 +70,5 @@
 }
 
 bool mt_feed_state_is_behind (const mt_feed_state_t *feed) {
-  return feed->received > 0 && feed->newest > feed->received;
+  return feed->received != MT_REVISION_NONE && feed->newest > feed->received;
 }
--- a/src/gateway/feed_state.h
+++ b/src/gateway/feed_state.h
@@ -21,15 +21,18 @@
 typedef struct mt_feed_state_t {
   mt_revision_t newest; /* last change of the feed that any router knows of */
   mt_revision_t at;     /* source's revision when that was the last change */
-  mt_revision_t applied;  /* all changes up to this one are applied here */
+  mt_revision_t applied;  /* all changes up to this one are applied here;
+                             NONE: this router has not read the feed yet */
   mt_revision_t received; /* likewise, except for details (of new engines,
                          say) that can only be read from the source */
   mt_ms_t confirmed; /* when a router last read this at the source, or 0 */
-  /* This router has read the feed. The revisions above do not show it: a list
-     of an empty feed is of revision 0. */
-  bool read;
 } mt_feed_state_t;
 
+/* The state of a feed of which nothing is known. */
+#define MT_FEED_STATE_UNREAD                                               \
+  ((mt_feed_state_t){MT_REVISION_NONE, MT_REVISION_NONE, MT_REVISION_NONE, \
+                     MT_REVISION_NONE, 0})
+
 /*
 ** Merges what some router read at the source; true if it shows a new change.
 ** If all changes up to `newest` are known here, all up to `at` are: the
@@ -69,7 +72,7 @@
 const char *mt_feed_outcome_name (mt_feed_outcome_t outcome);
 
 /* KNOWN, APPLIED or GAP, for a received span with all changes after `base` up
-   to `reach`. Base 0 means that its beginning is not known. */
+   to `reach`. Base NONE means that its beginning is not known. */
 mt_feed_outcome_t mt_feed_state_classify (const mt_feed_state_t *feed,
                                           mt_revision_t base,
                                           mt_revision_t reach);
--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -451,7 +451,8 @@
   mt_revision_t applied =
       mt_gateway_peers_applied_rev(g->peers, MT_FEED_ENGINES);
   mt_ms_t now = mt_boot_clock_now(g->loop);
-  if (feed.age > LIST_AGE_MAX_MS || applied == 0 || applied < feed.newest)
+  if (feed.age > LIST_AGE_MAX_MS || applied == MT_REVISION_NONE ||
+      applied < feed.newest)
     return;
   mt_resume_list_is_current(g->relay, now - feed.age, now);
 }
--- a/src/gateway/peer_message.c
+++ b/src/gateway/peer_message.c
@@ -94,7 +94,8 @@
   m->interval = 0;
   m->groups = m->group = 0;
   for (int i = 0; i < MT_FEEDS; i++) {
-    m->feeds[i] = (mt_peer_feed_t){0};
+    m->feeds[i] = (mt_peer_feed_t){MT_REVISION_NONE, MT_REVISION_NONE,
+                                   MT_REVISION_NONE, 0};
     m->spans[i] = (mt_peer_span_t){0};
   }
   m->members_count = m->shares_count = 0;
@@ -296,24 +297,37 @@
   }
 }
 
-/* The latest era among the message's revisions. */
-static int64_t latest_era (const mt_peer_message_t *m) {
-  mt_revision_t last = 0;
+/*
+** The least era that a revision can be encoded with. On the wire eras are
+** counted back from one of the message, so that most revisions are small
+** numbers. 0 is no revision there, so the one before the first change of an
+** era has to be counted back from a later era.
+*/
+static int64_t least_wire_era (mt_revision_t rev) {
+  if (rev == MT_REVISION_NONE) return 0;
+  return mt_revision_era(rev) + (mt_revision_count(rev) == 0);
+}
+
+/* The era that the message's revisions are encoded with. */
+static int64_t wire_era (const mt_peer_message_t *m) {
+  int64_t era = 0;
   for (int i = 0; i < MT_FEEDS; i++) {
     const mt_peer_feed_t *feed = &m->feeds[i];
-    last = mt_max(last, mt_max(feed->newest, feed->at));
-    last = mt_max(last, mt_max(feed->received, m->spans[i].reach));
-    last = mt_max(last, m->spans[i].base);
+    const mt_peer_span_t *span = &m->spans[i];
+    era = mt_max(era, least_wire_era(feed->newest));
+    era = mt_max(era, least_wire_era(feed->at));
+    era = mt_max(era, least_wire_era(feed->received));
+    if (span->reach == 0) continue;
+    era = mt_max(era, least_wire_era(span->base));
+    era = mt_max(era, least_wire_era(span->reach));
   }
   for (size_t i = 0; i < m->changes_count; i++)
-    last = mt_max(last, m->changes[i].rev);
-  return mt_revision_era(last);
+    era = mt_max(era, least_wire_era(m->changes[i].rev));
+  return mt_min(era, MT_REVISION_ERA_MAX);
 }
 
-/* On the wire eras are counted back from the message's latest one, so that
-   most revisions are small numbers. */
 static uint64_t encode_revision (int64_t era, mt_revision_t rev) {
-  if (rev == 0) return 0;
+  if (rev == MT_REVISION_NONE) return 0;
   return (uint64_t)mt_revision(era - mt_revision_era(rev),
                                mt_revision_count(rev));
 }
@@ -388,6 +402,7 @@
     feed[1] = encode_revision(era, m->feeds[i].at);
     feed[2] = encode_revision(era, m->feeds[i].received);
     feed[3] = m->feeds[i].age;
+    if (m->spans[i].reach == 0) continue;
     span[0] = encode_revision(era, m->spans[i].base);
     span[1] = encode_revision(era, m->spans[i].reach);
   }
@@ -402,7 +417,7 @@
       FORMAT_VERSION,    m->kind,     m->boot,   m->number,
       m->request_number, m->interval, m->groups, m->group,
   };
-  int64_t era = latest_era(m);
+  int64_t era = wire_era(m);
   pack_feeds(m, era, fields);
   msgpack_pack_array(&pk, HEADER_FIELDS + LISTS);
   for (int i = 0; i < HEADER_FIELDS; i++) msgpack_pack_uint64(&pk, fields[i]);
@@ -436,14 +451,24 @@
   return number > (uint64_t)max ? max : (int64_t)number;
 }
 
-/* 0 if the era would be negative. */
+/* NONE if the era would be negative. */
 static mt_revision_t decode_revision (const msgpack_object *o, int64_t era) {
   mt_revision_t wire = unpack_bounded(o, INT64_MAX);
   int64_t back = mt_revision_era(wire);
-  if (wire == 0 || back > era) return 0;
+  if (wire == 0 || back > era) return MT_REVISION_NONE;
   return mt_revision(era - back, mt_revision_count(wire));
 }
 
+/* An older build also sends 0 for the first revision of the latest era. In
+   era 0 a span's base can be no other. */
+static mt_peer_span_t decode_span (const msgpack_object *at, int64_t era) {
+  mt_revision_t base = decode_revision(&at[0], era),
+                reach = decode_revision(&at[1], era);
+  if (reach == MT_REVISION_NONE) return (mt_peer_span_t){0};
+  if (base == MT_REVISION_NONE && era == 0) base = 0;
+  return (mt_peer_span_t){base, reach};
+}
+
 /* Number of rows in a list, at most `max`. */
 static size_t count_rows (const msgpack_object *list, size_t fields,
                           size_t max) {
@@ -657,7 +682,7 @@
     unpack_text(&at[1], change->name, sizeof change->name);
     change->rev = decode_revision(&at[2], era);
     change->age = (mt_ms_t)unpack_bounded(&at[3], DURATION_MAX_MS);
-    if (change->name[0] == '\0' || change->rev == 0) continue;
+    if (change->name[0] == '\0' || change->rev <= 0) continue;
     m->changes_count += unpack_details(&at[4], change);
   }
 }
@@ -716,13 +741,11 @@
   int64_t era = unpack_bounded(&at[ERA_OFFSET], MT_REVISION_ERA_MAX);
   for (int i = 0; i < MT_FEEDS; i++) {
     const msgpack_object *feed = &at[FEEDS_OFFSET + i * FEED_FIELDS];
-    const msgpack_object *span = &at[SPANS_OFFSET + i * SPAN_FIELDS];
     m->feeds[i].newest = decode_revision(&feed[0], era);
     m->feeds[i].at = decode_revision(&feed[1], era);
     m->feeds[i].received = decode_revision(&feed[2], era);
     m->feeds[i].age = (mt_ms_t)unpack_bounded(&feed[3], DURATION_MAX_MS);
-    m->spans[i].base = decode_revision(&span[0], era);
-    m->spans[i].reach = decode_revision(&span[1], era);
+    m->spans[i] = decode_span(&at[SPANS_OFFSET + i * SPAN_FIELDS], era);
   }
 }
 
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -118,14 +118,15 @@
 /*
 ** What a router knows of a feed: at the source's revision `at`, read `age` ms
 ** ago, the feed's last change was `newest`. The sender has received all
-** changes up to `received`.
+** changes up to `received`. NONE: not known.
 */
 typedef struct mt_peer_feed_t {
   mt_revision_t newest, at, received;
   mt_ms_t age;
 } mt_peer_feed_t;
 
-/* All changes of a feed after `base` up to `reach`; both 0: none. */
+/* All changes of a feed after `base` up to `reach`; reach 0: none. Base NONE:
+   the beginning is not known. */
 typedef struct mt_peer_span_t {
   mt_revision_t base, reach;
 } mt_peer_span_t;
--- a/tests/feed_exchange_test.cc
+++ b/tests/feed_exchange_test.cc
@@ -457,6 +457,91 @@
   }
 }
 
+// Guards against the same at a router that the source rejects and that has
+// read an empty list and nothing else: it took that for having read nothing,
+// did not request changes whose messages were lost, and was sent none.
+TEST(FeedExchange, LostChangesAfterAnEmptyFirstListAreRequested) {
+  struct Row {
+    const char *what;
+    int count, domains;
+    mt_feed_kind_t feed;
+    mt_change_kind_t kind;
+    mt_ms_t silence;  // nothing is delivered for this long
+    int64_t received; // by the other routers, as in the test above
+  } rows[] = {
+      {"a drain", 4, 2, MT_FEED_ENGINES, MT_CHANGE_ENGINE_DRAINING, 50, 0},
+      {"a new engine", 4, 2, MT_FEED_ENGINES, MT_CHANGE_ENGINE_READY, 50, 0},
+      {"a pair", 2, 1, MT_FEED_ENGINES, MT_CHANGE_ENGINE_GONE, 200, 0},
+      {"others have read on", 4, 2, MT_FEED_ENGINES,
+       MT_CHANGE_ENGINE_DRAINING, 200, 1},
+      {"a revoked key", 12, 3, MT_FEED_DECLARATIONS, MT_CHANGE_KEY_REVOKED,
+       1000, 0},
+      {"a large fleet", 30, 3, MT_FEED_DECLARATIONS,
+       MT_CHANGE_DOMAIN_EVACUATED, 200, 0},
+  };
+  for (const Row &row : rows)
+    for (int64_t era : {0, 1})
+      for (unsigned seed = 1; seed <= 5; seed++) {
+        Fleet w(row.count, row.domains, seed, mt_revision(era, 0));
+        for (auto &r : w.routers) {
+          r->rejected = r != w.routers[0];
+          if (row.received > 0 && r->rejected)
+            mt_feed_exchange_source_read(&r->feeds, row.feed, w.rev,
+                                         w.rev + row.received,
+                                         MT_FEED_CHANGES);
+        }
+        w.rev++;
+        w.change(row.kind, "i-1");
+        w.loss = 1000;
+        w.run(row.silence);
+        w.loss = 0;
+        w.run(2000);
+        EXPECT_EQ(w.count_missing("i-1", row.kind), 0)
+            << row.what << ", era " << era << ", seed " << seed;
+      }
+}
+
+// The same under loss, with several changes in a row.
+TEST(FeedExchange, ChangesAfterAnEmptyFirstListSurviveLoss) {
+  for (int count : {4, 12})
+    for (unsigned loss : {300u, 700u})
+      for (unsigned seed = 1; seed <= 10; seed++) {
+        Fleet w(count, 2, seed, 0);
+        for (auto &r : w.routers) r->rejected = r != w.routers[0];
+        w.loss = loss;
+        for (int i = 0; i < 6; i++) {
+          w.change(i % 2 ? MT_CHANGE_ENGINE_GONE : MT_CHANGE_ENGINE_DRAINING,
+                   "i-" + std::to_string(i / 2));
+          w.run(50);
+        }
+        w.run(loss > 500 ? 15000 : 2000);
+        for (const char *name : {"i-0", "i-1", "i-2"})
+          EXPECT_EQ(w.count_missing(name, MT_CHANGE_ENGINE_GONE), 0)
+              << name << ", " << count << " routers, loss " << loss
+              << ", seed " << seed;
+      }
+}
+
+// A router that has read nothing is not behind: no changes would complete
+// what it knows, so it requests none until it has read the source.
+TEST(FeedExchange, ARouterThatHasReadNothingRequestsNoChanges) {
+  Fleet w(4, 2, 1, 0);
+  Router *starting = w.routers[3].get();
+  mt_feed_exchange_free(&starting->feeds);
+  const mt_feed_exchange_callbacks_t callbacks = {
+      Fleet::begin, Fleet::send, Fleet::apply, Fleet::count_outcome,
+      starting};
+  mt_feed_exchange_open(&starting->feeds, &starting->members, &callbacks);
+  for (auto &r : w.routers) r->rejected = r != w.routers[0];
+  w.change(MT_CHANGE_ENGINE_DRAINING, "i-1");
+  w.run(2000);
+  const mt_feed_state_t &feed = starting->feeds.feeds[MT_FEED_ENGINES].state;
+  EXPECT_EQ(starting->outcomes[MT_FEED_REQUESTED], 0u);
+  EXPECT_EQ(feed.received, MT_REVISION_NONE);
+  EXPECT_EQ(feed.newest, w.rev);
+  EXPECT_EQ(starting->known["i-1"], MT_CHANGE_ENGINE_DRAINING);
+}
+
 // A list does not show removed engines. Its reader sends removals of unlisted
 // engines, also of those known from peers only, but does not claim to know
 // all changes up to the list. When it did, a gateway that took its changes
--- a/tests/feed_state_test.cc
+++ b/tests/feed_state_test.cc
@@ -48,7 +48,7 @@
                false,
                {true, 90, 120}}};
   for (const Row &row : rows) {
-    mt_feed_state_t feed{};
+    mt_feed_state_t feed = MT_FEED_STATE_UNREAD;
     mt_feed_state_read(&feed, 90, 100, 1000, true);
     mt_feed_state_merge(&feed, row.reported, row.reported, 1500);
     mt_feed_update_t update = mt_feed_state_read(
@@ -66,7 +66,7 @@
 
 // After a start everything is new to this router, but not to others.
 TEST(FeedState, TheFirstReadGivesNoUpdate) {
-  mt_feed_state_t feed{};
+  mt_feed_state_t feed = MT_FEED_STATE_UNREAD;
   EXPECT_FALSE(mt_feed_state_read(&feed, 90, 100, 1000, true).due);
 }
 
@@ -83,9 +83,10 @@
       {"with new engines", 100, 110, false, MT_FEED_APPLIED, 110, 100},
       {"leaves a gap", 105, 110, true, MT_FEED_GAP, 100, 100},
       {"known already", 90, 100, true, MT_FEED_KNOWN, 100, 100},
-      {"without a base", 0, 110, true, MT_FEED_GAP, 100, 100}};
+      {"without a base", MT_REVISION_NONE, 110, true, MT_FEED_GAP, 100, 100},
+      {"all changes of the source", 0, 110, true, MT_FEED_APPLIED, 110, 110}};
   for (const Row &row : rows) {
-    mt_feed_state_t feed{};
+    mt_feed_state_t feed = MT_FEED_STATE_UNREAD;
     mt_feed_state_read(&feed, 100, 100, 1000, true);
     mt_feed_outcome_t outcome =
         mt_feed_state_classify(&feed, row.base, row.reach);
@@ -109,7 +110,7 @@
               {"a change of this feed", 110, 120, 100, true},
               {"an older report", 80, 95, 100, false}};
   for (const Row &row : rows) {
-    mt_feed_state_t feed{};
+    mt_feed_state_t feed = MT_FEED_STATE_UNREAD;
     mt_feed_state_read(&feed, 90, 100, 1000, true);
     mt_feed_state_merge(&feed, row.newest, row.at, 1500);
     EXPECT_EQ(feed.received, row.known) << row.what;
--- a/tests/revision_test.cc
+++ b/tests/revision_test.cc
@@ -71,6 +71,52 @@
   EXPECT_EQ(out->changes[1].rev, now);
 }
 
+// A source without a change is at revision 0, also right after a restore from
+// an empty backup. Guards against taking that for a revision that is not
+// known: a router that had read an empty list never requested the first
+// change.
+TEST(PeerMessage, RevisionZeroIsARevision) {
+  const mt_revision_t none = MT_REVISION_NONE;
+  struct Row {
+    const char *what;
+    mt_peer_feed_t feed;
+    mt_peer_span_t span;
+  } rows[] = {{"nothing is known", {none, none, none, 0}, {0, 0}},
+              {"the source has had no change", {0, 0, 0, 5}, {0, 0}},
+              {"its first change", {1, 1, 0, 5}, {0, 1}},
+              {"not read here", {1, 1, none, 5}, {none, 1}},
+              {"restored from an empty backup",
+               {mt_revision(1, 0), mt_revision(1, 0), 0, 5},
+               {0, mt_revision(1, 0)}},
+              {"and changed",
+               {mt_revision(1, 1), mt_revision(1, 1), mt_revision(1, 0), 5},
+               {mt_revision(1, 0), mt_revision(1, 1)}},
+              {"restored again",
+               {mt_revision(2, 7), mt_revision(2, 7), mt_revision(1, 0), 5},
+               {mt_revision(1, 0), mt_revision(2, 7)}}};
+  for (const Row &row : rows) {
+    SCOPED_TRACE(row.what);
+    char bytes[MT_PEER_DATAGRAM_MAX];
+    auto in = std::make_unique<mt_peer_message_t>(),
+         out = std::make_unique<mt_peer_message_t>();
+    mt_peer_message_begin(in.get(), MT_PEER_CHANGES);
+    in->feeds[MT_FEED_ENGINES] = row.feed;
+    in->spans[MT_FEED_ENGINES] = row.span;
+    size_t n = mt_peer_message_pack(in.get(), bytes, sizeof bytes);
+    ASSERT_TRUE(mt_peer_message_unpack(out.get(), bytes, n));
+    const mt_peer_feed_t &feed = out->feeds[MT_FEED_ENGINES];
+    EXPECT_EQ(feed.newest, row.feed.newest);
+    EXPECT_EQ(feed.at, row.feed.at);
+    EXPECT_EQ(feed.received, row.feed.received);
+    EXPECT_EQ(out->feeds[MT_FEED_DECLARATIONS].at, none);
+    const mt_peer_span_t &span = out->spans[MT_FEED_ENGINES];
+    EXPECT_EQ(span.reach, row.span.reach);
+    /* The beginning of a span in era 0 is taken to be the first revision. */
+    bool first = row.span.base == none;
+    EXPECT_EQ(span.base, first ? 0 : row.span.base);
+  }
+}
+
 // Nearly all revisions are of the latest era, so they are packed without it.
 TEST(PeerMessage, EraDoesNotGrowTheMessage) {
   char bytes[MT_PEER_DATAGRAM_MAX];
@@ -101,7 +147,7 @@
               {"a report of an earlier era", mt_revision(0, 200),
                mt_revision(0, 300), mt_revision(1, 100), false}};
   for (const Row &row : rows) {
-    mt_feed_state_t feed{};
+    mt_feed_state_t feed = MT_FEED_STATE_UNREAD;
     mt_feed_state_read(&feed, mt_revision(1, 90), mt_revision(1, 100), 1000,
                        true);
     mt_feed_state_merge(&feed, row.newest, row.at, 1500);
