Denials of what the own configuration has are all kept

Callers: a router that the store refuses went on accepting the 257th key that was revoked since, and routes likewise, without a word in its log.

Cause: the table of denials held 256 of each kind and ignored further ones. A version that takes back more than 256 things of skipped versions announced the first 256 alone.

Change: denials are a map by the id of the key or route. All that concern what the configuration has are kept, bounded by its size; of others, which matter only if a list that is out of date adds their subject, the 256 latest. A denial is lifted by a later change alone. announce_skipped has no bound of its own.

Tests: Denials.OfWhatIsConfiguredAreAllKept (2,560 own denials among 2,560 others), OfWhatBecomesConfiguredAreKept, AreLiftedByLaterChangesAlone. CanBeLiftedAndAreBounded asserted that the table ignores what comes after 256, which was the fault; the first of these has its two bounds in place of that one, the last its check of lifting, with two rows more. On the code before, the 257th revocation is ignored by the line that the old test asserted.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -780,6 +780,7 @@
   }
   mtV_free(&g->inflight_by_number);
   mt_relay_free(g->relay);
+  mtV_free(&g->key_digests);
   mt_log_writer_close(g->log);
   mt_strbuf_free(&g->scratch);
   free(g);
--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -103,22 +103,19 @@
 static void announce_skipped (announcement_t *d,
                               const mt_catalog_t *catalog) {
   mt_gateway_t *g = d->gateway;
-  mt_change_t changes[MT_DENIALS_MAX], change;
+  mt_change_t change;
   mt_map_t digests = {0};
-  size_t count = 0;
   const mt_change_log_t *log =
       mt_gateway_peers_change_log(g->peers, MT_FEED_DECLARATIONS);
   mt_catalog_digests(catalog, &digests);
-  for (size_t i = 0; i < log->slots && count < mt_countof(changes); i++) {
+  for (size_t i = 0; i < log->slots; i++) {
     const mt_change_t *received = mt_change_log_slot(log, i);
-    if (received != NULL && received->rev < d->rev &&
-        contradicts(catalog, &digests, received, d->rev, &change))
-      changes[count++] = change;
+    if (received == NULL || received->rev >= d->rev) continue;
+    if (!contradicts(catalog, &digests, received, d->rev, &change)) continue;
+    if (!d->removals_only || mt_change_is_withdrawal(change.kind))
+      mt_gateway_peers_source_changed(g->peers, &change);
   }
   mtV_free(&digests);
-  for (size_t i = 0; i < count; i++)
-    if (!d->removals_only || mt_change_is_withdrawal(changes[i].kind))
-      mt_gateway_peers_source_changed(g->peers, &changes[i]);
 }
 
 static void announce_version (mt_gateway_t *g, const mt_catalog_t *catalog,
@@ -134,6 +131,64 @@
   announce_skipped(&announcement, catalog);
 }
 
+/* {== What other routers report as withdrawn ============================ */
+
+static const mt_map_t *key_digests (mt_gateway_t *g) {
+  if (g->key_digests.used == 0 && g->relay->catalog != NULL)
+    mt_catalog_digests(g->relay->catalog, &g->key_digests);
+  return &g->key_digests;
+}
+
+/* True if the configuration in force has the key or the route. */
+static bool is_configured (mt_gateway_t *g, const mt_change_t *change) {
+  const mt_catalog_t *catalog = g->relay->catalog;
+  if (catalog == NULL) return false;
+  if (mt_change_subject(change->kind) == MT_SUBJECT_KEY)
+    return mtV_get(key_digests(g), mt_catalog_digest_key(change->name)) !=
+           NULL;
+  return mt_catalog_routes_to(catalog, change->u.path.route,
+                              change->u.path.service);
+}
+
+static void apply_denial (mt_gateway_t *g, const mt_change_t *change) {
+  bool is_key = mt_change_subject(change->kind) == MT_SUBJECT_KEY;
+  mt_denials_t *denials = &g->relay->denials;
+  mt_denial_table_t *table = is_key ? &denials->keys : &denials->routes;
+  uint64_t id = is_key ? mt_catalog_digest_key(change->name)
+                       : mt_denials_route_id(change->u.path.route,
+                                             change->u.path.service);
+  if (mt_change_is_withdrawal(change->kind))
+    mt_denials_add(table, id, change->rev, is_configured(g, change));
+  else
+    mt_denials_lift(table, id, change->rev);
+}
+
+/* A version of the configuration was put into force: drops denials that it
+   contains, and notes what else of its own is denied. */
+static void update_denials (mt_gateway_t *g, mt_revision_t rev) {
+  const mt_catalog_t *catalog = g->relay->catalog;
+  mt_denials_t *denials = &g->relay->denials;
+  mt_map_t routes = {0};
+  if (!mt_gateway_in_restore_grace(g)) mt_denials_prune(denials, rev);
+  for (size_t i = 0; i < denials->keys.count; i++)
+    mt_denials_set_configured(
+        &denials->keys, i,
+        mtV_get(key_digests(g), denials->keys.list[i].id) != NULL);
+  if (denials->routes.count == 0) return;
+  for (size_t i = 0; i < catalog->routes_count; i++) {
+    mt_catalog_route_t *r = &catalog->routes[i];
+    for (int k = 0; k < r->splits; k++)
+      mtV_put(&routes, mt_denials_route_id(r->id, r->split[k].service), r);
+  }
+  for (size_t i = 0; i < denials->routes.count; i++)
+    mt_denials_set_configured(&denials->routes, i,
+                              mtV_get(&routes, denials->routes.list[i].id) !=
+                                  NULL);
+  mtV_free(&routes);
+}
+
+/* }== */
+
 void mt_gateway_set_catalog (mt_gateway_t *g, mt_catalog_t *catalog,
                              mt_revision_t rev) {
   mt_http_server_limits_t limits = {.header_bytes =
@@ -150,9 +205,8 @@
       g->log, MT_LOG_STATE, mt_boot_clock_now(g->loop), "configuration",
       "version=%lld routes=%zu workspaces=%zu outcome=%s", (long long)version,
       routes, workspaces, applied ? "in-force" : "older");
-  if (version == g->relay->catalog->version &&
-      !mt_gateway_in_restore_grace(g))
-    mt_denials_prune(&g->relay->denials, rev);
+  if (applied) mtV_free(&g->key_digests);
+  if (version == g->relay->catalog->version) update_denials(g, rev);
   if (applied) mt_http_server_set_limits(g->callers, &limits);
 }
 
@@ -409,7 +463,6 @@
 bool mt_gateway_apply_change (void *ud, const mt_change_t *change,
                               mt_ms_t since) {
   mt_gateway_t *g = ud;
-  mt_denials_t *denials = &g->relay->denials;
   switch (change->kind) {
     case MT_CHANGE_ENGINE_READY:
     case MT_CHANGE_ENGINE_DRAINING:
@@ -421,15 +474,8 @@
       return true;
     case MT_CHANGE_KEY_REVOKED:
     case MT_CHANGE_KEY_GRANTED:
-      mt_denials_set_key(denials, change->name, change->rev,
-                         change->kind == MT_CHANGE_KEY_REVOKED);
-      return true;
     case MT_CHANGE_ROUTE_REMOVED:
-    case MT_CHANGE_ROUTE_ADDED:
-      mt_denials_set_route(denials, change->u.path.route,
-                           change->u.path.service, change->rev,
-                           change->kind == MT_CHANGE_ROUTE_REMOVED);
-      return true;
+    case MT_CHANGE_ROUTE_ADDED: apply_denial(g, change); return true;
     case MT_CHANGE_OTHER:
     case MT_CHANGE_KINDS: break;
   }
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -34,6 +34,8 @@
   mt_gateway_load_t load;
   uint64_t source_events[MT_SOURCE_EVENTS];
   mt_ms_t restored_at; /* when the source was last restored; 0: never */
+  /* mt_catalog_digests of the configuration in force, computed when needed. */
+  mt_map_t key_digests;
   mt_strbuf_t scratch; /* for heads and pages that are being written */
 };
 
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -111,7 +111,7 @@
 static bool is_denied (const mt_relay_t *relay, const mt_relay_request_t *r,
                        const mt_catalog_route_t *route,
                        const mt_relay_incoming_t *incoming) {
-  if (r->service == 0 && relay->denials.routes_count > 0 && route->splits > 0)
+  if (r->service == 0 && relay->denials.routes.count > 0 && route->splits > 0)
     return true;
   return mt_denials_has_key(&relay->denials, incoming->key);
 }
@@ -649,6 +649,7 @@
   mt_fair_share_free(&relay->shares);
   mt_suspects_free(&relay->suspects);
   mt_stream_origins_free(&relay->origins);
+  mt_denials_free(&relay->denials);
   free(relay->lost.list);
   mt_engines_free(&relay->engines);
   mt_catalog_free(relay->catalog);
--- a/tests/denials_test.cc
+++ b/tests/denials_test.cc
@@ -131,12 +131,32 @@
   EXPECT_FALSE(mt_catalog_routes_to(d.catalog, q, mtV_id("s", 1)));
 }
 
-TEST(Denials, ApplyUntilTheirRevisionIsInForce) {
+// Denials of keys and routes; frees them at the end.
+struct Denials {
   mt_denials_t d{};
-  mt_denials_set_key(&d, digest("k").c_str(), 10, true);
-  mt_denials_set_key(&d, digest("l").c_str(), 20, true);
-  mt_denials_set_route(&d, 1, 2, 10, true);
-  mt_denials_set_route(&d, 1, 3, 20, true);
+  ~Denials() {
+    mt_denials_free(&d);
+  }
+  void add_key (const std::string &key, int64_t rev, bool configured) {
+    mt_denials_add(&d.keys, mt_catalog_digest_key(digest(key).c_str()), rev,
+                   configured);
+  }
+  void add_route (mt_id_t route, mt_id_t service, int64_t rev,
+                  bool configured) {
+    mt_denials_add(&d.routes, mt_denials_route_id(route, service), rev,
+                   configured);
+  }
+  bool has_key (const std::string &key) {
+    return mt_denials_has_key(&d, bytes(key));
+  }
+};
+
+TEST(Denials, ApplyUntilTheirRevisionIsInForce) {
+  Denials w;
+  w.add_key("k", 10, true);
+  w.add_key("l", 20, true);
+  w.add_route(1, 2, 10, true);
+  w.add_route(1, 3, 20, true);
   struct Row {
     int64_t settled;
     bool k, l, r2, r3;
@@ -144,29 +164,70 @@
               {10, false, true, false, true},
               {20, false, false, false, false}};
   for (const Row &row : rows) {
-    mt_denials_prune(&d, row.settled);
-    EXPECT_EQ(mt_denials_has_key(&d, bytes("k")), row.k) << row.settled;
-    EXPECT_EQ(mt_denials_has_key(&d, bytes("l")), row.l) << row.settled;
-    EXPECT_EQ(mt_denials_has_route(&d, 1, 2), row.r2) << row.settled;
-    EXPECT_EQ(mt_denials_has_route(&d, 1, 3), row.r3) << row.settled;
-    EXPECT_FALSE(mt_denials_has_route(&d, 2, 2));
+    mt_denials_prune(&w.d, row.settled);
+    EXPECT_EQ(w.has_key("k"), row.k) << row.settled;
+    EXPECT_EQ(w.has_key("l"), row.l) << row.settled;
+    EXPECT_EQ(mt_denials_has_route(&w.d, 1, 2), row.r2) << row.settled;
+    EXPECT_EQ(mt_denials_has_route(&w.d, 1, 3), row.r3) << row.settled;
+    EXPECT_FALSE(mt_denials_has_route(&w.d, 2, 2));
   }
 }
 
-TEST(Denials, CanBeLiftedAndAreBounded) {
-  mt_denials_t d{};
-  mt_denials_set_key(&d, digest("k").c_str(), 10, true);
-  mt_denials_set_key(&d, digest("k").c_str(), 11, false);
-  EXPECT_FALSE(mt_denials_has_key(&d, bytes("k")));
-  mt_denials_set_route(&d, 1, 2, 10, true);
-  mt_denials_set_route(&d, 1, 2, 11, false);
-  EXPECT_FALSE(mt_denials_has_route(&d, 1, 2));
-  for (int i = 0; i < 2 * MT_DENIALS_MAX; i++) {
-    mt_denials_set_key(&d, digest(std::to_string(i)).c_str(), 1, true);
-    mt_denials_set_route(&d, 1, (mt_id_t)i, 1, true);
+TEST(Denials, AreLiftedByLaterChangesAlone) {
+  uint64_t key = mt_catalog_digest_key(digest("k").c_str());
+  uint64_t route = mt_denials_route_id(1, 2);
+  struct Row {
+    int64_t denied, lifted;
+    bool denied_after;
+  } rows[] = {{10, 11, false}, {10, 10, true}, {10, 9, true}};
+  for (const Row &row : rows) {
+    Denials w;
+    w.add_key("k", row.denied, true);
+    mt_denials_lift(&w.d.keys, key, row.lifted);
+    EXPECT_EQ(w.has_key("k"), row.denied_after) << row.lifted;
+    w.add_route(1, 2, row.denied, true);
+    mt_denials_lift(&w.d.routes, route, row.lifted);
+    EXPECT_EQ(mt_denials_has_route(&w.d, 1, 2), row.denied_after)
+        << row.lifted;
+  }
+}
+
+// Guards against a full table that ignores further denials: the 257th revoked
+// key was served. What the configuration lacks is bounded, the oldest denials
+// of it are dropped, and they push out no others.
+TEST(Denials, OfWhatIsConfiguredAreAllKept) {
+  const int count = 10 * MT_DENIALS_MAX;
+  auto name = [] (int i) { return "own " + std::to_string(i); };
+  Denials w;
+  for (int i = 0; i < count; i++) {
+    w.add_key(name(i), 1 + i, true);
+    w.add_route(1, (mt_id_t)i + 1, 1 + i, true);
+    w.add_key(std::to_string(i), 1 + i, false);
+    w.add_route(2, (mt_id_t)i + 1, 1 + i, false);
+  }
+  EXPECT_EQ(w.d.keys.count, (size_t)count + MT_DENIALS_MAX);
+  EXPECT_EQ(w.d.routes.count, (size_t)count + MT_DENIALS_MAX);
+  for (int i = 0; i < count; i++) {
+    EXPECT_TRUE(w.has_key(name(i))) << i;
+    EXPECT_TRUE(mt_denials_has_route(&w.d, 1, (mt_id_t)i + 1)) << i;
+    bool recent = i >= count - MT_DENIALS_MAX;
+    EXPECT_EQ(w.has_key(std::to_string(i)), recent) << i;
+    EXPECT_EQ(mt_denials_has_route(&w.d, 2, (mt_id_t)i + 1), recent) << i;
   }
-  EXPECT_EQ(d.keys_count, (size_t)MT_DENIALS_MAX);
-  EXPECT_EQ(d.routes_count, (size_t)MT_DENIALS_MAX);
+  mt_denials_prune(&w.d, count);
+  EXPECT_EQ(w.d.keys.count, 0u);
+  EXPECT_EQ(w.d.keys.configured, 0u);
+  EXPECT_FALSE(w.has_key(name(count - 1)));
+}
+
+// The configuration may add what is denied already.
+TEST(Denials, OfWhatBecomesConfiguredAreKept) {
+  Denials w;
+  w.add_key("k", 1, false);
+  mt_denials_set_configured(&w.d.keys, 0, true);
+  for (int i = 0; i < 2 * MT_DENIALS_MAX; i++)
+    w.add_key(std::to_string(i), 2 + i, false);
+  EXPECT_TRUE(w.has_key("k"));
 }
 
 } // namespace
