Routers compare what is in force where no peer's log reaches back

Callers: a router that the store refuses, and whose peers have all started since, went on answering 200 for a revoked key and closed routes, kept sending requests to an engine whose entry was deleted, and did not use a domain again whose evacuation had ended, for as long as it was refused.

Cause: routers tell each other changes. A list shows what is and not what was deleted, so the log of a router that has read a list covers nothing before it, and says so: each request for the missing changes was answered with a gap, truly. Nothing but the log was ever told, so nobody knew the difference.

Evidence: lines of gateway 0, three gateways, version 2 there and 3 first at the others: outcome=asked base=11 reach=21, outcome=gap base=21 reach=21, from each peer in turn, on and on.

Change: a router that a requested peer could not help, and whose calls to the source fail or stay without an answer, adds the digests of its inventory to its requests: 128 ranges of item ids (engines and whether they drain; keys, routes, domains and whether they are evacuated). A peer that has read more of the source answers with the ranges that are equal and the ids of the others, as of its own revision. What it lacks is taken for withdrawn; nothing is added. Each range is agreed on by itself, as of a revision: parts may be lost, doubled, late or of different revisions, and `received` rises when all ranges agree. A part counts only in reply to the digests that were sent last, and never against a later change of the same subject. An engine gone this way is dated from when the router fell behind, as one that a list lacks. Keys and routes are compared with later versions of the document alone, so that an older one that came back with a restore takes nothing away, and a peer does not answer in the restore grace. Messages are those of before with one more element, which today's builds pass over; they answer with a gap as before.

Tests: FeedExchange.WhatNoLogCoversIsCompared, AComparisonSurvivesChanges..., LateParts..., UnrequestedInventories...

--- a/src/gateway/feed_exchange.c
+++ b/src/gateway/feed_exchange.c
@@ -1,9 +1,11 @@
 /*
 ** feed_exchange.c - gossip about changes at the configuration source
 */
+#include <stdlib.h>
 #include <string.h>
 
 #include "feed_exchange.h"
+#include "inventory_exchange.h"
 
 /* A change arrives within a tick or two of the first header that shows it; an
    immediate request would be for changes that are on their way. */
@@ -13,6 +15,10 @@
 /* For one gap, at the shorter interval. If so many peers of all domains could
    not close it, hardly any can. */
 #define QUICK_REQUESTS_MAX 8
+/* Being behind for this long, until inventories are compared though calls to
+   the source do not fail. It leaves time for that before an engine that left
+   must get no requests. */
+#define COMPARE_DELAY_MS 1000
 /* Sent after a read of the source; peers request what is left. */
 #define MESSAGES_PER_READ_MAX 8
 
@@ -68,6 +74,7 @@
                                  mt_ms_t now) {
   if (!mt_feed_state_is_behind(&feed->state)) {
     feed->behind_since = 0;
+    feed->log_too_short = false;
     return;
   }
   bool is_new = feed->behind_since == 0;
@@ -334,6 +341,36 @@
               out->changes_count, MT_FEED_SENT);
 }
 
+/* True if the peer was requested to close the present gap. */
+static bool was_requested (const mt_feed_exchange_t *x, mt_feed_kind_t kind,
+                           const mt_peer_t *peer) {
+  return peer->requested_at[kind] != 0 &&
+         peer->requested_at[kind] >= x->feeds[kind].gap_began;
+}
+
+/*
+** True if a comparison of inventories is due. A router that reaches the
+*source
+** reads it sooner than that pays, unless its call stays without an answer.
+*/
+static bool should_compare (const mt_feed_exchange_t *x,
+                            const mt_feed_t *feed) {
+  mt_ms_t behind = x->members->now - feed->behind_since;
+  return feed->log_too_short &&
+         (!x->members->own_reaches_source || behind >= COMPARE_DELAY_MS);
+}
+
+/* A span did not close the gap. If it was requested, the peer's log does not
+   reach back far enough. */
+static void note_gap (mt_feed_exchange_t *x, mt_feed_kind_t kind,
+                      const mt_peer_t *peer) {
+  mt_feed_t *feed = &x->feeds[kind];
+  feed->got_gap = true;
+  if (feed->log_too_short || !was_requested(x, kind, peer)) return;
+  feed->log_too_short = true;
+  if (should_compare(x, feed)) feed->requested_at = 0; /* request it now */
+}
+
 static void receive_span (mt_feed_exchange_t *x, mt_peer_t *peer,
                           mt_feed_kind_t kind, const mt_peer_message_t *m) {
   mt_feed_state_t *feed = &x->feeds[kind].state;
@@ -346,11 +383,11 @@
       mt_feed_state_classify(feed, span->base, span->reach);
   bool has_new = merge_changes(x, kind, m, &all);
   log_outcome(x, peer->ip, kind, span, m->changes_count, outcome);
-  if (outcome == MT_FEED_GAP) x->feeds[kind].got_gap = true;
   if (outcome == MT_FEED_APPLIED) {
     mt_feed_state_apply(feed, span->base, span->reach, all);
     peer->requested_at[kind] = 0; /* it may have the rest, too */
   }
+  if (outcome == MT_FEED_GAP) note_gap(x, kind, peer);
   if (has_new && !mt_membership_is_local(x->members, peer))
     forward_changes(x, kind, m);
 }
@@ -359,6 +396,7 @@
                                        const mt_peer_message_t *m) {
   for (int i = 0; i < MT_FEEDS; i++)
     receive_span(x, peer, (mt_feed_kind_t)i, m);
+  if (m->inventory.present) mt_inventory_exchange_receive(x, peer, m);
 }
 
 /* }== */
@@ -368,25 +406,23 @@
 void mt_feed_exchange_receive_request (mt_feed_exchange_t *x,
                                        const mt_peer_t *peer,
                                        const mt_peer_message_t *request) {
+  bool compared = request->inventory.present &&
+                  mt_inventory_exchange_answer(x, peer, request);
   mt_peer_message_t *m = x->callbacks.begin(x->callbacks.ud, MT_PEER_CHANGES);
   bool has_changes = false;
   for (int i = 0; i < MT_FEEDS; i++) {
     mt_revision_t ours = x->feeds[i].state.received,
                   theirs = request->feeds[i].received;
     if (theirs == MT_REVISION_NONE || theirs >= ours) continue;
+    if (compared &&
+        mt_inventory_exchange_continues(request, (mt_feed_kind_t)i))
+      continue;
     pack_since(x, m, (mt_feed_kind_t)i, theirs, ours);
     has_changes = true;
   }
   if (has_changes) x->callbacks.send(x->callbacks.ud, &peer->ip, 1);
 }
 
-/* True if the peer was requested to close the present gap. */
-static bool was_requested (const mt_feed_exchange_t *x, mt_feed_kind_t kind,
-                           const mt_peer_t *peer) {
-  return peer->requested_at[kind] != 0 &&
-         peer->requested_at[kind] >= x->feeds[kind].gap_began;
-}
-
 /*
 ** Peers that know more go first, then those not requested yet, then, for the
 ** first request, those of this failure domain, then in an order that differs
@@ -450,7 +486,9 @@
   peer->requested_at[kind] = x->members->now;
   feed->requests++;
   feed->gap_requests++;
-  x->callbacks.begin(x->callbacks.ud, MT_PEER_CHANGES_REQUEST);
+  mt_peer_message_t *m =
+      x->callbacks.begin(x->callbacks.ud, MT_PEER_CHANGES_REQUEST);
+  if (should_compare(x, feed)) mt_inventory_exchange_request(x, kind, m);
   x->callbacks.send(x->callbacks.ud, &peer->ip, 1);
   log_outcome(x, peer->ip, kind, &span, 0, MT_FEED_REQUESTED);
 }
@@ -473,9 +511,20 @@
 void mt_feed_exchange_open (mt_feed_exchange_t *x, mt_membership_t *members,
                             const mt_feed_exchange_callbacks_t *callbacks) {
   *x = (mt_feed_exchange_t){.members = members, .callbacks = *callbacks};
-  for (int i = 0; i < MT_FEEDS; i++) x->feeds[i].state = MT_FEED_STATE_UNREAD;
+  for (int i = 0; i < MT_FEEDS; i++) {
+    mt_feed_t *feed = &x->feeds[i];
+    feed->state = MT_FEED_STATE_UNREAD;
+    for (size_t k = 0; k < MT_INVENTORY_RANGES; k++)
+      feed->comparison.agreed[k] = MT_REVISION_NONE;
+  }
+}
+
+void mt_feed_exchange_set_inventory (
+    mt_feed_exchange_t *x, const mt_feed_inventory_callbacks_t *callbacks) {
+  x->inventory_callbacks = *callbacks;
 }
 
 void mt_feed_exchange_free (mt_feed_exchange_t *x) {
+  free(x->inventory.items);
   for (int i = 0; i < MT_FEEDS; i++) mt_change_log_free(&x->feeds[i].log);
 }
--- a/src/gateway/feed_exchange.h
+++ b/src/gateway/feed_exchange.h
@@ -8,6 +8,11 @@
 ** requests the missing changes from a peer. Thus all routers learn what one
 ** of them has read, even those that the source rejects.
 **
+** No peer can send changes that all of them have read as parts of a list. A
+** router that misses such changes compares what it has in force with what a
+** peer has that has read the source since, and stops using what that one
+** lacks (inventory_exchange.h).
+**
 ** Correctness does not depend on the order of messages: of each subject the
 ** change with the greatest revision wins, whoever sent it first. The spans of
 ** revisions only show whether changes are missing.
@@ -34,6 +39,25 @@
   void *ud;
 } mt_feed_exchange_callbacks_t;
 
+/* What a feed has in force at this router. */
+typedef struct mt_feed_inventory_callbacks_t {
+  /* Appends the items to an empty inventory and sets its other fields. */
+  void (*list)(void *ud, mt_feed_kind_t kind, mt_inventory_t *inventory);
+  /* The change that makes an item of this router agree with a peer's part,
+     where it matches as given. False if there is none. */
+  bool (*change)(void *ud, const mt_item_t *item, mt_item_match_t match,
+                 const mt_peer_inventory_t *part, mt_change_t *change);
+  void *ud;
+} mt_feed_inventory_callbacks_t;
+
+/* The comparison of this router's inventory with its peers'. */
+typedef struct mt_feed_comparison_t {
+  /* As sent with the last request; digest 0: none was. */
+  uint64_t digests[MT_INVENTORY_RANGES], digest;
+  /* By range: as of which revision it agrees with a peer's. */
+  mt_revision_t agreed[MT_INVENTORY_RANGES];
+} mt_feed_comparison_t;
+
 /* What this router knows of one feed. */
 typedef struct mt_feed_t {
   mt_feed_state_t state;
@@ -49,14 +73,18 @@
   mt_ms_t unheard_since; /* since when peers know later changes; 0: none */
   mt_ms_t requested_at;  /* time of the last request to a peer */
   mt_ms_t retry_ms;      /* from that request to the next */
-  bool got_gap;      /* a span received since then did not close the gap */
-  uint64_t requests; /* requests since the start */
+  bool got_gap;       /* a span received since then did not close the gap */
+  bool log_too_short; /* a peer that was requested could not close it */
+  uint64_t requests;  /* requests since the start */
+  mt_feed_comparison_t comparison;
 } mt_feed_t;
 
 typedef struct mt_feed_exchange_t {
   mt_membership_t *members;
   mt_feed_t feeds[MT_FEEDS];
   mt_feed_exchange_callbacks_t callbacks;
+  mt_feed_inventory_callbacks_t inventory_callbacks;
+  mt_inventory_t inventory; /* for the one that is being compared */
 } mt_feed_exchange_t;
 
 void mt_feed_exchange_open (mt_feed_exchange_t *exchange,
@@ -64,6 +92,11 @@
                             const mt_feed_exchange_callbacks_t *callbacks);
 void mt_feed_exchange_free (mt_feed_exchange_t *exchange);
 
+/* Lets this router compare inventories with its peers. */
+void mt_feed_exchange_set_inventory (
+    mt_feed_exchange_t *exchange,
+    const mt_feed_inventory_callbacks_t *callbacks);
+
 /* Writes the revisions that this router knows into a message's header. */
 void mt_feed_exchange_write_header (const mt_feed_exchange_t *exchange,
                                     mt_peer_message_t *message);
--- a/src/gateway/feed_state.c
+++ b/src/gateway/feed_state.c
@@ -48,6 +48,7 @@
     case MT_FEED_KNOWN: return "known";
     case MT_FEED_GAP: return "gap";
     case MT_FEED_REQUESTED: return "asked";
+    case MT_FEED_COMPARED: return "compared";
     case MT_FEED_OUTCOMES: break;
   }
   return "";
@@ -69,6 +70,11 @@
   feed->newest = mt_max(feed->newest, reach);
 }
 
+void mt_feed_state_complete (mt_feed_state_t *feed, mt_revision_t reach) {
+  feed->received = mt_max(feed->received, reach);
+  advance_to_source(&feed->received, feed);
+}
+
 bool mt_feed_state_is_behind (const mt_feed_state_t *feed) {
   return feed->received != MT_REVISION_NONE && feed->newest > feed->received;
 }
--- a/src/gateway/feed_state.h
+++ b/src/gateway/feed_state.h
@@ -65,6 +65,7 @@
   MT_FEED_KNOWN,     /* received; everything up to `reach` was known */
   MT_FEED_GAP,       /* received; changes before `base` are missing here */
   MT_FEED_REQUESTED, /* requested from another router */
+  MT_FEED_COMPARED,  /* a part of a peer's inventory was compared with ours */
   MT_FEED_OUTCOMES
 } mt_feed_outcome_t;
 
@@ -82,7 +83,12 @@
 void mt_feed_state_apply (mt_feed_state_t *feed, mt_revision_t base,
                           mt_revision_t reach, bool all);
 
-/* True if other routers know of changes that were not received here. */
+/* A comparison with a peer's inventory has shown all changes up to `reach`,
+   except for details that can only be read from the source. */
+void mt_feed_state_complete (mt_feed_state_t *feed, mt_revision_t reach);
+
+/* True if other routers know of changes that were not received here. A router
+   that has not read the feed is not behind: no changes would complete it. */
 bool mt_feed_state_is_behind (const mt_feed_state_t *feed);
 
 #endif
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -726,7 +726,8 @@
   const mt_gateway_peers_callbacks_t callbacks = {
       on_quoted, mt_gateway_apply_change,
       on_trial,  mt_gateway_apply_peer_drain,
-      on_origin, g};
+      on_origin, {mt_gateway_list_items, mt_gateway_item_change, g},
+      g};
   g->peers =
       mt_gateway_peers_open(loop, settings, g->relay, g->log, &callbacks);
   uv_timer_init(loop, &g->tick);
@@ -779,8 +780,8 @@
     free(p);
   }
   mtV_free(&g->inflight_by_number);
-  mt_relay_free(g->relay);
   mtV_free(&g->key_digests);
+  mt_relay_free(g->relay);
   mt_log_writer_close(g->log);
   mt_strbuf_free(&g->scratch);
   free(g);
--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -133,7 +133,7 @@
 
 /* {== What other routers report as withdrawn ============================ */
 
-static const mt_map_t *key_digests (mt_gateway_t *g) {
+const mt_map_t *mt_gateway_key_digests (mt_gateway_t *g) {
   if (g->key_digests.used == 0 && g->relay->catalog != NULL)
     mt_catalog_digests(g->relay->catalog, &g->key_digests);
   return &g->key_digests;
@@ -144,8 +144,8 @@
   const mt_catalog_t *catalog = g->relay->catalog;
   if (catalog == NULL) return false;
   if (mt_change_subject(change->kind) == MT_SUBJECT_KEY)
-    return mtV_get(key_digests(g), mt_catalog_digest_key(change->name)) !=
-           NULL;
+    return mtV_get(mt_gateway_key_digests(g),
+                   mt_catalog_digest_key(change->name)) != NULL;
   return mt_catalog_routes_to(catalog, change->u.path.route,
                               change->u.path.service);
 }
@@ -173,7 +173,7 @@
   for (size_t i = 0; i < denials->keys.count; i++)
     mt_denials_set_configured(
         &denials->keys, i,
-        mtV_get(key_digests(g), denials->keys.list[i].id) != NULL);
+        mtV_get(mt_gateway_key_digests(g), denials->keys.list[i].id) != NULL);
   if (denials->routes.count == 0) return;
   for (size_t i = 0; i < catalog->routes_count; i++) {
     mt_catalog_route_t *r = &catalog->routes[i];
@@ -206,6 +206,7 @@
       "version=%lld routes=%zu workspaces=%zu outcome=%s", (long long)version,
       routes, workspaces, applied ? "in-force" : "older");
   if (applied) mtV_free(&g->key_digests);
+  if (applied) g->catalog_rev = rev;
   if (version == g->relay->catalog->version) update_denials(g, rev);
   if (applied) mt_http_server_set_limits(g->callers, &limits);
 }
@@ -423,6 +424,16 @@
   mt_gateway_peers_engines_listed(g->peers, seen, rev);
 }
 
+/* A comparison with a peer shows that an engine drains, without its other
+   details. False if the engine is not known here. */
+static bool drain_engine (mt_gateway_t *g, mt_engine_t *e,
+                          mt_revision_t rev) {
+  if (e == NULL) return false;
+  e->rev = mt_max(e->rev, rev);
+  set_state(g, e, MT_ENGINE_DRAINING, false);
+  return true;
+}
+
 /*
 ** Applies a change of an engine that another router sent. Datagrams are not
 ** authenticated, and engines receive callers' prompts, so new engines and
@@ -433,7 +444,7 @@
                                mt_ms_t since) {
   const mt_change_engine_t *received = &change->u.engine;
   uint64_t key = mt_engine_key(change->name, strlen(change->name));
-  const mt_engine_t *e = mt_engines_get(&g->relay->engines, key);
+  mt_engine_t *e = mt_engines_get(&g->relay->engines, key);
   const mt_gateway_engine_t engine = {.name = change->name,
                                       .domain = received->domain,
                                       .ip = received->ip,
@@ -448,6 +459,8 @@
     apply_engine(g, change->name, NULL, change->rev, since);
     return true;
   }
+  if (change->kind == MT_CHANGE_ENGINE_DRAINING && received->ip[0] == '\0')
+    return drain_engine(g, e, change->rev);
   if (e != NULL && may_have_ended(e, change) &&
       (mt_gateway_in_restore_grace(g) || e->state == MT_ENGINE_DRAINING))
     return false;
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -729,6 +729,7 @@
   const mt_feed_exchange_callbacks_t feed_callbacks = {
       begin_callback, send_callback, apply_change, log_update, peers};
   mt_feed_exchange_open(&peers->feeds, members, &feed_callbacks);
+  mt_feed_exchange_set_inventory(&peers->feeds, &callbacks->inventory);
   const mt_suspect_exchange_callbacks_t suspect_callbacks = {
       begin_callback, send_callback, on_verdict, log_suspect, peers};
   mt_suspect_exchange_open(&peers->suspects, members, &relay->suspects,
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -48,6 +48,7 @@
   mt_gateway_on_trial_t trial;
   mt_gateway_on_drain_t draining;
   mt_gateway_on_origin_t origin;
+  mt_feed_inventory_callbacks_t inventory;
   void *ud;
 } mt_gateway_peers_callbacks_t;
 
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -2,8 +2,9 @@
 ** gateway_state.h - private state of a gateway, shared by its source files
 **
 ** gateway.c handles connections and the process's start and stop,
-** gateway_feeds.c changes from the configuration source, gateway_notices.c
-** what engines' answers say about engines. No other file includes this.
+** gateway_feeds.c changes from the configuration source, gateway_inventory.c
+** lists what is in force by it, gateway_notices.c handles what engines'
+** answers say about engines. No other file includes this.
 */
 #ifndef gateway_state_h
 #define gateway_state_h
@@ -34,8 +35,11 @@
   mt_gateway_load_t load;
   uint64_t source_events[MT_SOURCE_EVENTS];
   mt_ms_t restored_at; /* when the source was last restored; 0: never */
-  /* mt_catalog_digests of the configuration in force, computed when needed. */
+  /* mt_catalog_digests of the configuration in force, computed when needed.
+   */
   mt_map_t key_digests;
+  mt_revision_t
+      catalog_rev;     /* of that configuration; valid if there is one */
   mt_strbuf_t scratch; /* for heads and pages that are being written */
 };
 
@@ -43,6 +47,18 @@
    resulting effects. */
 void mt_gateway_step (mt_gateway_t *gateway, mt_relay_event_t *event);
 
+/* The digests of the keys of the configuration in force, a map by
+   mt_catalog_digest_key; valid until it changes. */
+const mt_map_t *mt_gateway_key_digests (mt_gateway_t *gateway);
+
+/* Callbacks of gateway_peers.h, see mt_feed_inventory_callbacks_t. */
+void mt_gateway_list_items (void *gateway, mt_feed_kind_t kind,
+                            mt_inventory_t *inventory);
+bool mt_gateway_item_change (void *gateway, const mt_item_t *item,
+                             mt_item_match_t match,
+                             const mt_peer_inventory_t *part,
+                             mt_change_t *change);
+
 /* Applies what the head of an answer says about its engine (draining,
    backoff). `started_at`: the start of the engine that the request was sent
    to. */
--- a/src/gateway/peer_message.c
+++ b/src/gateway/peer_message.c
@@ -6,7 +6,8 @@
 ** change is itself an array. A list may end with an array that is no row:
 ** readers that don't know it ignore it. The list of engines ends with the
 ** measurements (LOAD) or figures (QUOTE) of its rows: first the number of
-** fields per row, then the rows. Unknown fields are ignored.
+** fields per row, then the rows. The list of changes ends with the part of an
+** inventory. Unknown fields are ignored.
 */
 #include <msgpack.h>
 #include <stdio.h>
@@ -43,6 +44,8 @@
 #define CHANGE_FIELDS 5
 #define CHANGE_ENGINE_FIELDS 7
 #define CHANGE_ROUTE_FIELDS 2
+#define RANGES_WORDS (MT_INVENTORY_RANGES / 64)
+#define INVENTORY_FIELDS (5 + 2 * RANGES_WORDS) /* before the values */
 #define SUSPECT_FIELDS 7
 #define SUSPECT_END_FIELDS 3 /* of each engine end in a suspect's row */
 #define SUSPECT_ROW_FIELDS \
@@ -100,6 +103,8 @@
   }
   m->members_count = m->shares_count = 0;
   m->engines_count = m->segments_count = m->changes_count = 0;
+  m->inventory.present = false;
+  m->inventory.count = 0;
   m->suspects_count = m->drains_count = 0;
   m->suspect_message =
       (mt_suspect_message_t){.kind = MT_SUSPECT_MESSAGE_COUNT};
@@ -323,6 +328,10 @@
   }
   for (size_t i = 0; i < m->changes_count; i++)
     era = mt_max(era, least_wire_era(m->changes[i].rev));
+  if (m->inventory.present) {
+    era = mt_max(era, least_wire_era(m->inventory.at));
+    era = mt_max(era, least_wire_era(m->inventory.rev));
+  }
   return mt_min(era, MT_REVISION_ERA_MAX);
 }
 
@@ -332,9 +341,29 @@
                                mt_revision_count(rev));
 }
 
+static void pack_ranges (const mt_inventory_ranges_t *ranges,
+                         msgpack_packer *pk) {
+  for (int i = 0; i < RANGES_WORDS; i++)
+    msgpack_pack_uint64(pk, ranges->bits[i]);
+}
+
+static void pack_inventory (const mt_peer_inventory_t *p, int64_t era,
+                            msgpack_packer *pk) {
+  msgpack_pack_array(pk, INVENTORY_FIELDS + p->count);
+  msgpack_pack_uint8(pk, (uint8_t)p->feed);
+  msgpack_pack_uint64(pk, (uint64_t)mt_max(p->version, (int64_t)0));
+  msgpack_pack_uint64(pk, encode_revision(era, p->at));
+  msgpack_pack_uint64(pk, encode_revision(era, p->rev));
+  msgpack_pack_uint64(pk, p->digest);
+  pack_ranges(&p->equal, pk);
+  pack_ranges(&p->listed, pk);
+  for (size_t i = 0; i < p->count; i++) msgpack_pack_uint64(pk, p->values[i]);
+}
+
 static void pack_changes (const mt_peer_message_t *m, int64_t era,
                           msgpack_packer *pk) {
-  msgpack_pack_array(pk, m->changes_count * CHANGE_FIELDS);
+  msgpack_pack_array(pk,
+                     m->changes_count * CHANGE_FIELDS + m->inventory.present);
   for (size_t i = 0; i < m->changes_count; i++) {
     const mt_change_t *change = &m->changes[i];
     msgpack_pack_uint8(pk, (uint8_t)change->kind);
@@ -343,6 +372,7 @@
     msgpack_pack_uint64(pk, change->age);
     pack_details(pk, change);
   }
+  if (m->inventory.present) pack_inventory(&m->inventory, era, pk);
 }
 
 static void pack_suspects (const mt_peer_message_t *m, msgpack_packer *pk) {
@@ -687,6 +717,39 @@
   }
 }
 
+static void unpack_ranges (const msgpack_object *at,
+                           mt_inventory_ranges_t *ranges) {
+  for (int i = 0; i < RANGES_WORDS; i++)
+    ranges->bits[i] = unpack_number(&at[i]);
+}
+
+/* Of the element after the changes, if there is one. */
+static void unpack_inventory (mt_peer_message_t *m,
+                              const msgpack_object *changes, int64_t era) {
+  size_t size = changes->via.array.size;
+  mt_peer_inventory_t *p = &m->inventory;
+  if (size % CHANGE_FIELDS != 1) return;
+  const msgpack_object *last = &changes->via.array.ptr[size - 1];
+  if (last->type != MSGPACK_OBJECT_ARRAY) return;
+  const msgpack_object *at = last->via.array.ptr;
+  size = last->via.array.size;
+  if (size < INVENTORY_FIELDS ||
+      size > INVENTORY_FIELDS + mt_countof(p->values))
+    return;
+  if (unpack_number(&at[0]) >= MT_FEEDS) return;
+  p->present = true;
+  p->feed = (mt_feed_kind_t)unpack_number(&at[0]);
+  p->version = unpack_bounded(&at[1], INT64_MAX);
+  p->at = decode_revision(&at[2], era);
+  p->rev = decode_revision(&at[3], era);
+  p->digest = unpack_number(&at[4]);
+  unpack_ranges(&at[5], &p->equal);
+  unpack_ranges(&at[5 + RANGES_WORDS], &p->listed);
+  p->count = size - INVENTORY_FIELDS;
+  for (size_t i = 0; i < p->count; i++)
+    p->values[i] = unpack_number(&at[INVENTORY_FIELDS + i]);
+}
+
 static void unpack_suspect (mt_suspect_row_t *row, const msgpack_object *at) {
   *row = (mt_suspect_row_t){
       .digest = unpack_number(&at[0]),
@@ -784,8 +847,9 @@
   else
     unpack_engines(m, &at[HEADER_FIELDS + 2]);
   unpack_segments(m, &at[HEADER_FIELDS + 3]);
-  unpack_changes(m, &at[HEADER_FIELDS + 4],
-                 unpack_bounded(&at[ERA_OFFSET], MT_REVISION_ERA_MAX));
+  int64_t era = unpack_bounded(&at[ERA_OFFSET], MT_REVISION_ERA_MAX);
+  unpack_changes(m, &at[HEADER_FIELDS + 4], era);
+  unpack_inventory(m, &at[HEADER_FIELDS + 4], era);
   unpack_suspects(m, &at[HEADER_FIELDS + 5]);
   unpack_suspect_message(m, &at[HEADER_FIELDS + 6]);
 done:
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -11,6 +11,7 @@
 #include "change.h"
 #include "cold_start.h"
 #include "fair_share.h"
+#include "inventory.h"
 #include "load_table.h"
 #include "stream_origins.h"
 #include "suspects.h"
@@ -23,6 +24,7 @@
 #define MT_PEER_CHANGES_MAX 256
 #define MT_PEER_SUSPECTS_MAX 64
 #define MT_PEER_DRAINS_MAX 64
+#define MT_PEER_INVENTORY_MAX 1536 /* ids in a message */
 
 /* Kinds of messages. Some have other names in metrics (mt_peer_kind_name). */
 typedef enum mt_peer_kind_t {
@@ -36,9 +38,10 @@
   /* All members, to a router that has just started; or as a heartbeat, the
      members of a group, to the routers of its failure domain. */
   MT_PEER_MEMBERS,
-  /* Changes at the configuration source. */
+  /* Changes at the configuration source, or a part of the inventory. */
   MT_PEER_CHANGES,
-  /* Requests the changes after the revisions in the header. */
+  /* Requests the changes after the revisions in the header and, where no log
+     reaches back to them, a comparison of inventories. */
   MT_PEER_CHANGES_REQUEST,
   /* Requests the load of engines that the receiver owns. */
   MT_PEER_QUOTE_REQUEST,
@@ -131,6 +134,24 @@
   mt_revision_t base, reach;
 } mt_peer_span_t;
 
+/*
+** A part of a comparison of inventories (inventory.h). CHANGES_REQUEST: the
+** sender's digests, of all ranges, and which of them to compare. CHANGES: the
+** ranges of them that are equal at the sender, and the ids of all items that
+** it has in the others listed.
+*/
+typedef struct mt_peer_inventory_t {
+  bool present; /* false: the message has none */
+  mt_feed_kind_t feed;
+  int64_t version;       /* as in mt_inventory_t, like `at` and `rev` */
+  mt_revision_t at, rev; /* CHANGES */
+  uint64_t digest;       /* CHANGES: mt_inventory_digest of the request */
+  mt_inventory_ranges_t equal;            /* CHANGES */
+  mt_inventory_ranges_t listed;           /* CHANGES_REQUEST: to compare */
+  uint64_t values[MT_PEER_INVENTORY_MAX]; /* digests, or ids */
+  size_t count;
+} mt_peer_inventory_t;
+
 /* Lists that a kind does not use are empty. */
 typedef struct mt_peer_message_t {
   mt_peer_kind_t kind;
@@ -159,6 +180,7 @@
   mt_peer_span_t spans[MT_FEEDS];
   mt_change_t changes[MT_PEER_CHANGES_MAX];
   size_t changes_count;
+  mt_peer_inventory_t inventory; /* CHANGES, CHANGES_REQUEST */
   mt_suspect_row_t suspects[MT_PEER_SUSPECTS_MAX];
   size_t suspects_count;
   mt_peer_drain_t drains[MT_PEER_DRAINS_MAX];
--- a/tests/feed_exchange_test.cc
+++ b/tests/feed_exchange_test.cc
@@ -2,6 +2,7 @@
 // simulated clock and seeded message loss.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstring>
 #include <map>
 #include <memory>
@@ -12,6 +13,7 @@
 extern "C" {
 #include "engine.h"
 #include "feed_exchange.h"
+#include "inventory.h"
 }
 
 namespace {
@@ -47,6 +49,13 @@
   mt_ms_t now = 100000;
   std::mt19937 random;
   unsigned loss = 0; // of 1,000 messages
+  // Parts of inventories that were sent, and the size of the largest one.
+  struct Part {
+    Router *from, *to;
+    std::unique_ptr<mt_peer_message_t> message;
+  };
+  std::vector<Part> parts;
+  size_t part_bytes_max = 0, parts_bytes = 0;
 
   Fleet(int count, int domains, unsigned seed, int64_t first_rev = 100)
       : rev(first_rev), random(seed) {
@@ -99,11 +108,19 @@
       Router *other = r->fleet->by_ip[to[i]];
       bool remote = other->members.own_domain != r->members.own_domain;
       r->sent += n;
+      if (copy->inventory.present) r->fleet->keep_part(r, other, *copy, n);
       r->cross_domain += remote ? n : 0;
       if (r->fleet->random() % 1000 >= r->fleet->loss)
         r->fleet->deliver(r, other, *copy);
     }
   }
+  void keep_part (Router *from, Router *to, const mt_peer_message_t &m,
+                  size_t bytes) {
+    part_bytes_max = std::max(part_bytes_max, bytes);
+    parts_bytes += bytes;
+    if (parts.size() < 100)
+      parts.push_back({from, to, std::make_unique<mt_peer_message_t>(m)});
+  }
   void deliver (Router *from, Router *to, const mt_peer_message_t &m) {
     mt_peer_t *peer = mt_membership_add(&to->members, from->members.own_ip);
     to->members.now = now;
@@ -720,4 +737,210 @@
          (double)(after - before) / 20, (double)cross_domain / 20);
 }
 
+// A fleet whose routers compare the engines that they have in use.
+struct ComparingFleet : Fleet {
+  ComparingFleet(int count, int domains, unsigned seed)
+      : Fleet(count, domains, seed) {
+    for (auto &r : routers) set_inventory(r.get());
+  }
+  static void set_inventory (Router *r) {
+    const mt_feed_inventory_callbacks_t callbacks = {list, difference, r};
+    mt_feed_exchange_set_inventory(&r->feeds, &callbacks);
+  }
+  static void list (void *ud, mt_feed_kind_t kind, mt_inventory_t *to) {
+    auto *r = (Router *)ud;
+    to->at = r->feeds.feeds[kind].state.applied;
+    for (auto &row : r->known) {
+      if (kind != MT_FEED_ENGINES || row.second == MT_CHANGE_ENGINE_GONE)
+        continue;
+      uint64_t id =
+          mtV_hash(row.first.data(), row.first.size()) | MT_ITEM_IN_USE;
+      to->items = (mt_item_t *)mtV_grow(to->items, to->count, &to->cap,
+                                        sizeof *to->items);
+      mt_item_t *item = &to->items[to->count++];
+      *item = mt_item_t{};
+      item->id =
+          row.second == MT_CHANGE_ENGINE_DRAINING ? id ^ MT_ITEM_IN_USE : id;
+      item->u.domain.name = row.first.c_str();
+    }
+  }
+  static bool difference (void *, const mt_item_t *item,
+                          mt_item_match_t match,
+                          const mt_peer_inventory_t *part,
+                          mt_change_t *change) {
+    bool drains = match == MT_ITEM_OTHER_STATE;
+    *change = mt_change_make(drains ? MT_CHANGE_ENGINE_DRAINING
+                                    : MT_CHANGE_ENGINE_GONE,
+                             item->u.domain.name, part->at);
+    return match != MT_ITEM_SAME && !(drains && !(item->id & MT_ITEM_IN_USE));
+  }
+  // What the source has now.
+  std::map<std::string, mt_change_kind_t> listed () const {
+    std::map<std::string, mt_change_kind_t> all;
+    for (const mt_change_t &c : changes)
+      if (mt_change_feed(c.kind) == MT_FEED_ENGINES) all[c.name] = c.kind;
+    return all;
+  }
+  // The router starts anew and lists the engines.
+  void relist (Router *r) {
+    mt_feed_exchange_free(&r->feeds);
+    const mt_feed_exchange_callbacks_t callbacks = {begin, send, apply,
+                                                    count_outcome, r};
+    mt_feed_exchange_open(&r->feeds, &r->members, &callbacks);
+    set_inventory(r);
+    r->known = listed();
+    mt_feed_exchange_source_read(&r->feeds, MT_FEED_ENGINES, rev, rev,
+                                 MT_FEED_LISTING);
+  }
+  // All routers know these engines; then the source rejects them all.
+  void start (int engines) {
+    for (int i = 0; i < engines; i++) change(MT_CHANGE_ENGINE_READY, name(i));
+    for (auto &r : routers) {
+      relist(r.get());
+      r->rejected = true;
+    }
+    run(300);
+  }
+  static std::string name (int i) {
+    return "i-" + std::to_string(i);
+  }
+  // How many engines a router uses otherwise than the source lists them.
+  int count_wrong (const Router *r) const {
+    int count = 0;
+    for (auto &row : listed()) {
+      auto at = r->known.find(row.first);
+      count += at != r->known.end() && at->second != row.second;
+    }
+    return count;
+  }
+};
+
+// Guards against a router that goes on using what was removed in a span of
+// revisions that no peer's log covers: all of them have started since and
+// read a list.
+TEST(FeedExchange, WhatNoLogCoversIsCompared) {
+  struct Row {
+    const char *what;
+    int routers, domains, engines, gone, draining, added;
+    unsigned loss;  // of 1,000 messages
+    mt_ms_t within; // until the router agrees with the source
+  } rows[] = {
+      {"one engine", 3, 1, 7, 1, 0, 0, 0, 500},
+      {"a drain", 3, 1, 7, 0, 1, 0, 0, 500},
+      {"several", 12, 3, 40, 5, 5, 10, 0, 500},
+      {"all engines are replaced", 8, 2, 200, 200, 0, 200, 0, 1000},
+      {"with message loss", 12, 3, 200, 20, 20, 20, 300, 2000},
+      {"the whole fleet", 12, 3, 10000, 40, 10, 50, 0, 1000},
+      {"half of the whole fleet is replaced", 6, 2, 10000, 5000, 0, 5000, 0,
+       2000},
+  };
+  for (const Row &row : rows)
+    for (unsigned seed = 1; seed <= (row.engines < 1000 ? 20u : 1u); seed++) {
+      SCOPED_TRACE(row.what);
+      SCOPED_TRACE(seed);
+      ComparingFleet w(row.routers, row.domains, seed);
+      Router *behind = w.routers[0].get();
+      w.start(row.engines);
+      EXPECT_EQ(w.parts_bytes, 0u);
+      for (int i = 0; i < row.gone; i++)
+        w.change(MT_CHANGE_ENGINE_GONE, w.name(i));
+      for (int i = 0; i < row.draining; i++)
+        w.change(MT_CHANGE_ENGINE_DRAINING, w.name(row.gone + i));
+      for (int i = 0; i < row.added; i++)
+        w.change(MT_CHANGE_ENGINE_READY, w.name(row.engines + i));
+      for (auto &r : w.routers)
+        if (r.get() != behind) w.relist(r.get());
+      w.loss = row.loss;
+      w.run(row.within);
+      EXPECT_EQ(w.count_wrong(behind), 0);
+      EXPECT_EQ(behind->known.size(), (size_t)row.engines); // nothing added
+      EXPECT_FALSE(mt_feed_state_is_behind(
+          &behind->feeds.feeds[MT_FEED_ENGINES].state));
+      if (w.part_bytes_max > 1472)
+        ADD_FAILURE() << "a part has " << w.part_bytes_max << " bytes";
+      if (seed == 1)
+        printf("%s: parts of %zu bytes in all, %zu at most\n", row.what,
+               w.parts_bytes, w.part_bytes_max);
+    }
+}
+
+// The source changes while a comparison goes on, and peers that compare know
+// different revisions of it.
+TEST(FeedExchange, AComparisonSurvivesChangesMeanwhile) {
+  for (unsigned loss : {0u, 300u})
+    for (unsigned seed = 1; seed <= 20; seed++) {
+      ComparingFleet w(8, 2, seed);
+      Router *behind = w.routers[0].get();
+      w.start(3000);
+      w.loss = loss;
+      for (int step = 0; step < 30; step++) {
+        w.change(MT_CHANGE_ENGINE_GONE, w.name(10 * step));
+        w.change(MT_CHANGE_ENGINE_DRAINING, w.name(10 * step + 1));
+        if (step > 3) // returns under its name
+          w.change(MT_CHANGE_ENGINE_READY, w.name(10 * (step - 3)));
+        w.relist(w.routers[1 + step % 7].get());
+        w.run(50);
+      }
+      for (auto &r : w.routers)
+        if (r.get() != behind) w.relist(r.get());
+      w.run(loss ? 4000 : 2000);
+      // Engines that returned are only used again by the source's word or a
+      // change's, so they may be missing; none is in use that must not be.
+      int wrong = 0;
+      for (auto &row : w.listed()) {
+        mt_change_kind_t kind = behind->known[row.first];
+        wrong += kind != row.second && kind == MT_CHANGE_ENGINE_READY;
+        if (row.second == MT_CHANGE_ENGINE_READY && row.first.back() != '0')
+          wrong += kind != MT_CHANGE_ENGINE_READY;
+      }
+      EXPECT_EQ(wrong, 0) << "loss " << loss << ", seed " << seed;
+    }
+}
+
+// Parts that come again, late or in another order change nothing, also after
+// an engine is listed again.
+TEST(FeedExchange, LatePartsOfAnInventoryAreIgnored) {
+  for (unsigned seed = 1; seed <= 20; seed++) {
+    ComparingFleet w(3, 1, seed);
+    Router *behind = w.routers[0].get(), *reader = w.routers[1].get();
+    w.start(300);
+    for (int i = 0; i < 100; i++) w.change(MT_CHANGE_ENGINE_GONE, w.name(i));
+    for (int i : {1, 2}) w.relist(w.routers[i].get());
+    w.run(1000);
+    ASSERT_EQ(w.count_wrong(behind), 0);
+    ASSERT_FALSE(w.parts.empty());
+    reader->rejected = false;
+    w.change(MT_CHANGE_ENGINE_READY, w.name(5));
+    w.run(500);
+    EXPECT_EQ(behind->known[w.name(5)], MT_CHANGE_ENGINE_READY);
+    auto before = behind->known;
+    const mt_feed_state_t state = behind->feeds.feeds[MT_FEED_ENGINES].state;
+    std::shuffle(w.parts.begin(), w.parts.end(), w.random);
+    for (const ComparingFleet::Part &part : w.parts)
+      if (part.to == behind) w.deliver(part.from, part.to, *part.message);
+    EXPECT_EQ(behind->known, before);
+    EXPECT_EQ(behind->feeds.feeds[MT_FEED_ENGINES].state.received,
+              state.received);
+  }
+}
+
+// A part that no request of this router has asked for is ignored: datagrams
+// are not authenticated.
+TEST(FeedExchange, UnrequestedInventoriesAreIgnored) {
+  ComparingFleet w(3, 1, 1);
+  Router *forger = w.routers[1].get(), *r = w.routers[0].get();
+  w.start(20);
+  auto before = r->known;
+  mt_peer_message_t *m = Fleet::begin(forger, MT_PEER_CHANGES);
+  m->inventory.present = true;
+  m->inventory.feed = MT_FEED_ENGINES;
+  m->inventory.at = m->inventory.rev = w.rev + 5;
+  memset(&m->inventory.listed, 0xff, sizeof m->inventory.listed);
+  for (uint64_t digest : {(uint64_t)0, (uint64_t)1, UINT64_MAX}) {
+    m->inventory.digest = digest;
+    w.deliver(forger, r, *m);
+  }
+  EXPECT_EQ(r->known, before);
+}
+
 } // namespace
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -721,7 +721,8 @@
       {"i-9", "127.0.0.1", gone, 3, 4, 9, "taken", 200},     // not listed
       {"i-1", "127.0.0.1", draining, 6, 7, 9, "gap", 503},   // drains
       {"i-1", "127.0.0.1", ready, 4, 5, 9, "taken", 503},    // older
-      {"i-1", "127.0.0.1", ready, 5, 8, 9, "taken", 200}};   // newer
+      {"i-1", "127.0.0.1", ready, 5, 8, 9, "taken", 200},    // newer
+      {"i-1", "", draining, 8, 9, 9, "taken", 503}}; // found by a comparison
   for (const Row &row : rows) {
     mt_change_t change =
         mt_change_make(row.kind, row.name, w.rev + row.reach);
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -151,6 +151,55 @@
   }
 }
 
+// The parts of inventories, at the end of the list of changes.
+TEST(PeerMessage, InventoriesRoundTrip) {
+  struct Row {
+    const char *what;
+    size_t changes, values;
+    mt_revision_t at;
+    bool fits;
+  } rows[] = {{"a request", 0, MT_INVENTORY_RANGES, MT_REVISION_NONE, true},
+              {"no items", 0, 0, 0, true},
+              {"beside changes", 3, 140, mt_revision(2, 7), true},
+              {"a large range", 0, MT_PEER_INVENTORY_MAX, 9, true},
+              {"too large", 200, MT_PEER_INVENTORY_MAX, 9, false}};
+  for (const Row &row : rows) {
+    SCOPED_TRACE(row.what);
+    char bytes[MT_PEER_DATAGRAM_MAX];
+    auto in = message_of(MT_PEER_CHANGES), out = message_of(MT_PEER_HELLO);
+    for (size_t i = 0; i < row.changes; i++)
+      in->changes[in->changes_count++] = mt_change_make(
+          MT_CHANGE_KEY_REVOKED, std::string(64, 'a').c_str(), 5);
+    mt_peer_inventory_t &part = in->inventory;
+    part.present = true;
+    part.feed = MT_FEED_ENGINES;
+    part.version = INT64_MAX;
+    part.at = row.at;
+    part.rev = 3;
+    part.digest = UINT64_MAX;
+    part.equal = {{1, 2}};
+    part.listed = {{UINT64_MAX, 5}};
+    part.count = row.values;
+    for (size_t i = 0; i < row.values; i++) part.values[i] = UINT64_MAX - i;
+    size_t n = mt_peer_message_pack(in.get(), bytes, sizeof bytes);
+    ASSERT_EQ(n > 0, row.fits);
+    if (!row.fits) continue;
+    ASSERT_TRUE(mt_peer_message_unpack(out.get(), bytes, n));
+    ASSERT_TRUE(out->inventory.present);
+    EXPECT_EQ(out->changes_count, row.changes);
+    EXPECT_EQ(out->inventory.feed, MT_FEED_ENGINES);
+    EXPECT_EQ(out->inventory.version, INT64_MAX);
+    EXPECT_EQ(out->inventory.at, row.at);
+    EXPECT_EQ(out->inventory.rev, 3);
+    EXPECT_EQ(out->inventory.digest, UINT64_MAX);
+    EXPECT_EQ(out->inventory.equal.bits[1], 2u);
+    EXPECT_EQ(out->inventory.listed.bits[0], UINT64_MAX);
+    ASSERT_EQ(out->inventory.count, row.values);
+    for (size_t i = 0; i < row.values; i++)
+      EXPECT_EQ(out->inventory.values[i], UINT64_MAX - i);
+  }
+}
+
 TEST(PeerMessage, MalformedBytesAreBounded) {
   char bytes[MT_PEER_DATAGRAM_MAX];
   auto in = message_of(MT_PEER_GROUP_SUMMARY),
--- a/tests/store_refusal_test.cc
+++ b/tests/store_refusal_test.cc
@@ -186,4 +186,135 @@
   EXPECT_EQ(fleet.ask(0, "/safe/x", "key-w1"), 200);
 }
 
+// Starts all gateways but the first anew, while the store fails the calls of
+// all; `change` changes the source meanwhile. Then the store answers the new
+// ones: they know what changed as parts of a list alone.
+void replace_peers (Fleet &fleet, int refusal,
+                    const std::function<void()> &change) {
+  int count = (int)fleet.gateways.size();
+  for (int i = 0; i < count; i++) fleet.reject_store_calls(i, refusal);
+  change();
+  for (int i = 1; i < count; i++) fleet.restart(i);
+  for (int i = 1; i < count; i++) fleet.world.rejections[i] = {};
+}
+
+bool peers_logged (Fleet &fleet, const std::string &line) {
+  return fleet.until([&] {
+    for (size_t i = 1; i < fleet.gateways.size(); i++)
+      if (!fleet.logged((int)i, line)) return false;
+    return true;
+  });
+}
+
+// Guards against a refused gateway that goes on serving a revoked key and
+// closed routes because none of its peers has read the versions between: each
+// answered its requests for changes with a gap.
+TEST(StoreRefusal, RefusesWhatVersionsRemovedThatNoPeerReadOneByOne) {
+  const struct {
+    const char *what;
+    int gateways;
+    int refusal;  // as in Case
+    int versions; // that the gateway misses
+  } rows[] = {{"one version", 3, 0, 1},
+              {"two versions, reset", 3, 2, 2},
+              {"three versions, no answer", 3, 1, 3},
+              {"some gateways watch for all", 8, 0, 1}};
+  for (const auto &row : rows) {
+    SCOPED_TRACE(row.what);
+    Fleet fleet(row.gateways);
+    ASSERT_TRUE(fleet.wait_ready());
+    ASSERT_TRUE(fleet.all_logged("configuration version=2 outcome=in-force"));
+    std::string key = fleet.world.keys.back();
+    bool side_moves = row.versions % 2 == 1; // the route's service changes
+    EXPECT_EQ(fleet.ask(0, "/safe/x", key, "w2"), 200);
+    EXPECT_EQ(fleet.ask(0, "/v2/x", "key-w1"), 200);
+    EXPECT_EQ(fleet.ask(0, "/side/x", "key-w1"), 200);
+    replace_peers(fleet, row.refusal, [&] {
+      for (int i = 0; i < row.versions; i++) fleet.world.configure();
+    });
+    std::string version =
+        "configuration version=" + std::to_string(2 + row.versions) +
+        " outcome=in-force";
+    ASSERT_TRUE(peers_logged(fleet, version));
+    EXPECT_TRUE(fleet.until([&] {
+      EXPECT_EQ(fleet.ask(0, "/safe/x", "key-w1"), 200);
+      return fleet.ask(0, "/safe/x", key, "w2") == 503 &&
+             fleet.ask(0, "/v2/x", "key-w1") == 503;
+    }));
+    EXPECT_EQ(fleet.ask(0, "/side/x", "key-w1"), side_moves ? 503 : 200);
+    EXPECT_FALSE(fleet.logged(0, version));
+    fleet.world.rejections[0] = soak::Rejection();
+    ASSERT_TRUE(fleet.until([&] { return fleet.logged(0, version); }));
+    EXPECT_EQ(fleet.ask(0, "/safe/x", key, "w2"), 401);
+    EXPECT_EQ(fleet.ask(0, "/safe/x", fleet.world.keys.back(), "w2"), 200);
+    EXPECT_EQ(fleet.ask(0, "/side/x", "key-w1"), 200);
+  }
+}
+
+// A gap that closes again: what one version removed and a later one has again
+// is served again, also if no peer has read either of them on its own.
+TEST(StoreRefusal, ServesAgainWhatALaterVersionHas) {
+  Fleet fleet(3);
+  ASSERT_TRUE(fleet.wait_ready());
+  ASSERT_TRUE(fleet.all_logged("configuration version=2 outcome=in-force"));
+  for (int version : {3, 4, 5}) {
+    SCOPED_TRACE(version);
+    replace_peers(fleet, 0, [&] { fleet.world.configure(); });
+    ASSERT_TRUE(peers_logged(
+        fleet, "configuration version=" + std::to_string(version) +
+                   " outcome=in-force"));
+    int status = version % 2 == 0 ? 200 : 503; // as of version 2, or moved
+    EXPECT_TRUE(fleet.until(
+        [&] { return fleet.ask(0, "/side/x", "key-w1") == status; }));
+    EXPECT_EQ(fleet.ask(0, "/safe/x", "key-w1"), 200);
+    EXPECT_EQ(fleet.ask(0, "/v2/x", "key-w1"), 503);
+  }
+}
+
+// Guards against the same in the other feed: a refused gateway that goes on
+// sending requests to an engine whose entry was deleted.
+TEST(StoreRefusal, SendsNothingToEnginesWhoseDeletionNoPeerRead) {
+  const struct {
+    const char *what;
+    int gateways;
+    Removal end;
+    const char *outcome;
+  } rows[] = {
+      {"deleted", 3, Removal::Deleted, "gone"},
+      {"deleted, some gateways watch for all", 8, Removal::Deleted, "gone"},
+      {"draining", 3, Removal::Drained, "leaving"}};
+  for (const auto &row : rows) {
+    SCOPED_TRACE(row.what);
+    Fleet fleet(row.gateways);
+    ASSERT_TRUE(fleet.wait_ready());
+    std::string engine = fleet.world.plain_engines[0];
+    replace_peers(fleet, 0, [&] {
+      fleet.world.retire("plain", engine, row.end == Removal::Drained);
+    });
+    ASSERT_TRUE(peers_logged(fleet, "engine=" + fleet.world.last_engine() +
+                                        " outcome=ready"));
+    ASSERT_TRUE(fleet.until([&] {
+      return fleet.logged(0, "engine=" + engine + " outcome=" + row.outcome);
+    }));
+    fleet.world.engine_requests.clear();
+    for (int i = 0; i < 20; i++)
+      EXPECT_EQ(fleet.ask(0, "/safe/x", "key-w1"), 200);
+    EXPECT_EQ(fleet.world.engine_requests[engine], 0);
+  }
+}
+
+// An evacuation that ended unseen, likewise.
+TEST(StoreRefusal, UsesADomainAgainWhoseReinstatementNoPeerRead) {
+  Fleet fleet(3);
+  ASSERT_TRUE(fleet.wait_ready());
+  fleet.world.evacuate("d2");
+  ASSERT_TRUE(fleet.all_logged("evacuation domain=d2 outcome=begun"));
+  replace_peers(fleet, 0, [&] {
+    fleet.world.evacuate("d2");
+    fleet.world.configure(); // the list's revision is past the evacuation
+  });
+  EXPECT_TRUE(fleet.until(
+      [&] { return fleet.logged(0, "evacuation domain=d2 outcome=over"); }));
+}
+
 } // namespace
