A reply that reaches no further than its base leaves the gap open

Callers: of the keys that one version revokes, a router that the store refuses refused the first hundred or so and went on accepting the others.

Cause: changes of one revision are only told together. Where a message does not hold them all, the reply has the first ones and reaches the revision that was asked from. The asking router knew that revision, so it took the reply for nothing new, and asked again, and was sent the same ones again.

Change: such a reply, while changes are missing, counts as one that cannot close the gap, so that inventories are compared.

Tests: FeedExchange.MoreChangesOfOneRevisionThanAMessageHoldsAreCompared; StoreRefusal.RefusesAllKeysThatOneVersionRevokes, 300 and 2,000 keys, peers that watch and peers that have started since.

--- a/src/gateway/feed_exchange.c
+++ b/src/gateway/feed_exchange.c
@@ -371,6 +371,14 @@
   if (should_compare(x, feed)) feed->requested_at = 0; /* request it now */
 }
 
+/* True for a span that reaches no further than its base, while changes are
+   missing: the next ones are of one revision, and more than a message holds.
+ */
+static bool is_stuck (const mt_feed_state_t *feed,
+                      const mt_peer_span_t *span) {
+  return span->reach <= span->base && mt_feed_state_is_behind(feed);
+}
+
 static void receive_span (mt_feed_exchange_t *x, mt_peer_t *peer,
                           mt_feed_kind_t kind, const mt_peer_message_t *m) {
   mt_feed_state_t *feed = &x->feeds[kind].state;
@@ -387,7 +395,7 @@
     mt_feed_state_apply(feed, span->base, span->reach, all);
     peer->requested_at[kind] = 0; /* it may have the rest, too */
   }
-  if (outcome == MT_FEED_GAP) note_gap(x, kind, peer);
+  if (outcome == MT_FEED_GAP || is_stuck(feed, span)) note_gap(x, kind, peer);
   if (has_new && !mt_membership_is_local(x->members, peer))
     forward_changes(x, kind, m);
 }
--- a/tests/feed_exchange_test.cc
+++ b/tests/feed_exchange_test.cc
@@ -943,4 +943,20 @@
   EXPECT_EQ(r->known, before);
 }
 
+// Many changes of one revision, as of a large document, do not fit into a
+// message: the reply holds the first ones and reaches nothing, which must not
+// be taken for knowing them.
+TEST(FeedExchange, MoreChangesOfOneRevisionThanAMessageHoldsAreCompared) {
+  ComparingFleet w(3, 1, 1);
+  Router *behind = w.routers[0].get(), *reader = w.routers[1].get();
+  w.start(2000);
+  int64_t rev = ++w.rev;
+  for (int i = 0; i < 1500; i++)
+    w.changes.push_back(
+        mt_change_make(MT_CHANGE_ENGINE_GONE, w.name(i).c_str(), rev));
+  reader->rejected = false;
+  w.run(2000);
+  EXPECT_EQ(w.count_wrong(behind), 0);
+}
+
 } // namespace
--- a/tests/store_refusal_test.cc
+++ b/tests/store_refusal_test.cc
@@ -303,6 +303,52 @@
   }
 }
 
+// Publishes a version in which the second workspace has these keys.
+void publish_keys (Fleet &fleet, const std::vector<std::string> &keys) {
+  std::string list;
+  for (const std::string &key : keys)
+    list += (list.empty() ? "\"" : ",\"") + key + "\"";
+  fleet.world.put(
+      "op/config",
+      ::World::config(++fleet.world.version, "key-w1", "",
+                      ",{\"name\":\"w2\",\"api_keys\":[" + list + "]}"));
+}
+
+// Guards against a table of denials that is full: the 257th key that one
+// version revokes was served, and so was each key after those that fit into a
+// message.
+TEST(StoreRefusal, RefusesAllKeysThatOneVersionRevokes) {
+  for (bool peers_restart : {false, true})
+    for (int count : {300, 2000}) {
+      SCOPED_TRACE(count);
+      SCOPED_TRACE(peers_restart ? "the peers read a list" : "they watch");
+      Fleet fleet(3);
+      ASSERT_TRUE(fleet.wait_ready());
+      std::vector<std::string> keys;
+      for (int i = 0; i < count; i++)
+        keys.push_back("many-" + std::to_string(i));
+      publish_keys(fleet, keys);
+      ASSERT_TRUE(
+          fleet.all_logged("configuration version=3 outcome=in-force"));
+      std::string kept = keys[(size_t)count / 2];
+      auto revoke = [&] { publish_keys(fleet, {kept}); };
+      if (peers_restart) {
+        replace_peers(fleet, 0, revoke);
+      } else {
+        fleet.reject_store_calls(0, 0);
+        revoke();
+      }
+      ASSERT_TRUE(
+          peers_logged(fleet, "configuration version=4 outcome=in-force"));
+      for (int i : {0, 100, 255, 256, 257, 299, count - 2, count - 1})
+        EXPECT_TRUE(fleet.until([&] {
+          return fleet.ask(0, "/safe/x", keys[(size_t)i], "w2") == 503;
+        })) << i;
+      EXPECT_EQ(fleet.ask(0, "/safe/x", kept, "w2"), 200);
+      EXPECT_EQ(fleet.ask(0, "/safe/x", "key-w1"), 200);
+    }
+}
+
 // An evacuation that ended unseen, likewise.
 TEST(StoreRefusal, UsesADomainAgainWhoseReinstatementNoPeerRead) {
   Fleet fleet(3);
