A list that may be out of date shows that its last change exists

Callers: after all its peers had put a version into force, a refused router learned of that only when the first watch of one of them ended: 1.8 s later in a fleet of three, up to 4 s where the store may hold a watch for that long.

Cause: a router that starts reads a list that may be some seconds old. It did not count as showing any change, so the headers of that router's messages went on naming the last change that the others had told it.

Change: the last change that such a list shows counts as known to exist, with its own revision as the source's. When the source was last read (`confirmed`) stays as it was.

SourceReadsGiveUpdates asserts `newest` in each of its rows.

--- a/src/gateway/feed_state.c
+++ b/src/gateway/feed_state.c
@@ -35,7 +35,9 @@
   bool changed = newest > feed->newest;
   feed->applied = mt_max(feed->applied, at);
   feed->received = mt_max(feed->received, at);
-  if (now != 0) mt_feed_state_merge(feed, newest, at, now);
+  /* A list that may be out of date still shows that its last change exists.
+   */
+  mt_feed_state_merge(feed, newest, now != 0 ? at : newest, now);
   if (first || newest <= base) return (mt_feed_update_t){.due = false};
   bool due = unannounced || (now != 0 && changed);
   return (mt_feed_update_t){due, base, newest};
--- a/tests/feed_state_test.cc
+++ b/tests/feed_state_test.cc
@@ -1,6 +1,8 @@
 // feed_state_test.cc - known revisions of a feed, and which updates are due.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 extern "C" {
 #include "feed_state.h"
 }
@@ -61,6 +63,7 @@
     EXPECT_EQ(feed.applied, row.at) << row.what;
     EXPECT_EQ(feed.received, row.at) << row.what;
     EXPECT_EQ(feed.confirmed, row.now ? 2000u : 1500u) << row.what;
+    EXPECT_EQ(feed.newest, std::max(row.reported, row.newest)) << row.what;
   }
 }
 
