Compared domains are named when they change; keys by their pointer alone

Callers: none saw it. Items of domains pointed to the names of the evacuations, which move when one of them ends, so that with two evacuations that had ended unseen the second change could have named another domain. Found when the code was read through.

Change: the name is looked up by the item's id when there is a change. Unused fields of items are gone.

UsesADomainAgainWhoseReinstatementNoPeerRead has three evacuations now, of which the first and the last end, and one that begins.

--- a/src/gateway/feed_exchange.c
+++ b/src/gateway/feed_exchange.c
@@ -348,11 +348,8 @@
          peer->requested_at[kind] >= x->feeds[kind].gap_began;
 }
 
-/*
-** True if a comparison of inventories is due. A router that reaches the
-*source
-** reads it sooner than that pays, unless its call stays without an answer.
-*/
+/* True if a comparison of inventories is due. A router that reaches the
+   source reads it instead, unless its call stays without an answer. */
 static bool should_compare (const mt_feed_exchange_t *x,
                             const mt_feed_t *feed) {
   mt_ms_t behind = x->members->now - feed->behind_since;
@@ -371,9 +368,8 @@
   if (should_compare(x, feed)) feed->requested_at = 0; /* request it now */
 }
 
-/* True for a span that reaches no further than its base, while changes are
-   missing: the next ones are of one revision, and more than a message holds.
- */
+/* True if changes are missing and the span reaches no further than its base:
+   the next ones are of one revision, and more than a message holds. */
 static bool is_stuck (const mt_feed_state_t *feed,
                       const mt_peer_span_t *span) {
   return span->reach <= span->base && mt_feed_state_is_behind(feed);
--- a/src/gateway/gateway_inventory.c
+++ b/src/gateway/gateway_inventory.c
@@ -43,8 +43,7 @@
     uint64_t id =
         mtV_mix(digests->keys[i], catalog->workspaces[key->workspace].id);
     mt_item_t *item = add_item(inventory, MT_ITEM_KEY, id, true);
-    item->u.key.key = key;
-    item->u.key.digest = digests->keys[i];
+    item->u.key = key;
     item->withdrawn =
         mt_denials_has(&g->relay->denials.keys, digests->keys[i]);
   }
@@ -68,15 +67,17 @@
   }
 }
 
+static uint64_t domain_id (const char *name) {
+  return mtV_hash(name, strlen(name)) | MT_ITEM_IN_USE;
+}
+
 static void add_domain (const mt_gateway_t *g, mt_map_t *seen,
                         const char *name, mt_inventory_t *inventory) {
-  uint64_t id = mtV_hash(name, strlen(name)) | MT_ITEM_IN_USE;
+  uint64_t id = domain_id(name);
   if (mtV_get(seen, id) != NULL) return;
-  bool evacuated = mt_evacuations_has(&g->relay->evacuations, name);
   mtV_put(seen, id, seen);
-  mt_item_t *item = add_item(inventory, MT_ITEM_DOMAIN, id, !evacuated);
-  item->u.domain.name = name;
-  item->u.domain.evacuated = evacuated;
+  add_item(inventory, MT_ITEM_DOMAIN, id,
+           !mt_evacuations_has(&g->relay->evacuations, name));
 }
 
 /* The domains of all engines, and others that are evacuated. */
@@ -142,15 +143,34 @@
   return false;
 }
 
+/* The name of a domain that has evacuations or engines, or NULL. Items do not
+   point to it: each change of a domain moves the evacuations. */
+static const char *domain_name (const mt_gateway_t *g, uint64_t id) {
+  const mt_engines_t *engines = &g->relay->engines;
+  const mt_evacuations_t *evacuations = &g->relay->evacuations;
+  id |= MT_ITEM_IN_USE;
+  for (size_t i = 0; i < evacuations->count; i++)
+    if (domain_id(evacuations->names[i]) == id) return evacuations->names[i];
+  for (size_t i = 0; i < engines->count; i++) {
+    const char *name = engines->list[i]->domain;
+    if (name != NULL && domain_id(name) == id) return name;
+  }
+  return NULL;
+}
+
 /* A domain that the peer does not have is not evacuated. */
-static bool domain_change (const mt_item_t *item, mt_item_match_t match,
-                           mt_revision_t at, mt_change_t *change) {
-  bool evacuated = item->u.domain.evacuated;
+static bool domain_change (const mt_gateway_t *g, const mt_item_t *item,
+                           mt_item_match_t match, mt_revision_t at,
+                           mt_change_t *change) {
+  bool evacuated = (item->id & MT_ITEM_IN_USE) == 0;
+  bool changes =
+      match == MT_ITEM_OTHER_STATE || (evacuated && match == MT_ITEM_ABSENT);
+  const char *name = changes ? domain_name(g, item->id) : NULL;
+  if (name == NULL) return false;
   *change = mt_change_make(evacuated ? MT_CHANGE_DOMAIN_REINSTATED
                                      : MT_CHANGE_DOMAIN_EVACUATED,
-                           item->u.domain.name, at);
-  return match == MT_ITEM_OTHER_STATE ||
-         (evacuated && match == MT_ITEM_ABSENT);
+                           name, at);
+  return true;
 }
 
 /* True if the peer's configuration is a later one and shows that the use of a
@@ -167,7 +187,7 @@
 static mt_change_t key_change (const mt_item_t *item, mt_item_match_t match,
                                mt_revision_t rev) {
   char digest[MT_DIGEST_HEX + 1];
-  const mt_catalog_key_t *key = item->u.key.key;
+  const mt_catalog_key_t *key = item->u.key;
   mtH_sha256(key->text, key->size, digest);
   return mt_change_make(match == MT_ITEM_SAME ? MT_CHANGE_KEY_GRANTED
                                               : MT_CHANGE_KEY_REVOKED,
@@ -182,7 +202,8 @@
   switch (item->kind) {
     case MT_ITEM_ENGINE:
       return engine_change(item->u.engine, match, part->at, change);
-    case MT_ITEM_DOMAIN: return domain_change(item, match, part->at, change);
+    case MT_ITEM_DOMAIN:
+      return domain_change(g, item, match, part->at, change);
     case MT_ITEM_KEY:
       if (!is_declared_otherwise(g, item, match, part)) return false;
       *change = key_change(item, match, part->rev);
--- a/src/gateway/inventory.h
+++ b/src/gateway/inventory.h
@@ -57,17 +57,10 @@
   bool withdrawn; /* listed here, but out of use as other routers reported */
   union {         /* valid until the tables change that it points into */
     const mt_engine_t *engine;
-    struct {
-      const mt_catalog_key_t *key;
-      uint64_t digest; /* mt_catalog_digest_key of it */
-    } key;
+    const mt_catalog_key_t *key;
     struct {
       mt_id_t route, service;
     } path;
-    struct {
-      const char *name;
-      bool evacuated;
-    } domain;
   } u;
 } mt_item_t;
 
--- a/tests/feed_exchange_test.cc
+++ b/tests/feed_exchange_test.cc
@@ -761,7 +761,7 @@
       *item = mt_item_t{};
       item->id =
           row.second == MT_CHANGE_ENGINE_DRAINING ? id ^ MT_ITEM_IN_USE : id;
-      item->u.domain.name = row.first.c_str();
+      item->u.engine = (const mt_engine_t *)&row.first; // its name
     }
   }
   static bool difference (void *, const mt_item_t *item,
@@ -769,9 +769,9 @@
                           const mt_peer_inventory_t *part,
                           mt_change_t *change) {
     bool drains = match == MT_ITEM_OTHER_STATE;
-    *change = mt_change_make(drains ? MT_CHANGE_ENGINE_DRAINING
-                                    : MT_CHANGE_ENGINE_GONE,
-                             item->u.domain.name, part->at);
+    *change = mt_change_make(
+        drains ? MT_CHANGE_ENGINE_DRAINING : MT_CHANGE_ENGINE_GONE,
+        ((const std::string *)item->u.engine)->c_str(), part->at);
     return match != MT_ITEM_SAME && !(drains && !(item->id & MT_ITEM_IN_USE));
   }
   // What the source has now.
--- a/tests/store_refusal_test.cc
+++ b/tests/store_refusal_test.cc
@@ -353,14 +353,25 @@
 TEST(StoreRefusal, UsesADomainAgainWhoseReinstatementNoPeerRead) {
   Fleet fleet(3);
   ASSERT_TRUE(fleet.wait_ready());
-  fleet.world.evacuate("d2");
-  ASSERT_TRUE(fleet.all_logged("evacuation domain=d2 outcome=begun"));
+  // The middle one of three stays, another one begins.
+  for (const char *domain : {"d7", "d8", "d2"}) {
+    fleet.world.evacuate(domain);
+    ASSERT_TRUE(fleet.all_logged(std::string("evacuation domain=") + domain +
+                                 " outcome=begun"));
+  }
   replace_peers(fleet, 0, [&] {
+    fleet.world.evacuate("d7");
     fleet.world.evacuate("d2");
+    fleet.world.evacuate("d1");
     fleet.world.configure(); // the list's revision is past the evacuation
   });
-  EXPECT_TRUE(fleet.until(
-      [&] { return fleet.logged(0, "evacuation domain=d2 outcome=over"); }));
+  for (const char *line : {"domain=d7 outcome=over", "domain=d2 outcome=over",
+                           "domain=d1 outcome=begun"})
+    EXPECT_TRUE(fleet.until([&] {
+      return fleet.logged(0, std::string("evacuation ") + line);
+    })) << line;
+  EXPECT_FALSE(fleet.logged(0, "evacuation domain=d8 outcome=over"));
+  EXPECT_EQ(fleet.ask(0, "/safe/x", "key-w1"), 200);
 }
 
 } // namespace
