The digests of a version's keys are computed once

Cause: they are computed when a version is announced, and again when a peer reports a key of it as revoked, or for a comparison: 72 ms for 5,000 keys here, at a load of 14 on 8 cores.

Change: those of the version that goes into force are kept from its announcement.

--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -98,28 +98,27 @@
 /*
 ** Announces what versions that this router did not read added, as it knows
 ** from other routers, and this version removes. Otherwise the others would
-** go on accepting a key that was added in a skipped version.
+** go on accepting a key that was added in a skipped version. `digests`: of
+** the version's keys.
 */
-static void announce_skipped (announcement_t *d,
-                              const mt_catalog_t *catalog) {
+static void announce_skipped (announcement_t *d, const mt_catalog_t *catalog,
+                              const mt_map_t *digests) {
   mt_gateway_t *g = d->gateway;
   mt_change_t change;
-  mt_map_t digests = {0};
   const mt_change_log_t *log =
       mt_gateway_peers_change_log(g->peers, MT_FEED_DECLARATIONS);
-  mt_catalog_digests(catalog, &digests);
   for (size_t i = 0; i < log->slots; i++) {
     const mt_change_t *received = mt_change_log_slot(log, i);
     if (received == NULL || received->rev >= d->rev) continue;
-    if (!contradicts(catalog, &digests, received, d->rev, &change)) continue;
+    if (!contradicts(catalog, digests, received, d->rev, &change)) continue;
     if (!d->removals_only || mt_change_is_withdrawal(change.kind))
       mt_gateway_peers_source_changed(g->peers, &change);
   }
-  mtV_free(&digests);
 }
 
+/* `digests` gets those of the version's keys if they were needed. */
 static void announce_version (mt_gateway_t *g, const mt_catalog_t *catalog,
-                              mt_revision_t rev) {
+                              mt_revision_t rev, mt_map_t *digests) {
   announcement_t announcement = {g, rev, 0, mt_gateway_in_restore_grace(g)};
   const mt_catalog_diff_callbacks_t callbacks = {announce_key, announce_route,
                                                  &announcement};
@@ -128,7 +127,8 @@
   const mt_catalog_t *old = g->relay->catalog;
   if (old == NULL || catalog->version <= old->version) return;
   mt_catalog_diff(old, catalog, &callbacks);
-  announce_skipped(&announcement, catalog);
+  mt_catalog_digests(catalog, digests);
+  announce_skipped(&announcement, catalog, digests);
 }
 
 /* {== What other routers report as withdrawn ============================ */
@@ -196,17 +196,21 @@
                                     .body_bytes = catalog->limits.body_bytes,
                                     .header_ms = catalog->limits.header_ms,
                                     .idle_ms = catalog->limits.idle_ms};
+  mt_map_t digests = {0};
   int64_t version = catalog->version;
   size_t routes = catalog->routes_count;
   size_t workspaces = catalog->workspaces_count;
-  announce_version(g, catalog, rev);
+  announce_version(g, catalog, rev, &digests);
   bool applied = mt_relay_set_catalog(g->relay, catalog);
   mt_log_line(
       g->log, MT_LOG_STATE, mt_boot_clock_now(g->loop), "configuration",
       "version=%lld routes=%zu workspaces=%zu outcome=%s", (long long)version,
       routes, workspaces, applied ? "in-force" : "older");
-  if (applied) mtV_free(&g->key_digests);
-  if (applied) g->catalog_rev = rev;
+  mtV_free(applied ? &g->key_digests : &digests);
+  if (applied) {
+    g->key_digests = digests;
+    g->catalog_rev = rev;
+  }
   if (version == g->relay->catalog->version) update_denials(g, rev);
   if (applied) mt_http_server_set_limits(g->callers, &limits);
 }
--- a/tests/feed_exchange_test.cc
+++ b/tests/feed_exchange_test.cc
@@ -297,6 +297,30 @@
     }
 }
 
+// The backup may be empty: the era begins at count 0, which is later than
+// every revision of the era before.
+TEST(FeedExchange,
+     ChangesAfterARestoreFromAnEmptyBackupReachRejectedRouters) {
+  for (mt_ms_t silence : {0, 50, 1000})
+    for (unsigned seed = 1; seed <= 10; seed++) {
+      Fleet w(12, 2, seed);
+      w.reject_some(0.5);
+      w.change(MT_CHANGE_ENGINE_READY, "i-1");
+      w.run(500);
+      w.loss = 1000;
+      w.restore(0);
+      w.change(MT_CHANGE_ENGINE_DRAINING, "i-1");
+      w.change(MT_CHANGE_KEY_REVOKED, "k-1");
+      w.run(silence);
+      w.loss = 0;
+      w.run(2000);
+      EXPECT_EQ(w.count_missing("i-1", MT_CHANGE_ENGINE_DRAINING), 0)
+          << "silence " << silence << ", seed " << seed;
+      EXPECT_EQ(w.count_missing("k-1", MT_CHANGE_KEY_REVOKED), 0)
+          << "silence " << silence << ", seed " << seed;
+    }
+}
+
 // A datagram from before a restore changes nothing after it.
 TEST(FeedExchange, ChangesOfAnEarlierEraAreIgnored) {
   Fleet w(4, 1, 1);
