--- a/tests/feed_exchange_test.cc
+++ b/tests/feed_exchange_test.cc
@@ -763,6 +763,8 @@
 
 // A fleet whose routers compare the engines that they have in use.
 struct ComparingFleet : Fleet {
+  std::map<std::string, mt_engine_t> records; // with names alone
+
   ComparingFleet(int count, int domains, unsigned seed)
       : Fleet(count, domains, seed) {
     for (auto &r : routers) set_inventory(r.get());
@@ -771,6 +773,11 @@
     const mt_feed_inventory_callbacks_t callbacks = {list, difference, r};
     mt_feed_exchange_set_inventory(&r->feeds, &callbacks);
   }
+  const mt_engine_t *record (const std::string &engine) {
+    auto at = records.try_emplace(engine).first;
+    at->second.name = (char *)at->first.c_str();
+    return &at->second;
+  }
   static void list (void *ud, mt_feed_kind_t kind, mt_inventory_t *to) {
     auto *r = (Router *)ud;
     to->at = r->feeds.feeds[kind].state.applied;
@@ -785,7 +792,7 @@
       *item = mt_item_t{};
       item->id =
           row.second == MT_CHANGE_ENGINE_DRAINING ? id ^ MT_ITEM_IN_USE : id;
-      item->u.engine = (const mt_engine_t *)&row.first; // its name
+      item->u.engine = ((ComparingFleet *)r->fleet)->record(row.first);
     }
   }
   static bool difference (void *, const mt_item_t *item,
@@ -793,9 +800,9 @@
                           const mt_peer_inventory_t *part,
                           mt_change_t *change) {
     bool drains = match == MT_ITEM_OTHER_STATE;
-    *change = mt_change_make(
-        drains ? MT_CHANGE_ENGINE_DRAINING : MT_CHANGE_ENGINE_GONE,
-        ((const std::string *)item->u.engine)->c_str(), part->at);
+    *change = mt_change_make(drains ? MT_CHANGE_ENGINE_DRAINING
+                                    : MT_CHANGE_ENGINE_GONE,
+                             item->u.engine->name, part->at);
     return match != MT_ITEM_SAME && !(drains && !(item->id & MT_ITEM_IN_USE));
   }
   // What the source has now.
