Request lines name the shared segments of the prompt

The lines of the incident could not tell a segment that ends engines from a route, a workspace or a request of a certain size: they had sums of tokens and no name of a segment. parts= names each shared segment as the list of suspects will. Lines may be longer for it. No decision changes.

--- a/src/gateway/gateway_log.c
+++ b/src/gateway/gateway_log.c
@@ -1,10 +1,15 @@
 /*
 ** gateway_log.c - log lines about requests and engines
 */
+#include <stdio.h>
 #include <string.h>
 
 #include "gateway_log.h"
 
+/* Names of a prompt's shared segments in a line, each of 16 digits and a
+   comma; further ones are omitted. */
+#define PARTS_TEXT_BYTES (MT_RELAY_SEGMENTS_MAX * 17 + 1)
+
 typedef unsigned long long number_t;
 
 const char *mt_gateway_state_name (mt_engine_state_t state) {
@@ -50,14 +55,25 @@
                                : 0;
 }
 
+/* The prompt's segments but for the last, which no other request shares. */
+static const char *parts_text (const mt_relay_request_t *r, char *text) {
+  size_t n = 0;
+  for (size_t i = 0; i + 1 < r->segments_count; i++)
+    n += (size_t)snprintf(text + n, PARTS_TEXT_BYTES - n, "%s%016llx",
+                          i > 0 ? "," : "",
+                          (number_t)mt_suspect_segment(r->segments[i].id));
+  return n > 0 ? text : "-";
+}
+
 void mt_gateway_log_request (mt_log_writer_t *log, const mt_relay_t *relay,
                              const mt_relay_request_t *r, const char *outcome,
                              const char *why) {
   bool routine = strcmp(outcome, "answered") == 0 && r->attempt == 1;
   int64_t version = relay->catalog ? relay->catalog->version : 0;
+  char parts[PARTS_TEXT_BYTES];
   mt_log_line(
       log, routine ? MT_LOG_DETAIL : MT_LOG_FAILURE, relay->now, "request",
-      "id=%s digest=%016llx route=%08x workspace=%08x engine=%s software=%s "
+      "id=%s digest=%016llx parts=%s route=%08x workspace=%08x engine=%s software=%s "
       "resumes=%s from=%lld origin=%s attempt=%d age=%llu "
       "status=%d wait=%.0f expected=%.0f first=%llu slowness=%.2f "
       "pause=%.0f gap=%llu "
@@ -65,8 +81,8 @@
       "tokens=%lld own=%lld unread=%lld fetched=%lld home=%d last=%lld "
       "version=%lld "
       "outcome=%s why=%s",
-      r->id, (number_t)r->digest, r->route, r->workspace,
-      r->engine_name[0] ? r->engine_name : "-",
+      r->id, (number_t)r->digest, parts_text(r, parts), r->route,
+      r->workspace, r->engine_name[0] ? r->engine_name : "-",
       r->engine_version[0] ? r->engine_version : "-",
       r->resumes[0] ? r->resumes : "-", (long long)r->first_event,
       mt_origin_source_name(r->origin_source), r->attempt,
--- a/src/net/log_writer.c
+++ b/src/net/log_writer.c
@@ -13,7 +13,7 @@
 #include "mtmem.h"
 
 #define BUFFER_BYTES 65536
-#define LINE_BYTES 640 /* a request with all names at their longest */
+#define LINE_BYTES 1024 /* a request with all names at their longest */
 #define CLASSES 4
 #define SECOND_MS 1000
 
--- a/src/relay/suspects.c
+++ b/src/relay/suspects.c
@@ -23,6 +23,7 @@
 #define SUSPECTS_MAX 4096
 #define EVICTION_SAMPLE 64 /* slots searched for an entry to evict */
 #define ANSWERS_MAX 4096
+#define SEGMENT_SALT 0x6b8f2d94c1a7e053u
 
 const char *mt_suspicion_name (mt_suspicion_t state) {
   switch (state) {
@@ -35,6 +36,11 @@
   return "";
 }
 
+/* Digests of requests are odd. */
+uint64_t mt_suspect_segment (uint64_t segment) {
+  return (mtV_mix(segment, SEGMENT_SALT) | 3) ^ 1;
+}
+
 void mt_suspects_free (mt_suspects_t *t) {
   mtV_each (&t->by_digest, i) free(t->by_digest.vals[i]);
   mtV_free(&t->by_digest);
--- a/src/relay/suspects.h
+++ b/src/relay/suspects.h
@@ -38,6 +38,10 @@
   MT_SUSPICION_COUNT
 } mt_suspicion_t;
 
+/* The name of a prompt segment among suspects, which differs from the digest
+   of any request; never 0. */
+uint64_t mt_suspect_segment (uint64_t segment);
+
 /* The end of an engine that was running the request. */
 typedef struct mt_suspect_end_t {
   uint64_t engine;
