--- /dev/null
+++ b/tests/crashing_segment_test.cc
@@ -0,0 +1,102 @@
+// crashing_segment_test.cc - a prompt segment that crashes engines
+//
+// Guards against gateways that recognize only whole requests. Requests that
+// share one crashing segment and nothing else were each new to them, and
+// engine after engine ended: 28 under one segment.
+#include "soak/fleet.h"
+
+namespace {
+
+using soak::Fleet;
+
+// The fifth end is to be the last one.
+const int ENDS_MAX = 5;
+const int ROUNDS = 24;
+
+struct Case {
+  const char *what;
+  int gateways;
+  const char *path;
+  int segments;          // of a prompt, without its last one
+  int place;             // of the crashing one, from 0
+  bool unframed, closes; // answers; connections of an engine that crashes
+  int alone_from;        // the first round with a sound request
+};
+
+class CrashingFleet : public Fleet {
+public:
+  explicit CrashingFleet(const Case &chosen)
+      : Fleet(chosen.gateways), row(chosen) {
+    world.poison_segments.insert("dead");
+    world.poison_delay_ms = 40;
+    world.down_ms = 100;
+    world.renews = true;
+    world.unframed = row.unframed;
+    world.crash_closes = row.closes;
+  }
+  bool engines_serve () {
+    return until([&] { return world.all_restarted(); }) && until([&] {
+             for (size_t i = 0; i < gateways.size(); i++)
+               if (ask((int)i, "/safe/x", "key-w1") != 200) return false;
+             return true;
+           });
+  }
+  // A request whose prompt has `id` at the case's place and the same segments
+  // as all others elsewhere, but for the last one; returns its status.
+  int send (int gateway, const std::string &id) {
+    std::string name = std::to_string(++sent), segments;
+    for (int i = 0; i < row.segments; i++)
+      segments += (i == row.place ? id : "a" + std::to_string(i)) + ":100,";
+    std::string in = post(gateway, row.path, "body " + name,
+                          "X-Model: m\r\nX-Token-Usage: 600,20\r\n"
+                          "X-Prefix-Hash: " +
+                              segments + "f" + name + ":200\r\n");
+    return ::World::status_of(in);
+  }
+
+private:
+  Case row;
+  int sent = 0;
+};
+
+void run_case (const Case &row) {
+  CrashingFleet fleet(row);
+  ASSERT_TRUE(fleet.wait_ready());
+  for (int i = 0; i < ROUNDS; i++) {
+    fleet.send(i % row.gateways, "dead");
+    ASSERT_TRUE(fleet.engines_serve());
+    if (i >= row.alone_from)
+      fleet.send((i + 1) % row.gateways, "50" + std::to_string(i));
+  }
+  EXPECT_GE(fleet.world.crash_count, 1);
+  EXPECT_LE(fleet.world.crash_count, ENDS_MAX);
+  for (int i = 0; i < 2 * row.gateways; i++) {
+    int gateway = i % row.gateways;
+    EXPECT_EQ(fleet.send(gateway, "60" + std::to_string(i)), 200) << i;
+    EXPECT_EQ(fleet.send(gateway, "dead"), 503) << i;
+  }
+}
+
+TEST(CrashingSegment, CrashesABoundedNumberOfEngines) {
+  const Case rows[] = {
+      {"first, a stream", 4, "/gen/x", 3, 0, false, false, 0},
+      {"in the middle, a stream", 4, "/gen/x", 3, 1, false, false, 0},
+      {"last but one, a stream", 12, "/gen/x", 3, 2, false, false, 0},
+      {"in the middle, plain", 4, "/safe/x", 3, 1, false, false, 0},
+      {"not repeatable", 4, "/once/x", 3, 1, false, false, 0},
+      {"one gateway", 1, "/gen/x", 3, 1, false, false, 0},
+      {"a long prompt", 4, "/gen/x", 40, 30, false, false, 0},
+      {"at first never without the others", 4, "/gen/x", 3, 1, false, false,
+       10},
+      {"unframed streams", 4, "/gen/x", 3, 1, true, false, 0},
+      {"unframed streams, connections are closed", 4, "/gen/x", 3, 1, true,
+       true, 0},
+      {"unframed plain answers", 4, "/safe/x", 3, 1, true, false, 0},
+  };
+  for (const Case &row : rows) {
+    SCOPED_TRACE(row.what);
+    run_case(row);
+  }
+}
+
+} // namespace
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -135,11 +135,11 @@
   // Sends a request with this body; returns the raw reply, empty if the
   // connection ended without one.
   std::string post (int gateway, const std::string &path,
-                    const std::string &body) {
+                    const std::string &body, const std::string &fields = "") {
     std::string id = "id" + std::to_string(++sent_requests);
     Gateway &g = gateways[(size_t)gateway];
     world.checker.ask(id, RouteKind::Safe, "w1");
-    return exchange(g, g.port, ::World::ask(path, id, body));
+    return exchange(g, g.port, ::World::ask(path, id, body, fields));
   }
   // Sends a request without a body; returns the status of the reply.
   int ask (int gateway, const std::string &path, const std::string &key,
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -521,6 +521,10 @@
   // An engine that receives one of these bodies crashes `poison_delay_ms`
   // later and restarts `down_ms` after that.
   std::set<std::string> poison_bodies;
+  // The same of one whose prompt has one of these segments, but for the last.
+  std::set<std::string> poison_segments;
+  // Crashes close connections as a complete unframed answer would.
+  bool crash_closes = false;
   long poison_delay_ms = 20, down_ms = 2000;
   bool renews = false; // engines restart under a new id, else under the same
   // Incarnation of the engine that started last, as in its entry; it rises
@@ -545,6 +549,18 @@
     if (crash_at.count(engine) == 0)
       crash_at[engine] = now_ms() + poison_delay_ms;
   }
+  // The poison body or segment that a request has; empty: none.
+  std::string find_poison (const Request &r) const {
+    if (poison_bodies.count(r.body)) return r.body;
+    std::string segments = r.field("X-Prefix-Hash");
+    size_t at = 0, comma;
+    while ((comma = segments.find(',', at)) != segments.npos) {
+      std::string id = segments.substr(at, segments.find(':', at) - at);
+      if (poison_segments.count(id)) return id;
+      at = comma + 1;
+    }
+    return "";
+  }
   // Resets the engine's connections and closes its listening socket.
   void crash_engine (const std::string &id) {
     Listener *listener = engine_listeners[id];
@@ -557,7 +573,12 @@
     listener->fd = -1;
     reserved_ports[id] = bind_at(listener->port);
     for (Conn &c : conns)
-      if (c.listener == listener && c.fd >= 0) c.abort();
+      if (c.listener == listener && c.fd >= 0) {
+        if (crash_closes)
+          c.close();
+        else
+          c.abort();
+      }
     crash_count++;
     engine_restart_at[id] = now_ms() + down_ms;
     if (renews) drop("servers/" + id);
@@ -665,11 +686,14 @@
     checker.on_execution(id, r.field("X-Tenant"),
                          !r.field("Authorization").empty());
     std::string seal = echo + "X-Engine-Seal: s." + id + "\r\n";
-    if (poison_bodies.count(r.body)) {
-      start_poison(id, r.body, engine);
+    bool stream = r.line().find("/gen/") != std::string::npos;
+    std::string poison = find_poison(r);
+    if (!poison.empty()) {
+      if (stream) c.send(stream_head(seal));
+      start_poison(id, poison, engine);
       return;
     }
-    if (r.line().find("/gen/") != std::string::npos)
+    if (stream)
       send_stream(c, r, engine, id, seal, bad ? kind : 0);
     else
       send_plain(c, id, seal, bad ? kind : 0);
@@ -751,6 +775,10 @@
     std::string body = Checker::body_of(id);
     std::string whole = answer(200, seal, body);
     long delay = (long)(random() % 30);
+    if (unframed && fault == 0) {
+      send_later(c, "HTTP/1.1 200 OK\r\n" + seal + "\r\n" + body, delay, 1);
+      return;
+    }
     switch (fault) {
       case 1: send_later(c, answer(500, seal, "broken"), delay); break;
       case 2: send_later(c, "", delay, 2); break; // executed, but no reply
@@ -769,6 +797,12 @@
     snprintf(size, sizeof size, "%zx\r\n", text.size());
     return size + text + "\r\n";
   }
+  // Answers have neither a length nor chunks and end with their connection.
+  bool unframed = false;
+  std::string stream_head (const std::string &seal) const {
+    return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + seal +
+           (unframed ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n");
+  }
   // Number of events of a stream, and the longest pause between two.
   int stream_events = 6;
   long stream_pause_ms = 20;
@@ -784,10 +818,7 @@
       suffix = " " + version_by_engine[engine];
     int first = from.empty() ? 0 : std::stoi(from) + 1;
     const int count = stream_events;
-    send_later(c,
-               "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
-                   seal + "Transfer-Encoding: chunked\r\n\r\n",
-               1);
+    send_later(c, stream_head(seal), 1);
     int broken =
         fault > 0 ? first + (int)(random() % (unsigned)count) : count + 1;
     long at = 5;
@@ -795,7 +826,7 @@
          i++, at += (long)(random() % (unsigned)stream_pause_ms)) {
       std::string text = Checker::event_of(stream, i) + suffix;
       if (i + 1 == count) text += " end";
-      text = chunk(text + "\n\n");
+      text = unframed ? text + "\n\n" : chunk(text + "\n\n");
       if (i < broken) {
         send_later(c, text, at);
         continue;
@@ -808,7 +839,7 @@
         default: return; // sends no more, keeps the connection
       }
     }
-    send_later(c, "0\r\n\r\n", at);
+    send_later(c, unframed ? "" : "0\r\n\r\n", at, unframed);
   }
 
   // }==
