Prompt segments are suspected of crashing engines, not only whole requests

Callers saw one engine after the other end. Cause: what ends engines was known by the digest of the whole request alone; requests that share one segment and nothing else were each new, and answers without length or chunks cleared nothing at all.

A request now has several names: its digest and each prompt segment but the last. Ends, trials and quarantines are kept for names in one table. A policy that needs the table alone decides on a request: the name with the most ends is tried; names seen only together are refused together, and a request with one of them alone tells which it is; a name that this gateway has seen answered since its first end never waits; the evidence of a single workspace does not refuse the requests of others. An unframed answer clears its names once the engine is heard of 200 ms later, and is an end if the engine turns out to be gone; an unframed stream without an event is lost. A stream that has gone on for a second clears its segments. Errors clear no segments.

Checks: initialisers of tests have the new fields; peers_test checks them.

--- a/src/gateway/explain.c
+++ b/src/gateway/explain.c
@@ -81,15 +81,31 @@
   return false;
 }
 
+/* True if a line of the request `id` lists this part of its prompt. */
+static bool request_has_part (const lines_t *lines, const char *id,
+                              const char *part) {
+  for (size_t i = 0; i < lines->count; i++) {
+    const char *list = strstr(lines->list[i].text, " parts=");
+    if (list == NULL || !has_value(lines->list[i].text, "id", id)) continue;
+    const char *found = strstr(list, part);
+    if (found != NULL && found < list + 1 + strcspn(list + 1, " "))
+      return true;
+  }
+  return false;
+}
+
 /* A state change is relevant if it was logged by a router that handled the
    request and, if it is about an engine, the request went there. One about a
-   suspect is relevant if it is about this request, at any router. */
+   suspect is relevant if it is about this request or a part of its prompt, at
+   any router. */
 static bool is_relevant (const lines_t *lines, const char *id,
                          const char *text) {
-  char node[FIELD_BYTES], engine[FIELD_BYTES], digest[FIELD_BYTES];
+  char node[FIELD_BYTES], engine[FIELD_BYTES], digest[FIELD_BYTES],
+      part[FIELD_BYTES];
   if (has_value(text, "event", "request")) return false;
   if (field(text, "digest", digest))
     return request_names(lines, id, "digest", digest);
+  if (field(text, "part", part)) return request_has_part(lines, id, part);
   if (!field(text, "node", node) || !request_names(lines, id, "node", node))
     return false;
   return !field(text, "engine", engine) ||
--- a/src/gateway/gateway_log.c
+++ b/src/gateway/gateway_log.c
@@ -8,7 +8,8 @@
 
 /* Names of a prompt's shared segments in a line, each of 16 digits and a
    comma; further ones are omitted. */
-#define PARTS_TEXT_BYTES (MT_RELAY_SEGMENTS_MAX * 17 + 1)
+#define PARTS_MAX 16
+#define PARTS_TEXT_BYTES (PARTS_MAX * 17 + 1)
 
 typedef unsigned long long number_t;
 
@@ -55,13 +56,13 @@
                                : 0;
 }
 
-/* The prompt's segments but for the last, which no other request shares. */
+/* The names of the prompt's segments but for the last, which no other request
+   shares. */
 static const char *parts_text (const mt_relay_request_t *r, char *text) {
-  size_t n = 0;
-  for (size_t i = 0; i + 1 < r->segments_count; i++)
+  size_t n = 0, first = r->digest != 0 ? 1 : 0;
+  for (size_t i = first; i < mt_min(r->names_count, first + PARTS_MAX); i++)
     n += (size_t)snprintf(text + n, PARTS_TEXT_BYTES - n, "%s%016llx",
-                          i > 0 ? "," : "",
-                          (number_t)mt_suspect_segment(r->segments[i].id));
+                          i > first ? "," : "", (number_t)r->names[i]);
   return n > 0 ? text : "-";
 }
 
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -172,11 +172,12 @@
   char text[INET_ADDRSTRLEN];
   inet_ntop(AF_INET, &router, text, sizeof text);
   mt_log_line(peers->log, MT_LOG_STATE, now, "suspect",
-              "digest=%016llx state=%s ends=%d alone=%d last=%s left=%llu "
+              "%s=%016llx state=%s ends=%d alone=%d last=%s left=%llu "
               "peer=%s outcome=%s",
-              (unsigned long long)s->digest, mt_suspicion_name(status.state),
-              status.ends, status.alone, e != NULL ? e->name : "-",
-              (unsigned long long)status.left, text, why);
+              mt_suspect_name_kind(s->digest), (unsigned long long)s->digest,
+              mt_suspicion_name(status.state), status.ends, status.alone,
+              e != NULL ? e->name : "-", (unsigned long long)status.left,
+              text, why);
 }
 
 static void on_verdict (void *ud, const mt_suspect_message_t *message,
--- a/src/gateway/suspect_exchange.c
+++ b/src/gateway/suspect_exchange.c
@@ -1,11 +1,13 @@
 /*
-** suspect_exchange.c - gossip about requests that may crash engines
+** suspect_exchange.c - gossip about what may crash engines
 */
 #include "suspect_exchange.h"
 
 #define FANOUT 5               /* peers that a newer row is forwarded to */
 #define GOSSIP_INTERVAL_MS 250 /* between anti-entropy messages */
-#define ANY_DOMAIN 0           /* the owner may be in any failure domain */
+/* Rows in such a message: some 8 KB a second at most. */
+#define GOSSIP_ROWS_MAX 16
+#define ANY_DOMAIN 0 /* the owner may be in any failure domain */
 
 static void log_event (const mt_suspect_exchange_t *x, uint64_t digest,
                        uint32_t router, const char *why) {
@@ -32,11 +34,8 @@
   x->callbacks.send(x->callbacks.ud, to, count);
 }
 
-/* Sends one router the next rows of the table, as many as a message holds. */
-static void send_rows (mt_suspect_exchange_t *x, uint32_t ip) {
-  mt_suspect_row_t rows[MT_PEER_SUSPECTS_MAX];
-  size_t count = mt_suspects_list(x->suspects, &x->cursor, rows,
-                                  mt_countof(rows), x->members->now);
+static void send_list (mt_suspect_exchange_t *x, uint32_t ip,
+                       const mt_suspect_row_t *rows, size_t count) {
   if (count == 0) return;
   mt_peer_message_t *m =
       x->callbacks.begin(x->callbacks.ud, MT_PEER_SUSPECTS);
@@ -45,7 +44,19 @@
   x->callbacks.send(x->callbacks.ud, &ip, 1);
 }
 
+/* Sends one router the next rows of the table. */
+static void send_rows (mt_suspect_exchange_t *x, uint32_t ip) {
+  mt_suspect_row_t rows[GOSSIP_ROWS_MAX];
+  size_t count = mt_suspects_list(x->suspects, &x->cursor, rows,
+                                  mt_countof(rows), x->members->now);
+  send_list(x, ip, rows, count);
+}
+
 void mt_suspect_exchange_sync_peer (mt_suspect_exchange_t *x, uint32_t ip) {
+  mt_suspect_row_t rows[MT_PEER_SUSPECTS_MAX];
+  size_t count = mt_suspects_list_tried(x->suspects, rows, mt_countof(rows),
+                                        x->members->now);
+  send_list(x, ip, rows, count);
   send_rows(x, ip);
 }
 
@@ -74,6 +85,12 @@
   return mtV_mix(router, message->request) | 1;
 }
 
+/* Identifies a lost run; 0: an older build, which doesn't name it. */
+static uint64_t run_of (uint32_t router,
+                        const mt_suspect_message_t *message) {
+  return message->request != 0 ? lease_holder(router, message) : 0;
+}
+
 /* Clears the request of reported ends if this router itself has received a
    complete answer to it since. */
 static bool clear_by_local_answer (mt_suspect_exchange_t *x,
@@ -86,8 +103,11 @@
 static void on_ended (mt_suspect_exchange_t *x, uint32_t router,
                       const mt_suspect_message_t *message) {
   mt_ms_t now = x->members->now;
-  const mt_suspect_end_t end = {
-      message->engine, now - mt_min(message->age, now), message->alone};
+  const mt_suspect_end_t end = {.engine = message->engine,
+                                .at = now - mt_min(message->age, now),
+                                .alone = message->alone,
+                                .run = run_of(router, message),
+                                .workspace = message->workspace};
   bool known = !mt_suspects_add_end(x->suspects, message->digest, &end, now);
   bool cleared = clear_by_local_answer(x, message->digest);
   if (known) return;
@@ -110,8 +130,9 @@
   if (message->kind == MT_SUSPECT_MESSAGE_LEASE_ENGINE)
     return mt_suspects_lease_engine(x->suspects, message->engine, holder,
                                     message->lease, now);
-  return mt_suspects_lease(x->suspects, message->digest, holder,
-                           message->lease, now);
+  return mt_suspects_lease_for(x->suspects, message->digest,
+                               message->workspace, holder, message->lease,
+                               now);
 }
 
 static void reply (mt_suspect_exchange_t *x, uint32_t router,
--- a/src/gateway/suspect_exchange.h
+++ b/src/gateway/suspect_exchange.h
@@ -1,19 +1,20 @@
 /*
-** suspect_exchange.h - gossip about requests that may crash engines
+** suspect_exchange.h - gossip about what may crash engines
 **
-** A suspect (suspects.h) is a request under which engines ended. The outcome
-** of a request is reported to its owner alone, the live router with the
-** greatest hash: an engine that ends under 64 requests costs 64 small
-** datagrams, whatever the size of the fleet. The resulting state is gossiped:
-** a router that receives a newer row forwards it to a few random peers, which
-** reaches nearly all routers within a few ticks. In addition each router
-** sends its rows to one random peer several times a second (anti-entropy),
-** for routers that have just started, were partitioned or lost a datagram.
+** A suspect (suspects.h) is a request or a prompt segment under which engines
+** ended. The outcome of a run is reported for each name to its owner alone,
+** the live router with the greatest hash: an engine that ends under 64
+** requests costs a small datagram for each name of theirs, whatever the size
+** of the fleet. The resulting state is gossiped: a router that receives a
+** newer row forwards it to a few random peers, which reaches nearly all
+** routers within a few ticks. In addition each router sends rows to one
+** random peer several times a second (anti-entropy), for routers that have
+** just started, were partitioned or lost a datagram.
 **
 ** Datagrams are not trusted. With a forged one an attacker who knows a
-** request's whole text and workspace can keep it from engines, for at most
-** as long as the longest quarantine; or clear a suspect, which costs three
-** more engines.
+** request's whole text and workspace, or the id of a prompt segment, can keep
+** it from engines, for at most as long as the longest quarantine; or clear a
+** suspect, which costs three more engines.
 */
 #ifndef suspect_exchange_h
 #define suspect_exchange_h
--- a/src/gateway/suspects_page.c
+++ b/src/gateway/suspects_page.c
@@ -1,5 +1,5 @@
 /*
-** suspects_page.c - the operators' page of requests suspected of crashing
+** suspects_page.c - the operators' page of what is suspected of crashing
 ** engines
 */
 #include <stdlib.h>
@@ -31,9 +31,9 @@
   mtV_each (&suspects->by_digest, i) {
     uint64_t digest = suspects->by_digest.keys[i];
     mt_suspect_status_t s = mt_suspects_status(suspects, digest, now);
-    mt_strbuf_format(out,
-                     "digest=%016llx state=%s ends=%d alone=%d left=%llu\n",
-                     (unsigned long long)digest, mt_suspicion_name(s.state),
-                     s.ends, s.alone, (unsigned long long)s.left);
+    mt_strbuf_format(out, "%s=%016llx state=%s ends=%d alone=%d left=%llu\n",
+                     mt_suspect_name_kind(digest), (unsigned long long)digest,
+                     mt_suspicion_name(s.state), s.ends, s.alone,
+                     (unsigned long long)s.left);
   }
 }
--- a/src/relay/quarantine.h
+++ b/src/relay/quarantine.h
@@ -11,6 +11,10 @@
 ** or the engine turns out to have restarted. No response and an unreachable
 ** box do not count unless the entry expires meanwhile, nor do runs at an
 ** engine that drains or has left the list.
+**
+** A complete answer clears the request's names. One without framing, which
+** ends with its connection, does so once the engine is heard of again; if the
+** engine turns out to have ended, the run was lost with it.
 */
 #ifndef quarantine_h
 #define quarantine_h
@@ -45,10 +49,19 @@
 bool mt_quarantine_forbids_retry (const mt_relay_t *relay,
                                   const mt_relay_request_t *request);
 
+/* How long the request is still in quarantine; 0: it is not. */
+mt_ms_t mt_quarantine_left (const mt_relay_t *relay,
+                            const mt_relay_request_t *request);
+
+/* An event of the current attempt's stream has come. */
+void mt_quarantine_run_progressed (mt_relay_t *relay,
+                                   mt_relay_request_t *request);
+
 /* The current attempt's connection ended before its answer was complete. */
 void mt_quarantine_run_lost (mt_relay_t *relay, mt_relay_request_t *request);
 
-/* The current attempt's answer is complete. */
+/* The current attempt's answer is complete, or seems so if it is not framed.
+ */
 void mt_quarantine_run_answered (mt_relay_t *relay,
                                  mt_relay_request_t *request);
 
@@ -61,6 +74,10 @@
    owners. */
 void mt_quarantine_engine_ended (mt_relay_t *relay, uint64_t engine);
 
+/* A connection to the engine was made for a probe. */
+void mt_quarantine_engine_reached (mt_relay_t *relay,
+                                   const mt_engine_t *engine);
+
 /* Sends the owners the reports that are due. */
 void mt_quarantine_send_reports (mt_relay_t *relay);
 
@@ -68,7 +85,8 @@
 void mt_quarantine_return_lease (mt_relay_t *relay,
                                  const mt_suspect_message_t *msg);
 
-/* Repeats reports, since datagrams may be lost, and drops old lost runs. */
+/* Repeats reports, since datagrams may be lost; confirms answers, and drops
+   old runs. */
 void mt_quarantine_tick (mt_relay_t *relay);
 
 #endif
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -93,6 +93,21 @@
   r->cost = mt_max(incoming->tokens_in + OUTPUT_WEIGHT * out, 1);
 }
 
+/* The prompt's last segment belongs to the request or its session alone and
+   says no more than the digest. */
+static void copy_names (mt_relay_request_t *r,
+                        const mt_relay_incoming_t *incoming) {
+  size_t segments = incoming->segments_count + incoming->further_count;
+  r->names = mtV_new((1 + segments) * sizeof *r->names);
+  if (r->digest != 0) r->names[r->names_count++] = r->digest;
+  for (size_t i = 0; i + 1 < segments; i++) {
+    size_t behind = i - incoming->segments_count;
+    uint64_t id = i < incoming->segments_count ? incoming->segments[i].id
+                                               : incoming->further[behind];
+    r->names[r->names_count++] = mt_suspect_segment(id);
+  }
+}
+
 static void copy_stream (mt_relay_t *relay, mt_relay_request_t *r,
                          const mt_relay_incoming_t *incoming) {
   mt_bytes_t first = first_id(incoming);
@@ -285,6 +300,7 @@
   copy_stream(relay, r, incoming);
   if (incoming->digest != 0)
     r->digest = mtV_mix(incoming->digest, r->workspace) | 1;
+  copy_names(r, incoming);
   if (is_too_late_to_start(relay, r)) {
     mt_request_refuse(relay, r, MT_RELAY_STOPPING);
     return;
@@ -496,6 +512,7 @@
   mt_engine_t *e = mt_engines_get(&relay->engines, key);
   if (e == NULL) return;
   if (refused) mt_quarantine_engine_ended(relay, key);
+  if (up) mt_quarantine_engine_reached(relay, e);
   mt_quarantine_send_reports(relay);
   mt_connects_probed(relay, e, up, refused);
 }
@@ -650,7 +667,7 @@
   mt_suspects_free(&relay->suspects);
   mt_stream_origins_free(&relay->origins);
   mt_denials_free(&relay->denials);
-  free(relay->lost.list);
+  mt_ended_runs_free(&relay->lost);
   mt_engines_free(&relay->engines);
   mt_catalog_free(relay->catalog);
   free(relay);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -25,6 +25,7 @@
 #include "cold_start.h"
 #include "domain_reach.h"
 #include "early_drains.h"
+#include "ended_runs.h"
 #include "engine.h"
 #include "denials.h"
 #include "evacuation.h"
@@ -146,7 +147,10 @@
 
 /* {== Events =========================================================== */
 
-#define MT_RELAY_SEGMENTS_MAX 16 /* segments of a prompt */
+#define MT_RELAY_SEGMENTS_MAX 16 /* segments of a prompt that are placed */
+/* Segments behind these that may be suspected of crashing engines; a header
+   of 4 KB has no more. */
+#define MT_RELAY_FURTHER_MAX 240
 
 /* An incoming request as the adapter parsed it; texts are borrowed until the
    step returns. */
@@ -162,6 +166,9 @@
   int64_t tokens_hint; /* expected completion tokens; 0: unknown */
   mt_prefix_segment_t segments[MT_RELAY_SEGMENTS_MAX];
   size_t segments_count;
+  uint64_t
+      further[MT_RELAY_FURTHER_MAX]; /* ids of the segments behind them */
+  size_t further_count;
 } mt_relay_incoming_t;
 
 typedef enum mt_relay_event_kind_t {
@@ -399,9 +406,15 @@
      tried. */
   bool ignores_cuts;
   mt_ms_t asked; /* when an owner was last asked */
-  /* Leases of a suspect request (quarantine.h): no other copy of it may run
-     meanwhile; no other suspect may run at trial_engine. */
+  /* Its names as a suspect (suspects.h): the digest, if it is known, and the
+     prompt's shared segments; owned. */
+  uint64_t *names;
+  size_t names_count;
+  /* Leases of a suspect request (quarantine.h): no other request with
+     trial_name may run meanwhile; no other suspect may run at trial_engine.
+   */
   bool on_trial, holds_engine;
+  uint64_t trial_name;   /* 0: it is no suspect */
   uint64_t trial_engine; /* 0: not chosen */
   /* The current attempt. */
   mt_engine_t *engine;
@@ -434,8 +447,10 @@
   mt_event_stream_t stream;
   /* Last event that came, and the last one forwarded; 0: none. */
   mt_ms_t event_received, event_forwarded;
-  mt_ms_t longest_gap;  /* between events as forwarded, ms */
-  bool delayed;         /* the router didn't read since the last event */
+  mt_ms_t first_event_at; /* of the current attempt; 0: none has come */
+  bool outlived;       /* the engine has outlived the attempt's first event */
+  mt_ms_t longest_gap; /* between events as forwarded, ms */
+  bool delayed;        /* the router didn't read since the last event */
   int64_t events_count; /* forwarded */
   char *body;           /* BUFFERING: the body so far */
   size_t body_size, body_cap;
@@ -551,20 +566,6 @@
 
 #define MT_DOMAIN_LOADS_MAX 256 /* pairs of failure domain and service */
 
-/* An attempt whose connection failed before the response was complete. */
-typedef struct mt_lost_run_t {
-  uint64_t digest, engine, request;
-  mt_ms_t at, next;         /* time of the failure; of the next report */
-  bool alone, holds_engine; /* leases that it held */
-  bool ended;               /* its engine has exited */
-  int reports_sent;         /* reports sent to the request's owner */
-} mt_lost_run_t;
-
-typedef struct mt_lost_runs_t {
-  mt_lost_run_t *list;
-  size_t count, cap;
-} mt_lost_runs_t;
-
 typedef struct mt_relay_t {
   mt_ms_t now;
   mt_ms_t last_tick; /* last tick: all input before it is processed */
@@ -599,7 +600,7 @@
   mt_ms_t list_current_at, list_since;
   mt_ms_t list_confirmed;       /* all changes made by then are known */
   mt_ms_t next_version_request; /* to routers that have run for longer */
-  mt_lost_runs_t lost;          /* recent ones */
+  mt_ended_runs_t lost;         /* recent ones, and unconfirmed answers */
   mt_map_t services;            /* id -> mt_relay_service_t, owned */
   mt_map_t requests;            /* number -> mt_relay_request_t, owned */
   mt_relay_request_t **list;
--- a/src/relay/request.c
+++ b/src/relay/request.c
@@ -74,6 +74,7 @@
     relay->finished = r->finished_next;
     mt_event_stream_free(&r->stream);
     free(r->body);
+    free(r->names);
     free(r);
   }
 }
@@ -118,8 +119,9 @@
                                mt_relay_refusal_t why) {
   if (mt_relay_refusal_status(why) != 503) return 0;
   if (is_final(r, why)) return 0;
-  if (why == MT_RELAY_QUARANTINED)
-    return mt_suspects_status(&relay->suspects, r->digest, relay->now).left;
+  mt_ms_t quarantine =
+      why == MT_RELAY_QUARANTINED ? mt_quarantine_left(relay, r) : 0;
+  if (quarantine > 0) return quarantine;
   mt_ms_t backoff = mt_candidates_backoff_left(relay, r);
   mt_ms_t base = RETRY_AFTER_BASE_MS;
   if (backoff > 0)
@@ -195,7 +197,8 @@
   r->tried[r->tried_count++ % MT_RELAY_TRIES_MAX] = p->engine->key;
   r->sent = r->last_received = relay->now;
   r->status = 0;
-  r->written = false;
+  r->written = r->outlived = false;
+  r->first_event_at = 0;
   r->body_size = 0;
   mt_event_stream_free(&r->stream);
   if (r->phase != MT_RELAY_STREAMING) r->phase = MT_RELAY_SENT;
--- a/src/relay/response.c
+++ b/src/relay/response.c
@@ -81,6 +81,8 @@
     mt_relay_learn_gap(relay, r, relay->now - r->event_received);
   r->event_received = relay->now;
   r->delayed = false;
+  if (r->first_event_at == 0) r->first_event_at = relay->now;
+  mt_quarantine_run_progressed(relay, r);
 }
 
 static void note_forwarded (mt_relay_t *relay, mt_relay_request_t *r) {
@@ -144,11 +146,18 @@
     on_plain_data(relay, r, data);
 }
 
+/* True if the response can't be taken for complete. Whether an unframed one
+   of a later engine is complete is unknown, but the caller was promised
+   framing; and a stream has one event at least. */
+static bool is_truncated (const mt_relay_request_t *r) {
+  bool unframed_stream = r->events && !r->framed;
+  if (r->framed_to_caller && !r->framed) return true;
+  if (unframed_stream && r->first_event_at == 0) return true;
+  return r->events && mt_event_stream_partial(&r->stream);
+}
+
 void mt_response_end (mt_relay_t *relay, mt_relay_request_t *r) {
-  /* Whether an unframed response of a later engine is complete is unknown,
-     but the caller was promised framing. */
-  bool maybe_truncated = r->framed_to_caller && !r->framed;
-  if (maybe_truncated || (r->events && mt_event_stream_partial(&r->stream))) {
+  if (is_truncated(r)) {
     mt_attempt_lost(relay, r, MT_RELAY_RETRY_LOST);
     return;
   }
--- a/src/relay/suspects.c
+++ b/src/relay/suspects.c
@@ -1,5 +1,5 @@
 /*
-** suspects.c - requests suspected of crashing engines, and their quarantine
+** suspects.c - what is suspected of crashing engines, and its quarantine
 */
 #include <stdlib.h>
 #include <string.h>
@@ -41,6 +41,10 @@
   return (mtV_mix(segment, SEGMENT_SALT) | 3) ^ 1;
 }
 
+const char *mt_suspect_name_kind (uint64_t name) {
+  return (name & 1) != 0 ? "digest" : "part";
+}
+
 void mt_suspects_free (mt_suspects_t *t) {
   mtV_each (&t->by_digest, i) free(t->by_digest.vals[i]);
   mtV_free(&t->by_digest);
@@ -69,17 +73,37 @@
   return count_ends(s) < PROBATION_ENDS;
 }
 
-/* Makes room for one entry: evicts the entry that would expire first among
-   those of EVICTION_SAMPLE slots. Entries that are gossiped are not evicted.
-   False if there is no room and none can be evicted. */
+bool mt_suspect_is_restricted (const mt_suspect_t *s) {
+  return !is_below_threshold(s);
+}
+
+/* Ends of copies that ran alone, whoever else was there. */
+static int count_alone (const mt_suspect_t *s) {
+  int count = s->earlier_alone;
+  for (int i = 0; i < s->listed; i++) count += s->list[i].alone;
+  return count;
+}
+
+/* How much would be lost with an entry. Most of the entries after an outage
+   have ends, but none of a copy that ran alone. */
+static int evidence (const mt_suspect_t *s) {
+  if (count_alone(s) > 0) return 2;
+  return !is_below_threshold(s);
+}
+
+/* Makes room for one entry: evicts that with the least evidence, and of these
+   the one that would expire first, among those of EVICTION_SAMPLE slots.
+   False if there is no room and all have had trials. */
 static bool make_room (mt_suspects_t *t) {
   mt_suspect_t *first = NULL;
   if (t->by_digest.used < SUSPECTS_MAX) return true;
   for (size_t i = 0; i < EVICTION_SAMPLE; i++) {
     size_t slot = t->cursor++ % t->by_digest.cap;
     mt_suspect_t *s = t->by_digest.vals[slot];
-    if (t->by_digest.keys[slot] == 0 || !is_below_threshold(s)) continue;
-    if (first == NULL || s->expires < first->expires) first = s;
+    if (t->by_digest.keys[slot] == 0 || evidence(s) > 1) continue;
+    int more = first != NULL ? evidence(s) - evidence(first) : -1;
+    if (more > 0 || (more == 0 && s->expires >= first->expires)) continue;
+    first = s;
   }
   if (first != NULL) remove_suspect(t, first);
   return first != NULL;
@@ -121,17 +145,64 @@
   return false;
 }
 
-/* True if another suspect was running at that engine when it ended. */
+bool mt_suspect_covers (const mt_suspect_t *s, const mt_suspect_t *other) {
+  if (count_ends(other) > count_ends(s)) return false;
+  for (int i = 0; i < other->listed; i++)
+    if (!has_end(s, &other->list[i])) return false;
+  return true;
+}
+
+/* True if the suspect has that end by another run than the end's. */
+static bool has_other_run (const mt_suspect_t *s,
+                           const mt_suspect_end_t *end) {
+  for (int i = 0; i < s->listed; i++) {
+    const mt_suspect_end_t *known = &s->list[i];
+    bool same_run = known->run != 0 && known->run == end->run;
+    if (is_same_end(known, end) && !same_run) return true;
+  }
+  return false;
+}
+
+/* True if another run of a suspect was at that engine when it ended. Names of
+   the same run are no other cause: requests that have them all are refused,
+   and one that has a part of them tells which it is. */
 static bool is_shared (const mt_suspects_t *t, const mt_suspect_t *s,
                        const mt_suspect_end_t *end) {
   mtV_each (&t->by_digest, i) {
     const mt_suspect_t *other = t->by_digest.vals[i];
-    if (other != s && !is_below_threshold(other) && has_end(other, end))
+    if (other != s && !is_below_threshold(other) &&
+        has_other_run(other, end) && !mt_suspect_covers(s, other))
       return true;
   }
   return false;
 }
 
+bool mt_suspect_applies_to (const mt_suspect_t *s, mt_id_t workspace) {
+  for (int i = 0; i < s->listed; i++) {
+    mt_id_t known = s->list[i].workspace;
+    if (known == 0 || known == workspace) return true;
+    if (known != s->list[0].workspace) return true;
+  }
+  return s->listed == 0;
+}
+
+static bool is_one_of (uint64_t name, const uint64_t *names, size_t count) {
+  for (size_t i = 0; i < count; i++)
+    if (names[i] == name) return true;
+  return false;
+}
+
+bool mt_suspects_is_explained (const mt_suspects_t *t, const mt_suspect_t *s,
+                               const uint64_t *names, size_t count) {
+  mtV_each (&t->by_digest, i) {
+    const mt_suspect_t *other = t->by_digest.vals[i];
+    if (other == s || is_below_threshold(other)) continue;
+    if (is_one_of(other->digest, names, count)) continue;
+    if (mt_suspect_covers(other, s)) return true;
+  }
+  return false;
+}
+
 static mt_ms_t quarantine_duration (int alone) {
   int doublings = mt_min(mt_max(alone - QUARANTINE_ALONE, 0), DOUBLINGS_MAX);
   return (mt_ms_t)QUARANTINE_MS << doublings;
@@ -246,10 +317,20 @@
 mt_trial_verdict_t mt_suspects_lease (mt_suspects_t *t, uint64_t digest,
                                       uint64_t holder, mt_ms_t lease,
                                       mt_ms_t now) {
+  const mt_suspect_t *s = mt_suspects_get(t, digest);
+  mt_id_t workspace = s != NULL && s->listed > 0 ? s->list[0].workspace : 0;
+  return mt_suspects_lease_for(t, digest, workspace, holder, lease, now);
+}
+
+mt_trial_verdict_t mt_suspects_lease_for (mt_suspects_t *t, uint64_t digest,
+                                          mt_id_t workspace, uint64_t holder,
+                                          mt_ms_t lease, mt_ms_t now) {
   mt_suspect_t *s = mt_suspects_get(t, digest);
   if (s == NULL || is_below_threshold(s)) return MT_TRIAL_FREE;
-  if (status_of(t, s, now).state == MT_SUSPICION_QUARANTINE)
-    return MT_TRIAL_REFUSED;
+  bool refused = status_of(t, s, now).state == MT_SUSPICION_QUARANTINE &&
+                 mt_suspect_applies_to(s, workspace) &&
+                 !mt_suspects_is_explained(t, s, NULL, 0);
+  if (refused) return MT_TRIAL_REFUSED;
   return mt_suspects_lease_engine(t, digest, holder, lease, now);
 }
 
@@ -314,6 +395,17 @@
   return s->version > 0 && count_ends(s) != 1;
 }
 
+size_t mt_suspects_list_tried (const mt_suspects_t *t, mt_suspect_row_t *rows,
+                               size_t max, mt_ms_t now) {
+  size_t count = 0;
+  mtV_each (&t->by_digest, i) {
+    const mt_suspect_t *s = t->by_digest.vals[i];
+    if (count < max && is_gossiped(s) && count_alone(s) > 0)
+      rows[count++] = mt_suspects_row(s, now);
+  }
+  return count;
+}
+
 size_t mt_suspects_list (const mt_suspects_t *t, size_t *position,
                          mt_suspect_row_t *rows, size_t max, mt_ms_t now) {
   size_t count = 0, cap = t->by_digest.cap;
@@ -334,7 +426,7 @@
                                 mt_ms_t now) {
   uintptr_t slot = (uintptr_t)mtV_get(&t->answer_slots, digest);
   if (slot != 0) {
-    t->answers[slot - 1].at = now;
+    t->answers[slot - 1].at = mt_max(t->answers[slot - 1].at, now);
     return;
   }
   if (t->answers == NULL)
--- a/src/relay/suspects.h
+++ b/src/relay/suspects.h
@@ -1,27 +1,29 @@
 /*
-** suspects.h - requests suspected of crashing engines, and their quarantine
+** suspects.h - what is suspected of crashing engines, and its quarantine
 **
 ** An engine that ends takes all its running requests with it, and nothing
-** shows which of them caused the end. A request that crashes engines is
-** common to many ends, while a harmless one is answered completely sooner or
-** later. So the ends of engines are counted for each request since its last
-** complete answer. After two it is on probation: one copy at a time runs in
-** the whole fleet, as a trial, at an engine where no other suspect runs.
-** After three, of which two were of a copy that ran alone, it is in
-** quarantine and refused for some time. Ends that come together, as when a
-** failure domain loses power, put a request on probation at most, and one
-** answer clears it.
+** shows which of them caused the end, nor whether it was the whole request or
+** one segment of its prompt. So each request has several names: the digest of
+** its text, and one for each prompt segment that it shares with others. What
+** crashes engines is common to many ends, while a harmless name is answered
+** completely sooner or later. The ends of engines are counted for each name
+** since its last complete answer. After two it is on probation: one copy at a
+** time runs in the whole fleet, as a trial, at an engine where no other
+** suspect runs. After three, of which two were of a copy that ran alone, it
+** is in quarantine and requests with it are refused for some time. Ends that
+** come together, as when a failure domain loses power, put a name on
+** probation at most, and one answer clears it.
 **
 ** Another request at the engine may have caused an end. An end of a copy that
-** ran alone therefore counts as such only if no other suspect was at that
-** engine; otherwise a harmless request is refused when two new crashing ones
-** join its trials. The end counts again once the other suspect is cleared:
-** the state is always derived from the list of ends.
+** ran alone therefore counts as such only if no other run of a suspect was at
+** that engine; otherwise a harmless request is refused when two new crashing
+** ones join its trials. The end counts again once the other suspect is
+** cleared: the state is always derived from the list of ends.
 **
-** Each request is owned by one router, which counts its ends and grants its
-** trials. Rows of requests on probation and in quarantine are gossiped, so
-** that every router has them and another one can take over as owner; the row
-** with the greater version wins.
+** Each name is owned by one router, which counts its ends and grants its
+** trials. Rows of names on probation and in quarantine are gossiped, so that
+** every router has them and another one can take over as owner; the row with
+** the greater version wins.
 */
 #ifndef suspects_h
 #define suspects_h
@@ -42,11 +44,17 @@
    of any request; never 0. */
 uint64_t mt_suspect_segment (uint64_t segment);
 
+/* What a name is of, in logs and in the operators' list: "digest" of a
+   request, or "part" of a prompt. */
+const char *mt_suspect_name_kind (uint64_t name);
+
 /* The end of an engine that was running the request. */
 typedef struct mt_suspect_end_t {
   uint64_t engine;
   mt_ms_t at;
-  bool alone; /* no other copy of the request ran */
+  bool alone;        /* no other copy of the request ran */
+  uint64_t run;      /* identifies the run that was lost; 0: unknown */
+  mt_id_t workspace; /* of that run; 0: unknown or none */
 } mt_suspect_end_t;
 
 typedef struct mt_suspect_t {
@@ -89,11 +97,12 @@
 typedef struct mt_suspect_message_t {
   mt_suspect_message_kind_t kind;
   uint64_t digest;
-  uint64_t engine;  /* ENDED, LEASE_ENGINE, RELEASE_ENGINE */
-  uint64_t request; /* its number at the sender; identifies the holder */
-  bool alone;       /* ENDED: no other copy ran */
-  mt_ms_t age;      /* ENDED, ANSWERED: time since that event */
-  mt_ms_t lease;    /* LEASE, LEASE_ENGINE: longest duration */
+  uint64_t engine;   /* ENDED, LEASE_ENGINE, RELEASE_ENGINE */
+  uint64_t request;  /* its number at the sender; identifies the holder */
+  bool alone;        /* ENDED: no other copy ran */
+  mt_ms_t age;       /* ENDED, ANSWERED: time since that event */
+  mt_ms_t lease;     /* LEASE, LEASE_ENGINE: longest duration */
+  mt_id_t workspace; /* ENDED, LEASE: of the request; 0: none */
 } mt_suspect_message_t;
 
 /* The last complete answer to a request at this router. */
@@ -129,6 +138,30 @@
 mt_suspicion_t mt_suspects_state (const mt_suspects_t *suspects,
                                   uint64_t digest, mt_ms_t now);
 
+/* True if two engines or more have ended since the last answer. */
+bool mt_suspect_is_restricted (const mt_suspect_t *suspect);
+
+/* True if each listed end of `other` is one of the suspect as well. */
+bool mt_suspect_covers (const mt_suspect_t *suspect,
+                        const mt_suspect_t *other);
+
+/*
+** True if a quarantine of the suspect holds for the workspace: an engine
+** ended under it there, or in two workspaces or more. Callers choose the
+** names of their segments, so what a single workspace sends may not keep
+** another one's work from running.
+*/
+bool mt_suspect_applies_to (const mt_suspect_t *suspect, mt_id_t workspace);
+
+/*
+** True if another suspect, which is not one of `names`, was at all ends of
+** this one: so far they came together, and either may be the cause. A request
+** that has this one alone tells which.
+*/
+bool mt_suspects_is_explained (const mt_suspects_t *suspects,
+                               const mt_suspect_t *suspect,
+                               const uint64_t *names, size_t count);
+
 /* {== At the owner ===================================================== */
 
 /* Counts an end once, however often it is reported. True if the suspect's row
@@ -146,6 +179,12 @@
                                       uint64_t digest, uint64_t holder,
                                       mt_ms_t lease, mt_ms_t now);
 
+/* The same for a request of a workspace. */
+mt_trial_verdict_t mt_suspects_lease_for (mt_suspects_t *suspects,
+                                          uint64_t digest, mt_id_t workspace,
+                                          uint64_t holder, mt_ms_t lease,
+                                          mt_ms_t now);
+
 /* Asks for the lease to run a suspect at the engine. */
 mt_trial_verdict_t mt_suspects_lease_engine (mt_suspects_t *suspects,
                                              uint64_t engine, uint64_t holder,
@@ -165,6 +204,12 @@
 bool mt_suspects_merge (mt_suspects_t *suspects, const mt_suspect_row_t *row,
                         mt_ms_t now);
 
+/* Gets up to `max` rows of suspects of which a copy that ran alone was lost:
+   those that a router without them must have first. Returns their number. */
+size_t mt_suspects_list_tried (const mt_suspects_t *suspects,
+                               mt_suspect_row_t *rows, size_t max,
+                               mt_ms_t now);
+
 /* Gets up to `max` rows to be gossiped, from `position` in the table on;
    advances the position and returns the number of rows. */
 size_t mt_suspects_list (const mt_suspects_t *suspects, size_t *position,
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -59,9 +59,11 @@
       in->changes[in->changes_count++] = change;
     }
     in->suspects[in->suspects_count++] = {
-        41, 3, {{55, 10, true}, {56, 5, false}}, 2, 4, 1, 900, 1800000};
+        41,  3,      {{55, 10, true, 8001, 77}, {56, 5, false, 8002, 78}},
+        2,   4,      1,
+        900, 1800000};
     in->suspect_message = {
-        MT_SUSPECT_MESSAGE_ENDED, 41, 99, 1234567, true, 30, 6000};
+        MT_SUSPECT_MESSAGE_ENDED, 41, 99, 1234567, true, 30, 6000, 79};
     in->verdict = MT_TRIAL_BUSY;
     in->origin = {{41, {12, 13}, 30000}, {true, {12, 13}, 14, true}};
     size_t n = mt_peer_message_pack(in.get(), bytes, sizeof bytes);
@@ -77,6 +79,10 @@
     EXPECT_EQ(row.list[0].at, 10u);
     EXPECT_TRUE(row.list[0].alone);
     EXPECT_FALSE(row.list[1].alone);
+    EXPECT_EQ(row.list[0].run, 8001u);
+    EXPECT_EQ(row.list[1].run, 8002u);
+    EXPECT_EQ(row.list[0].workspace, 77u);
+    EXPECT_EQ(row.list[1].workspace, 78u);
     EXPECT_EQ(row.earlier, 4);
     EXPECT_EQ(row.earlier_alone, 1);
     EXPECT_EQ(row.age, 900u);
@@ -88,6 +94,7 @@
     EXPECT_TRUE(out->suspect_message.alone);
     EXPECT_EQ(out->suspect_message.age, 30u);
     EXPECT_EQ(out->suspect_message.lease, 6000u);
+    EXPECT_EQ(out->suspect_message.workspace, 79u);
     EXPECT_EQ(out->verdict, MT_TRIAL_BUSY);
     EXPECT_EQ(out->boot, in->boot);
     EXPECT_EQ(out->request_number, in->request_number);
--- a/tests/quarantine_test.cc
+++ b/tests/quarantine_test.cc
@@ -2,6 +2,8 @@
 // request
 #include <gtest/gtest.h>
 
+#include <set>
+
 #include "relay.h"
 
 namespace {
@@ -39,7 +41,7 @@
               mt_suspect_message_kind_t kind = MT_SUSPECT_MESSAGE_LEASE,
               uint64_t engine = 0) {
     const mt_suspect_message_t asked = {kind,  digest(), engine, number,
-                                        false, 0,        0};
+                                        false, 0,        0,      0};
     mt_relay_event_t event{};
     event.kind = MT_RELAY_TRIAL_ANSWERED;
     event.request = number;
@@ -63,15 +65,16 @@
   }
   void set_state (mt_suspicion_t state) {
     bool alone = state == MT_SUSPICION_QUARANTINE;
-    const mt_suspect_row_t row = {
-        digest(),
-        9,
-        {{901, 9000, false}, {902, 6000, alone}, {903, 0, alone}},
-        3,
-        0,
-        0,
-        9000,
-        1800000};
+    const mt_suspect_row_t row = {digest(),
+                                  9,
+                                  {{901, 9000, false, 0, 0},
+                                   {902, 6000, alone, 0, 0},
+                                   {903, 0, alone, 0, 0}},
+                                  3,
+                                  0,
+                                  0,
+                                  9000,
+                                  1800000};
     ASSERT_TRUE(mt_suspects_merge(&relay->suspects, &row, now));
     ASSERT_EQ(mt_suspects_state(&relay->suspects, digest(), now), state);
   }
@@ -267,6 +270,167 @@
   EXPECT_NE(r.message(MT_SUSPECT_MESSAGE_RELEASE), nullptr);
 }
 
+// Names that were reported in this step as of a kind, without repeats.
+std::multiset<uint64_t> reported (const QuarantineRelay &r,
+                                  mt_suspect_message_kind_t kind) {
+  std::multiset<uint64_t> names;
+  for (size_t i = 0; i < r.effects.count; i++)
+    if (r.effects.list[i].kind == MT_RELAY_DO_SEND_TO_OWNER &&
+        r.effects.list[i].u.message.kind == kind)
+      names.insert(r.effects.list[i].u.message.digest);
+  return names;
+}
+
+// The segment that all requests of the fixture share.
+uint64_t shared_segment () {
+  return mt_suspect_segment(7);
+}
+
+// An end is evidence against all that ran there, and each name is reported
+// once for an engine.
+TEST(Quarantine, EndsAreReportedForEachName) {
+  QuarantineRelay r;
+  for (size_t i = 0; i < r.relay->engines.count; i++)
+    if (r.relay->engines.list[i] != r.find("m1"))
+      r.relay->engines.list[i]->state = MT_ENGINE_GONE;
+  for (uint64_t number : {1, 2}) {
+    r.request_suspect(number, "/stream/x");
+    r.sent(number);
+  }
+  r.request(3, "/stream/x", "key-w1", 5000, 1000, "h.example", kDigest + 1);
+  r.sent(3);
+  for (uint64_t number : {1, 2, 3}) r.fail(number);
+  r.probed(r.find("m1")->key, false, true);
+  const uint64_t other = mtV_mix(kDigest + 1, mtV_id("w1", 2)) | 1;
+  EXPECT_EQ(reported(r, MT_SUSPECT_MESSAGE_ENDED),
+            (std::multiset<uint64_t>{QuarantineRelay::digest(), other,
+                                     shared_segment()}));
+}
+
+// What an answer clears: the request and its segments, unless it only tells
+// that the engine did not come to generate.
+TEST(Quarantine, AnswersClearNames) {
+  struct Row {
+    const char *what;
+    int status;
+    bool clears_segments;
+  } rows[] = {{"success", 200, true},
+              {"an error of the engine", 500, false},
+              {"not found", 404, false}};
+  for (const Row &row : rows) {
+    SCOPED_TRACE(row.what);
+    QuarantineRelay r;
+    r.request_suspect(1);
+    r.sent(1);
+    r.head(1, row.status);
+    r.end(1);
+    EXPECT_NE(mt_suspects_last_answer(&r.relay->suspects,
+                                      QuarantineRelay::digest()),
+              0u);
+    EXPECT_EQ(mt_suspects_last_answer(&r.relay->suspects, shared_segment()) !=
+                  0,
+              row.clears_segments);
+  }
+}
+
+// An unframed answer looks complete when its engine has ended. It clears its
+// names once the engine is heard of later than that.
+TEST(Quarantine, UnframedAnswersAreConfirmed) {
+  enum Then { HeardAtOnce, HeardLater, Connects, Refuses, Unlisted, Silence };
+  struct Row {
+    const char *what;
+    Then then;
+    bool suspect, clears, ended;
+  } rows[] = {
+      {"bytes of the engine from the same moment", HeardAtOnce, false, false,
+       false},
+      {"bytes of the engine later", HeardLater, false, true, false},
+      {"of a suspect: the engine accepts connections", Connects, true, true,
+       false},
+      {"of a suspect: the engine refuses connections", Refuses, true, false,
+       true},
+      {"the engine's entry is removed", Unlisted, false, false, true},
+      {"the engine's entry stays", Silence, false, true, false},
+  };
+  for (const Row &row : rows) {
+    SCOPED_TRACE(row.what);
+    QuarantineRelay r;
+    if (row.suspect) r.set_state(MT_SUSPICION_PROBATION);
+    r.request_suspect(1);
+    uint64_t engine = row.suspect ? r.granted(1) : r.started();
+    mt_engine_t *e = mt_engines_get(&r.relay->engines, engine);
+    r.sent(1);
+    r.head(1, 200, false, MT_RELAY_RAN, false);
+    r.data(1, "body");
+    r.end(1);
+    EXPECT_NE(r.find(MT_RELAY_DO_END), nullptr); // it is delivered at once
+    EXPECT_EQ(r.message(MT_SUSPECT_MESSAGE_ANSWERED), nullptr);
+    EXPECT_EQ(r.message(MT_SUSPECT_MESSAGE_RELEASE), nullptr);
+    mt_ms_t at = r.now;
+    if (row.then == HeardAtOnce) e->last_received = at + 20;
+    if (row.then == HeardLater) e->last_received = at + 200;
+    if (row.then == Unlisted) mt_relay_engine_unlisted(r.relay, e, at, at);
+    bool answered = false, ended = false, released = false, probes = false;
+    for (int i = 0; i < 240 && (row.then == Silence || r.now < at + 1000);
+         i++) {
+      r.pass(25);
+      probes = r.find(MT_RELAY_DO_PROBE) != nullptr;
+      if (probes) r.probed(engine, row.then == Connects, row.then == Refuses);
+      answered |= r.message(MT_SUSPECT_MESSAGE_ANSWERED) != nullptr;
+      ended |= r.message(MT_SUSPECT_MESSAGE_ENDED) != nullptr;
+      released |= r.message(MT_SUSPECT_MESSAGE_RELEASE) != nullptr;
+    }
+    mt_ms_t recorded = mt_suspects_last_answer(&r.relay->suspects,
+                                               QuarantineRelay::digest());
+    EXPECT_EQ(recorded, row.clears ? at : 0);
+    EXPECT_EQ(answered, row.suspect && row.clears);
+    EXPECT_EQ(released, row.suspect && row.clears);
+    EXPECT_EQ(ended, row.ended);
+  }
+}
+
+// A stream without framing that ends before its first event was broken off.
+TEST(Quarantine, UnframedStreamWithoutEventsIsLost) {
+  QuarantineRelay r;
+  r.request_suspect(1, "/stream/x");
+  r.sent(1);
+  r.head(1, 200, true, MT_RELAY_RAN, false);
+  r.end(1);
+  EXPECT_EQ(r.find(MT_RELAY_DO_END), nullptr);
+  EXPECT_NE(r.find(MT_RELAY_DO_PROBE), nullptr);
+  EXPECT_NE(r.started(), 0u); // at another engine
+}
+
+// A segment that crashes engines does so as the answer begins. A stream that
+// has gone on since clears its segments, and its end says nothing of them.
+TEST(Quarantine, LongStreamsClearTheirSegments) {
+  for (mt_ms_t gone_on : {500, 1500}) {
+    SCOPED_TRACE(gone_on);
+    bool outlived = gone_on > 1000;
+    QuarantineRelay r;
+    r.request_suspect(1, "/events/x");
+    uint64_t engine = r.started();
+    r.sent(1);
+    r.head(1, 200, true);
+    r.event(1, 1);
+    r.now += gone_on;
+    r.event(1, 2);
+    mt_ms_t answered =
+        mt_suspects_last_answer(&r.relay->suspects, shared_segment());
+    EXPECT_EQ(answered, outlived ? r.now : 0);
+    EXPECT_EQ(mt_suspects_last_answer(&r.relay->suspects,
+                                      QuarantineRelay::digest()),
+              0u);
+    r.fail(1);
+    r.probed(engine, false, true);
+    EXPECT_EQ(reported(r, MT_SUSPECT_MESSAGE_ENDED).count(shared_segment()),
+              outlived ? 0u : 1u);
+    EXPECT_EQ(reported(r, MT_SUSPECT_MESSAGE_ENDED)
+                  .count(QuarantineRelay::digest()),
+              1u);
+  }
+}
+
 // An engine that fails requests stays suspended though connections come up.
 TEST(Quarantine, ProbeDoesNotResetFailures) {
   QuarantineRelay r;
--- a/tests/suspects_test.cc
+++ b/tests/suspects_test.cc
@@ -28,7 +28,7 @@
   }
   bool ended (uint64_t engine, bool alone = false, mt_ms_t age = 0,
               uint64_t digest = kDigest) {
-    const mt_suspect_end_t end = {engine, now - age, alone};
+    const mt_suspect_end_t end = {engine, now - age, alone, 0, 0};
     return mt_suspects_add_end(&suspects, digest, &end, now);
   }
   bool answered (mt_ms_t age = 0) {
@@ -354,7 +354,8 @@
                                           .request = router + 1,
                                           .alone = alone,
                                           .age = 0,
-                                          .lease = 5000};
+                                          .lease = 5000,
+                                          .workspace = 0};
     mt_suspect_exchange_send(&routers[router]->exchange, &message);
   }
   // Reports an end three times, as routers do.
@@ -477,7 +478,8 @@
   Fleet f(85, 8);
   for (uint64_t d = 1; d <= 10; d++) {
     const mt_suspect_row_t row = {
-        d * 7, 3, {{d, 9, true}, {d + 1, 5, true}}, 2, 1, 0, 10, 1800000};
+        d * 7, 3,      {{d, 9, true, 0, 0}, {d + 1, 5, true, 0, 0}}, 2, 1, 0,
+        10,    1800000};
     for (auto &r : f.routers) mt_suspects_merge(&r->suspects, &row, f.now);
   }
   f.bytes = 0;
