Soak: prompts with a segment that crashes engines

--segment PLACE: 2 of 100 requests have the segment, 12 of 100 have all the other ones; BUDGET counts arrivals later than 3 s behind the fifth end, LOST the sound ones that begin. With unframed answers, engines that close their connections, ends beside it (--ends), none deadly (--sound), and all gateways losing power at once.

--- a/tests/soak/caller.h
+++ b/tests/soak/caller.h
@@ -20,6 +20,8 @@
 struct Reply {
   int status = 0;
   bool complete = false, event_stream = false, connection_close = false;
+  // Has neither a length nor chunks: it may have been broken off.
+  bool unframed = false;
   std::string seal, body, engine;
   bool leaving = false; // has Server-Leaving: 1
   long retry_after_ms = 0;
@@ -54,6 +56,7 @@
     }
   }
   std::string length = head.field("Content-Length");
+  a.unframed = length.empty();
   a.body = c.in.substr(at);
   a.complete =
       length.empty() ? c.closed : a.body.size() >= std::stoul(length);
--- a/tests/soak/checker.h
+++ b/tests/soak/checker.h
@@ -18,6 +18,8 @@
 // than CONTACT_MS after the last of them it may reach engines this many
 // times.
 const int QUARANTINE_CRASHES = 3, QUARANTINE_ARRIVALS_MAX = 3;
+// The same of a prompt segment that requests with different bodies share.
+const int SEGMENT_CRASHES = 5;
 
 // Requests that a gateway may send to an engine during a backoff which that
 // engine asked it for with Retry-After; the first BACKOFF_SLACK_MS are not
@@ -53,6 +55,16 @@
   bool mixed = false;  // it has events of two versions
 };
 
+// A request body or prompt segment that crashes engines. Later than
+// CONTACT_MS after the crash number `limit`, accountable gateways may send
+// requests with it to engines QUARANTINE_ARRIVALS_MAX times in all.
+struct PoisonBody {
+  int crashes = 0, limit = QUARANTINE_CRASHES;
+  long crashed_at = 0;     // time of the last crash
+  long quarantined_at = 0; // time of crash `limit`; 0: not yet
+  int arrivals = 0;        // counted once it is quarantined
+};
+
 // Requests that took a stream up, and new streams, while the version served:
 // how many were sent, and how many of them got an event or a complete answer.
 struct Share {
@@ -252,19 +264,12 @@
 
   // {== Requests that crash engines
 
-  // A request body that crashes engines. Later than CONTACT_MS after the
-  // crash number QUARANTINE_CRASHES, accountable gateways may send it to
-  // engines QUARANTINE_ARRIVALS_MAX times in all.
-  struct PoisonBody {
-    int crashes = 0;
-    long quarantined_at = 0; // time of crash QUARANTINE_CRASHES; 0: not yet
-    int arrivals = 0;        // counted once it is quarantined
-  };
   std::map<std::string, PoisonBody> poison_bodies;
 
   void on_crash (const std::string &body, long now) {
     PoisonBody &d = poison_bodies[body];
-    if (++d.crashes == QUARANTINE_CRASHES) d.quarantined_at = now;
+    d.crashed_at = now;
+    if (++d.crashes == d.limit) d.quarantined_at = now;
   }
   // An engine has received such a body, no earlier than `now`.
   void on_poison_arrival (const std::string &id, const std::string &body,
@@ -280,7 +285,7 @@
     if (check_deadlines)
       breach("BUDGET", id,
              "arrival " + std::to_string(d.arrivals) +
-                 " of a body that had crashed " + std::to_string(d.crashes) +
+                 " of what had crashed " + std::to_string(d.crashes) +
                  " engines, limit " +
                  std::to_string(QUARANTINE_ARRIVALS_MAX));
   }
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -9,6 +9,7 @@
 #include <memory>
 
 #include "selftest.h"
+#include "segment_callers.h"
 #include "stream_callers.h"
 
 namespace soak {
@@ -23,6 +24,10 @@
 const long LEAVING_PERIOD_MS = 2500;
 // Engines of streams that --versions adds.
 const int ENGINES_ADDED = 6;
+// Engines of each service that --segment adds.
+const int SEGMENT_ENGINES = 8;
+// When all gateways lose power, as a part of the run, in ms of each second.
+const long POWER_CUT_PART = 450;
 // Items in a reply to a list, in runs with restores.
 const size_t LIST_PAGE_ITEMS = 4;
 // Number of poison bodies, and of harmless bodies that are sent often.
@@ -46,6 +51,12 @@
   bool restores = false;    // the store is restored from copies
   bool versions = false;    // engines of streams are upgraded, and crash
   bool in_place = false;    // engines that crash restart under the same id
+  // --segment: a prompt segment crashes engines; its place, -1: none.
+  int segment = -1;
+  bool sound = false;     // --sound: with --segment, nothing is deadly
+  bool unframed = false;  // answers end with their connections
+  bool closes = false;    // so do those of engines that crash
+  bool power_cut = false; // all gateways lose power once
 };
 
 // {== The soak =============================================================
@@ -59,7 +70,8 @@
                               : std::vector<std::string>{}),
         random(chosen.seed * 7919), partial_random(chosen.seed * 104729),
         caller_random(chosen.seed * 15485863),
-        stream_callers(world, gateways, chosen.seed) {
+        stream_callers(world, gateways, chosen.seed),
+        segment_callers(world, gateways, chosen.seed) {
     char name[] = "/tmp/mt-soak-XXXXXX";
     dir = mkdtemp(name);
     network.reset(new Network(dir + "/links"));
@@ -80,6 +92,7 @@
     restore_random.seed(chosen.seed * 86028121);
     if (options.restores) world.page = LIST_PAGE_ITEMS;
     if (options.versions) add_versions();
+    if (options.segment >= 0) add_segments();
   }
   ~Soak() {
     for (Gateway &g : gateways) {
@@ -97,7 +110,14 @@
          next_crash = next_fault, next_notice = next_fault,
          next_restore = now_ms() + RESTORE_FIRST_MS, next_change = next_fault,
          next_roll = next_fault;
+    long power_cut_at = options.power_cut
+                            ? now_ms() + options.seconds * POWER_CUT_PART
+                            : LONG_MAX;
     while (now_ms() < end) {
+      if (now_ms() >= power_cut_at) {
+        for (Gateway &g : gateways) kill_one(g);
+        power_cut_at = LONG_MAX;
+      }
       if (!options.calm && now_ms() >= next_fault) {
         inject_fault();
         next_fault = now_ms() + 50 + (long)(random() % 500);
@@ -125,6 +145,7 @@
     }
     check_recovery();
     if (options.versions) world.checker.check_taken_up();
+    if (options.segment >= 0) check_segments();
     report();
     return world.checker.breaches.empty();
   }
@@ -147,6 +168,7 @@
   std::vector<Gateway> gateways;
   std::vector<Caller> callers;
   StreamCallers stream_callers;
+  SegmentCallers segment_callers;
   long sent_requests = 0, kills = 0, pauses = 0, stops = 0;
   // Harmless repeats, and those of them with status 200.
   long repeated = 0, repeated_ok = 0;
@@ -179,6 +201,34 @@
     world.renews = !options.in_place;
     stream_callers.add(options.callers);
   }
+  // As many engines of each service as the callers need, and callers of
+  // prompts in place of the others.
+  void add_segments () {
+    for (int i = 0; i < SEGMENT_ENGINES; i++) {
+      world.add_engine("model");
+      world.add_engine("plain");
+    }
+    world.unframed = options.unframed;
+    world.crash_closes = options.closes;
+    world.renews = true;
+    world.poison_delay_ms = 60;
+    callers.clear();
+    SegmentMix mix;
+    mix.place = options.segment;
+    mix.streams = options.streams;
+    mix.deadly = options.sound ? 0 : mix.deadly;
+    segment_callers.add(options.callers, mix);
+  }
+  // LOST: sound requests that share other segments with deadly ones begin
+  // less than half as often as on a calm day, on which nearly all begin.
+  void check_segments () {
+    const Share &share = segment_callers.beside;
+    if (share.sent < 20 || share.served * 2 >= share.sent) return;
+    world.checker.breach("LOST", "segments",
+                         std::to_string(share.served) + " of " +
+                             std::to_string(share.sent) +
+                             " sound requests began");
+  }
   // A step of a rolling upgrade or a crash; returns the ms until the next.
   long change_versions () {
     if (chance(caller_random, 0.4))
@@ -564,6 +614,7 @@
     for (Gateway &g : gateways) update(g);
     for (Caller &c : callers) update(c, sending);
     stream_callers.step(sending);
+    segment_callers.step(sending);
   }
 
   void heal_network () {
@@ -600,7 +651,7 @@
   bool idle () const {
     for (const Caller &c : callers)
       if (c.busy) return false;
-    if (!stream_callers.idle()) return false;
+    if (!stream_callers.idle() || !segment_callers.idle()) return false;
     for (const Gateway &g : gateways)
       if (g.pid <= 0 || g.port == 0 || g.stopping) return false;
     return true;
@@ -651,6 +702,13 @@
         printf(" %s %ld", row.first.c_str(), row.second);
       printf("\n");
     }
+    if (options.segment >= 0)
+      printf(
+          "  %ld prompts; begun from %ld ms after the last end that counts "
+          "on: %ld of %ld beside the segment, %ld of %ld others\n",
+          segment_callers.sent, 2 * CONTACT_MS, segment_callers.beside.served,
+          segment_callers.beside.sent, segment_callers.others.served,
+          segment_callers.others.sent);
     if (options.partial_faults || options.restores) {
       printf("  late:");
       for (auto &row : k.late)
@@ -678,12 +736,12 @@
         printf("; %s", late.c_str());
       printf("\n");
     }
-    if (options.poison_bodies || options.crashes) {
+    if (options.poison_bodies || options.crashes || options.segment >= 0) {
       int arrivals_max = 0;
       for (auto &row : k.poison_bodies)
         arrivals_max = std::max(arrivals_max, row.second.arrivals);
       printf(
-          "  %d engine crashes; arrivals of one body after its quarantine: "
+          "  %d engine crashes; arrivals of one cause after its quarantine: "
           "at most %d; harmless repeats without status 200: %ld of %ld\n",
           world.crash_count, arrivals_max, repeated - repeated_ok, repeated);
     }
@@ -756,6 +814,16 @@
       options.restores = true;
     else if (name == "--versions")
       options.versions = true;
+    else if (name == "--segment")
+      options.segment = atoi(value());
+    else if (name == "--sound")
+      options.sound = true;
+    else if (name == "--unframed")
+      options.unframed = true;
+    else if (name == "--closes")
+      options.closes = true;
+    else if (name == "--power-cut")
+      options.power_cut = true;
     else if (name == "--in-place")
       options.in_place = true;
     else if (name == "--keep")
@@ -771,6 +839,7 @@
           "[--gateways N] [--callers N] [--seeds FILE] "
           "[--parts] [--times] [--no-kills] [--calm] [--keep] "
           "[--deadly] [--ends] [--streams] "
+          "[--segment PLACE] [--sound] [--unframed] [--closes] [--power-cut] "
           "[--notices] [--all-rest] [--restores] [--versions] [--in-place] "
           "[--selftest]\n");
       return 2;
