Test: a quarantine is known after all gateways lost power (fails)

Nothing of the list of suspects outlives the gateways' processes: five more engines would end under a segment that had been found.

--- a/tests/crashing_segment_test.cc
+++ b/tests/crashing_segment_test.cc
@@ -77,6 +77,43 @@
   }
 }
 
+// Guards against a list of suspects that all gateways forget when they lose
+// power together: five more engines would end.
+TEST(CrashingSegment, IsKnownAfterAllGatewaysLostPower) {
+  struct Row {
+    const char *what;
+    int gateways;
+    bool store_fails; // at the time of the quarantine
+  } rows[] = {{"the store answers", 4, false},
+              {"more gateways", 12, false},
+              {"the store fails until later", 4, true}};
+  for (const Row &row : rows) {
+    SCOPED_TRACE(row.what);
+    CrashingFleet fleet({"", row.gateways, "/gen/x", 3, 1, false, false, 0});
+    ASSERT_TRUE(fleet.wait_ready());
+    if (row.store_fails)
+      fleet.world.faults.store_until = soak::now_ms() + 3600000;
+    fleet.world.renews = false; // engines need no entry to be found again
+    for (int i = 0; i < ROUNDS / 2; i++) {
+      fleet.send(i % row.gateways, "dead");
+      ASSERT_TRUE(fleet.engines_serve());
+      fleet.send(i % row.gateways, "50" + std::to_string(i));
+    }
+    fleet.world.faults = soak::Faults();
+    ASSERT_TRUE(fleet.until(
+        [&] { return !fleet.world.keys_below("suspects/").empty(); }));
+    fleet.lose_power();
+    ASSERT_TRUE(fleet.wait_ready());
+    for (int i = 0; i < ROUNDS / 2; i++) {
+      fleet.send(i % row.gateways, "dead");
+      ASSERT_TRUE(fleet.engines_serve());
+    }
+    EXPECT_LE(fleet.world.crash_count, ENDS_MAX);
+    for (int i = 0; i < row.gateways; i++)
+      EXPECT_EQ(fleet.send(i, "60" + std::to_string(i)), 200);
+  }
+}
+
 TEST(CrashingSegment, CrashesABoundedNumberOfEngines) {
   const Case rows[] = {
       {"first, a stream", 4, "/gen/x", 3, 0, false, false, 0},
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -54,6 +54,17 @@
     world.checker.disturbances.disturb(gateway, now_ms());
     g.start(peers, world.stores[(size_t)gateway]->port, (int)gateways.size());
   }
+  // Kills all gateways at once and starts their next processes.
+  void lose_power () {
+    world.log_event("power lost");
+    for (Gateway &g : gateways) kill(g.pid, SIGKILL);
+    for (Gateway &g : gateways) waitpid(g.pid, nullptr, 0);
+    for (Gateway &g : gateways) {
+      world.checker.disturbances.disturb(g.index, now_ms());
+      g.start(peers, world.stores[(size_t)g.index]->port,
+              (int)gateways.size());
+    }
+  }
   // Waits for a condition; the bound only ends a test that has failed.
   bool until (const std::function<bool()> &cond) {
     for (int i = 0; i < 6000; i++) {
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -2,6 +2,8 @@
 #ifndef tests_soak_world_h
 #define tests_soak_world_h
 
+#include <openssl/evp.h>
+
 #include <fstream>
 #include <random>
 #include <set>
@@ -342,6 +344,49 @@
       watches.erase(watches.begin() + (long)i);
     }
   }
+  std::vector<std::string> keys_below (const std::string &prefix) const {
+    std::vector<std::string> found;
+    for (auto &i : items)
+      if (has_prefix(i.first, prefix)) found.push_back(i.first);
+    return found;
+  }
+  // The text of the first JSON string member of this name.
+  static std::string member (const std::string &doc,
+                             const std::string &name) {
+    size_t at = doc.find("\"" + name + "\":\"");
+    if (at == std::string::npos) return "";
+    at += name.size() + 4;
+    return doc.substr(at, doc.find('"', at) - at);
+  }
+  // A write of one item, or its removal. Leases are granted and never expire:
+  // runs are shorter.
+  void write (Conn &c, const Request &r) {
+    if (r.line().find("/-/kv-lease") != std::string::npos) {
+      c.send(answer(200, era_field(), "{\"lease\":1,\"ttl_ms\":600000}"));
+      return;
+    }
+    std::string key = member(r.body, "key"), value = member(r.body, "value");
+    if (!value.empty())
+      put(key, decode_base64(value));
+    else
+      drop(key.empty() ? first_deleted(r.body) : key);
+    c.send(answer(200, era_field(), "{\"rev\":" + std::to_string(rev) + "}"));
+  }
+  static std::string first_deleted (const std::string &doc) {
+    size_t at = doc.find("\"delete\":[\"");
+    if (at == std::string::npos) return "";
+    at += 11;
+    return doc.substr(at, doc.find('"', at) - at);
+  }
+  static std::string decode_base64 (const std::string &text) {
+    std::string out(text.size(), '\0');
+    int n =
+        EVP_DecodeBlock((unsigned char *)&out[0],
+                        (const unsigned char *)text.data(), (int)text.size());
+    size_t padding = text.size() - (text.find_last_not_of('=') + 1);
+    out.resize(n < 0 ? 0 : (size_t)n - padding);
+    return out;
+  }
   void on_store_request (Conn &c, const Request &r, int gateway) {
     std::string line = r.line(), prefix = query(line, "path_prefix");
     const Rejection &rejection = rejections[(size_t)gateway];
@@ -353,6 +398,10 @@
               line.substr(0, line.rfind(" HTTP")) +
               (faulty ? " failed" : ""));
     if (faulty) return;
+    if (line.find("POST ") == 0) {
+      write(c, r);
+      return;
+    }
     if (line.find("/-/kv-watch") != std::string::npos) {
       long since = std::stol("0" + query(line, "since_rev"));
       if (since < compacted_rev || since > rev) {
