An engine is known to have ended when another answers at its address

A run that was lost counts as an end once its engine refuses connections or its entry lapses. Where the address is taken by another engine before that, the entry alone told it, seconds later, and in that time what ended the engine ends others. A 421 for the expected engine says the same at once.

Quarantine.ReplacedEngineHasEnded fails before.

--- a/src/relay/response.c
+++ b/src/relay/response.c
@@ -26,6 +26,7 @@
   switch (ev->u.head.verdict) {
     case MT_RELAY_REPLACED:
       mt_relay_engine_gone(relay, e);
+      mt_quarantine_engine_ended(relay, e->key);
       mt_request_effect(relay, MT_RELAY_DO_CANCEL, r);
       mt_attempt_failed(relay, r, MT_RELAY_RETRY_REPLACED, false);
       return;
--- a/tests/quarantine_test.cc
+++ b/tests/quarantine_test.cc
@@ -118,6 +118,28 @@
   }
 }
 
+// Another engine at its address shows that it has ended before its entry in
+// the list does.
+TEST(Quarantine, ReplacedEngineHasEnded) {
+  QuarantineRelay r;
+  r.find("m2")->state = r.find("m3")->state = r.find("m4")->state =
+      MT_ENGINE_GONE;
+  r.request_suspect(1, "/events/x");
+  uint64_t engine = r.started();
+  r.sent(1);
+  r.request(2, "/events/x");
+  ASSERT_EQ(r.started(), engine);
+  r.sent(2);
+  r.fail(1);
+  r.probed(engine, true, false);
+  EXPECT_EQ(r.message(MT_SUSPECT_MESSAGE_ENDED), nullptr);
+  r.head(2, 421, false, MT_RELAY_REPLACED);
+  r.pass(25);
+  ASSERT_NE(r.message(MT_SUSPECT_MESSAGE_ENDED), nullptr);
+  EXPECT_EQ(r.message(MT_SUSPECT_MESSAGE_ENDED)->digest,
+            QuarantineRelay::digest());
+}
+
 // Datagrams may be lost, so the report is repeated.
 TEST(Quarantine, EndIsReportedThreeTimes) {
   QuarantineRelay r;
