Quarantines are recorded at the source

After a loss of power of all gateways the list of suspects was learnt anew: five more engines would end under a segment or request that had been found. The owner of a quarantined name now records its row in the store, with a lease of ten minutes; 64 records at most, a write each 200 ms at most; it is deleted when the name is cleared. Every gateway reads the records once when it starts, with the retries of other reads, and serves without them until then.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -518,19 +518,10 @@
   mt_http_exchange_end(x);
 }
 
-/* Operators list the suspects (GET) or clear one (DELETE) at all routers: it
-   is reported to its owner as answered. */
 static void on_suspects_request (mt_gateway_t *g, mt_http_exchange_t *x) {
-  uint64_t digest = mt_suspects_page_digest(mt_http_exchange_target(x));
-  bool clears = mt_bytes_equal_nocase(mt_http_exchange_method(x), "DELETE");
-  bool known = mt_suspects_get(&g->relay->suspects, digest) != NULL;
-  const mt_suspect_message_t message = {.kind = MT_SUSPECT_MESSAGE_ANSWERED,
-                                        .digest = digest};
-  if (clears && known)
-    mt_gateway_peers_send_suspect_message(g->peers, &message);
-  mt_suspects_page_list(&g->relay->suspects, mt_boot_clock_now(g->loop),
-                        &g->scratch);
-  send_text(g, x, clears && !known ? 404 : 200);
+  bool found = mt_gateway_write_suspects_page(g, mt_http_exchange_method(x),
+                                              mt_http_exchange_target(x));
+  send_text(g, x, found ? 200 : 404);
 }
 
 static void on_metrics_request (void *ud, mt_http_exchange_t *x) {
@@ -781,6 +772,7 @@
   }
   mtV_free(&g->inflight_by_number);
   mtV_free(&g->key_digests);
+  mt_suspect_records_free(&g->records);
   mt_relay_free(g->relay);
   mt_log_writer_close(g->log);
   mt_strbuf_free(&g->scratch);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "log_writer.h"
 #include "mtset.h"
 #include "peer_message.h"
+#include "suspect_records.h"
 #include "boot_clock.h"
 
 typedef struct mt_gateway_t mt_gateway_t;
@@ -94,6 +95,17 @@
 void mt_gateway_evacuate (mt_gateway_t *gateway, const char *domain, bool on,
                           mt_revision_t rev);
 
+/*
+** Records of suspects at the source (suspect_records.h): the next write that
+** is due; a write that the source has taken; a record that was read at the
+** start.
+*/
+mt_suspect_record_t mt_gateway_next_suspect_record (mt_gateway_t *gateway);
+void mt_gateway_suspect_recorded (mt_gateway_t *gateway,
+                                  const mt_suspect_record_t *record);
+void mt_gateway_suspect_read (mt_gateway_t *gateway,
+                              const mt_suspect_row_t *row);
+
 /* Sets whether a newer configuration may exist that cannot be read here. */
 void mt_gateway_set_config_maybe_stale (mt_gateway_t *gateway, bool stale);
 
--- a/src/gateway/gateway_log.c
+++ b/src/gateway/gateway_log.c
@@ -50,6 +50,24 @@
               reachable ? "reachable" : "unreachable");
 }
 
+void mt_gateway_log_suspect (mt_log_writer_t *log, mt_ms_t now,
+                             const mt_relay_t *relay, uint64_t name,
+                             const char *router, const char *outcome) {
+  const mt_suspect_t *s = mt_suspects_get(&relay->suspects, name);
+  mt_suspect_status_t status =
+      mt_suspects_status(&relay->suspects, name, now);
+  uint64_t last =
+      s != NULL && s->listed > 0 ? s->list[s->listed - 1].engine : 0;
+  const mt_engine_t *e = mt_engines_get(&relay->engines, last);
+  mt_log_line(log, MT_LOG_STATE, now, "suspect",
+              "%s=%016llx state=%s ends=%d alone=%d last=%s left=%llu "
+              "peer=%s outcome=%s",
+              mt_suspect_name_kind(name), (number_t)name,
+              mt_suspicion_name(status.state), status.ends, status.alone,
+              e != NULL ? e->name : "-", (number_t)status.left, router,
+              outcome);
+}
+
 /* Tokens of the prompt's last segment, which no other request shares. */
 static int64_t unshared_tokens (const mt_relay_request_t *r) {
   return r->segments_count > 0 ? r->segments[r->segments_count - 1].tokens
--- a/src/gateway/gateway_log.h
+++ b/src/gateway/gateway_log.h
@@ -29,4 +29,10 @@
 const char *mt_gateway_state_name (mt_engine_state_t state);
 const char *mt_gateway_probe_name (mt_http_probe_t how);
 
+/* Logs the state of a suspect. `router`: address of the one that reported the
+   change, or "-". */
+void mt_gateway_log_suspect (mt_log_writer_t *log, mt_ms_t now,
+                             const mt_relay_t *relay, uint64_t name,
+                             const char *router, const char *outcome);
+
 #endif
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "gateway_log.h"
 #include "gateway_peers.h"
 #include "drain_exchange.h"
 #include "load_reporter.h"
@@ -163,21 +164,10 @@
 static void log_suspect (void *ud, const mt_suspect_t *s, uint32_t router,
                          const char *why) {
   mt_gateway_peers_t *peers = ud;
-  const mt_relay_t *relay = peers->relay;
-  mt_ms_t now = mt_boot_clock_now(peers->loop);
-  mt_suspect_status_t status =
-      mt_suspects_status(&relay->suspects, s->digest, now);
-  uint64_t last = s->listed > 0 ? s->list[s->listed - 1].engine : 0;
-  const mt_engine_t *e = mt_engines_get(&relay->engines, last);
   char text[INET_ADDRSTRLEN];
   inet_ntop(AF_INET, &router, text, sizeof text);
-  mt_log_line(peers->log, MT_LOG_STATE, now, "suspect",
-              "%s=%016llx state=%s ends=%d alone=%d last=%s left=%llu "
-              "peer=%s outcome=%s",
-              mt_suspect_name_kind(s->digest), (unsigned long long)s->digest,
-              mt_suspicion_name(status.state), status.ends, status.alone,
-              e != NULL ? e->name : "-", (unsigned long long)status.left,
-              text, why);
+  mt_gateway_log_suspect(peers->log, mt_boot_clock_now(peers->loop),
+                         peers->relay, s->digest, text, why);
 }
 
 static void on_verdict (void *ud, const mt_suspect_message_t *message,
@@ -192,6 +182,12 @@
   mt_suspect_exchange_send(&peers->suspects, message);
 }
 
+bool mt_gateway_peers_owns_suspect (mt_gateway_peers_t *peers,
+                                    uint64_t name) {
+  return mt_membership_owner(&peers->members, name, 0) ==
+         peers->members.own_ip;
+}
+
 /* }== */
 
 /* {== Where streams began ============================================== */
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -96,6 +96,9 @@
 void mt_gateway_peers_send_suspect_message (
     mt_gateway_peers_t *peers, const mt_suspect_message_t *message);
 
+/* True if this router owns the suspect of that name. */
+bool mt_gateway_peers_owns_suspect (mt_gateway_peers_t *peers, uint64_t name);
+
 /* Tells the owners of a stream where it began. */
 void mt_gateway_peers_tell_origin (mt_gateway_peers_t *peers,
                                    const mt_origin_report_t *report);
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -4,7 +4,9 @@
 ** gateway.c handles connections and the process's start and stop,
 ** gateway_feeds.c changes from the configuration source, gateway_inventory.c
 ** lists what is in force by it, gateway_notices.c handles what engines'
-** answers say about engines. No other file includes this.
+** answers say about engines, gateway_suspects.c shows and records suspects.
+*No
+** other file includes this.
 */
 #ifndef gateway_state_h
 #define gateway_state_h
@@ -39,7 +41,8 @@
    */
   mt_map_t key_digests;
   mt_revision_t
-      catalog_rev;     /* of that configuration; valid if there is one */
+      catalog_rev; /* of that configuration; valid if there is one */
+  mt_suspect_records_t records; /* of suspects, at the source */
   mt_strbuf_t scratch; /* for heads and pages that are being written */
 };
 
@@ -66,6 +69,12 @@
                               int64_t started_at, int status,
                               const mt_http_headers_t *headers);
 
+/* Writes the list of suspects (GET) to `scratch`, or clears one first
+   (DELETE) at all routers: it is reported to its owner as answered. False if
+   it is not known. */
+bool mt_gateway_write_suspects_page (mt_gateway_t *gateway, mt_bytes_t method,
+                                     mt_bytes_t target);
+
 /* Tells the relay if its list of engines is up to date. */
 void mt_gateway_check_list (mt_gateway_t *gateway);
 
--- a/tests/crashing_segment_test.cc
+++ b/tests/crashing_segment_test.cc
@@ -77,6 +77,42 @@
   }
 }
 
+// Operators find the segment in the list of suspects, see by the log lines of
+// a refused request which of its parts it was, and clear it.
+TEST(CrashingSegment, IsListedExplainedAndCleared) {
+  CrashingFleet fleet({"", 3, "/gen/x", 3, 1, false, false, 0});
+  ASSERT_TRUE(fleet.wait_ready());
+  auto ask = [&] (const std::string &method, const std::string &path) {
+    const soak::Gateway &g = fleet.gateways[0];
+    return fleet.exchange(
+        g, g.metrics, method + " " + path + " HTTP/1.1\r\nHost: x\r\n\r\n");
+  };
+  std::string list;
+  for (int i = 0; i < ROUNDS && list.find("state=quarantine") == list.npos;
+       i++) {
+    fleet.send(i % 3, "dead");
+    ASSERT_TRUE(fleet.engines_serve());
+    fleet.send(i % 3, "50" + std::to_string(i));
+    list = ask("GET", "/suspects");
+  }
+  ASSERT_NE(list.find("state=quarantine"), list.npos) << list;
+  size_t line = list.rfind("part=", list.find("state=quarantine"));
+  std::string name = list.substr(line + 5, 16);
+  EXPECT_EQ(fleet.send(0, "dead"), 503);
+  ASSERT_TRUE(fleet.until(
+      [&] { return fleet.logged(0, "event=request why=quarantined"); }));
+  std::string output = fleet.explain("id" + std::to_string(fleet.last_id()));
+  EXPECT_NE(output.find(name), output.npos) << output;
+  EXPECT_NE(output.find("part=" + name + " state=quarantine"), output.npos)
+      << output;
+  fleet.world.poison_segments.clear(); // engines no longer crash
+  EXPECT_EQ(::World::status_of(ask("DELETE", "/suspects/" + name)), 200);
+  for (int i = 0; i < 3; i++)
+    EXPECT_TRUE(fleet.until([&] { return fleet.send(i, "dead") == 200; }));
+  EXPECT_TRUE(fleet.until(
+      [&] { return fleet.world.keys_below("suspects/").empty(); }));
+}
+
 // Guards against a list of suspects that all gateways forget when they lose
 // power together: five more engines would end.
 TEST(CrashingSegment, IsKnownAfterAllGatewaysLostPower) {
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -86,6 +86,23 @@
     }
     return false;
   }
+  // Number of the last request; its id is "id" and this.
+  int last_id () const {
+    return sent_requests;
+  }
+  // The output of `martentiller explain` for a request.
+  std::string explain (const std::string &id) const {
+    const char *bin = getenv("MT_BIN");
+    std::string command =
+        std::string(bin ? bin : "build") + "/martentiller explain " + id;
+    for (const Gateway &g : gateways) command += " " + g.log;
+    FILE *pipe = popen((command + " 2>&1").c_str(), "r");
+    std::string output;
+    char buf[4096];
+    while (fgets(buf, sizeof buf, pipe)) output += buf;
+    pclose(pipe);
+    return output;
+  }
   bool all_logged (const std::string &line) {
     return until([&] {
       for (size_t i = 0; i < gateways.size(); i++)
