--- a/tests/suspects_test.cc
+++ b/tests/suspects_test.cc
@@ -473,6 +473,37 @@
   EXPECT_EQ(f.count_in(MT_SUSPICION_QUARANTINE), 9u);
 }
 
+// Sizes of packed messages: the report of an end for one name, and a row with
+// all its ends.
+TEST(SuspectExchange, MessagesAreSmall) {
+  char packed[MT_PEER_DATAGRAM_MAX];
+  auto m = std::make_unique<mt_peer_message_t>();
+  mt_peer_message_begin(m.get(), MT_PEER_SUSPECT_MESSAGE);
+  m->boot = UINT64_MAX;
+  m->number = UINT32_MAX;
+  m->suspect_message = {MT_SUSPECT_MESSAGE_ENDED,
+                        UINT64_MAX,
+                        UINT64_MAX,
+                        UINT32_MAX,
+                        true,
+                        800,
+                        0,
+                        UINT32_MAX};
+  EXPECT_LE(mt_peer_message_pack(m.get(), packed, sizeof packed), 100u);
+  mt_peer_message_begin(m.get(), MT_PEER_SUSPECTS);
+  size_t empty = mt_peer_message_pack(m.get(), packed, sizeof packed);
+  mt_suspect_row_t row{};
+  row.digest = UINT64_MAX;
+  row.version = UINT16_MAX;
+  row.listed = MT_SUSPECT_ENDS_MAX;
+  row.age = row.expires_in = 7200000;
+  for (mt_suspect_end_t &end : row.list)
+    end = {UINT64_MAX, 7200000, true, UINT64_MAX, UINT32_MAX};
+  for (int i = 0; i < 10; i++) m->suspects[m->suspects_count++] = row;
+  size_t full = mt_peer_message_pack(m.get(), packed, sizeof packed);
+  EXPECT_LE((full - empty) / 10, 150u);
+}
+
 // Traffic of a router with ten suspects while nothing changes.
 TEST(SuspectExchange, IdleTrafficIsBounded) {
   Fleet f(85, 8);
