--- a/Makefile
+++ b/Makefile
@@ -95,6 +95,8 @@
 	  --callers 30 --seconds 8
 	MT_BIN=build/san ASAN_OPTIONS=detect_leaks=0 build/san/soak --seeds tests/soak/repeats.txt --parts --deadly \
 	  --gateways 12 --callers 30 --seconds 10
+	MT_BIN=build/san ASAN_OPTIONS=detect_leaks=0 build/san/soak --seeds tests/soak/segments.txt --segment 1 --streams \
+	  --power-cut --calm --gateways 12 --callers 30 --seconds 14
 	MT_BIN=build/san ASAN_OPTIONS=detect_leaks=0 build/san/soak --seeds tests/soak/notices.txt --parts --notices \
 	  --gateways 12 --callers 30 --seconds 8
 	MT_BIN=build/san ASAN_OPTIONS=detect_leaks=0 build/san/soak --seeds tests/soak/restores.txt --parts --restores \
@@ -112,6 +114,8 @@
 	MT_BIN=$(B) $(B)/soak --seeds tests/soak/seeds.txt --seconds 4
 	MT_BIN=$(B) $(B)/soak --seeds tests/soak/parts.txt --parts --times --gateways 12 --callers 30 --seconds 30
 	MT_BIN=$(B) $(B)/soak --seeds tests/soak/repeats.txt --parts --deadly --times --gateways 12 --callers 30 --seconds 30
+	MT_BIN=$(B) $(B)/soak --seeds tests/soak/segments.txt --segment 1 --streams --power-cut --calm --times --gateways 12 --callers 40 --seconds 30
+	MT_BIN=$(B) $(B)/soak --seeds tests/soak/segments.txt --segment 0 --unframed --calm --times --gateways 12 --callers 40 --seconds 18
 	MT_BIN=$(B) $(B)/soak --seeds tests/soak/notices.txt --notices --calm --times --gateways 12 --callers 30 --seconds 30
 	MT_BIN=$(B) $(B)/soak --seeds tests/soak/restores.txt --restores --calm --times --gateways 12 --callers 30 --seconds 28
 	MT_BIN=$(B) $(B)/soak --seeds tests/soak/versions.txt --parts --versions --gateways 12 --callers 30 --seconds 30
--- a/src/gateway/gateway_log.c
+++ b/src/gateway/gateway_log.c
@@ -92,8 +92,8 @@
   char parts[PARTS_TEXT_BYTES];
   mt_log_line(
       log, routine ? MT_LOG_DETAIL : MT_LOG_FAILURE, relay->now, "request",
-      "id=%s digest=%016llx parts=%s route=%08x workspace=%08x engine=%s software=%s "
-      "resumes=%s from=%lld origin=%s attempt=%d age=%llu "
+      "id=%s digest=%016llx parts=%s route=%08x workspace=%08x engine=%s "
+      "software=%s resumes=%s from=%lld origin=%s attempt=%d age=%llu "
       "status=%d wait=%.0f expected=%.0f first=%llu slowness=%.2f "
       "pause=%.0f gap=%llu "
       "standing=%.2f "
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -5,8 +5,7 @@
 ** gateway_feeds.c changes from the configuration source, gateway_inventory.c
 ** lists what is in force by it, gateway_notices.c handles what engines'
 ** answers say about engines, gateway_suspects.c shows and records suspects.
-*No
-** other file includes this.
+** No other file includes this.
 */
 #ifndef gateway_state_h
 #define gateway_state_h
--- a/src/gateway/suspect_exchange.c
+++ b/src/gateway/suspect_exchange.c
@@ -130,9 +130,8 @@
   if (message->kind == MT_SUSPECT_MESSAGE_LEASE_ENGINE)
     return mt_suspects_lease_engine(x->suspects, message->engine, holder,
                                     message->lease, now);
-  return mt_suspects_lease_for(x->suspects, message->digest,
-                               message->workspace, holder, message->lease,
-                               now);
+  return mt_suspects_lease(x->suspects, message->digest, message->workspace,
+                           holder, message->lease, now);
 }
 
 static void reply (mt_suspect_exchange_t *x, uint32_t router,
--- a/src/relay/quarantine.c
+++ b/src/relay/quarantine.c
@@ -189,6 +189,12 @@
   segments_answered(relay, r);
 }
 
+/* An error may come of an engine that has not begun to generate: it says
+   nothing of the segments. */
+static bool is_success (const mt_relay_request_t *r) {
+  return r->status / 100 == 2;
+}
+
 /* Keeps the run until it is known whether its engine has ended. */
 static bool keep_run (mt_relay_t *relay, mt_relay_request_t *r,
                       mt_ended_run_kind_t kind) {
@@ -196,9 +202,11 @@
   if (e == NULL || !r->written || r->names_count == 0) return false;
   if (!mt_engine_is_available(e, relay->now) || e->unlisted_since != 0)
     return false;
+  bool has_begun = kind == MT_RUN_LOST || is_success(r);
+  bool digest_only = r->outlived || !has_begun;
   const mt_ended_run_t run = {.kind = kind,
                               .names = r->names,
-                              .names_count = r->outlived ? first_segment(r)
+                              .names_count = digest_only ? first_segment(r)
                                                          : r->names_count,
                               .engine = e->key,
                               .at = relay->now,
@@ -217,7 +225,7 @@
     return;
   }
   names_answered(relay, r->names, first_segment(r), relay->now);
-  if (r->status / 100 == 2) segments_answered(relay, r);
+  if (is_success(r)) segments_answered(relay, r);
 }
 
 /* The engine has outlived an answer that may have been truncated. */
--- a/src/relay/suspects.c
+++ b/src/relay/suspects.c
@@ -315,16 +315,8 @@
 }
 
 mt_trial_verdict_t mt_suspects_lease (mt_suspects_t *t, uint64_t digest,
-                                      uint64_t holder, mt_ms_t lease,
-                                      mt_ms_t now) {
-  const mt_suspect_t *s = mt_suspects_get(t, digest);
-  mt_id_t workspace = s != NULL && s->listed > 0 ? s->list[0].workspace : 0;
-  return mt_suspects_lease_for(t, digest, workspace, holder, lease, now);
-}
-
-mt_trial_verdict_t mt_suspects_lease_for (mt_suspects_t *t, uint64_t digest,
-                                          mt_id_t workspace, uint64_t holder,
-                                          mt_ms_t lease, mt_ms_t now) {
+                                      mt_id_t workspace, uint64_t holder,
+                                      mt_ms_t lease, mt_ms_t now) {
   mt_suspect_t *s = mt_suspects_get(t, digest);
   if (s == NULL || is_below_threshold(s)) return MT_TRIAL_FREE;
   bool refused = status_of(t, s, now).state == MT_SUSPICION_QUARANTINE &&
--- a/src/relay/suspects.h
+++ b/src/relay/suspects.h
@@ -174,16 +174,12 @@
 bool mt_suspects_clear (mt_suspects_t *suspects, uint64_t digest, mt_ms_t at,
                         mt_ms_t now);
 
-/* Asks for the lease to run the request, of which there is one. */
+/* Asks for the lease to run a request of a workspace with that name; there is
+   one. */
 mt_trial_verdict_t mt_suspects_lease (mt_suspects_t *suspects,
-                                      uint64_t digest, uint64_t holder,
-                                      mt_ms_t lease, mt_ms_t now);
-
-/* The same for a request of a workspace. */
-mt_trial_verdict_t mt_suspects_lease_for (mt_suspects_t *suspects,
-                                          uint64_t digest, mt_id_t workspace,
-                                          uint64_t holder, mt_ms_t lease,
-                                          mt_ms_t now);
+                                      uint64_t digest, mt_id_t workspace,
+                                      uint64_t holder, mt_ms_t lease,
+                                      mt_ms_t now);
 
 /* Asks for the lease to run a suspect at the engine. */
 mt_trial_verdict_t mt_suspects_lease_engine (mt_suspects_t *suspects,
--- a/tests/quarantine_test.cc
+++ b/tests/quarantine_test.cc
@@ -335,17 +335,25 @@
   struct Row {
     const char *what;
     int status;
-    bool clears_segments;
-  } rows[] = {{"success", 200, true},
-              {"an error of the engine", 500, false},
-              {"not found", 404, false}};
+    bool framed, clears_segments;
+  } rows[] = {{"success", 200, true, true},
+              {"an error of the engine", 500, true, false},
+              {"not found", 404, true, false},
+              {"success, unframed", 200, false, true},
+              {"not found, unframed", 404, false, false}};
   for (const Row &row : rows) {
     SCOPED_TRACE(row.what);
     QuarantineRelay r;
     r.request_suspect(1);
+    uint64_t engine = r.started();
     r.sent(1);
-    r.head(1, row.status);
+    r.head(1, row.status, false, MT_RELAY_RAN, row.framed);
     r.end(1);
+    if (!row.framed) {
+      r.now += 300;
+      mt_engines_get(&r.relay->engines, engine)->last_received = r.now;
+      r.pass(25);
+    }
     EXPECT_NE(mt_suspects_last_answer(&r.relay->suspects,
                                       QuarantineRelay::digest()),
               0u);
--- a/tests/suspect_policy_test.cc
+++ b/tests/suspect_policy_test.cc
@@ -213,8 +213,8 @@
     t.apply(step);
   uint64_t name = names_of("D")[0];
   auto lease = [&] (mt_id_t workspace) {
-    return mt_suspects_lease_for(&t.suspects, name, workspace, workspace,
-                                 2000, t.now);
+    return mt_suspects_lease(&t.suspects, name, workspace, workspace, 2000,
+                             t.now);
   };
   EXPECT_EQ(lease(1), MT_TRIAL_REFUSED);
   EXPECT_EQ(lease(2), MT_TRIAL_GRANTED);
--- a/tests/suspects_test.cc
+++ b/tests/suspects_test.cc
@@ -38,7 +38,7 @@
     return mt_suspects_state(&suspects, digest, now);
   }
   mt_trial_verdict_t attempt (uint64_t holder) {
-    return mt_suspects_lease(&suspects, kDigest, holder, 2000, now);
+    return mt_suspects_lease(&suspects, kDigest, 0, holder, 2000, now);
   }
 };
 
