Ends that come together count once for names that were answered before

When many engines end at once, popular segments are at all of them: each had two ends and more, and after the outage one request with each ran at a time, at engines that take one trial each, until its first answer. For a name that whoever reports the end, or its owner, had answered before, ends within half a second are now one; a name that was never answered keeps each.

Steady gossip has 8 rows a message, 5 KB a second at most.

--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -74,7 +74,8 @@
       [MT_TRIAL_BUSY] = "busy",
       [MT_TRIAL_REFUSED] = "refused"};
   describe(out, "suspects", "gauge",
-           "Requests under which engines ended, by state.");
+           "Requests and prompt segments under which engines ended, by "
+           "state.");
   for (int i = MT_SUSPICION_NOTED; i < MT_SUSPICION_COUNT; i++) {
     mt_suspicion_t state = (mt_suspicion_t)i;
     mt_strbuf_format(out, PREFIX "suspects{state=\"%s\"} %zu\n",
--- a/src/gateway/peer_message.c
+++ b/src/gateway/peer_message.c
@@ -50,7 +50,9 @@
 #define SUSPECT_END_FIELDS 3 /* of each engine end in a suspect's row */
 #define SUSPECT_ROW_FIELDS \
   (SUSPECT_FIELDS + MT_SUSPECT_ENDS_MAX * SUSPECT_END_FIELDS)
-#define SUSPECT_RUN_FIELDS 2
+#define SUSPECT_RUN_FIELDS 2 /* further ones of each engine end */
+#define SUSPECT_ROW_DETAILS (MT_SUSPECT_ENDS_MAX * SUSPECT_RUN_FIELDS + 1)
+#define SUSPECT_MESSAGE_DETAILS 2
 #define SUSPECT_MESSAGE_FIELDS 8
 #define CHANGE_BASE_BYTES 57 /* packed size of a change without its texts */
 
@@ -376,24 +378,29 @@
   if (m->inventory.present) pack_inventory(&m->inventory, era, pk);
 }
 
-/* Which run and workspace each listed end belongs to, and the workspace of
-   the suspect message. Older builds skip it: it is no whole row. */
-static void pack_suspect_runs (const mt_peer_message_t *m,
-                               msgpack_packer *pk) {
-  size_t ends = m->suspects_count * MT_SUSPECT_ENDS_MAX;
-  msgpack_pack_array(pk, ends * SUSPECT_RUN_FIELDS + 1);
-  for (size_t i = 0; i < ends; i++) {
-    const mt_suspect_row_t *row = &m->suspects[i / MT_SUSPECT_ENDS_MAX];
-    const mt_suspect_end_t *end = &row->list[i % MT_SUSPECT_ENDS_MAX];
-    msgpack_pack_uint64(pk, end->run);
-    msgpack_pack_uint32(pk, end->workspace);
+/* What older builds don't know of rows and of the suspect message: a list
+   behind the rows, which they skip, as it is no whole row. */
+static void pack_suspect_details (const mt_peer_message_t *m,
+                                  msgpack_packer *pk) {
+  msgpack_pack_array(pk, m->suspects_count * SUSPECT_ROW_DETAILS +
+                             SUSPECT_MESSAGE_DETAILS);
+  for (size_t i = 0; i < m->suspects_count; i++) {
+    const mt_suspect_row_t *row = &m->suspects[i];
+    for (int k = 0; k < MT_SUSPECT_ENDS_MAX; k++) {
+      msgpack_pack_uint64(pk, row->list[k].run);
+      msgpack_pack_uint32(pk, row->list[k].workspace);
+    }
+    msgpack_pack_uint8(pk, row->known);
   }
   msgpack_pack_uint32(pk, m->suspect_message.workspace);
+  msgpack_pack_uint8(pk, m->suspect_message.known);
 }
 
 static void pack_suspects (const mt_peer_message_t *m, msgpack_packer *pk) {
-  bool has_runs = m->suspects_count > 0 || m->suspect_message.workspace != 0;
-  msgpack_pack_array(pk, m->suspects_count * SUSPECT_ROW_FIELDS + has_runs);
+  bool has_details = m->suspects_count > 0 ||
+                     m->suspect_message.kind != MT_SUSPECT_MESSAGE_COUNT;
+  msgpack_pack_array(pk,
+                     m->suspects_count * SUSPECT_ROW_FIELDS + has_details);
   for (size_t i = 0; i < m->suspects_count; i++) {
     const mt_suspect_row_t *row = &m->suspects[i];
     msgpack_pack_uint64(pk, row->digest);
@@ -409,7 +416,7 @@
       msgpack_pack_uint8(pk, row->list[k].alone);
     }
   }
-  if (has_runs) pack_suspect_runs(m, pk);
+  if (has_details) pack_suspect_details(m, pk);
 }
 
 /* A list of one suspect message, or an empty one. */
@@ -786,40 +793,42 @@
 }
 
 /* The list behind the rows, or NULL: an older build doesn't send it. */
-static const msgpack_object *find_suspect_runs (const msgpack_object *o,
-                                                size_t rows) {
+static const msgpack_object *find_suspect_details (const msgpack_object *o,
+                                                   size_t rows) {
   if (o->via.array.size != rows * SUSPECT_ROW_FIELDS + 1) return NULL;
   const msgpack_object *list = &o->via.array.ptr[rows * SUSPECT_ROW_FIELDS];
-  size_t size = rows * MT_SUSPECT_ENDS_MAX * SUSPECT_RUN_FIELDS + 1;
+  size_t size = rows * SUSPECT_ROW_DETAILS + SUSPECT_MESSAGE_DETAILS;
   bool fits =
       list->type == MSGPACK_OBJECT_ARRAY && list->via.array.size == size;
-  return fits ? list : NULL;
+  return fits ? list->via.array.ptr : NULL;
 }
 
-static void unpack_suspect_runs (mt_suspect_row_t *row,
-                                 const msgpack_object *at) {
+static void unpack_row_details (mt_suspect_row_t *row,
+                                const msgpack_object *at) {
   for (int k = 0; k < MT_SUSPECT_ENDS_MAX; k++) {
     const msgpack_object *end = &at[k * SUSPECT_RUN_FIELDS];
     row->list[k].run = unpack_number(&end[0]);
     row->list[k].workspace = (mt_id_t)unpack_bounded(&end[1], UINT32_MAX);
   }
+  row->known = unpack_number(&at[SUSPECT_ROW_DETAILS - 1]) == 1;
 }
 
 static void unpack_suspects (mt_peer_message_t *m, const msgpack_object *o) {
-  const size_t run_numbers = MT_SUSPECT_ENDS_MAX * SUSPECT_RUN_FIELDS;
   size_t n = count_rows(o, SUSPECT_ROW_FIELDS, MT_PEER_SUSPECTS_MAX);
-  const msgpack_object *runs = find_suspect_runs(o, n);
+  const msgpack_object *details = find_suspect_details(o, n);
   for (size_t i = 0; i < n; i++) {
     const msgpack_object *at = &o->via.array.ptr[i * SUSPECT_ROW_FIELDS];
     if (unpack_number(&at[0]) == 0) continue;
     mt_suspect_row_t *row = &m->suspects[m->suspects_count++];
     unpack_suspect(row, at);
-    if (runs != NULL)
-      unpack_suspect_runs(row, &runs->via.array.ptr[i * run_numbers]);
+    if (details != NULL)
+      unpack_row_details(row, &details[i * SUSPECT_ROW_DETAILS]);
   }
-  if (runs != NULL)
-    m->suspect_message.workspace = (mt_id_t)unpack_bounded(
-        &runs->via.array.ptr[n * run_numbers], UINT32_MAX);
+  if (details == NULL) return;
+  const msgpack_object *rest = &details[n * SUSPECT_ROW_DETAILS];
+  m->suspect_message.workspace =
+      (mt_id_t)unpack_bounded(&rest[0], UINT32_MAX);
+  m->suspect_message.known = unpack_number(&rest[1]) == 1;
 }
 
 static void unpack_suspect_message (mt_peer_message_t *m,
@@ -830,7 +839,8 @@
       unpack_number(&at[1]) == 0)
     return;
   m->suspect_message = (mt_suspect_message_t){
-      .workspace = m->suspect_message.workspace, /* is in another list */
+      .workspace = m->suspect_message.workspace, /* are in another list */
+      .known = m->suspect_message.known,
       .kind = (mt_suspect_message_kind_t)unpack_number(&at[0]),
       .digest = unpack_number(&at[1]),
       .engine = unpack_number(&at[2]),
--- a/src/gateway/suspect_exchange.c
+++ b/src/gateway/suspect_exchange.c
@@ -5,8 +5,8 @@
 
 #define FANOUT 5               /* peers that a newer row is forwarded to */
 #define GOSSIP_INTERVAL_MS 250 /* between anti-entropy messages */
-/* Rows in such a message: some 8 KB a second at most. */
-#define GOSSIP_ROWS_MAX 16
+/* Rows in such a message: some 5 KB a second at most. */
+#define GOSSIP_ROWS_MAX 8
 #define ANY_DOMAIN 0 /* the owner may be in any failure domain */
 
 static void log_event (const mt_suspect_exchange_t *x, uint64_t digest,
@@ -108,9 +108,12 @@
                                 .alone = message->alone,
                                 .run = run_of(router, message),
                                 .workspace = message->workspace};
-  bool known = !mt_suspects_add_end(x->suspects, message->digest, &end, now);
+  bool known = message->known ||
+               mt_suspects_last_answer(x->suspects, message->digest) != 0;
+  bool changed =
+      mt_suspects_add_end(x->suspects, message->digest, &end, known, now);
   bool cleared = clear_by_local_answer(x, message->digest);
-  if (known) return;
+  if (!changed) return;
   log_event(x, message->digest, router, cleared ? "answered" : "ended");
   gossip_row(x, message->digest);
 }
--- a/src/relay/quarantine.c
+++ b/src/relay/quarantine.c
@@ -279,6 +279,8 @@
     msg->workspace = run->workspace;
     msg->age = relay->now - run->at;
     msg->alone = alone;
+    msg->known =
+        mt_suspects_last_answer(&relay->suspects, run->names[i]) != 0;
   }
 }
 
--- a/src/relay/suspects.c
+++ b/src/relay/suspects.c
@@ -15,6 +15,8 @@
    reports agree more closely. */
 #define SAME_END_MS 1000
 #define SAME_ALONE_MS 100
+/* Ends of engines that come together within this time have one cause. */
+#define OUTAGE_MS 500
 #define QUARANTINE_MS 600000 /* the first; each further one twice as long */
 #define DOUBLINGS_MAX 3
 #define SUSPECT_TTL_MS 7200000 /* longer than any quarantine */
@@ -122,18 +124,21 @@
 
 /* {== State of a request =============================================== */
 
+static mt_ms_t time_between (const mt_suspect_end_t *a,
+                             const mt_suspect_end_t *b) {
+  return mt_max(a->at, b->at) - mt_min(a->at, b->at);
+}
+
 static bool is_same_end (const mt_suspect_end_t *a,
                          const mt_suspect_end_t *b) {
-  mt_ms_t apart = mt_max(a->at, b->at) - mt_min(a->at, b->at);
-  return a->engine == b->engine && apart < SAME_END_MS;
+  return a->engine == b->engine && time_between(a, b) < SAME_END_MS;
 }
 
 /* True if this end of the request has been counted already. */
 static bool is_counted (const mt_suspect_t *s, const mt_suspect_end_t *end) {
   for (int i = 0; i < s->listed; i++) {
     const mt_suspect_end_t *known = &s->list[i];
-    mt_ms_t apart = mt_max(known->at, end->at) - mt_min(known->at, end->at);
-    bool in_time = !end->alone || apart < SAME_ALONE_MS;
+    bool in_time = !end->alone || time_between(known, end) < SAME_ALONE_MS;
     if (in_time && is_same_end(known, end)) return true;
   }
   return false;
@@ -282,14 +287,26 @@
   s->list[s->listed++] = *end;
 }
 
+/* True if a known name has another end of the same outage. What ends engines
+   by itself has the next one in a trial, or later. */
+static bool is_of_counted_outage (const mt_suspect_t *s,
+                                  const mt_suspect_end_t *end) {
+  if (!s->known || end->alone) return false;
+  for (int i = 0; i < s->listed; i++)
+    if (time_between(&s->list[i], end) < OUTAGE_MS) return true;
+  return false;
+}
+
 bool mt_suspects_add_end (mt_suspects_t *t, uint64_t digest,
-                          const mt_suspect_end_t *end, mt_ms_t now) {
+                          const mt_suspect_end_t *end, bool known,
+                          mt_ms_t now) {
   mt_suspect_t *s = add(t, digest);
   if (s == NULL) return false;
   bool cleared = count_ends(s) == 0 && s->version > 0;
   if (end->alone) mt_lease_table_revoke(&t->leases, digest);
   if (cleared && end->at <= s->since) return false;
-  if (is_counted(s, end)) return false;
+  s->known = s->known || known || cleared;
+  if (is_counted(s, end) || is_of_counted_outage(s, end)) return false;
   if (count_ends(s) == 0) s->since = end->at;
   append_end(s, end);
   s->version++;
@@ -347,6 +364,7 @@
                           .listed = s->listed,
                           .earlier = s->earlier,
                           .earlier_alone = s->earlier_alone,
+                          .known = s->known,
                           .age = now - mt_min(s->since, now),
                           .expires_in = s->expires - mt_min(s->expires, now)};
   for (int i = 0; i < s->listed; i++) {
@@ -373,6 +391,7 @@
   s->listed = mt_min(row->listed, MT_SUSPECT_ENDS_MAX);
   s->earlier = row->earlier;
   s->earlier_alone = row->earlier_alone;
+  s->known = s->known || row->known;
   s->since = now - mt_min(row->age, now);
   s->expires = now + mt_min(row->expires_in, (mt_ms_t)SUSPECT_TTL_MS);
   for (int i = 0; i < s->listed; i++) {
--- a/src/relay/suspects.h
+++ b/src/relay/suspects.h
@@ -12,7 +12,9 @@
 ** suspect runs. After three, of which two were of a copy that ran alone, it
 ** is in quarantine and requests with it are refused for some time. Ends that
 ** come together, as when a failure domain loses power, put a name on
-** probation at most, and one answer clears it.
+** probation at most, and one answer clears it. If the name had been answered
+** before, they count as one end: popular names run at many engines, and after
+** an outage all of them would wait for one copy each.
 **
 ** Another request at the engine may have caused an end. An end of a copy that
 ** ran alone therefore counts as such only if no other run of a suspect was at
@@ -62,6 +64,7 @@
   mt_suspect_end_t list[MT_SUSPECT_ENDS_MAX]; /* the last ends */
   int listed;
   int earlier, earlier_alone; /* counts of ends that are no longer listed */
+  bool known;      /* it had been answered when an engine ended under it */
   mt_ms_t since;   /* time of the first end, else of the clearing */
   mt_ms_t expires; /* when the entry is dropped */
 } mt_suspect_t;
@@ -72,6 +75,7 @@
   mt_suspect_end_t list[MT_SUSPECT_ENDS_MAX]; /* `at`: age */
   int listed, earlier, earlier_alone;
   mt_ms_t age, expires_in; /* time since `since`, and until `expires` */
+  bool known;
 } mt_suspect_row_t;
 
 /* An owner's reply to a router that asks for a lease. */
@@ -103,6 +107,7 @@
   mt_ms_t age;       /* ENDED, ANSWERED: time since that event */
   mt_ms_t lease;     /* LEASE, LEASE_ENGINE: longest duration */
   mt_id_t workspace; /* ENDED, LEASE: of the request; 0: none */
+  bool known;        /* ENDED: the sender has had an answer to it before */
 } mt_suspect_message_t;
 
 /* The last complete answer to a request at this router. */
@@ -164,10 +169,12 @@
 
 /* {== At the owner ===================================================== */
 
-/* Counts an end once, however often it is reported. True if the suspect's row
-   has changed and is to be sent to other routers. */
+/* Counts an end once, however often it is reported. `known`: the name had
+   been answered before. True if the suspect's row has changed and is to be
+   sent to other routers. */
 bool mt_suspects_add_end (mt_suspects_t *suspects, uint64_t digest,
-                          const mt_suspect_end_t *end, mt_ms_t now);
+                          const mt_suspect_end_t *end, bool known,
+                          mt_ms_t now);
 
 /* Clears the ends up to a complete answer at `at`. True if the suspect's row
    is to be sent to other routers. */
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -689,6 +689,12 @@
     const std::string &id = ids[draw() % ids.size()];
     if (engine_restart_at.count(id) == 0) crash_engine(id);
   }
+  // Crashes all engines of a service that are up.
+  void crash_all (const std::string &service) {
+    std::vector<std::string> ids = ids_of(service); // crashes may rename them
+    for (const std::string &id : ids)
+      if (engine_restart_at.count(id) == 0) crash_engine(id);
+  }
   bool all_restarted () const {
     return crash_at.empty() && engine_restart_at.empty();
   }
