--- a/src/relay/quarantine.h
+++ b/src/relay/quarantine.h
@@ -8,11 +8,10 @@
 ** A run that is lost with its connection does not count as an end of the
 ** engine by itself: connections break for many reasons. It counts once the
 ** engine's box refuses connections, another engine answers at its address,
-*the
-** engine's entry in the list expires, or the engine turns out to have
-** restarted. No response and an unreachable
-** box do not count unless the entry expires meanwhile, nor do runs at an
-** engine that drains or has left the list.
+** the engine's entry in the list expires, or the engine turns out to have
+** restarted. No response and an unreachable box do not count unless the entry
+** expires meanwhile, nor do runs at an engine that drains or has left the
+** list.
 **
 ** A complete answer clears the request's names. One without framing, which
 ** ends with its connection, does so once the engine is heard of again; if the
--- a/src/relay/suspects.c
+++ b/src/relay/suspects.c
@@ -86,11 +86,24 @@
   return count;
 }
 
-/* How much would be lost with an entry. Most of the entries after an outage
-   have ends, but none of a copy that ran alone. */
-static int evidence (const mt_suspect_t *s) {
-  if (count_alone(s) > 0) return 2;
-  return !is_below_threshold(s);
+/* What is known of an entry, and would be lost with it. After an outage most
+   entries have ends, but no trials. */
+typedef enum evidence_t {
+  EVIDENCE_NONE, /* at most one end */
+  EVIDENCE_ENDS,
+  EVIDENCE_TRIALS /* engines ended under a copy that ran alone */
+} evidence_t;
+
+static evidence_t evidence_of (const mt_suspect_t *s) {
+  if (count_alone(s) > 0) return EVIDENCE_TRIALS;
+  return is_below_threshold(s) ? EVIDENCE_NONE : EVIDENCE_ENDS;
+}
+
+/* True if `a` is to be evicted before `b`. */
+static bool is_evicted_before (const mt_suspect_t *a, const mt_suspect_t *b) {
+  if (evidence_of(a) != evidence_of(b))
+    return evidence_of(a) < evidence_of(b);
+  return a->expires < b->expires;
 }
 
 /* Makes room for one entry: evicts that with the least evidence, and of these
@@ -102,10 +115,9 @@
   for (size_t i = 0; i < EVICTION_SAMPLE; i++) {
     size_t slot = t->cursor++ % t->by_digest.cap;
     mt_suspect_t *s = t->by_digest.vals[slot];
-    if (t->by_digest.keys[slot] == 0 || evidence(s) > 1) continue;
-    int more = first != NULL ? evidence(s) - evidence(first) : -1;
-    if (more > 0 || (more == 0 && s->expires >= first->expires)) continue;
-    first = s;
+    if (t->by_digest.keys[slot] == 0 || evidence_of(s) == EVIDENCE_TRIALS)
+      continue;
+    if (first == NULL || is_evicted_before(s, first)) first = s;
   }
   if (first != NULL) remove_suspect(t, first);
   return first != NULL;
