A lost run whose engine is heard of later is no end

A connection that an engine broke counted as lost with it if the engine ended within the next five seconds, whatever it had served meanwhile: a sound trial that a faulty engine cut off was evidence of its names when that engine ended of something else. A run is now dropped once its engine is heard of 200 ms later, as an unframed answer is confirmed.

Quarantine.RunsThatTheirEngineOutlivedAreNoEnds fails before.

--- a/src/relay/quarantine.c
+++ b/src/relay/quarantine.c
@@ -228,9 +228,11 @@
   if (is_success(r)) segments_answered(relay, r);
 }
 
-/* The engine has outlived an answer that may have been truncated. */
-static void confirm_run (mt_relay_t *relay, const mt_ended_run_t *run) {
-  names_answered(relay, run->names, run->names_count, run->at);
+/* The engine has outlived the run: an answer that may have been truncated was
+   complete, and a run that was lost has not ended the engine. */
+static void clear_run (mt_relay_t *relay, const mt_ended_run_t *run) {
+  if (run->kind == MT_RUN_UNCONFIRMED)
+    names_answered(relay, run->names, run->names_count, run->at);
   release_run_leases(relay, run);
 }
 
@@ -312,9 +314,9 @@
 
 /* True if the engine, last heard of at `heard`, has outlived the run. One
    whose entry has stayed in the list for so long has not ended. */
-static bool is_confirmed (const mt_relay_t *relay, const mt_ended_run_t *run,
+static bool has_outlived (const mt_relay_t *relay, const mt_ended_run_t *run,
                           const mt_engine_t *e, mt_ms_t heard) {
-  if (run->kind != MT_RUN_UNCONFIRMED || run->engine_ended) return false;
+  if (run->engine_ended) return false;
   if (heard >= run->at + CONFIRM_MS) return true;
   return e != NULL && relay->now - run->at >= ENDED_RUN_TTL_MS &&
          e->unlisted_since == 0 && mt_engine_is_available(e, relay->now);
@@ -323,8 +325,8 @@
 /* Handles a run that is kept; true if it is no longer needed. */
 static bool check_run (mt_relay_t *relay, mt_ended_run_t *run) {
   mt_engine_t *e = mt_engines_get(&relay->engines, run->engine);
-  if (is_confirmed(relay, run, e, e != NULL ? e->last_received : 0)) {
-    confirm_run(relay, run);
+  if (has_outlived(relay, run, e, e != NULL ? e->last_received : 0)) {
+    clear_run(relay, run);
     return true;
   }
   if (relay->now - run->at >= ENDED_RUN_TTL_MS) {
@@ -343,9 +345,9 @@
 void mt_quarantine_engine_reached (mt_relay_t *relay, const mt_engine_t *e) {
   for (size_t i = relay->lost.count; i-- > 0;) {
     mt_ended_run_t *run = &relay->lost.list[i];
-    if (run->engine != e->key || !is_confirmed(relay, run, e, relay->now))
+    if (run->engine != e->key || !has_outlived(relay, run, e, relay->now))
       continue;
-    confirm_run(relay, run);
+    clear_run(relay, run);
     mt_ended_runs_remove(&relay->lost, i);
   }
 }
--- a/tests/quarantine_test.cc
+++ b/tests/quarantine_test.cc
@@ -141,6 +141,32 @@
             QuarantineRelay::digest());
 }
 
+// An engine that breaks connections and ends seconds later has not ended
+// under the runs that it broke off, if it was heard of meanwhile.
+TEST(Quarantine, RunsThatTheirEngineOutlivedAreNoEnds) {
+  for (mt_ms_t heard_after : {100, 300}) {
+    SCOPED_TRACE(heard_after);
+    QuarantineRelay r;
+    r.set_state(MT_SUSPICION_PROBATION);
+    r.request_suspect(1);
+    uint64_t engine = r.granted(1);
+    mt_engine_t *e = mt_engines_get(&r.relay->engines, engine);
+    r.sent(1);
+    r.fail(1);
+    r.probed(engine, true, false);
+    e->last_received = r.now + heard_after;
+    bool ended = false, released = false;
+    for (mt_ms_t end = r.now + 1000; r.now < end;) {
+      r.pass(25);
+      released |= r.message(MT_SUSPECT_MESSAGE_RELEASE) != nullptr;
+    }
+    EXPECT_EQ(released, heard_after == 300);
+    r.probed(engine, false, true);
+    ended = r.message(MT_SUSPECT_MESSAGE_ENDED) != nullptr;
+    EXPECT_EQ(ended, heard_after == 100);
+  }
+}
+
 // Datagrams may be lost, so the report is repeated.
 TEST(Quarantine, EndIsReportedThreeTimes) {
   QuarantineRelay r;
