--- a/src/gateway/suspect_exchange.c
+++ b/src/gateway/suspect_exchange.c
@@ -5,7 +5,7 @@
 
 #define FANOUT 5               /* peers that a newer row is forwarded to */
 #define GOSSIP_INTERVAL_MS 250 /* between anti-entropy messages */
-/* Rows in such a message: some 5 KB a second at most. */
+/* Rows in such a message; it bounds the traffic while many are suspected. */
 #define GOSSIP_ROWS_MAX 8
 #define ANY_DOMAIN 0 /* the owner may be in any failure domain */
 
