Review: case 3 spoils answers in two forms; a script for the entry on ORDER

Case 3 now also has answers with the right id and no seal, which case 1 does not touch. review/entries/order.c plays the entry of KNOWN-RED.txt on streams of two software versions; it is no case.

--- a/review/3/case.c
+++ b/review/3/case.c
@@ -1,10 +1,10 @@
 /*
-** case.c - an engine hands out wrong bytes that look like HTTP
+** case.c - an engine hands out spoiled answers, without its seal
 **
-** Three gateways and three engines. One engine is faulty: in place of every
-** fiftieth of its answers it sends bytes that are no answer: they have neither
-** the attempt's id nor a seal, and their body is not the engine's. Eight
-** clients send 75 requests each, on kept connections.
+** Three gateways and three engines. One engine is faulty: every fiftieth of
+** its answers is spoiled. By turns it has the attempt's id and no seal, or
+** neither of them; its body is not the engine's. Eight clients send 75
+** requests each, on kept connections.
 */
 #include "../common/stage.h"
 
@@ -18,22 +18,31 @@
     {.id = "i-5ee01a77", .service = "portal", .zone = "portmore"}};
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
-static int answers_of_faulty, spoiled, seen_200, seen_other, no_answer, wrong;
+static int answers_of_faulty, spoiled, seen_200, seen_other, no_answer,
+    wrong_with_id, wrong_without_id;
 
 static bool answer (engine_t *e, int fd, const request_t *r) {
   char attempt[64], seal[128];
   field(r->head, "X-Attempt-Id", attempt, sizeof attempt);
   engine_seal(e, attempt, seal, sizeof seal);
-  bool spoil = false;
+  bool spoil = false, keep_id = false;
   if (e == &engines[0]) {
     pthread_mutex_lock(&lock);
     spoil = trouble() && ++answers_of_faulty % SPOILED_EVERY == 0;
-    spoiled += spoil;
+    keep_id = spoil && ++spoiled % 2 == 1;
     pthread_mutex_unlock(&lock);
   }
   sleep_ms(2);
   note("engine %s runs %s%s", e->id, attempt,
-       spoil ? " and sends wrong bytes" : "");
+       !spoil    ? ""
+       : keep_id ? " and spoils its answer: no seal, wrong bytes"
+                 : " and spoils its answer: no id, no seal, wrong bytes");
+  if (spoil && keep_id)
+    return send_text(fd,
+                     "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+                     "X-Attempt-Id: %s\r\nContent-Length: 11\r\n\r\n"
+                     "wrong bytes",
+                     attempt);
   if (spoil)
     return send_text(fd, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
                          "Content-Length: 11\r\n\r\nwrong bytes");
@@ -51,8 +60,9 @@
 } client_t;
 
 static void check (const char *id, const reply_t *r) {
-  char seal[128], expected[128];
+  char seal[128], echo[64], expected[128];
   field(r->text, "X-Engine-Seal", seal, sizeof seal);
+  field(r->text, "X-Attempt-Id", echo, sizeof echo);
   snprintf(expected, sizeof expected, "answer to %s", id);
   bool own = r->body_size == strlen(expected) &&
              memcmp(r->body, expected, r->body_size) == 0;
@@ -61,15 +71,19 @@
     no_answer++;
   else if (r->status / 100 != 2)
     seen_other++;
-  else if (seal[0] == '\0' || !own)
-    wrong++;
+  else if (seal[0] == '\0' && echo[0] != '\0')
+    wrong_with_id++;
+  else if (seal[0] == '\0')
+    wrong_without_id++;
+  else if (!own)
+    seen_other++;
   else
     seen_200++;
   pthread_mutex_unlock(&lock);
   note("client gets for %s: status %d, seal \"%s\", body \"%.*s\"%s", id,
        r->status, seal, (int)r->body_size, r->body,
-       r->whole && r->status / 100 == 2 && (seal[0] == '\0' || !own)
-           ? "  BROKEN: a success that is not the engine's answer"
+       r->whole && r->status / 100 == 2 && seal[0] == '\0'
+           ? "  BROKEN: a success without a seal"
            : "");
 }
 
@@ -146,10 +160,12 @@
       return stage_close(EXIT_CANNOT_RUN);
   }
   for (int i = 0; i < CLIENTS; i++) pthread_join(clients[i].thread, NULL);
-  note("%d answers of the faulty engine, %d of them wrong bytes; clients: %d "
-       "own answers, %d other statuses, %d without an answer, %d successes "
-       "that are not the engine's answer",
-       answers_of_faulty, spoiled, seen_200, seen_other, no_answer, wrong);
+  int wrong = wrong_with_id + wrong_without_id;
+  note("%d answers of the faulty engine, %d of them spoiled; clients: %d own "
+       "answers, %d others, %d without an answer, %d successes without a seal "
+       "(%d with the id, %d without)",
+       answers_of_faulty, spoiled, seen_200, seen_other, no_answer, wrong,
+       wrong_with_id, wrong_without_id);
   if (seen_200 < CLIENTS * REQUESTS / 2 || (trouble() && spoiled == 0))
     return stage_close(EXIT_CANNOT_RUN);
   if (!trouble() && seen_200 < CLIENTS * REQUESTS)
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,11 +1,12 @@
 #!/bin/sh
-# Builds the stand-ins of the cases into review/bin.
+# Builds the stand-ins of the cases, and of the entries that were tried, into
+# review/bin.
 set -e
 cd "$(dirname "$0")"
 mkdir -p bin
-for case in */case.c; do
-  n=${case%/case.c}
+build() {
   cc -std=gnu11 -O1 -g -Wall -Wextra -Wno-unused-parameter \
-    -Wno-unused-function -Wno-format-truncation -o "bin/case-$n" "$case" \
-    -lpthread
-done
+    -Wno-unused-function -Wno-format-truncation -o "bin/$1" "$2" -lpthread
+}
+for n in 1 2 3; do build "case-$n" "$n/case.c"; done
+build entry-order entries/order.c
--- a/review/common/stage.h
+++ b/review/common/stage.h
@@ -230,6 +230,7 @@
   item_t items[ITEMS_MAX];
   int count;
   int64_t rev;
+  volatile bool down; /* resets its connections */
 } store_t;
 
 static store_t the_store = {.lock = PTHREAD_MUTEX_INITIALIZER,
@@ -314,6 +315,7 @@
   char *body = malloc(ITEMS_MAX * VALUE_MAX), prefix[200], text[32];
   char *list = malloc(ITEMS_MAX * VALUE_MAX);
   while (read_request(fd, r)) {
+    if (the_store.down) break;
     parameter(r->target, "path_prefix", prefix, sizeof prefix);
     int status = 200;
     pthread_mutex_lock(&the_store.lock);
@@ -326,7 +328,8 @@
       int64_t since = atoll(text);
       parameter(r->target, "wait_ms", text, sizeof text);
       int64_t until = now_ms() + atoll(text);
-      while (list_items(list, prefix, since, true) == 0 && now_ms() < until) {
+      while (list_items(list, prefix, since, true) == 0 && now_ms() < until &&
+             !the_store.down) {
         struct timespec ts;
         clock_gettime(CLOCK_REALTIME, &ts);
         ts.tv_nsec += 20 * 1000000;
@@ -343,6 +346,7 @@
       sprintf(body, "{}");
     }
     pthread_mutex_unlock(&the_store.lock);
+    if (the_store.down) break;
     char head[256];
     int n = snprintf(head, sizeof head,
                      "HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
@@ -352,13 +356,22 @@
         !send_all(fd, body, strlen(body)))
       break;
   }
-  close(fd);
+  if (the_store.down)
+    reset_connection(fd);
+  else
+    close(fd);
   free(r);
   free(body);
   free(list);
   return NULL;
 }
 
+/* The store resets all its connections, or serves again. */
+static inline void store_set_down (bool down) {
+  note("store: %s", down ? "down, resets its connections" : "back");
+  the_store.down = down;
+}
+
 static void start_thread (void *(*run)(void *), void *ud) {
   pthread_t thread;
   pthread_attr_t attr;
@@ -372,6 +385,10 @@
   for (;;) {
     int fd = accept4(the_store.fd, NULL, NULL, SOCK_CLOEXEC), one = 1;
     if (fd < 0) continue;
+    if (the_store.down) {
+      reset_connection(fd);
+      continue;
+    }
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
     start_thread(store_connection, (void *)(intptr_t)fd);
   }
@@ -398,8 +415,10 @@
   char id[32], service[32], zone[32], ip[32];
   int fd, port, slots;
   const char *version;
+  int64_t born; /* Unix ms of its start; 0: its entry does not say */
   answer_t answer;
-  volatile bool down; /* it takes no connections */
+  volatile int starts; /* rises when the engine crashes */
+  int conns[256];      /* open connections; -1: a free place */
 };
 
 typedef struct engine_connection_t {
@@ -412,9 +431,23 @@
   snprintf(seal, size, "%s.%s.1", e->id, attempt);
 }
 
+static pthread_mutex_t engines_lock = PTHREAD_MUTEX_INITIALIZER;
+
+/* Replaces an entry of the engine's open connections. */
+static void engine_note_connection (engine_t *e, int from, int to) {
+  pthread_mutex_lock(&engines_lock);
+  for (size_t i = 0; i < sizeof e->conns / sizeof *e->conns; i++) {
+    if (e->conns[i] != from) continue;
+    e->conns[i] = to;
+    break;
+  }
+  pthread_mutex_unlock(&engines_lock);
+}
+
 static void *engine_connection (void *ud) {
   engine_connection_t c = *(engine_connection_t *)ud;
   free(ud);
+  engine_note_connection(c.engine, -1, c.fd);
   request_t *r = malloc(sizeof *r);
   char expected[64], attempt[64];
   while (read_request(c.fd, r)) {
@@ -434,6 +467,7 @@
                      "Content-Length: 0\r\n\r\n",
                      c.engine->id, attempt);
     else {
+      /* false: `answer` has closed the connection */
       if (!c.engine->answer(c.engine, c.fd, r)) {
         free(r);
         return NULL;
@@ -442,6 +476,7 @@
     }
     if (!ok) break;
   }
+  engine_note_connection(c.engine, c.fd, -1);
   close(c.fd);
   free(r);
   return NULL;
@@ -449,8 +484,13 @@
 
 static void *engine_listener (void *ud) {
   engine_t *e = ud;
+  int listener = e->fd, start = e->starts;
   for (;;) {
-    int fd = accept4(e->fd, NULL, NULL, SOCK_CLOEXEC), one = 1;
+    int fd = accept4(listener, NULL, NULL, SOCK_CLOEXEC), one = 1;
+    if (e->starts != start) {
+      if (fd >= 0) close(fd);
+      return NULL;
+    }
     if (fd < 0) continue;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
     engine_connection_t *c = malloc(sizeof *c);
@@ -462,14 +502,16 @@
 
 /* Writes the engine's entry to the store. */
 static void engine_list (const engine_t *e, const char *state) {
-  char key[64], value[512];
+  char key[64], value[512], born[48] = "";
   snprintf(key, sizeof key, "servers/%s", e->id);
+  if (e->born != 0)
+    snprintf(born, sizeof born, "\"born\":%lld,", (long long)e->born);
   snprintf(value, sizeof value,
            "{\"service\":\"%s\",\"addr\":\"%s:%d\",\"zone\":\"%s\","
            "\"version\":\"%s\",\"slots\":%d,\"state\":\"%s\","
-           "\"cold_left_ms\":0,\"seq\":1}",
+           "\"cold_left_ms\":0,%s\"seq\":1}",
            e->service, e->ip, e->port, e->zone, e->version ? e->version : "v1",
-           e->slots, state);
+           e->slots, state, born);
   store_put(key, value);
 }
 
@@ -477,8 +519,34 @@
 static void engine_open_unlisted (engine_t *e) {
   if (e->slots == 0) e->slots = 64;
   if (e->ip[0] == '\0') snprintf(e->ip, sizeof e->ip, "127.0.0.1");
+  for (size_t i = 0; i < sizeof e->conns / sizeof *e->conns; i++)
+    e->conns[i] = -1;
+  e->fd = listen_on(e->ip, &e->port);
+  if (e->fd < 0) exit(EXIT_CANNOT_RUN);
+  start_thread(engine_listener, e);
+}
+
+/* All connections of the engine end, and its port refuses new ones. An
+   `answer` that runs finds that `starts` has changed. */
+static inline void engine_crash (engine_t *e) {
+  note("engine %s crashes", e->id);
+  e->starts++;
+  shutdown(e->fd, SHUT_RDWR);
+  close(e->fd);
+  pthread_mutex_lock(&engines_lock);
+  for (size_t i = 0; i < sizeof e->conns / sizeof *e->conns; i++)
+    if (e->conns[i] >= 0) shutdown(e->conns[i], SHUT_RDWR);
+  pthread_mutex_unlock(&engines_lock);
+}
+
+/* Starts it again, under its id and at its address. */
+static inline void engine_return (engine_t *e) {
+  struct timespec ts;
+  clock_gettime(CLOCK_REALTIME, &ts);
+  e->born = (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
   e->fd = listen_on(e->ip, &e->port);
   if (e->fd < 0) exit(EXIT_CANNOT_RUN);
+  note("engine %s is back, software %s", e->id, e->version);
   start_thread(engine_listener, e);
 }
 
