Review, case 2: a stream goes on at another software version in a zone cut off

The case shows ORDER broken: the only gateway of a zone that is cut off takes up streams that began at an engine of a newer software version, of which it has not heard, at engines of the old one. The stream that is reset and looks whole becomes case 3. Successes without a seal, case 3 so far, weigh less, as a client can see that the seal is missing; the script stays in review/other, beside that of the entry of KNOWN-RED.txt on ORDER.

--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Builds the stand-ins of the cases, and of the entries that were tried, into
-# review/bin.
+# Builds the stand-ins of the cases, and the other scripts that REPORT.md
+# names, into review/bin.
 set -e
 cd "$(dirname "$0")"
 mkdir -p bin
@@ -9,4 +9,4 @@
     -Wno-unused-function -Wno-format-truncation -o "bin/$1" "$2" -lpthread
 }
 for n in 1 2 3; do build "case-$n" "$n/case.c"; done
-build entry-order entries/order.c
+for name in no-seal order-in-place; do build "$name" "other/$name.c"; done
--- a/review/common/stage.h
+++ b/review/common/stage.h
@@ -223,16 +223,26 @@
   bool gone;
 } item_t;
 
-typedef struct store_t {
+/* A port of the store; `cut` resets its connections, present and new ones. */
+typedef struct gate_t {
   int fd, port;
+  volatile bool cut;
+} gate_t;
+
+typedef struct store_t {
+  gate_t gates[2]; /* the second one for a machine that is to be cut off */
   pthread_mutex_t lock;
   pthread_cond_t changed;
   item_t items[ITEMS_MAX];
   int count;
   int64_t rev;
-  volatile bool down; /* resets its connections */
 } store_t;
 
+typedef struct store_connection_t {
+  gate_t *gate;
+  int fd;
+} store_connection_t;
+
 static store_t the_store = {.lock = PTHREAD_MUTEX_INITIALIZER,
                             .changed = PTHREAD_COND_INITIALIZER,
                             .rev = 10};
@@ -310,12 +320,14 @@
 }
 
 static void *store_connection (void *ud) {
-  int fd = (int)(intptr_t)ud;
+  store_connection_t c = *(store_connection_t *)ud;
+  int fd = c.fd;
+  free(ud);
   request_t *r = malloc(sizeof *r);
   char *body = malloc(ITEMS_MAX * VALUE_MAX), prefix[200], text[32];
   char *list = malloc(ITEMS_MAX * VALUE_MAX);
   while (read_request(fd, r)) {
-    if (the_store.down) break;
+    if (c.gate->cut) break;
     parameter(r->target, "path_prefix", prefix, sizeof prefix);
     int status = 200;
     pthread_mutex_lock(&the_store.lock);
@@ -329,7 +341,7 @@
       parameter(r->target, "wait_ms", text, sizeof text);
       int64_t until = now_ms() + atoll(text);
       while (list_items(list, prefix, since, true) == 0 && now_ms() < until &&
-             !the_store.down) {
+             !c.gate->cut) {
         struct timespec ts;
         clock_gettime(CLOCK_REALTIME, &ts);
         ts.tv_nsec += 20 * 1000000;
@@ -346,7 +358,7 @@
       sprintf(body, "{}");
     }
     pthread_mutex_unlock(&the_store.lock);
-    if (the_store.down) break;
+    if (c.gate->cut) break;
     char head[256];
     int n = snprintf(head, sizeof head,
                      "HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
@@ -356,7 +368,7 @@
         !send_all(fd, body, strlen(body)))
       break;
   }
-  if (the_store.down)
+  if (c.gate->cut)
     reset_connection(fd);
   else
     close(fd);
@@ -366,12 +378,6 @@
   return NULL;
 }
 
-/* The store resets all its connections, or serves again. */
-static inline void store_set_down (bool down) {
-  note("store: %s", down ? "down, resets its connections" : "back");
-  the_store.down = down;
-}
-
 static void start_thread (void *(*run)(void *), void *ud) {
   pthread_t thread;
   pthread_attr_t attr;
@@ -382,24 +388,35 @@
 }
 
 static void *store_listener (void *ud) {
+  gate_t *gate = ud;
   for (;;) {
-    int fd = accept4(the_store.fd, NULL, NULL, SOCK_CLOEXEC), one = 1;
+    int fd = accept4(gate->fd, NULL, NULL, SOCK_CLOEXEC), one = 1;
     if (fd < 0) continue;
-    if (the_store.down) {
+    if (gate->cut) {
       reset_connection(fd);
       continue;
     }
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-    start_thread(store_connection, (void *)(intptr_t)fd);
+    store_connection_t *c = malloc(sizeof *c);
+    *c = (store_connection_t){gate, fd};
+    start_thread(store_connection, c);
   }
   return NULL;
 }
 
 static void store_open (void) {
-  the_store.port = 0;
-  the_store.fd = listen_on("127.0.0.1", &the_store.port);
-  if (the_store.fd < 0) exit(EXIT_CANNOT_RUN);
-  start_thread(store_listener, NULL);
+  for (int i = 0; i < 2; i++) {
+    gate_t *gate = &the_store.gates[i];
+    gate->fd = listen_on("127.0.0.1", &gate->port);
+    if (gate->fd < 0) exit(EXIT_CANNOT_RUN);
+    start_thread(store_listener, gate);
+  }
+}
+
+/* The store resets all its connections, or serves again. */
+static inline void store_set_down (bool down) {
+  note("store: %s", down ? "down, resets its connections" : "back");
+  the_store.gates[0].cut = the_store.gates[1].cut = down;
 }
 
 /* }== */
@@ -566,6 +583,8 @@
   pid_t pid;
   char ip[32], zone[32], settings[256], log[256];
   int callers, ready, metrics;
+  int gate;  /* of the store */
+  int peers; /* UDP port, the same for all unless a case sets another */
 } gateway_t;
 
 static gateway_t gateways[GATEWAYS_MAX];
@@ -631,6 +650,7 @@
   g->ready = free_port(g->ip, SOCK_STREAM);
   g->metrics = free_port(g->ip, SOCK_STREAM);
   if (peers_port == 0) peers_port = free_port(g->ip, SOCK_DGRAM);
+  g->peers = peers_port;
   snprintf(g->settings, sizeof g->settings, "%s/g%d.json", stage_dir,
            g->index);
   snprintf(g->log, sizeof g->log, "%s/g%d.log", stage_dir, g->index);
@@ -647,7 +667,7 @@
           "  \"metrics\": \"%s:%d\",\n  \"peers\": \"%s:%d\",\n"
           "  \"seeds\": [",
           g->index + 1, g->zone, g->ip, g->callers, g->ip, g->ready, g->ip,
-          g->metrics, g->ip, peers_port);
+          g->metrics, g->ip, g->peers);
   for (int i = 0; i < gateways_count && i < 3; i++)
     fprintf(f, "%s\"%s:8785\"", i ? "," : "", gateways[i].ip);
   fprintf(f,
@@ -656,7 +676,7 @@
           "  \"retry\": { \"ratio\": 0.2, \"window_ms\": 10000, \"slack\": 52 },\n"
           "  \"source\": { \"store\": \"127.0.0.1:%d\", \"apply_ms\": 2000, "
           "\"contact_ms\": 3000 }\n}\n",
-          the_store.port);
+          the_store.gates[g->gate].port);
   fclose(f);
 }
 
