--- a/review/3/case.c
+++ b/review/3/case.c
@@ -2,9 +2,9 @@
 ** case.c - a stream without a length or chunks whose connection between
 ** gateway and engine is reset in transit
 **
-** Three gateways, two engines behind a proxy. Twelve clients of one gateway
-** each read a stream of twenty events. In the middle the proxy resets every
-** second connection between that gateway and the engines, once.
+** Six gateways, two engines behind a proxy. Twelve clients of one gateway each
+** read a stream of twenty events. In the middle the proxy resets every second
+** connection between that gateway and the engines, once.
 */
 #include "../common/stage.h"
 
@@ -189,8 +189,9 @@
       {.id = "i-7f3a91c2", .service = "pool", .zone = "halfway-tree"},
       {.id = "i-02d9e6b4", .service = "pool", .zone = "new-kingston"}};
   static link_t links[2];
-  static const char *const zones[] = {"halfway-tree", "new-kingston",
-                                      "portmore"};
+  static const char *const zones[] = {"halfway-tree", "halfway-tree",
+                                      "new-kingston", "new-kingston",
+                                      "new-kingston", "portmore"};
   if (argc < 2) return EXIT_CANNOT_RUN;
   stage_open(argv[1]);
   store_put("op/config", config);
@@ -204,7 +205,7 @@
     engines[i].port = links[i].port; /* the entry names the proxy */
     engine_list(&engines[i], "ready");
   }
-  for (int i = 0; i < 3; i++) gateway_add(zones[i]);
+  for (int i = 0; i < 6; i++) gateway_add(zones[i]);
   if (!gateways_start()) return stage_close(EXIT_CANNOT_RUN);
 
   for (int i = 0; i < CLIENTS; i++) {
