--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -640,6 +640,8 @@
   g->relay->routers = mt_gateway_peers_tick(g->peers);
   mt_http_client_tick(g->engines);
   mt_http_server_tick(g->callers);
+  mt_http_server_tick(g->ready);
+  mt_http_server_tick(g->metrics);
   mt_log_writer_flush(g->log);
   set_tick_interval(g);
   if (g->stopping != 0) continue_stop(g);
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -3,10 +3,12 @@
 */
 #include <errno.h>
 #include <http_parser.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -19,12 +21,15 @@
 #define LISTEN_BACKLOG 511
 #define USER_TIMEOUT_MS 10000 /* for unacknowledged data */
 #define TARGET_BYTES_MAX 8192 /* of a request target */
+#define CLOSE_WAIT_MS 2000    /* for a caller to close its side, too */
 
 typedef enum mt_exchange_state_t {
-  STATE_IDLE,      /* waiting for a request */
-  STATE_READING,   /* part of a request has arrived */
-  STATE_HANDLING,  /* the handler has it, no response yet */
-  STATE_RESPONDING /* the head of the response is written */
+  STATE_IDLE,       /* waiting for a request */
+  STATE_READING,    /* part of a request has arrived */
+  STATE_HANDLING,   /* the handler has it, no response yet */
+  STATE_RESPONDING, /* the head of the response is written */
+  STATE_CLOSING     /* the last response is written and the connection is shut
+                       down for sending; input is discarded */
 } mt_exchange_state_t;
 
 /* A growable byte array. */
@@ -46,7 +51,8 @@
   mt_http_headers_t headers;
   buffer_t target, body, pipelined, out;
   size_t writing; /* bytes passed to libuv and not yet written */
-  mt_ms_t since;  /* when it became STATE_IDLE or STATE_READING */
+  mt_ms_t since;  /* when it became STATE_IDLE or STATE_READING;
+                     STATE_CLOSING: when data was last unacknowledged */
   void *user;
 };
 
@@ -183,19 +189,24 @@
   }
 }
 
+/* Writes what the kernel accepts at once. Returns the number of bytes, or an
+   error of libuv. */
+static int write_now (mt_http_exchange_t *x) {
+  if (x->out.n == 0 || x->writing > 0) return 0;
+  uv_buf_t buf = uv_buf_init(x->out.p, (unsigned)x->out.n);
+  int written = uv_try_write((uv_stream_t *)&x->tcp, &buf, 1);
+  return written == UV_EAGAIN ? 0 : written;
+}
+
 /* Writes what the kernel accepts at once; libuv writes the rest later. */
 static void flush (mt_http_exchange_t *x) {
   unlink_dirty(x);
-  size_t done = 0;
-  if (x->out.n > 0 && x->writing == 0) {
-    uv_buf_t buf = uv_buf_init(x->out.p, (unsigned)x->out.n);
-    int written = uv_try_write((uv_stream_t *)&x->tcp, &buf, 1);
-    if (written < 0 && written != UV_EAGAIN) {
-      close_connection(x);
-      return;
-    }
-    if (written > 0) done = (size_t)written;
+  int written = write_now(x);
+  if (written < 0) {
+    close_connection(x);
+    return;
   }
+  size_t done = (size_t)written;
   if (done < x->out.n) write_later(x, x->out.p + done, x->out.n - done);
   x->out.n = 0;
   if (!x->closing && x->writing == 0 && x->handed_over)
@@ -332,6 +343,7 @@
     close_connection(x);
     return;
   }
+  if (x->state == STATE_CLOSING) return;
   if (x->state == STATE_IDLE || x->state == STATE_READING) {
     parse(x, buf->base, (size_t)n);
     return;
@@ -340,13 +352,32 @@
   if (x->pipelined.n > PIPELINED_BYTES_MAX) uv_read_stop(stream);
 }
 
+/*
+** Ends the connection in order after a complete response. The kernel resets a
+** connection that is closed with unread input, or gets input afterwards, and
+** what the caller has not received by then is lost. So input is read, and
+** discarded, until the caller closes its side.
+*/
+static void shut_down (mt_http_exchange_t *x) {
+  uv_os_fd_t fd;
+  if (uv_fileno((uv_handle_t *)&x->tcp, &fd) != 0 ||
+      shutdown(fd, SHUT_WR) != 0) {
+    close_connection(x);
+    return;
+  }
+  x->state = STATE_CLOSING;
+  x->since = mt_boot_clock_now(x->server->loop);
+  buffer_free(&x->pipelined);
+  uv_read_start((uv_stream_t *)&x->tcp, on_alloc, on_read);
+}
+
 /* After a response is written: reads the next request or closes. */
 static void finish_exchange (mt_http_exchange_t *x) {
-  if (x->handed_over || x->state == STATE_IDLE || x->state == STATE_READING)
-    return;
+  if (x->handed_over) return;
+  if (x->state != STATE_HANDLING && x->state != STATE_RESPONDING) return;
   if (x->writing > 0 || x->out.n > 0) return;
   if (x->close_after) {
-    close_connection(x);
+    shut_down(x);
     return;
   }
   begin_reading(x);
@@ -357,11 +388,12 @@
   buffer_free(&pipelined);
 }
 
-/* Closes the connection that has been idle longest; false if none is idle. */
+/* Closes the connection that has been idle or closing longest; false if there
+   is none. */
 static bool close_oldest_idle (mt_http_server_t *server) {
   mt_http_exchange_t *oldest = NULL;
   for (mt_http_exchange_t *x = server->all; x != NULL; x = x->next) {
-    if (x->state != STATE_IDLE) continue;
+    if (x->state != STATE_IDLE && x->state != STATE_CLOSING) continue;
     if (oldest == NULL || x->since <= oldest->since) oldest = x;
   }
   if (oldest != NULL) close_connection(oldest);
@@ -607,6 +639,25 @@
   }
 }
 
+/* Bytes of responses that the caller's kernel has not acknowledged. */
+static int unacknowledged_bytes (const mt_http_exchange_t *x) {
+  uv_os_fd_t fd;
+  int bytes = 0;
+  if (uv_fileno((const uv_handle_t *)&x->tcp, &fd) != 0 ||
+      ioctl(fd, SIOCOUTQ, &bytes) != 0)
+    return 0;
+  return bytes;
+}
+
+/* A caller that reads slowly may still send; one that does not read at all is
+   ended by USER_TIMEOUT_MS. */
+static void check_closing (mt_http_exchange_t *x, mt_ms_t now) {
+  if (unacknowledged_bytes(x) > 0)
+    x->since = now;
+  else if (now - x->since > CLOSE_WAIT_MS)
+    close_connection(x);
+}
+
 void mt_http_server_tick (mt_http_server_t *server) {
   mt_ms_t now = mt_boot_clock_now(server->loop);
   mt_http_exchange_t *next;
@@ -617,6 +668,8 @@
       close_connection(x);
     else if (x->state == STATE_READING && age > server->limits.header_ms)
       reject_request(x, 408);
+    else if (x->state == STATE_CLOSING)
+      check_closing(x, now);
   }
 }
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -64,7 +64,8 @@
 /* Accepts no more connections; existing ones go on. */
 void mt_http_server_stop (mt_http_server_t *server);
 
-/* Enforces the time limits; call it several times a second. */
+/* Enforces the time limits and closes connections that have been shut down;
+   call it several times a second. */
 void mt_http_server_tick (mt_http_server_t *server);
 
 /* Closes the listener and all connections; the loop's next iterations free
