--- a/src/gateway/gateway_log.c
+++ b/src/gateway/gateway_log.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "gateway_log.h"
+#include "request.h"
 
 /* Names of a prompt's shared segments in a line, each of 16 digits and a
    comma; further ones are omitted. */
@@ -88,6 +89,7 @@
                              const mt_relay_request_t *r, const char *outcome,
                              const char *why) {
   bool routine = strcmp(outcome, "answered") == 0 && r->attempt == 1;
+  bool cut = strcmp(outcome, "aborted") == 0;
   int64_t version = relay->catalog ? relay->catalog->version : 0;
   char parts[PARTS_TEXT_BYTES];
   mt_log_line(
@@ -99,7 +101,7 @@
       "standing=%.2f "
       "tokens=%lld own=%lld unread=%lld fetched=%lld home=%d last=%lld "
       "version=%lld "
-      "outcome=%s why=%s",
+      "end=%s outcome=%s why=%s",
       r->id, (number_t)r->digest, parts_text(r, parts), r->route,
       r->workspace, r->engine_name[0] ? r->engine_name : "-",
       r->engine_version[0] ? r->engine_version : "-",
@@ -110,5 +112,6 @@
       (number_t)r->longest_gap, r->service_ratio, (long long)r->tokens_in,
       (long long)unshared_tokens(r), (long long)r->pending_prefill,
       (long long)r->fetched, r->home, (long long)r->last_event,
-      (long long)version, outcome, why);
+      (long long)version, cut ? mt_relay_cut_name(mt_request_cut(r)) : "-",
+      outcome, why);
 }
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -98,6 +98,15 @@
                      (unsigned long long)relay->counters.origins_found[i]);
 }
 
+static void cuts (const mt_relay_counters_t *c, mt_strbuf_t *out) {
+  describe(out, "cut_answers_total", "counter",
+           "Answers cut off midway, by how their callers can tell.");
+  for (int i = 0; i < MT_RELAY_CUTS; i++)
+    mt_strbuf_format(out, PREFIX "cut_answers_total{end=\"%s\"} %llu\n",
+                     mt_relay_cut_name((mt_relay_cut_t)i),
+                     (unsigned long long)c->cuts[i]);
+}
+
 static void peers (const mt_peer_traffic_t *traffic, mt_strbuf_t *out) {
   describe(out, "peer_messages_total", "counter",
            "Messages sent to other routers, by kind.");
@@ -155,6 +164,7 @@
          (double)c->answers);
   number(out, "aborted_total", "counter", "Answers cut off midway.",
          (double)c->aborted);
+  cuts(c, out);
   number(out, "callers_left_total", "counter",
          "Callers that left before their answer.",
          (double)c->callers_disconnected);
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -139,6 +139,17 @@
   free(x);
 }
 
+/*
+** Sets how the kernel ends the connection when its descriptor is closed: by a
+** reset or in order. That holds also if the process is killed.
+*/
+static void set_reset_on_close (mt_http_exchange_t *x, bool reset) {
+  uv_os_fd_t fd;
+  const struct linger linger = {.l_onoff = reset, .l_linger = 0};
+  if (uv_fileno((uv_handle_t *)&x->tcp, &fd) == 0)
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+}
+
 /* Closes a connection; calls `gone` if the handler has a request of it. */
 static void close_connection (mt_http_exchange_t *x) {
   if (x->closing) return;
@@ -360,6 +371,7 @@
 */
 static void shut_down (mt_http_exchange_t *x) {
   uv_os_fd_t fd;
+  set_reset_on_close(x, false);
   if (uv_fileno((uv_handle_t *)&x->tcp, &fd) != 0 ||
       shutdown(fd, SHUT_WR) != 0) {
     close_connection(x);
@@ -522,6 +534,10 @@
   x->chunked = length == MT_HTTP_CHUNKED && !x->no_body;
   x->close_after =
       !x->keep_alive || x->server->draining || length == MT_HTTP_UNTIL_CLOSE;
+  /* Until the response is complete, any end of the process or the exchange
+     has to show that it is not. */
+  if (length == MT_HTTP_UNTIL_CLOSE && !x->no_body)
+    set_reset_on_close(x, true);
   int n = snprintf(text, sizeof text, "HTTP/1.1 %d %s\r\n", status,
                    status_text(status));
   buffer_add(&x->out, text, (size_t)n);
@@ -560,6 +576,7 @@
 
 void mt_http_exchange_abort (mt_http_exchange_t *x) {
   x->handed_over = false;
+  if (!x->closing) write_now(x);
   close_connection(x);
 }
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -5,6 +5,13 @@
 ** is complete the connection is still read, so that a caller that disconnects
 ** is noticed at once; pipelined requests are buffered, up to a limit.
 ** Responses are buffered and written once per iteration of the loop.
+**
+** A response whose body ends with the connection is complete if the
+** connection ends in order. Until its handler has completed it, the
+*connection
+** ends by a reset, whatever ends it: an abort, the caller's own close, the
+** server's end or that of the process, which may be killed. What the caller
+** has not received by then is lost; it learns of the cut at once.
 */
 #ifndef http_server_h
 #define http_server_h
@@ -108,8 +115,8 @@
                             size_t n);
 /* Completes the response; the exchange is not valid afterwards. */
 void mt_http_exchange_end (mt_http_exchange_t *exchange);
-/* Closes the connection before the response is complete; `gone` is not
-   called. */
+/* Closes the connection before the response is complete, without waiting for
+   data that the kernel does not accept at once; `gone` is not called. */
 void mt_http_exchange_abort (mt_http_exchange_t *exchange);
 /* Bytes of responses that are still to be passed to the kernel. */
 size_t mt_http_exchange_backlog (const mt_http_exchange_t *exchange);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -111,10 +111,21 @@
 /* Name of a source in logs and metrics. */
 const char *mt_origin_source_name (mt_origin_source_t source);
 
+/* How the caller of an answer that was cut can tell. */
+typedef enum mt_relay_cut_t {
+  MT_RELAY_CUT_SHORT, /* its length or last chunk is missing */
+  MT_RELAY_CUT_RESET, /* it has neither: the connection is reset */
+  MT_RELAY_CUTS
+} mt_relay_cut_t;
+
+/* Name of such an end in logs and metrics. */
+const char *mt_relay_cut_name (mt_relay_cut_t cut);
+
 typedef struct mt_relay_counters_t {
   uint64_t requests, answers, aborted, callers_disconnected, attempts, events;
   /* Prompt tokens sent to engines, and those believed not to be cached. */
   uint64_t prompt_tokens, prompt_tokens_missed;
+  uint64_t cuts[MT_RELAY_CUTS]; /* of aborted answers */
   uint64_t refusals[MT_RELAY_REFUSAL_COUNT];
   uint64_t retries[MT_RELAY_RETRY_COUNT];
   uint64_t refused_lagging; /* of FULL: because ticks come late */
--- a/src/relay/relay_names.c
+++ b/src/relay/relay_names.c
@@ -45,6 +45,15 @@
   return retries[why];
 }
 
+const char *mt_relay_cut_name (mt_relay_cut_t cut) {
+  switch (cut) {
+    case MT_RELAY_CUT_SHORT: return "short";
+    case MT_RELAY_CUT_RESET: return "reset";
+    case MT_RELAY_CUTS: break;
+  }
+  return "-";
+}
+
 const char *mt_origin_source_name (mt_origin_source_t source) {
   switch (source) {
     case MT_ORIGIN_LOCAL: return "local";
--- a/src/relay/request.c
+++ b/src/relay/request.c
@@ -174,6 +174,10 @@
   r->charged = false;
 }
 
+mt_relay_cut_t mt_request_cut (const mt_relay_request_t *r) {
+  return r->framed_to_caller ? MT_RELAY_CUT_SHORT : MT_RELAY_CUT_RESET;
+}
+
 void mt_request_give_up (mt_relay_t *relay, mt_relay_request_t *r,
                          mt_relay_refusal_t why) {
   mt_attempt_cancel(relay, r);
@@ -184,6 +188,7 @@
   }
   mt_request_effect(relay, MT_RELAY_DO_ABORT, r);
   relay->counters.aborted++;
+  relay->counters.cuts[mt_request_cut(r)]++;
   mt_request_log(relay, r, "aborted", mt_relay_refusal_code(why));
   mt_request_remove(relay, r);
 }
--- a/src/relay/request.h
+++ b/src/relay/request.h
@@ -35,6 +35,9 @@
 void mt_request_refuse (mt_relay_t *relay, mt_relay_request_t *request,
                         mt_relay_refusal_t why);
 
+/* How the caller can tell that its answer was cut. */
+mt_relay_cut_t mt_request_cut (const mt_relay_request_t *request);
+
 /* Cancels the attempt and refuses the request, or aborts the response if it
    has begun. */
 void mt_request_give_up (mt_relay_t *relay, mt_relay_request_t *request,
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -430,13 +430,15 @@
   // {== The gateway
 
   int peers_port = 0;     // for messages of other routers; 0: any
+  int grace_ms = 8000;    // from SIGTERM until the process exits
   rlim_t descriptors = 0; // limit of the gateway's process; 0: the default
 
   std::string settings () const {
     return "{\"node\":\"g1\",\"domain\":\"d1\",\"callers\":\"127.0.0.1:0\","
            "\"ready\":\"127.0.0.1:0\",\"metrics\":\"127.0.0.1:0\","
            "\"peers\":\"127.0.0.1:" +
-           std::to_string(peers_port) + "\",\"grace_ms\":8000,\"seeds\":[" +
+           std::to_string(peers_port) +
+           "\",\"grace_ms\":" + std::to_string(grace_ms) + ",\"seeds\":[" +
            seeds +
            "],"
            "\"log_lines_per_s\":100000,\"source\":{\"store\":\"127.0.0.1:" +
