--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -224,9 +224,22 @@
   *buf = uv_buf_init(c->client->input, READ_BYTES);
 }
 
-/* The server closed its side: this ends a response without a length. */
+/*
+** True if the server closed its side in order. After a read that took all
+** data libuv also reports the end of input for a connection that was reset:
+** the socket then has an error.
+*/
+static bool has_ended_in_order (const mt_http_call_t *c) {
+  uv_os_fd_t fd;
+  char byte;
+  return uv_fileno((const uv_handle_t *)&c->tcp, &fd) == 0 &&
+         recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+/* This ends a response without a length, if the server closed in order. */
 static void on_end_of_input (mt_http_call_t *c) {
-  if (c->busy && c->until_close && !c->skipping) {
+  bool may_complete = c->busy && c->until_close && !c->skipping;
+  if (may_complete && has_ended_in_order(c)) {
     http_parser_execute(&c->parser, &parser_settings, "", 0);
     if (c->closing) return;
     if (HTTP_PARSER_ERRNO(&c->parser) == HPE_PAUSED) {
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -15,7 +15,9 @@
 public:
   std::string response; // that the server sends by respond()
   int heads = 0, ends = 0, failures = 0;
-  bool sent = false, closed = false; // as the server saw it
+  size_t bytes = 0;                    // of bodies
+  bool sent = false, received = false; // the request
+  bool closed = false;                 // as the server saw it
 
   ClientAndServer() {
     sockaddr_in any{};
@@ -55,6 +57,14 @@
     accepted = false;
     uv_close((uv_handle_t *)&peer, nullptr);
   }
+  void reset_peer () {
+    accepted = false;
+    uv_tcp_close_reset(&peer, nullptr);
+  }
+  void half_close_peer () {
+    uv_os_fd_t fd;
+    if (uv_fileno((uv_handle_t *)&peer, &fd) == 0) shutdown(fd, SHUT_WR);
+  }
   // Runs the loop and the client's ticks until the condition holds.
   template <class F> void until (F condition) {
     while (!condition()) {
@@ -75,7 +85,9 @@
     *buf = uv_buf_init(p->input, sizeof p->input);
   }
   static void on_read (uv_stream_t *s, ssize_t n, const uv_buf_t *) {
-    if (n < 0) ((ClientAndServer *)s->data)->closed = true;
+    auto *p = (ClientAndServer *)s->data;
+    if (n > 0) p->received = true;
+    if (n < 0) p->closed = true;
     if (n < 0) uv_read_stop(s);
   }
   static void on_connection (uv_stream_t *s, int) {
@@ -94,7 +106,8 @@
     ((ClientAndServer *)ud)->heads++;
     return true;
   }
-  static void on_data (void *, mt_http_call_t *, const char *, size_t) {
+  static void on_data (void *ud, mt_http_call_t *, const char *, size_t n) {
+    ((ClientAndServer *)ud)->bytes += n;
   }
   static void on_end (void *ud, mt_http_call_t *) {
     ((ClientAndServer *)ud)->ends++;
@@ -144,6 +157,40 @@
   }
 }
 
+// Guards against a response without a length or chunks that is cut and counts
+// as complete: only an end in order completes it.
+TEST(HttpClient, AnUnframedResponseIsCompleteIfItsConnectionEndsInOrder) {
+  enum class End { CLOSE, HALF_CLOSE, RESET };
+  struct Row {
+    const char *what;
+    End end;
+    bool read_before; // the client has read all bytes by then
+    int ends;
+  } rows[] = {
+      {"closed", End::CLOSE, true, 1},
+      {"closed before all bytes were read", End::CLOSE, false, 1},
+      {"half-closed", End::HALF_CLOSE, true, 1},
+      {"reset behind the last byte", End::RESET, true, 0},
+      {"reset before all bytes were read", End::RESET, false, 0},
+  };
+  for (const Row &row : rows) {
+    ClientAndServer p;
+    p.response = "HTTP/1.1 200 OK\r\n\r\n" + std::string(20000, 'x');
+    p.call();
+    p.until([&] { return p.received; });
+    p.respond();
+    if (row.read_before) p.until([&] { return p.bytes == 20000; });
+    switch (row.end) {
+      case End::CLOSE: p.close_peer(); break;
+      case End::HALF_CLOSE: p.half_close_peer(); break;
+      case End::RESET: p.reset_peer(); break;
+    }
+    p.until([&] { return p.ends + p.failures > 0; });
+    EXPECT_EQ(p.ends, row.ends) << row.what;
+    EXPECT_EQ(p.failures, 1 - row.ends) << row.what;
+  }
+}
+
 // There is nothing to wait for once the head has been read.
 TEST(HttpClient, ACallWhoseResponseHasBegunDoesNotLinger) {
   ClientAndServer p;
