--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -200,11 +200,17 @@
 static void do_ask_origin (mt_gateway_t *g, const mt_relay_effect_t *fx) {
   mt_relay_event_t event = {.kind = MT_RELAY_ORIGIN_ASKED,
                             .request = fx->request};
-  event.u.asked =
-      mt_gateway_peers_ask_origin(g->peers, fx->request, &fx->u.origin);
+  bool all_domains = fx->kind == MT_RELAY_DO_ASK_DOMAINS;
+  event.u.asked = mt_gateway_peers_ask_origin(g->peers, fx->request,
+                                              &fx->u.origin, all_domains);
   mt_gateway_step(g, &event);
 }
 
+static void do_check_list (mt_gateway_t *g, const mt_relay_effect_t *fx) {
+  if (g->source.check_list != NULL)
+    g->source.check_list(g->source.ud, fx->u.check);
+}
+
 static void execute (mt_gateway_t *g, const mt_relay_effect_t *fx) {
   if (fx->kind == MT_RELAY_DO_PROBE) {
     do_probe(g, fx);
@@ -222,10 +228,15 @@
     mt_gateway_peers_tell_origin(g->peers, &fx->u.origin);
     return;
   }
-  if (fx->kind == MT_RELAY_DO_ASK_ORIGIN) {
+  if (fx->kind == MT_RELAY_DO_ASK_ORIGIN ||
+      fx->kind == MT_RELAY_DO_ASK_DOMAINS) {
     do_ask_origin(g, fx);
     return;
   }
+  if (fx->kind == MT_RELAY_DO_CHECK_LIST) {
+    do_check_list(g, fx);
+    return;
+  }
   if (fx->kind == MT_RELAY_DO_SEND_TO_OWNER) {
     mt_gateway_peers_send_suspect_message(g->peers, &fx->u.message);
     return;
@@ -257,6 +268,8 @@
     case MT_RELAY_DO_REPORT_NOT_RUN:
     case MT_RELAY_DO_TELL_ORIGIN:
     case MT_RELAY_DO_ASK_ORIGIN:
+    case MT_RELAY_DO_ASK_DOMAINS:
+    case MT_RELAY_DO_CHECK_LIST:
     case MT_RELAY_DO_SEND_TO_OWNER:
       break; /* not for a request: handled above */
   }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -70,11 +70,15 @@
 /* Logs that a new configuration is invalid; the one in force stays. */
 void mt_gateway_catalog_invalid (mt_gateway_t *gateway, const char *reason);
 
-/* Adds or updates an engine; NULL engine: it was removed. */
+/* Adds or updates an engine; NULL engine: it is of no use any more. */
 void mt_gateway_set_engine (mt_gateway_t *gateway, const char *name,
                             const mt_gateway_engine_t *engine,
                             mt_revision_t rev);
 
+/* An engine's entry was deleted. */
+void mt_gateway_engine_deleted (mt_gateway_t *gateway, const char *name,
+                                mt_revision_t rev);
+
 /*
 ** The source was restored from a backup. For a grace period, in which its
 ** writers repeat what the backup lacks, an engine that is missing from a list
@@ -128,6 +132,24 @@
    not be applied yet. */
 mt_revision_t mt_gateway_received_rev (const mt_gateway_t *gateway,
                                        mt_feed_kind_t kind);
+/* The source's client. */
+typedef struct mt_gateway_source_t {
+  /* Reads the changes of the list of engines now, and calls
+     mt_gateway_list_checked. */
+  void (*check_list)(void *ud, uint64_t check);
+  void *ud;
+} mt_gateway_source_t;
+
+void mt_gateway_set_source (mt_gateway_t *gateway,
+                            const mt_gateway_source_t *source);
+
+/*
+** Such a read has ended; it began after `check` was asked for. `complete`: it
+** was answered, and all changes that were made before it began are applied.
+*/
+void mt_gateway_list_checked (mt_gateway_t *gateway, uint64_t check,
+                              bool complete);
+
 /* Sets whether this router reaches the source. */
 void mt_gateway_set_source_reachable (mt_gateway_t *gateway, bool reachable);
 /* Whether this router has to watch the source, and whether it does so for the
--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -403,6 +403,16 @@
     apply_engine(g, name, engine, rev, mt_boot_clock_now(g->loop));
 }
 
+/* The source may report a removal alone: an engine that is not known here has
+   come and gone, and its software version is not known. */
+void mt_gateway_engine_deleted (mt_gateway_t *g, const char *name,
+                                mt_revision_t rev) {
+  uint64_t key = mt_engine_key(name, strlen(name));
+  if (mt_engines_get(&g->relay->engines, key) == NULL)
+    mt_resume_engine_missed(g->relay);
+  mt_gateway_set_engine(g, name, NULL, rev);
+}
+
 /* A list no longer has the engine. It was removed at some time since other
    routers have known changes that were not received here. */
 static void engine_unlisted (mt_gateway_t *g, const char *name,
@@ -517,7 +527,21 @@
   if (feed.age > LIST_AGE_MAX_MS || applied == MT_REVISION_NONE ||
       applied < feed.newest)
     return;
-  mt_resume_list_is_current(g->relay, now - feed.age, now);
+  mt_resume_list_is_current(g->relay, now - feed.age, applied, now);
+}
+
+void mt_gateway_set_source (mt_gateway_t *g,
+                            const mt_gateway_source_t *source) {
+  g->source = *source;
+}
+
+/* In the grace period after a restore the list may lack engines. */
+void mt_gateway_list_checked (mt_gateway_t *g, uint64_t check,
+                              bool complete) {
+  mt_relay_event_t event = {.kind = MT_RELAY_LIST_CHECKED};
+  event.u.checked.check = check;
+  event.u.checked.complete = complete && !mt_gateway_in_restore_grace(g);
+  mt_gateway_step(g, &event);
 }
 
 mt_revision_t mt_gateway_applied_rev (const mt_gateway_t *g,
@@ -534,6 +558,8 @@
                           mt_revision_t newest, mt_revision_t at,
                           mt_feed_reading_t reading) {
   mt_gateway_peers_set_feed(g->peers, kind, newest, at, reading);
+  if (kind == MT_FEED_ENGINES && reading != MT_FEED_CHANGES)
+    mt_resume_list_replaced(g->relay, mt_boot_clock_now(g->loop));
   mt_gateway_check_list(g);
 }
 
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -96,6 +96,12 @@
     mt_strbuf_format(out, PREFIX "origins_found_total{source=\"%s\"} %llu\n",
                      mt_origin_source_name((mt_origin_source_t)i),
                      (unsigned long long)relay->counters.origins_found[i]);
+  number(out, "list_checks_total", "counter",
+         "Reads of the list of engines for resumed streams.",
+         (double)relay->counters.list_checks);
+  number(out, "list_checks_failed_total", "counter",
+         "Those that failed or came too late.",
+         (double)relay->counters.list_checks_failed);
 }
 
 static void cuts (const mt_relay_counters_t *c, mt_strbuf_t *out) {
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -204,10 +204,15 @@
   mt_origin_exchange_tell(&peers->origins, report);
 }
 
-int mt_gateway_peers_ask_origin (mt_gateway_peers_t *peers, uint64_t request,
-                                 const mt_origin_report_t *report) {
+mt_origin_asked_t
+mt_gateway_peers_ask_origin (mt_gateway_peers_t *peers, uint64_t request,
+                             const mt_origin_report_t *report,
+                             bool all_domains) {
   peers->members.now = mt_boot_clock_now(peers->loop);
-  return mt_origin_exchange_ask(&peers->origins, request, report);
+  return all_domains
+             ? mt_origin_exchange_ask_domains(&peers->origins, request,
+                                              report)
+             : mt_origin_exchange_ask(&peers->origins, request, report);
 }
 
 /* }== */
@@ -744,7 +749,8 @@
     uv_udp_recv_start(&peers->udp, on_alloc, on_datagram);
   for (size_t i = 0; i < settings->seeds_count; i++)
     if (uv_ip4_addr(settings->seeds[i].ip, peers->port, &addr) == 0)
-      mt_membership_add(members, addr.sin_addr.s_addr);
+      members->has_seeds |=
+          mt_membership_add(members, addr.sin_addr.s_addr) != NULL;
   return peers;
 }
 
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -103,10 +103,12 @@
 void mt_gateway_peers_tell_origin (mt_gateway_peers_t *peers,
                                    const mt_origin_report_t *report);
 
-/* Asks the owners of a stream where it began; `report`: its key and service.
-   Returns how many were asked. */
-int mt_gateway_peers_ask_origin (mt_gateway_peers_t *peers, uint64_t request,
-                                 const mt_origin_report_t *report);
+/* Asks the owners of a stream where it began, or routers in all failure
+   domains (origin_exchange.h). */
+mt_origin_asked_t
+mt_gateway_peers_ask_origin (mt_gateway_peers_t *peers, uint64_t request,
+                             const mt_origin_report_t *report,
+                             bool all_domains);
 
 /* An answer to this router said that its engine drains: gossips that. */
 void mt_gateway_peers_engine_draining (mt_gateway_peers_t *peers,
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -24,6 +24,7 @@
   mt_http_client_t *engines;
   mt_gateway_peers_t *peers;
   mt_log_writer_t *log;
+  mt_gateway_source_t source;
   uv_timer_t tick;
   mt_map_t inflight_by_number; /* inflight_t (gateway.c), owned */
   uint64_t next_number;        /* last request number that was given out */
--- a/src/gateway/membership.c
+++ b/src/gateway/membership.c
@@ -27,6 +27,11 @@
 
 #define WATCH_SALT 0x9d5f1c3a7b2e8463u
 
+/* Bits of a domain set: this router's own domain; `domains` behind that;
+   those that are not known, or have no bit of their own. */
+#define OWN_DOMAIN ((mt_domain_set_t)1)
+#define UNKNOWN_DOMAIN ((mt_domain_set_t)1 << 63)
+
 static void free_peer (mt_peer_t *peer) {
   free(peer->shares);
   free(peer);
@@ -149,6 +154,7 @@
       m->live++;
       local_count += mt_membership_is_local(m, peer);
       if (domain != NULL) domain->live++;
+      if (domain != NULL) domain->heard = true;
     } else if (now - peer->last_named > PEER_EXPIRY_MS) {
       remove_peer(m, i);
     }
@@ -353,6 +359,42 @@
 
 /* }== */
 
+/* {== Sets of failure domains ========================================== */
+
+static mt_domain_set_t domain_bit (size_t index) {
+  return index < 62 ? OWN_DOMAIN << (index + 1) : UNKNOWN_DOMAIN;
+}
+
+mt_domain_set_t mt_membership_domains (const mt_membership_t *m) {
+  mt_domain_set_t set = 0;
+  size_t local = 0;
+  bool known = true, heard = false;
+  for (size_t i = 0; i < m->domains_count; i++)
+    if (m->domains[i].heard) set |= domain_bit(i);
+  for (size_t i = 0; i < m->count; i++) {
+    const mt_peer_t *peer = m->list[i];
+    local += mt_membership_is_local(m, peer);
+    heard |= peer->last_seen != 0;
+    if (peer->domain == 0 && mt_membership_is_live(m, peer)) known = false;
+  }
+  if (local > MT_MEMBERSHIP_LOCAL_TOLD) set |= OWN_DOMAIN;
+  if (set == 0 && !heard && m->has_seeds) known = false;
+  return known ? set : set | UNKNOWN_DOMAIN;
+}
+
+mt_domain_set_t mt_membership_domain_of (const mt_membership_t *m,
+                                         uint32_t ip) {
+  const mt_peer_t *peer = mtV_get(&m->by_ip, ip);
+  if (peer == NULL || peer->domain == 0) return 0;
+  if (mt_membership_is_local(m, peer)) return OWN_DOMAIN;
+  for (size_t i = 0; i < m->domains_count; i++)
+    if (m->domains[i].id == peer->domain)
+      return domain_bit(i) & ~UNKNOWN_DOMAIN;
+  return 0;
+}
+
+/* }== */
+
 double mt_membership_live_fraction (const mt_membership_t *m) {
   if (m->now - m->started < SETTLE_MS) return 0;
   return (double)m->live / (double)(m->count + 1);
--- a/src/gateway/membership.h
+++ b/src/gateway/membership.h
@@ -47,11 +47,14 @@
 
 #define MT_MEMBERSHIP_DOMAINS 64 /* other failure domains, at most */
 #define MT_MEMBERSHIP_GROUPS 32  /* groups of one domain, at most */
+/* Routers of its own failure domain that a router tells of a stream. */
+#define MT_MEMBERSHIP_LOCAL_TOLD 2
 
 /* Another failure domain. */
 typedef struct mt_member_domain_t {
   mt_id_t id;
   int live;                 /* live routers known here */
+  bool heard;               /* one has been live */
   uint32_t groups_reported; /* number of its groups as it reported, or 0 */
 } mt_member_domain_t;
 
@@ -68,6 +71,7 @@
   int live;             /* live routers, this one included */
   mt_member_domain_t domains[MT_MEMBERSHIP_DOMAINS]; /* all other ones */
   size_t domains_count;
+  bool has_seeds; /* there may be other routers */
 } mt_membership_t;
 
 void mt_membership_free (mt_membership_t *members);
@@ -154,6 +158,19 @@
                                    uint64_t key, mt_id_t *domains,
                                    size_t max);
 
+/*
+** The failure domains with other routers, whether or not one is live: a
+** domain that is not heard may be cut off and go on. A bit is added that
+** stands for no domain if not all are known: none was ever heard, or the
+** domain of a router is not known. This router's own domain is left out if
+** it has too few routers for one to be told nothing that others of it are.
+*/
+mt_domain_set_t mt_membership_domains (const mt_membership_t *members);
+
+/* The failure domain of a router; empty if it is not known. */
+mt_domain_set_t mt_membership_domain_of (const mt_membership_t *members,
+                                         uint32_t ip);
+
 /*
 ** Live routers as a fraction of all known ones, 0 to 1. Over the sides of a
 ** network partition the fractions add up to 1 at most. 0 in the first 1.5 s,
--- a/src/gateway/origin_exchange.c
+++ b/src/gateway/origin_exchange.c
@@ -6,13 +6,17 @@
 
 /* Owners in the failure domain of the router that began the stream, and other
    domains that have one owner each. */
-#define LOCAL_OWNERS 2
+#define LOCAL_OWNERS MT_MEMBERSHIP_LOCAL_TOLD
 #define REMOTE_OWNERS 2
 /* A router that asks may count the one that began the stream among the live
    ones, and so asks one more of each. */
 #define LOCAL_ASKED (LOCAL_OWNERS + 1)
 #define REMOTE_ASKED (REMOTE_OWNERS + 1)
 #define ASKED_MAX (LOCAL_ASKED + REMOTE_ASKED)
+/* Of each failure domain, if all are asked: one of the two that would have
+   been told there, apart from the router that began the stream. */
+#define DOMAIN_ASKED 2
+#define DOMAINS_ASKED_MAX (LOCAL_ASKED + DOMAIN_ASKED * MT_MEMBERSHIP_DOMAINS)
 
 /* The first routers of this failure domain, and the first one of each of the
    first other domains; returns their number. */
@@ -38,17 +42,40 @@
   x->callbacks.send(x->callbacks.ud, to, count);
 }
 
-int mt_origin_exchange_ask (mt_origin_exchange_t *x, uint64_t request,
-                            const mt_origin_report_t *report) {
-  uint32_t to[ASKED_MAX];
-  size_t count = rank_owners(x, report->key, LOCAL_ASKED, REMOTE_ASKED, to);
-  if (count == 0) return 0;
+static mt_origin_asked_t ask (mt_origin_exchange_t *x, uint64_t request,
+                              const mt_origin_report_t *report,
+                              const uint32_t *to, size_t count) {
+  const mt_origin_asked_t asked = {(int)count,
+                                   mt_membership_domains(x->members)};
+  if (count == 0) return asked;
   mt_peer_message_t *m =
       x->callbacks.begin(x->callbacks.ud, MT_PEER_ORIGIN_REQUEST);
   m->request_number = request;
   m->origin.report = *report;
   x->callbacks.send(x->callbacks.ud, to, count);
-  return (int)count;
+  return asked;
+}
+
+mt_origin_asked_t mt_origin_exchange_ask (mt_origin_exchange_t *x,
+                                          uint64_t request,
+                                          const mt_origin_report_t *report) {
+  uint32_t to[ASKED_MAX];
+  size_t count = rank_owners(x, report->key, LOCAL_ASKED, REMOTE_ASKED, to);
+  return ask(x, request, report, to, count);
+}
+
+mt_origin_asked_t
+mt_origin_exchange_ask_domains (mt_origin_exchange_t *x, uint64_t request,
+                                const mt_origin_report_t *report) {
+  const mt_membership_t *m = x->members;
+  uint32_t to[DOMAINS_ASKED_MAX];
+  uint64_t key = report->key;
+  size_t count =
+      mt_membership_rank_routers(m, key, m->own_domain, to, LOCAL_ASKED);
+  for (size_t i = 0; i < m->domains_count; i++)
+    count += mt_membership_rank_routers(m, key, m->domains[i].id, &to[count],
+                                        DOMAIN_ASKED);
+  return ask(x, request, report, to, count);
 }
 
 static void reply (mt_origin_exchange_t *x, uint32_t ip,
@@ -62,12 +89,14 @@
   m->origin.report = *asked;
   if (answer.known) m->origin.report.origin = answer.origin;
   m->origin.answer = answer;
+  m->origin.answer.up = x->members->now - x->members->started;
   x->callbacks.send(x->callbacks.ud, &ip, 1);
 }
 
 void mt_origin_exchange_receive (mt_origin_exchange_t *x, uint32_t ip,
                                  const mt_peer_message_t *m) {
   const mt_origin_report_t *report = &m->origin.report;
+  mt_origin_answer_t answer = m->origin.answer;
   if (report->key == 0) return;
   switch (m->kind) {
     case MT_PEER_ORIGIN:
@@ -75,8 +104,9 @@
       break;
     case MT_PEER_ORIGIN_REQUEST: reply(x, ip, m); break;
     case MT_PEER_ORIGIN_REPLY:
+      answer.domain = mt_membership_domain_of(x->members, ip);
       x->callbacks.answered(x->callbacks.ud, m->request_number,
-                            report->origin.service, &m->origin.answer);
+                            report->origin.service, &answer);
       break;
     default: break;
   }
--- a/src/gateway/origin_exchange.h
+++ b/src/gateway/origin_exchange.h
@@ -41,10 +41,17 @@
 void mt_origin_exchange_tell (mt_origin_exchange_t *exchange,
                               const mt_origin_report_t *report);
 
-/* Asks the routers that may own the stream; returns their number. Request 0:
-   the key is of no stream. */
-int mt_origin_exchange_ask (mt_origin_exchange_t *exchange, uint64_t request,
-                            const mt_origin_report_t *report);
+/* Asks the routers that may own the stream; the report has its key and its
+   service. Request 0: the key is of no stream. */
+mt_origin_asked_t mt_origin_exchange_ask (mt_origin_exchange_t *exchange,
+                                          uint64_t request,
+                                          const mt_origin_report_t *report);
+
+/* The same of routers in all failure domains. */
+mt_origin_asked_t
+mt_origin_exchange_ask_domains (mt_origin_exchange_t *exchange,
+                                uint64_t request,
+                                const mt_origin_report_t *report);
 
 /* Handles an ORIGIN, ORIGIN_REQUEST or ORIGIN_REPLY message. */
 void mt_origin_exchange_receive (mt_origin_exchange_t *exchange, uint32_t ip,
--- a/src/gateway/peer_message.c
+++ b/src/gateway/peer_message.c
@@ -39,7 +39,8 @@
   (SPEED_FIGURE_FIELDS + GAP_FIGURE_FIELDS + REJECTION_FIELDS)
 #define SPEED_FIELDS_MAX 32
 #define DRAIN_FIELDS 3
-#define ORIGIN_FIELDS 7
+#define ORIGIN_FIELDS 9
+#define ORIGIN_FIELDS_MIN 7 /* of older builds */
 #define SEGMENT_FIELDS 2
 #define CHANGE_FIELDS 5
 #define CHANGE_ENGINE_FIELDS 7
@@ -254,6 +255,8 @@
   msgpack_pack_uint8(pk, answer->known);
   msgpack_pack_uint32(pk, answer->sole);
   msgpack_pack_uint8(pk, answer->several);
+  msgpack_pack_uint64(pk, (uint64_t)(answer->list_rev + 1)); /* 0: none */
+  msgpack_pack_uint64(pk, answer->up);
 }
 
 static void pack_segments (const mt_peer_message_t *m, msgpack_packer *pk) {
@@ -663,7 +666,8 @@
 }
 
 static void unpack_origin (mt_peer_message_t *m, const msgpack_object *o) {
-  if (o->via.array.size < ORIGIN_FIELDS) return;
+  size_t size = o->via.array.size;
+  if (size < ORIGIN_FIELDS_MIN) return;
   const msgpack_object *at = o->via.array.ptr;
   mt_origin_report_t *report = &m->origin.report;
   mt_origin_answer_t *answer = &m->origin.answer;
@@ -675,6 +679,10 @@
   answer->origin = report->origin;
   answer->sole = (mt_id_t)unpack_number(&at[5]);
   answer->several = unpack_number(&at[6]) == 1;
+  answer->list_rev = MT_REVISION_NONE;
+  if (size < ORIGIN_FIELDS) return;
+  answer->list_rev = unpack_bounded(&at[7], INT64_MAX) - 1;
+  answer->up = (mt_ms_t)unpack_bounded(&at[8], DURATION_MAX_MS);
 }
 
 static void unpack_segments (mt_peer_message_t *m, const msgpack_object *o) {
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -273,6 +273,9 @@
     case MT_RESUME_UNKNOWN:
       mt_request_refuse(relay, r, MT_RELAY_STREAM_UNKNOWN);
       break;
+    case MT_RESUME_UNCONFIRMED:
+      mt_request_refuse(relay, r, MT_RELAY_STREAM_UNCONFIRMED);
+      break;
     case MT_RESUME_GONE:
       mt_request_refuse(relay, r, MT_RELAY_VERSION_GONE);
       break;
@@ -383,6 +386,20 @@
 
 /* }== */
 
+/* {== The list of engines was read ===================================== */
+
+static void on_list_checked (mt_relay_t *relay, const mt_relay_event_t *ev) {
+  mt_resume_list_checked(relay, ev->u.checked.check, ev->u.checked.complete);
+  for (size_t i = relay->count; i-- > 0;) {
+    if (i >= relay->count) continue;
+    mt_relay_request_t *r = relay->list[i];
+    if (r->phase == MT_RELAY_AWAITING_ORIGIN)
+      apply_resume(relay, r, mt_resume_decide(relay, r));
+  }
+}
+
+/* }== */
+
 /* {== Engines that restart ============================================= */
 
 /* The attempt is cancelled, as its connection may still look open if the
@@ -469,7 +486,7 @@
     mt_request_refuse(relay, r, MT_RELAY_ON_PROBATION);
     return;
   }
-  if (r->phase == MT_RELAY_AWAITING_ORIGIN && mt_resume_timed_out(relay, r)) {
+  if (r->phase == MT_RELAY_AWAITING_ORIGIN) {
     apply_resume(relay, r, mt_resume_decide(relay, r));
     return;
   }
@@ -592,7 +609,7 @@
       break;
     case MT_RELAY_ORIGIN_ASKED:
       if (r != NULL && r->phase == MT_RELAY_AWAITING_ORIGIN)
-        apply_resume(relay, r, mt_resume_asked(relay, r, ev->u.asked));
+        apply_resume(relay, r, mt_resume_asked(relay, r, &ev->u.asked));
       break;
     case MT_RELAY_ORIGIN_ANSWERED:
       if (r != NULL && r->phase == MT_RELAY_AWAITING_ORIGIN)
@@ -601,6 +618,7 @@
       else if (ev->request == 0)
         mt_resume_on_view(relay, ev->u.origin.service, ev->u.origin.answer);
       break;
+    case MT_RELAY_LIST_CHECKED: on_list_checked(relay, ev); break;
     case MT_RELAY_RESTARTED:
       on_restarted(relay, ev->u.restarted.engine,
                    ev->u.restarted.version_changed);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -49,8 +49,11 @@
 ** engine tried rejected it. FULL: this router itself takes no more.
 ** ON_PROBATION, QUARANTINED: the request may have crashed engines
 ** (quarantine.h). STREAM_UNKNOWN, VERSION_GONE: the software version at which
-** the stream began is not known, or no longer serves. ENGINE_LOST: an attempt
-** failed that may have run, and no retry was possible.
+** the stream began is not known, or no longer serves. STREAM_UNCONFIRMED: it
+** would follow from the list of engines, but neither the source nor other
+** routers could confirm that now. ENGINE_LOST: an attempt failed that may
+*have
+** run, and no retry was possible.
 */
 #define MT_RELAY_REFUSALS(ROW)                                  \
   ROW(MT_RELAY_BAD_REQUEST, "bad_request", 400)                 \
@@ -70,6 +73,7 @@
   ROW(MT_RELAY_ON_PROBATION, "on_probation", 503)               \
   ROW(MT_RELAY_QUARANTINED, "quarantined", 503)                 \
   ROW(MT_RELAY_STREAM_UNKNOWN, "stream_unknown", 503)           \
+  ROW(MT_RELAY_STREAM_UNCONFIRMED, "stream_unconfirmed", 503)   \
   ROW(MT_RELAY_VERSION_GONE, "version_gone", 503)               \
   ROW(MT_RELAY_ENGINE_LOST, "engine_lost", 502)                 \
   ROW(MT_RELAY_TIMEOUT, "timeout", 504)
@@ -104,7 +108,8 @@
   MT_ORIGIN_NONE,
   MT_ORIGIN_LOCAL, /* it began the stream, or owns it */
   MT_ORIGIN_OWNER, /* an owner replied */
-  MT_ORIGIN_SOLE,  /* only one version has served */
+  MT_ORIGIN_SOLE,  /* only one version has served, as the source confirms */
+  MT_ORIGIN_PEERS, /* the same, as routers of all failure domains confirm */
   MT_ORIGIN_SOURCES
 } mt_origin_source_t;
 
@@ -139,6 +144,9 @@
   uint64_t resumed;          /* requests that resume a stream */
   uint64_t origins_told;     /* origins of streams told to owners */
   uint64_t origins_found[MT_ORIGIN_SOURCES]; /* of resumed streams */
+  /* Reads of the list of engines for resumed streams, and those that failed
+     or came too late. */
+  uint64_t list_checks, list_checks_failed;
   /* Retries within an answer at another software version; always 0, unless
      a stream is not bound. */
   uint64_t version_changes;
@@ -196,6 +204,7 @@
   MT_RELAY_TRIAL_ANSWERED, /* an owner's reply on running a suspect request */
   MT_RELAY_ORIGIN_ASKED,   /* owners were asked where a stream began */
   MT_RELAY_ORIGIN_ANSWERED, /* a reply of one of them */
+  MT_RELAY_LIST_CHECKED,    /* the list of engines was read at the source */
   MT_RELAY_RESTARTED,       /* an engine restarted under the same name */
   MT_RELAY_NOTICE,          /* an engine advertised a drain or a backoff */
   MT_RELAY_STOP             /* the process is about to stop */
@@ -257,7 +266,11 @@
       uint64_t engine;
       bool version_changed; /* of its software */
     } restarted;
-    int asked; /* ORIGIN_ASKED: how many owners */
+    mt_origin_asked_t asked; /* ORIGIN_ASKED */
+    struct {
+      uint64_t check; /* the last CHECK_LIST before the read began */
+      bool complete;  /* all changes made before it are applied */
+    } checked;        /* LIST_CHECKED */
     /* ORIGIN_ANSWERED; request 0: about all streams of the service */
     struct {
       mt_id_t service;
@@ -291,6 +304,8 @@
   MT_RELAY_DO_REPORT_NOT_RUN, /* report a prompt to the engine's owner */
   MT_RELAY_DO_TELL_ORIGIN,    /* tell a stream's owners where it began */
   MT_RELAY_DO_ASK_ORIGIN,     /* ask them */
+  MT_RELAY_DO_ASK_DOMAINS,    /* ask routers of all failure domains */
+  MT_RELAY_DO_CHECK_LIST,     /* read the list of engines at the source */
   MT_RELAY_DO_SEND_TO_OWNER /* send a message to a suspect request's owner */
 } mt_relay_effect_kind_t;
 
@@ -326,8 +341,10 @@
     uint64_t probe;               /* PROBE: the engine */
     uint64_t permit;              /* RETURN_PERMIT: the engine */
     mt_prompt_not_run_t not_run;  /* REPORT_NOT_RUN */
-    mt_origin_report_t origin;    /* TELL_ORIGIN; ASK_ORIGIN: what to ask */
+    mt_origin_report_t origin;    /* TELL_ORIGIN; ASK_ORIGIN, ASK_DOMAINS: key
+                                     and service of what to ask for */
     mt_suspect_message_t message; /* SEND_TO_OWNER */
+    uint64_t check;               /* CHECK_LIST: its number; they rise */
     int64_t length;  /* HEAD: of the body, or MT_RELAY_LENGTH_* */
     mt_bytes_t data; /* borrowed until the next step */
   } u;
@@ -404,6 +421,13 @@
   int origin_asked, origin_replies;
   mt_id_t origin_sole;
   bool origin_doubted;
+  /* Failure domains in which it may have begun; those of which a router has
+     confirmed origin_sole. */
+  mt_domain_set_t origin_domains, origin_confirmed;
+  bool domains_asked; /* all of them were asked */
+  mt_ms_t resumed_at; /* when its origin was first asked for */
+  uint64_t check;     /* number of the CHECK_LIST for it; 0: none was due */
+  bool list_checked, list_check_failed; /* that read is complete; it failed */
   mt_prefix_segment_t segments[MT_RELAY_SEGMENTS_MAX];
   size_t segments_count;
   /* Home engines of its shared segments (candidates.h): of the fleet, of this
@@ -484,10 +508,11 @@
   mt_service_versions_t versions;
   /* The longest time that a caller of a stream was going to wait. */
   mt_ms_t longest_deadline;
-  /* Reported by another router at `reported_at`: the only version at which
-     streams began that could be resumed then; 0: none. */
+  /* Reported by another router: the only version at which streams began that
+     could be resumed then, by a list of engines with all changes up to
+     `reported_rev`; 0: none. */
   mt_id_t reported_sole;
-  mt_ms_t reported_at;
+  mt_revision_t reported_rev;
 } mt_relay_service_t;
 
 /*
@@ -609,7 +634,12 @@
   /* The list of engines was last up to date at `list_current_at`, and was so
      since `list_since` without a gap; 0: never. */
   mt_ms_t list_current_at, list_since;
+  /* The list has all changes up to `list_rev`, and was followed without a gap
+     since it was at `list_since_rev`. */
+  mt_revision_t list_rev, list_since_rev;
   mt_ms_t list_confirmed;       /* all changes made by then are known */
+  uint64_t list_check;          /* number of the last CHECK_LIST */
+  mt_ms_t list_check_failed_at; /* when the last one failed; 0: it did not */
   mt_ms_t next_version_request; /* to routers that have run for longer */
   mt_ended_runs_t lost;         /* recent ones, and unconfirmed answers */
   mt_map_t services;            /* id -> mt_relay_service_t, owned */
--- a/src/relay/stream_origins.h
+++ b/src/relay/stream_origins.h
@@ -10,6 +10,10 @@
 #define stream_origins_h
 
 #include "mtmem.h"
+#include "revision.h"
+
+/* A set of failure domains, one bit each. Its owner numbers them. */
+typedef uint64_t mt_domain_set_t;
 
 /* The first event of a stream came from here. */
 typedef struct mt_stream_origin_t {
@@ -112,8 +116,19 @@
      of several versions. */
   mt_id_t sole;
   bool several;
+  /* `sole` follows from a list of engines with all changes up to this
+     revision of the source; NONE: unknown. */
+  mt_revision_t list_rev;
+  mt_ms_t up;             /* for how long that router has received origins */
+  mt_domain_set_t domain; /* of that router; set by the receiver */
 } mt_origin_answer_t;
 
+/* Which routers were asked about a stream. */
+typedef struct mt_origin_asked_t {
+  int routers;
+  mt_domain_set_t domains; /* in which the stream may have begun */
+} mt_origin_asked_t;
+
 /* }== */
 
 #endif
--- a/src/relay/stream_resume.c
+++ b/src/relay/stream_resume.c
@@ -14,7 +14,10 @@
 /* An entry that was read or confirmed longer ago may be of an earlier start.
    It is longer than a watch that reports no change is held by the source. */
 #define ENTRY_AGE_MAX_MS 9000
-#define ANSWER_TIMEOUT_MS 60 /* for replies of owners */
+#define ANSWER_TIMEOUT_MS 60      /* for replies of routers */
+#define LIST_CHECK_TIMEOUT_MS 300 /* for a read of the source */
+/* After a failed read, none is made for this long: the source is away. */
+#define LIST_CHECK_PAUSE_MS 100
 /* Replies without a record that are enough where one version serves: a router
    that is gone, but not yet known to be, does not reply. */
 #define REPLIES_ENOUGH 2
@@ -52,15 +55,28 @@
 /* {== What this router knows =========================================== */
 
 void mt_resume_list_is_current (mt_relay_t *relay, mt_ms_t confirmed,
-                                mt_ms_t now) {
+                                mt_revision_t rev, mt_ms_t now) {
   relay->now = mt_max(relay->now, now);
   if (relay->list_since == 0 ||
-      now - relay->list_current_at > LIST_LAG_MAX_MS)
+      now - relay->list_current_at > LIST_LAG_MAX_MS) {
     relay->list_since = now;
+    relay->list_since_rev = rev;
+  }
+  relay->list_rev = rev;
   relay->list_current_at = now;
   relay->list_confirmed = mt_max(relay->list_confirmed, confirmed);
 }
 
+void mt_resume_engine_missed (mt_relay_t *relay) {
+  relay->list_since = 0;
+}
+
+void mt_resume_list_replaced (mt_relay_t *relay, mt_ms_t now) {
+  relay->now = mt_max(relay->now, now);
+  if (relay->now - relay->list_confirmed > LIST_LAG_MAX_MS)
+    relay->list_since = 0;
+}
+
 static bool is_list_current (const mt_relay_t *relay) {
   return relay->list_since != 0 &&
          relay->now - relay->list_current_at <= LIST_LAG_MAX_MS;
@@ -69,20 +85,22 @@
 /*
 ** True if every version was seen here at which streams began that may still
 ** be resumed: the list of engines has been up to date for as long as they
-** live, or since another router, for which that held, reported the only one.
+** live, or since an earlier revision than that of the list by which another
+** router, for which that held, reported the only one. A time would not do: a
+** router that is cut off may report a list of any age.
 */
 static bool saw_all_versions (const mt_relay_t *relay,
                               const mt_relay_service_t *s, mt_id_t sole,
                               mt_ms_t life) {
   if (!is_list_current(relay)) return false;
   if (relay->now - relay->list_since >= life) return true;
-  return s->reported_sole == sole && s->reported_at >= relay->list_since;
+  return s->reported_sole == sole && s->reported_rev >= relay->list_since_rev;
 }
 
 /* What the list of engines tells of all streams of the service that may still
    be resumed. */
 static mt_origin_answer_t view_of (const mt_relay_t *relay, mt_id_t service) {
-  mt_origin_answer_t view = {.known = false};
+  mt_origin_answer_t view = {.known = false, .list_rev = relay->list_rev};
   mt_ms_t life = stream_life_ms(relay, service);
   const mt_relay_service_t *s = mtV_get(&relay->services, service);
   mt_id_t last;
@@ -109,8 +127,10 @@
                         const mt_origin_answer_t *view) {
   mt_relay_service_t *s = mtV_get(&relay->services, service);
   if (s == NULL || view->sole == 0 || !is_list_current(relay)) return;
+  if (s->reported_sole == view->sole && s->reported_rev >= view->list_rev)
+    return;
   s->reported_sole = view->sole;
-  s->reported_at = relay->now;
+  s->reported_rev = view->list_rev;
 }
 
 /* True if routers that have run for longer may know more. */
@@ -256,6 +276,24 @@
   return mt_resume_is_served(relay, r) ? MT_RESUME_PASS : MT_RESUME_GONE;
 }
 
+static mt_origin_report_t question_about (const mt_relay_request_t *r) {
+  return (mt_origin_report_t){.key = r->stream_key,
+                              .origin = {.service = r->service}};
+}
+
+/* Has the list of engines read at the source if the origin may follow from
+   it. */
+static void check_list (mt_relay_t *relay, mt_relay_request_t *r) {
+  if (view_of(relay, r->service).several) return;
+  mt_ms_t failed = relay->list_check_failed_at;
+  if (failed != 0 && relay->now < failed + LIST_CHECK_PAUSE_MS) {
+    r->list_check_failed = true;
+    return;
+  }
+  r->check = ++relay->list_check;
+  mt_relay_effect(relay, MT_RELAY_DO_CHECK_LIST)->u.check = r->check;
+}
+
 mt_resume_decision_t mt_resume_check (mt_relay_t *relay,
                                       mt_relay_request_t *r) {
   mt_stream_origin_t origin;
@@ -264,9 +302,9 @@
     return bind(relay, r, &origin, MT_ORIGIN_LOCAL);
   mt_relay_effect_t *fx = mt_relay_effect(relay, MT_RELAY_DO_ASK_ORIGIN);
   fx->request = r->number;
-  fx->u.origin.key = r->stream_key;
-  fx->u.origin.origin.service = r->service;
-  r->asked = relay->now;
+  fx->u.origin = question_about(r);
+  r->asked = r->resumed_at = relay->now;
+  check_list(relay, r);
   return MT_RESUME_WAIT;
 }
 
@@ -281,21 +319,93 @@
   r->origin_sole = view->sole;
 }
 
+/*
+** True if a router of each failure domain, the one where the stream began
+** among them, has confirmed that no other version served. A router that began
+** it at another version would have told routers of its own domain. Where a
+** domain does not reply, it may have been cut off together with the stream.
+*/
+static bool is_confirmed_by_peers (const mt_relay_request_t *r) {
+  return (r->origin_domains & ~r->origin_confirmed) == 0;
+}
+
+/* True while replies of routers may still come. */
+static bool awaits_replies (const mt_relay_t *relay,
+                            const mt_relay_request_t *r) {
+  bool settled = r->origin_sole != 0 && !r->origin_doubted &&
+                 r->origin_replies >= REPLIES_ENOUGH;
+  if (r->origin_replies >= r->origin_asked) return false;
+  if (settled && !r->domains_asked) return false;
+  return relay->last_tick < r->asked + ANSWER_TIMEOUT_MS;
+}
+
+/* Where the last read has failed, the next one is not waited for as long. */
+static bool awaits_list_check (const mt_relay_t *relay,
+                               const mt_relay_request_t *r) {
+  mt_ms_t limit = relay->list_check_failed_at != 0 ? ANSWER_TIMEOUT_MS
+                                                   : LIST_CHECK_TIMEOUT_MS;
+  return r->check != 0 && !r->list_check_failed &&
+         relay->last_tick < r->resumed_at + limit;
+}
+
+/* True if the source fails, or takes longer than other routers do. */
+static bool is_source_late (const mt_relay_t *relay,
+                            const mt_relay_request_t *r) {
+  return r->check == 0 || r->list_check_failed ||
+         relay->last_tick >= r->resumed_at + ANSWER_TIMEOUT_MS;
+}
+
+static mt_resume_decision_t ask_domains (mt_relay_t *relay,
+                                         mt_relay_request_t *r) {
+  mt_relay_effect_t *fx = mt_relay_effect(relay, MT_RELAY_DO_ASK_DOMAINS);
+  fx->request = r->number;
+  fx->u.origin = question_about(r);
+  r->domains_asked = true;
+  r->asked = relay->now;
+  return MT_RESUME_WAIT;
+}
+
+/*
+** No origin is known. That the stream began at the only version that is known
+** here holds up to when the list of engines was last read, and the stream may
+** have begun since. So that is confirmed for each resumed stream: by a read
+*of
+** the source that began after its caller asked for it, or, where the source
+** does not answer, by routers of all failure domains.
+*/
 mt_resume_decision_t mt_resume_decide (mt_relay_t *relay,
                                        mt_relay_request_t *r) {
   mt_origin_answer_t own = view_of(relay, r->service);
+  bool awaits = awaits_replies(relay, r);
+  if (awaits && !r->domains_asked) return MT_RESUME_WAIT;
   merge_view(r, &own);
-  if (r->origin_doubted || r->origin_sole == 0) return MT_RESUME_UNKNOWN;
-  /* Owners that are out of reach may know better. */
-  if (r->origin_asked > 0 && r->origin_replies == 0) return MT_RESUME_UNKNOWN;
-  const mt_stream_origin_t origin = {r->service, r->origin_sole};
-  return bind(relay, r, &origin, MT_ORIGIN_SOLE);
+  if (r->origin_doubted || own.sole == 0) return MT_RESUME_UNKNOWN;
+  const mt_stream_origin_t origin = {r->service, own.sole};
+  if (r->list_checked) return bind(relay, r, &origin, MT_ORIGIN_SOLE);
+  bool late = is_source_late(relay, r);
+  if (late && is_confirmed_by_peers(r))
+    return bind(relay, r, &origin, MT_ORIGIN_PEERS);
+  if (late && !r->domains_asked) return ask_domains(relay, r);
+  awaits = awaits || awaits_list_check(relay, r);
+  return awaits ? MT_RESUME_WAIT : MT_RESUME_UNCONFIRMED;
 }
 
 mt_resume_decision_t mt_resume_asked (mt_relay_t *relay,
-                                      mt_relay_request_t *r, int count) {
-  r->origin_asked = count;
-  return count > 0 ? MT_RESUME_WAIT : mt_resume_decide(relay, r);
+                                      mt_relay_request_t *r,
+                                      const mt_origin_asked_t *asked) {
+  r->origin_asked += asked->routers;
+  r->origin_domains = asked->domains;
+  return mt_resume_decide(relay, r);
+}
+
+/* A router that has started since the stream may have begun was not told of
+   it. */
+static void note_confirmation (const mt_relay_t *relay, mt_relay_request_t *r,
+                               const mt_origin_answer_t *answer) {
+  mt_ms_t life = stream_life_ms(relay, r->service);
+  mt_id_t sole = view_of(relay, r->service).sole;
+  if (sole != 0 && answer->sole == sole && answer->up >= life)
+    r->origin_confirmed |= answer->domain;
 }
 
 mt_resume_decision_t mt_resume_on_answer (mt_relay_t *relay,
@@ -305,16 +415,23 @@
   mt_resume_on_view(relay, r->service, answer);
   if (answer->known) return bind(relay, r, &answer->origin, MT_ORIGIN_OWNER);
   merge_view(r, answer);
-  bool enough = r->origin_sole != 0 && !r->origin_doubted &&
-                r->origin_replies >= REPLIES_ENOUGH;
-  if (enough || r->origin_replies >= r->origin_asked)
-    return mt_resume_decide(relay, r);
-  return MT_RESUME_WAIT;
+  note_confirmation(relay, r, answer);
+  return mt_resume_decide(relay, r);
 }
 
-bool mt_resume_timed_out (const mt_relay_t *relay,
-                          const mt_relay_request_t *r) {
-  return relay->last_tick >= r->asked + ANSWER_TIMEOUT_MS;
+void mt_resume_list_checked (mt_relay_t *relay, uint64_t check,
+                             bool complete) {
+  relay->counters.list_checks++;
+  relay->counters.list_checks_failed += !complete;
+  relay->list_check_failed_at = complete ? 0 : relay->now;
+  for (size_t i = 0; i < relay->count; i++) {
+    mt_relay_request_t *r = relay->list[i];
+    if (r->check == 0 || r->check > check) continue;
+    if (complete)
+      r->list_checked = true;
+    else
+      r->list_check_failed = true;
+  }
 }
 
 /* }== */
--- a/src/relay/stream_resume.h
+++ b/src/relay/stream_resume.h
@@ -13,8 +13,13 @@
 ** from the list of engines. A router relies on that only if its list has been
 ** up to date, and has had a single version, for as long as a stream may live,
 ** or since a router reported the same of its own list. Until then it tells
-** the origins of its streams. A router that cannot tell where a stream began
-** refuses it.
+** the origins of its streams.
+**
+** A router that resumes a stream has its list confirmed first, since a
+*version
+** may have come that it has not heard of: by a read of the source, or by
+** routers of every failure domain. A router that cannot tell where a stream
+** began refuses it.
 */
 #ifndef stream_resume_h
 #define stream_resume_h
@@ -22,10 +27,12 @@
 #include "relay.h"
 
 typedef enum mt_resume_decision_t {
-  MT_RESUME_PASS,    /* it is bound to the version that began it */
-  MT_RESUME_WAIT,    /* it has to wait for replies of owners */
-  MT_RESUME_UNKNOWN, /* nobody that was reached knows its origin */
-  MT_RESUME_GONE     /* no engine of its version serves any more */
+  MT_RESUME_PASS,        /* it is bound to the version that began it */
+  MT_RESUME_WAIT,        /* it has to wait for replies of owners */
+  MT_RESUME_UNKNOWN,     /* nobody that was reached knows its origin */
+  MT_RESUME_UNCONFIRMED, /* it would follow from the list of engines, which
+                            could not be confirmed */
+  MT_RESUME_GONE         /* no engine of its version serves any more */
 } mt_resume_decision_t;
 
 /* {== At the router that begins a stream =============================== */
@@ -50,16 +57,14 @@
 /* Decides about a request that resumes a stream. */
 mt_resume_decision_t mt_resume_check (mt_relay_t *relay,
                                       mt_relay_request_t *request);
-/* So many owners were asked. */
+/* These routers were asked. */
 mt_resume_decision_t mt_resume_asked (mt_relay_t *relay,
-                                      mt_relay_request_t *request, int count);
+                                      mt_relay_request_t *request,
+                                      const mt_origin_asked_t *asked);
 mt_resume_decision_t mt_resume_on_answer (mt_relay_t *relay,
                                           mt_relay_request_t *request,
                                           const mt_origin_answer_t *answer);
-/* True if the owners have not replied in time. */
-bool mt_resume_timed_out (const mt_relay_t *relay,
-                          const mt_relay_request_t *request);
-/* Decides by the replies that have come. */
+/* Decides by the replies that have come, and by the source. */
 mt_resume_decision_t mt_resume_decide (mt_relay_t *relay,
                                        mt_relay_request_t *request);
 
@@ -77,10 +82,27 @@
 
 /* {== What this router knows =========================================== */
 
-/* The list of engines is up to date: no change of it is known that was made
-   by `confirmed`, when a router last read the source. */
+/* The list of engines is up to date, with all changes up to `rev`: no change
+   of it is known that was made by `confirmed`, when a router last read the
+   source. */
 void mt_resume_list_is_current (mt_relay_t *relay, mt_ms_t confirmed,
-                                mt_ms_t now);
+                                mt_revision_t rev, mt_ms_t now);
+
+/* An engine was removed from the list of which no entry was read here. */
+void mt_resume_engine_missed (mt_relay_t *relay);
+
+/* The whole list was read, without the changes that led to it: engines may
+   have come and gone since it was last confirmed. */
+void mt_resume_list_replaced (mt_relay_t *relay, mt_ms_t now);
+
+/*
+** A read of the changes of the list at the source has ended. It began after
+** the CHECK_LIST of this number; `complete`: all changes that were made
+*before
+** are applied. The requests that wait for it can be decided about.
+*/
+void mt_resume_list_checked (mt_relay_t *relay, uint64_t check,
+                             bool complete);
 
 /* The software version of the process that runs as this engine now; 0: it
    cannot be told, as it may have restarted since its entry was read. */
--- a/tests/stream_version_test.cc
+++ b/tests/stream_version_test.cc
@@ -114,4 +114,109 @@
   EXPECT_GE(taken_up.part(), begun.part() - TAKEN_UP_SLACK);
 }
 
+// Life of a stream here: the time-out of its route, and its callers'
+// deadline.
+const long LIFE_MS = 3000;
+
+// A failure domain is cut off when the first engine of a new version starts.
+struct CutCase {
+  const char *what;
+  int gateways; // every second one is in the domain that is cut off
+  bool from_peers;
+  int store; // how it fails for the domain, as in Rejection; -1: it does not
+  long crash_ms; // from the cut to the crash of the engine
+  bool go_on;    // streams that are taken up in the domain
+};
+
+class CutFleet : public Fleet {
+public:
+  StreamCallers callers;
+
+  explicit CutFleet(const CutCase &row)
+      : Fleet(row.gateways, {"v1"}, true), callers(world, gateways, 1) {
+    world.stream_events = 40;
+    world.stream_pause_ms = 90;
+    world.renews = true;
+    world.put("op/config", short_streams());
+    for (int i = 0; i < 3; i++) world.add_engine("model");
+    callers.add(60);
+  }
+  static std::string short_streams () {
+    std::string text = ::World::config(8, "key-w1");
+    const std::string timeout = "\"timeout_ms\":9000";
+    return text.replace(text.find(timeout), timeout.size(),
+                        "\"timeout_ms\":" + std::to_string(LIFE_MS));
+  }
+  void run_until (long end, bool sending) {
+    while (soak::now_ms() < end || (!sending && !callers.idle())) {
+      world.pump();
+      for (soak::Gateway &g : gateways) g.find_port();
+      callers.step(sending);
+    }
+  }
+  // `ms` after the cut all is whole again.
+  void cut (const CutCase &row, long ms) {
+    if (row.from_peers) cut_domain(1, ms);
+    for (int i = 1; i < row.gateways && row.store >= 0; i += 2)
+      reject_store_calls(i, row.store, ms);
+  }
+  // The sum of a counter over the gateways in the domain.
+  long sum_of (const std::string &name) {
+    long sum = 0;
+    for (size_t i = 1; i < gateways.size(); i += 2) {
+      std::string page = exchange(gateways[i], gateways[i].metrics,
+                                  "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+      size_t at = page.find("\nmartentiller_gateway_" + name + " ");
+      if (at != page.npos) sum += atol(page.c_str() + page.find(' ', at + 1));
+    }
+    return sum;
+  }
+};
+
+// Guards against a stream that began at a new version, of which a failure
+// domain that is cut off has not heard, and that a gateway there takes for
+// one of the only version that it knows. Where the source or all other
+// domains can be asked, streams of the old version go on.
+TEST(StreamsAmongVersions, AreNotGuessedWhereADomainIsCutOff) {
+  const CutCase rows[] = {
+      {"one gateway", 3, true, 1, 4000, false},
+      {"two that confirm each other, soon", 4, true, 1, 1200, false},
+      {"two, the store refuses calls", 4, true, 0, 3200, false},
+      {"from the other gateways alone", 4, true, -1, 2500, true},
+      {"from the store alone", 4, false, 1, 2500, true},
+  };
+  for (const CutCase &row : rows) {
+    SCOPED_TRACE(row.what);
+    CutFleet fleet(row);
+    ASSERT_TRUE(fleet.wait_ready());
+    fleet.run_until(soak::now_ms() + LIFE_MS + 500, false);
+    fleet.run_until(soak::now_ms() + 1000, true);
+    long start = soak::now_ms(), end = start + row.crash_ms + 1500;
+    fleet.cut(row, end - start);
+    fleet.restart(2);
+    fleet.run_until(start + 300, true);
+    fleet.world.versions = {"v2"};
+    fleet.world.add_engine("model");
+    std::string fresh = fleet.world.last_engine();
+    fleet.run_until(start + row.crash_ms, true);
+    fleet.world.crash_engine(fresh);
+    fleet.run_until(end, true);
+    fleet.heal_network();
+    fleet.run_until(soak::now_ms(), false);
+    const soak::Checker &k = fleet.world.checker;
+    long found = fleet.sum_of("origins_found_total{source=\"sole\"}") +
+                 fleet.sum_of("origins_found_total{source=\"peers\"}");
+    printf("%s: %ld streams, taken up %ld of %ld; %ld in the domain by the "
+           "list of engines; %zu breaches\n",
+           row.what, fleet.callers.streams, k.taken_up.served,
+           k.taken_up.sent, found, k.breaches.size());
+    for (auto &refused : fleet.callers.refused)
+      printf("  %ld not taken up: %s\n", refused.second,
+             refused.first.c_str());
+    for (size_t i = 0; i < k.breaches.size() && i < 5; i++)
+      ADD_FAILURE() << k.breaches[i];
+    EXPECT_EQ(found > 0, row.go_on);
+  }
+}
+
 } // namespace
