--- a/src/gateway/membership.c
+++ b/src/gateway/membership.c
@@ -154,7 +154,6 @@
       m->live++;
       local_count += mt_membership_is_local(m, peer);
       if (domain != NULL) domain->live++;
-      if (domain != NULL) domain->heard = true;
     } else if (now - peer->last_named > PEER_EXPIRY_MS) {
       remove_peer(m, i);
     }
@@ -365,32 +364,32 @@
   return index < 62 ? OWN_DOMAIN << (index + 1) : UNKNOWN_DOMAIN;
 }
 
+/* The bit of a failure domain; UNKNOWN_DOMAIN if it has none. */
+static mt_domain_set_t bit_of (const mt_membership_t *m, mt_id_t domain) {
+  if (domain == m->own_domain) return OWN_DOMAIN;
+  for (size_t i = 0; i < m->domains_count; i++)
+    if (m->domains[i].id == domain) return domain_bit(i);
+  return UNKNOWN_DOMAIN;
+}
+
 mt_domain_set_t mt_membership_domains (const mt_membership_t *m) {
   mt_domain_set_t set = 0;
   size_t local = 0;
-  bool known = true, heard = false;
-  for (size_t i = 0; i < m->domains_count; i++)
-    if (m->domains[i].heard) set |= domain_bit(i);
+  for (size_t i = 0; i < m->domains_count; i++) set |= domain_bit(i);
   for (size_t i = 0; i < m->count; i++) {
-    const mt_peer_t *peer = m->list[i];
-    local += mt_membership_is_local(m, peer);
-    heard |= peer->last_seen != 0;
-    if (peer->domain == 0 && mt_membership_is_live(m, peer)) known = false;
+    bool is_local = mt_membership_is_local(m, m->list[i]);
+    local += is_local;
+    if (!is_local) set |= bit_of(m, m->list[i]->domain);
   }
   if (local > MT_MEMBERSHIP_LOCAL_TOLD) set |= OWN_DOMAIN;
-  if (set == 0 && !heard && m->has_seeds) known = false;
-  return known ? set : set | UNKNOWN_DOMAIN;
+  bool alone = set == 0 && local == 0;
+  return alone && m->has_seeds ? UNKNOWN_DOMAIN : set;
 }
 
 mt_domain_set_t mt_membership_domain_of (const mt_membership_t *m,
                                          uint32_t ip) {
   const mt_peer_t *peer = mtV_get(&m->by_ip, ip);
-  if (peer == NULL || peer->domain == 0) return 0;
-  if (mt_membership_is_local(m, peer)) return OWN_DOMAIN;
-  for (size_t i = 0; i < m->domains_count; i++)
-    if (m->domains[i].id == peer->domain)
-      return domain_bit(i) & ~UNKNOWN_DOMAIN;
-  return 0;
+  return peer != NULL ? bit_of(m, peer->domain) & ~UNKNOWN_DOMAIN : 0;
 }
 
 /* }== */
--- a/src/gateway/membership.h
+++ b/src/gateway/membership.h
@@ -54,7 +54,6 @@
 typedef struct mt_member_domain_t {
   mt_id_t id;
   int live;                 /* live routers known here */
-  bool heard;               /* one has been live */
   uint32_t groups_reported; /* number of its groups as it reported, or 0 */
 } mt_member_domain_t;
 
@@ -159,11 +158,12 @@
                                    size_t max);
 
 /*
-** The failure domains with other routers, whether or not one is live: a
-** domain that is not heard may be cut off and go on. A bit is added that
-** stands for no domain if not all are known: none was ever heard, or the
-** domain of a router is not known. This router's own domain is left out if
-** it has too few routers for one to be told nothing that others of it are.
+** The failure domains with other routers, whether or not one of them is
+*heard:
+** a domain that is cut off goes on. A bit that stands for none is added if
+*not
+** all are known, as a router has only been named. This router's own domain is
+** left out where it has so few routers that this one is told by each of them.
 */
 mt_domain_set_t mt_membership_domains (const mt_membership_t *members);
 
--- a/tests/answer_end_test.cc
+++ b/tests/answer_end_test.cc
@@ -140,6 +140,35 @@
   }
 }
 
+// The same where the caller does not read, so that the gateway has stopped
+// reading from the engine when the deadline passes.
+TEST(AnswerEnd, AnAnswerThatIsNotReadInTimeEndsByAReset) {
+  World w;
+  std::string text = World::ask("/once/x", "id1"), in;
+  text.replace(text.find("Ms: 3000"), 8, "Ms: 500");
+  w.engine("i-1", "plain", w.listen([] (Conn &c, const Request &r) {
+    fcntl(c.fd, F_SETFL, O_NONBLOCK);
+    c.send(head_of(r, "") + std::string(8000000, 'x'));
+  }));
+  w.start();
+  int fd = socket(AF_INET, SOCK_STREAM, 0), size = 20000;
+  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+  sockaddr_in a = loopback(w.callers);
+  ASSERT_EQ(connect(fd, (sockaddr *)&a, sizeof a), 0);
+  send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+  ASSERT_TRUE(
+      w.until([&] { return w.log.find("outcome=aborted") != w.log.npos; }));
+  char bytes[40000];
+  ssize_t n;
+  while ((n = recv(fd, bytes, sizeof bytes, 0)) > 0)
+    in.append(bytes, (size_t)n);
+  int error = errno;
+  close(fd);
+  EXPECT_EQ(n, -1);
+  EXPECT_EQ(error, ECONNRESET);
+  EXPECT_LT(body_of(in).size(), 8000000u);
+}
+
 // Guards against whole answers that a reset takes from slow callers: the
 // gateway closed connections while input on them was unread.
 TEST(AnswerEnd, AWholeAnswerReachesASlowCallerWithUnreadInput) {
--- a/tests/stream_resume_test.cc
+++ b/tests/stream_resume_test.cc
@@ -868,6 +868,59 @@
   }
 }
 
+// In which failure domains a stream may have begun, by what a router knows of
+// the others: more than those that it hears now.
+TEST(OriginExchange, AStreamMayHaveBegunInADomainThatIsNotHeard) {
+  const mt_domain_set_t OWN = 1, FIRST = 2,
+                        UNKNOWN = (mt_domain_set_t)1 << 63;
+  struct Peer {
+    mt_id_t domain; // 0: not known
+    bool live, was_live;
+  };
+  const Peer LOCAL = {1, true, true}, LOCAL_GONE = {1, false, true},
+             REMOTE = {2, true, true}, REMOTE_GONE = {2, false, true},
+             NAMED = {0, false, false}, NAMED_REMOTE = {2, false, false};
+  struct Row {
+    const char *what;
+    bool has_seeds;
+    std::vector<Peer> peers;
+    mt_domain_set_t domains;
+  } rows[] = {
+      {"alone", false, {}, 0},
+      {"alone, others may exist", true, {}, UNKNOWN},
+      {"one local router, which tells this one", true, {LOCAL}, 0},
+      {"many local routers", true, {LOCAL, LOCAL, LOCAL}, OWN},
+      {"many that are gone", true, {LOCAL, LOCAL_GONE, LOCAL_GONE}, OWN},
+      {"another domain", true, {LOCAL, REMOTE}, FIRST},
+      {"a domain that is not heard any more",
+       true,
+       {LOCAL, REMOTE_GONE},
+       FIRST},
+      {"a router that was only named", true, {LOCAL, NAMED}, UNKNOWN},
+      {"the same, with its domain", true, {LOCAL, NAMED_REMOTE}, UNKNOWN},
+  };
+  for (const Row &row : rows) {
+    SCOPED_TRACE(row.what);
+    mt_membership_t members{};
+    members.own_ip = 9;
+    members.own_domain = 1;
+    members.has_seeds = row.has_seeds;
+    members.now = members.started = 1000000;
+    uint32_t ip = 10;
+    for (const Peer &p : row.peers) {
+      mt_peer_t *peer = mt_membership_add(&members, ip++);
+      peer->domain = p.domain;
+      peer->last_seen = p.was_live ? members.now : 0;
+    }
+    mt_membership_update(&members, members.now);
+    for (size_t i = 0; i < row.peers.size(); i++)
+      if (!row.peers[i].live) members.list[i]->last_seen = 0;
+    mt_membership_update(&members, members.now + 30000);
+    EXPECT_EQ(mt_membership_domains(&members), row.domains);
+    mt_membership_free(&members);
+  }
+}
+
 // Each router that a stream's owners are asked by reaches all that were told,
 // whether or not it knows already that the one that began the stream is gone.
 TEST(OriginExchange, WhoIsToldIsAsked) {
