--- a/tests/soak/selftest.h
+++ b/tests/soak/selftest.h
@@ -206,6 +206,11 @@
          k.on_stream("s", Checker::event_of("s", 0) + " v1\n\n", false);
          k.on_stream("t", Checker::event_of("s", 1) + " v2 end\n\n", true);
        }},
+      {"CUT",
+       [] (Checker &k) {
+         k.closed_midway.insert("t"); // another request
+         k.on_stream("s", Checker::event_of("s", 0) + "\n\n", true, true);
+       }},
       {"LOST",
        [] (Checker &k) {
          k.begun = {100, 80};
