--- a/src/gateway/membership.h
+++ b/src/gateway/membership.h
@@ -159,11 +159,10 @@
 
 /*
 ** The failure domains with other routers, whether or not one of them is
-*heard:
-** a domain that is cut off goes on. A bit that stands for none is added if
-*not
-** all are known, as a router has only been named. This router's own domain is
-** left out where it has so few routers that this one is told by each of them.
+** heard: a domain that is cut off goes on. A bit that stands for none is
+** added if not all are known, as a router has only been named. This
+** router's own domain is left out where it has so few routers that this one
+** is told by each of them.
 */
 mt_domain_set_t mt_membership_domains (const mt_membership_t *members);
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -8,10 +8,9 @@
 **
 ** A response whose body ends with the connection is complete if the
 ** connection ends in order. Until its handler has completed it, the
-*connection
-** ends by a reset, whatever ends it: an abort, the caller's own close, the
-** server's end or that of the process, which may be killed. What the caller
-** has not received by then is lost; it learns of the cut at once.
+** connection ends by a reset, whatever ends it: an abort, the caller's own
+** close, the server's end or that of the process, which may be killed. What
+** the caller has not received by then is lost; it learns of the cut at once.
 */
 #ifndef http_server_h
 #define http_server_h
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -52,8 +52,7 @@
 ** the stream began is not known, or no longer serves. STREAM_UNCONFIRMED: it
 ** would follow from the list of engines, but neither the source nor other
 ** routers could confirm that now. ENGINE_LOST: an attempt failed that may
-*have
-** run, and no retry was possible.
+** have run, and no retry was possible.
 */
 #define MT_RELAY_REFUSALS(ROW)                                  \
   ROW(MT_RELAY_BAD_REQUEST, "bad_request", 400)                 \
--- a/src/relay/stream_resume.c
+++ b/src/relay/stream_resume.c
@@ -367,11 +367,11 @@
 
 /*
 ** No owner knows the origin. That the stream began at the only version that
-*is
-** known here follows from the list of engines, but only up to when that was
-** last read, and the stream may have begun since. So it is confirmed for each
-** resumed stream: by a read of the source that began after its caller asked,
-** or, where the source does not answer, by routers of all failure domains.
+** is known here follows from the list of engines, but only up to when that
+** was last read, and the stream may have begun since. So it is confirmed
+** for each resumed stream: by a read of the source that began after its
+** caller asked, or, where the source does not answer, by routers of all
+** failure domains.
 */
 mt_resume_decision_t mt_resume_decide (mt_relay_t *relay,
                                        mt_relay_request_t *r) {
--- a/src/relay/stream_resume.h
+++ b/src/relay/stream_resume.h
@@ -15,11 +15,10 @@
 ** or since a router reported the same of its own list. Until then it tells
 ** the origins of its streams.
 **
-** A router that resumes a stream has its list confirmed first, since a
-*version
-** may have come that it has not heard of: by a read of the source, or by
-** routers of every failure domain. A router that cannot tell where a stream
-** began refuses it.
+** A router that resumes a stream has its list confirmed first, by a read of
+** the source or by routers of every failure domain: a version may have come
+** that it has not heard of. A router that cannot tell where a stream began
+** refuses it.
 */
 #ifndef stream_resume_h
 #define stream_resume_h
@@ -96,10 +95,10 @@
 void mt_resume_list_replaced (mt_relay_t *relay, mt_ms_t now);
 
 /*
-** A read of the changes of the list at the source has ended. It began after
-** the CHECK_LIST of this number; `complete`: all changes that were made
-*before
-** are applied. The requests that wait for it can be decided about.
+** A read of the changes of the list at the source has ended, which began
+** after the CHECK_LIST of this number. `complete`: all changes that were
+** made until then are applied. The requests that wait for it can be decided
+** about.
 */
 void mt_resume_list_checked (mt_relay_t *relay, uint64_t check,
                              bool complete);
