--- a/tests/soak/process.h
+++ b/tests/soak/process.h
@@ -83,6 +83,16 @@
     stopping = false;
     restart_at = resume_at = 0;
   }
+  // True once the program has blocked or handles the stop signal. Before its
+  // main begins the signal ends any process.
+  bool handles_stop () const {
+    std::ifstream in("/proc/" + std::to_string(pid) + "/status");
+    unsigned long signals = 0, mask;
+    for (std::string word; in >> word;)
+      if ((word == "SigBlk:" || word == "SigCgt:") && in >> std::hex >> mask)
+        signals |= mask;
+    return (signals >> (SIGTERM - 1) & 1) != 0;
+  }
   // Reads the ports of the current process, once it has logged them.
   void find_port () {
     if (pid < 0 || port != 0) return;
