--- a/tests/soak/process.h
+++ b/tests/soak/process.h
@@ -83,8 +83,8 @@
     stopping = false;
     restart_at = resume_at = 0;
   }
-  // True once the program has blocked or handles the stop signal. Before its
-  // main begins the signal ends any process.
+  // True once the program has blocked the stop signal or handles it; until
+  // then the signal ends the process.
   bool handles_stop () const {
     std::ifstream in("/proc/" + std::to_string(pid) + "/status");
     unsigned long signals = 0, mask;
