--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -432,6 +432,7 @@
   int peers_port = 0;     // for messages of other routers; 0: any
   int grace_ms = 8000;    // from SIGTERM until the process exits
   rlim_t descriptors = 0; // limit of the gateway's process; 0: the default
+  std::string further;    // further settings, each after a comma
 
   std::string settings () const {
     return "{\"node\":\"g1\",\"domain\":\"d1\",\"callers\":\"127.0.0.1:0\","
@@ -442,7 +443,7 @@
            seeds +
            "],"
            "\"log_lines_per_s\":100000,\"source\":{\"store\":\"127.0.0.1:" +
-           std::to_string(store->port) + "\"}}";
+           std::to_string(store->port) + "\"}" + further + "}";
   }
   // Starts the process and does not wait for it. Its output pipe is small, to
   // fill up soon where nobody reads it.
