Relay: the state of an attempt is a structure of its own

A request is to have two attempts at a time, for a while, so what belongs to one attempt is taken out of the request. No change of behaviour.

--- a/src/gateway/gateway_log.c
+++ b/src/gateway/gateway_log.c
@@ -88,7 +88,7 @@
 void mt_gateway_log_request (mt_log_writer_t *log, const mt_relay_t *relay,
                              const mt_relay_request_t *r, const char *outcome,
                              const char *why) {
-  bool routine = strcmp(outcome, "answered") == 0 && r->attempt == 1;
+  bool routine = strcmp(outcome, "answered") == 0 && r->current.number == 1;
   bool cut = strcmp(outcome, "aborted") == 0;
   int64_t version = relay->catalog ? relay->catalog->version : 0;
   char parts[PARTS_TEXT_BYTES];
@@ -103,15 +103,16 @@
       "version=%lld "
       "end=%s outcome=%s why=%s",
       r->id, (number_t)r->digest, parts_text(r, parts), r->route,
-      r->workspace, r->engine_name[0] ? r->engine_name : "-",
-      r->engine_version[0] ? r->engine_version : "-",
+      r->workspace, r->current.engine_name[0] ? r->current.engine_name : "-",
+      r->current.engine_version[0] ? r->current.engine_version : "-",
       r->resumes[0] ? r->resumes : "-", (long long)r->first_event,
-      mt_origin_source_name(r->origin_source), r->attempt,
-      (number_t)(relay->now - r->arrived), r->status, r->wait_expected,
-      r->ttft_expected, (number_t)r->ttft, r->slowness, r->pause_expected,
-      (number_t)r->longest_gap, r->service_ratio, (long long)r->tokens_in,
-      (long long)unshared_tokens(r), (long long)r->pending_prefill,
-      (long long)r->fetched, r->home, (long long)r->last_event,
-      (long long)version, cut ? mt_relay_cut_name(mt_request_cut(r)) : "-",
-      outcome, why);
+      mt_origin_source_name(r->origin_source), r->current.number,
+      (number_t)(relay->now - r->arrived), r->current.status,
+      r->current.wait_expected, r->current.ttft_expected,
+      (number_t)r->current.ttft, r->current.slowness,
+      r->current.pause_expected, (number_t)r->longest_gap, r->service_ratio,
+      (long long)r->tokens_in, (long long)unshared_tokens(r),
+      (long long)r->current.pending_prefill, (long long)r->current.fetched,
+      r->current.home, (long long)r->last_event, (long long)version,
+      cut ? mt_relay_cut_name(mt_request_cut(r)) : "-", outcome, why);
 }
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -347,7 +347,7 @@
 
 void mt_gateway_peers_prompt_accepted (mt_gateway_peers_t *peers,
                                        const mt_relay_request_t *r) {
-  if (r->engine == NULL) return;
+  if (r->current.engine == NULL) return;
   const mt_engine_t *home =
       mt_engines_get(&peers->relay->engines, r->home_global);
   const mt_catalog_service_t *service =
@@ -357,12 +357,14 @@
   uint32_t owner = owner_of(peers, home);
   uint64_t segment = mt_kv_cache_home_segment(r->segments, r->segments_count);
   if (owner == peers->members.own_ip) {
-    mt_prefix_holders_set(&peers->relay->holders, segment, r->engine->key,
+    mt_prefix_holders_set(&peers->relay->holders, segment,
+                          r->current.engine->key,
                           mt_boot_clock_now(peers->loop));
     return;
   }
   mt_peer_message_t *m = begin(peers, MT_PEER_PREFIX_HOLDER);
-  m->engines[m->engines_count++] = (mt_peer_engine_t){.key = r->engine->key};
+  m->engines[m->engines_count++] =
+      (mt_peer_engine_t){.key = r->current.engine->key};
   m->segments[m->segments_count++] = (mt_prefix_segment_t){.id = segment};
   send_message(peers, owner);
 }
@@ -376,17 +378,17 @@
 
 void mt_gateway_peers_request_sent (mt_gateway_peers_t *peers,
                                     const mt_relay_request_t *r) {
-  if (r->engine == NULL) return;
-  uint32_t owner = owner_of(peers, r->engine);
+  if (r->current.engine == NULL) return;
+  uint32_t owner = owner_of(peers, r->current.engine);
   if (owner == peers->members.own_ip) {
-    if (!r->has_permit)
-      mt_cold_starts_charge(&peers->relay->cold, r->engine->key);
+    if (!r->current.has_permit)
+      mt_cold_starts_charge(&peers->relay->cold, r->current.engine->key);
     return;
   }
   mt_peer_message_t *m = begin(peers, MT_PEER_LOAD);
   m->request_number = r->number;
-  add_load(peers, m, r->engine);
-  if (r->has_permit) m->engines[0].admission = MT_ADMIT_PERMIT;
+  add_load(peers, m, r->current.engine);
+  if (r->current.has_permit) m->engines[0].admission = MT_ADMIT_PERMIT;
   m->segments_count = r->segments_count;
   memcpy(m->segments, r->segments, r->segments_count * sizeof *r->segments);
   send_message(peers, owner);
--- a/src/relay/admission.c
+++ b/src/relay/admission.c
@@ -50,14 +50,14 @@
 
 void mt_admission_use_permit (mt_relay_t *relay, mt_relay_request_t *r,
                               const mt_engine_t *e) {
-  r->has_permit = false;
+  r->current.has_permit = false;
   for (size_t i = 0; i < r->candidates_count; i++) {
     mt_relay_candidate_t *candidate = &r->candidates[i];
     if (candidate->engine != e->key ||
         candidate->admission != MT_ADMIT_PERMIT)
       continue;
     candidate->admission = MT_ADMIT_NONE;
-    r->has_permit = true;
+    r->current.has_permit = true;
   }
   mt_admission_return_permits(relay, r);
 }
--- a/src/relay/kv_cache.c
+++ b/src/relay/kv_cache.c
@@ -26,7 +26,7 @@
 
 bool mt_kv_cache_should_report (const mt_catalog_service_t *service,
                                 const mt_relay_request_t *r) {
-  if (r->segments_count < 2 || r->home) return false;
+  if (r->segments_count < 2 || r->current.home) return false;
   if (!service->kv_transfer) return false;
   return mt_kv_cache_shared_tokens(r) >= TRANSFER_MIN_TOKENS;
 }
--- a/src/relay/quarantine.c
+++ b/src/relay/quarantine.c
@@ -183,27 +183,27 @@
 }
 
 void mt_quarantine_run_progressed (mt_relay_t *relay, mt_relay_request_t *r) {
-  if (r->outlived || r->first_event_at == 0) return;
-  if (relay->now - r->first_event_at < OUTLIVED_MS) return;
-  r->outlived = true;
+  if (r->current.outlived || r->current.first_event_at == 0) return;
+  if (relay->now - r->current.first_event_at < OUTLIVED_MS) return;
+  r->current.outlived = true;
   segments_answered(relay, r);
 }
 
 /* An error may come of an engine that has not begun to generate: it says
    nothing of the segments. */
 static bool is_success (const mt_relay_request_t *r) {
-  return r->status / 100 == 2;
+  return r->current.status / 100 == 2;
 }
 
 /* Keeps the run until it is known whether its engine has ended. */
 static bool keep_run (mt_relay_t *relay, mt_relay_request_t *r,
                       mt_ended_run_kind_t kind) {
-  const mt_engine_t *e = r->engine;
-  if (e == NULL || !r->written || r->names_count == 0) return false;
+  const mt_engine_t *e = r->current.engine;
+  if (e == NULL || !r->current.written || r->names_count == 0) return false;
   if (!mt_engine_is_available(e, relay->now) || e->unlisted_since != 0)
     return false;
   bool has_begun = kind == MT_RUN_LOST || is_success(r);
-  bool digest_only = r->outlived || !has_begun;
+  bool digest_only = r->current.outlived || !has_begun;
   const mt_ended_run_t run = {.kind = kind,
                               .names = r->names,
                               .names_count = digest_only ? first_segment(r)
@@ -220,7 +220,7 @@
 }
 
 void mt_quarantine_run_answered (mt_relay_t *relay, mt_relay_request_t *r) {
-  if (!r->framed) {
+  if (!r->current.framed) {
     keep_run(relay, r, MT_RUN_UNCONFIRMED);
     return;
   }
@@ -253,7 +253,7 @@
 ** time the request could crash further engines.
 */
 void mt_quarantine_run_lost (mt_relay_t *relay, mt_relay_request_t *r) {
-  mt_engine_t *e = r->engine;
+  mt_engine_t *e = r->current.engine;
   if (keep_run(relay, r, MT_RUN_LOST)) probe_engine(relay, e);
 }
 
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -222,14 +222,14 @@
 /* Sends the request to the best engine, asks another round of owners, or
    refuses it. */
 static void place (mt_relay_t *relay, mt_relay_request_t *r) {
-  if (r->attempt > 0) { /* a connect failed before */
+  if (r->attempts > 0) { /* a connect failed before */
     mt_attempt_retry_quoted(relay, r);
     return;
   }
   mt_relay_refusal_t why;
   mt_candidates_check_cuts(relay, r);
   mt_placement_t p = mt_placement_choose(relay, r);
-  r->wait_expected = p.wait_ms;
+  r->current.wait_expected = p.wait_ms;
   if (admits(relay, r, &p, &why)) {
     if (should_ask_further(relay, r, &p) && request_quotes(relay, r)) return;
     mt_attempt_start(relay, r, &p);
@@ -376,7 +376,7 @@
 
 static void on_caller_disconnected (mt_relay_t *relay,
                                     mt_relay_request_t *r) {
-  if (r->awaiting_event) mt_request_refund(relay, r);
+  if (r->current.awaiting_event) mt_request_refund(relay, r);
   mt_admission_return_permits(relay, r);
   mt_attempt_cancel(relay, r);
   relay->counters.callers_disconnected++;
@@ -416,7 +416,7 @@
   if (e == NULL) return;
   if (version_changed) mt_resume_version_changed(relay, e);
   for (size_t i = relay->count; i-- > 0;)
-    if (i < relay->count && relay->list[i]->engine == e)
+    if (i < relay->count && relay->list[i]->current.engine == e)
       lose_run(relay, relay->list[i]);
   mt_quarantine_engine_ended(relay, key);
   mt_quarantine_send_reports(relay);
@@ -435,7 +435,7 @@
   for (size_t i = relay->count; i-- > 0;) {
     if (i >= relay->count) continue;
     mt_relay_request_t *r = relay->list[i];
-    if (r->engine != e || r->written) continue;
+    if (r->current.engine != e || r->current.written) continue;
     mt_request_effect(relay, MT_RELAY_DO_CANCEL, r);
     mt_attempt_failed(relay, r, MT_RELAY_RETRY_NOTICE, false);
   }
@@ -470,7 +470,7 @@
 
 static void check_request (mt_relay_t *relay, mt_relay_request_t *r) {
   if (relay->now >= r->expires) {
-    bool ran = r->may_have_run || r->written;
+    bool ran = r->may_have_run || r->current.written;
     mt_request_give_up(relay, r,
                        ran ? MT_RELAY_TIMEOUT : MT_RELAY_TIMEOUT_NOT_RUN);
     return;
@@ -490,14 +490,14 @@
     apply_resume(relay, r, mt_resume_decide(relay, r));
     return;
   }
-  if (r->engine == NULL || !mt_response_overdue(relay, r)) return;
-  if (!mt_attempt_may_retry(relay, r, r->written)) return;
-  mt_engine_t *e = r->engine;
+  if (r->current.engine == NULL || !mt_response_overdue(relay, r)) return;
+  if (!mt_attempt_may_retry(relay, r, r->current.written)) return;
+  mt_engine_t *e = r->current.engine;
   mt_placement_t other = mt_placement_choose(relay, r);
   if (other.engine == NULL) return;
   mt_attempt_cancel(relay, r);
   mt_connects_engine_failed(relay, e);
-  mt_attempt_failed(relay, r, MT_RELAY_RETRY_SILENT, r->written);
+  mt_attempt_failed(relay, r, MT_RELAY_RETRY_SILENT, r->current.written);
 }
 
 /* Declared capacity of all engines together, tokens per second; 0: none. */
@@ -559,12 +559,12 @@
 
 static void on_attempt_event (mt_relay_t *relay, mt_relay_request_t *r,
                               const mt_relay_event_t *ev) {
-  if (r->engine == NULL || ev->attempt != r->attempt)
+  if (r->current.engine == NULL || ev->attempt != r->current.number)
     return; /* of an earlier attempt */
   switch (ev->kind) {
     case MT_RELAY_WRITTEN:
-      r->written = true;
-      if (ev->u.connected) mt_connects_made(relay, r->engine);
+      r->current.written = true;
+      if (ev->u.connected) mt_connects_made(relay, r->current.engine);
       break;
     case MT_RELAY_HEAD: mt_response_head(relay, r, ev); break;
     case MT_RELAY_DATA:
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -383,14 +383,42 @@
   mt_admission_t admission;
 } mt_relay_candidate_t;
 
+/* One attempt of a request at an engine. */
+typedef struct mt_attempt_t {
+  int number;              /* from 1 in its request; 0: none yet */
+  mt_engine_t *engine;     /* NULL: the attempt is over */
+  char engine_name[48];    /* for logs */
+  char engine_version[24]; /* its software version; empty: not stated */
+  mt_id_t sent_version;    /* the same as an id, when sent */
+  bool written;            /* bytes of it may have reached the engine */
+  /* awaiting_event: the prompt counts as not prefilled yet; events: the
+     response is a text/event-stream; framed: by this engine. */
+  bool awaiting_event, events, framed;
+  int64_t pending_prefill, held; /* tokens: its part of the engine's load */
+  int64_t fetched;    /* tokens of KV cache that the engine fetches */
+  bool home;          /* the engine is the fleet's home of its segments */
+  bool has_permit;    /* has a permit for a cold engine */
+  int64_t work_ahead; /* pending prefill there when sent, its own included */
+  double wait_expected;  /* at placement, ms */
+  double ttft_expected;  /* time to first token in ms */
+  double slowness;       /* of the engine, as used */
+  double pause_expected; /* longest gap between events, ms; 0: unknown */
+  mt_ms_t ttft;          /* the same as measured; 0: none yet */
+  mt_ms_t sent, last_received; /* time sent; of the last byte received */
+  int status;                  /* of the response; 0: none yet */
+  mt_event_stream_t stream;
+  mt_ms_t event_received; /* the last one; 0: none */
+  mt_ms_t first_event_at; /* 0: none has come */
+  bool outlived;          /* the engine has outlived the first event */
+  bool delayed;           /* the router didn't read since the last event */
+} mt_attempt_t;
+
 typedef struct mt_relay_request_t {
   uint64_t number;
   char id[40];      /* the caller's request id, for logs */
   uint64_t digest;  /* hash of text and workspace; 0: unknown */
   char resumes[40]; /* id of the request whose stream it resumes, or empty */
-  char engine_name[48];    /* of the last attempt, for logs */
-  char engine_version[24]; /* its software version; empty: not stated */
-  size_t index;            /* in `list` of the relay */
+  size_t index;     /* in `list` of the relay */
   struct mt_relay_request_t *finished_next;
   mt_relay_phase_t phase;
   mt_relay_refusal_t outcome;
@@ -450,43 +478,20 @@
   bool on_trial, holds_engine;
   uint64_t trial_name;   /* 0: it is no suspect */
   uint64_t trial_engine; /* 0: not chosen */
-  /* The current attempt. */
-  mt_engine_t *engine;
-  mt_id_t sent_version; /* software version of the engine, when sent */
-  /* Number of attempts, and of those that may have reached an engine. */
-  int attempt, attempts_sent;
-  bool written; /* bytes of it may have reached the engine */
-  /* awaiting_event: the prompt counts as not prefilled yet; may_have_run: an
-     earlier attempt; events: the response is a text/event-stream; framed: by
-     this engine; framed_to_caller: in the forwarded head; charged: the cost,
-     to the workspace. */
-  bool awaiting_event, may_have_run, events, framed, framed_to_caller,
-      charged;
-  mt_ms_t charged_at; /* when the rates had last been decayed then */
-  int64_t pending_prefill, held; /* tokens: its part of the engine's load */
-  int64_t fetched;    /* tokens of KV cache that the engine fetches */
-  bool home;          /* the engine is the fleet's home of its segments */
-  bool has_permit;    /* has a permit for a cold engine */
-  int64_t work_ahead; /* pending prefill there when sent, its own included */
-  /* At placement: expected wait in ms; service ratio of the workspace. */
-  double wait_expected, service_ratio;
-  double ttft_expected;  /* time to first token in ms */
-  double slowness;       /* of the engine, as used */
-  double pause_expected; /* longest gap between events, ms; 0: unknown */
-  mt_ms_t ttft;          /* the same as measured; 0: none yet */
-  mt_ms_t sent, last_received; /* time sent; of the last byte received */
-  int status;                  /* of the response; 0: none yet */
+  mt_attempt_t current;
+  int attempts;      /* number of the last attempt */
+  int attempts_sent; /* attempts that may have reached an engine */
+  /* may_have_run: an earlier attempt; framed_to_caller: in the forwarded
+     head; charged: the cost, to the workspace. */
+  bool may_have_run, framed_to_caller, charged;
+  mt_ms_t charged_at;   /* when the rates had last been decayed then */
+  double service_ratio; /* of the workspace, at placement */
   uint64_t tried[MT_RELAY_TRIES_MAX];
   int tried_count;
-  mt_event_stream_t stream;
-  /* Last event that came, and the last one forwarded; 0: none. */
-  mt_ms_t event_received, event_forwarded;
-  mt_ms_t first_event_at; /* of the current attempt; 0: none has come */
-  bool outlived;       /* the engine has outlived the attempt's first event */
-  mt_ms_t longest_gap; /* between events as forwarded, ms */
-  bool delayed;        /* the router didn't read since the last event */
-  int64_t events_count; /* forwarded */
-  char *body;           /* BUFFERING: the body so far */
+  mt_ms_t event_forwarded; /* the last one; 0: none */
+  mt_ms_t longest_gap;     /* between events as forwarded, ms */
+  int64_t events_count;    /* forwarded */
+  char *body;              /* BUFFERING: the body so far */
   size_t body_size, body_cap;
 } mt_relay_request_t;
 
--- a/src/relay/relay_load.c
+++ b/src/relay/relay_load.c
@@ -67,17 +67,17 @@
 
 void mt_relay_learn_prefill (mt_relay_t *relay, mt_relay_request_t *r) {
   mt_relay_service_t *s = mt_relay_service(relay, r->service);
-  double took = mt_max((double)(relay->now - r->sent), 1.0);
+  double took = mt_max((double)(relay->now - r->current.sent), 1.0);
   mt_prefill_model_t model = mt_relay_prefill_time(relay, r->service);
   double expected =
-      model.fixed_ms + (double)r->work_ahead * model.ms_per_token;
-  mt_prefill_time_add(&s->prefill_time, (double)r->work_ahead, took);
+      model.fixed_ms + (double)r->current.work_ahead * model.ms_per_token;
+  mt_prefill_time_add(&s->prefill_time, (double)r->current.work_ahead, took);
   if (expected < (double)r->objective / 8) return; /* mostly constant term */
   if (!relay->params.off[MT_RELAY_SLOWNESS])
-    learn_own_slowness(r->engine, took / mt_max(expected, 1.0));
+    learn_own_slowness(r->current.engine, took / mt_max(expected, 1.0));
   if (relay->params.off[MT_RELAY_FLEET_SPEED]) return;
-  mt_speed_sums_add(&r->engine->measured, expected, took);
-  mt_engine_speed_add(&r->engine->speed, expected, took, relay->now);
+  mt_speed_sums_add(&r->current.engine->measured, expected, took);
+  mt_engine_speed_add(&r->current.engine->speed, expected, took, relay->now);
 }
 
 static mt_ms_t since_quote (const mt_relay_t *relay, const mt_engine_t *e) {
@@ -99,9 +99,9 @@
   const mt_gap_sums_t none = {.count = 0};
   mt_gap_sums_t one = {.count = 0};
   if (relay->params.off[MT_RELAY_PAUSES]) return;
-  mt_gap_sums_add(&r->engine->measured.gaps, gap);
+  mt_gap_sums_add(&r->current.engine->measured.gaps, gap);
   mt_gap_sums_add(&one, gap);
-  mt_engine_gaps_add(&r->engine->speed.gaps, &none, &one, relay->now);
+  mt_engine_gaps_add(&r->current.engine->speed.gaps, &none, &one, relay->now);
 }
 
 mt_gap_figures_t mt_relay_gaps (const mt_relay_t *relay,
@@ -134,7 +134,7 @@
 
 /* Tokens that the engine is expected to process for the request. */
 static int64_t tokens_expected (const mt_relay_request_t *r) {
-  return r->pending_prefill + r->tokens_out;
+  return r->current.pending_prefill + r->tokens_out;
 }
 
 void mt_relay_add_load (mt_relay_t *relay, mt_relay_request_t *r,
@@ -142,27 +142,28 @@
   mt_engine_t *e = p->engine;
   const mt_catalog_service_t *s =
       mt_catalog_find_service(relay->catalog, r->service);
-  r->engine = e;
-  snprintf(r->engine_name, sizeof r->engine_name, "%s", e->name);
-  snprintf(r->engine_version, sizeof r->engine_version, "%s",
+  r->current.engine = e;
+  snprintf(r->current.engine_name, sizeof r->current.engine_name, "%s",
+           e->name);
+  snprintf(r->current.engine_version, sizeof r->current.engine_version, "%s",
            e->version_name != NULL ? e->version_name : "");
-  r->sent_version = mt_resume_engine_version(relay, e);
-  r->pending_prefill = p->miss;
-  r->home = p->home;
-  r->fetched = p->fetch.tokens;
+  r->current.sent_version = mt_resume_engine_version(relay, e);
+  r->current.pending_prefill = p->miss;
+  r->current.home = p->home;
+  r->current.fetched = p->fetch.tokens;
   int64_t own = r->tokens_in;
   if (r->segments_count > 0) own = r->segments[r->segments_count - 1].tokens;
-  r->held = own + r->tokens_out;
-  r->awaiting_event = true;
-  r->work_ahead =
+  r->current.held = own + r->tokens_out;
+  r->current.awaiting_event = true;
+  r->current.work_ahead =
       e->local.pending_prefill + e->peers.pending_prefill + p->miss;
-  r->wait_expected = p->wait_ms;
-  r->ttft_expected = p->ttft_ms;
-  r->slowness = p->slowness;
-  r->pause_expected = p->pause_ms;
+  r->current.wait_expected = p->wait_ms;
+  r->current.ttft_expected = p->ttft_ms;
+  r->current.slowness = p->slowness;
+  r->current.pause_expected = p->pause_ms;
   e->local.running++;
-  e->local.pending_prefill += r->pending_prefill;
-  e->local.held += r->held;
+  e->local.pending_prefill += r->current.pending_prefill;
+  e->local.held += r->current.held;
   e->tokens_processed += tokens_expected(r);
   e->cached.clock += tokens_expected(r);
   mt_engine_load_changed(e);
@@ -186,15 +187,15 @@
 
 void mt_relay_prompt_not_run (mt_relay_t *relay, mt_relay_request_t *r,
                               bool rejected) {
-  if (r->engine == NULL || r->segments_count == 0) return;
-  mt_prompt_not_run_t prompt = {.engine = r->engine->key,
+  if (r->current.engine == NULL || r->segments_count == 0) return;
+  mt_prompt_not_run_t prompt = {.engine = r->current.engine->key,
                                 .count = r->segments_count,
                                 .tokens = tokens_expected(r),
                                 .rejected = rejected};
   memcpy(prompt.segments, r->segments,
          r->segments_count * sizeof *r->segments);
-  r->engine->tokens_processed -= prompt.tokens;
-  withdraw_prompt(relay, r->engine, &prompt);
+  r->current.engine->tokens_processed -= prompt.tokens;
+  withdraw_prompt(relay, r->current.engine, &prompt);
   mt_relay_effect(relay, MT_RELAY_DO_REPORT_NOT_RUN)->u.not_run = prompt;
 }
 
@@ -214,19 +215,19 @@
 }
 
 void mt_relay_prefill_done (mt_relay_request_t *r) {
-  if (r->engine == NULL || !r->awaiting_event) return;
-  r->awaiting_event = false;
-  r->engine->local.pending_prefill -= r->pending_prefill;
-  mt_engine_load_changed(r->engine);
+  if (r->current.engine == NULL || !r->current.awaiting_event) return;
+  r->current.awaiting_event = false;
+  r->current.engine->local.pending_prefill -= r->current.pending_prefill;
+  mt_engine_load_changed(r->current.engine);
 }
 
 void mt_relay_remove_load (mt_relay_request_t *r) {
-  if (r->engine == NULL) return;
+  if (r->current.engine == NULL) return;
   mt_relay_prefill_done(r);
-  r->engine->local.running--;
-  r->engine->local.held -= r->held;
-  mt_engine_load_changed(r->engine);
-  r->engine = NULL;
+  r->current.engine->local.running--;
+  r->current.engine->local.held -= r->current.held;
+  mt_engine_load_changed(r->current.engine);
+  r->current.engine = NULL;
 }
 
 /* }== */
--- a/src/relay/request.c
+++ b/src/relay/request.c
@@ -44,7 +44,7 @@
                                       const mt_relay_request_t *r) {
   mt_relay_effect_t *fx = mt_relay_effect(relay, kind);
   fx->request = r->number;
-  fx->attempt = r->attempt;
+  fx->attempt = r->current.number;
   return fx;
 }
 
@@ -72,7 +72,7 @@
   while (relay->finished != NULL) {
     mt_relay_request_t *r = relay->finished;
     relay->finished = r->finished_next;
-    mt_event_stream_free(&r->stream);
+    mt_event_stream_free(&r->current.stream);
     free(r->body);
     free(r->names);
     free(r);
@@ -162,9 +162,9 @@
 }
 
 void mt_attempt_cancel (mt_relay_t *relay, mt_relay_request_t *r) {
-  if (r->engine == NULL) return;
+  if (r->current.engine == NULL) return;
   mt_request_effect(relay, MT_RELAY_DO_CANCEL, r);
-  if (!r->written) mt_relay_prompt_not_run(relay, r, false);
+  if (!r->current.written) mt_relay_prompt_not_run(relay, r, false);
   mt_relay_remove_load(r);
 }
 
@@ -197,15 +197,15 @@
                        const mt_placement_t *p) {
   if (r->phase == MT_RELAY_STREAMING && p->engine->version != r->version)
     relay->counters.version_changes++;
-  r->attempt++;
+  r->current.number = ++r->attempts;
   r->attempts_sent++;
   r->tried[r->tried_count++ % MT_RELAY_TRIES_MAX] = p->engine->key;
-  r->sent = r->last_received = relay->now;
-  r->status = 0;
-  r->written = r->outlived = false;
-  r->first_event_at = 0;
+  r->current.sent = r->current.last_received = relay->now;
+  r->current.status = 0;
+  r->current.written = r->current.outlived = false;
+  r->current.first_event_at = 0;
   r->body_size = 0;
-  mt_event_stream_free(&r->stream);
+  mt_event_stream_free(&r->current.stream);
   if (r->phase != MT_RELAY_STREAMING) r->phase = MT_RELAY_SENT;
   mt_engine_request_sent(p->engine, relay->now);
   mt_admission_use_permit(relay, r, p->engine);
@@ -353,7 +353,7 @@
 
 void mt_attempt_lost (mt_relay_t *relay, mt_relay_request_t *r,
                       mt_relay_retry_t reason) {
-  mt_connects_engine_failed(relay, r->engine);
+  mt_connects_engine_failed(relay, r->current.engine);
   mt_quarantine_run_lost(relay, r);
   mt_attempt_failed(relay, r, reason, true);
 }
--- a/src/relay/response.c
+++ b/src/relay/response.c
@@ -18,11 +18,11 @@
 
 void mt_response_head (mt_relay_t *relay, mt_relay_request_t *r,
                        const mt_relay_event_t *ev) {
-  mt_engine_t *e = r->engine;
-  r->status = ev->u.head.status;
-  r->events = ev->u.head.events && r->status / 100 == 2;
-  r->framed = ev->u.head.framed;
-  r->last_received = relay->now;
+  mt_engine_t *e = r->current.engine;
+  r->current.status = ev->u.head.status;
+  r->current.events = ev->u.head.events && r->current.status / 100 == 2;
+  r->current.framed = ev->u.head.framed;
+  r->current.last_received = relay->now;
   switch (ev->u.head.verdict) {
     case MT_RELAY_REPLACED:
       mt_relay_engine_gone(relay, e);
@@ -38,15 +38,15 @@
       return;
     case MT_RELAY_RAN: break;
   }
-  if (r->phase == MT_RELAY_STREAMING && !r->events) {
+  if (r->phase == MT_RELAY_STREAMING && !r->current.events) {
     /* Not a continuation of the stream that the caller is receiving. */
-    if (r->status >= 500) mt_engine_failed(e, relay->now);
+    if (r->current.status >= 500) mt_engine_failed(e, relay->now);
     mt_attempt_failed(relay, r, MT_RELAY_RETRY_ERROR, true);
     return;
   }
-  if (r->status < 500) {
+  if (r->current.status < 500) {
     mt_engine_succeeded(e, relay->now);
-    mt_engine_request_accepted(e, r->sent, relay->now);
+    mt_engine_request_accepted(e, r->current.sent, relay->now);
     if (r->segments_count > 0)
       mt_request_effect(relay, MT_RELAY_DO_REPORT_HOLDER, r);
     return;
@@ -63,9 +63,9 @@
                           int64_t length) {
   if (r->phase == MT_RELAY_STREAMING) return;
   r->phase = MT_RELAY_STREAMING;
-  r->framed_to_caller = r->framed;
+  r->framed_to_caller = r->current.framed;
   mt_request_effect(relay, MT_RELAY_DO_HEAD, r)->u.length =
-      r->framed ? length : MT_RELAY_LENGTH_UNFRAMED;
+      r->current.framed ? length : MT_RELAY_LENGTH_UNFRAMED;
 }
 
 static void forward_data (mt_relay_t *relay, mt_relay_request_t *r,
@@ -78,11 +78,11 @@
    learnt: from the engine of an earlier attempt, or while the router did not
    read or was overloaded. */
 static void note_received (mt_relay_t *relay, mt_relay_request_t *r) {
-  if (!r->awaiting_event && !r->delayed && !relay->overloaded)
-    mt_relay_learn_gap(relay, r, relay->now - r->event_received);
-  r->event_received = relay->now;
-  r->delayed = false;
-  if (r->first_event_at == 0) r->first_event_at = relay->now;
+  if (!r->current.awaiting_event && !r->current.delayed && !relay->overloaded)
+    mt_relay_learn_gap(relay, r, relay->now - r->current.event_received);
+  r->current.event_received = relay->now;
+  r->current.delayed = false;
+  if (r->current.first_event_at == 0) r->current.first_event_at = relay->now;
   mt_quarantine_run_progressed(relay, r);
 }
 
@@ -95,15 +95,15 @@
 static void on_event_data (mt_relay_t *relay, mt_relay_request_t *r,
                            mt_bytes_t data) {
   mt_stream_event_t event;
-  if (!mt_event_stream_feed(&r->stream, data.p, data.n)) {
+  if (!mt_event_stream_feed(&r->current.stream, data.p, data.n)) {
     mt_request_effect(relay, MT_RELAY_DO_CANCEL, r);
     mt_attempt_lost(relay, r, MT_RELAY_RETRY_LOST);
     return;
   }
-  while (mt_event_stream_next(&r->stream, &event)) {
+  while (mt_event_stream_next(&r->current.stream, &event)) {
     note_received(relay, r);
-    if (r->awaiting_event) {
-      r->ttft = mt_max(relay->now - r->sent, (mt_ms_t)1);
+    if (r->current.awaiting_event) {
+      r->current.ttft = mt_max(relay->now - r->current.sent, (mt_ms_t)1);
       mt_relay_learn_prefill(relay, r);
       mt_relay_prefill_done(r);
     }
@@ -138,10 +138,10 @@
 
 void mt_response_data (mt_relay_t *relay, mt_relay_request_t *r,
                        mt_bytes_t data, bool delayed) {
-  r->last_received = relay->now;
-  r->engine->last_received = relay->now;
-  r->delayed = r->delayed || delayed;
-  if (r->events)
+  r->current.last_received = relay->now;
+  r->current.engine->last_received = relay->now;
+  r->current.delayed = r->current.delayed || delayed;
+  if (r->current.events)
     on_event_data(relay, r, data);
   else
     on_plain_data(relay, r, data);
@@ -151,10 +151,10 @@
    of a later engine is complete is unknown, but the caller was promised
    framing; and a stream has one event at least. */
 static bool is_truncated (const mt_relay_request_t *r) {
-  bool unframed_stream = r->events && !r->framed;
-  if (r->framed_to_caller && !r->framed) return true;
-  if (unframed_stream && r->first_event_at == 0) return true;
-  return r->events && mt_event_stream_partial(&r->stream);
+  bool unframed_stream = r->current.events && !r->current.framed;
+  if (r->framed_to_caller && !r->current.framed) return true;
+  if (unframed_stream && r->current.first_event_at == 0) return true;
+  return r->current.events && mt_event_stream_partial(&r->current.stream);
 }
 
 void mt_response_end (mt_relay_t *relay, mt_relay_request_t *r) {
@@ -166,8 +166,9 @@
     forward_head(relay, r, (int64_t)r->body_size);
     forward_data(relay, r, (mt_bytes_t){r->body, r->body_size});
   }
-  if (r->status < 500) mt_engine_succeeded(r->engine, relay->now);
-  if (r->events) mt_relay_learn_stream(relay, r);
+  if (r->current.status < 500)
+    mt_engine_succeeded(r->current.engine, relay->now);
+  if (r->current.events) mt_relay_learn_stream(relay, r);
   mt_quarantine_run_answered(relay, r);
   mt_request_effect(relay, MT_RELAY_DO_END, r);
   relay->counters.answers++;
@@ -184,8 +185,9 @@
   for (size_t i = relay->count; i-- > 0;) {
     if (i >= relay->count) continue;
     mt_relay_request_t *r = relay->list[i];
-    if (r->engine == NULL || r->written) continue;
-    if (!r->engine->remote || r->engine->domain_id != domain) continue;
+    if (r->current.engine == NULL || r->current.written) continue;
+    if (!r->current.engine->remote || r->current.engine->domain_id != domain)
+      continue;
     mt_candidates_check_cuts(relay, r);
     if (r->ignores_cuts) continue;
     mt_request_effect(relay, MT_RELAY_DO_CANCEL, r);
@@ -199,8 +201,8 @@
     mt_attempt_lost(relay, r, MT_RELAY_RETRY_LOST);
     return;
   }
-  mt_id_t domain = r->engine->domain_id;
-  bool lost = mt_connects_failed(relay, r->engine, refused);
+  mt_id_t domain = r->current.engine->domain_id;
+  bool lost = mt_connects_failed(relay, r->current.engine, refused);
   mt_attempt_failed(relay, r, MT_RELAY_RETRY_CONNECT, false);
   if (lost) withdraw_unsent(relay, domain);
 }
--- a/src/relay/response_timeout.c
+++ b/src/relay/response_timeout.c
@@ -10,8 +10,8 @@
 /* Longest time without a byte of the request's response, in ms. */
 static mt_ms_t silence_limit (const mt_relay_request_t *r) {
   if (r->kind != MT_ROUTE_STREAM) return 4 * r->objective;
-  if (r->awaiting_event)
-    return 2 * r->objective + (mt_ms_t)(2 * r->wait_expected);
+  if (r->current.awaiting_event)
+    return 2 * r->objective + (mt_ms_t)(2 * r->current.wait_expected);
   return mt_max(5 * r->pause, ENGINE_SILENT_MS);
 }
 
@@ -27,11 +27,12 @@
 */
 bool mt_response_overdue (const mt_relay_t *relay,
                           const mt_relay_request_t *r) {
-  mt_ms_t waited = elapsed(r->last_received, relay->last_tick);
+  mt_ms_t waited = elapsed(r->current.last_received, relay->last_tick);
   if (waited > silence_limit(r)) return true;
   if (r->kind != MT_ROUTE_STREAM || waited < ENGINE_SILENT_MS) return false;
-  mt_ms_t engine_waited = elapsed(r->engine->last_received, relay->last_tick);
-  mt_ms_t sent = elapsed(r->sent, relay->last_tick);
+  mt_ms_t engine_waited =
+      elapsed(r->current.engine->last_received, relay->last_tick);
+  mt_ms_t sent = elapsed(r->current.sent, relay->last_tick);
   return engine_waited > ENGINE_SILENT_MS &&
-         sent > ENGINE_SILENT_MS + (mt_ms_t)r->wait_expected;
+         sent > ENGINE_SILENT_MS + (mt_ms_t)r->current.wait_expected;
 }
--- a/src/relay/stream_resume.c
+++ b/src/relay/stream_resume.c
@@ -193,12 +193,13 @@
   const mt_stream_origin_t origin = {r->service, r->version};
   if (r->stream_key == 0) return;
   mt_stream_origins_add(&relay->origins, r->stream_key, &origin,
-                        r->engine != NULL ? r->engine->key : 0,
+                        r->current.engine != NULL ? r->current.engine->key
+                                                  : 0,
                         stream_life_ms(relay, r->service), relay->now);
 }
 
 void mt_resume_began (mt_relay_t *relay, mt_relay_request_t *r) {
-  if (!r->bound) r->version = r->sent_version;
+  if (!r->bound) r->version = r->current.sent_version;
   r->bound = true;
   record(relay, r);
   tell_if_needed(relay, r);
@@ -216,7 +217,7 @@
 void mt_resume_version_changed (mt_relay_t *relay, const mt_engine_t *e) {
   for (size_t i = 0; i < relay->count; i++) {
     mt_relay_request_t *r = relay->list[i];
-    if (r->engine == e && r->events_count > 0) r->version = 0;
+    if (r->current.engine == e && r->events_count > 0) r->version = 0;
   }
   mt_ms_t life = stream_life_ms(relay, e->service);
   mt_ms_t lag = LIST_LAG_MAX_MS + relay->now -
--- a/tests/cold_start_test.cc
+++ b/tests/cold_start_test.cc
@@ -260,8 +260,8 @@
   EXPECT_EQ(returned, keys);
   auto *r = (mt_relay_request_t *)mtV_get(&w.relay->requests, 1);
   w.relay->now = w.now;
-  EXPECT_FALSE(mt_admission_allows(w.relay, r, r->engine));
-  EXPECT_TRUE(r->has_permit);
+  EXPECT_FALSE(mt_admission_allows(w.relay, r, r->current.engine));
+  EXPECT_TRUE(r->current.has_permit);
   w.sent(1); // its connection fails: there is no permit for a retry
   w.fail(1);
   EXPECT_EQ(w.find(MT_RELAY_DO_START, 1), nullptr);
@@ -290,7 +290,7 @@
   r = (mt_relay_request_t *)mtV_get(&w.relay->requests, 2);
   w.pass(100); // request 1 or 2 is placed without quotes
   w.pass(100);
-  ASSERT_NE(r->engine, nullptr);
+  ASSERT_NE(r->current.engine, nullptr);
   mt_relay_quote_t quote{};
   quote.engine = keys[0];
   quote.admission = MT_ADMIT_PERMIT;
--- a/tests/domain_reach_test.cc
+++ b/tests/domain_reach_test.cc
@@ -416,8 +416,8 @@
   w.connects.clear(); // a stream at a remote engine goes on
   auto *r = (mt_relay_request_t *)mtV_get(&w.relay->requests, 1);
   w.relay->engines.list[0]->local.running--;
-  r->engine = w.m(5);
-  r->engine->local.running++;
+  r->current.engine = w.m(5);
+  r->current.engine->local.running++;
   w.sent(1);
   w.head(1, 200, true);
   w.local_load = full;
--- a/tests/engine_gaps_test.cc
+++ b/tests/engine_gaps_test.cc
@@ -312,7 +312,7 @@
   if (fx == nullptr) return 0;
   auto *r = (mt_relay_request_t *)mtV_get(&w.relay->requests, 1);
   bool known = p.target > 0 && !p.off && p.age <= 2000;
-  EXPECT_EQ(r->pause_expected > 0, known);
+  EXPECT_EQ(r->current.pause_expected > 0, known);
   return fx->u.start.engine;
 }
 
--- a/tests/engine_speed_test.cc
+++ b/tests/engine_speed_test.cc
@@ -519,7 +519,7 @@
       else
         EXPECT_EQ(fx->u.start.engine != favourite, row.avoided) << row.what;
       auto *r = (mt_relay_request_t *)mtV_get(&w.relay->requests, 1);
-      EXPECT_GE(r->slowness, MT_SLOWNESS_MIN);
+      EXPECT_GE(r->current.slowness, MT_SLOWNESS_MIN);
     }
   }
 }
--- a/tests/gateway_log_test.cc
+++ b/tests/gateway_log_test.cc
@@ -25,16 +25,18 @@
   w.relay->now = UINT64_MAX / 1000;
   mt_relay_request_t r{};
   snprintf(r.id, sizeof r.id, "%s", std::string(39, 'i').c_str());
-  snprintf(r.engine_name, sizeof r.engine_name, "%s",
+  snprintf(r.current.engine_name, sizeof r.current.engine_name, "%s",
            std::string(47, 'e').c_str());
   r.digest = UINT64_MAX;
   r.route = r.workspace = UINT32_MAX;
-  r.attempt = r.attempts_max = 6;
-  r.status = 200;
-  r.wait_expected = r.ttft_expected = r.pause_expected = 123456;
-  r.ttft = r.longest_gap = 123456;
-  r.slowness = r.service_ratio = 88.88;
-  r.tokens_in = r.pending_prefill = r.fetched = r.last_event = 12345678;
+  r.current.number = r.attempts_max = 6;
+  r.current.status = 200;
+  r.current.wait_expected = r.current.ttft_expected =
+      r.current.pause_expected = 123456;
+  r.current.ttft = r.longest_gap = 123456;
+  r.current.slowness = r.service_ratio = 88.88;
+  r.tokens_in = r.current.pending_prefill = r.current.fetched = r.last_event =
+      12345678;
   mt_gateway_log_request(log, w.relay, &r, "attempt-failed",
                          "configuration_unsure");
   mt_log_writer_flush(log);
--- a/tests/prefill_time_test.cc
+++ b/tests/prefill_time_test.cc
@@ -100,7 +100,7 @@
     ASSERT_NE(r.find(MT_RELAY_DO_START), nullptr) << i;
     auto *request = (mt_relay_request_t *)mtV_get(&r.relay->requests, i);
     r.sent(i);
-    r.now += 50 + (mt_ms_t)request->work_ahead / 100;
+    r.now += 50 + (mt_ms_t)request->current.work_ahead / 100;
     r.head(i, 200, true);
     r.event(i, 1);
     r.end(i);
--- a/tests/prefix_holders_test.cc
+++ b/tests/prefix_holders_test.cc
@@ -101,8 +101,8 @@
     r.segments[0] = {7, row.shared};
     r.segments[1] = {9, 1000};
     r.segments_count = 2;
-    r.home = row.home;
-    r.pending_prefill = row.pending_prefill;
+    r.current.home = row.home;
+    r.current.pending_prefill = row.pending_prefill;
     EXPECT_EQ(mt_kv_cache_should_report(&service, &r), row.report)
         << row.what;
   }
--- a/tests/rejecting_fleet.h
+++ b/tests/rejecting_fleet.h
@@ -324,7 +324,7 @@
             mt_catalog_find_service(relay->catalog, r->service), r))
       return;
     int owner = owner_of(home);
-    uint64_t engine = r->engine->key;
+    uint64_t engine = r->current.engine->key;
     uint64_t segment =
         mt_kv_cache_home_segment(r->segments, r->segments_count);
     at(1, [this, owner, segment, engine] {
@@ -381,7 +381,8 @@
     mt_ms_t way = delay(domain_of_router(i), domain_of_engine(engine));
     tried[number].push_back(engine);
     report_holder(r);
-    report(i, r->engine, {r->segments, r->segments + r->segments_count});
+    report(i, r->current.engine,
+           {r->segments, r->segments + r->segments_count});
     at(0, [this, i, number, attempt] {
       step(i, make_event(MT_RELAY_WRITTEN, number, attempt));
     });
--- a/tests/relay.h
+++ b/tests/relay.h
@@ -143,7 +143,7 @@
   }
   int attempt (uint64_t number) {
     auto *r = (mt_relay_request_t *)mtV_get(&relay->requests, number);
-    return r ? r->attempt : 0;
+    return r ? r->current.number : 0;
   }
   mt_relay_event_t make_event (mt_relay_event_kind_t kind, uint64_t number,
                                int attempt_no = 0) {
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -619,22 +619,23 @@
       bool not_run = false;
       switch (what) {
         case 4:
-          if (!q->written) {
+          if (!q->current.written) {
             r.sent(number);
             written[number] = true;
           }
           break;
         case 5:
-          if (q->status == 0) r.head(number, 200, q->kind == MT_ROUTE_STREAM);
+          if (q->current.status == 0)
+            r.head(number, 200, q->kind == MT_ROUTE_STREAM);
           break;
         case 6:
-          if (q->status != 0) r.event(number, (int)q->last_event + 1);
+          if (q->current.status != 0) r.event(number, (int)q->last_event + 1);
           break;
         case 7:
-          if (q->status != 0) r.end(number);
+          if (q->current.status != 0) r.end(number);
           break;
         case 8:
-          if (q->written && q->status == 0) {
+          if (q->current.written && q->current.status == 0) {
             not_run = random() % 2;
             if (not_run) written[number] = false;
             r.head(number, not_run ? 503 : 500, false,
@@ -646,7 +647,7 @@
             r.step(r.make_event(MT_RELAY_CALLER_DISCONNECTED, number));
             open.erase(number);
           } else {
-            r.fail(number, !q->written);
+            r.fail(number, !q->current.written);
           }
           break;
         default: continue;
--- a/tests/silent_engine_test.cc
+++ b/tests/silent_engine_test.cc
@@ -51,9 +51,9 @@
   struct Row {
     const char *what;
     Other other;
-    bool budget;  // for retries
-    int before;   // events before the silence
-    int silence;  // ms
+    bool budget; // for retries
+    int before;  // events before the silence
+    int silence; // ms
   } rows[] = {
       {"no budget", Other::ANSWERS, false, 2, 1100},
       {"no budget, before the first event", Other::ANSWERS, false, 0, 2600},
@@ -132,8 +132,8 @@
     EXPECT_EQ(ids_of(caller->in), (std::vector<int>{1, 2, 3, 4, 5}))
         << row.what << ": " << caller->in << w.log;
     EXPECT_TRUE(World::is_complete(caller->in)) << row.what;
-    bool goes_elsewhere = row.other != Other::NONE &&
-                          row.other != Other::REFUSES && row.budget;
+    bool goes_elsewhere =
+        row.other != Other::NONE && row.other != Other::REFUSES && row.budget;
     EXPECT_EQ(others > 0, goes_elsewhere) << row.what;
   }
 }
--- a/tests/wait_limit_test.cc
+++ b/tests/wait_limit_test.cc
@@ -52,8 +52,8 @@
       const mt_relay_request_t *sent =
           (const mt_relay_request_t *)mtV_get(&r.relay->requests, i);
       double longest_wait = 600 * r.relay->params.wait_fraction / 3;
-      if (sent->wait_expected > longest_wait)
-        latest = std::max(latest, sent->ttft_expected);
+      if (sent->current.wait_expected > longest_wait)
+        latest = std::max(latest, sent->current.ttft_expected);
       admitted++;
     }
     EXPECT_GT(admitted, 5) << row.what;
