--- a/src/gateway/gateway_log.c
+++ b/src/gateway/gateway_log.c
@@ -85,6 +85,13 @@
   return n > 0 ? text : "-";
 }
 
+/* Time since the last byte of its answer, or since it was sent. */
+static number_t silent_ms (const mt_relay_t *relay,
+                           const mt_relay_request_t *r) {
+  mt_ms_t last = r->current.last_received;
+  return last != 0 && relay->now > last ? relay->now - last : 0;
+}
+
 void mt_gateway_log_request (mt_log_writer_t *log, const mt_relay_t *relay,
                              const mt_relay_request_t *r, const char *outcome,
                              const char *why) {
@@ -97,7 +104,7 @@
       "id=%s digest=%016llx parts=%s route=%08x workspace=%08x engine=%s "
       "software=%s resumes=%s from=%lld origin=%s attempt=%d age=%llu "
       "status=%d wait=%.0f expected=%.0f first=%llu slowness=%.2f "
-      "pause=%.0f gap=%llu "
+      "pause=%.0f gap=%llu silent=%llu "
       "standing=%.2f "
       "tokens=%lld own=%lld unread=%lld fetched=%lld home=%d last=%lld "
       "version=%lld "
@@ -110,9 +117,10 @@
       (number_t)(relay->now - r->arrived), r->current.status,
       r->current.wait_expected, r->current.ttft_expected,
       (number_t)r->current.ttft, r->current.slowness,
-      r->current.pause_expected, (number_t)r->longest_gap, r->service_ratio,
-      (long long)r->tokens_in, (long long)unshared_tokens(r),
-      (long long)r->current.pending_prefill, (long long)r->current.fetched,
-      r->current.home, (long long)r->last_event, (long long)version,
+      r->current.pause_expected, (number_t)r->longest_gap,
+      silent_ms(relay, r), r->service_ratio, (long long)r->tokens_in,
+      (long long)unshared_tokens(r), (long long)r->current.pending_prefill,
+      (long long)r->current.fetched, r->current.home,
+      (long long)r->last_event, (long long)version,
       cut ? mt_relay_cut_name(mt_request_cut(r)) : "-", outcome, why);
 }
--- a/tests/gateway_log_test.cc
+++ b/tests/gateway_log_test.cc
@@ -37,6 +37,7 @@
   r.current.slowness = r.service_ratio = 88.88;
   r.tokens_in = r.current.pending_prefill = r.current.fetched = r.last_event =
       12345678;
+  r.current.last_received = w.relay->now - 123456;
   mt_gateway_log_request(log, w.relay, &r, "attempt-failed",
                          "configuration_unsure");
   mt_log_writer_flush(log);
@@ -46,8 +47,9 @@
   close(fds[0]);
   ASSERT_GT(n, 0);
   std::string line(text, (size_t)n);
-  EXPECT_NE(line.find(" slowness=88.88 pause=123456 gap=123456 "),
-            std::string::npos)
+  EXPECT_NE(
+      line.find(" slowness=88.88 pause=123456 gap=123456 silent=123456 "),
+      std::string::npos)
       << line;
   EXPECT_NE(line.find(" why=configuration_unsure\n"), std::string::npos)
       << line;
