--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -35,24 +35,25 @@
 #define LINGER_MS 50
 #define FLUSH_RESERVE_MS 400 /* of the stop grace, for the last writes */
 
-/* A request in progress: the caller's exchange and its attempt. */
+#define CALLS_MAX 2 /* of a request: its current attempt and a hedge */
+
+/* A request in progress: the caller's exchange and the calls for it. */
 typedef struct inflight_t {
   mt_gateway_t *gateway;
   uint64_t number;
   mt_http_exchange_t *exchange;
-  struct attempt_t *attempt; /* the current one, or NULL */
-  /* Status and header lines of the answer, for the caller. */
-  int status;
-  mt_strbuf_t head;
-  bool head_sent; /* passed on to the caller; no longer replaced */
+  struct attempt_t *calls[CALLS_MAX]; /* NULL: free */
 } inflight_t;
 
 /* One call to an engine. It may outlive its request, to read a late head. */
 typedef struct attempt_t {
   inflight_t *inflight; /* NULL: the request no longer waits for it */
   mt_gateway_t *gateway;
-  mt_http_call_t *call;
+  mt_http_call_t *call; /* NULL: it is over */
   int number;
+  /* Status and header lines of the answer, for the caller. */
+  int status;
+  mt_strbuf_t head;
   bool paused;        /* reading was paused since the last data */
   uint64_t engine;    /* its key */
   int64_t started_at; /* the start of the engine that it was sent to */
@@ -63,24 +64,65 @@
 
 static void notify_sent (attempt_t *a, bool connected);
 
+static void free_attempt (attempt_t *a) {
+  mt_strbuf_free(&a->head);
+  free(a);
+}
+
+/* The request no longer waits for the call, which ends by itself. */
+static void detach (attempt_t *a) {
+  inflight_t *p = a->inflight;
+  if (p == NULL) return;
+  for (int i = 0; i < CALLS_MAX; i++)
+    if (p->calls[i] == a) p->calls[i] = NULL;
+  a->inflight = NULL;
+}
+
+static void detach_all (inflight_t *p) {
+  for (int i = 0; i < CALLS_MAX; i++)
+    if (p->calls[i] != NULL) detach(p->calls[i]);
+}
+
+/* Calls of attempts that are over may still be read to their end. */
+static void detach_superseded (inflight_t *p, const mt_relay_request_t *r) {
+  for (int i = 0; i < CALLS_MAX; i++) {
+    attempt_t *a = p->calls[i];
+    if (a != NULL && mt_relay_attempt(r, a->number) == NULL) detach(a);
+  }
+}
+
+static attempt_t *find_attempt (const inflight_t *p, int number) {
+  for (int i = 0; i < CALLS_MAX; i++)
+    if (p->calls[i] != NULL && p->calls[i]->number == number)
+      return p->calls[i];
+  return NULL;
+}
+
+static void add_attempt (inflight_t *p, attempt_t *a) {
+  for (int i = 0; i < CALLS_MAX; i++) {
+    if (p->calls[i] != NULL) continue;
+    p->calls[i] = a;
+    a->inflight = p;
+    return;
+  }
+}
+
 static void release (mt_gateway_t *g, inflight_t *p) {
-  if (p->attempt != NULL) p->attempt->inflight = NULL;
+  detach_all(p);
   mtV_del(&g->inflight_by_number, p->number);
-  mt_strbuf_free(&p->head);
   free(p);
 }
 
 /* An engine that rejects a request at once may ask for backoff in that
    answer, so the connection stays open for it if the caller disconnects
    first. */
-static void abandon_attempt (inflight_t *p) {
-  attempt_t *a = p->attempt;
+static void abandon_attempt (attempt_t *a) {
   if (a == NULL) return;
-  p->attempt = NULL;
-  a->inflight = NULL;
+  detach(a);
+  if (a->call == NULL) return; /* freed by the callback that ended it */
   if (mt_http_call_linger(a->call, LINGER_MS)) return;
   mt_http_call_cancel(a->call);
-  free(a);
+  free_attempt(a);
 }
 
 static void do_refuse (mt_gateway_t *g, inflight_t *p,
@@ -147,28 +189,26 @@
 static void do_start (mt_gateway_t *g, inflight_t *p,
                       const mt_relay_effect_t *fx) {
   if (!mt_http_exchange_check_connected(p->exchange)) return;
+  const mt_relay_request_t *r = mtV_get(&g->relay->requests, p->number);
+  if (r == NULL) return;
   mt_engine_t *engine =
       mt_engines_get(&g->relay->engines, fx->u.start.engine);
-  if (p->attempt != NULL)
-    p->attempt->inflight = NULL; /* that call ends by itself */
+  detach_superseded(p, r);
   attempt_t *a = mtV_new(sizeof *a);
   a->gateway = g;
-  a->inflight = p;
+  add_attempt(p, a);
   a->number = fx->attempt;
   a->engine = engine->key;
   a->started_at = engine->started_at;
-  mt_bytes_t id = {NULL, 0};
-  mt_relay_request_t *r = mtV_get(&g->relay->requests, p->number);
-  if (r != NULL) id = (mt_bytes_t){r->id, strlen(r->id)};
-  snprintf(a->id, sizeof a->id, "%.*s", (int)id.n, id.p);
-  p->attempt = a;
+  snprintf(a->id, sizeof a->id, "%s", r->id);
   write_request(g, p, engine, fx);
   mt_http_endpoint_t endpoint = {engine->key, engine->ip, engine->port};
   a->call = mt_http_client_call(
       g->engines, &endpoint, (mt_bytes_t){g->scratch.p, g->scratch.n},
       mt_http_exchange_body(p->exchange), fx->u.start.max_idle_ms, a);
   if (mt_http_call_is_sent(a->call)) notify_sent(a, false);
-  if (r != NULL) mt_gateway_peers_request_sent(g->peers, r);
+  const mt_attempt_t *sent = mt_relay_attempt(r, fx->attempt);
+  if (sent != NULL) mt_gateway_peers_request_sent(g->peers, r, sent);
 }
 
 static void do_get_quotes (mt_gateway_t *g, const mt_relay_effect_t *fx) {
@@ -181,13 +221,30 @@
   if (r != NULL) mt_gateway_peers_prompt_accepted(g->peers, r);
 }
 
+static void do_head (inflight_t *p, const mt_relay_effect_t *fx) {
+  const attempt_t *a = find_attempt(p, fx->attempt);
+  if (a == NULL) return;
+  mt_http_exchange_head(p->exchange, a->status, a->head.p, a->head.n,
+                        fx->u.length);
+}
+
+static void notify_paused (attempt_t *a, bool paused) {
+  mt_relay_event_t event = {.kind = MT_RELAY_PAUSED,
+                            .request = a->inflight->number,
+                            .attempt = a->number};
+  event.u.paused = paused;
+  mt_gateway_step(a->gateway, &event);
+}
+
 static void do_data (inflight_t *p, const mt_relay_effect_t *fx) {
   mt_http_exchange_data(p->exchange, fx->u.data.p, fx->u.data.n);
-  if (p->attempt == NULL ||
+  attempt_t *a = find_attempt(p, fx->attempt);
+  if (a == NULL || a->call == NULL ||
       mt_http_exchange_backlog(p->exchange) <= BACKLOG_MAX_BYTES)
     return;
-  p->attempt->paused = true;
-  mt_http_call_pause(p->attempt->call, true);
+  a->paused = true;
+  mt_http_call_pause(a->call, true);
+  notify_paused(a, true);
 }
 
 static void do_probe (mt_gateway_t *g, const mt_relay_effect_t *fx) {
@@ -248,12 +305,10 @@
     case MT_RELAY_DO_GET_QUOTES: do_get_quotes(g, fx); break;
     case MT_RELAY_DO_START: do_start(g, p, fx); break;
     case MT_RELAY_DO_REPORT_HOLDER: do_report_holder(g, fx); break;
-    case MT_RELAY_DO_CANCEL: abandon_attempt(p); break;
-    case MT_RELAY_DO_HEAD:
-      mt_http_exchange_head(p->exchange, p->status, p->head.p, p->head.n,
-                            fx->u.length);
-      p->head_sent = true;
+    case MT_RELAY_DO_CANCEL:
+      abandon_attempt(find_attempt(p, fx->attempt));
       break;
+    case MT_RELAY_DO_HEAD: do_head(p, fx); break;
     case MT_RELAY_DO_DATA: do_data(p, fx); break;
     case MT_RELAY_DO_END:
       mt_http_exchange_end(p->exchange);
@@ -277,8 +332,9 @@
 
 /*
 ** Effects are carried out in order, and some of them cause another event at
-** once, which is handled in a nested call. Only five events nest: WRITTEN
-** has no effects, and those of QUOTED, TRIAL_ANSWERED, ORIGIN_ASKED and
+** once, which is handled in a nested call. Only six events nest: WRITTEN and
+** PAUSED have no effects, and those of QUOTED, TRIAL_ANSWERED, ORIGIN_ASKED
+*and
 ** CALLER_DISCONNECTED concern only the request whose effect is being carried
 ** out.
 */
@@ -376,14 +432,19 @@
   mt_relay_event_t event = {.kind = MT_RELAY_CALLER_DISCONNECTED,
                             .request = p->number};
   mt_gateway_step(g, &event);
-  abandon_attempt(p);
+  for (int i = 0; i < CALLS_MAX; i++) abandon_attempt(p->calls[i]);
   release(g, p);
 }
 
 static void on_caller_drained (void *ud, mt_http_exchange_t *x) {
   inflight_t *p = mt_http_exchange_user(x);
-  if (p != NULL && p->attempt != NULL)
-    mt_http_call_pause(p->attempt->call, false);
+  for (int i = 0; p != NULL && i < CALLS_MAX; i++) {
+    attempt_t *a = p->calls[i];
+    if (a == NULL || a->call == NULL || !mt_http_call_is_paused(a->call))
+      continue;
+    mt_http_call_pause(a->call, false);
+    notify_paused(a, false);
+  }
 }
 
 /* }== */
@@ -391,19 +452,18 @@
 /* {== Engines ========================================================== */
 
 /* Saves an answer's status and end-to-end header fields for the caller. */
-static void save_head (inflight_t *p, int status,
+static void save_head (attempt_t *a, int status,
                        const mt_http_headers_t *headers) {
-  if (p->head_sent) return;
-  p->status = status;
-  p->head.n = 0;
+  a->status = status;
+  a->head.n = 0;
   for (size_t i = 0; i < headers->count; i++) {
     if (mt_http_headers_is_hop_by_hop(headers, i)) continue;
     mt_bytes_t name = mt_http_headers_name_at(headers, i);
     mt_bytes_t value = mt_http_headers_value_at(headers, i);
-    mt_strbuf_append(&p->head, name.p, name.n);
-    mt_strbuf_append(&p->head, ": ", 2);
-    mt_strbuf_append(&p->head, value.p, value.n);
-    mt_strbuf_append(&p->head, "\r\n", 2);
+    mt_strbuf_append(&a->head, name.p, name.n);
+    mt_strbuf_append(&a->head, ": ", 2);
+    mt_strbuf_append(&a->head, value.p, value.n);
+    mt_strbuf_append(&a->head, "\r\n", 2);
   }
 }
 
@@ -429,7 +489,7 @@
     return false;
   inflight_t *p = a->inflight;
   if (p == NULL) return true;
-  save_head(p, status, headers);
+  save_head(a, status, headers);
   mt_relay_event_t event = {
       .kind = MT_RELAY_HEAD, .request = p->number, .attempt = a->number};
   event.u.head.status = status;
@@ -455,28 +515,24 @@
   mt_gateway_step(a->gateway, &event);
 }
 
-/* The call is over: its request no longer refers to the attempt. */
-static void detach_attempt (attempt_t *a) {
-  if (a->inflight != NULL) a->inflight->attempt = NULL;
-}
-
 static void on_end (void *ud, mt_http_call_t *call) {
   attempt_t *a = ud;
   inflight_t *p = a->inflight;
-  detach_attempt(a);
+  a->call = NULL;
   if (p != NULL) {
     mt_relay_event_t event = {
         .kind = MT_RELAY_END, .request = p->number, .attempt = a->number};
     mt_gateway_step(a->gateway, &event);
   }
-  free(a);
+  detach(a);
+  free_attempt(a);
 }
 
 static void on_failed (void *ud, mt_http_call_t *call,
                        mt_http_failure_t why) {
   attempt_t *a = ud;
   inflight_t *p = a->inflight;
-  detach_attempt(a);
+  a->call = NULL;
   if (p != NULL) {
     mt_relay_event_t event = {
         .kind = MT_RELAY_FAILED, .request = p->number, .attempt = a->number};
@@ -484,7 +540,8 @@
     event.u.failed.refused = mt_http_call_was_refused(call);
     mt_gateway_step(a->gateway, &event);
   }
-  free(a);
+  detach(a);
+  free_attempt(a);
 }
 
 static void on_probed (void *ud, uint64_t endpoint, mt_http_probe_t how) {
@@ -781,8 +838,8 @@
   uv_run(g->loop, UV_RUN_NOWAIT);
   mtV_each (&g->inflight_by_number, i) {
     inflight_t *p = g->inflight_by_number.vals[i];
-    if (p->attempt) free(p->attempt);
-    mt_strbuf_free(&p->head);
+    for (int k = 0; k < CALLS_MAX; k++)
+      if (p->calls[k] != NULL) free_attempt(p->calls[k]);
     free(p);
   }
   mtV_free(&g->inflight_by_number);
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -113,6 +113,21 @@
                      (unsigned long long)c->cuts[i]);
 }
 
+static void hedges (const mt_relay_counters_t *c, mt_strbuf_t *out) {
+  describe(out, "hedges_total", "counter",
+           "Second attempts beside silent engines, by what became of them.");
+  for (int i = 0; i < MT_HEDGE_OUTCOMES; i++)
+    mt_strbuf_format(out, PREFIX "hedges_total{outcome=\"%s\"} %llu\n",
+                     mt_hedge_outcome_name((mt_hedge_outcome_t)i),
+                     (unsigned long long)c->hedges[i]);
+  number(out, "hedges_denied_total", "counter",
+         "Times that no engine, room or budget was left for one.",
+         (double)c->hedges_denied);
+  number(out, "silent_engines_total", "counter",
+         "Times that an engine sent nothing for too long.",
+         (double)c->silent_engines);
+}
+
 static void peers (const mt_peer_traffic_t *traffic, mt_strbuf_t *out) {
   describe(out, "peer_messages_total", "counter",
            "Messages sent to other routers, by kind.");
@@ -223,6 +238,7 @@
   number(out, "quote_rounds_late_total", "counter",
          "Rounds that some owner did not answer in time.",
          (double)c->quotes_late);
+  hedges(c, out);
   reasons(c, out);
   number(out, "refused_lagging_total", "counter",
          "Of the refusals as router_full: streams, as the loop's turns lag.",
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -377,18 +377,18 @@
 }
 
 void mt_gateway_peers_request_sent (mt_gateway_peers_t *peers,
-                                    const mt_relay_request_t *r) {
-  if (r->current.engine == NULL) return;
-  uint32_t owner = owner_of(peers, r->current.engine);
+                                    const mt_relay_request_t *r,
+                                    const mt_attempt_t *a) {
+  uint32_t owner = owner_of(peers, a->engine);
   if (owner == peers->members.own_ip) {
-    if (!r->current.has_permit)
-      mt_cold_starts_charge(&peers->relay->cold, r->current.engine->key);
+    if (!a->has_permit)
+      mt_cold_starts_charge(&peers->relay->cold, a->engine->key);
     return;
   }
   mt_peer_message_t *m = begin(peers, MT_PEER_LOAD);
   m->request_number = r->number;
-  add_load(peers, m, r->current.engine);
-  if (r->current.has_permit) m->engines[0].admission = MT_ADMIT_PERMIT;
+  add_load(peers, m, a->engine);
+  if (a->has_permit) m->engines[0].admission = MT_ADMIT_PERMIT;
   m->segments_count = r->segments_count;
   memcpy(m->segments, r->segments, r->segments_count * sizeof *r->segments);
   send_message(peers, owner);
--- a/src/gateway/gateway_peers.h
+++ b/src/gateway/gateway_peers.h
@@ -77,9 +77,11 @@
 void mt_gateway_peers_return_permit (mt_gateway_peers_t *peers,
                                      uint64_t engine);
 
-/* A request was sent to an engine: reports the new load to its owner. */
+/* An attempt of the request was sent: reports the new load to the owner of
+   its engine. */
 void mt_gateway_peers_request_sent (mt_gateway_peers_t *peers,
-                                    const mt_relay_request_t *request);
+                                    const mt_relay_request_t *request,
+                                    const mt_attempt_t *attempt);
 
 /* An engine accepted a request. If it is not the home of the prompt's shared
    segments, the owner of that one is told where they are cached now. */
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -474,6 +474,10 @@
     uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
 }
 
+bool mt_http_call_is_paused (const mt_http_call_t *c) {
+  return c->paused;
+}
+
 /* }== */
 
 /* {== The client ======================================================= */
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -109,6 +109,7 @@
 
 /* Pauses or resumes reading the response, for backpressure. */
 void mt_http_call_pause (mt_http_call_t *call, bool pause);
+bool mt_http_call_is_paused (const mt_http_call_t *call);
 
 /* Closes the idle connections of an endpoint that no longer exists. */
 void mt_http_client_close_idle (mt_http_client_t *client, uint64_t key);
--- a/src/relay/connects.c
+++ b/src/relay/connects.c
@@ -7,6 +7,7 @@
 /* Without probes an unreachable failure domain gets no requests for this
    long. */
 #define UNPROBED_WAIT_MS 1000
+#define SILENT_PROBE_INTERVAL_MS 500 /* between probes of a silent engine */
 
 static mt_domain_change_t record (mt_relay_t *relay, const mt_engine_t *e,
                                   mt_connect_outcome_t outcome) {
@@ -34,6 +35,26 @@
   if (!mt_connects_cut_off(relay, e)) mt_engine_failed(e, relay->now);
 }
 
+static void probe_silent (mt_relay_t *relay, mt_engine_t *e) {
+  if (relay->params.off[MT_RELAY_PROBE] || e->probing || e->unreachable ||
+      relay->now < e->next_probe)
+    return;
+  e->probing = true;
+  e->next_probe = relay->now + SILENT_PROBE_INTERVAL_MS;
+  mt_relay_effect(relay, MT_RELAY_DO_PROBE)->u.probe = e->key;
+  relay->counters.probes++;
+}
+
+/* It may have restarted without a word, at another version. */
+void mt_connects_engine_silent (mt_relay_t *relay, mt_engine_t *e) {
+  if (!mt_engine_is_silent(e, relay->now)) {
+    relay->counters.silent_engines++;
+    mt_engine_doubt_version(e, relay->now);
+  }
+  mt_engine_found_silent(e, relay->now);
+  probe_silent(relay, e);
+}
+
 /*
 ** An engine that is already marked as unreachable gives no new evidence by
 ** another time-out: two engines that are down would otherwise mark their
@@ -55,14 +76,15 @@
 ** A connection that opens clears the failures of an engine that was
 ** unreachable, not those of one that failed requests. An engine that was
 ** probed only for its domain gets no mark of its own, so that it is usable as
-** soon as any engine of the domain is reached.
+** soon as any engine of the domain is reached; a silent one does.
 */
 void mt_connects_probed (mt_relay_t *relay, mt_engine_t *e, bool up,
                          bool refused) {
   if (!up) mt_engine_doubt_version(e, relay->now);
   if (up || refused)
     record(relay, e, up ? MT_CONNECT_MADE : MT_CONNECT_REFUSED);
-  if (!e->unreachable && !refused)
+  bool silent = !up && mt_engine_is_silent(e, relay->now);
+  if (!e->unreachable && !refused && !silent)
     e->probing = false;
   else
     mt_engine_set_reachable(e, up, relay->now);
--- a/src/relay/connects.h
+++ b/src/relay/connects.h
@@ -29,6 +29,10 @@
    the engine is then no less fit. */
 void mt_connects_engine_failed (mt_relay_t *relay, mt_engine_t *engine);
 
+/* Records that the engine sends nothing, and probes it: one that cannot be
+   reached gets no work until it can. */
+void mt_connects_engine_silent (mt_relay_t *relay, mt_engine_t *engine);
+
 /* Probes unreachable failure domains, one engine of each at a time; called at
    each tick. */
 void mt_connects_probe_domains (mt_relay_t *relay);
--- a/src/relay/engine.c
+++ b/src/relay/engine.c
@@ -27,6 +27,8 @@
 #define RATE_VALID_MS 2000
 #define REJECTING_RATE 0.5      /* above it an engine rejects most requests */
 #define REJECTION_SUSPEND_MS 30 /* suspension after a rejection */
+/* An engine at which nothing runs any more is taken for silent this long. */
+#define SILENCE_VALID_MS 1000
 
 uint64_t mt_engine_key (const char *name, size_t size) {
   return mtV_hash(name, size) | 1;
@@ -140,6 +142,15 @@
   e->last_received = now;
 }
 
+void mt_engine_found_silent (mt_engine_t *e, mt_ms_t now) {
+  e->silent_at = now;
+}
+
+bool mt_engine_is_silent (const mt_engine_t *e, mt_ms_t now) {
+  return e->silent_at != 0 && e->last_received < e->silent_at &&
+         now < e->silent_at + SILENCE_VALID_MS;
+}
+
 void mt_engine_set_reachable (mt_engine_t *e, bool up, mt_ms_t now) {
   e->unreachable = !up;
   if (!up) activate(e);
@@ -265,5 +276,5 @@
   if (e->drain.started_at <= e->started_at) e->drain = (mt_engine_drain_t){0};
   e->unreachable = false;
   e->doubted_at = 0;
-  e->last_received = 0;
+  e->last_received = e->silent_at = 0;
 }
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -95,6 +95,7 @@
   bool probing;     /* a probe is in progress */
   mt_ms_t next_probe;
   mt_ms_t last_received;    /* when it last sent any response */
+  mt_ms_t silent_at;        /* when it was last found silent; 0: never */
   mt_prefix_cache_t cached; /* prompt segments that it probably has cached */
   int64_t tokens_processed; /* of this router's requests, prompt and output */
 } mt_engine_t;
@@ -142,6 +143,12 @@
 /* Records a success, which clears its failures and suspension. */
 void mt_engine_succeeded (mt_engine_t *engine, mt_ms_t now);
 
+/* Records that it sends nothing though requests run there. */
+void mt_engine_found_silent (mt_engine_t *engine, mt_ms_t now);
+/* True if it was found silent lately and has sent nothing since. That is no
+   failure: a sound engine may pause and go on. */
+bool mt_engine_is_silent (const mt_engine_t *engine, mt_ms_t now);
+
 /*
 ** Records that an incarnation of it drains. False if that was known already
 ** or the notice is of an earlier incarnation.
--- /dev/null
+++ b/src/relay/hedge.c
@@ -0,0 +1,208 @@
+/*
+** hedge.c - a second attempt beside one whose engine is silent
+*/
+#include <string.h>
+
+#include "connects.h"
+#include "hedge.h"
+#include "quarantine.h"
+#include "relay_load.h"
+#include "request.h"
+#include "response.h"
+#include "response_timeout.h"
+
+/* Longest time that both engines may work on the request. */
+#define OVERLAP_MAX_MS 250
+#define HEDGE_INTERVAL_MS 100 /* between tries to start one */
+
+static bool has_hedge (const mt_relay_request_t *r) {
+  return r->hedge.engine != NULL;
+}
+
+/* {== Its end ========================================================== */
+
+void mt_hedge_remove (mt_relay_t *relay, mt_relay_request_t *r) {
+  if (!has_hedge(r)) return;
+  mt_attempt_swap(r);
+  mt_relay_remove_load(r);
+  mt_event_stream_free(&r->current.stream);
+  r->current = (mt_attempt_t){.number = 0};
+  mt_attempt_swap(r);
+}
+
+/* `ran`: the engine ran it, or may have. */
+static void end_hedge (mt_relay_t *relay, mt_relay_request_t *r, bool ran,
+                       mt_hedge_outcome_t outcome) {
+  if (ran) r->may_have_run = true;
+  relay->counters.hedges[outcome]++;
+  mt_hedge_remove(relay, r);
+}
+
+static void cancel_call (mt_relay_t *relay, mt_relay_request_t *r) {
+  mt_request_effect(relay, MT_RELAY_DO_CANCEL, r)->attempt = r->hedge.number;
+}
+
+/* The engine has not run it, and so has not cached its prompt. */
+static void prompt_not_run (mt_relay_t *relay, mt_relay_request_t *r,
+                            bool rejected) {
+  mt_attempt_swap(r);
+  mt_relay_prompt_not_run(relay, r, rejected);
+  mt_attempt_swap(r);
+}
+
+void mt_hedge_cancel (mt_relay_t *relay, mt_relay_request_t *r) {
+  if (!has_hedge(r)) return;
+  bool written = r->hedge.written;
+  cancel_call(relay, r);
+  if (!written) {
+    prompt_not_run(relay, r, false);
+    r->attempts_sent--;
+  }
+  end_hedge(relay, r, written, MT_HEDGE_CANCELLED);
+}
+
+/* }== */
+
+/* {== It becomes the current attempt =================================== */
+
+static void become_current (mt_relay_t *relay, mt_relay_request_t *r,
+                            mt_hedge_outcome_t outcome) {
+  mt_attempt_swap(r);
+  mt_event_stream_free(&r->hedge.stream);
+  r->hedge = (mt_attempt_t){.number = 0};
+  mt_attempt_discard_body(r);
+  relay->counters.hedges[outcome]++;
+  if (r->current.status != 0) mt_response_accepted(relay, r);
+}
+
+bool mt_hedge_take_over (mt_relay_t *relay, mt_relay_request_t *r) {
+  if (!has_hedge(r)) return false;
+  become_current(relay, r, MT_HEDGE_TOOK_OVER);
+  return true;
+}
+
+/* What the end of a silent attempt says of its engine: one that answers other
+   requests has failed this one. */
+static void record_silent_engine (mt_relay_t *relay,
+                                  const mt_relay_request_t *r) {
+  mt_engine_t *e = r->current.engine;
+  if (mt_response_engine_silent(relay, r))
+    mt_engine_doubt_version(e, relay->now);
+  else
+    mt_connects_engine_failed(relay, e);
+}
+
+/* Ends the silent attempt for the hedge. */
+static void replace_current (mt_relay_t *relay, mt_relay_request_t *r,
+                             mt_hedge_outcome_t outcome) {
+  record_silent_engine(relay, r);
+  mt_request_effect(relay, MT_RELAY_DO_CANCEL, r);
+  mt_request_log(relay, r, "attempt-failed",
+                 mt_relay_retry_code(MT_RELAY_RETRY_SILENT));
+  mt_relay_remove_load(r);
+  r->may_have_run = true;
+  become_current(relay, r, outcome);
+}
+
+/* }== */
+
+/* {== Its events ======================================================= */
+
+static void on_lost (mt_relay_t *relay, mt_relay_request_t *r) {
+  mt_attempt_swap(r);
+  mt_connects_engine_failed(relay, r->current.engine);
+  mt_quarantine_run_lost(relay, r);
+  mt_attempt_swap(r);
+  end_hedge(relay, r, true, MT_HEDGE_FAILED);
+}
+
+static void on_failed (mt_relay_t *relay, mt_relay_request_t *r,
+                       const mt_relay_event_t *ev) {
+  if (!ev->u.failed.not_sent) {
+    on_lost(relay, r);
+    return;
+  }
+  mt_engine_t *e = r->hedge.engine;
+  prompt_not_run(relay, r, false);
+  r->attempts_sent--;
+  end_hedge(relay, r, false, MT_HEDGE_FAILED);
+  mt_response_connect_failed(relay, e, ev->u.failed.refused);
+}
+
+/* A response that cannot replace or continue what the caller gets. Its short
+   body is read to the end, which keeps the connection usable. */
+static bool is_useless (const mt_relay_request_t *r) {
+  if (r->hedge.status >= 500) return true;
+  return r->phase == MT_RELAY_STREAMING && !r->hedge.events;
+}
+
+static void on_head (mt_relay_t *relay, mt_relay_request_t *r,
+                     const mt_relay_event_t *ev) {
+  mt_engine_t *e = r->hedge.engine;
+  mt_attempt_note_head(&r->hedge, ev);
+  switch (ev->u.head.verdict) {
+    case MT_RELAY_REPLACED:
+      mt_relay_engine_gone(relay, e);
+      mt_quarantine_engine_ended(relay, e->key);
+      cancel_call(relay, r);
+      prompt_not_run(relay, r, false);
+      end_hedge(relay, r, false, MT_HEDGE_FAILED);
+      return;
+    case MT_RELAY_NOT_RUN:
+      mt_engine_request_rejected(e, relay->now);
+      prompt_not_run(relay, r, true);
+      end_hedge(relay, r, false, MT_HEDGE_FAILED);
+      return;
+    case MT_RELAY_RAN: break;
+  }
+  if (!is_useless(r)) return;
+  if (r->hedge.status >= 500) mt_engine_failed(e, relay->now);
+  end_hedge(relay, r, true, MT_HEDGE_FAILED);
+}
+
+bool mt_hedge_on_event (mt_relay_t *relay, mt_relay_request_t *r,
+                        const mt_relay_event_t *ev) {
+  if (!has_hedge(r) || ev->attempt != r->hedge.number) return false;
+  switch (ev->kind) {
+    case MT_RELAY_WRITTEN:
+      r->hedge.written = true;
+      if (ev->u.connected) mt_connects_made(relay, r->hedge.engine);
+      return true;
+    case MT_RELAY_HEAD: on_head(relay, r, ev); return true;
+    case MT_RELAY_FAILED: on_failed(relay, r, ev); return true;
+    case MT_RELAY_END:
+      if (r->hedge.events) { /* a stream has one event at least */
+        on_lost(relay, r);
+        return true;
+      }
+      replace_current(relay, r, MT_HEDGE_WON);
+      return false;
+    case MT_RELAY_DATA: replace_current(relay, r, MT_HEDGE_WON); return false;
+    default: return true;
+  }
+}
+
+/* }== */
+
+/* {== Time ============================================================= */
+
+/* While this process is short of processor time silence is its own. */
+static void start_hedge (mt_relay_t *relay, mt_relay_request_t *r) {
+  if (relay->now < r->next_hedge || relay->overloaded) return;
+  r->next_hedge = relay->now + HEDGE_INTERVAL_MS;
+  if (!mt_attempt_hedge(relay, r)) relay->counters.hedges_denied++;
+}
+
+void mt_hedge_check (mt_relay_t *relay, mt_relay_request_t *r) {
+  if (has_hedge(r)) {
+    bool over = relay->now - r->hedge.sent > OVERLAP_MAX_MS;
+    if (over && r->hedge.written) replace_current(relay, r, MT_HEDGE_KEPT);
+    return;
+  }
+  if (!mt_response_overdue(relay, r)) return;
+  if (mt_response_engine_silent(relay, r))
+    mt_connects_engine_silent(relay, r->current.engine);
+  start_hedge(relay, r);
+}
+
+/* }== */
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -15,6 +15,7 @@
 #define FULL_PENALTY_MS 2000.0      /* no free slot */
 #define MEMORY_PENALTY_MS 1000.0    /* running requests would be preempted */
 #define FAILURE_PENALTY_MS 50.0     /* per failure in a row */
+#define SILENCE_PENALTY_MS 1000.0   /* the engine sends nothing at present */
 #define REJECTION_PENALTY_MS 2000.0 /* times the rejection rate */
 #define RUNNING_PENALTY_MS 1.0 /* per running request, each slows others */
 /* near_idle_fraction falls with this power of the service ratio. */
@@ -251,6 +252,7 @@
   if (full) cost += FULL_PENALTY_MS;
   if (kv_capacity > 0 && held > kv_capacity) cost += MEMORY_PENALTY_MS;
   cost += e->failures * FAILURE_PENALTY_MS;
+  if (mt_engine_is_silent(e, c->relay->now)) cost += SILENCE_PENALTY_MS;
   if (mt_resume_engine_version(c->relay, e) == 0)
     cost += UNKNOWN_VERSION_PENALTY_MS;
   if (!r->bound)
@@ -274,13 +276,14 @@
 }
 
 /* Fraction of the slots in use with this request, for a remote engine half a
-   slot more; plus the engine's failures in a row. */
+   slot more; plus the engine's failures in a row, and 1 while it is silent.
+ */
 static double slot_cost (const costs_t *c, mt_engine_t *e,
                          mt_placement_t *p) {
   double slots = mt_max(e->slots, 1);
   *p = (mt_placement_t){.engine = e, .full = running(e) >= e->slots};
   return (running(e) + 1) / slots + (e->remote ? 0.5 / slots : 0) +
-         e->failures;
+         e->failures + mt_engine_is_silent(e, c->relay->now);
 }
 
 /* A suspect request, which may crash the engine, goes where the fewest
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -9,11 +9,11 @@
 #include "response.h"
 #include "candidates.h"
 #include "connects.h"
+#include "hedge.h"
 #include "quarantine.h"
 #include "quotes.h"
 #include "relay_load.h"
 #include "request.h"
-#include "response_timeout.h"
 #include "stream_resume.h"
 
 #define UPDATE_MS 100   /* between updates of fair shares and engines */
@@ -21,6 +21,8 @@
 /* After STOP, new streams are accepted for this long: the load balancer may
    still send callers. */
 #define STREAM_GRACE_MS 2000
+/* Between ticks: this process, or its box, stood still meanwhile. */
+#define STALL_MS 200
 
 /* {== Requests and quotes ============================================== */
 
@@ -192,12 +194,14 @@
 ** True if remote failure domains should be asked about a request without a
 ** prompt. Such a request is never refused for want of room; it stays in the
 ** local failure domain unless it would wait for a slot there, or the engine's
-** last request failed.
+** last request failed, or the engine is silent.
 */
-static bool should_leave_domain (const mt_relay_request_t *r,
+static bool should_leave_domain (const mt_relay_t *relay,
+                                 const mt_relay_request_t *r,
                                  const mt_placement_t *p) {
   if (r->segments_count > 0 || p->engine->remote) return false;
-  return p->full || p->engine->failures > 0;
+  return p->full || p->engine->failures > 0 ||
+         mt_engine_is_silent(p->engine, relay->now);
 }
 
 /* True if further owners should be asked before the request is sent to the
@@ -206,7 +210,7 @@
 static bool should_ask_further (const mt_relay_t *relay,
                                 const mt_relay_request_t *r,
                                 const mt_placement_t *p) {
-  if (should_leave_domain(r, p)) return true;
+  if (should_leave_domain(relay, r, p)) return true;
   return r->segments_count > 0 &&
          mt_engine_is_rejecting(p->engine, relay->now);
 }
@@ -415,9 +419,12 @@
   mt_engine_t *e = mt_engines_get(&relay->engines, key);
   if (e == NULL) return;
   if (version_changed) mt_resume_version_changed(relay, e);
-  for (size_t i = relay->count; i-- > 0;)
-    if (i < relay->count && relay->list[i]->current.engine == e)
-      lose_run(relay, relay->list[i]);
+  for (size_t i = relay->count; i-- > 0;) {
+    if (i >= relay->count) continue;
+    if (relay->list[i]->hedge.engine == e)
+      mt_hedge_cancel(relay, relay->list[i]);
+    if (relay->list[i]->current.engine == e) lose_run(relay, relay->list[i]);
+  }
   mt_quarantine_engine_ended(relay, key);
   mt_quarantine_send_reports(relay);
   mt_load_table_remove(&relay->router_loads, key);
@@ -435,6 +442,7 @@
   for (size_t i = relay->count; i-- > 0;) {
     if (i >= relay->count) continue;
     mt_relay_request_t *r = relay->list[i];
+    if (r->hedge.engine == e && !r->hedge.written) mt_hedge_cancel(relay, r);
     if (r->current.engine != e || r->current.written) continue;
     mt_request_effect(relay, MT_RELAY_DO_CANCEL, r);
     mt_attempt_failed(relay, r, MT_RELAY_RETRY_NOTICE, false);
@@ -470,7 +478,7 @@
 
 static void check_request (mt_relay_t *relay, mt_relay_request_t *r) {
   if (relay->now >= r->expires) {
-    bool ran = r->may_have_run || r->current.written;
+    bool ran = r->may_have_run || r->current.written || r->hedge.written;
     mt_request_give_up(relay, r,
                        ran ? MT_RELAY_TIMEOUT : MT_RELAY_TIMEOUT_NOT_RUN);
     return;
@@ -490,14 +498,7 @@
     apply_resume(relay, r, mt_resume_decide(relay, r));
     return;
   }
-  if (r->current.engine == NULL || !mt_response_overdue(relay, r)) return;
-  if (!mt_attempt_may_retry(relay, r, r->current.written)) return;
-  mt_engine_t *e = r->current.engine;
-  mt_placement_t other = mt_placement_choose(relay, r);
-  if (other.engine == NULL) return;
-  mt_attempt_cancel(relay, r);
-  mt_connects_engine_failed(relay, e);
-  mt_attempt_failed(relay, r, MT_RELAY_RETRY_SILENT, r->current.written);
+  if (r->current.engine != NULL) mt_hedge_check(relay, r);
 }
 
 /* Declared capacity of all engines together, tokens per second; 0: none. */
@@ -537,6 +538,8 @@
 static void on_tick (mt_relay_t *relay) {
   for (size_t i = relay->count; i-- > 0;)
     if (i < relay->count) check_request(relay, relay->list[i]);
+  if (relay->now - relay->last_tick > STALL_MS)
+    relay->reads_since = relay->now;
   relay->last_tick = relay->now;
   mt_resume_tick(relay);
   mt_relay_probe_engines(relay);
@@ -557,8 +560,16 @@
 
 /* {== The reducer ====================================================== */
 
+/* The adapter does not read a response while its caller does not. */
+static void on_paused (mt_relay_t *relay, mt_relay_request_t *r,
+                       bool paused) {
+  r->current.paused = paused;
+  if (!paused) r->current.last_received = relay->now;
+}
+
 static void on_attempt_event (mt_relay_t *relay, mt_relay_request_t *r,
                               const mt_relay_event_t *ev) {
+  if (mt_hedge_on_event(relay, r, ev)) return;
   if (r->current.engine == NULL || ev->attempt != r->current.number)
     return; /* of an earlier attempt */
   switch (ev->kind) {
@@ -566,15 +577,23 @@
       r->current.written = true;
       if (ev->u.connected) mt_connects_made(relay, r->current.engine);
       break;
-    case MT_RELAY_HEAD: mt_response_head(relay, r, ev); break;
+    case MT_RELAY_PAUSED: on_paused(relay, r, ev->u.paused); break;
+    case MT_RELAY_HEAD:
+      mt_hedge_cancel(relay, r);
+      mt_response_head(relay, r, ev);
+      break;
     case MT_RELAY_DATA:
+      mt_hedge_cancel(relay, r);
       mt_response_data(relay, r, ev->u.data, ev->delayed);
       break;
     case MT_RELAY_FAILED:
       mt_response_failed(relay, r, ev->u.failed.not_sent,
                          ev->u.failed.refused);
       break;
-    case MT_RELAY_END: mt_response_end(relay, r); break;
+    case MT_RELAY_END:
+      mt_hedge_cancel(relay, r);
+      mt_response_end(relay, r);
+      break;
     default: break;
   }
 }
@@ -632,6 +651,7 @@
     case MT_RELAY_HEAD:
     case MT_RELAY_DATA:
     case MT_RELAY_END:
+    case MT_RELAY_PAUSED:
     case MT_RELAY_FAILED:
       if (r != NULL) on_attempt_event(relay, r, ev);
       break;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -125,6 +125,19 @@
 /* Name of such an end in logs and metrics. */
 const char *mt_relay_cut_name (mt_relay_cut_t cut);
 
+/* What became of second attempts beside silent ones (hedge.h). */
+typedef enum mt_hedge_outcome_t {
+  MT_HEDGE_WON,       /* sent the first byte of its body before the other */
+  MT_HEDGE_KEPT,      /* neither had when the overlap of the two was over */
+  MT_HEDGE_TOOK_OVER, /* the other failed first */
+  MT_HEDGE_CANCELLED, /* the silent engine went on, or the request ended */
+  MT_HEDGE_FAILED,    /* was rejected or lost, or could not be sent */
+  MT_HEDGE_OUTCOMES
+} mt_hedge_outcome_t;
+
+/* Name of such an outcome in metrics. */
+const char *mt_hedge_outcome_name (mt_hedge_outcome_t outcome);
+
 typedef struct mt_relay_counters_t {
   uint64_t requests, answers, aborted, callers_disconnected, attempts, events;
   /* Prompt tokens sent to engines, and those believed not to be cached. */
@@ -134,6 +147,9 @@
   uint64_t retries[MT_RELAY_RETRY_COUNT];
   uint64_t refused_lagging; /* of FULL: because ticks come late */
   uint64_t retries_denied;
+  uint64_t hedges[MT_HEDGE_OUTCOMES];
+  uint64_t hedges_denied;  /* no engine, room or permit for one */
+  uint64_t silent_engines; /* times that an engine was found silent */
   uint64_t fetches, tokens_fetched; /* KV cache moved between engines */
   uint64_t probes;                  /* connections opened to test an engine */
   uint64_t domain_cuts; /* times that a failure domain became unreachable */
@@ -198,6 +214,7 @@
   MT_RELAY_DATA,           /* bytes of the response body */
   MT_RELAY_END,            /* the response is complete */
   MT_RELAY_FAILED,         /* the connection failed before that */
+  MT_RELAY_PAUSED,         /* the adapter stops or resumes reading it */
   MT_RELAY_QUOTED,         /* quotes from owners of engines */
   MT_RELAY_PROBED,         /* result of a connection test */
   MT_RELAY_TRIAL_ANSWERED, /* an owner's reply on running a suspect request */
@@ -276,6 +293,7 @@
       const mt_origin_answer_t *answer;
     } origin;
     bool connected; /* WRITTEN: a new connection was made for it */
+    bool paused;    /* PAUSED: it stops */
     struct {
       bool not_sent; /* no byte reached the engine */
       bool refused;  /* not sent: no process listens on the port */
@@ -335,6 +353,7 @@
       int64_t last_event; /* resume after this event id; -1: from the start */
       mt_id_t workspace;  /* 0: none */
       uint64_t source;    /* engine to fetch KV cache from; 0: none */
+      bool hedge;         /* beside the current attempt, which goes on */
       mt_ms_t max_idle_ms; /* of a reused connection */
     } start;
     uint64_t probe;               /* PROBE: the engine */
@@ -411,6 +430,7 @@
   mt_ms_t first_event_at; /* 0: none has come */
   bool outlived;          /* the engine has outlived the first event */
   bool delayed;           /* the router didn't read since the last event */
+  bool paused;            /* the adapter does not read the response */
 } mt_attempt_t;
 
 typedef struct mt_relay_request_t {
@@ -479,8 +499,10 @@
   uint64_t trial_name;   /* 0: it is no suspect */
   uint64_t trial_engine; /* 0: not chosen */
   mt_attempt_t current;
-  int attempts;      /* number of the last attempt */
-  int attempts_sent; /* attempts that may have reached an engine */
+  mt_attempt_t hedge; /* beside the current one; its engine is NULL: none */
+  mt_ms_t next_hedge; /* not to be tried before */
+  int attempts;       /* number of the last attempt */
+  int attempts_sent;  /* attempts that may have reached an engine */
   /* may_have_run: an earlier attempt; framed_to_caller: in the forwarded
      head; charged: the cost, to the workspace. */
   bool may_have_run, framed_to_caller, charged;
@@ -608,7 +630,8 @@
 
 typedef struct mt_relay_t {
   mt_ms_t now;
-  mt_ms_t last_tick; /* last tick: all input before it is processed */
+  mt_ms_t last_tick;   /* last tick: all input before it is processed */
+  mt_ms_t reads_since; /* it has read its input in time since then */
   char domain[MT_NAME_MAX + 1];
   mt_relay_params_t params;
   mt_catalog_t *catalog; /* configuration in force; NULL: none yet */
@@ -672,6 +695,10 @@
                           const mt_relay_params_t *params);
 void mt_relay_free (mt_relay_t *relay);
 
+/* The current attempt or hedge of that number; NULL: it is over. */
+const mt_attempt_t *mt_relay_attempt (const mt_relay_request_t *request,
+                                      int number);
+
 /* Processes one event; appends the effects that follow from it. */
 void mt_relay_step (mt_relay_t *relay, const mt_relay_event_t *event,
                     mt_relay_effects_t *effects);
--- a/src/relay/relay_names.c
+++ b/src/relay/relay_names.c
@@ -54,6 +54,18 @@
   return "-";
 }
 
+const char *mt_hedge_outcome_name (mt_hedge_outcome_t outcome) {
+  switch (outcome) {
+    case MT_HEDGE_WON: return "won";
+    case MT_HEDGE_KEPT: return "kept";
+    case MT_HEDGE_TOOK_OVER: return "took_over";
+    case MT_HEDGE_CANCELLED: return "cancelled";
+    case MT_HEDGE_FAILED: return "failed";
+    case MT_HEDGE_OUTCOMES: break;
+  }
+  return "-";
+}
+
 const char *mt_origin_source_name (mt_origin_source_t source) {
   switch (source) {
     case MT_ORIGIN_LOCAL: return "local";
--- a/src/relay/request.c
+++ b/src/relay/request.c
@@ -8,6 +8,7 @@
 #include "admission.h"
 #include "candidates.h"
 #include "connects.h"
+#include "hedge.h"
 #include "quarantine.h"
 #include "quotes.h"
 #include "relay_load.h"
@@ -73,6 +74,7 @@
     mt_relay_request_t *r = relay->finished;
     relay->finished = r->finished_next;
     mt_event_stream_free(&r->current.stream);
+    mt_event_stream_free(&r->hedge.stream);
     free(r->body);
     free(r->names);
     free(r);
@@ -82,6 +84,7 @@
 /* The next step frees the request, since effects may borrow its texts. */
 void mt_request_remove (mt_relay_t *relay, mt_relay_request_t *r) {
   if (relay->effects != NULL) mt_quarantine_release_leases(relay, r);
+  mt_hedge_remove(relay, r);
   mt_relay_remove_load(r);
   relay->list[r->index] = relay->list[--relay->count];
   relay->list[r->index]->index = r->index;
@@ -162,6 +165,7 @@
 }
 
 void mt_attempt_cancel (mt_relay_t *relay, mt_relay_request_t *r) {
+  mt_hedge_cancel(relay, r);
   if (r->current.engine == NULL) return;
   mt_request_effect(relay, MT_RELAY_DO_CANCEL, r);
   if (!r->current.written) mt_relay_prompt_not_run(relay, r, false);
@@ -193,8 +197,15 @@
   mt_request_remove(relay, r);
 }
 
-void mt_attempt_start (mt_relay_t *relay, mt_relay_request_t *r,
-                       const mt_placement_t *p) {
+void mt_attempt_discard_body (mt_relay_request_t *r) {
+  r->body_size = 0;
+  if (r->phase != MT_RELAY_STREAMING) r->phase = MT_RELAY_SENT;
+}
+
+/* Sends it to the engine of the placement as the current attempt. */
+static mt_relay_effect_t *send_attempt (mt_relay_t *relay,
+                                        mt_relay_request_t *r,
+                                        const mt_placement_t *p) {
   if (r->phase == MT_RELAY_STREAMING && p->engine->version != r->version)
     relay->counters.version_changes++;
   r->current.number = ++r->attempts;
@@ -204,9 +215,8 @@
   r->current.status = 0;
   r->current.written = r->current.outlived = false;
   r->current.first_event_at = 0;
-  r->body_size = 0;
+  r->current.paused = false;
   mt_event_stream_free(&r->current.stream);
-  if (r->phase != MT_RELAY_STREAMING) r->phase = MT_RELAY_SENT;
   mt_engine_request_sent(p->engine, relay->now);
   mt_admission_use_permit(relay, r, p->engine);
   mt_relay_add_load(relay, r, p);
@@ -229,6 +239,34 @@
     relay->counters.tokens_fetched += (uint64_t)p->fetch.tokens;
   }
   fx->u.start.max_idle_ms = r->repeatable ? MAX_IDLE_MS : MAX_IDLE_ONCE_MS;
+  return fx;
+}
+
+void mt_attempt_start (mt_relay_t *relay, mt_relay_request_t *r,
+                       const mt_placement_t *p) {
+  mt_attempt_discard_body(r);
+  send_attempt(relay, r, p);
+}
+
+void mt_attempt_swap (mt_relay_request_t *r) {
+  mt_attempt_t current = r->current;
+  r->current = r->hedge;
+  r->hedge = current;
+}
+
+void mt_attempt_note_head (mt_attempt_t *a, const mt_relay_event_t *ev) {
+  a->status = ev->u.head.status;
+  a->events = ev->u.head.events && a->status / 100 == 2;
+  a->framed = ev->u.head.framed;
+  a->last_received = ev->now;
+}
+
+const mt_attempt_t *mt_relay_attempt (const mt_relay_request_t *r,
+                                      int number) {
+  if (r->current.engine != NULL && r->current.number == number)
+    return &r->current;
+  if (r->hedge.engine != NULL && r->hedge.number == number) return &r->hedge;
+  return NULL;
 }
 
 /* }== */
@@ -275,9 +313,9 @@
 ** is not given up for want of room.
 */
 static bool retry_has_room (mt_relay_t *relay, const mt_relay_request_t *r,
-                            const mt_placement_t *p) {
+                            const mt_placement_t *p, bool ran) {
   mt_relay_refusal_t why;
-  if (r->may_have_run || r->phase == MT_RELAY_STREAMING) return true;
+  if (ran || r->may_have_run || r->phase == MT_RELAY_STREAMING) return true;
   return mt_placement_admits(relay, r, p, &why);
 }
 
@@ -310,13 +348,20 @@
   return true;
 }
 
+/* Finds another engine; false if there is none, or no room. */
+static bool find_other (mt_relay_t *relay, mt_relay_request_t *r, bool ran,
+                        mt_placement_t *p) {
+  mt_candidates_find_homes(relay, r);
+  *p = mt_placement_choose(relay, r);
+  return p->engine != NULL && retry_has_room(relay, r, p, ran);
+}
+
 /* Sends the request to another engine, or asks for quotes of further ones;
    false if there is no engine, room or budget. */
 static bool retry (mt_relay_t *relay, mt_relay_request_t *r,
                    mt_relay_retry_t reason) {
-  mt_candidates_find_homes(relay, r);
-  mt_placement_t p = mt_placement_choose(relay, r);
-  if (p.engine == NULL || !retry_has_room(relay, r, &p))
+  mt_placement_t p;
+  if (!find_other(relay, r, false, &p))
     return reason == MT_RELAY_RETRY_CONNECT && ask_further(relay, r);
   if (!may_use_budget(relay, r, reason) || !take_budget(relay, r))
     return false;
@@ -340,10 +385,34 @@
   if (!was_sent(reason)) r->attempts_sent--;
   bool again = mt_attempt_may_retry(relay, r, ran);
   if (ran) r->may_have_run = true;
+  if (mt_hedge_take_over(relay, r)) return;
   if (again && retry(relay, r, reason)) return;
   mt_request_give_up(relay, r, final_refusal(relay, r, reason));
 }
 
+/*
+** The attempt that the hedge is beside may still go on, so the hedge needs
+** room like a first attempt, unless the engine cannot be reached.
+*/
+bool mt_attempt_hedge (mt_relay_t *relay, mt_relay_request_t *r) {
+  mt_placement_t p;
+  mt_relay_refusal_t why;
+  const mt_relay_retry_t reason = MT_RELAY_RETRY_SILENT;
+  if (!r->current.written || !mt_attempt_may_retry(relay, r, true))
+    return false;
+  if (!find_other(relay, r, true, &p)) return false;
+  if (!r->current.engine->unreachable &&
+      !mt_placement_admits(relay, r, &p, &why))
+    return false;
+  if (!take_budget(relay, r)) return false;
+  relay->counters.retries[reason]++;
+  mt_request_log(relay, r, "hedged", mt_relay_retry_code(reason));
+  mt_attempt_swap(r);
+  send_attempt(relay, r, &p)->u.start.hedge = true;
+  mt_attempt_swap(r);
+  return true;
+}
+
 void mt_attempt_retry_quoted (mt_relay_t *relay, mt_relay_request_t *r) {
   const mt_relay_retry_t reason = MT_RELAY_RETRY_CONNECT;
   bool again = mt_attempt_may_retry(relay, r, false);
--- a/src/relay/request.h
+++ b/src/relay/request.h
@@ -55,7 +55,21 @@
 void mt_attempt_start (mt_relay_t *relay, mt_relay_request_t *request,
                        const mt_placement_t *placement);
 
-/* Ends the current attempt and closes its connection. */
+/* Sends it to another engine as well, as a hedge beside the current attempt.
+   False if that may not be retried, or there is no engine, room or budget. */
+bool mt_attempt_hedge (mt_relay_t *relay, mt_relay_request_t *request);
+
+/* Exchanges the current attempt and the hedge. */
+void mt_attempt_swap (mt_relay_request_t *request);
+
+/* Copies what the head of its response states. */
+void mt_attempt_note_head (mt_attempt_t *attempt,
+                           const mt_relay_event_t *event);
+
+/* Drops the part of a body that was buffered from an earlier attempt. */
+void mt_attempt_discard_body (mt_relay_request_t *request);
+
+/* Ends the current attempt, and its hedge, and closes their connections. */
 void mt_attempt_cancel (mt_relay_t *relay, mt_relay_request_t *request);
 
 /* True if another attempt may follow. `ran`: the current one ran, or may
--- a/src/relay/response.c
+++ b/src/relay/response.c
@@ -16,13 +16,17 @@
    replaced by a retry; a longer one is forwarded as it comes. */
 #define BUFFERED_BODY_MAX (256u << 10)
 
+void mt_response_accepted (mt_relay_t *relay, mt_relay_request_t *r) {
+  mt_engine_succeeded(r->current.engine, relay->now);
+  mt_engine_request_accepted(r->current.engine, r->current.sent, relay->now);
+  if (r->segments_count > 0)
+    mt_request_effect(relay, MT_RELAY_DO_REPORT_HOLDER, r);
+}
+
 void mt_response_head (mt_relay_t *relay, mt_relay_request_t *r,
                        const mt_relay_event_t *ev) {
   mt_engine_t *e = r->current.engine;
-  r->current.status = ev->u.head.status;
-  r->current.events = ev->u.head.events && r->current.status / 100 == 2;
-  r->current.framed = ev->u.head.framed;
-  r->current.last_received = relay->now;
+  mt_attempt_note_head(&r->current, ev);
   switch (ev->u.head.verdict) {
     case MT_RELAY_REPLACED:
       mt_relay_engine_gone(relay, e);
@@ -45,10 +49,7 @@
     return;
   }
   if (r->current.status < 500) {
-    mt_engine_succeeded(e, relay->now);
-    mt_engine_request_accepted(e, r->current.sent, relay->now);
-    if (r->segments_count > 0)
-      mt_request_effect(relay, MT_RELAY_DO_REPORT_HOLDER, r);
+    mt_response_accepted(relay, r);
     return;
   }
   /* A 5xx that only asks for a backoff is not counted as a failure. */
@@ -195,6 +196,12 @@
   }
 }
 
+void mt_response_connect_failed (mt_relay_t *relay, mt_engine_t *e,
+                                 bool refused) {
+  mt_id_t domain = e->domain_id;
+  if (mt_connects_failed(relay, e, refused)) withdraw_unsent(relay, domain);
+}
+
 void mt_response_failed (mt_relay_t *relay, mt_relay_request_t *r,
                          bool not_sent, bool refused) {
   if (!not_sent) {
--- a/src/relay/response.h
+++ b/src/relay/response.h
@@ -15,6 +15,12 @@
 void mt_response_data (mt_relay_t *relay, mt_relay_request_t *request,
                        mt_bytes_t data, bool delayed);
 void mt_response_end (mt_relay_t *relay, mt_relay_request_t *request);
+/* The engine has accepted the request: its response has begun. */
+void mt_response_accepted (mt_relay_t *relay, mt_relay_request_t *request);
+/* A connect to an engine failed. Requests whose connects to the same failure
+   domain are in progress may be retried elsewhere. */
+void mt_response_connect_failed (mt_relay_t *relay, mt_engine_t *engine,
+                                 bool refused);
 void mt_response_failed (mt_relay_t *relay, mt_relay_request_t *request,
                          bool not_sent, bool refused);
 
--- a/src/relay/response_timeout.c
+++ b/src/relay/response_timeout.c
@@ -21,18 +21,31 @@
 }
 
 /*
-** A stream is also overdue if no byte of any response comes from its engine.
-** On a busy machine iterations of the event loop are long, and the tick comes
-** first in each: silence is certain only up to the previous tick.
+** Time in ms from a moment to the last tick. On a busy machine iterations of
+** the event loop are long, and the tick comes first in each: silence is
+** certain only up to the previous one. What was sent while this router stood
+** still may not have come yet.
 */
+static mt_ms_t silence_since (const mt_relay_t *relay, mt_ms_t from) {
+  return elapsed(mt_max(from, relay->reads_since), relay->last_tick);
+}
+
+bool mt_response_engine_silent (const mt_relay_t *relay,
+                                const mt_relay_request_t *r) {
+  mt_ms_t heard =
+      mt_max(r->current.engine->last_received, r->current.last_received);
+  return silence_since(relay, heard) > ENGINE_SILENT_MS;
+}
+
+/* A stream is also overdue if no byte of any response comes from its engine.
+   Nothing comes while this router does not read. */
 bool mt_response_overdue (const mt_relay_t *relay,
                           const mt_relay_request_t *r) {
-  mt_ms_t waited = elapsed(r->current.last_received, relay->last_tick);
+  if (r->current.paused) return false;
+  mt_ms_t waited = silence_since(relay, r->current.last_received);
   if (waited > silence_limit(r)) return true;
   if (r->kind != MT_ROUTE_STREAM || waited < ENGINE_SILENT_MS) return false;
-  mt_ms_t engine_waited =
-      elapsed(r->current.engine->last_received, relay->last_tick);
   mt_ms_t sent = elapsed(r->current.sent, relay->last_tick);
-  return engine_waited > ENGINE_SILENT_MS &&
+  return mt_response_engine_silent(relay, r) &&
          sent > ENGINE_SILENT_MS + (mt_ms_t)r->current.wait_expected;
 }
--- /dev/null
+++ b/tests/hedge_test.cc
@@ -0,0 +1,362 @@
+// hedge_test.cc - a second attempt beside one whose engine is silent
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+#include <set>
+
+#include "relay.h"
+
+namespace {
+
+// A relay with one request whose engine has fallen silent and which has a
+// hedge.
+struct Hedged : Relay {
+  explicit Hedged(const char *path = "/stream/x", int events = 2) : Relay(3) {
+    declare();
+    request(1, path);
+    sent(1);
+    if (events > 0) head(1, 200, true);
+    for (int id = 1; id <= events; id++) event(1, id);
+    wait_for_hedge();
+  }
+  const mt_relay_request_t *get () {
+    return (const mt_relay_request_t *)mtV_get(&relay->requests, 1);
+  }
+  void wait_for_hedge () {
+    for (int i = 0; i < 200 && get()->hedge.engine == nullptr; i++) pass(25);
+  }
+  void written (int attempt) {
+    step(make_event(MT_RELAY_WRITTEN, 1, attempt));
+  }
+  void head_of (int attempt, int status, bool events = true,
+                mt_relay_verdict_t verdict = MT_RELAY_RAN) {
+    mt_relay_event_t ev = make_event(MT_RELAY_HEAD, 1, attempt);
+    ev.u.head.status = status;
+    ev.u.head.events = events;
+    ev.u.head.verdict = verdict;
+    ev.u.head.framed = true;
+    step(ev);
+  }
+  void event_of (int attempt, int id) {
+    std::string text = "id: " + std::to_string(id) + "\ndata: x\n\n";
+    mt_relay_event_t ev = make_event(MT_RELAY_DATA, 1, attempt);
+    ev.u.data = {text.data(), text.size()};
+    step(ev);
+  }
+  void fail_of (int attempt, bool not_sent) {
+    mt_relay_event_t ev = make_event(MT_RELAY_FAILED, 1, attempt);
+    ev.u.failed.not_sent = not_sent;
+    step(ev);
+  }
+  // Numbers of the attempts that this step cancels.
+  std::set<int> cancelled () const {
+    std::set<int> numbers;
+    for (size_t i = 0; i < effects.count; i++)
+      if (effects.list[i].kind == MT_RELAY_DO_CANCEL)
+        numbers.insert(effects.list[i].attempt);
+    return numbers;
+  }
+  uint64_t outcomes (mt_hedge_outcome_t which) const {
+    return relay->counters.hedges[which];
+  }
+};
+
+// Whoever sends first keeps the request; the other attempt is cancelled.
+TEST(Hedge, TheFirstToSendKeepsTheRequest) {
+  for (int first : {1, 2}) {
+    Hedged h;
+    h.written(2);
+    h.head_of(2, 200);
+    EXPECT_TRUE(h.cancelled().empty());
+    h.event_of(first, 3);
+    EXPECT_EQ(h.cancelled(), std::set<int>{3 - first}) << first;
+    EXPECT_NE(h.find(MT_RELAY_DO_DATA), nullptr) << first;
+    EXPECT_EQ(h.attempt(1), first);
+    EXPECT_EQ(h.outcomes(first == 2 ? MT_HEDGE_WON : MT_HEDGE_CANCELLED), 1u);
+    h.event_of(3 - first, 4);
+    EXPECT_EQ(h.find(MT_RELAY_DO_DATA), nullptr) << first;
+    h.step(h.make_event(MT_RELAY_END, 1, first));
+    EXPECT_NE(h.find(MT_RELAY_DO_END), nullptr) << first;
+    EXPECT_TRUE(h.idle()) << first;
+  }
+}
+
+// The silent attempt is not given up for a hedge that comes to nothing.
+TEST(Hedge, TheSilentAttemptOutlivesAFailedHedge) {
+  enum How { REJECTED, REPLACED, ERROR, NO_STREAM, LOST, NOT_SENT, EMPTY };
+  for (How how :
+       {REJECTED, REPLACED, ERROR, NO_STREAM, LOST, NOT_SENT, EMPTY}) {
+    Hedged h;
+    if (how != NOT_SENT) h.written(2);
+    switch (how) {
+      case REJECTED: h.head_of(2, 503, false, MT_RELAY_NOT_RUN); break;
+      case REPLACED: h.head_of(2, 421, false, MT_RELAY_REPLACED); break;
+      case ERROR: h.head_of(2, 500, false); break;
+      case NO_STREAM: h.head_of(2, 200, false); break;
+      case LOST: h.fail_of(2, false); break;
+      case NOT_SENT: h.fail_of(2, true); break;
+      case EMPTY:
+        h.head_of(2, 200);
+        h.step(h.make_event(MT_RELAY_END, 1, 2));
+        break;
+    }
+    EXPECT_EQ(h.cancelled().count(1), 0u) << how;
+    EXPECT_EQ(h.find(MT_RELAY_DO_ABORT), nullptr) << how;
+    EXPECT_EQ(h.outcomes(MT_HEDGE_FAILED), 1u) << how;
+    h.event_of(1, 3);
+    EXPECT_NE(h.find(MT_RELAY_DO_DATA), nullptr) << how;
+    h.step(h.make_event(MT_RELAY_END, 1, 1));
+    EXPECT_NE(h.find(MT_RELAY_DO_END), nullptr) << how;
+    EXPECT_TRUE(h.idle()) << how;
+  }
+}
+
+// The hedge is the retry when the silent engine fails after all.
+TEST(Hedge, TakesOverWhenTheSilentEngineFails) {
+  for (bool begun : {false, true}) {
+    Hedged h;
+    h.written(2);
+    if (begun) h.head_of(2, 200);
+    uint64_t permits = h.relay->counters.retries[MT_RELAY_RETRY_SILENT];
+    h.fail_of(1, false);
+    EXPECT_EQ(h.find(MT_RELAY_DO_START), nullptr);
+    EXPECT_EQ(h.find(MT_RELAY_DO_ABORT), nullptr);
+    EXPECT_EQ(h.relay->counters.retries[MT_RELAY_RETRY_LOST], 0u);
+    EXPECT_EQ(h.relay->counters.retries[MT_RELAY_RETRY_SILENT], permits);
+    if (!begun) h.head_of(2, 200);
+    h.event_of(2, 3);
+    EXPECT_NE(h.find(MT_RELAY_DO_DATA), nullptr);
+    h.step(h.make_event(MT_RELAY_END, 1, 2));
+    EXPECT_TRUE(h.idle());
+  }
+}
+
+// Two engines may work on the request for a bounded time.
+TEST(Hedge, TheOverlapIsBounded) {
+  Hedged h;
+  h.written(2);
+  mt_ms_t begun = h.now;
+  while (h.cancelled().empty() && h.now < begun + 2000) h.pass(25);
+  EXPECT_EQ(h.cancelled(), std::set<int>{1});
+  EXPECT_LE(h.now - begun, 300u);
+  EXPECT_EQ(h.outcomes(MT_HEDGE_KEPT), 1u);
+}
+
+TEST(Hedge, BothAttemptsEndWithTheRequest) {
+  enum How { CALLER_LEAVES, DEADLINE };
+  for (How how : {CALLER_LEAVES, DEADLINE}) {
+    Hedged h;
+    std::set<int> ended;
+    if (how == CALLER_LEAVES) {
+      h.step(h.make_event(MT_RELAY_CALLER_DISCONNECTED, 1));
+      ended = h.cancelled();
+    } else {
+      h.now += 9000;
+      h.pass(25);
+      ended = h.cancelled();
+      EXPECT_NE(h.find(MT_RELAY_DO_ABORT), nullptr);
+    }
+    EXPECT_EQ(ended, (std::set<int>{1, 2})) << how;
+    EXPECT_TRUE(h.idle()) << how;
+  }
+}
+
+// Guards against hedges, and doubts, about silence that is not the engine's,
+// and against those that could not be of use.
+TEST(Hedge, IsNotTriedFor) {
+  struct Row {
+    const char *what;
+    const char *path;
+    bool paused, overloaded, stalled, no_budget;
+  } rows[] = {
+      {"a caller that does not read", "/stream/x", true, false, false, false},
+      {"a router short of time", "/stream/x", false, true, false, false},
+      {"a router that stood still", "/stream/x", false, false, true, false},
+      {"want of budget", "/stream/x", false, false, false, true},
+      {"a stream that may not be resumed", "/events/x", false, false, false,
+       false},
+  };
+  for (const Row &row : rows) {
+    Relay r;
+    r.declare();
+    if (row.no_budget) r.relay->params.retry = {0, 10000, 0};
+    r.request(1, row.path);
+    r.sent(1);
+    r.head(1, 200, true);
+    r.event(1, 1);
+    r.relay->overloaded = row.overloaded;
+    if (row.paused) {
+      mt_relay_event_t ev = r.make_event(MT_RELAY_PAUSED, 1);
+      ev.u.paused = true;
+      r.step(ev);
+    }
+    r.pass(25);
+    if (row.stalled) {
+      r.now += 1500;
+      r.pass(25);
+      EXPECT_EQ(r.find(MT_RELAY_DO_PROBE), nullptr) << row.what;
+    }
+    for (int i = 0; i < (row.stalled ? 20 : 80); i++) {
+      r.pass(25);
+      EXPECT_EQ(r.find(MT_RELAY_DO_START), nullptr) << row.what;
+      EXPECT_EQ(r.find(MT_RELAY_DO_CANCEL), nullptr) << row.what;
+      EXPECT_EQ(r.find(MT_RELAY_DO_ABORT), nullptr) << row.what;
+    }
+    if (row.paused) {
+      mt_relay_event_t ev = r.make_event(MT_RELAY_PAUSED, 1);
+      r.step(ev);
+      r.pass(25);
+      EXPECT_EQ(r.find(MT_RELAY_DO_START), nullptr) << row.what;
+    }
+    r.event(1, 2);
+    EXPECT_NE(r.find(MT_RELAY_DO_DATA), nullptr) << row.what;
+  }
+}
+
+// Silence is no failure: a sound engine keeps its place in new work as soon
+// as it sends again, while one that cannot be reached loses it until it can.
+TEST(SilentEngineState, FollowsWhatIsHeardAndProbed) {
+  for (bool reached : {true, false}) {
+    Hedged h;
+    mt_engine_t *e = h.get()->current.engine;
+    EXPECT_TRUE(mt_engine_is_silent(e, h.now));
+    EXPECT_EQ(e->failures, 0);
+    EXPECT_TRUE(e->probing);
+    mt_relay_event_t probed{};
+    probed.kind = MT_RELAY_PROBED;
+    probed.u.probed.engine = e->key;
+    probed.u.probed.up = reached;
+    h.step(probed);
+    EXPECT_EQ(e->unreachable, !reached);
+    h.written(2);
+    h.event_of(1, 3);
+    EXPECT_FALSE(mt_engine_is_silent(e, h.now));
+    EXPECT_EQ(e->failures, 0);
+    EXPECT_EQ(e->suspended_until, 0u);
+  }
+}
+
+// In any order of events: one final effect for each request, two attempts at
+// most, each of which ends; events are forwarded once and in order; and all
+// load returns to 0.
+TEST(HedgeProperties, HoldUnderAnyOrderOfEvents) {
+  uint64_t hedges = 0;
+  for (unsigned seed = 1; seed <= 400; seed++) {
+    std::mt19937 random(seed);
+    Relay r(4);
+    r.declare();
+    std::map<uint64_t, std::set<int>> live;   // calls by request
+    std::map<uint64_t, std::set<int>> ending; // those that end by themselves
+    auto left = [&] (uint64_t number) {
+      std::set<int> calls = live[number];
+      for (int call : ending[number]) calls.erase(call);
+      return calls.size();
+    };
+    std::map<uint64_t, int> finals, last;
+    auto check = [&] {
+      for (size_t i = 0; i < r.effects.count; i++) {
+        const mt_relay_effect_t &fx = r.effects.list[i];
+        switch (fx.kind) {
+          case MT_RELAY_DO_START:
+            hedges += fx.u.start.hedge;
+            live[fx.request].insert(fx.attempt);
+            EXPECT_LE(left(fx.request), 2u) << "seed " << seed;
+            break;
+          case MT_RELAY_DO_CANCEL:
+            EXPECT_EQ(live[fx.request].erase(fx.attempt), 1u)
+                << "seed " << seed;
+            break;
+          case MT_RELAY_DO_DATA: {
+            int id = atoi(std::string(fx.u.data.p, fx.u.data.n).c_str() + 4);
+            EXPECT_EQ(id, ++last[fx.request]) << "seed " << seed;
+            break;
+          }
+          case MT_RELAY_DO_REFUSE:
+          case MT_RELAY_DO_ABORT:
+          case MT_RELAY_DO_END:
+            EXPECT_EQ(++finals[fx.request], 1) << "seed " << seed;
+            EXPECT_EQ(left(fx.request), 0u) << "seed " << seed;
+            break;
+          default: break;
+        }
+      }
+      r.effects.count = 0;
+    };
+    uint64_t next = 0;
+    std::map<uint64_t, std::map<int, int>> sent_id; // by request and attempt
+    for (int i = 0; i < 600; i++) {
+      r.now += random() % 30;
+      if (r.relay->count < 4 && random() % 4 == 0) {
+        r.request(++next, "/stream/x", "key-w1", 8000);
+        check();
+        continue;
+      }
+      if (random() % 3 == 0) {
+        r.pass(25 + random() % 400);
+        check();
+        continue;
+      }
+      if (r.relay->count == 0) continue;
+      const mt_relay_request_t *q = r.relay->list[random() % r.relay->count];
+      uint64_t number = q->number;
+      bool other = q->hedge.engine != nullptr && random() % 2;
+      mt_attempt_t a = other ? q->hedge : q->current;
+      if (a.engine == nullptr) continue;
+      int last_event = (int)q->last_event;
+      mt_relay_event_t ev{};
+      std::string text;
+      switch (random() % 12) {
+        case 0:
+          ev = r.make_event(MT_RELAY_FAILED, number, a.number);
+          ev.u.failed.not_sent = !a.written;
+          live[number].erase(a.number);
+          break;
+        case 1:
+          if (!a.written || a.status != 0) continue;
+          ev = r.make_event(MT_RELAY_HEAD, number, a.number);
+          ev.u.head.status = random() % 2 ? 503 : 500;
+          ev.u.head.verdict =
+              ev.u.head.status == 503 ? MT_RELAY_NOT_RUN : MT_RELAY_RAN;
+          ending[number].insert(a.number);
+          break;
+        case 2:
+          ev = r.make_event(MT_RELAY_CALLER_DISCONNECTED, number);
+          if (random() % 6) continue;
+          break;
+        case 3:
+          if (a.status != 200 || random() % 4) continue;
+          ev = r.make_event(MT_RELAY_END, number, a.number);
+          live[number].erase(a.number);
+          break;
+        default:
+          if (!a.written) {
+            ev = r.make_event(MT_RELAY_WRITTEN, number, a.number);
+          } else if (a.status == 0) {
+            ev = r.make_event(MT_RELAY_HEAD, number, a.number);
+            ev.u.head.status = 200;
+            ev.u.head.events = ev.u.head.framed = true;
+            sent_id[number][a.number] = std::max(0, last_event);
+          } else if (a.status == 200) {
+            int id = ++sent_id[number][a.number];
+            text = "id: " + std::to_string(id) + "\ndata: x\n\n";
+            ev = r.make_event(MT_RELAY_DATA, number, a.number);
+            ev.u.data = {text.data(), text.size()};
+          } else {
+            continue;
+          }
+      }
+      r.step(ev);
+      check();
+    }
+    for (int i = 0; i < 1000 && r.relay->count > 0; i++) {
+      r.pass(100);
+      check();
+    }
+    EXPECT_EQ(r.relay->count, 0u) << "seed " << seed;
+    EXPECT_TRUE(r.idle()) << "seed " << seed;
+  }
+  EXPECT_GT(hedges, 400u);
+}
+
+} // namespace
