Relay: an engine's error response stands where no other engine takes the request

Callers got 502 engine_lost in place of the 5xx, with its seal, that their engine had sent: the attempt was ended first, and only then were another engine and the budget asked for. Now these are asked first, and without them the response is passed on.

Measured: RelayAttempts.AnEngineErrorIsForwardedWhereNoOtherEngineTakesTheRequest failed without a budget and without another engine, and passes.

--- a/src/relay/request.c
+++ b/src/relay/request.c
@@ -356,6 +356,13 @@
   return p->engine != NULL && retry_has_room(relay, r, p, ran);
 }
 
+static void start_retry (mt_relay_t *relay, mt_relay_request_t *r,
+                         mt_relay_retry_t reason, const mt_placement_t *p) {
+  relay->counters.retries[reason]++;
+  mt_request_log(relay, r, "retried", mt_relay_retry_code(reason));
+  mt_attempt_start(relay, r, p);
+}
+
 /* Sends the request to another engine, or asks for quotes of further ones;
    false if there is no engine, room or budget. */
 static bool retry (mt_relay_t *relay, mt_relay_request_t *r,
@@ -365,9 +372,7 @@
     return reason == MT_RELAY_RETRY_CONNECT && ask_further(relay, r);
   if (!may_use_budget(relay, r, reason) || !take_budget(relay, r))
     return false;
-  relay->counters.retries[reason]++;
-  mt_request_log(relay, r, "retried", mt_relay_retry_code(reason));
-  mt_attempt_start(relay, r, &p);
+  start_retry(relay, r, reason, &p);
   return true;
 }
 
@@ -413,6 +418,21 @@
   return true;
 }
 
+/* No cancel: the error response is read to the end, which keeps the
+   connection usable. */
+bool mt_attempt_retry_error (mt_relay_t *relay, mt_relay_request_t *r) {
+  mt_placement_t p;
+  const mt_relay_retry_t reason = MT_RELAY_RETRY_ERROR;
+  if (!mt_attempt_may_retry(relay, r, true) ||
+      !find_other(relay, r, true, &p) || !take_budget(relay, r))
+    return false;
+  mt_request_log(relay, r, "attempt-failed", mt_relay_retry_code(reason));
+  mt_relay_remove_load(r);
+  r->may_have_run = true;
+  start_retry(relay, r, reason, &p);
+  return true;
+}
+
 void mt_attempt_retry_quoted (mt_relay_t *relay, mt_relay_request_t *r) {
   const mt_relay_retry_t reason = MT_RELAY_RETRY_CONNECT;
   bool again = mt_attempt_may_retry(relay, r, false);
--- a/src/relay/request.h
+++ b/src/relay/request.h
@@ -81,6 +81,10 @@
 void mt_attempt_failed (mt_relay_t *relay, mt_relay_request_t *request,
                         mt_relay_retry_t reason, bool ran);
 
+/* The engine responds with an error: sends the request to another one. False,
+   and the response stands, if there is none, or no budget. */
+bool mt_attempt_retry_error (mt_relay_t *relay, mt_relay_request_t *request);
+
 /* The further round of quotes that a request asked for after a failed connect
    is over: retries at an engine with room, or refuses the request. */
 void mt_attempt_retry_quoted (mt_relay_t *relay, mt_relay_request_t *request);
--- a/src/relay/response.c
+++ b/src/relay/response.c
@@ -54,8 +54,7 @@
   }
   /* A 5xx that only asks for a backoff is not counted as a failure. */
   if (e->backoff_until <= relay->now) mt_engine_failed(e, relay->now);
-  if (!mt_attempt_may_retry(relay, r, true)) return;
-  mt_attempt_failed(relay, r, MT_RELAY_RETRY_ERROR, true);
+  mt_attempt_retry_error(relay, r);
 }
 
 /* Forwards the head once. A body that the engine did not frame is not framed
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -127,6 +127,38 @@
   EXPECT_NE(r.find(MT_RELAY_DO_END), nullptr);
 }
 
+// Guards against answers of engines that were replaced by a failure of the
+// router's own, as the retry that was to follow was not to be had.
+TEST(RelayAttempts,
+     AnEngineErrorIsForwardedWhereNoOtherEngineTakesTheRequest) {
+  enum Lack { NOTHING, BUDGET, ENGINES, ATTEMPTS };
+  for (Lack lack : {NOTHING, BUDGET, ENGINES, ATTEMPTS}) {
+    Relay r;
+    r.declare();
+    if (lack == BUDGET) r.relay->params.retry = {0, 10000, 0};
+    r.request(1, "/again/x");
+    uint64_t first = r.find(MT_RELAY_DO_START)->u.start.engine;
+    r.sent(1);
+    for (size_t i = 0; lack == ENGINES && i < r.relay->engines.count; i++) {
+      mt_engine_t *e = r.relay->engines.list[i];
+      if (e->key != first) e->state = MT_ENGINE_DRAINING;
+    }
+    if (lack == ATTEMPTS) {
+      r.fail(1);
+      r.sent(1);
+    }
+    r.head(1, 500);
+    EXPECT_EQ(r.find(MT_RELAY_DO_START) != nullptr, lack == NOTHING) << lack;
+    EXPECT_EQ(r.refusal(), MT_RELAY_REFUSAL_COUNT) << lack;
+    if (lack == NOTHING) continue;
+    r.data(1, "failed");
+    r.end(1);
+    EXPECT_NE(r.find(MT_RELAY_DO_HEAD), nullptr) << lack;
+    EXPECT_NE(r.find(MT_RELAY_DO_END), nullptr) << lack;
+    EXPECT_TRUE(r.idle()) << lack;
+  }
+}
+
 TEST(RelayAttempts, EventsOfAnEarlierAttemptAreDropped) {
   Relay r;
   r.declare();
