Client of the router: a response that came during a stall is read

A call whose loop stood still for longer than the call's time-out failed as silent, though its response lay in the socket: timers run before sockets are read. For a target of the older router that is target_silent, and its answer is lost.

Measured: CallTimeout.AResponseThatCameDuringAStallIsRead failed before and passes.

--- a/src/mtcall.c
+++ b/src/mtcall.c
@@ -17,6 +17,7 @@
   mt_http_client_t *client;
   mt_ms_t timeout_ms;
   uv_timer_t sweep;
+  mt_ms_t last_sweep;
   mt_call_t *calls;
 };
 
@@ -170,12 +171,13 @@
 
 /*
 ** Fails the first call that has timed out. At most one per sweep, since its
-** callback may change the list; others follow in later sweeps.
+** callback may change the list; others follow in later sweeps. A response
+** that came while the loop stood still is read after the sweep: only up to
+** the previous one is silence certain.
 */
-static void fail_timed_out (mt_http_t *http) {
-  mt_ms_t now = uv_now(http->loop);
+static void fail_timed_out (mt_http_t *http, mt_ms_t previous) {
   for (mt_call_t *c = http->calls; c != NULL; c = c->next) {
-    if (c->paused || now - c->last_activity < http->timeout_ms) continue;
+    if (c->paused || previous < c->last_activity + http->timeout_ms) continue;
     mt_callev_t ev = {.kind = MT_CALL_FAILED, .silent = true};
     ev.notsent = !mt_http_call_is_sent(c->call);
     mt_http_call_cancel(c->call);
@@ -186,8 +188,10 @@
 
 static void on_sweep (uv_timer_t *timer) {
   mt_http_t *http = timer->data;
+  mt_ms_t previous = http->last_sweep;
+  http->last_sweep = uv_now(http->loop);
   mt_http_client_tick(http->client);
-  fail_timed_out(http);
+  fail_timed_out(http, previous);
 }
 
 mt_http_t *mtY_open (uv_loop_t *loop, mt_ms_t timeout_ms) {
