Relay: a response that came during a stall is read before its request expires

Where the deadline of a request, or its route's time-out, passed while the router stood still, the tick that comes first ended the request with 504 or a cut, though the engine's response lay in the socket. Such a request now expires with the next tick, behind the read.

Measured: RelayTime.AResponseThatCameDuringAStallIsForwarded failed before and passes; 385 tests of the parts pass.

--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -476,8 +476,19 @@
 
 /* {== Time ============================================================= */
 
+static bool stood_still (const mt_relay_t *relay) {
+  return relay->now - relay->last_tick > STALL_MS;
+}
+
+/* What came while this process stood still is read after this tick. */
+static bool is_expired (const mt_relay_t *relay,
+                        const mt_relay_request_t *r) {
+  bool may_lie_unread = r->current.written && stood_still(relay);
+  return (may_lie_unread ? relay->last_tick : relay->now) >= r->expires;
+}
+
 static void check_request (mt_relay_t *relay, mt_relay_request_t *r) {
-  if (relay->now >= r->expires) {
+  if (is_expired(relay, r)) {
     bool ran = r->may_have_run || r->current.written || r->hedge.written;
     mt_request_give_up(relay, r,
                        ran ? MT_RELAY_TIMEOUT : MT_RELAY_TIMEOUT_NOT_RUN);
@@ -538,8 +549,7 @@
 static void on_tick (mt_relay_t *relay) {
   for (size_t i = relay->count; i-- > 0;)
     if (i < relay->count) check_request(relay, relay->list[i]);
-  if (relay->now - relay->last_tick > STALL_MS)
-    relay->reads_since = relay->now;
+  if (stood_still(relay)) relay->reads_since = relay->now;
   relay->last_tick = relay->now;
   mt_resume_tick(relay);
   mt_relay_probe_engines(relay);
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -309,6 +309,29 @@
 
 // Guards against accepting a stream so long after STOP that it is cut off
 // when the process exits.
+// Guards against requests that time out while their response lies unread, as
+// the deadline passed while the router stood still.
+TEST(RelayTime, AResponseThatCameDuringAStallIsForwarded) {
+  for (bool responds : {true, false}) {
+    Relay r;
+    r.declare();
+    r.request(1, "/once/x", "key-w1", 300);
+    r.sent(1);
+    r.pass(25);
+    r.now += 1000;
+    r.pass(25);
+    EXPECT_EQ(r.find(MT_RELAY_DO_REFUSE), nullptr);
+    if (responds) {
+      r.head(1, 200);
+      r.end(1);
+      EXPECT_NE(r.find(MT_RELAY_DO_END), nullptr);
+      continue;
+    }
+    r.pass(25);
+    EXPECT_EQ(r.refusal(), MT_RELAY_TIMEOUT);
+  }
+}
+
 TEST(RelayStop, AcceptsOnlyWhatCanFinish) {
   struct Row {
     const char *path;
