Relay: a hedge takes over wherever the silent attempt fails at last

A silent engine that sends at last a rejection, an error or a broken stream ended the hedge as if it had gone on, and the retry that followed needed a second permit: without one the request was refused, though the hedge ran. The hedge is now cancelled only where the answer is taken. Lines of the log name each hedge and what became of it.

--- a/src/relay/hedge.c
+++ b/src/relay/hedge.c
@@ -35,6 +35,9 @@
                        mt_hedge_outcome_t outcome) {
   if (ran) r->may_have_run = true;
   relay->counters.hedges[outcome]++;
+  mt_attempt_swap(r);
+  mt_request_log(relay, r, "hedge", mt_hedge_outcome_name(outcome));
+  mt_attempt_swap(r);
   mt_hedge_remove(relay, r);
 }
 
@@ -72,6 +75,7 @@
   r->hedge = (mt_attempt_t){.number = 0};
   mt_attempt_discard_body(r);
   relay->counters.hedges[outcome]++;
+  mt_request_log(relay, r, "hedge", mt_hedge_outcome_name(outcome));
   if (r->current.status != 0) mt_response_accepted(relay, r);
 }
 
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -588,22 +588,15 @@
       if (ev->u.connected) mt_connects_made(relay, r->current.engine);
       break;
     case MT_RELAY_PAUSED: on_paused(relay, r, ev->u.paused); break;
-    case MT_RELAY_HEAD:
-      mt_hedge_cancel(relay, r);
-      mt_response_head(relay, r, ev);
-      break;
+    case MT_RELAY_HEAD: mt_response_head(relay, r, ev); break;
     case MT_RELAY_DATA:
-      mt_hedge_cancel(relay, r);
       mt_response_data(relay, r, ev->u.data, ev->delayed);
       break;
     case MT_RELAY_FAILED:
       mt_response_failed(relay, r, ev->u.failed.not_sent,
                          ev->u.failed.refused);
       break;
-    case MT_RELAY_END:
-      mt_hedge_cancel(relay, r);
-      mt_response_end(relay, r);
-      break;
+    case MT_RELAY_END: mt_response_end(relay, r); break;
     default: break;
   }
 }
--- a/src/relay/request.c
+++ b/src/relay/request.c
@@ -423,12 +423,15 @@
 bool mt_attempt_retry_error (mt_relay_t *relay, mt_relay_request_t *r) {
   mt_placement_t p;
   const mt_relay_retry_t reason = MT_RELAY_RETRY_ERROR;
-  if (!mt_attempt_may_retry(relay, r, true) ||
-      !find_other(relay, r, true, &p) || !take_budget(relay, r))
+  bool has_hedge = r->hedge.engine != NULL;
+  if (!has_hedge &&
+      (!mt_attempt_may_retry(relay, r, true) ||
+       !find_other(relay, r, true, &p) || !take_budget(relay, r)))
     return false;
   mt_request_log(relay, r, "attempt-failed", mt_relay_retry_code(reason));
   mt_relay_remove_load(r);
   r->may_have_run = true;
+  if (mt_hedge_take_over(relay, r)) return true;
   start_retry(relay, r, reason, &p);
   return true;
 }
--- a/src/relay/response.c
+++ b/src/relay/response.c
@@ -7,6 +7,7 @@
 #include "response.h"
 #include "candidates.h"
 #include "connects.h"
+#include "hedge.h"
 #include "quarantine.h"
 #include "relay_load.h"
 #include "request.h"
@@ -49,6 +50,7 @@
     return;
   }
   if (r->current.status < 500) {
+    mt_hedge_cancel(relay, r);
     mt_response_accepted(relay, r);
     return;
   }
@@ -100,6 +102,7 @@
     mt_attempt_lost(relay, r, MT_RELAY_RETRY_LOST);
     return;
   }
+  mt_hedge_cancel(relay, r);
   while (mt_event_stream_next(&r->current.stream, &event)) {
     note_received(relay, r);
     if (r->current.awaiting_event) {
@@ -119,6 +122,7 @@
 
 static void on_plain_data (mt_relay_t *relay, mt_relay_request_t *r,
                            mt_bytes_t data) {
+  mt_hedge_cancel(relay, r);
   if (r->phase == MT_RELAY_STREAMING) {
     forward_data(relay, r, data);
     return;
@@ -162,6 +166,7 @@
     mt_attempt_lost(relay, r, MT_RELAY_RETRY_LOST);
     return;
   }
+  mt_hedge_cancel(relay, r);
   if (r->phase != MT_RELAY_STREAMING) {
     forward_head(relay, r, (int64_t)r->body_size);
     forward_data(relay, r, (mt_bytes_t){r->body, r->body_size});
--- a/tests/hedge_test.cc
+++ b/tests/hedge_test.cc
@@ -132,6 +132,34 @@
   }
 }
 
+// The same when the silent engine sends at last that it has not run it, sends
+// an error, or breaks off when the hedge has its head.
+TEST(Hedge, TakesOverWhenTheSilentEngineSendsNoAnswer) {
+  enum How { REJECTED, ERROR, BREAKS_OFF };
+  for (How how : {REJECTED, ERROR, BREAKS_OFF}) {
+    Hedged h("/stream/x", 0);
+    h.written(2);
+    switch (how) {
+      case REJECTED: h.head_of(1, 503, false, MT_RELAY_NOT_RUN); break;
+      case ERROR: h.head_of(1, 500, false); break;
+      case BREAKS_OFF: {
+        h.head_of(2, 200);
+        mt_relay_event_t ev = h.make_event(MT_RELAY_FAILED, 1, 1);
+        h.step(ev);
+        break;
+      }
+    }
+    EXPECT_EQ(h.find(MT_RELAY_DO_START), nullptr) << how;
+    EXPECT_EQ(h.refusal(), MT_RELAY_REFUSAL_COUNT) << how;
+    EXPECT_EQ(h.outcomes(MT_HEDGE_TOOK_OVER), 1u) << how;
+    if (how != BREAKS_OFF) h.head_of(2, 200);
+    h.event_of(2, 1);
+    EXPECT_NE(h.find(MT_RELAY_DO_HEAD), nullptr) << how;
+    h.step(h.make_event(MT_RELAY_END, 1, 2));
+    EXPECT_TRUE(h.idle()) << how;
+  }
+}
+
 // Two engines may work on the request for a bounded time.
 TEST(Hedge, TheOverlapIsBounded) {
   Hedged h;
