--- a/src/mtcall.c
+++ b/src/mtcall.c
@@ -210,11 +210,16 @@
   return http;
 }
 
+static void on_sweep_closed (uv_handle_t *h) {
+  free(h->data);
+}
+
+/* The loop's next iteration frees it. */
 void mtY_close (mt_http_t *http) {
   uv_timer_stop(&http->sweep);
   while (http->calls != NULL) mtY_cancel(http->calls);
   mt_http_client_close(http->client);
-  http->client = NULL;
+  uv_close((uv_handle_t *)&http->sweep, on_sweep_closed);
 }
 
 /* }== */
--- a/tests/call_timeout_test.cc
+++ b/tests/call_timeout_test.cc
@@ -54,7 +54,8 @@
     mtY_close(http);
     close(peer);
     close(listener);
-    uv_run(&loop, UV_RUN_NOWAIT);
+    while (uv_run(&loop, UV_RUN_DEFAULT) != 0) continue;
+    EXPECT_EQ(uv_loop_close(&loop), 0);
   }
 }
 
