Engines: the rest of a response that nobody waits for is read up to a limit

Cause: a request that was rejected (503 with X-Not-Executed) or failed by a 5xx goes on at another engine, or is refused, from the head on; the rest of the response was read to its end, whenever that came. An engine that sends a body without end was read for as long as the process ran, with its connection and the processor time that this takes.

Change: such a response is read for 1 s and for 64 KB of its body at most, then its connection is closed (mt_http_call_discard).

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -33,6 +33,10 @@
 /* How long to wait for the head of an answer after the caller has
    disconnected; an engine that rejects a request does so at once. */
 #define LINGER_MS 50
+/* Of a response that no request waits for any more: how long and how much of
+   it is read for its connection to be reusable. */
+#define DISCARD_MS 1000
+#define DISCARD_MAX_BYTES (64u << 10)
 #define FLUSH_RESERVE_MS 400 /* of the stop grace, for the last writes */
 
 #define CALLS_MAX 2 /* of a request: its current attempt and a hedge */
@@ -69,13 +73,16 @@
   free(a);
 }
 
-/* The request no longer waits for the call, which ends by itself. */
+/* The request no longer waits for the call. The rest of a short response is
+   read; one that does not end is an engine's fault. */
 static void detach (attempt_t *a) {
   inflight_t *p = a->inflight;
   if (p == NULL) return;
   for (int i = 0; i < CALLS_MAX; i++)
     if (p->calls[i] == a) p->calls[i] = NULL;
   a->inflight = NULL;
+  if (a->call != NULL)
+    mt_http_call_discard(a->call, DISCARD_MS, DISCARD_MAX_BYTES);
 }
 
 static void detach_all (inflight_t *p) {
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -28,14 +28,17 @@
      response is of an earlier call; `until_close`: the response ends with the
      connection. */
   bool busy, connected, closing, keep, skipping, until_close, paused;
-  bool probing;         /* connecting without a call */
-  bool head_received;   /* the head of the call's response has arrived */
-  mt_ms_t linger_until; /* the call has ended, and its connection is closed
-                           at this time; 0: not lingering */
-  bool refused;         /* the connection was refused */
-  int skipped;          /* responses that were skipped */
-  size_t writing;       /* unfinished writes */
-  char *request;        /* until the connection is made */
+  bool probing;       /* connecting without a call */
+  bool head_received; /* the head of the call's response has arrived */
+  bool lingering;     /* ends with the head of its response */
+  bool discarding;    /* up to `discard_max` bytes of the body are read */
+  mt_ms_t closes_at;  /* the call has ended, and its connection is closed
+                         at this time; 0: it has not */
+  size_t discard_max;
+  bool refused;   /* the connection was refused */
+  int skipped;    /* responses that were skipped */
+  size_t writing; /* unfinished writes */
+  char *request;  /* until the connection is made */
   size_t request_size;
   mt_ms_t since;      /* connecting or idle since; 0: connecting failed */
   mt_ms_t idle_limit; /* how long it may stay idle */
@@ -171,13 +174,21 @@
       !c->client->handler.head(c->ud, c, parser->status_code, &c->headers);
   if (c->closing) return 1;
   c->head_received = !c->skipping;
-  if (c->head_received && c->linger_until != 0) return -1;
+  if (c->head_received && c->lingering) return -1;
   if (c->skipping && ++c->skipped > SKIPPED_MAX) return -1;
   return 0;
 }
 
+/* False once more has come than may be discarded. */
+static bool discard (mt_http_call_t *c, size_t n) {
+  if (n > c->discard_max) return false;
+  c->discard_max -= n;
+  return true;
+}
+
 static int on_body (http_parser *parser, const char *p, size_t n) {
   mt_http_call_t *c = parser->data;
+  if (c->discarding) return discard(c, n) ? 0 : 1;
   if (!c->skipping && !c->closing) c->client->handler.data(c->ud, c, p, n);
   return 0;
 }
@@ -307,6 +318,8 @@
   c->until_close = false;
   c->keep = false;
   c->head_received = false;
+  c->lingering = c->discarding = false;
+  c->closes_at = 0;
 }
 
 static void end_probe (mt_http_call_t *c) {
@@ -449,10 +462,19 @@
   if (c->closing || !c->connected || c->writing > 0 || c->head_received)
     return false;
   mt_http_call_pause(c, false);
-  c->linger_until = mt_boot_clock_now(c->client->loop) + ms;
+  c->lingering = true;
+  c->closes_at = mt_boot_clock_now(c->client->loop) + ms;
   return true;
 }
 
+void mt_http_call_discard (mt_http_call_t *c, mt_ms_t ms, size_t max) {
+  if (c->closing || c->discarding) return;
+  mt_http_call_pause(c, false);
+  c->discarding = true;
+  c->discard_max = max;
+  c->closes_at = mt_boot_clock_now(c->client->loop) + ms;
+}
+
 bool mt_http_call_is_sent (const mt_http_call_t *c) {
   return c->connected;
 }
@@ -495,7 +517,7 @@
 /* Connections are freed in the loop's next iterations. */
 void mt_http_client_close (mt_http_client_t *client) {
   while (client->all != NULL) {
-    if (client->all->linger_until != 0)
+    if (client->all->closes_at != 0)
       fail(client->all, MT_HTTP_CLOSED);
     else
       close_connection(client->all);
@@ -523,7 +545,7 @@
       fail(c, MT_HTTP_NOT_SENT);
     else if (c->connected && !c->busy && now - c->since > c->idle_limit)
       close_connection(c);
-    else if (c->linger_until != 0 && now >= c->linger_until)
+    else if (c->busy && c->closes_at != 0 && now >= c->closes_at)
       fail(c, MT_HTTP_CLOSED);
   }
   client->last_tick = now;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -65,7 +65,8 @@
 mt_http_client_t *
 mt_http_client_open (uv_loop_t *loop, const mt_http_client_options_t *options,
                      const mt_http_call_handler_t *handler);
-/* Closes all connections; of the calls only lingering ones get `failed`. */
+/* Closes all connections; of the calls only those that linger or whose body
+   is discarded get `failed`. */
 void mt_http_client_close (mt_http_client_t *client);
 
 /*
@@ -94,6 +95,13 @@
 */
 bool mt_http_call_linger (mt_http_call_t *call, mt_ms_t ms);
 
+/*
+** Reads the rest of the response for up to `ms` and `max` bytes of its body,
+** and discards it, so that its connection can be reused. `data` is not called
+** any more; `failed` is if the response does not end by then.
+*/
+void mt_http_call_discard (mt_http_call_t *call, mt_ms_t ms, size_t max);
+
 /* True when bytes of the request may have been sent. */
 bool mt_http_call_is_sent (const mt_http_call_t *call);
 
