Relay: only new events of a stream show that its answer goes on

Cause: any byte of a stream put off the time-out of its engine's silence and cancelled a second attempt beside it. An engine that sends an event that never ends, a byte at a time, or the same event again and again held its request until the deadline; callers of resumable streams got a 504 or a cut, with other engines sound.

Change: the time of the last progress is that of the last event that the caller does not have yet; only such an event cancels a second attempt. Bytes still show that the engine's process is alive.

--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -583,7 +583,6 @@
       mt_response_head(relay, r, ev);
       break;
     case MT_RELAY_DATA:
-      mt_hedge_cancel(relay, r);
       mt_response_data(relay, r, ev->u.data, ev->delayed);
       break;
     case MT_RELAY_FAILED:
--- a/src/relay/response.c
+++ b/src/relay/response.c
@@ -7,6 +7,7 @@
 #include "response.h"
 #include "candidates.h"
 #include "connects.h"
+#include "hedge.h"
 #include "quarantine.h"
 #include "relay_load.h"
 #include "request.h"
@@ -93,6 +94,14 @@
   r->event_forwarded = relay->now;
 }
 
+/* The answer goes on, so no second attempt is needed. */
+static void note_progress (mt_relay_t *relay, mt_relay_request_t *r) {
+  r->current.last_received = relay->now;
+  mt_hedge_cancel(relay, r);
+}
+
+/* Only whole events that the caller does not have yet are progress: other
+   bytes could go on for ever. */
 static void on_event_data (mt_relay_t *relay, mt_relay_request_t *r,
                            mt_bytes_t data) {
   mt_stream_event_t event;
@@ -111,6 +120,7 @@
     relay->counters.events++;
     if (event.id >= 0 && event.id <= r->last_event) continue;
     if (event.id >= 0) r->last_event = event.id;
+    note_progress(relay, r);
     if (r->events_count == 0) mt_resume_began(relay, r);
     note_forwarded(relay, r);
     forward_head(relay, r, MT_RELAY_LENGTH_UNKNOWN);
@@ -120,6 +130,7 @@
 
 static void on_plain_data (mt_relay_t *relay, mt_relay_request_t *r,
                            mt_bytes_t data) {
+  note_progress(relay, r);
   if (r->phase == MT_RELAY_STREAMING) {
     forward_data(relay, r, data);
     return;
@@ -139,7 +150,6 @@
 
 void mt_response_data (mt_relay_t *relay, mt_relay_request_t *r,
                        mt_bytes_t data, bool delayed) {
-  r->current.last_received = relay->now;
   r->current.engine->last_received = relay->now;
   r->current.delayed = r->current.delayed || delayed;
   if (r->current.events)
--- a/tests/endless_bytes_test.cc
+++ b/tests/endless_bytes_test.cc
@@ -499,6 +499,20 @@
        Pace::FAST);
 }
 
+// The same where the bytes may be an answer that goes on for long.
+TEST(EndlessBytes, MayLookLikeALongAnswer) {
+  play(forms_that([] (const FormRow &row) { return row.is_answer; }),
+       Pace::FAST);
+}
+
+// A time-out that any byte puts off never comes.
+TEST(EndlessBytes, MayComeOneAtATime) {
+  play(forms_that([] (const FormRow &row) {
+         return row.form != Form::TRAILER && !row.is_answer;
+       }),
+       Pace::TRICKLE);
+}
+
 // }==
 
 } // namespace
