Callers: count and log why their connections are closed

Change: caller_closes_total{reason} and caller_closes_unread_total{reason} count the connections that are read no more, and those of them that had input nobody had read; the latter are also a line event=caller-closed.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -447,6 +447,14 @@
   }
 }
 
+static void on_input_lost (void *ud, mt_http_close_t why, size_t unread) {
+  mt_gateway_t *g = ud;
+  mt_log_line(
+      g->log, MT_LOG_FAILURE, mt_boot_clock_now(g->loop), "caller-closed",
+      "unread=%zu connections=%zu outcome=lost why=%s", unread,
+      mt_http_server_connections(g->callers), mt_http_close_name(why));
+}
+
 /* }== */
 
 /* {== Engines ========================================================== */
@@ -724,7 +732,8 @@
 static const mt_http_server_handler_t caller_handler = {
     .request = on_request,
     .gone = on_caller_gone,
-    .drained = on_caller_drained};
+    .drained = on_caller_drained,
+    .lost = on_input_lost};
 static const mt_http_server_handler_t ready_handler = {
     .request = on_ready_request,
     .gone = ignore_event,
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -170,6 +170,22 @@
                      names[i], (unsigned long long)counts[i]);
 }
 
+static void caller_closes (const mt_http_closes_t *closes, mt_strbuf_t *out) {
+  describe(out, "caller_closes_total", "counter",
+           "Connections of callers that were closed, by reason.");
+  for (int i = 0; i < MT_HTTP_CLOSES; i++)
+    mt_strbuf_format(out, PREFIX "caller_closes_total{reason=\"%s\"} %llu\n",
+                     mt_http_close_name((mt_http_close_t)i),
+                     (unsigned long long)closes->total[i]);
+  describe(out, "caller_closes_unread_total", "counter",
+           "Those with input that had not been read.");
+  for (int i = 0; i < MT_HTTP_CLOSES; i++)
+    mt_strbuf_format(
+        out, PREFIX "caller_closes_unread_total{reason=\"%s\"} %llu\n",
+        mt_http_close_name((mt_http_close_t)i),
+        (unsigned long long)closes->unread[i]);
+}
+
 static double processor_seconds (void) {
   struct timespec ts;
   clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
@@ -276,6 +292,7 @@
          (double)mt_http_client_connections(from->engines));
   number(out, "caller_connections", "gauge", "Connections of callers.",
          (double)mt_http_server_connections(from->callers));
+  caller_closes(mt_http_server_closes(from->callers), out);
   number(out, "overloaded", "gauge", "1 while it sends callers elsewhere.",
          from->overload->overloaded);
   number(out, "turn_lag_ms", "gauge", "Smoothed lag of the loop's turns.",
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -45,6 +45,7 @@
   mt_http_exchange_t *prev, *next;             /* all connections */
   mt_http_exchange_t *dirty_prev, *dirty_next; /* ones with data to write */
   bool dirty, closing, close_after, chunked, no_body, keep_alive, too_large;
+  bool counted;     /* in the server's `closes` */
   bool handed_over; /* the handler has the request and has not completed it */
   mt_exchange_state_t state;
   http_parser parser;
@@ -66,6 +67,7 @@
   mt_http_exchange_t *all, *dirty;
   size_t count, max_connections; /* connections; maximum 0: no limit */
   uint64_t accepted;
+  mt_http_closes_t closes;
   int spare_fd; /* closed to free a descriptor when none is left; -1: none */
   bool draining;
   char input[READ_BYTES];
@@ -150,10 +152,35 @@
     setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
 }
 
+/* Bytes of input that the parser has not had. */
+static size_t unread_bytes (const mt_http_exchange_t *x) {
+  uv_os_fd_t fd;
+  int bytes = 0;
+  if (uv_fileno((const uv_handle_t *)&x->tcp, &fd) != 0 ||
+      ioctl(fd, FIONREAD, &bytes) != 0)
+    bytes = 0;
+  return x->pipelined.n + (size_t)bytes;
+}
+
+/* The connection's first reason counts: behind it no request is expected. */
+static void count_close (mt_http_exchange_t *x, mt_http_close_t why) {
+  mt_http_server_t *server = x->server;
+  if (x->counted) return;
+  x->counted = true;
+  server->closes.total[why]++;
+  if (why == MT_HTTP_CLOSE_CALLER) return;
+  size_t unread = unread_bytes(x);
+  if (unread == 0) return;
+  server->closes.unread[why]++;
+  if (server->handler.lost != NULL)
+    server->handler.lost(server->ud, why, unread);
+}
+
 /* Closes a connection; calls `gone` if the handler has a request of it. */
-static void close_connection (mt_http_exchange_t *x) {
+static void close_connection (mt_http_exchange_t *x, mt_http_close_t why) {
   if (x->closing) return;
   mt_http_server_t *server = x->server;
+  count_close(x, why);
   unlink_dirty(x);
   x->closing = true;
   if (x->prev)
@@ -177,7 +204,7 @@
   free(w);
   if (x->closing) return;
   if (status < 0) {
-    close_connection(x);
+    close_connection(x, MT_HTTP_CLOSE_CALLER);
     return;
   }
   if (x->writing > 0) return;
@@ -196,7 +223,7 @@
   if (uv_write(&w->req, (uv_stream_t *)&x->tcp, &buf, 1, on_written) < 0) {
     x->writing -= n;
     free(w);
-    close_connection(x);
+    close_connection(x, MT_HTTP_CLOSE_CALLER);
   }
 }
 
@@ -214,7 +241,7 @@
   unlink_dirty(x);
   int written = write_now(x);
   if (written < 0) {
-    close_connection(x);
+    close_connection(x, MT_HTTP_CLOSE_CALLER);
     return;
   }
   size_t done = (size_t)written;
@@ -315,6 +342,11 @@
   mt_http_exchange_end(x);
 }
 
+static void reject_late (mt_http_exchange_t *x) {
+  count_close(x, MT_HTTP_CLOSE_LATE);
+  reject_request(x, 408);
+}
+
 /* Parses bytes of a request; bytes beyond its end are buffered. */
 static void parse (mt_http_exchange_t *x, const char *p, size_t n) {
   if (x->state == STATE_IDLE) {
@@ -351,7 +383,7 @@
   mt_http_exchange_t *x = stream->data;
   if (n == 0) return;
   if (n < 0) {
-    close_connection(x);
+    close_connection(x, MT_HTTP_CLOSE_CALLER);
     return;
   }
   if (x->state == STATE_CLOSING) return;
@@ -371,10 +403,11 @@
 */
 static void shut_down (mt_http_exchange_t *x) {
   uv_os_fd_t fd;
+  count_close(x, MT_HTTP_CLOSE_ANSWERED);
   set_reset_on_close(x, false);
   if (uv_fileno((uv_handle_t *)&x->tcp, &fd) != 0 ||
       shutdown(fd, SHUT_WR) != 0) {
-    close_connection(x);
+    close_connection(x, MT_HTTP_CLOSE_CALLER);
     return;
   }
   x->state = STATE_CLOSING;
@@ -402,13 +435,14 @@
 
 /* Closes the connection that has been idle or closing longest; false if there
    is none. */
-static bool close_oldest_idle (mt_http_server_t *server) {
+static bool close_oldest_idle (mt_http_server_t *server,
+                               mt_http_close_t why) {
   mt_http_exchange_t *oldest = NULL;
   for (mt_http_exchange_t *x = server->all; x != NULL; x = x->next) {
     if (x->state != STATE_IDLE && x->state != STATE_CLOSING) continue;
     if (oldest == NULL || x->since <= oldest->since) oldest = x;
   }
-  if (oldest != NULL) close_connection(oldest);
+  if (oldest != NULL) close_connection(oldest, why);
   return oldest != NULL;
 }
 
@@ -422,7 +456,9 @@
 ** the spare descriptor is closed.
 */
 static void release_descriptor (mt_http_server_t *server) {
-  if (close_oldest_idle(server) || server->spare_fd < 0) return;
+  if (close_oldest_idle(server, MT_HTTP_CLOSE_DESCRIPTORS) ||
+      server->spare_fd < 0)
+    return;
   close(server->spare_fd);
   server->spare_fd = -1;
 }
@@ -433,7 +469,7 @@
   if (server->spare_fd < 0) return false;
   if (server->max_connections == 0 || server->count < server->max_connections)
     return true;
-  return close_oldest_idle(server);
+  return close_oldest_idle(server, MT_HTTP_CLOSE_EVICTED);
 }
 
 static mt_http_exchange_t *add_connection (mt_http_server_t *server) {
@@ -457,7 +493,7 @@
   bool has_room = make_room(server);
   mt_http_exchange_t *x = add_connection(server);
   if (uv_accept(listener, (uv_stream_t *)&x->tcp) < 0 || !has_room) {
-    close_connection(x);
+    close_connection(x, MT_HTTP_CLOSE_FULL);
     if (server->spare_fd < 0) server->spare_fd = open_spare_fd();
     return;
   }
@@ -506,7 +542,7 @@
   if (x->closing || uv_fileno((uv_handle_t *)&x->tcp, &fd) != 0) return false;
   ssize_t n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   bool disconnected = n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
-  if (disconnected) close_connection(x);
+  if (disconnected) close_connection(x, MT_HTTP_CLOSE_CALLER);
   return !disconnected;
 }
 
@@ -577,7 +613,7 @@
 void mt_http_exchange_abort (mt_http_exchange_t *x) {
   x->handed_over = false;
   if (!x->closing) write_now(x);
-  close_connection(x);
+  close_connection(x, MT_HTTP_CLOSE_ABORTED);
 }
 
 size_t mt_http_exchange_backlog (const mt_http_exchange_t *x) {
@@ -639,6 +675,26 @@
   return server->accepted;
 }
 
+const mt_http_closes_t *
+mt_http_server_closes (const mt_http_server_t *server) {
+  return &server->closes;
+}
+
+const char *mt_http_close_name (mt_http_close_t why) {
+  static const char *const names[MT_HTTP_CLOSES] = {
+      [MT_HTTP_CLOSE_CALLER] = "caller",
+      [MT_HTTP_CLOSE_ANSWERED] = "answered",
+      [MT_HTTP_CLOSE_IDLE] = "idle",
+      [MT_HTTP_CLOSE_LATE] = "late",
+      [MT_HTTP_CLOSE_EVICTED] = "evicted",
+      [MT_HTTP_CLOSE_DESCRIPTORS] = "descriptors",
+      [MT_HTTP_CLOSE_FULL] = "full",
+      [MT_HTTP_CLOSE_STOPPING] = "stopping",
+      [MT_HTTP_CLOSE_ABORTED] = "aborted",
+      [MT_HTTP_CLOSE_SERVER] = "server"};
+  return names[why];
+}
+
 void mt_http_server_set_max_connections (mt_http_server_t *server,
                                          size_t connections) {
   server->max_connections = connections;
@@ -652,7 +708,7 @@
   mt_http_exchange_t *next;
   for (mt_http_exchange_t *x = server->all; x != NULL; x = next) {
     next = x->next;
-    if (x->state == STATE_IDLE) close_connection(x);
+    if (x->state == STATE_IDLE) close_connection(x, MT_HTTP_CLOSE_STOPPING);
   }
 }
 
@@ -672,7 +728,7 @@
   if (unacknowledged_bytes(x) > 0)
     x->since = now;
   else if (now - x->since > CLOSE_WAIT_MS)
-    close_connection(x);
+    close_connection(x, MT_HTTP_CLOSE_ANSWERED);
 }
 
 void mt_http_server_tick (mt_http_server_t *server) {
@@ -682,9 +738,9 @@
     next = x->next;
     mt_ms_t age = now - x->since;
     if (x->state == STATE_IDLE && age > server->limits.idle_ms)
-      close_connection(x);
+      close_connection(x, MT_HTTP_CLOSE_IDLE);
     else if (x->state == STATE_READING && age > server->limits.header_ms)
-      reject_request(x, 408);
+      reject_late(x);
     else if (x->state == STATE_CLOSING)
       check_closing(x, now);
   }
@@ -708,7 +764,8 @@
 void mt_http_server_close (mt_http_server_t *server) {
   if (server->spare_fd >= 0) close(server->spare_fd);
   server->spare_fd = -1;
-  while (server->all != NULL) close_connection(server->all);
+  while (server->all != NULL)
+    close_connection(server->all, MT_HTTP_CLOSE_SERVER);
   if (uv_is_closing((uv_handle_t *)&server->listener))
     on_listener_closed((uv_handle_t *)&server->listener);
   else
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -31,6 +31,29 @@
   mt_ms_t idle_ms;   /* between requests; beyond: closed */
 } mt_http_server_limits_t;
 
+/* Why the server reads no more requests of a connection. */
+typedef enum mt_http_close_t {
+  MT_HTTP_CLOSE_CALLER,      /* the caller closed it, or it failed */
+  MT_HTTP_CLOSE_ANSWERED,    /* after a response that says so */
+  MT_HTTP_CLOSE_IDLE,        /* no request within the idle time */
+  MT_HTTP_CLOSE_LATE,        /* a request was not complete in time: 408 */
+  MT_HTTP_CLOSE_EVICTED,     /* idle, at the limit of connections */
+  MT_HTTP_CLOSE_DESCRIPTORS, /* idle, and no descriptor was left */
+  MT_HTTP_CLOSE_FULL,        /* new, at a limit, and none was idle */
+  MT_HTTP_CLOSE_STOPPING,    /* idle, and the server stops */
+  MT_HTTP_CLOSE_ABORTED,     /* by the handler, before the response's end */
+  MT_HTTP_CLOSE_SERVER,      /* the server was closed */
+  MT_HTTP_CLOSES
+} mt_http_close_t;
+
+const char *mt_http_close_name (mt_http_close_t why);
+
+typedef struct mt_http_closes_t {
+  uint64_t total[MT_HTTP_CLOSES];
+  /* Of these, with input that the server had not read. */
+  uint64_t unread[MT_HTTP_CLOSES];
+} mt_http_closes_t;
+
 typedef struct mt_http_server_handler_t {
   /* A complete request, to be answered now or later. */
   void (*request)(void *ud, mt_http_exchange_t *exchange);
@@ -39,6 +62,9 @@
   void (*gone)(void *ud, mt_http_exchange_t *exchange);
   /* All data written so far has been passed to the kernel. */
   void (*drained)(void *ud, mt_http_exchange_t *exchange);
+  /* The server gave up a connection with `unread` bytes of input that it had
+     not read; may be NULL. */
+  void (*lost)(void *ud, mt_http_close_t why, size_t unread);
 } mt_http_server_handler_t;
 
 /* Listens; NULL and an error in `reason` when that fails. Port 0 picks a free
@@ -53,6 +79,9 @@
 size_t mt_http_server_connections (const mt_http_server_t *server);
 /* Connections accepted since the start. */
 uint64_t mt_http_server_accepted (const mt_http_server_t *server);
+/* Connections closed since the start, by reason. */
+const mt_http_closes_t *
+mt_http_server_closes (const mt_http_server_t *server);
 
 /*
 ** Limits the number of connections; 0: no limit. A further one evicts the
