Callers: no connection with unread input is closed as idle or late

Cause: behind a stall of the loop the timers run before the sockets are read, and connections were closed by their age (idle time, header time) or to make room, at the end of the process too, while a whole request lay unread in them; it got neither an answer nor a refusal. At the end the process did not wait for connections that were still to be accepted, and a pipelined request behind an answer with Connection: close was dropped.

Change: one place in http_server.c asks the kernel whether a connection is idle before any such close. Ages leave out what is not the caller's time: until the first tick, and ticks behind which input lay unread. A stopping process ends once nobody waits to be accepted. While draining, the last request that has come is answered before the close.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -639,7 +639,7 @@
   mt_ms_t since = mt_boot_clock_now(g->loop) - g->stopping;
   if (since > BALANCER_REMOVAL_MS) {
     mt_http_server_close_idle(g->callers);
-    if (mt_http_server_connections(g->callers) == 0) {
+    if (mt_http_server_is_empty(g->callers)) {
       finish(g, "finished");
       return;
     }
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -5,6 +5,7 @@
 #include <http_parser.h>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -22,6 +23,7 @@
 #define USER_TIMEOUT_MS 10000 /* for unacknowledged data */
 #define TARGET_BYTES_MAX 8192 /* of a request target */
 #define CLOSE_WAIT_MS 2000    /* for a caller to close its side, too */
+#define HELD_UP_MS 600 /* between two ticks: the loop has been held up */
 
 typedef enum mt_exchange_state_t {
   STATE_IDLE,       /* waiting for a request */
@@ -45,6 +47,7 @@
   mt_http_exchange_t *prev, *next;             /* all connections */
   mt_http_exchange_t *dirty_prev, *dirty_next; /* ones with data to write */
   bool dirty, closing, close_after, chunked, no_body, keep_alive, too_large;
+  bool fresh;       /* no tick has come since `since` */
   bool counted;     /* in the server's `closes` */
   bool handed_over; /* the handler has the request and has not completed it */
   mt_exchange_state_t state;
@@ -52,8 +55,10 @@
   mt_http_headers_t headers;
   buffer_t target, body, pipelined, out;
   size_t writing; /* bytes passed to libuv and not yet written */
-  mt_ms_t since;  /* when it became STATE_IDLE or STATE_READING;
-                     STATE_CLOSING: when data was last unacknowledged */
+  mt_ms_t since;  /* when it became STATE_IDLE or STATE_READING, or later: the
+                     ages that limits are compared with never exceed the
+                     caller's; STATE_CLOSING: when data was last
+                     unacknowledged */
   void *user;
 };
 
@@ -68,6 +73,7 @@
   size_t count, max_connections; /* connections; maximum 0: no limit */
   uint64_t accepted;
   mt_http_closes_t closes;
+  mt_ms_t last_tick;
   int spare_fd; /* closed to free a descriptor when none is left; -1: none */
   bool draining;
   char input[READ_BYTES];
@@ -162,6 +168,33 @@
   return x->pipelined.n + (size_t)bytes;
 }
 
+/* Bytes of responses that the caller's kernel has not acknowledged. */
+static int unacknowledged_bytes (const mt_http_exchange_t *x) {
+  uv_os_fd_t fd;
+  int bytes = 0;
+  if (uv_fileno((const uv_handle_t *)&x->tcp, &fd) != 0 ||
+      ioctl(fd, SIOCOUTQ, &bytes) != 0)
+    return 0;
+  return bytes;
+}
+
+/*
+** True if closing the connection loses nothing that its caller has sent or is
+** still to receive. Timers run before sockets are read, and behind a long
+*step
+** of the loop that is what decides: so the kernel is asked.
+*/
+static bool is_idle (const mt_http_exchange_t *x) {
+  switch (x->state) {
+    case STATE_IDLE: return unread_bytes(x) == 0;
+    case STATE_CLOSING: return unacknowledged_bytes(x) == 0;
+    case STATE_READING:
+    case STATE_HANDLING:
+    case STATE_RESPONDING: return false;
+  }
+  return false;
+}
+
 /* The connection's first reason counts: behind it no request is expected. */
 static void count_close (mt_http_exchange_t *x, mt_http_close_t why) {
   mt_http_server_t *server = x->server;
@@ -323,6 +356,13 @@
     .on_body = on_body,
     .on_message_complete = on_complete};
 
+/* A step of the loop may have been long before this point: the loop's time is
+   then earlier than what the caller sees. */
+static void begin_age (mt_http_exchange_t *x) {
+  x->since = mt_boot_clock_now(x->server->loop);
+  x->fresh = true;
+}
+
 static void begin_reading (mt_http_exchange_t *x) {
   http_parser_init(&x->parser, HTTP_REQUEST);
   x->parser.data = x;
@@ -330,7 +370,7 @@
   x->target.n = 0;
   x->body.n = 0;
   x->state = STATE_IDLE;
-  x->since = mt_boot_clock_now(x->server->loop);
+  begin_age(x);
   x->user = NULL;
 }
 
@@ -351,7 +391,7 @@
 static void parse (mt_http_exchange_t *x, const char *p, size_t n) {
   if (x->state == STATE_IDLE) {
     x->state = STATE_READING;
-    x->since = mt_boot_clock_now(x->server->loop);
+    begin_age(x);
   }
   size_t used = http_parser_execute(&x->parser, &parser_settings, p, n);
   if (x->state == STATE_HANDLING) {
@@ -439,8 +479,8 @@
                                mt_http_close_t why) {
   mt_http_exchange_t *oldest = NULL;
   for (mt_http_exchange_t *x = server->all; x != NULL; x = x->next) {
-    if (x->state != STATE_IDLE && x->state != STATE_CLOSING) continue;
-    if (oldest == NULL || x->since <= oldest->since) oldest = x;
+    if (oldest != NULL && x->since > oldest->since) continue;
+    if (is_idle(x)) oldest = x;
   }
   if (oldest != NULL) close_connection(oldest, why);
   return oldest != NULL;
@@ -568,8 +608,10 @@
   x->state = STATE_RESPONDING;
   x->no_body = !has_body(x, status);
   x->chunked = length == MT_HTTP_CHUNKED && !x->no_body;
+  /* A further request that came before its caller could know is answered. */
+  bool draining = x->server->draining && unread_bytes(x) == 0;
   x->close_after =
-      !x->keep_alive || x->server->draining || length == MT_HTTP_UNTIL_CLOSE;
+      !x->keep_alive || draining || length == MT_HTTP_UNTIL_CLOSE;
   /* Until the response is complete, any end of the process or the exchange
      has to show that it is not. */
   if (length == MT_HTTP_UNTIL_CLOSE && !x->no_body)
@@ -700,6 +742,15 @@
   server->max_connections = connections;
 }
 
+bool mt_http_server_is_empty (const mt_http_server_t *server) {
+  uv_os_fd_t fd;
+  if (server->count > 0) return false;
+  if (uv_fileno((const uv_handle_t *)&server->listener, &fd) != 0)
+    return true;
+  struct pollfd waiting = {.fd = fd, .events = POLLIN};
+  return poll(&waiting, 1, 0) <= 0;
+}
+
 void mt_http_server_drain (mt_http_server_t *server, bool drain) {
   server->draining = drain;
 }
@@ -708,41 +759,61 @@
   mt_http_exchange_t *next;
   for (mt_http_exchange_t *x = server->all; x != NULL; x = next) {
     next = x->next;
-    if (x->state == STATE_IDLE) close_connection(x, MT_HTTP_CLOSE_STOPPING);
+    if (x->state == STATE_IDLE && is_idle(x))
+      close_connection(x, MT_HTTP_CLOSE_STOPPING);
   }
 }
 
-/* Bytes of responses that the caller's kernel has not acknowledged. */
-static int unacknowledged_bytes (const mt_http_exchange_t *x) {
-  uv_os_fd_t fd;
-  int bytes = 0;
-  if (uv_fileno((const uv_handle_t *)&x->tcp, &fd) != 0 ||
-      ioctl(fd, SIOCOUTQ, &bytes) != 0)
-    return 0;
-  return bytes;
-}
-
 /* A caller that reads slowly may still send; one that does not read at all is
    ended by USER_TIMEOUT_MS. */
 static void check_closing (mt_http_exchange_t *x, mt_ms_t now) {
-  if (unacknowledged_bytes(x) > 0)
+  if (!is_idle(x))
     x->since = now;
   else if (now - x->since > CLOSE_WAIT_MS)
     close_connection(x, MT_HTTP_CLOSE_ANSWERED);
 }
 
+/*
+** Leaves out of a connection's age what is not its caller's time: what came
+** before the first tick, and `elapsed` since the last one if its input lay
+** unread or, as the loop was held up, may have had no room in the kernel.
+*/
+static void correct_age (mt_http_exchange_t *x, mt_ms_t elapsed,
+                         mt_ms_t now) {
+  bool held_up = elapsed > HELD_UP_MS || unread_bytes(x) > 0;
+  if (x->fresh)
+    x->since = now;
+  else if (x->state == STATE_READING && held_up)
+    x->since = mt_min(now, x->since + elapsed);
+  x->fresh = false;
+}
+
+static void check_age (mt_http_exchange_t *x, mt_ms_t elapsed, mt_ms_t now) {
+  const mt_http_server_limits_t *limits = &x->server->limits;
+  switch (x->state) {
+    case STATE_IDLE:
+      correct_age(x, elapsed, now);
+      if (now - x->since > limits->idle_ms && is_idle(x))
+        close_connection(x, MT_HTTP_CLOSE_IDLE);
+      break;
+    case STATE_READING:
+      correct_age(x, elapsed, now);
+      if (now - x->since > limits->header_ms) reject_late(x);
+      break;
+    case STATE_CLOSING: check_closing(x, now); break;
+    case STATE_HANDLING:
+    case STATE_RESPONDING: break;
+  }
+}
+
 void mt_http_server_tick (mt_http_server_t *server) {
   mt_ms_t now = mt_boot_clock_now(server->loop);
+  mt_ms_t elapsed = server->last_tick ? now - server->last_tick : 0;
   mt_http_exchange_t *next;
+  server->last_tick = now;
   for (mt_http_exchange_t *x = server->all; x != NULL; x = next) {
     next = x->next;
-    mt_ms_t age = now - x->since;
-    if (x->state == STATE_IDLE && age > server->limits.idle_ms)
-      close_connection(x, MT_HTTP_CLOSE_IDLE);
-    else if (x->state == STATE_READING && age > server->limits.header_ms)
-      reject_late(x);
-    else if (x->state == STATE_CLOSING)
-      check_closing(x, now);
+    check_age(x, elapsed, now);
   }
 }
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -6,6 +6,9 @@
 ** is noticed at once; pipelined requests are buffered, up to a limit.
 ** Responses are buffered and written once per iteration of the loop.
 **
+** No connection is closed for its age or to make room while input lies unread
+** in it: the loop may have been held up, and a request in it came in time.
+**
 ** A response whose body ends with the connection is complete if the
 ** connection ends in order. Until its handler has completed it, the
 ** connection ends by a reset, whatever ends it: an abort, the caller's own
@@ -90,10 +93,14 @@
 void mt_http_server_set_max_connections (mt_http_server_t *server,
                                          size_t connections);
 
-/* Sets whether each response closes its connection from now on. */
+/* True if there is no connection, nor one that waits to be accepted. */
+bool mt_http_server_is_empty (const mt_http_server_t *server);
+
+/* Sets whether each response closes its connection from now on, unless a
+   further request has come on it. */
 void mt_http_server_drain (mt_http_server_t *server, bool drain);
 
-/* Closes the connections that have no request in progress or part of one. */
+/* Closes the connections that have no request in progress, nor any input. */
 void mt_http_server_close_idle (mt_http_server_t *server);
 
 /* Accepts no more connections; existing ones go on. */
--- a/tests/kept_connection_test.cc
+++ b/tests/kept_connection_test.cc
@@ -6,20 +6,44 @@
 namespace {
 
 using Clock = std::chrono::steady_clock;
+using namespace std::chrono_literals;
 
 void pump_for (World &w, int ms) {
   auto end = Clock::now() + std::chrono::milliseconds(ms);
   while (Clock::now() < end) w.pump();
 }
 
-std::string config (int version, int idle_ms) {
+void set_limit (std::string &text, const std::string &name, int value) {
+  size_t at = text.find(name) + name.size() + 2;
+  text.replace(at, text.find_first_of(",}", at) - at, std::to_string(value));
+}
+
+std::string config (int version, int idle_ms, int header_ms = 3000) {
   std::string text = World::config(version, "key-w1");
-  const std::string from = "\"idle_timeout_ms\":15000";
-  text.replace(text.find(from), from.size(),
-               "\"idle_timeout_ms\":" + std::to_string(idle_ms));
+  set_limit(text, "idle_timeout_ms", idle_ms);
+  set_limit(text, "header_timeout_ms", header_ms);
+  set_limit(text, "max_body_bytes", 64 << 20);
   return text;
 }
 
+// Sends what the kernel takes of a text, from `sent` on.
+void send_some (const Conn &c, const std::string &text, size_t &sent) {
+  if (c.fd < 0) return;
+  ssize_t n = send(c.fd, text.data() + sent, text.size() - sent,
+                   MSG_NOSIGNAL | MSG_DONTWAIT);
+  if (n > 0) sent += (size_t)n;
+}
+
+// Answers with status 200 that a caller has received.
+size_t answers (const Conn &c) {
+  size_t n = 0;
+  const std::string line = "HTTP/1.1 200 ";
+  for (size_t at = c.in.find(line); at != c.in.npos;
+       at = c.in.find(line, at + 1))
+    n++;
+  return n;
+}
+
 void answer_ok (Conn &c, const Request &r) {
   c.send(answer(
       200,
@@ -72,6 +96,15 @@
   }
 }
 
+// A caller whose connection rests after a first answer.
+Conn *rested (World &w) {
+  Conn *caller = w.connect(w.callers);
+  caller->send(World::ask("/safe/x", "id1"));
+  EXPECT_TRUE(w.until([&] { return World::is_complete(caller->in); }));
+  caller->in.clear();
+  return caller;
+}
+
 // Guards against connections that are closed as idle while a whole request
 // lies unread in them.
 TEST(KeptConnection, ARequestThatArrivesInTimeIsAnswered) {
@@ -93,10 +126,7 @@
     w.put("op/config", config(7, 1000));
     w.engine("i-0", "plain", w.listen(answer_ok));
     w.start();
-    Conn *caller = w.connect(w.callers);
-    caller->send(World::ask("/safe/x", "id1"));
-    ASSERT_TRUE(w.until([&] { return World::is_complete(caller->in); }));
-    caller->in.clear();
+    Conn *caller = rested(w);
     pump_for(w, 300);
     if (row.beside == Beside::STALL) kill(w.pid, SIGSTOP);
     if (row.beside == Beside::SHORTER_IDLE)
@@ -110,4 +140,155 @@
   }
 }
 
+// Guards against a 408 for a request whose rest came in time and lies unread,
+// or could not be sent as nobody read.
+TEST(KeptConnection, ARequestThatWasNotReadInTimeIsNotLate) {
+  struct Row {
+    const char *what;
+    size_t body;
+  } rows[] = {
+      {"all of it lies unread", 0},
+      {"more than the kernel takes", 16u << 20},
+  };
+  for (const Row &row : rows) {
+    World w;
+    w.put("op/config", config(7, 15000, 600));
+    w.engine("i-0", "plain", w.listen(answer_ok));
+    w.start();
+    Conn *caller = rested(w);
+    std::string text =
+        World::ask("/safe/x", "id2", std::string(row.body, 'x'));
+    size_t sent = 60;
+    caller->send(text.substr(0, sent));
+    pump_for(w, 100);
+    kill(w.pid, SIGSTOP);
+    send_some(*caller, text, sent);
+    EXPECT_EQ(sent<text.size(), row.body> 0) << row.what;
+    pump_for(w, 1000);
+    kill(w.pid, SIGCONT);
+    w.until([&] {
+      send_some(*caller, text, sent);
+      return caller->closed || World::is_complete(caller->in);
+    });
+    EXPECT_EQ(World::status_of(caller->in), 200) << row.what;
+  }
+}
+
+// Guards against room for a new connection that is made by closing one whose
+// request lies unread.
+TEST(KeptConnection, AnUnreadRequestIsNotEvictedForANewConnection) {
+  World w;
+  w.descriptors = 100;
+  w.engine("i-0", "plain", w.listen(answer_ok));
+  w.start();
+  std::vector<Conn *> callers;
+  while (callers.size() < 55) callers.push_back(rested(w));
+  pump_for(w, 200);
+  kill(w.pid, SIGSTOP);
+  w.connect(w.callers);
+  for (size_t i = 0; i + 1 < callers.size(); i++)
+    callers[i]->send(World::ask("/safe/x", "id2"));
+  pump_for(w, 100);
+  kill(w.pid, SIGCONT);
+  for (size_t i = 0; i + 1 < callers.size(); i++) {
+    Conn *c = callers[i];
+    w.until([&] { return c->closed || World::is_complete(c->in); });
+    EXPECT_NE(World::status_of(c->in), 0) << i; // answered or refused
+  }
+  // The one that rested made the room.
+  EXPECT_TRUE(w.until([&] { return callers.back()->closed; }));
+  for (Conn *c : callers) c->close();
+  pump_for(w, 100);
+  EXPECT_EQ(closes(w, "closes_total", "evicted"), 1);
+  EXPECT_EQ(closes(w, "closes_unread_total", "evicted"), 0);
+}
+
+// Guards against requests that a process that ends leaves unread.
+TEST(KeptConnection, ARequestBeforeTheEndOfTheProcessIsAnswered) {
+  enum class Where { KEPT, NEW, PIPELINED };
+  struct Row {
+    const char *what;
+    Where where;
+    size_t requests;
+  } rows[] = {
+      {"on a kept connection", Where::KEPT, 1},
+      {"on one that was not accepted", Where::NEW, 1},
+      {"behind another one", Where::PIPELINED, 2},
+  };
+  for (const Row &row : rows) {
+    World w;
+    w.engine("i-0", "plain", w.listen(answer_ok));
+    w.start();
+    Conn *caller = row.where == Where::NEW ? nullptr : rested(w);
+    kill(w.pid, SIGTERM);
+    ASSERT_TRUE(
+        w.until([&] { return w.log.find("event=stopping") != w.log.npos; }));
+    pump_for(w, 1500);
+    kill(w.pid, SIGSTOP);
+    if (caller == nullptr) caller = w.connect(w.callers);
+    std::string text;
+    for (size_t i = 0; i < row.requests; i++)
+      text += World::ask("/safe/x", "id2");
+    caller->send(text);
+    pump_for(w, 1500);
+    kill(w.pid, SIGCONT);
+    EXPECT_TRUE(w.until([&] { return caller->closed; })) << row.what;
+    EXPECT_EQ(answers(*caller), row.requests) << row.what;
+    int status = -1;
+    EXPECT_TRUE(w.until([&] {
+      return waitpid(w.pid, &status, WNOHANG) == w.pid;
+    })) << row.what;
+    w.pid = -1;
+    EXPECT_EQ(status, 0) << row.what;
+  }
+}
+
+// Callers that use what they may of the idle time, beside stalls.
+TEST(KeptConnection, ManyCallersAreAnsweredBesideStalls) {
+  const int CALLERS = 60, STALLS = 6, IDLE_MS = 600;
+  World w;
+  w.put("op/config", config(7, IDLE_MS));
+  w.engine("i-0", "plain", w.listen(answer_ok));
+  w.start();
+  struct Caller {
+    Conn *conn;
+    Clock::time_point next;
+    bool asked = false;
+  };
+  std::vector<Caller> callers;
+  while (callers.size() < CALLERS)
+    callers.push_back({w.connect(w.callers), Clock::now()});
+  int answered = 0, lost = 0, refused = 0, rest = 0;
+  auto step = [&] (Caller &c) {
+    bool whole = World::is_complete(c.conn->in);
+    if (c.asked && (whole || c.conn->closed)) {
+      int status = World::status_of(c.conn->in);
+      (status == 200 ? answered : whole ? refused : lost)++;
+      c.asked = false;
+      if (c.conn->in.find("Connection: close") != c.conn->in.npos)
+        c.conn->close();
+      c.conn->in.clear();
+      rest = (rest + 77) % (IDLE_MS * 9 / 10);
+      c.next = Clock::now() + std::chrono::milliseconds(rest);
+    }
+    if (c.conn->closed) c.conn = w.connect(w.callers);
+    if (c.asked || Clock::now() < c.next) return;
+    c.conn->send(World::ask("/safe/x", "id"));
+    c.asked = true;
+  };
+  for (int i = 0; i < 2 * STALLS; i++) {
+    kill(w.pid, i % 2 ? SIGSTOP : SIGCONT);
+    for (auto t = Clock::now(); Clock::now() - t < 450ms;) {
+      w.pump();
+      for (Caller &c : callers) step(c);
+    }
+  }
+  kill(w.pid, SIGCONT);
+  printf("%d answered, %d refused, %d lost\n", answered, refused, lost);
+  EXPECT_GT(answered, CALLERS);
+  EXPECT_EQ(closes(w, "closes_unread_total", "idle"), 0);
+  // A caller whose own step was late may cross an orderly close.
+  EXPECT_LE(50 * lost, answered);
+}
+
 } // namespace
