--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -454,6 +454,14 @@
   }
 }
 
+static void on_input_lost (void *ud, mt_http_close_t why, size_t unread) {
+  mt_gateway_t *g = ud;
+  mt_log_line(
+      g->log, MT_LOG_FAILURE, mt_boot_clock_now(g->loop), "caller-closed",
+      "unread=%zu connections=%zu outcome=lost why=%s", unread,
+      mt_http_server_connections(g->callers), mt_http_close_name(why));
+}
+
 /* }== */
 
 /* {== Engines ========================================================== */
@@ -638,7 +646,7 @@
   mt_ms_t since = mt_boot_clock_now(g->loop) - g->stopping;
   if (since > BALANCER_REMOVAL_MS) {
     mt_http_server_close_idle(g->callers);
-    if (mt_http_server_connections(g->callers) == 0) {
+    if (mt_http_server_is_empty(g->callers)) {
       finish(g, "finished");
       return;
     }
@@ -731,7 +739,8 @@
 static const mt_http_server_handler_t caller_handler = {
     .request = on_request,
     .gone = on_caller_gone,
-    .drained = on_caller_drained};
+    .drained = on_caller_drained,
+    .lost = on_input_lost};
 static const mt_http_server_handler_t ready_handler = {
     .request = on_ready_request,
     .gone = ignore_event,
