Loop: how long a turn takes, and what it did

Cause: nothing told that the loop had stood still: a configuration of many routes, or a process that is held up, leaves requests unread and makes engines look silent without a trace.

Change: each turn is measured from the poll's return (the loop's time) to the next poll; a histogram (turn_ms), and one line event=turn for a turn of more than 50 ms with its ticks, events, entries of engines and routes, in the class of the load's lines. Per turn one reading of the clock.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -340,6 +340,7 @@
 */
 void mt_gateway_step (mt_gateway_t *g, mt_relay_event_t *event) {
   mt_relay_effects_t effects = {0};
+  mt_loop_turns_add(&g->turns, MT_TURN_EVENTS, 1);
   event->now = mt_boot_clock_now(g->loop);
   mt_relay_step(g->relay, event, &effects);
   for (size_t i = 0; i < effects.count; i++) execute(g, &effects.list[i]);
@@ -607,6 +608,7 @@
       .callers = g->callers,
       .overload = &g->overload,
       .log = g->log,
+      .turns = &g->turns,
       .traffic = mt_gateway_peers_traffic(g->peers),
       .updates = mt_gateway_peers_updates(g->peers),
       .source_events = g->source_events,
@@ -674,6 +676,19 @@
               overloaded ? "begun" : "over");
 }
 
+static void on_long_turn (void *ud, const mt_loop_turns_t *turns,
+                          mt_ms_t length) {
+  mt_gateway_t *g = ud;
+  const uint32_t *work = turns->work;
+  mt_log_line(g->log, MT_LOG_LOAD, mt_boot_clock_now(g->loop), "turn",
+              "length=%llu ticks=%u events=%u engines=%u routes=%u "
+              "requests=%zu connections=%zu outcome=long",
+              (unsigned long long)length, work[MT_TURN_TICKS],
+              work[MT_TURN_EVENTS], work[MT_TURN_ENGINES],
+              work[MT_TURN_ROUTES], g->relay->count,
+              mt_http_server_connections(g->callers));
+}
+
 /* Logs that the machine was suspended. The clock includes that time, so all
    that expires is as much older. */
 static void log_suspend (mt_gateway_t *g) {
@@ -701,6 +716,7 @@
 
 static void on_tick (uv_timer_t *timer) {
   mt_gateway_t *g = timer->data;
+  mt_loop_turns_add(&g->turns, MT_TURN_TICKS, 1);
   log_suspend(g);
   check_overload(g);
   mt_gateway_peers_read(g->peers);
@@ -770,6 +786,7 @@
   g->started = mt_boot_clock_now(loop);
   g->log = mt_log_writer_open(STDOUT_FILENO, settings->node,
                               settings->log_lines_per_s);
+  mt_loop_turns_open(&g->turns, loop, on_long_turn, g);
   g->relay = mt_relay_new(settings->domain, &settings->params);
   g->relay->log = on_request_outcome;
   g->relay->log_engine = mt_gateway_engine_gone;
@@ -830,6 +847,7 @@
 /* The process exits next; memory is freed for leak checkers. */
 void mt_gateway_close (mt_gateway_t *g) {
   uv_close((uv_handle_t *)&g->tick, NULL);
+  mt_loop_turns_close(&g->turns);
   mt_gateway_peers_close(g->peers);
   mt_http_server_close(g->metrics);
   mt_http_server_close(g->ready);
--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -200,6 +200,7 @@
   int64_t version = catalog->version;
   size_t routes = catalog->routes_count;
   size_t workspaces = catalog->workspaces_count;
+  mt_loop_turns_add(&g->turns, MT_TURN_ROUTES, routes);
   announce_version(g, catalog, rev, &digests);
   bool applied = mt_relay_set_catalog(g->relay, catalog);
   mt_log_line(
@@ -309,6 +310,7 @@
                           mt_revision_t rev, mt_ms_t since) {
   uint64_t key = mt_engine_key(name, strlen(name));
   mt_engine_t *e = mt_engines_get(&g->relay->engines, key);
+  mt_loop_turns_add(&g->turns, MT_TURN_ENGINES, 1);
   if (engine == NULL) {
     if (e == NULL) return;
     e->rev = mt_max(e->rev, rev);
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -170,6 +170,25 @@
                      names[i], (unsigned long long)counts[i]);
 }
 
+static void turns (const mt_loop_turns_t *turns, mt_strbuf_t *out) {
+  uint64_t total = 0;
+  describe(out, "turn_ms", "histogram",
+           "Length of the loop's turns, from one poll to the next.");
+  for (size_t i = 0; i < MT_TURN_BOUNDS; i++) {
+    mt_ms_t bound = mt_loop_turns_bound(i);
+    total += turns->counts[i];
+    if (bound != 0)
+      mt_strbuf_format(out, PREFIX "turn_ms_bucket{le=\"%llu\"} %llu\n",
+                       (unsigned long long)bound, (unsigned long long)total);
+  }
+  mt_strbuf_format(out,
+                   PREFIX "turn_ms_bucket{le=\"+Inf\"} %llu\n" PREFIX
+                          "turn_ms_sum %llu\n" PREFIX "turn_ms_count %llu\n",
+                   (unsigned long long)total,
+                   (unsigned long long)turns->total_ms,
+                   (unsigned long long)total);
+}
+
 static double processor_seconds (void) {
   struct timespec ts;
   clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
@@ -280,6 +299,7 @@
          from->overload->overloaded);
   number(out, "turn_lag_ms", "gauge", "Smoothed lag of the loop's turns.",
          from->overload->lag);
+  turns(from->turns, out);
   number(out, "log_lines_dropped_total", "counter", "Log lines left out.",
          (double)mt_log_writer_dropped(from->log));
   number(out, "processor_seconds_total", "counter", "Processor time used.",
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -9,6 +9,7 @@
 #include "http_server.h"
 #include "gateway_peers.h"
 #include "log_writer.h"
+#include "loop_turns.h"
 #include "overload.h"
 
 /* Where the values are read from. */
@@ -18,6 +19,7 @@
   const mt_http_server_t *callers;
   const mt_overload_t *overload;
   const mt_log_writer_t *log;
+  const mt_loop_turns_t *turns;
   const mt_peer_traffic_t *traffic; /* by mt_peer_kind_t */
   const uint64_t *updates;          /* by mt_feed_outcome_t */
   const uint64_t *source_events;    /* by mt_source_event_t */
--- a/src/gateway/gateway_notices.c
+++ b/src/gateway/gateway_notices.c
@@ -28,8 +28,8 @@
   const mt_engine_t *e = mt_engines_get(&g->relay->engines, engine);
   const mt_engine_notice_t notice = g->dialect->notice(status, headers);
   if (!notice.draining && notice.backoff == 0) return;
-  uv_update_time(g->loop); /* the cached time of a long loop iteration would
-                              end a backoff too early */
+  /* The cached time of a long turn would end a backoff too early. */
+  mt_loop_turns_update_time(&g->turns);
   mt_ms_t now = mt_boot_clock_now(g->loop);
   const mt_engine_drain_t drain = {now, started_at, false};
   if (e == NULL || (started_at != 0 && started_at < e->started_at)) return;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -13,6 +13,7 @@
 #include "gateway.h"
 #include "gateway_load.h"
 #include "gateway_peers.h"
+#include "loop_turns.h"
 #include "overload.h"
 
 struct mt_gateway_t {
@@ -35,6 +36,7 @@
   mt_ms_t suspended_ms; /* total time suspended, as of the last tick */
   mt_overload_t overload;
   mt_gateway_load_t load;
+  mt_loop_turns_t turns;
   uint64_t source_events[MT_SOURCE_EVENTS];
   mt_ms_t restored_at; /* when the source was last restored; 0: never */
   /* mt_catalog_digests of the configuration in force, computed when needed.
