--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,10 @@
 $(B)/soak: tests/soak/soak.cc $(wildcard tests/soak/*.h) tests/gateway_world.h $(B)/soak-datagrams.so | $(B)
 	$(CXX) $(CXXFLAGS) $(ALONE) $(LDFLAGS) -o $@ $< -lgtest -lcrypto -lpthread
 
+# Processor time of the steps of a configuration change: not a test.
+$(B)/steps: tests/steps/steps.cc $(LIB) | $(B)
+	$(CXX) $(CXXFLAGS) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
 # Without sanitizers: it is loaded into gateways that have them.
 $(B)/soak-datagrams.so: tests/soak/datagrams.c tests/soak/datagrams.h | $(B)
 	$(CC) -std=gnu11 -O2 -D_GNU_SOURCE $(WARN) -shared -fPIC -o $@ $< -ldl
