Relay: a hedge wins by a whole event, as its silent neighbour goes on by one

Any byte of a hedge's body ended the silent attempt, also bytes that are no event, while the silent attempt goes on by new events alone. Both are judged alike now, and the head of a response ends no hedge.

Measured: Hedge.PartOfAnEventIsNotEnough failed before; Hedge, SilentEngine, EndlessBytes and Relay pass.

--- a/src/relay/event_stream.c
+++ b/src/relay/event_stream.c
@@ -56,10 +56,20 @@
   return -1;
 }
 
+/* Size of the next complete event; 0: there is none. */
+static size_t next_size (const mt_event_stream_t *s) {
+  if (s->bytes == NULL) return 0;
+  return event_end(s->bytes + s->consumed, s->used - s->consumed);
+}
+
+bool mt_event_stream_has_next (const mt_event_stream_t *s) {
+  return next_size(s) > 0;
+}
+
 bool mt_event_stream_next (mt_event_stream_t *s, mt_stream_event_t *event) {
-  const char *p = s->bytes + s->consumed;
-  size_t size = s->bytes ? event_end(p, s->used - s->consumed) : 0;
+  size_t size = next_size(s);
   if (size == 0) return false;
+  const char *p = s->bytes + s->consumed;
   event->text = (mt_bytes_t){p, size};
   event->id = event_id(p, size);
   s->consumed += size;
--- a/src/relay/event_stream.h
+++ b/src/relay/event_stream.h
@@ -27,6 +27,8 @@
 /* Sets `event` to the next complete event; false if there is none yet. */
 bool mt_event_stream_next (mt_event_stream_t *stream,
                            mt_stream_event_t *event);
+/* True if there is one. */
+bool mt_event_stream_has_next (const mt_event_stream_t *stream);
 /* True if part of an event is pending. */
 bool mt_event_stream_partial (const mt_event_stream_t *stream);
 void mt_event_stream_free (mt_event_stream_t *stream);
--- a/src/relay/hedge.c
+++ b/src/relay/hedge.c
@@ -164,6 +164,20 @@
   end_hedge(relay, r, true, MT_HEDGE_FAILED);
 }
 
+/* True if the data completes an event, or is of a response without events:
+   the hedge has spoken. */
+static bool on_data (mt_relay_t *relay, mt_relay_request_t *r,
+                     const mt_relay_event_t *ev) {
+  if (!r->hedge.events) return true;
+  r->hedge.engine->last_received = relay->now;
+  if (!mt_event_stream_feed(&r->hedge.stream, ev->u.data.p, ev->u.data.n)) {
+    cancel_call(relay, r);
+    on_lost(relay, r);
+    return false;
+  }
+  return mt_event_stream_has_next(&r->hedge.stream);
+}
+
 bool mt_hedge_on_event (mt_relay_t *relay, mt_relay_request_t *r,
                         const mt_relay_event_t *ev) {
   if (!has_hedge(r) || ev->attempt != r->hedge.number) return false;
@@ -181,7 +195,12 @@
       }
       replace_current(relay, r, MT_HEDGE_WON);
       return false;
-    case MT_RELAY_DATA: replace_current(relay, r, MT_HEDGE_WON); return false;
+    case MT_RELAY_DATA:
+      if (!on_data(relay, r, ev)) return true;
+      replace_current(relay, r, MT_HEDGE_WON);
+      if (!r->current.events) return false;
+      mt_response_data(relay, r, (mt_bytes_t){"", 0}, ev->delayed);
+      return true;
     default: return true;
   }
 }
--- a/src/relay/hedge.h
+++ b/src/relay/hedge.h
@@ -4,7 +4,8 @@
 ** An engine may send nothing for a second and go on, so silence alone does
 ** not end an attempt. When it has lasted too long a second engine gets the
 ** request as well, if there is one with room and the retry budget has a
-** permit. The first of the two to send a byte of its body keeps the request.
+** permit. The first of the two to send an event, or a byte of a body that has
+** none, keeps the request.
 */
 #ifndef hedge_h
 #define hedge_h
--- a/src/relay/response.c
+++ b/src/relay/response.c
@@ -50,7 +50,6 @@
     return;
   }
   if (r->current.status < 500) {
-    mt_hedge_cancel(relay, r);
     mt_response_accepted(relay, r);
     return;
   }
--- a/tests/hedge_test.cc
+++ b/tests/hedge_test.cc
@@ -82,6 +82,24 @@
   }
 }
 
+// Bytes that are no whole event are no sign that the hedge is of use.
+TEST(Hedge, PartOfAnEventIsNotEnough) {
+  Hedged h;
+  const std::string part = "id: 3\nda", rest = "ta: x\n\n";
+  mt_relay_event_t ev = h.make_event(MT_RELAY_DATA, 1, 2);
+  h.written(2);
+  h.head_of(2, 200);
+  ev.u.data = {part.data(), part.size()};
+  h.step(ev);
+  EXPECT_TRUE(h.cancelled().empty());
+  ev.u.data = {rest.data(), rest.size()};
+  h.step(ev);
+  EXPECT_EQ(h.cancelled(), std::set<int>{1});
+  const mt_relay_effect_t *fx = h.find(MT_RELAY_DO_DATA);
+  ASSERT_NE(fx, nullptr);
+  EXPECT_EQ(std::string(fx->u.data.p, fx->u.data.n), part + rest);
+}
+
 // The silent attempt is not given up for a hedge that comes to nothing.
 TEST(Hedge, TheSilentAttemptOutlivesAFailedHedge) {
   enum How { REJECTED, REPLACED, ERROR, NO_STREAM, LOST, NOT_SENT, EMPTY };
