Soak: engines that fall silent and go on (--silences)

Nothing in the soak held a sound engine's answers and sent them later, and nothing judged an answer that a gateway ended by itself.

Engines, one or a third of all, hold all bytes of their answers for 0.3 to 2.0 s; some trickle, some die then. The runs of each request at engines are followed: LOST, TWICE, BUDGET and GONE are judged by them, each with rows in the self-test. Replies of the store that do not fit into a socket's buffer are sent on when it has room, so that a paused gateway does not block the soak.

--- a/tests/soak/selftest.h
+++ b/tests/soak/selftest.h
@@ -6,6 +6,8 @@
 #include <functional>
 
 #include "checker.h"
+#include "rest_callers.h"
+#include "runs.h"
 
 namespace soak {
 
@@ -130,6 +132,204 @@
   return wrong;
 }
 
+// A stream or request that is sent at 10,000 through gateway 1 and runs at
+// engine e from 10,010 on; what happens then at an engine, to the gateway and
+// to the caller.
+struct RunsRow {
+  const char *what;
+  const char *breach; // the guarantee; "": none
+  std::function<void(Runs &)> happens;
+};
+// Two connections to engines.
+const char run_conns[2] = {};
+inline void begin_run (Runs &r, bool once = false) {
+  r.follow("s", {once ? RouteKind::Unsafe : RouteKind::Stream,
+                 1,
+                 10000,
+                 18000,
+                 once,
+                 "model",
+                 {}});
+  r.on_arrival("s", 10010, 10010);
+  r.on_run(&run_conns[0], "s", "e", 10010);
+  r.on_work(&run_conns[0], 15000);
+}
+inline void begin_hedge (Runs &r) {
+  begin_run(r);
+  r.on_arrival("s", 11000, 11000);
+  r.on_run(&run_conns[1], "s", "f", 11000);
+  r.on_work(&run_conns[1], 15000);
+}
+
+inline int selftest_runs () {
+  const auto cut = [] (Runs &r) {
+    r.on_end("s", End::CUT, true, 200, 12000);
+  };
+  const RunsRow rows[] = {
+      {"a stream is cut at a silent engine", "LOST",
+       [&] (Runs &r) { begin_run(r), cut(r); }},
+      {"its gateway had ended the attempt", "LOST",
+       [&] (Runs &r) {
+         begin_run(r);
+         r.on_close(&run_conns[0], false, 11900);
+         cut(r);
+       }},
+      {"the hedge failed, the first engine is sound", "LOST",
+       [&] (Runs &r) {
+         begin_hedge(r);
+         r.on_close(&run_conns[1], true, 11900);
+         cut(r);
+       }},
+      {"refused with 502 at a silent engine", "LOST",
+       [] (Runs &r) {
+         begin_run(r);
+         r.on_end("s", End::REFUSED, false, 502, 12000);
+       }},
+      {"closed without an answer", "LOST",
+       [] (Runs &r) {
+         begin_run(r);
+         r.on_end("s", End::CUT, false, 0, 12000);
+       }},
+      {"cut soon after the gateway was told to stop", "LOST",
+       [&] (Runs &r) { begin_run(r), r.stop(1, 11000), cut(r); }},
+      {"the engine crashed", "",
+       [&] (Runs &r) {
+         begin_run(r);
+         r.on_close(&run_conns[0], true, 11900);
+         cut(r);
+       }},
+      {"the gateway was killed", "",
+       [&] (Runs &r) { begin_run(r), r.harm(1, 11900), cut(r); }},
+      {"the gateway has to end after SIGTERM", "",
+       [&] (Runs &r) {
+         begin_run(r), r.stop(1, 12000 - STOP_ENDS_MS), cut(r);
+       }},
+      {"the deadline is reached", "",
+       [] (Runs &r) {
+         begin_run(r);
+         r.on_end("s", End::CUT, true, 200, 17900);
+       }},
+      {"no engine ran it", "",
+       [&] (Runs &r) {
+         r.follow("s", {RouteKind::Stream, 1, 10000, 18000, false, "m", {}});
+         r.on_end("s", End::REFUSED, false, 502, 12000);
+       }},
+      {"two engines work on it", "TWICE",
+       [] (Runs &r) { begin_hedge(r), r.check(11001 + OVERLAP_MS); }},
+      {"as long as allowed", "",
+       [] (Runs &r) { begin_hedge(r), r.check(11000 + OVERLAP_MS); }},
+      {"the first one was ended", "",
+       [] (Runs &r) {
+         begin_hedge(r);
+         r.on_close(&run_conns[0], false, 11300);
+         r.check(14000);
+       }},
+      {"both are done", "", [] (Runs &r) { begin_hedge(r), r.check(15001); }},
+      {"the gateway was paused meanwhile", "",
+       [] (Runs &r) { begin_hedge(r), r.harm(1, 11500), r.check(11600); }},
+      {"may run once, and has a hedge", "TWICE",
+       [] (Runs &r) {
+         begin_run(r, true);
+         r.on_run(&run_conns[1], "s", "f", 11000);
+       }},
+      {"work goes on after the caller left", "GONE",
+       [] (Runs &r) {
+         begin_run(r);
+         r.on_end("s", End::LEFT, true, 200, 12000);
+         r.check(12001 + LEFT_MS);
+       }},
+      {"it goes on at the hedge", "GONE",
+       [] (Runs &r) {
+         begin_hedge(r);
+         r.on_end("s", End::LEFT, true, 200, 11100);
+         r.on_close(&run_conns[0], false, 11200);
+         r.check(11101 + LEFT_MS);
+       }},
+      {"it ends soon after the caller left", "",
+       [] (Runs &r) {
+         begin_run(r);
+         r.on_end("s", End::LEFT, true, 200, 12000);
+         r.check(12000 + LEFT_MS);
+         r.on_close(&run_conns[0], false, 12000 + LEFT_MS);
+         r.check(14000);
+       }},
+      {"requests arrive after their callers left", "GONE",
+       [] (Runs &r) {
+         begin_run(r);
+         r.on_end("s", End::LEFT, true, 200, 12000);
+         for (int i = 0; i <= LEFT_ARRIVALS_MAX; i++)
+           r.on_arrival("s", 12001 + LEFT_MS, 12001 + LEFT_MS);
+       }},
+      {"more retries than the budget has", "BUDGET",
+       [] (Runs &r) {
+         begin_run(r);
+         for (int i = 0; i <= RETRY_SLACK; i++)
+           r.on_arrival("s", 11000, 11000);
+       }},
+      {"as many as the budget has", "",
+       [] (Runs &r) {
+         begin_run(r);
+         for (int i = 0; i < RETRY_SLACK; i++)
+           r.on_arrival("s", 11000, 11000);
+       }},
+      {"as many in each window", "",
+       [] (Runs &r) {
+         begin_run(r);
+         for (long at : {11000L, 11001 + RETRY_WINDOW_MS})
+           for (int i = 0; i < RETRY_SLACK; i++) r.on_arrival("s", at, at);
+       }},
+      {"requests run on too many engines", "BUDGET",
+       [] (Runs &r) {
+         for (int i = 0; i <= OVER_ATTEMPTS_MAX; i++) {
+           begin_run(r); // anew
+           for (int k = 0; k < ATTEMPTS_MAX; k++)
+             r.on_run(&run_conns[1], "s", "f", 11000);
+         }
+       }},
+  };
+  int wrong = 0;
+  for (const RunsRow &row : rows) {
+    Checker k;
+    Runs r(k);
+    row.happens(r);
+    bool right =
+        *row.breach == '\0'
+            ? k.breaches.empty()
+            : k.breaches.size() == 1 && k.breaches[0].find(row.breach) == 0;
+    if (right) continue;
+    printf("selftest: wrong verdict for: %s\n", row.what);
+    wrong++;
+  }
+  return wrong;
+}
+
+// Requests on kept connections that are closed without an answer.
+inline int selftest_rests () {
+  struct Row {
+    const char *what;
+    RestEnd
+        end; // answered at, idle time, sent at, ended at, stopping, passed
+    bool lost;
+  } rows[] = {
+      {"sent in time", {10000, 1000, 10900, 10901, false, false}, true},
+      {"within the margin", {10000, 1000, 10901, 10902, false, false}, false},
+      {"within the margin, at an engine",
+       {10000, 1000, 10990, 10995, false, true},
+       true},
+      {"meets the stop", {10000, 1000, 10500, 10700, true, false}, false},
+      {"lay there before the stop",
+       {10000, 1000, 10500, 10701, true, false},
+       true},
+  };
+  int wrong = 0;
+  for (const Row &row : rows) {
+    if (is_lost_at_rest(row.end) == row.lost) continue;
+    printf("selftest: wrong verdict for: %s\n", row.what);
+    wrong++;
+  }
+  return wrong;
+}
+
 // Runs all tests of the checker; true if one failed. Each row here breaks one
 // guarantee, and the checker must report that and nothing else.
 inline int selftest () {
@@ -260,7 +460,7 @@
          (int)(sizeof rows / sizeof *rows) - missed,
          sizeof rows / sizeof *rows);
   return missed + selftest_exemptions() + selftest_quarantine() +
-             selftest_notices() !=
+             selftest_notices() + selftest_runs() + selftest_rests() !=
          0;
 }
 
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -8,6 +8,7 @@
 // callers share one of them, so runs with the same seed differ with timing.
 #include <memory>
 
+#include "rest_callers.h"
 #include "selftest.h"
 #include "segment_callers.h"
 #include "stream_callers.h"
@@ -31,6 +32,14 @@
 const long POWER_CUT_PART = 450;
 // Time between outages of all engines of a service.
 const long OUTAGE_INTERVAL_MS = 5000;
+// Callers of --silences: part of their requests that are streams whatever
+// else was drawn; part of their requests that they leave, and after at
+// most how long; they wait this long for others.
+const double STREAM_PART = 0.5, LEAVE_PART = 0.12;
+const long LEAVE_MS = 1500, STREAM_DEADLINE_MS = 8000;
+const int ROUTES_ADDED = 1400; // by a configuration of --silences or --rests
+const int REST_IDLE_MS = 1000;
+const long ROLL_PAUSE_MS = 900; // between stops of a roll
 // Items in a reply to a list, in runs with restores.
 const size_t LIST_PAGE_ITEMS = 4;
 // Number of poison bodies, and of harmless bodies that are sent often.
@@ -61,7 +70,10 @@
   bool unframed = false;  // answers end with their connections
   bool closes = false;    // so do those of engines that crash
   bool power_cut = false; // all gateways lose power once
-  bool outage = false; // all engines of the service crash at once, at times
+  bool outage = false;   // all engines of the service crash at once, at times
+  bool silences = false; // sound engines send nothing for a while and go on
+  bool rests = false;    // callers let their connections rest
+  int engines = 8;       // of streams, with --silences
 };
 
 // {== The soak =============================================================
@@ -76,7 +88,9 @@
         random(chosen.seed * 7919), partial_random(chosen.seed * 104729),
         caller_random(chosen.seed * 15485863),
         stream_callers(world, gateways, chosen.seed),
-        segment_callers(world, gateways, chosen.seed) {
+        segment_callers(world, gateways, chosen.seed),
+        rest_callers(world, gateways, chosen.seed),
+        silence_random(chosen.seed * 217645199) {
     char name[] = "/tmp/mt-soak-XXXXXX";
     dir = mkdtemp(name);
     network.reset(new Network(dir + "/links"));
@@ -100,6 +114,8 @@
     if (options.versions) add_versions();
     if (options.cuts) add_cuts();
     if (options.segment >= 0) add_segments();
+    if (options.silences) add_silences();
+    if (options.rests) add_rests();
   }
   ~Soak() {
     for (Gateway &g : gateways) {
@@ -116,7 +132,8 @@
          next_fault = now_ms() + 500, next_partial = next_fault,
          next_crash = next_fault, next_notice = next_fault,
          next_restore = now_ms() + RESTORE_FIRST_MS, next_change = next_fault,
-         next_roll = next_fault, next_outage = next_fault + 2500;
+         next_roll = next_fault, next_outage = next_fault + 2500,
+         next_silence = next_fault, next_beside = next_fault;
     long power_cut_at = options.power_cut
                             ? now_ms() + options.seconds * POWER_CUT_PART
                             : LONG_MAX;
@@ -125,7 +142,9 @@
         for (Gateway &g : gateways) kill_one(g);
         power_cut_at = LONG_MAX;
       }
-      if (!options.calm && now_ms() >= next_fault) {
+      bool fleet_faults =
+          !options.calm && !options.silences && !options.rests;
+      if (fleet_faults && now_ms() >= next_fault) {
         inject_fault();
         next_fault = now_ms() + 50 + (long)(random() % 500);
         if (options.partial_faults) next_fault += PARTIAL_FAULTS_PAUSE_MS;
@@ -153,6 +172,12 @@
       if (version_cuts != nullptr) version_cuts->step();
       if (options.versions && now_ms() >= next_roll)
         next_roll = now_ms() + change_versions();
+      if (options.silences && now_ms() >= next_silence)
+        next_silence = now_ms() + silence_engines();
+      bool beside = (options.silences || options.rests) && !options.calm;
+      if (beside && now_ms() >= next_beside)
+        next_beside = now_ms() + disturb_beside();
+      if (options.rests && !options.calm) hold_up();
       step(true);
     }
     check_recovery();
@@ -182,6 +207,12 @@
   StreamCallers stream_callers;
   std::unique_ptr<VersionCuts> version_cuts; // null: none
   SegmentCallers segment_callers;
+  RestCallers rest_callers;
+  Random silence_random; // silences, rests, and what comes beside them
+  // Gateways that are still to be stopped by a roll, and when the next is.
+  size_t to_roll = 0;
+  long roll_at = 0;
+  size_t held_up = 0; // the gateway that was paused last
   long sent_requests = 0, kills = 0, pauses = 0, stops = 0;
   // Harmless repeats, and those of them with status 200.
   long repeated = 0, repeated_ok = 0;
@@ -189,8 +220,11 @@
   void start (Gateway &g) {
     world.log_event("start g" + std::to_string(g.index));
     world.checker.disturbances.disturb(g.index, now_ms());
+    world.runs.harm(g.index, now_ms());
     g.start(peers, world.stores[(size_t)g.index]->port, options.gateways,
-            options.partial_faults || options.cuts ? network->file : "");
+            options.partial_faults || options.cuts || options.silences
+                ? network->file
+                : "");
   }
   void await_ports () {
     for (int i = 0; i < 5000; i++) {
@@ -242,6 +276,30 @@
     mix.deadly = options.sound ? 0 : mix.deadly;
     segment_callers.add(options.callers, mix);
   }
+  // Streams that last longer than a silence; routes whose requests are
+  // overdue early, and whose streams may not be resumed.
+  void add_silences () {
+    for (int i = 4; i < options.engines; i++) world.add_engine("model");
+    for (int i = 6; i < options.engines; i += 2) world.add_engine("plain");
+    world.stream_events = 20;
+    world.stream_pause_ms = 100;
+    world.plain_ms = 300;
+    world.down_ms = 800;
+    world.renews = true;
+    world.further_routes =
+        World::route("quick", "/safe/quick/", "plain", 200) +
+        ",{\"name\":\"live\",\"host\":\"h.example\",\"path_prefix\":"
+        "\"/gen/live/\",\"route_kind\":\"stream\",\"timeout_ms\":9000,"
+        "\"goal_ms\":900,\"gap_aim_ms\":500,\"sticky\":true,"
+        "\"service\":\"model\",\"max_attempts\":2}";
+    world.configure();
+  }
+  void add_rests () {
+    world.idle_ms = REST_IDLE_MS;
+    world.configure();
+    callers.clear();
+    rest_callers.add(options.callers);
+  }
   // LOST: sound requests that share other segments with deadly ones begin
   // less than half as often as on a calm day, on which nearly all begin; in a
   // run with other faults, less than half as often as the others of the
@@ -366,6 +424,82 @@
     for (unsigned i = 0; i < 1 + restore_random() % 4; i++) world.configure();
     return drains ? 200 + (long)(restore_random() % 300) : 150;
   }
+  long draw_silence (long from, long to) {
+    return from + (long)(silence_random() % (unsigned long)(to - from));
+  }
+  // An engine falls silent, or a third of all; returns the ms until the next
+  // one does.
+  long silence_engines () {
+    bool many = chance(silence_random, 0.33);
+    std::vector<std::string> all = world.model_engines;
+    all.insert(all.end(), world.plain_engines.begin(),
+               world.plain_engines.end());
+    size_t one = chance(silence_random, 0.7)
+                     ? silence_random() % world.model_engines.size()
+                     : silence_random() % all.size();
+    long longest = 0;
+    for (size_t i = 0; i < all.size(); i++) {
+      if (many ? !chance(silence_random, 0.33) : i != one) continue;
+      long ms = chance(silence_random, 0.7) ? draw_silence(900, 1400)
+                                            : draw_silence(300, 2000);
+      Silence silence = {nullptr, now_ms() + ms};
+      silence.trickles = chance(silence_random, 0.2);
+      silence.dies = chance(silence_random, 0.08);
+      silence.dark = silence.dies && chance(silence_random, 0.5);
+      if (world.fall_silent(all[i], silence)) longest = std::max(longest, ms);
+    }
+    return longest + draw_silence(50, 350);
+  }
+  // Something beside silences or rests; returns the ms until the next.
+  long disturb_beside () {
+    unsigned kind = silence_random() % 10;
+    Gateway &g = gateways[silence_random() % gateways.size()];
+    world.log_event("beside kind=" + std::to_string(kind) + " g" +
+                    std::to_string(g.index));
+    switch (kind) {
+      case 0: to_roll = gateways.size(); break;
+      case 1: stop(g); break;
+      case 2:
+        if (options.rests)
+          hang_up(g);
+        else
+          kill_one(g);
+        break;
+      case 3:
+        if (options.rests)
+          hang_up(g);
+        else
+          partition_domain(draw_silence(200, 2500));
+        break;
+      default: reconfigure();
+    }
+    return draw_silence(300, 1100);
+  }
+  void hang_up (Gateway &g) {
+    if (g.pid > 0 && g.handles_stop()) kill(g.pid, SIGHUP);
+  }
+  // Routes come or go, or the idle time changes.
+  void reconfigure () {
+    static const int idle_ms[] = {REST_IDLE_MS, 600, 1500, 800};
+    if (chance(silence_random, 0.5))
+      world.routes_added = ROUTES_ADDED - world.routes_added;
+    else
+      world.idle_ms = idle_ms[silence_random() % 4];
+    world.configure();
+  }
+  // Pauses one gateway after the other.
+  void hold_up () {
+    const Gateway &last = gateways[held_up];
+    if (last.resume_at != 0) return;
+    held_up = (held_up + 1) % gateways.size();
+    pause(gateways[held_up], draw_silence(300, 800));
+  }
+  // Stops the next gateway of a roll.
+  void roll () {
+    if (to_roll == 0 || now_ms() < roll_at) return;
+    roll_at = now_ms() + ROLL_PAUSE_MS;
+    stop(gateways[--to_roll]);
+  }
   // All calls to the store fail for `ms`; `kind` as Faults::store_kind.
   void fail_store (int kind, long ms) {
     world.faults.store_kind = kind;
@@ -429,6 +563,7 @@
     kills++;
     world.log_event("kill g" + std::to_string(g.index));
     world.checker.disturbances.disturb(g.index, now_ms());
+    world.runs.harm(g.index, now_ms());
     kill(g.pid, SIGKILL);
     waitpid(g.pid, nullptr, 0);
     schedule_restart(g);
@@ -453,6 +588,7 @@
     g.suspended_at = suspended ? now_ms() : 0;
     g.resume_at = now_ms() + ms;
     world.checker.disturbances.disturb(g.index, g.resume_at);
+    world.runs.harm(g.index, g.resume_at);
   }
   // Orders a planned stop, after which the gateway starts anew.
   void stop (Gateway &g) {
@@ -462,6 +598,7 @@
     world.log_event("stop g" + std::to_string(g.index));
     g.stopping = true;
     world.checker.disturbances.disturb(g.index, now_ms() + GRACE_MS);
+    world.runs.stop(g.index, now_ms());
     kill(g.pid, SIGTERM);
   }
   // Resumes, reaps and restarts the gateway as due.
@@ -474,6 +611,7 @@
       g.suspended_at = 0;
       if (g.pid > 0) kill(g.pid, SIGCONT);
       world.checker.disturbances.disturb(g.index, now);
+      world.runs.harm(g.index, now);
       g.resume_at = 0;
     }
     if (g.pid > 0 && waitpid(g.pid, &status, WNOHANG) == g.pid) {
@@ -497,6 +635,8 @@
     if (c.conn == nullptr || c.conn->fd < 0) connect(c);
     if (c.conn == nullptr) return;
     c.kind = (RouteKind)(random() % 3);
+    if (options.silences && chance(caller_random, STREAM_PART))
+      c.kind = RouteKind::Stream;
     c.id = "q" + std::to_string(options.seed) + "-" +
            std::to_string(++sent_requests);
     std::string fields, body = chance(random, 0.3) ? "some body" : "";
@@ -525,11 +665,52 @@
     sent.path = path;
     sent.key = key;
     c.conn->in.clear();
-    c.conn->send(::World::ask(path + "x", c.id, body, fields,
-                              second ? key : "key-w1"));
-    c.busy = true;
+    if (options.silences) path = vary_path(c, path);
+    std::string text =
+        ::World::ask(path + "x", c.id, body, fields, second ? key : "key-w1");
     bool soon = chance(random, 0.08); // the caller disconnects early
     c.disconnect_at = now_ms() + (soon ? (long)(random() % 40) : 4000);
+    if (options.silences) follow(c, path, text);
+    c.conn->send(text);
+    c.busy = true;
+  }
+  std::string vary_path (const Caller &c, const std::string &path) {
+    bool other =
+        chance(caller_random, c.kind == RouteKind::Safe ? 0.5 : 0.25);
+    if (!other || c.kind == RouteKind::Unsafe) return path;
+    return path + (c.kind == RouteKind::Safe ? "quick/" : "live/");
+  }
+  // Has the request's runs checked; a stream gets more time, and some callers
+  // leave midway.
+  void follow (Caller &c, const std::string &path, std::string &text) {
+    const std::string time = "X-Deadline-Ms: 3000";
+    bool stream = c.kind == RouteKind::Stream;
+    long deadline_ms = stream ? STREAM_DEADLINE_MS : 3000;
+    text.replace(text.find(time), time.size(),
+                 "X-Deadline-Ms: " + std::to_string(deadline_ms));
+    bool leaves = chance(caller_random, LEAVE_PART);
+    c.disconnect_at = now_ms() + (leaves ? (long)(caller_random() % LEAVE_MS)
+                                         : deadline_ms + 2000);
+    bool once = c.kind == RouteKind::Unsafe || path == "/gen/live/";
+    world.runs.follow(c.id, {c.kind,
+                             c.gateway->index,
+                             now_ms(),
+                             now_ms() + deadline_ms,
+                             once,
+                             stream ? "model" : "plain",
+                             {}});
+  }
+  void end_followed (const Caller &c, const Reply &a) {
+    End end = End::LEFT;
+    if (a.complete)
+      end = a.status / 100 == 2 ? End::ANSWERED : End::REFUSED;
+    else if (c.conn->closed)
+      end = End::CUT;
+    size_t before = world.checker.breaches.size();
+    world.runs.on_end(c.id, end, a.status / 100 == 2 && !a.body.empty(),
+                      a.status, now_ms());
+    for (; before < world.checker.breaches.size(); before++)
+      world.log_event("breach " + world.checker.breaches[before]);
   }
   // Some requests repeat path, workspace and body: with `crashes` 40 of 100,
   // else 7 of 100. With `poison_bodies` 2 of these have a poison body.
@@ -628,6 +809,7 @@
       world.checker.on_leaving_reply(c.gateway->index, a.engine, now);
     if (!a.complete && !c.conn->closed && now < c.disconnect_at) return;
     record_reply(c, a);
+    if (options.silences) end_followed(c, a);
     if (options.notices && a.complete && a.status == 503)
       count_rejection(c, a);
     c.busy = false;
@@ -646,6 +828,8 @@
     for (Caller &c : callers) update(c, sending);
     stream_callers.step(sending);
     segment_callers.step(sending);
+    rest_callers.step(sending);
+    roll();
   }
 
   void heal_network () {
@@ -660,6 +844,7 @@
     world.faults = Faults();
     if (version_cuts != nullptr) version_cuts->heal();
     for (Rejection &rejection : world.rejections) rejection = Rejection();
+    to_roll = 0;
     heal_network();
     if (!world.evacuated.empty()) world.evacuate("d2");
     for (Gateway &g : gateways)
@@ -683,7 +868,9 @@
   bool idle () const {
     for (const Caller &c : callers)
       if (c.busy) return false;
-    if (!stream_callers.idle() || !segment_callers.idle()) return false;
+    if (!stream_callers.idle() || !segment_callers.idle() ||
+        !rest_callers.idle())
+      return false;
     for (const Gateway &g : gateways)
       if (g.pid <= 0 || g.port == 0 || g.stopping) return false;
     return true;
@@ -715,6 +902,57 @@
     drop(c);
     return got.status == 200;
   }
+  // The fleet's counters of hedges, of the processes that run now.
+  std::map<std::string, long> hedges () {
+    std::map<std::string, long> all;
+    const std::string name = "\nmartentiller_gateway_hedges";
+    for (Gateway &g : gateways) {
+      std::string text = metrics_of(g);
+      for (size_t at = 0; (at = text.find(name, at)) != text.npos;) {
+        at += name.size();
+        size_t blank = text.find(' ', at);
+        all[text.substr(at, blank - at)] += atol(text.c_str() + blank);
+      }
+    }
+    return all;
+  }
+  std::string metrics_of (const Gateway &g) {
+    sockaddr_in a = loopback(g.metrics);
+    inet_pton(AF_INET, g.ip().c_str(), &a.sin_addr);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    world.conns.push_back({fd, ""});
+    Conn &c = world.conns.back();
+    if (g.metrics != 0 && ::connect(fd, (sockaddr *)&a, sizeof a) == 0) {
+      c.send("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+      for (int i = 0; i < 500 && !c.closed && !::World::is_complete(c.in);
+           i++)
+        step(false);
+    }
+    std::string text = c.in;
+    c.close();
+    return text;
+  }
+  void report_silences () {
+    const Runs &r = world.runs;
+    printf("  %ld silences (%ld died); streams: %ld begun, %ld of them cut, "
+           "%ld refused before; longest overlap %ld ms; %ld arrivals past "
+           "the first, %ld requests on too many engines; %ld left by their "
+           "callers, %ld arrived later; hedges:",
+           world.silences.count, world.silences.deaths, r.ends.begun,
+           r.ends.cut, r.ends.refused, r.overlap_max_ms, r.extra_arrivals,
+           r.over_attempts, r.left, r.left_arrivals);
+    for (auto &row : hedges())
+      printf(" %s %ld", row.first.c_str(), row.second);
+    printf("\n");
+  }
+  void report_rests () {
+    const RestCallers &r = rest_callers;
+    printf("  %ld on kept connections, %ld answered, %ld refused, %ld met a "
+           "close, longest %ld ms after they were sent; %ld connections "
+           "closed before their next request\n",
+           r.sent, r.answered, r.refused, r.crossed, r.longest_stall_ms,
+           r.closed_at_rest);
+  }
   void report () {
     const Checker &k = world.checker;
     printf("seed %u: %ld requests, %ld replies, %ld streams (%ld truncated), "
@@ -724,6 +962,8 @@
            k.truncated_streams, k.rejections, k.failures, kills, pauses,
            stops, k.breaches.size());
     if (options.restores) printf("  %d restores\n", world.restores);
+    if (options.silences) report_silences();
+    if (options.rests) report_rests();
     if (options.cuts) printf("  %d cuts\n", version_cuts->cuts);
     if (options.versions || options.cuts) {
       printf("  %ld streams, %ld received whole, %d upgrades; taken up: %ld "
@@ -861,6 +1101,12 @@
       options.power_cut = true;
     else if (name == "--cuts")
       options.cuts = true;
+    else if (name == "--silences")
+      options.silences = true;
+    else if (name == "--rests")
+      options.rests = true;
+    else if (name == "--engines")
+      options.engines = atoi(value());
     else if (name == "--in-place")
       options.in_place = true;
     else if (name == "--keep")
@@ -878,7 +1124,7 @@
           "[--deadly] [--ends] [--streams] "
           "[--segment PLACE] [--sound] [--unframed] [--closes] [--power-cut] [--outage] "
           "[--notices] [--all-rest] [--restores] [--versions] [--in-place] "
-          "[--cuts] "
+          "[--cuts] [--silences] [--engines N] [--rests] "
           "[--selftest]\n");
       return 2;
     }
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -11,6 +11,8 @@
 #include "../gateway_world.h"
 #include "checker.h"
 #include "notices.h"
+#include "runs.h"
+#include "silences.h"
 
 namespace soak {
 
@@ -57,7 +59,9 @@
 public:
   Random random; // draws replies, their delays, and which engines change
   Checker checker;
+  Runs runs{checker};
   Notices notices;
+  Silences silences;
   Faults faults;
   std::list<Conn> conns;
   std::list<Listener> listeners;
@@ -233,7 +237,10 @@
     version++;
     std::string name = "r" + std::to_string(version),
                 path = "/v" + std::to_string(version) + "/";
-    std::string more = route(name, path, "plain"), tenants;
+    std::string more = further_routes + route(name, path, "plain"), tenants;
+    for (int i = 0; i < routes_added; i++)
+      more += route("m" + std::to_string(i), "/m" + std::to_string(i) + "/",
+                    "plain");
     if (partial_faults) {
       const char *sides[] = {"plain", "desk"};
       more += route("side", "/side/", sides[version % 2]);
@@ -245,15 +252,35 @@
       keys.push_back("key-w2-" + std::to_string(version));
       tenants = ",{\"name\":\"w2\",\"api_keys\":[\"" + keys.back() + "\"]}";
     }
-    put("op/config", ::World::config(version, "key-w1", more, tenants));
+    std::string text = ::World::config(version, "key-w1", more, tenants);
+    const std::string idle = "\"idle_timeout_ms\":15000";
+    text.replace(text.find(idle), idle.size(),
+                 "\"idle_timeout_ms\":" + std::to_string(idle_ms));
+    idle_set.push_back({now_ms(), idle_ms});
+    put("op/config", text);
+  }
+  std::string further_routes; // of each configuration, as JSON
+  int routes_added = 0;       // further ones of the next configuration
+  int idle_ms = 15000;        // idle_timeout_ms of the next configuration
+  std::vector<std::pair<long, int>> idle_set; // and when it was published
+  // The shortest idle_timeout_ms that may be in force at a moment.
+  int idle_in_force (long at) const {
+    int least = INT_MAX;
+    for (size_t i = idle_set.size(); i-- > 0;) {
+      if (idle_set[i].first <= at)
+        least = std::min(least, idle_set[i].second);
+      if (idle_set[i].first < at - CONFIG_MS) break;
+    }
+    return least;
   }
   static std::string route (const std::string &name, const std::string &path,
-                            const std::string &service) {
+                            const std::string &service, int goal_ms = 500) {
     return ",{\"name\":\"" + name +
            "\",\"host\":\"h.example\",\"path_prefix\":\"" + path +
            "\",\"route_kind\":\"safe\",\"timeout_ms\":3000,"
-           "\"goal_ms\":500,\"service\":\"" +
-           service + "\",\"max_attempts\":2}";
+           "\"goal_ms\":" +
+           std::to_string(goal_ms) + ",\"service\":\"" + service +
+           "\",\"max_attempts\":2}";
   }
   // Begins the evacuation of a failure domain, or ends it.
   void evacuate (const std::string &domain) {
@@ -311,9 +338,9 @@
                 " at=" + std::to_string(rev) + (all.empty() ? " empty" : "") +
                 (w.conn->fd < 0 ? " closed" : ""));
       if (w.conn->fd >= 0)
-        w.conn->send(answer(200, era_field(),
-                            "{\"events\":[" + all +
-                                "],\"at\":" + std::to_string(rev) + "}"));
+        send_whole(*w.conn, answer(200, era_field(),
+                                   "{\"events\":[" + all + "],\"at\":" +
+                                       std::to_string(rev) + "}"));
       watches.erase(watches.begin() + (long)i);
     }
   }
@@ -428,10 +455,18 @@
       count++;
       all += (all.empty() ? "" : ",") + event(i.first);
     }
-    c.send(answer(200, era_field(),
-                  "{\"items\":[" + all + "],\"more\":" + more +
-                      ",\"at\":" + std::to_string(rev) + "}"));
+    send_whole(c, answer(200, era_field(),
+                         "{\"items\":[" + all + "],\"more\":" + more +
+                             ",\"at\":" + std::to_string(rev) + "}"));
+  }
+  // Does not wait for a gateway that is paused.
+  void send_whole (Conn &c, const std::string &text) {
+    if (text.size() < LONG_TEXT)
+      c.send(text);
+    else
+      send_later(c, text, 0);
   }
+  static const size_t LONG_TEXT = 32768;
   std::string era_field () const {
     return era > 0 ? "Store-Era: " + std::to_string(era) + "\r\n" : "";
   }
@@ -614,6 +649,7 @@
   void crash_engine (const std::string &id) {
     Listener *listener = engine_listeners[id];
     crash_at.erase(id);
+    silences.by_engine.erase(id);
     for (const std::string &body : crash_bodies[id])
       checker.on_crash(body, now_ms());
     crash_bodies.erase(id);
@@ -623,6 +659,7 @@
     reserved_ports[id] = bind_at(listener->port);
     for (Conn &c : conns)
       if (c.listener == listener && c.fd >= 0) {
+        runs.on_close(&c, true, now_ms());
         if (crash_closes)
           c.close();
         else
@@ -701,9 +738,63 @@
 
   // }==
 
+  // {== Engines that fall silent
+
+  // False if the engine is down, or silent already.
+  bool fall_silent (const std::string &id, Silence silence) {
+    if (engine_restart_at.count(id) || silences.by_engine.count(id))
+      return false;
+    log_event("silent engine=" + id +
+              " until=" + std::to_string(silence.until) +
+              (silence.trickles ? " trickles" : "") +
+              (silence.dies ? " dies" : "") + (silence.dark ? " dark" : ""));
+    silence.listener = engine_listeners[id];
+    silences.begin(id, silence);
+    if (!silence.dark) return true;
+    for (const Conn &c : conns)
+      if (c.listener == silence.listener) runs.on_fault(&c, now_ms());
+    return true;
+  }
+  // Those whose silence is over go on with all that they held, or crash.
+  void end_silences () {
+    for (std::string id; !(id = silences.due(now_ms())).empty();) {
+      bool dies = silences.by_engine[id].dies;
+      log_event((dies ? "dies engine=" : "goes on engine=") + id);
+      silences.by_engine.erase(id);
+      if (dies) crash_engine(id);
+    }
+  }
+  // Sends a byte of each answer that a trickling engine holds.
+  void trickle () {
+    if (now_ms() < next_trickle) return;
+    next_trickle = now_ms() + TRICKLE_INTERVAL_MS;
+    std::set<const Conn *> done;
+    for (PendingSend &s : pending_sends) {
+      const Silence *silence = silences.find(s.conn->listener);
+      bool first = done.insert(s.conn).second;
+      if (silence == nullptr || !silence->trickles || !first ||
+          s.text.size() < 2 || s.at > now_ms() || s.conn->fd < 0)
+        continue;
+      s.conn->send(s.text.substr(0, 1));
+      s.text.erase(0, 1);
+    }
+  }
+  long next_trickle = 0;
+  static const long TRICKLE_INTERVAL_MS = 60;
+
+  // }==
+
   void send_later (Conn &c, const std::string &text, long delay,
                    int end = 0) {
     pending_sends.push_back({&c, text, now_ms() + delay, end});
+    runs.on_work(&c, now_ms() + delay);
+  }
+  // An engine's answer of one part.
+  void reply (Conn &c, const std::string &text) {
+    if (silences.holds(c.listener))
+      send_later(c, text, 0);
+    else
+      c.send(text);
   }
   void on_request (Conn &c, const Request &r, const std::string &engine) {
     std::string id = r.field("X-Attempt-Id");
@@ -711,16 +802,18 @@
                chance(random, faults.engine_fraction);
     int kind = (int)(random() % 6);
     if (dead.count(engine)) {
+      runs.on_close(&c, true, now_ms());
       c.abort();
       return;
     }
     std::string echo =
         "X-Attempt-Id: " + id + "\r\n" + notices.fields(engine);
     if (r.field("X-Expect-Instance") != engine) {
-      c.send(answer(421, echo + "X-Not-Executed: 1\r\n", ""));
+      reply(c, answer(421, echo + "X-Not-Executed: 1\r\n", ""));
       return;
     }
     engine_requests[engine]++;
+    runs.on_arrival(id, previous_poll_at, now_ms());
     size_t breaches = checker.breaches.size();
     checker.on_arrival(id, engine, previous_poll_at);
     for (; breaches < checker.breaches.size(); breaches++)
@@ -735,9 +828,11 @@
       return;
     }
     if (bad && kind == 0) { // rejected as by an engine without free slots
-      c.send(answer(503, echo + "X-Not-Executed: 1\r\n", ""));
+      reply(c, answer(503, echo + "X-Not-Executed: 1\r\n", ""));
       return;
     }
+    runs.on_run(&c, id, engine, now_ms());
+    if (bad) runs.on_fault(&c, now_ms());
     checker.on_execution(id, r.field("X-Tenant"),
                          !r.field("Authorization").empty());
     std::string seal = echo + "X-Engine-Seal: s." + id + "\r\n";
@@ -762,8 +857,9 @@
     std::string marks = shedding.not_executed ? "X-Not-Executed: 1\r\n" : "";
     notices.note_backoff(engine, now_ms());
     checker.on_backoff_request(id, engine, now_ms(), backoff.ms);
-    c.send(answer(503, echo + marks + "Retry-After: " + backoff.text + "\r\n",
-                  ""));
+    reply(c,
+          answer(503, echo + marks + "Retry-After: " + backoff.text + "\r\n",
+                 ""));
   }
   // From now on a random engine sends Server-Leaving while the store lists it
   // as ready; it is stopped after `ms`. A new engine is added for it at once.
@@ -829,7 +925,7 @@
                    int fault) {
     std::string body = Checker::body_of(id);
     std::string whole = answer(200, seal, body);
-    long delay = (long)(random() % 30);
+    long delay = (long)(random() % (unsigned)plain_ms);
     if (unframed && fault == 0) {
       send_later(c, "HTTP/1.1 200 OK\r\n" + seal + "\r\n" + body, delay, 1);
       return;
@@ -858,6 +954,7 @@
     return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + seal +
            (unframed ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n");
   }
+  long plain_ms = 30; // longest time that an answer without events takes
   // Number of events of a stream, and the longest pause between two.
   int stream_events = 6;
   long stream_pause_ms = 20;
@@ -923,16 +1020,31 @@
     listeners.push_back({fd, ntohs(a.sin_port), handler, 0, nullptr});
     return &listeners.back();
   }
+  // Sends what fits into the socket's buffer; true if that is all.
+  static bool send_fitting (PendingSend &s) {
+    ssize_t n = ::send(s.conn->fd, s.text.data(), s.text.size(),
+                       MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (n < 0 && errno != EAGAIN) return true; // the peer is gone
+    s.text.erase(0, (size_t)std::max(n, (ssize_t)0));
+    return s.text.empty();
+  }
   void send_due () {
     long now = now_ms();
     std::vector<PendingSend> left;
+    std::set<const Conn *> full; // their order is kept
     for (PendingSend &s : pending_sends) {
-      if (s.at > now) {
+      if (s.conn->fd < 0) continue;
+      if (s.at > now || silences.holds(s.conn->listener) ||
+          full.count(s.conn)) {
         left.push_back(s);
         continue;
       }
-      if (s.conn->fd < 0) continue;
-      s.conn->send(s.text);
+      if (!send_fitting(s)) {
+        full.insert(s.conn);
+        left.push_back(s);
+        continue;
+      }
+      if (s.end != 0) runs.on_close(s.conn, s.end == 2, now);
       if (s.end == 1) s.conn->close();
       if (s.end == 2) s.conn->abort();
     }
@@ -949,10 +1061,10 @@
     last_poll_at = now_ms();
     std::vector<pollfd> fds;
     std::vector<Conn *> open;
-    for (Listener &l : listeners)
-      fds.push_back({l.fd, POLLIN, 0}); // poll ignores a negative fd
+    for (Listener &l : listeners) // poll ignores a negative fd
+      fds.push_back({silences.is_dark(&l) ? -1 : l.fd, POLLIN, 0});
     for (Conn &c : conns)
-      if (c.fd >= 0) {
+      if (c.fd >= 0 && !silences.is_dark(c.listener)) {
         fds.push_back({c.fd, POLLIN, 0});
         open.push_back(&c);
       }
@@ -962,6 +1074,9 @@
       if (fds[i++].revents && l.fd >= 0) accept_one(l);
     for (Conn *c : open)
       if (fds[i++].revents && c->fd >= 0) read_one(*c);
+    runs.check(last_poll_at);
+    end_silences();
+    trickle();
     send_due();
     apply_due_crashes();
     stop_leaving_engines();
@@ -981,6 +1096,7 @@
     ssize_t n = recv(c.fd, buf, sizeof buf, 0);
     if (n <= 0) {
       c.reset = n < 0;
+      if (c.listener != nullptr) runs.on_close(&c, false, now_ms());
       c.close();
       return;
     }
