Soak: connections that rest between requests (--rests)

Callers of the soak sent the next request within 30 ms, so no connection ever came near the idle time.

Callers rest for up to 1.1 of the idle time while gateways are paused in turn, stopped and sent SIGHUP, and the idle time and 1,400 routes change.

--- a/tests/soak/rest_callers.h
+++ b/tests/soak/rest_callers.h
@@ -81,7 +81,7 @@
 
   void connect (One &c) {
     Gateway &g = gateways[random() % gateways.size()];
-    if (g.port == 0 || g.resume_at != 0) return;
+    if (g.port == 0) return;
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in a = loopback(g.port);
     inet_pton(AF_INET, g.ip().c_str(), &a.sin_addr);
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -592,7 +592,8 @@
   }
   // Orders a planned stop, after which the gateway starts anew.
   void stop (Gateway &g) {
-    if (g.pid <= 0 || g.stopping || g.resume_at != 0) return;
+    if (g.pid <= 0 || g.stopping) return;
+    if (g.resume_at != 0 && !options.rests) return;
     if (!g.handles_stop()) return; // it would end by the signal
     stops++;
     world.log_event("stop g" + std::to_string(g.index));
