--- a/src/relay/hedge.c
+++ b/src/relay/hedge.c
@@ -178,6 +178,13 @@
   return mt_event_stream_has_next(&r->hedge.stream);
 }
 
+static bool is_truncated (mt_relay_request_t *r) {
+  mt_attempt_swap(r);
+  bool truncated = mt_response_is_truncated(r);
+  mt_attempt_swap(r);
+  return truncated;
+}
+
 bool mt_hedge_on_event (mt_relay_t *relay, mt_relay_request_t *r,
                         const mt_relay_event_t *ev) {
   if (!has_hedge(r) || ev->attempt != r->hedge.number) return false;
@@ -189,7 +196,7 @@
     case MT_RELAY_HEAD: on_head(relay, r, ev); return true;
     case MT_RELAY_FAILED: on_failed(relay, r, ev); return true;
     case MT_RELAY_END:
-      if (r->hedge.events) { /* a stream has one event at least */
+      if (is_truncated(r)) {
         on_lost(relay, r);
         return true;
       }
--- a/src/relay/response.c
+++ b/src/relay/response.c
@@ -157,10 +157,9 @@
     on_plain_data(relay, r, data);
 }
 
-/* True if the response can't be taken for complete. Whether an unframed one
-   of a later engine is complete is unknown, but the caller was promised
-   framing; and a stream has one event at least. */
-static bool is_truncated (const mt_relay_request_t *r) {
+/* Whether an unframed response of a later engine is complete is unknown, but
+   the caller was promised framing; and a stream has one event at least. */
+bool mt_response_is_truncated (const mt_relay_request_t *r) {
   bool unframed_stream = r->current.events && !r->current.framed;
   if (r->framed_to_caller && !r->current.framed) return true;
   if (unframed_stream && r->current.first_event_at == 0) return true;
@@ -168,7 +167,7 @@
 }
 
 void mt_response_end (mt_relay_t *relay, mt_relay_request_t *r) {
-  if (is_truncated(r)) {
+  if (mt_response_is_truncated(r)) {
     mt_attempt_lost(relay, r, MT_RELAY_RETRY_LOST);
     return;
   }
--- a/src/relay/response.h
+++ b/src/relay/response.h
@@ -14,6 +14,9 @@
                        const mt_relay_event_t *event);
 void mt_response_data (mt_relay_t *relay, mt_relay_request_t *request,
                        mt_bytes_t data, bool delayed);
+/* True if the response of the current attempt has ended and can't be taken
+   for complete. */
+bool mt_response_is_truncated (const mt_relay_request_t *request);
 void mt_response_end (mt_relay_t *relay, mt_relay_request_t *request);
 /* The engine has accepted the request: its response has begun. */
 void mt_response_accepted (mt_relay_t *relay, mt_relay_request_t *request);
