Callers: narrower limits hold from the next answer on

Cause: a configuration that shortens the idle time closed within a tick what callers kept by the longer one; the next request met a closed connection. Likewise a shorter header time or smaller sizes refused requests that were begun, or sent, under the limits before.

Change: a connection has its own limits: those in force when its last answer was sent, or when it was accepted, each widened at once where a later configuration has a wider one.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -51,6 +51,7 @@
   bool counted;     /* in the server's `closes` */
   bool handed_over; /* the handler has the request and has not completed it */
   mt_exchange_state_t state;
+  mt_http_server_limits_t limits; /* the widest since the last response */
   http_parser parser;
   mt_http_headers_t headers;
   buffer_t target, body, pipelined, out;
@@ -302,7 +303,7 @@
 }
 
 static bool headers_too_large (const mt_http_exchange_t *x) {
-  return x->headers.used + x->target.n > x->server->limits.header_bytes;
+  return x->headers.used + x->target.n > x->limits.header_bytes;
 }
 
 static int on_name (http_parser *parser, const char *p, size_t n) {
@@ -321,7 +322,7 @@
   mt_http_exchange_t *x = parser->data;
   uint64_t length = parser->content_length;
   bool has_length = parser->flags & F_CONTENTLENGTH;
-  x->too_large = has_length && length > x->server->limits.body_bytes;
+  x->too_large = has_length && length > x->limits.body_bytes;
   if (x->too_large) return -1;
   mt_bytes_t expect = mt_http_headers_find(&x->headers, "expect");
   if (mt_bytes_equal_nocase(expect, "100-continue")) {
@@ -334,7 +335,7 @@
 
 static int on_body (http_parser *parser, const char *p, size_t n) {
   mt_http_exchange_t *x = parser->data;
-  x->too_large = x->body.n + n > x->server->limits.body_bytes;
+  x->too_large = x->body.n + n > x->limits.body_bytes;
   if (x->too_large) return 1;
   buffer_add(&x->body, p, n);
   return 0;
@@ -370,6 +371,7 @@
   x->target.n = 0;
   x->body.n = 0;
   x->state = STATE_IDLE;
+  x->limits = x->server->limits;
   begin_age(x);
   x->user = NULL;
 }
@@ -704,9 +706,20 @@
   return ntohs(addr.sin_port);
 }
 
+/* Limits under which a caller may act that has not had an answer since. */
+static void widen_limits (mt_http_server_limits_t *to,
+                          const mt_http_server_limits_t *limits) {
+  to->header_bytes = mt_max(to->header_bytes, limits->header_bytes);
+  to->body_bytes = mt_max(to->body_bytes, limits->body_bytes);
+  to->header_ms = mt_max(to->header_ms, limits->header_ms);
+  to->idle_ms = mt_max(to->idle_ms, limits->idle_ms);
+}
+
 void mt_http_server_set_limits (mt_http_server_t *server,
                                 const mt_http_server_limits_t *limits) {
   server->limits = *limits;
+  for (mt_http_exchange_t *x = server->all; x != NULL; x = x->next)
+    widen_limits(&x->limits, limits);
 }
 
 size_t mt_http_server_connections (const mt_http_server_t *server) {
@@ -789,7 +802,7 @@
 }
 
 static void check_age (mt_http_exchange_t *x, mt_ms_t elapsed, mt_ms_t now) {
-  const mt_http_server_limits_t *limits = &x->server->limits;
+  const mt_http_server_limits_t *limits = &x->limits;
   switch (x->state) {
     case STATE_IDLE:
       correct_age(x, elapsed, now);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -77,6 +77,8 @@
                      const mt_http_server_handler_t *handler, void *ud,
                      char *reason, size_t size);
 uint16_t mt_http_server_port (const mt_http_server_t *server);
+/* Wider limits hold at once. Narrower ones hold for a connection from its
+   next response on: callers keep it, and send, by those that they know. */
 void mt_http_server_set_limits (mt_http_server_t *server,
                                 const mt_http_server_limits_t *limits);
 size_t mt_http_server_connections (const mt_http_server_t *server);
--- a/tests/kept_connection_test.cc
+++ b/tests/kept_connection_test.cc
@@ -140,6 +140,52 @@
   }
 }
 
+// Guards against new limits that hold for requests that callers have begun,
+// or may send, by the ones before; and against old ones that hold for too
+// long.
+TEST(KeptConnection, NarrowerLimitsHoldFromTheNextAnswerOn) {
+  struct Row {
+    const char *limit;
+    int before, after;
+    size_t body;
+    int pause_ms; // midway in the request
+    int status;   // of a request after the next answer; 0: closed
+  } rows[] = {
+      {"idle_timeout_ms", 5000, 200, 0, 0, 0},
+      {"header_timeout_ms", 5000, 200, 1000, 500, 408},
+      {"max_body_bytes", 5000, 500, 1000, 0, 413},
+      {"max_header_bytes", 4096, 100, 0, 0, 431},
+  };
+  for (const Row &row : rows) {
+    World w;
+    std::string text = World::config(7, "key-w1");
+    set_limit(text, row.limit, row.before);
+    w.put("op/config", text);
+    w.engine("i-0", "plain", w.listen(answer_ok));
+    w.start();
+    Conn *caller = rested(w);
+    text = World::config(8, "key-w1");
+    set_limit(text, row.limit, row.after);
+    w.put("op/config", text);
+    ASSERT_TRUE(w.until([&] {
+      return w.log.find("event=configuration version=8") != w.log.npos;
+    }));
+    pump_for(w, 500);
+    text = World::ask("/safe/x", "id2", std::string(row.body, 'x'));
+    for (int status : {200, row.status}) {
+      caller->send(text.substr(0, text.size() / 2));
+      pump_for(w, row.pause_ms);
+      caller->send(text.substr(text.size() / 2));
+      w.until(
+          [&] { return caller->closed || World::is_complete(caller->in); });
+      EXPECT_EQ(World::status_of(caller->in), status) << row.limit;
+      caller->in.clear();
+      if (row.status != 0) continue;
+      EXPECT_TRUE(w.until([&] { return caller->closed; })) << row.limit;
+    }
+  }
+}
+
 // Guards against a 408 for a request whose rest came in time and lies unread,
 // or could not be sent as nobody read.
 TEST(KeptConnection, ARequestThatWasNotReadInTimeIsNotLate) {
