Stop: what the grace cuts off is answered first

Cause: 0.4 s before the grace of a stopping process was over it exited with what was in progress: requests at engines were cut without an answer, and behind a stall also requests that lay unread; the exit's last turn of the loop even read them and passed them on.

Change: the relay ends what is in progress when its stop time has come (504, or 503 where it did not run). The process exits 0.2 s later, and a whole turn after it has found that out: what lies unread is refused.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -633,8 +633,13 @@
   uv_stop(g->loop);
 }
 
-/* Stops in steps: not ready, so load balancers remove it; then closes idle
-   connections; exits when none is left or the grace is nearly over. */
+/*
+** Stops in steps: not ready, so load balancers remove it; then closes idle
+** connections; exits when none is left or the grace is nearly over. This step
+** may come late, before sockets are read: requests that lie unread in them
+*are
+** refused before the next one.
+*/
 static void continue_stop (mt_gateway_t *g) {
   mt_ms_t since = mt_boot_clock_now(g->loop) - g->stopping;
   if (since > BALANCER_REMOVAL_MS) {
@@ -644,7 +649,8 @@
       return;
     }
   }
-  if (since + FLUSH_RESERVE_MS > g->settings.grace) finish(g, "out-of-time");
+  if (g->out_of_time) finish(g, "out-of-time");
+  g->out_of_time = since + FLUSH_RESERVE_MS / 2 > g->settings.grace;
 }
 
 /* Processor time that this process has used, ms. */
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -476,8 +476,14 @@
 
 /* {== Time ============================================================= */
 
+/* A stopping router answers what it would only cut off by its end. */
+static bool is_over (const mt_relay_t *relay, const mt_relay_request_t *r) {
+  bool stopped = relay->stop_since != 0 && relay->now >= relay->stop_until;
+  return stopped || relay->now >= r->expires;
+}
+
 static void check_request (mt_relay_t *relay, mt_relay_request_t *r) {
-  if (relay->now >= r->expires) {
+  if (is_over(relay, r)) {
     bool ran = r->may_have_run || r->current.written || r->hedge.written;
     mt_request_give_up(relay, r,
                        ran ? MT_RELAY_TIMEOUT : MT_RELAY_TIMEOUT_NOT_RUN);
--- a/tests/kept_connection_test.cc
+++ b/tests/kept_connection_test.cc
@@ -289,6 +289,48 @@
   }
 }
 
+// Guards against requests that are cut, without an answer, as the grace of a
+// process runs out.
+TEST(KeptConnection, ARequestThatOutlastsTheGraceIsAnswered) {
+  struct Row {
+    const char *what;
+    bool sent_in_stall; // else it is at an engine
+    int status;
+  } rows[] = {
+      {"it is at an engine", false, 504},
+      {"it lies unread behind a stall", true, 503},
+  };
+  for (const Row &row : rows) {
+    World w;
+    w.grace_ms = 2000;
+    bool at_engine = false;
+    w.engine("i-0", "plain", w.listen([&] (Conn &c, const Request &r) {
+      at_engine = r.field("X-Attempt-Id") == "id2";
+      if (!at_engine) answer_ok(c, r);
+    }));
+    w.start();
+    Conn *caller = rested(w);
+    if (!row.sent_in_stall) {
+      caller->send(World::ask("/once/x", "id2"));
+      ASSERT_TRUE(w.until([&] { return at_engine; }));
+    }
+    kill(w.pid, SIGTERM);
+    ASSERT_TRUE(
+        w.until([&] { return w.log.find("event=stopping") != w.log.npos; }));
+    if (row.sent_in_stall) {
+      pump_for(w, 1000);
+      kill(w.pid, SIGSTOP);
+      caller->send(World::ask("/once/x", "id2"));
+      pump_for(w, 1000);
+      kill(w.pid, SIGCONT);
+    }
+    EXPECT_TRUE(w.until([&] { return caller->closed; })) << row.what;
+    EXPECT_EQ(World::status_of(caller->in), row.status) << row.what;
+    EXPECT_FALSE(caller->reset) << row.what;
+    EXPECT_EQ(at_engine, !row.sent_in_stall) << row.what;
+  }
+}
+
 // Callers that use what they may of the idle time, beside stalls.
 TEST(KeptConnection, ManyCallersAreAnsweredBesideStalls) {
   const int CALLERS = 60, STALLS = 6, IDLE_MS = 600;
