Client: only a quiet connection is reused

Cause: behind a stall of the loop an idle connection that its server has closed, or sent surplus bytes on, still looked usable: the request sent on it failed as one that may have run. A late notice that was waited for could likewise be given up while it lay unread.

Change: the kernel is asked before a connection is reused; one that is not quiet is closed and the next one taken. The wait for a late head ends by the tick before, up to which all input has been read.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -1,6 +1,7 @@
 /*
 ** http_client.c - HTTP/1.1 client with keep-alive, on libuv and http-parser
 */
+#include <errno.h>
 #include <http_parser.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
@@ -342,12 +343,23 @@
 
 /* {== Calls ============================================================ */
 
+/* False when the server has closed the connection or sent anything on it: the
+   loop may have been held up and not have read that yet. */
+static bool is_quiet (const mt_http_call_t *c) {
+  uv_os_fd_t fd;
+  char byte;
+  return uv_fileno((const uv_handle_t *)&c->tcp, &fd) == 0 &&
+         recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
+}
+
 /* The idle connection used last: the server is least likely to have closed
    that one. */
 static mt_http_call_t *take_idle (mt_http_client_t *client, uint64_t key,
                                   mt_ms_t max_idle_ms) {
   mt_ms_t now = mt_boot_clock_now(client->loop);
-  mt_http_call_t *c = mtV_get(&client->idle, key);
+  mt_http_call_t *c;
+  while ((c = mtV_get(&client->idle, key)) != NULL && !is_quiet(c))
+    close_connection(c);
   if (c == NULL || now - c->since >= mt_min(c->idle_limit, max_idle_ms))
     return NULL;
   remove_idle(c);
@@ -523,7 +535,7 @@
       fail(c, MT_HTTP_NOT_SENT);
     else if (c->connected && !c->busy && now - c->since > c->idle_limit)
       close_connection(c);
-    else if (c->linger_until != 0 && now >= c->linger_until)
+    else if (c->linger_until != 0 && previous >= c->linger_until)
       fail(c, MT_HTTP_CLOSED);
   }
   client->last_tick = now;
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -39,7 +39,7 @@
     while (uv_run(&loop, UV_RUN_DEFAULT) != 0) continue;
     uv_loop_close(&loop);
   }
-  mt_http_call_t *call () {
+  mt_http_call_t *call (mt_ms_t max_idle_ms = 0) {
     sockaddr_in addr{};
     int size = sizeof addr;
     uv_tcp_getsockname(&server, (sockaddr *)&addr, &size);
@@ -47,7 +47,7 @@
                                          ntohs(addr.sin_port)};
     static const char head[] = "GET / HTTP/1.1\r\n\r\n";
     return mt_http_client_call(client, &endpoint, {head, sizeof head - 1},
-                               {"", 0}, 0, this);
+                               {"", 0}, max_idle_ms, this);
   }
   void respond () {
     uv_buf_t buf = uv_buf_init(&response[0], (unsigned)response.size());
@@ -205,4 +205,37 @@
   EXPECT_EQ(p.failures, 0);
 }
 
+// Guards against a request that is sent on a connection that its server has
+// closed, where the loop was held up and did not see that: it may have run.
+TEST(HttpClient, AConnectionIsReusedOnlyWhileItIsQuiet) {
+  enum class Then { NOTHING, BYTES, CLOSES, RESETS };
+  struct Row {
+    const char *what;
+    Then then;
+    bool reused;
+  } rows[] = {
+      {"nothing", Then::NOTHING, true},
+      {"more bytes", Then::BYTES, false},
+      {"it closes", Then::CLOSES, false},
+      {"it resets", Then::RESETS, false},
+  };
+  for (const Row &row : rows) {
+    ClientAndServer w;
+    w.call();
+    w.until([&] { return w.received; });
+    w.response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    w.respond();
+    w.until([&] { return w.ends == 1; });
+    switch (row.then) {
+      case Then::NOTHING: break;
+      case Then::BYTES: w.respond(); break;
+      case Then::CLOSES: w.half_close_peer(); break;
+      case Then::RESETS: w.reset_peer(); break;
+    }
+    mt_http_call_t *call = w.call(20000);
+    EXPECT_EQ(mt_http_call_is_sent(call), row.reused) << row.what;
+    mt_http_call_cancel(call);
+  }
+}
+
 } // namespace
