--- a/src/relay/hedge.c
+++ b/src/relay/hedge.c
@@ -12,7 +12,7 @@
 #include "response_timeout.h"
 
 /* Longest time that both engines may work on the request. */
-#define OVERLAP_MAX_MS 250
+#define OVERLAP_MAX_MS 200
 #define HEDGE_INTERVAL_MS 100 /* between tries to start one */
 
 static bool has_hedge (const mt_relay_request_t *r) {
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -487,8 +487,14 @@
   return (may_lie_unread ? relay->last_tick : relay->now) >= r->expires;
 }
 
+/* A stopping router answers what it would only cut off by its end. */
+static bool is_over (const mt_relay_t *relay, const mt_relay_request_t *r) {
+  bool stopped = relay->stop_since != 0 && relay->now >= relay->stop_until;
+  return stopped || is_expired(relay, r);
+}
+
 static void check_request (mt_relay_t *relay, mt_relay_request_t *r) {
-  if (is_expired(relay, r)) {
+  if (is_over(relay, r)) {
     bool ran = r->may_have_run || r->current.written || r->hedge.written;
     mt_request_give_up(relay, r,
                        ran ? MT_RELAY_TIMEOUT : MT_RELAY_TIMEOUT_NOT_RUN);
