--- a/tests/steps/steps.cc
+++ b/tests/steps/steps.cc
@@ -15,6 +15,9 @@
 
 extern "C" {
 #include "catalog_diff.h"
+#include "gateway_settings.h"
+#include "gateway_state.h"
+#include "relay_load.h"
 #include "json_scan.h"
 #include "store_items.h"
 }
@@ -106,7 +109,7 @@
 }
 
 void print (const char *step, double ms) {
-  printf("  %-34s %8.2f ms  %8.1f ms\n", step, ms, ms / small_core);
+  fprintf(stderr, "  %-34s %8.2f ms  %8.1f ms\n", step, ms, ms / small_core);
 }
 
 // The change from a small configuration to the large one.
@@ -115,8 +118,8 @@
   std::string body = "{\"events\":[{\"key\":\"op/config\",\"rev\":12,"
                      "\"value\":\"" +
                      base64(text) + "\"}],\"at\":12}";
-  printf("%d routes, %d workspaces, %d services: %zu KB\n", size.routes,
-         size.workspaces, size.services, body.size() / 1024);
+  fprintf(stderr, "%d routes, %d workspaces, %d services: %zu KB\n",
+          size.routes, size.workspaces, size.services, body.size() / 1024);
   json_t *doc = nullptr;
   print("response: JSON",
         median(
@@ -150,7 +153,7 @@
   mt_response_documents_free(&documents);
   json_decref(doc);
   print("document: its longest part", longest);
-  printf("  parts: %d\n", parts);
+  fprintf(stderr, "  parts: %d\n", parts);
   mt_catalog_t *small = read(document(1, 30, size));
   mt_catalog_t *large = read(text);
   std::string later = document(3, size.routes, size);
@@ -181,14 +184,155 @@
   mt_catalog_free(same);
 }
 
+// {== A gateway of this process ============================================
+
+std::string list (int from, int count) {
+  std::string all;
+  for (int i = from; i < from + count; i++) {
+    std::string n = std::to_string(i);
+    all += (i > from ? "," : "") + ("{\"key\":\"servers/i-" + n) +
+           "\",\"rev\":" + std::to_string(20 + i) + ",\"value\":\"" +
+           base64("{\"service\":\"service-" + std::to_string(i % 15) +
+                  "\",\"addr\":\"127.0.0.1:" + std::to_string(1024 + i) +
+                  "\",\"zone\":\"d" + std::to_string(i % 20) +
+                  "\",\"slots\":8,\"state\":\"ready\",\"cold_left_ms\":0,"
+                  "\"born\":1780000000000,\"version\":\"v1.2\"}") +
+           "\"}";
+  }
+  return "{\"items\":[" + all + "],\"more\":true,\"at\":9999}";
+}
+
+struct Gateway {
+  uv_loop_t loop;
+  mt_boot_clock_t clock;
+  mt_gateway_settings_t settings;
+  mt_gateway_t *g;
+  Gateway() {
+    mt_faults_t faults{};
+    char reason[160];
+    json_t *doc =
+        json_pack("{s:s,s:s,s:s,s:s,s:s,s:s,s:[]}", "node", "g1", "domain",
+                  "d1", "callers", "127.0.0.1:0", "ready", "127.0.0.1:0",
+                  "metrics", "127.0.0.1:0", "peers", "127.0.0.1:0", "seeds");
+    mt_gateway_settings_read(doc, &settings, &faults);
+    json_decref(doc);
+    mt_boot_clock_init_loop(&loop);
+    mt_boot_clock_open(&clock, &loop);
+    g = mt_gateway_open(&loop, &settings, &mt_platform_dialect, reason,
+                        sizeof reason);
+    if (g == nullptr) abort();
+  }
+  void apply (const json_t *doc) {
+    mt_response_documents_t none{};
+    size_t i;
+    json_t *item;
+    json_array_foreach (json_object_get(doc, "items"), i, item)
+      mt_store_apply_item(g, MT_FEED_ENGINES, "servers/", item,
+                          20 + (int64_t)i, &none);
+  }
+};
+
+// Putting a version into force: announcing what differs, freeing the old one.
+void measure_versions (const Size &size) {
+  fprintf(stderr, "%d routes, %d workspaces: into force\n", size.routes,
+          size.workspaces);
+  Gateway gateway;
+  int version = 1;
+  mt_catalog_t *next = nullptr;
+  auto put = [&] { mt_gateway_set_catalog(gateway.g, next, 10 + version); };
+  auto prepare = [&] (int routes) {
+    next = read(document(++version, routes, size));
+  };
+  auto apply = [&] (int routes) {
+    prepare(routes);
+    put();
+  };
+  apply(30);
+  print("routes more",
+        median([&] { prepare(size.routes); }, put, [&] { apply(30); }));
+  apply(size.routes);
+  print("routes less",
+        median([&] { prepare(30); }, put, [&] { apply(size.routes); }));
+  print("none", median([&] { prepare(size.routes); }, put, nothing));
+}
+
+// A list of engines in pages of 500, and the turns of a loop with nothing
+// else to do.
+void measure_engines (int engines) {
+  Gateway gateway;
+  Size size = {1430, 2500, 15};
+  mt_gateway_set_catalog(gateway.g, read(document(1, size.routes, size)), 10);
+  fprintf(stderr, "%d engines, a list of %d\n", engines,
+          std::min(engines, 500));
+  double json = 0, applied = 0;
+  for (int from = 0; from < engines; from += 500) {
+    std::string body = list(from, std::min(500, engines - from));
+    double began = processor_ms();
+    json_t *doc = mt_json_read(body.data(), body.size());
+    json = std::max(json, processor_ms() - began);
+    began = processor_ms();
+    gateway.apply(doc);
+    applied = std::max(applied, processor_ms() - began);
+    json_decref(doc);
+  }
+  print("list: JSON, the longest", json);
+  print("list: applying it, the longest", applied);
+  mt_inventory_t inventory{};
+  for (mt_feed_kind_t kind : {MT_FEED_DECLARATIONS, MT_FEED_ENGINES})
+    print(kind == MT_FEED_ENGINES ? "inventory of engines"
+                                  : "inventory of declarations",
+          median([&] { inventory.count = 0; },
+                 [&] { mt_gateway_list_items(gateway.g, kind, &inventory); },
+                 nothing));
+  free(inventory.items);
+  double gone = processor_ms();
+  for (int i = 0; i < std::min(engines, 500); i++)
+    mt_gateway_set_engine(gateway.g, ("i-" + std::to_string(i)).c_str(),
+                          nullptr, 20000 + i);
+  print("500 engines are gone", processor_ms() - gone);
+  std::vector<double> turns;
+  double longest = 0;
+  for (int i = 0; i < 400; i++) {
+    double began = processor_ms();
+    uv_run(&gateway.loop, UV_RUN_ONCE);
+    turns.push_back(processor_ms() - began);
+    longest = std::max(longest, turns.back());
+  }
+  std::sort(turns.begin(), turns.end());
+  print("turn with a tick, median", turns[turns.size() / 2]);
+  print("turn with a tick, longest of 400", longest);
+  mt_relay_t *relay = mt_gateway_relay(gateway.g);
+  print("slowest engine, for the metrics",
+        median(
+            nothing,
+            [&] {
+              double max = 0;
+              for (size_t i = 0; i < relay->engines.count; i++)
+                max = std::max(
+                    max, mt_relay_slowness(relay, relay->engines.list[i]));
+            },
+            nothing));
+}
+
+// }==
+
 } // namespace
 
+// Usage: steps [ROUTES WORKSPACES [SERVICES]], or steps engines N. The
+// gateway's log goes to standard output, so the table to standard error.
 int main (int argc, char **argv) {
+  if (argc == 3 && strcmp(argv[1], "engines") == 0) {
+    measure_engines(atoi(argv[2]));
+    return 0;
+  }
   std::vector<Size> sizes = {
       {30, 30, 15},     {100, 30, 15},   {1430, 30, 15},   {1430, 2500, 15},
       {2830, 2500, 15}, {13030, 30, 15}, {13030, 2500, 15}};
   if (argc >= 3)
     sizes = {{atoi(argv[1]), atoi(argv[2]), argc > 3 ? atoi(argv[3]) : 15}};
-  for (const Size &size : sizes) measure(size);
+  for (const Size &size : sizes) {
+    measure(size);
+    measure_versions(size);
+  }
   return 0;
 }
