--- a/tests/turns_between_parts_test.cc
+++ b/tests/turns_between_parts_test.cc
@@ -60,7 +60,8 @@
   ~InProcess() {
     mt_platform_store_close(store);
     mt_gateway_close(g);
-    uv_run(&loop, UV_RUN_NOWAIT);
+    uv_run(&loop, UV_RUN_DEFAULT);
+    uv_loop_close(&loop);
   }
   void turn () {
     uv_run(&loop, UV_RUN_NOWAIT);
