Store: a response that does not end is given up

Cause: the body of a response of the store was kept whatever its size, and any byte of it put off the time-out of its call. A store that sends bytes without end took all memory, or, a byte at a time, held its feed for ever, so that no configuration and no engine was learnt from it any more.

Result: EndlessBytes.FromTheStoreEndItsCalls, new, plays six forms.

--- a/tests/endless_bytes_test.cc
+++ b/tests/endless_bytes_test.cc
@@ -43,6 +43,12 @@
   size_t count () const {
     return flows.size();
   }
+  // True if the first `n` have ended.
+  bool is_over (size_t n) const {
+    for (const Flow &f : flows)
+      if (n-- > 0 && !f.over) return false;
+    return true;
+  }
 
 private:
   struct Flow {
@@ -304,6 +310,17 @@
 // attempt.
 constexpr size_t REQUEST_BYTES_MAX = 2 * 2 * (256 + 256 + 64 + 64) * 1024;
 
+// Starts a gateway; returns the bytes that it has used by then.
+size_t start_measured (World &w) {
+  const char *options = getenv("ASAN_OPTIONS");
+  std::string before = options ? options : "";
+  // Freed memory that the sanitizer keeps is not the gateway's.
+  setenv("ASAN_OPTIONS", (before + ":quarantine_size_mb=1").c_str(), 1);
+  w.start();
+  setenv("ASAN_OPTIONS", before.c_str(), 1);
+  return process_memory(w.pid, "VmHWM:");
+}
+
 // A gateway with engines whose answers have a form until it is `over`.
 struct EndlessWorld : World {
   enum class Bad { FIRST, ALL }; // engines that a request comes to
@@ -329,7 +346,7 @@
     std::string text = config(8, "key-w1", route_texts);
     text.insert(text.find("\"services\":[") + 12, service_texts);
     put("op/config", text);
-    begin();
+    base = start_measured(*this);
   }
   static std::string path_of (const Route &route, const FormRow &row) {
     return std::string("/") + route.letter + std::to_string((int)row.form) +
@@ -364,15 +381,6 @@
            "\"kv_tokens\":90000,\"kv_token_bytes\":35000,"
            "\"link_mbps\":1000000,\"moves\":true}},";
   }
-  void begin () {
-    const char *options = getenv("ASAN_OPTIONS");
-    std::string before = options ? options : "";
-    // Freed memory that the sanitizer keeps is not the gateway's.
-    setenv("ASAN_OPTIONS", (before + ":quarantine_size_mb=1").c_str(), 1);
-    start();
-    setenv("ASAN_OPTIONS", before.c_str(), 1);
-    base = process_memory(pid, "VmHWM:");
-  }
   static const Route &route_of (const Request &r) {
     char letter = r.line()[r.line().find('/') + 1];
     for (const Route &route : routes)
@@ -514,4 +522,65 @@
 
 // }==
 
+// {== The store ============================================================
+
+// How a store's response goes on without end.
+struct StoreRow {
+  const char *what;
+  Pace pace;
+  const char *begin, *unit;
+} store_rows[] = {
+    {"a body without a length", Pace::FAST, "HTTP/1.1 200 X\r\n\r\n", "x"},
+    {"chunks", Pace::FAST,
+     "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+    {"header lines", Pace::FAST, "HTTP/1.1 200 X\r\n", "X-A: b\r\n"},
+    {"interim responses", Pace::FAST, "", "HTTP/1.1 100 X\r\n\r\n"},
+    {"a body without a length, a byte at a time", Pace::TRICKLE,
+     "HTTP/1.1 200 X\r\n\r\n", "x"},
+    {"a header line, a byte at a time", Pace::TRICKLE,
+     "HTTP/1.1 200 X\r\nX-Long: ", "a"},
+};
+
+// Of the calls that may be in progress: two feeds, a check of the list and a
+// record; a buffer that grows is copied.
+constexpr size_t STORE_BYTES_MAX = 4 * 2 * (8u << 20);
+
+// A store that sends bytes without end to each call.
+TEST(EndlessBytes, FromTheStoreEndItsCalls) {
+  for (const StoreRow &row : store_rows) {
+    World w;
+    Flood flood;
+    auto send_on = [&] (Conn &c) {
+      flood.add(c, row.begin, row.unit, row.pace);
+    };
+    w.engine("i-1", "plain", w.listen([] (Conn &c, const Request &r) {
+      c.send(whole_answer(routes[0], r));
+    }));
+    size_t base = start_measured(w);
+    Handler handler = w.store->handler;
+    w.store->handler = [&] (Conn &c, const Request &) { send_on(c); };
+    for (World::Watch &watch : w.watches) send_on(*watch.conn);
+    w.watches.clear();
+    ASSERT_TRUE(w.until([&] { return flood.count() >= 2; })) << row.what;
+    size_t first = flood.count();
+    auto bytes = [&] { return process_memory(w.pid, "VmHWM:") - base; };
+    EXPECT_TRUE(w.until([&] {
+      return flood.is_over(first) || bytes() > STORE_BYTES_MAX;
+    })) << row.what;
+    EXPECT_TRUE(flood.is_over(first)) << row.what << ": still read";
+    EXPECT_LT(bytes(), STORE_BYTES_MAX) << row.what;
+    EXPECT_EQ(World::status_of(w.call(World::ask("/safe/x", "id1"))), 200);
+    w.store->handler = handler;
+    w.engine("i-2", "model", w.listen([] (Conn &c, const Request &r) {
+      c.send(whole_answer(routes[2], r));
+    }));
+    EXPECT_TRUE(w.until([&] {
+      return World::status_of(w.call(World::ask("/gen/x", "id2"))) == 200;
+    })) << row.what
+        << ": the store is not read again";
+  }
+}
+
+// }==
+
 } // namespace
