--- a/Makefile
+++ b/Makefile
@@ -107,6 +107,8 @@
 	  --gateways 6 --callers 20 --seconds 14
 	MT_BIN=build/san ASAN_OPTIONS=detect_leaks=0 build/san/soak --seeds tests/soak/silences.txt --silences \
 	  --gateways 4 --callers 48 --seconds 10
+	MT_BIN=build/san ASAN_OPTIONS=detect_leaks=0 build/san/soak --seeds tests/soak/rests.txt --rests \
+	  --gateways 4 --callers 100 --seconds 10
 
 # What the users' platform builds: the program alone, under target/.
 release:
@@ -125,6 +127,7 @@
 	MT_BIN=$(B) $(B)/soak --seeds tests/soak/versions.txt --parts --versions --gateways 12 --callers 30 --seconds 30
 	MT_BIN=$(B) $(B)/soak --seeds tests/soak/cuts.txt --cuts --gateways 6 --callers 40 --seconds 40
 	MT_BIN=$(B) $(B)/soak --seeds tests/soak/silences.txt --silences --gateways 12 --engines 20 --callers 96 --seconds 30
+	MT_BIN=$(B) $(B)/soak --seeds tests/soak/rests.txt --rests --gateways 12 --callers 400 --seconds 30
 
 bench: all
 	sh scripts/bench.sh
