Stop: a new connection is not closed before its request can have come

Now a connection has to have been without a request for 0.3 s.

Measured: KeptConnection.ANewConnectionIsNotClosedAtOnceByAStop failed before and passes.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -23,6 +23,7 @@
 #define USER_TIMEOUT_MS 10000 /* for unacknowledged data */
 #define TARGET_BYTES_MAX 8192 /* of a request target */
 #define CLOSE_WAIT_MS 2000    /* for a caller to close its side, too */
+#define REST_MIN_MS 300       /* without a request, until a stop closes it */
 #define HELD_UP_MS 600 /* between two ticks: the loop has been held up */
 
 typedef enum mt_exchange_state_t {
@@ -768,12 +769,14 @@
   server->draining = drain;
 }
 
+/* A request may still be on its way on a connection that is new. */
 void mt_http_server_close_idle (mt_http_server_t *server) {
+  mt_ms_t now = mt_boot_clock_now(server->loop);
   mt_http_exchange_t *next;
   for (mt_http_exchange_t *x = server->all; x != NULL; x = next) {
     next = x->next;
-    if (x->state == STATE_IDLE && is_idle(x))
-      close_connection(x, MT_HTTP_CLOSE_STOPPING);
+    bool rests = x->state == STATE_IDLE && now - x->since > REST_MIN_MS;
+    if (rests && is_idle(x)) close_connection(x, MT_HTTP_CLOSE_STOPPING);
   }
 }
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -102,7 +102,8 @@
    further request has come on it. */
 void mt_http_server_drain (mt_http_server_t *server, bool drain);
 
-/* Closes the connections that have no request in progress, nor any input. */
+/* Closes the connections that have no request in progress, nor any input, and
+   have had none for a moment. */
 void mt_http_server_close_idle (mt_http_server_t *server);
 
 /* Accepts no more connections; existing ones go on. */
--- a/tests/kept_connection_test.cc
+++ b/tests/kept_connection_test.cc
@@ -3,6 +3,11 @@
 
 #include <chrono>
 
+extern "C" {
+#include "boot_clock.h"
+#include "http_server.h"
+}
+
 namespace {
 
 using Clock = std::chrono::steady_clock;
@@ -289,6 +294,35 @@
   }
 }
 
+// Guards against connections that a stopping process closes before their
+// first request can have come.
+TEST(KeptConnection, ANewConnectionIsNotClosedAtOnceByAStop) {
+  uv_loop_t loop{};
+  mt_boot_clock_init_loop(&loop);
+  char reason[80];
+  const mt_http_server_handler_t handler{};
+  mt_http_server_t *server = mt_http_server_open(
+      &loop, "127.0.0.1", 0, &handler, nullptr, reason, sizeof reason);
+  ASSERT_NE(server, nullptr) << reason;
+  int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in a = loopback(mt_http_server_port(server));
+  ASSERT_EQ(connect(fd, (sockaddr *)&a, sizeof a), 0);
+  while (mt_http_server_connections(server) == 0)
+    uv_run(&loop, UV_RUN_NOWAIT);
+  mt_http_server_tick(server);
+  mt_http_server_close_idle(server);
+  EXPECT_EQ(mt_http_server_connections(server), 1u);
+  while (mt_http_server_connections(server) == 1) {
+    uv_run(&loop, UV_RUN_NOWAIT);
+    mt_http_server_tick(server);
+    mt_http_server_close_idle(server);
+  }
+  ::close(fd);
+  mt_http_server_close(server);
+  while (uv_run(&loop, UV_RUN_DEFAULT) != 0) continue;
+  uv_loop_close(&loop);
+}
+
 // Guards against requests that are cut, without an answer, as the grace of a
 // process runs out.
 TEST(KeptConnection, ARequestThatOutlastsTheGraceIsAnswered) {
