Descriptors: connections to other addresses leave room for callers

Cause: connections to the addresses for readiness and metrics had no limit. Where they took up the descriptors, new callers were closed unread by libuv, which sheds load before our own code is asked: neither counted nor logged.

Change: each of the two addresses keeps at most 16 connections; a further one evicts an idle one, as with callers.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -30,6 +30,9 @@
 #define BALANCER_REMOVAL_MS 2500
 #define CALLER_FD_FRACTION 0.55 /* of the file descriptors, for callers */
 #define ENGINE_FD_FRACTION 0.35 /* and for connections to engines */
+/* Connections to the addresses for readiness and for metrics, each: where no
+   descriptor is left callers' new connections are closed unread. */
+#define PROBE_CONNECTIONS_MAX 16
 /* How long to wait for the head of an answer after the caller has
    disconnected; an engine that rejects a request does so at once. */
 #define LINGER_MS 50
@@ -798,9 +801,11 @@
       g->callers, (size_t)(CALLER_FD_FRACTION * descriptors));
   g->ready = listen_on(g, &settings->ready, &ready_handler, reason, size);
   if (g->ready == NULL) return NULL;
+  mt_http_server_set_max_connections(g->ready, PROBE_CONNECTIONS_MAX);
   g->metrics =
       listen_on(g, &settings->metrics, &metrics_handler, reason, size);
   if (g->metrics == NULL) return NULL;
+  mt_http_server_set_max_connections(g->metrics, PROBE_CONNECTIONS_MAX);
   const mt_gateway_peers_callbacks_t callbacks = {
       on_quoted, mt_gateway_apply_change,
       on_trial,  mt_gateway_apply_peer_drain,
--- a/tests/kept_connection_test.cc
+++ b/tests/kept_connection_test.cc
@@ -249,6 +249,28 @@
   EXPECT_EQ(closes(w, "closes_unread_total", "evicted"), 0);
 }
 
+// Guards against new callers that are closed unread as connections to other
+// addresses of the gateway take up the descriptors.
+TEST(KeptConnection, OtherAddressesLeaveDescriptorsForCallers) {
+  for (const char *address : {"ready", "metrics"}) {
+    World w;
+    w.descriptors = 100;
+    w.engine("i-0", "plain", w.listen(answer_ok));
+    w.start();
+    int port = address == std::string("ready") ? w.ready : w.metrics;
+    std::vector<Conn *> others;
+    while (others.size() < 100) others.push_back(w.connect(port));
+    pump_for(w, 200);
+    for (int i = 0; i < 10; i++) {
+      Conn *caller = w.connect(w.callers);
+      caller->send(World::ask("/safe/x", "id1"));
+      w.until(
+          [&] { return caller->closed || World::is_complete(caller->in); });
+      EXPECT_EQ(World::status_of(caller->in), 200) << address << ' ' << i;
+    }
+  }
+}
+
 // Guards against requests that a process that ends leaves unread.
 TEST(KeptConnection, ARequestBeforeTheEndOfTheProcessIsAnswered) {
   enum class Where { KEPT, NEW, PIPELINED };
