Callers: closes of invalid requests are a reason of their own

Cause: the rest of a request that was refused with 400, 413 or 431 lies unread, and counted as a request that may have been lost.

Change: reason invalid; its unread input is not counted or logged.

Result: the new row of ClosesAreCountedByReason, 200,000 bytes that are no request; it fails on the commit before (no such reason).

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -202,7 +202,7 @@
   if (x->counted) return;
   x->counted = true;
   server->closes.total[why]++;
-  if (why == MT_HTTP_CLOSE_CALLER) return;
+  if (why == MT_HTTP_CLOSE_CALLER || why == MT_HTTP_CLOSE_INVALID) return;
   size_t unread = unread_bytes(x);
   if (unread == 0) return;
   server->closes.unread[why]++;
@@ -378,17 +378,13 @@
 
 /* Responds to an invalid or late request and closes the connection. */
 static void reject_request (mt_http_exchange_t *x, int status) {
+  count_close(x, status == 408 ? MT_HTTP_CLOSE_LATE : MT_HTTP_CLOSE_INVALID);
   x->keep_alive = false;
   x->state = STATE_HANDLING;
   mt_http_exchange_head(x, status, "", 0, 0);
   mt_http_exchange_end(x);
 }
 
-static void reject_late (mt_http_exchange_t *x) {
-  count_close(x, MT_HTTP_CLOSE_LATE);
-  reject_request(x, 408);
-}
-
 /* Parses bytes of a request; bytes beyond its end are buffered. */
 static void parse (mt_http_exchange_t *x, const char *p, size_t n) {
   if (x->state == STATE_IDLE) {
@@ -740,6 +736,7 @@
       [MT_HTTP_CLOSE_CALLER] = "caller",
       [MT_HTTP_CLOSE_ANSWERED] = "answered",
       [MT_HTTP_CLOSE_IDLE] = "idle",
+      [MT_HTTP_CLOSE_INVALID] = "invalid",
       [MT_HTTP_CLOSE_LATE] = "late",
       [MT_HTTP_CLOSE_EVICTED] = "evicted",
       [MT_HTTP_CLOSE_DESCRIPTORS] = "descriptors",
@@ -811,7 +808,7 @@
       break;
     case STATE_READING:
       correct_age(x, elapsed, now);
-      if (now - x->since > limits->header_ms) reject_late(x);
+      if (now - x->since > limits->header_ms) reject_request(x, 408);
       break;
     case STATE_CLOSING: check_closing(x, now); break;
     case STATE_HANDLING:
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -39,6 +39,7 @@
   MT_HTTP_CLOSE_CALLER,      /* the caller closed it, or it failed */
   MT_HTTP_CLOSE_ANSWERED,    /* after a response that says so */
   MT_HTTP_CLOSE_IDLE,        /* no request within the idle time */
+  MT_HTTP_CLOSE_INVALID,     /* a request was refused: 400, 413, 431 */
   MT_HTTP_CLOSE_LATE,        /* a request was not complete in time: 408 */
   MT_HTTP_CLOSE_EVICTED,     /* idle, at the limit of connections */
   MT_HTTP_CLOSE_DESCRIPTORS, /* idle, and no descriptor was left */
@@ -53,7 +54,8 @@
 
 typedef struct mt_http_closes_t {
   uint64_t total[MT_HTTP_CLOSES];
-  /* Of these, with input that the server had not read. */
+  /* Of these, with input that the server had not read; not counted where the
+     caller closed or its request was invalid. */
   uint64_t unread[MT_HTTP_CLOSES];
 } mt_http_closes_t;
 
--- a/tests/kept_connection_test.cc
+++ b/tests/kept_connection_test.cc
@@ -64,7 +64,7 @@
 
 // Without them a connection that is closed leaves no trace.
 TEST(KeptConnection, ClosesAreCountedByReason) {
-  enum class End { CALLER, ANSWERED, IDLE, LATE };
+  enum class End { CALLER, ANSWERED, IDLE, INVALID, LATE };
   struct Row {
     const char *why;
     End end;
@@ -72,6 +72,7 @@
       {"caller", End::CALLER},
       {"answered", End::ANSWERED},
       {"idle", End::IDLE},
+      {"invalid", End::INVALID}, // with input beyond it
       {"late", End::LATE},
   };
   for (const Row &row : rows) {
@@ -84,6 +85,7 @@
         row.end == End::ANSWERED ? "Connection: close\r\n" : "";
     std::string text = World::ask("/safe/x", "id1", "", fields);
     if (row.end == End::LATE) text.resize(text.size() / 2);
+    if (row.end == End::INVALID) text = "?" + std::string(200000, 'x');
     caller->send(text);
     ASSERT_TRUE(row.end == End::LATE ||
                 w.until([&] { return World::is_complete(caller->in); }));
