--- a/tests/kept_connection_test.cc
+++ b/tests/kept_connection_test.cc
@@ -69,7 +69,7 @@
 
 // Without them a connection that is closed leaves no trace.
 TEST(KeptConnection, ClosesAreCountedByReason) {
-  enum class End { CALLER, ANSWERED, IDLE, LATE };
+  enum class End { CALLER, ANSWERED, IDLE, INVALID, LATE };
   struct Row {
     const char *why;
     End end;
@@ -77,6 +77,7 @@
       {"caller", End::CALLER},
       {"answered", End::ANSWERED},
       {"idle", End::IDLE},
+      {"invalid", End::INVALID}, // with input beyond it
       {"late", End::LATE},
   };
   for (const Row &row : rows) {
@@ -89,6 +90,7 @@
         row.end == End::ANSWERED ? "Connection: close\r\n" : "";
     std::string text = World::ask("/safe/x", "id1", "", fields);
     if (row.end == End::LATE) text.resize(text.size() / 2);
+    if (row.end == End::INVALID) text = "?" + std::string(200000, 'x');
     caller->send(text);
     ASSERT_TRUE(row.end == End::LATE ||
                 w.until([&] { return World::is_complete(caller->in); }));
@@ -254,6 +256,28 @@
   EXPECT_EQ(closes(w, "closes_unread_total", "evicted"), 0);
 }
 
+// Guards against new callers that are closed unread as connections to other
+// addresses of the gateway take up the descriptors.
+TEST(KeptConnection, OtherAddressesLeaveDescriptorsForCallers) {
+  for (const char *address : {"ready", "metrics"}) {
+    World w;
+    w.descriptors = 100;
+    w.engine("i-0", "plain", w.listen(answer_ok));
+    w.start();
+    int port = address == std::string("ready") ? w.ready : w.metrics;
+    std::vector<Conn *> others;
+    while (others.size() < 100) others.push_back(w.connect(port));
+    pump_for(w, 200);
+    for (int i = 0; i < 10; i++) {
+      Conn *caller = w.connect(w.callers);
+      caller->send(World::ask("/safe/x", "id1"));
+      w.until(
+          [&] { return caller->closed || World::is_complete(caller->in); });
+      EXPECT_EQ(World::status_of(caller->in), 200) << address << ' ' << i;
+    }
+  }
+}
+
 // Guards against requests that a process that ends leaves unread.
 TEST(KeptConnection, ARequestBeforeTheEndOfTheProcessIsAnswered) {
   enum class Where { KEPT, NEW, PIPELINED };
