HTTP client: one limit for what is not the body of a response

Cause: interim responses could come without end, since the parser counts the bytes of each head alone, and the body of a response to another request was skipped whatever its size. An engine that sends either was read, as fast as it sent, until the deadline of its request, whose caller got a 504; where it is not repeatable or all engines do so nothing else ended it.

Change: heads, interim responses, chunk sizes, extensions and trailers of a call together may have 64 KB, and 16 bytes more per byte of the body; skipped bodies 1 MB. Beyond that the response is malformed. So is a 101: no call asks for another protocol, and the parser drops bytes behind it.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -12,7 +12,12 @@
 #include "boot_clock.h"
 
 #define READ_BYTES 65536
-#define SKIPPED_MAX 3       /* responses that one call may skip */
+#define SKIPPED_MAX 3                /* responses that one call may skip */
+#define SKIPPED_MAX_BYTES (1u << 20) /* of their bodies */
+/* Of a response without its body: heads, interim responses, chunk sizes. An
+   allowance per byte of the body admits chunks of one byte. */
+#define OVERHEAD_MAX_BYTES (64u << 10)
+#define OVERHEAD_PER_BYTE 16
 #define IDLE_MARGIN_MS 1000 /* closed this long before the server would */
 
 /* A connection and the call on it: there is at most one at a time. */
@@ -35,8 +40,11 @@
   mt_ms_t closes_at;  /* the call has ended, and its connection is closed
                          at this time; 0: it has not */
   size_t discard_max;
-  bool refused;   /* the connection was refused */
-  int skipped;    /* responses that were skipped */
+  bool refused;         /* the connection was refused */
+  int skipped;          /* responses that were skipped */
+  size_t skipped_bytes; /* of their bodies */
+  /* Bytes of the response: those that are not of its body, and its body. */
+  size_t overhead, body;
   size_t writing; /* unfinished writes */
   char *request;  /* until the connection is made */
   size_t request_size;
@@ -167,6 +175,7 @@
 
 static int on_headers (http_parser *parser) {
   mt_http_call_t *c = parser->data;
+  if (parser->status_code == 101) return -1; /* no call asks for it */
   if (parser->status_code < 200) return 0;
   c->idle_limit = idle_limit(c);
   c->until_close = !(parser->flags & (F_CHUNKED | F_CONTENTLENGTH));
@@ -188,6 +197,11 @@
 
 static int on_body (http_parser *parser, const char *p, size_t n) {
   mt_http_call_t *c = parser->data;
+  c->overhead -= n;
+  if (c->skipping)
+    c->skipped_bytes += n;
+  else
+    c->body += n;
   if (c->discarding) return discard(c, n) ? 0 : 1;
   if (!c->skipping && !c->closing) c->client->handler.data(c->ud, c, p, n);
   return 0;
@@ -210,13 +224,22 @@
     .on_body = on_body,
     .on_message_complete = on_complete};
 
+/* True if the server sends what is no response without an end. */
+static bool is_endless (const mt_http_call_t *c) {
+  return c->overhead > OVERHEAD_MAX_BYTES + OVERHEAD_PER_BYTE * c->body ||
+         c->skipped_bytes > SKIPPED_MAX_BYTES;
+}
+
 /* Parses bytes of the response. A connection with bytes beyond its end is not
    reused. */
 static void parse (mt_http_call_t *c, const char *p, size_t n) {
+  c->overhead += n;
   size_t used = http_parser_execute(&c->parser, &parser_settings, p, n);
   if (c->closing) return;
   switch (HTTP_PARSER_ERRNO(&c->parser)) {
-    case HPE_OK: return;
+    case HPE_OK:
+      if (is_endless(c)) fail(c, MT_HTTP_MALFORMED);
+      return;
     case HPE_PAUSED:
       http_parser_pause(&c->parser, 0);
       if (used < n) c->keep = false;
@@ -314,6 +337,7 @@
   http_parser_init(&c->parser, HTTP_RESPONSE);
   c->parser.data = c;
   c->skipped = 0;
+  c->skipped_bytes = c->overhead = c->body = 0;
   c->skipping = false;
   c->until_close = false;
   c->keep = false;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -20,7 +20,7 @@
 typedef enum mt_http_failure_t {
   MT_HTTP_NOT_SENT, /* no connection was made: no byte was sent */
   MT_HTTP_CLOSED,   /* the connection ended, perhaps during the response */
-  MT_HTTP_MALFORMED /* the response is not valid HTTP */
+  MT_HTTP_MALFORMED /* the response is not valid HTTP, or has no end */
 } mt_http_failure_t;
 
 /* Result of a probe, an attempt to connect. */
--- a/tests/endless_bytes_test.cc
+++ b/tests/endless_bytes_test.cc
@@ -475,6 +475,10 @@
   if (!route.repeatable && row.form != Form::REJECTED) {
     EXPECT_EQ(w.arrivals[c.id], 1) << what;
   }
+  if (w.pace == Pace::FAST && !may_be_answer(row, route, w.pace)) {
+    EXPECT_EQ(c.conn->in.find("\"timeout\""), c.conn->in.npos)
+        << what << ": the engine was read until the deadline";
+  }
   bool is_served = w.bad == EndlessWorld::Bad::FIRST && route.repeatable &&
                    !may_be_answer(row, route, w.pace);
   if (row.form == Form::SURPLUS || is_served) {
