Tests: answers without end whose callers read on, slowly or not at all

EndlessBytes.AreReadNoFasterThanTheirCallersDo: 24 answers without end at once, from all engines; each is cut at its deadline so that it shows, other requests are served meanwhile, the engines' connections are closed and the memory is bounded.

--- a/tests/endless_bytes_test.cc
+++ b/tests/endless_bytes_test.cc
@@ -523,6 +523,97 @@
   play(forms_that([] (const FormRow &) { return true; }), Pace::TRICKLE);
 }
 
+// How a caller takes up an answer without end.
+enum class Reads { ON, SLOWLY, NOT };
+
+// A caller's socket that is read by hand.
+struct Reader {
+  int fd;
+  Reads reads;
+  Form form;
+  std::string in = "";
+  bool reset = false; // an error is reported only once
+
+  // Reads up to `max` bytes; 0 at the end, -1: none now, -2: a reset.
+  ssize_t read (size_t max) {
+    char bytes[65536];
+    ssize_t n = recv(fd, bytes, std::min(max, sizeof bytes), MSG_DONTWAIT);
+    reset = reset || (n < 0 && errno != EAGAIN);
+    if (reset || n < 0) return reset ? -2 : -1;
+    in.append(bytes, (size_t)n);
+    if (in.size() > 200000) in.erase(0, in.size() - 100000);
+    return n;
+  }
+};
+
+int connect_small (int port) {
+  int fd = socket(AF_INET, SOCK_STREAM, 0), size = 20000;
+  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+  sockaddr_in a = loopback(port);
+  EXPECT_EQ(connect(fd, (sockaddr *)&a, sizeof a), 0);
+  return fd;
+}
+
+// Whatever the caller does, the answer is cut at the deadline so that it
+// shows, the engine's connection is closed, the memory is bounded, and other
+// requests are served meanwhile.
+TEST(EndlessBytes, AreReadNoFasterThanTheirCallersDo) {
+  EndlessWorld w(
+      forms_that([] (const FormRow &row) { return row.is_stream; }),
+      Pace::FAST, EndlessWorld::Bad::ALL);
+  std::list<Reader> readers;
+  for (const FormRow *row : w.rows)
+    for (const Route &route : routes)
+      for (Reads reads : {Reads::ON, Reads::SLOWLY, Reads::NOT}) {
+        readers.push_back({connect_small(w.callers), reads, row->form});
+        std::string text =
+            World::ask(EndlessWorld::path_of(route, *row) + "x",
+                       "c" + std::to_string(readers.size()));
+        send(readers.back().fd, text.data(), text.size(), MSG_NOSIGNAL);
+      }
+  auto read_all = [&] {
+    for (Reader &r : readers) {
+      if (r.reads == Reads::ON) r.read(65536);
+      if (r.reads == Reads::SLOWLY) r.read(500);
+    }
+  };
+  w.engine("i-1", "plain", w.listen([] (Conn &c, const Request &r) {
+    c.send(whole_answer(routes[0], r));
+  }));
+  EXPECT_TRUE(w.await([&] {
+    read_all();
+    return w.flood.count() == readers.size();
+  }));
+  for (int i = 0; i < 20; i++) {
+    std::string id = "other" + std::to_string(i);
+    Conn *other = w.connect(w.callers);
+    other->send(World::ask("/safe/x", id));
+    EXPECT_TRUE(w.await([&] {
+      read_all();
+      return World::is_complete(other->in);
+    })) << i;
+    EXPECT_NE(other->in.find("whole-" + id), std::string::npos) << other->in;
+  }
+  EXPECT_TRUE(w.await([&] {
+    read_all();
+    return w.flood.open() == 0;
+  })) << w.flood.open()
+      << " connections are still read";
+  size_t bytes = process_memory(w.pid, "VmHWM:") - w.base;
+  EXPECT_LT(bytes, readers.size() * REQUEST_BYTES_MAX);
+  for (Reader &r : readers) {
+    ssize_t n = 1;
+    while (n > 0 || n == -1) n = r.read(65536);
+    std::string end =
+        r.in.substr(r.in.size() - std::min<size_t>(r.in.size(), 5));
+    if (r.form == Form::BODY) {
+      EXPECT_EQ(n, -2) << "ends in order";
+    }
+    EXPECT_NE(end, "0\r\n\r\n");
+    close(r.fd);
+  }
+}
+
 // }==
 
 // {== The store ============================================================
