--- a/tests/feed_timing_test.cc
+++ b/tests/feed_timing_test.cc
@@ -17,7 +17,7 @@
     mt_ms_t started, wait;
     mt_feed_health_t health; // read, failed, answered, behind
     mt_feed_call_status_t status;
-    mt_ms_t received = 0;
+    mt_ms_t received = 0, begun = 0;
   } rows[] = {
       {"a watch within its hold",
        1000,
@@ -86,12 +86,27 @@
        {3101, 0, 900, 0},
        MT_FEED_CALL_TIMED_OUT,
        1900},
+      {"a response that has been arriving for 5 s",
+       1000,
+       0,
+       {6100, 0, 900, 0},
+       MT_FEED_CALL_PENDING,
+       6000,
+       1100},
+      {"a response that arrives without end",
+       1000,
+       0,
+       {6101, 0, 900, 0},
+       MT_FEED_CALL_TIMED_OUT,
+       6000,
+       1100},
   };
   for (const Row &row : rows) {
     mt_feed_timing_t timing{};
     timing.started = row.started;
     timing.wait = row.wait;
     timing.received = row.received;
+    timing.begun = row.begun;
     EXPECT_EQ(mt_feed_timing_check(&timing, &row.health), row.status)
         << row.what;
   }
