Relay: the overlap with a hedge is time in which the router reads both

Found by the review: the overlap counted from the start of the hedge, not from when it was written, and up to now: behind a slow connect or a stall of the loop the silent attempt was given up although the hedge's rejection, or the next event, lay unread. It counts from the write to the previous tick. A hedge whose engine ends is a lost run, which may have crashed it. A response that is rejected by its head beside another attempt is no longer read without a limit.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -499,6 +499,13 @@
   notify_sent(ud, true);
 }
 
+/* By its head a response may end its attempt, while another one goes on. */
+static void detach_rejected (mt_gateway_t *g, uint64_t number) {
+  inflight_t *p = mtV_get(&g->inflight_by_number, number);
+  const mt_relay_request_t *r = mtV_get(&g->relay->requests, number);
+  if (p != NULL && r != NULL) detach_superseded(p, r);
+}
+
 static bool on_head (void *ud, mt_http_call_t *call, int status,
                      const mt_http_headers_t *headers) {
   attempt_t *a = ud;
@@ -517,7 +524,9 @@
   event.u.head.events =
       type.n >= 17 && strncasecmp(type.p, "text/event-stream", 17) == 0;
   event.u.head.framed = mt_http_call_is_framed(call);
+  const uint64_t number = p->number;
   mt_gateway_step(g, &event);
+  detach_rejected(g, number);
   return true;
 }
 
--- a/src/relay/hedge.c
+++ b/src/relay/hedge.c
@@ -120,6 +120,15 @@
   end_hedge(relay, r, true, MT_HEDGE_FAILED);
 }
 
+void mt_hedge_engine_ended (mt_relay_t *relay, mt_relay_request_t *r) {
+  if (!r->hedge.written) {
+    mt_hedge_cancel(relay, r);
+    return;
+  }
+  cancel_call(relay, r);
+  on_lost(relay, r);
+}
+
 static void on_failed (mt_relay_t *relay, mt_relay_request_t *r,
                        const mt_relay_event_t *ev) {
   if (!ev->u.failed.not_sent) {
@@ -190,7 +199,7 @@
   if (!has_hedge(r) || ev->attempt != r->hedge.number) return false;
   switch (ev->kind) {
     case MT_RELAY_WRITTEN:
-      r->hedge.written = true;
+      mt_attempt_note_written(&r->hedge, relay->now);
       if (ev->u.connected) mt_connects_made(relay, r->hedge.engine);
       return true;
     case MT_RELAY_HEAD: on_head(relay, r, ev); return true;
@@ -223,10 +232,18 @@
   if (!mt_attempt_hedge(relay, r)) relay->counters.hedges_denied++;
 }
 
+/* What either engine has sent by the previous tick is read: the hedge would
+   have been rejected. */
+static bool is_overlap_over (const mt_relay_t *relay,
+                             const mt_attempt_t *hedge) {
+  return hedge->written &&
+         relay->last_tick > hedge->written_at + OVERLAP_MAX_MS;
+}
+
 void mt_hedge_check (mt_relay_t *relay, mt_relay_request_t *r) {
   if (has_hedge(r)) {
-    bool over = relay->now - r->hedge.sent > OVERLAP_MAX_MS;
-    if (over && r->hedge.written) replace_current(relay, r, MT_HEDGE_KEPT);
+    if (is_overlap_over(relay, &r->hedge))
+      replace_current(relay, r, MT_HEDGE_KEPT);
     return;
   }
   if (!mt_response_overdue(relay, r)) return;
--- a/src/relay/hedge.h
+++ b/src/relay/hedge.h
@@ -24,6 +24,9 @@
 /* Cancels the hedge, if there is one. */
 void mt_hedge_cancel (mt_relay_t *relay, mt_relay_request_t *request);
 
+/* Its engine has ended. */
+void mt_hedge_engine_ended (mt_relay_t *relay, mt_relay_request_t *request);
+
 /* The current attempt is over: the hedge becomes the current one. False if
    there is none. */
 bool mt_hedge_take_over (mt_relay_t *relay, mt_relay_request_t *request);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -422,7 +422,7 @@
   for (size_t i = relay->count; i-- > 0;) {
     if (i >= relay->count) continue;
     if (relay->list[i]->hedge.engine == e)
-      mt_hedge_cancel(relay, relay->list[i]);
+      mt_hedge_engine_ended(relay, relay->list[i]);
     if (relay->list[i]->current.engine == e) lose_run(relay, relay->list[i]);
   }
   mt_quarantine_engine_ended(relay, key);
@@ -590,7 +590,7 @@
     return; /* of an earlier attempt */
   switch (ev->kind) {
     case MT_RELAY_WRITTEN:
-      r->current.written = true;
+      mt_attempt_note_written(&r->current, relay->now);
       if (ev->u.connected) mt_connects_made(relay, r->current.engine);
       break;
     case MT_RELAY_PAUSED: on_paused(relay, r, ev->u.paused); break;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -410,6 +410,7 @@
   char engine_version[24]; /* its software version; empty: not stated */
   mt_id_t sent_version;    /* the same as an id, when sent */
   bool written;            /* bytes of it may have reached the engine */
+  mt_ms_t written_at;      /* since then */
   /* awaiting_event: the prompt counts as not prefilled yet; events: the
      response is a text/event-stream; framed: by this engine. */
   bool awaiting_event, events, framed;
--- a/src/relay/request.c
+++ b/src/relay/request.c
@@ -254,6 +254,11 @@
   r->hedge = current;
 }
 
+void mt_attempt_note_written (mt_attempt_t *a, mt_ms_t now) {
+  a->written = true;
+  a->written_at = now;
+}
+
 void mt_attempt_note_head (mt_attempt_t *a, const mt_relay_event_t *ev) {
   a->status = ev->u.head.status;
   a->events = ev->u.head.events && a->status / 100 == 2;
--- a/src/relay/request.h
+++ b/src/relay/request.h
@@ -62,6 +62,9 @@
 /* Exchanges the current attempt and the hedge. */
 void mt_attempt_swap (mt_relay_request_t *request);
 
+/* Bytes of it may have reached its engine from now on. */
+void mt_attempt_note_written (mt_attempt_t *attempt, mt_ms_t now);
+
 /* Copies what the head of its response states. */
 void mt_attempt_note_head (mt_attempt_t *attempt,
                            const mt_relay_event_t *event);
--- a/tests/hedge_test.cc
+++ b/tests/hedge_test.cc
@@ -14,7 +14,7 @@
 struct Hedged : Relay {
   explicit Hedged(const char *path = "/stream/x", int events = 2) : Relay(3) {
     declare();
-    request(1, path);
+    request(1, path, "key-w1", 5000, 1000, "h.example", 99);
     sent(1);
     if (events > 0) head(1, 200, true);
     for (int id = 1; id <= events; id++) event(1, id);
@@ -201,6 +201,40 @@
   EXPECT_EQ(h.outcomes(MT_HEDGE_KEPT), 1u);
 }
 
+// It begins once the hedge is with its engine, and a stall of the router does
+// not decide between answers that it has not read.
+TEST(Hedge, TheOverlapIsTimeInWhichTheRouterReads) {
+  for (bool stalls : {false, true}) {
+    Hedged h;
+    if (stalls) h.written(2);
+    h.now += stalls ? 600 : 180;
+    h.pass(25);
+    if (!stalls) h.written(2);
+    if (!stalls) h.pass(25);
+    EXPECT_TRUE(h.cancelled().empty()) << stalls;
+    h.head_of(2, 503, false, MT_RELAY_NOT_RUN);
+    EXPECT_TRUE(h.cancelled().empty()) << stalls;
+    h.event_of(1, 3);
+    EXPECT_NE(h.find(MT_RELAY_DO_DATA), nullptr) << stalls;
+  }
+}
+
+// A hedge may have crashed its engine, like any run.
+TEST(Hedge, IsSuspectedOfTheEndOfItsEngine) {
+  Hedged h;
+  h.written(2);
+  uint64_t engine = h.get()->hedge.engine->key;
+  mt_relay_event_t ev{};
+  ev.kind = MT_RELAY_RESTARTED;
+  ev.u.restarted.engine = engine;
+  h.step(ev);
+  EXPECT_EQ(h.cancelled(), std::set<int>{2});
+  EXPECT_EQ(h.outcomes(MT_HEDGE_FAILED), 1u);
+  EXPECT_EQ(h.relay->lost.count, 1u);
+  h.event_of(1, 3);
+  EXPECT_NE(h.find(MT_RELAY_DO_DATA), nullptr);
+}
+
 TEST(Hedge, BothAttemptsEndWithTheRequest) {
   enum How { CALLER_LEAVES, DEADLINE };
   for (How how : {CALLER_LEAVES, DEADLINE}) {
