--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -344,9 +344,8 @@
 ** Effects are carried out in order, and some of them cause another event at
 ** once, which is handled in a nested call. Only six events nest: WRITTEN and
 ** PAUSED have no effects, and those of QUOTED, TRIAL_ANSWERED, ORIGIN_ASKED
-*and
-** CALLER_DISCONNECTED concern only the request whose effect is being carried
-** out.
+** and CALLER_DISCONNECTED concern only the request whose effect is being
+** carried out.
 */
 void mt_gateway_step (mt_gateway_t *g, mt_relay_event_t *event) {
   mt_relay_effects_t effects = {0};
@@ -658,8 +657,7 @@
 ** Stops in steps: not ready, so load balancers remove it; then closes idle
 ** connections; exits when none is left or the grace is nearly over. This step
 ** may come late, before sockets are read: requests that lie unread in them
-*are
-** refused before the next one.
+** are refused before the next one.
 */
 static void continue_stop (mt_gateway_t *g) {
   mt_ms_t since = mt_boot_clock_now(g->loop) - g->stopping;
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -61,6 +61,7 @@
                      ages that limits are compared with never exceed the
                      caller's; STATE_CLOSING: when data was last
                      unacknowledged */
+  mt_ms_t excused; /* by how much `since` was moved */
   void *user;
 };
 
@@ -182,9 +183,8 @@
 
 /*
 ** True if closing the connection loses nothing that its caller has sent or is
-** still to receive. Timers run before sockets are read, and behind a long
-*step
-** of the loop that is what decides: so the kernel is asked.
+** still to receive. Timers run before sockets are read, which decides behind
+** a long step of the loop: so the kernel is asked.
 */
 static bool is_idle (const mt_http_exchange_t *x) {
   switch (x->state) {
@@ -363,6 +363,7 @@
 static void begin_age (mt_http_exchange_t *x) {
   x->since = mt_boot_clock_now(x->server->loop);
   x->fresh = true;
+  x->excused = 0;
 }
 
 static void begin_reading (mt_http_exchange_t *x) {
@@ -786,6 +787,15 @@
     close_connection(x, MT_HTTP_CLOSE_ANSWERED);
 }
 
+/* A caller that always has some bytes on their way is late in the end. */
+static void excuse (mt_http_exchange_t *x, mt_ms_t elapsed, mt_ms_t now) {
+  mt_ms_t left =
+      x->limits.header_ms - mt_min(x->excused, x->limits.header_ms);
+  mt_ms_t by = mt_min(mt_min(elapsed, left), now - mt_min(x->since, now));
+  x->since += by;
+  x->excused += by;
+}
+
 /*
 ** Leaves out of a connection's age what is not its caller's time: what came
 ** before the first tick, and `elapsed` since the last one if its input lay
@@ -797,7 +807,7 @@
   if (x->fresh)
     x->since = now;
   else if (x->state == STATE_READING && held_up)
-    x->since = mt_min(now, x->since + elapsed);
+    excuse(x, elapsed, now);
   x->fresh = false;
 }
 
--- a/src/relay/hedge.c
+++ b/src/relay/hedge.c
@@ -142,8 +142,8 @@
   mt_response_connect_failed(relay, e, ev->u.failed.refused);
 }
 
-/* A response that cannot replace or continue what the caller gets. Its short
-   body is read to the end, which keeps the connection usable. */
+/* A response that cannot replace or continue what the caller gets. The short
+   body of an error is read to the end, which keeps the connection usable. */
 static bool is_useless (const mt_relay_request_t *r) {
   if (r->hedge.status >= 500) return true;
   return r->phase == MT_RELAY_STREAMING && !r->hedge.events;
@@ -169,7 +169,10 @@
     case MT_RELAY_RAN: break;
   }
   if (!is_useless(r)) return;
-  if (r->hedge.status >= 500) mt_engine_failed(e, relay->now);
+  if (r->hedge.status >= 500)
+    mt_engine_failed(e, relay->now);
+  else
+    cancel_call(relay, r);
   end_hedge(relay, r, true, MT_HEDGE_FAILED);
 }
 
--- a/src/relay/request.c
+++ b/src/relay/request.c
@@ -428,6 +428,7 @@
 bool mt_attempt_retry_error (mt_relay_t *relay, mt_relay_request_t *r) {
   mt_placement_t p;
   const mt_relay_retry_t reason = MT_RELAY_RETRY_ERROR;
+  if (!r->hedge.written) mt_hedge_cancel(relay, r);
   bool has_hedge = r->hedge.engine != NULL;
   if (!has_hedge &&
       (!mt_attempt_may_retry(relay, r, true) ||
--- a/src/relay/response.c
+++ b/src/relay/response.c
@@ -64,6 +64,7 @@
 static void forward_head (mt_relay_t *relay, mt_relay_request_t *r,
                           int64_t length) {
   if (r->phase == MT_RELAY_STREAMING) return;
+  mt_hedge_cancel(relay, r); /* its body cannot be joined to this one */
   r->phase = MT_RELAY_STREAMING;
   r->framed_to_caller = r->current.framed;
   mt_request_effect(relay, MT_RELAY_DO_HEAD, r)->u.length =
