--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -789,11 +789,9 @@
 
 /* A caller that always has some bytes on their way is late in the end. */
 static void excuse (mt_http_exchange_t *x, mt_ms_t elapsed, mt_ms_t now) {
-  mt_ms_t left =
-      x->limits.header_ms - mt_min(x->excused, x->limits.header_ms);
-  mt_ms_t by = mt_min(mt_min(elapsed, left), now - mt_min(x->since, now));
-  x->since += by;
-  x->excused += by;
+  if (x->excused >= x->limits.header_ms) return;
+  x->since = mt_min(now, x->since + elapsed);
+  x->excused += elapsed;
 }
 
 /*
