Relay: a silent attempt that shows any sign is not given up for a hedge

Now any byte of the first attempt decides for it, and so does want of processor time; a hedge has a connection of its own. Hedges whose connects are in progress to a domain that cannot be reached are withdrawn like other attempts.

--- a/src/relay/hedge.c
+++ b/src/relay/hedge.c
@@ -243,10 +243,21 @@
          relay->last_tick > hedge->written_at + OVERLAP_MAX_MS;
 }
 
+/*
+** One of the two has to go, and neither has spoken. The hedge was not
+** rejected, so its engine has it. The other attempt stays all the same if any
+** byte of it has come meanwhile, or if this router may be late to read one.
+*/
+static void end_overlap (mt_relay_t *relay, mt_relay_request_t *r) {
+  if (relay->overloaded || r->current.heard >= r->hedge.sent)
+    mt_hedge_cancel(relay, r);
+  else
+    replace_current(relay, r, MT_HEDGE_KEPT);
+}
+
 void mt_hedge_check (mt_relay_t *relay, mt_relay_request_t *r) {
   if (has_hedge(r)) {
-    if (is_overlap_over(relay, &r->hedge))
-      replace_current(relay, r, MT_HEDGE_KEPT);
+    if (is_overlap_over(relay, &r->hedge)) end_overlap(relay, r);
     return;
   }
   if (!mt_response_overdue(relay, r)) return;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -424,8 +424,9 @@
   double slowness;       /* of the engine, as used */
   double pause_expected; /* longest gap between events, ms; 0: unknown */
   mt_ms_t ttft;          /* the same as measured; 0: none yet */
-  /* Time sent; of its head, or of the last byte or new event of its body. */
-  mt_ms_t sent, last_received;
+  /* Time sent; of its head, or of the last byte or new event of its body; of
+     any byte, 0: none yet. */
+  mt_ms_t sent, last_received, heard;
   int status; /* of the response; 0: none yet */
   mt_event_stream_t stream;
   mt_ms_t event_received; /* the last one; 0: none */
--- a/src/relay/request.c
+++ b/src/relay/request.c
@@ -216,6 +216,7 @@
   r->current.written = r->current.outlived = false;
   r->current.first_event_at = 0;
   r->current.paused = false;
+  r->current.heard = 0;
   mt_event_stream_free(&r->current.stream);
   mt_engine_request_sent(p->engine, relay->now);
   mt_admission_use_permit(relay, r, p->engine);
@@ -263,7 +264,7 @@
   a->status = ev->u.head.status;
   a->events = ev->u.head.events && a->status / 100 == 2;
   a->framed = ev->u.head.framed;
-  a->last_received = ev->now;
+  a->last_received = a->heard = ev->now;
 }
 
 const mt_attempt_t *mt_relay_attempt (const mt_relay_request_t *r,
@@ -402,7 +403,8 @@
 
 /*
 ** The attempt that the hedge is beside may still go on, so the hedge needs
-** room like a first attempt, unless the engine cannot be reached.
+** room like a first attempt, unless the engine cannot be reached. A new
+** connection shows that its own engine can be.
 */
 bool mt_attempt_hedge (mt_relay_t *relay, mt_relay_request_t *r) {
   mt_placement_t p;
@@ -418,8 +420,10 @@
   relay->counters.retries[reason]++;
   mt_request_log(relay, r, "hedged", mt_relay_retry_code(reason));
   mt_attempt_swap(r);
-  send_attempt(relay, r, &p)->u.start.hedge = true;
+  mt_relay_effect_t *fx = send_attempt(relay, r, &p);
   mt_attempt_swap(r);
+  fx->u.start.hedge = true;
+  fx->u.start.max_idle_ms = 0;
   return true;
 }
 
--- a/src/relay/response.c
+++ b/src/relay/response.c
@@ -151,7 +151,7 @@
 
 void mt_response_data (mt_relay_t *relay, mt_relay_request_t *r,
                        mt_bytes_t data, bool delayed) {
-  r->current.engine->last_received = relay->now;
+  r->current.engine->last_received = r->current.heard = relay->now;
   r->current.delayed = r->current.delayed || delayed;
   if (r->current.events)
     on_event_data(relay, r, data);
@@ -188,6 +188,11 @@
   mt_request_remove(relay, r);
 }
 
+static bool is_unsent_to (const mt_attempt_t *a, mt_id_t domain) {
+  return a->engine != NULL && !a->written && a->engine->remote &&
+         a->engine->domain_id == domain;
+}
+
 /*
 ** Requests whose connects to the failure domain are in progress are retried
 ** elsewhere: each would only wait for its time-out. One for which no other
@@ -197,9 +202,8 @@
   for (size_t i = relay->count; i-- > 0;) {
     if (i >= relay->count) continue;
     mt_relay_request_t *r = relay->list[i];
-    if (r->current.engine == NULL || r->current.written) continue;
-    if (!r->current.engine->remote || r->current.engine->domain_id != domain)
-      continue;
+    if (is_unsent_to(&r->hedge, domain)) mt_hedge_cancel(relay, r);
+    if (!is_unsent_to(&r->current, domain)) continue;
     mt_candidates_check_cuts(relay, r);
     if (r->ignores_cuts) continue;
     mt_request_effect(relay, MT_RELAY_DO_CANCEL, r);
--- a/tests/hedge_test.cc
+++ b/tests/hedge_test.cc
@@ -219,6 +219,41 @@
   }
 }
 
+// The silent attempt is not given up for a hedge that has sent nothing if
+// anything came from it meanwhile, or if the router may not have read it yet.
+TEST(Hedge, ASignOfTheSilentEngineEndsTheOverlapForIt) {
+  enum Sign { HEAD, PART, BODY, OVERLOAD, NONE };
+  for (Sign sign : {HEAD, PART, BODY, OVERLOAD, NONE}) {
+    bool plain = sign == BODY;
+    Hedged h(plain ? "/again/x" : "/stream/x", sign == HEAD || plain ? 0 : 2);
+    h.written(2);
+    h.pass(100);
+    switch (sign) {
+      case HEAD: h.head_of(1, 200); break;
+      case PART: h.data(1, "id: 3\nda"); break;
+      case BODY:
+        h.head_of(1, 200, false);
+        h.data(1, "x");
+        break;
+      case OVERLOAD: h.relay->overloaded = true; break;
+      case NONE: break;
+    }
+    for (int i = 0; i < 20 && h.get()->hedge.engine != nullptr; i++)
+      h.pass(25);
+    EXPECT_EQ(h.attempt(1), sign == NONE ? 2 : 1) << sign;
+  }
+}
+
+// A connection that was kept says nothing of whether its engine can be
+// reached.
+TEST(Hedge, IsSentOnANewConnection) {
+  Hedged h;
+  const mt_relay_effect_t *fx = h.find(MT_RELAY_DO_START);
+  ASSERT_NE(fx, nullptr);
+  EXPECT_TRUE(fx->u.start.hedge);
+  EXPECT_EQ(fx->u.start.max_idle_ms, 0u);
+}
+
 // A hedge may have crashed its engine, like any run.
 TEST(Hedge, IsSuspectedOfTheEndOfItsEngine) {
   Hedged h;
