Server: idle connections are not asked for their input at each tick

The kernel is now asked where a limit has passed, of requests that are being received, and of the oldest connection where one has to make room.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -23,6 +23,8 @@
 #define USER_TIMEOUT_MS 10000 /* for unacknowledged data */
 #define TARGET_BYTES_MAX 8192 /* of a request target */
 #define CLOSE_WAIT_MS 2000    /* for a caller to close its side, too */
+#define EVICTION_TRIES_MAX 16 /* connections that are asked for their input \
+                               */
 #define REST_MIN_MS 300       /* without a request, until a stop closes it */
 #define HELD_UP_MS 600 /* between two ticks: the loop has been held up */
 
@@ -473,17 +475,31 @@
   buffer_free(&pipelined);
 }
 
+/* The connection that has been idle or closing longest, by its state; NULL:
+   there is none. */
+static mt_http_exchange_t *find_oldest (const mt_http_server_t *server) {
+  mt_http_exchange_t *oldest = NULL;
+  for (mt_http_exchange_t *x = server->all; x != NULL; x = x->next) {
+    if (x->state != STATE_IDLE && x->state != STATE_CLOSING) continue;
+    if (oldest == NULL || x->since < oldest->since) oldest = x;
+  }
+  return oldest;
+}
+
 /* Closes the connection that has been idle or closing longest; false if there
    is none. */
 static bool close_oldest_idle (mt_http_server_t *server,
                                mt_http_close_t why) {
-  mt_http_exchange_t *oldest = NULL;
-  for (mt_http_exchange_t *x = server->all; x != NULL; x = x->next) {
-    if (oldest != NULL && x->since > oldest->since) continue;
-    if (is_idle(x)) oldest = x;
+  for (int tries = 0; tries < EVICTION_TRIES_MAX; tries++) {
+    mt_http_exchange_t *oldest = find_oldest(server);
+    if (oldest == NULL) return false;
+    if (is_idle(oldest)) {
+      close_connection(oldest, why);
+      return true;
+    }
+    begin_age(oldest); /* its input is read next */
   }
-  if (oldest != NULL) close_connection(oldest, why);
-  return oldest != NULL;
+  return false;
 }
 
 static int open_spare_fd (void) {
@@ -801,10 +817,10 @@
 */
 static void correct_age (mt_http_exchange_t *x, mt_ms_t elapsed,
                          mt_ms_t now) {
-  bool held_up = elapsed > HELD_UP_MS || unread_bytes(x) > 0;
   if (x->fresh)
     x->since = now;
-  else if (x->state == STATE_READING && held_up)
+  else if (x->state == STATE_READING &&
+           (elapsed > HELD_UP_MS || unread_bytes(x) > 0))
     excuse(x, elapsed, now);
   x->fresh = false;
 }
