--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -23,11 +23,9 @@
 #define USER_TIMEOUT_MS 10000 /* for unacknowledged data */
 #define TARGET_BYTES_MAX 8192 /* of a request target */
 #define CLOSE_WAIT_MS 2000    /* for a caller to close its side, too */
-#define EVICTION_TRIES_MAX                                            \
-  16                    /* connections that are asked for their input \
-                         */
-#define REST_MIN_MS 300 /* without a request, until a stop closes it */
-#define HELD_UP_MS 600  /* between two ticks: the loop has been held up */
+#define EVICTION_TRIES_MAX 16 /* connections looked at to evict one */
+#define REST_MIN_MS 300       /* without a request, until a stop closes it */
+#define HELD_UP_MS 600 /* between two ticks: the loop has been held up */
 
 typedef enum mt_exchange_state_t {
   STATE_IDLE,       /* waiting for a request */
