Server: at the limit the connection that has been idle longest is closed

Cause: the correction of ages at a connection's first tick gives all that came between two ticks the same age, and the search for the oldest took the newest of equal ones (within a millisecond the code before did, too). Beside it the search gave up after 16 connections with unread input, so that behind a stall a new connection was closed unread although an idle one was there: KeptConnection.AnUnreadRequestIsNotEvictedForANewConnection passed since the newest, which it leaves idle, was looked at first.

Connections are kept in the order in which they became idle, which no correction changes. All are looked at, each once until it has been read.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -23,7 +23,6 @@
 #define USER_TIMEOUT_MS 10000 /* for unacknowledged data */
 #define TARGET_BYTES_MAX 8192 /* of a request target */
 #define CLOSE_WAIT_MS 2000    /* for a caller to close its side, too */
-#define EVICTION_TRIES_MAX 16 /* connections looked at to evict one */
 #define REST_MIN_MS 300       /* without a request, until a stop closes it */
 #define HELD_UP_MS 600 /* between two ticks: the loop has been held up */
 
@@ -46,7 +45,7 @@
 struct mt_http_exchange_t {
   uv_tcp_t tcp;
   mt_http_server_t *server;
-  mt_http_exchange_t *prev, *next;             /* all connections */
+  mt_http_exchange_t *prev, *next;             /* in the server's list */
   mt_http_exchange_t *dirty_prev, *dirty_next; /* ones with data to write */
   bool dirty, closing, close_after, chunked, no_body, keep_alive, too_large;
   bool fresh;       /* no tick has come since `since` */
@@ -62,7 +61,8 @@
                      ages that limits are compared with never exceed the
                      caller's; STATE_CLOSING: when data was last
                      unacknowledged */
-  mt_ms_t excused; /* by how much `since` was moved */
+  mt_ms_t excused;  /* by how much `since` was moved */
+  uint64_t busy_at; /* iteration in which the kernel last held bytes of it */
   void *user;
 };
 
@@ -73,9 +73,14 @@
   mt_http_server_handler_t handler;
   void *ud;
   mt_http_server_limits_t limits;
-  mt_http_exchange_t *all, *dirty;
+  /* All connections, in the order in which they last became idle, began to
+     receive a request or were shut down; `since` may be equal after stalls.
+   */
+  mt_http_exchange_t *first, *last;
+  mt_http_exchange_t *dirty;
   size_t count, max_connections; /* connections; maximum 0: no limit */
   uint64_t accepted;
+  uint64_t iteration; /* of the loop */
   mt_http_closes_t closes;
   mt_ms_t last_tick;
   int spare_fd; /* closed to free a descriptor when none is left; -1: none */
@@ -122,6 +127,34 @@
 
 /* {== Connections ====================================================== */
 
+static void unlink_connection (mt_http_exchange_t *x) {
+  mt_http_server_t *server = x->server;
+  if (x->prev)
+    x->prev->next = x->next;
+  else
+    server->first = x->next;
+  if (x->next)
+    x->next->prev = x->prev;
+  else
+    server->last = x->prev;
+}
+
+static void append_connection (mt_http_exchange_t *x) {
+  mt_http_server_t *server = x->server;
+  x->prev = server->last;
+  x->next = NULL;
+  if (x->prev)
+    x->prev->next = x;
+  else
+    server->first = x;
+  server->last = x;
+}
+
+static void move_to_end (mt_http_exchange_t *x) {
+  unlink_connection(x);
+  append_connection(x);
+}
+
 static void unlink_dirty (mt_http_exchange_t *x) {
   if (!x->dirty) return;
   x->dirty = false;
@@ -219,11 +252,7 @@
   count_close(x, why);
   unlink_dirty(x);
   x->closing = true;
-  if (x->prev)
-    x->prev->next = x->next;
-  else
-    server->all = x->next;
-  if (x->next) x->next->prev = x->prev;
+  unlink_connection(x);
   server->count--;
   bool handed_over = x->handed_over;
   x->handed_over = false;
@@ -290,6 +319,7 @@
 
 static void on_prepare (uv_prepare_t *prepare) {
   mt_http_server_t *server = prepare->data;
+  server->iteration++;
   while (server->dirty != NULL) flush(server->dirty);
 }
 
@@ -365,6 +395,7 @@
   x->since = mt_boot_clock_now(x->server->loop);
   x->fresh = true;
   x->excused = 0;
+  move_to_end(x);
 }
 
 static void begin_reading (mt_http_exchange_t *x) {
@@ -453,6 +484,7 @@
   }
   x->state = STATE_CLOSING;
   x->since = mt_boot_clock_now(x->server->loop);
+  move_to_end(x);
   buffer_free(&x->pipelined);
   uv_read_start((uv_stream_t *)&x->tcp, on_alloc, on_read);
 }
@@ -474,29 +506,21 @@
   buffer_free(&pipelined);
 }
 
-/* The connection that has been idle or closing longest, by its state; NULL:
-   there is none. */
-static mt_http_exchange_t *find_oldest (const mt_http_server_t *server) {
-  mt_http_exchange_t *oldest = NULL;
-  for (mt_http_exchange_t *x = server->all; x != NULL; x = x->next) {
-    if (x->state != STATE_IDLE && x->state != STATE_CLOSING) continue;
-    if (oldest == NULL || x->since < oldest->since) oldest = x;
-  }
-  return oldest;
-}
-
-/* Closes the connection that has been idle or closing longest; false if there
-   is none. */
+/*
+** Closes the connection that has been idle or closing longest; false if there
+** is none. One that has bytes in the kernel is asked again only when it has
+** been read: a stall may leave many such, and many callers to be accepted.
+*/
 static bool close_oldest_idle (mt_http_server_t *server,
                                mt_http_close_t why) {
-  for (int tries = 0; tries < EVICTION_TRIES_MAX; tries++) {
-    mt_http_exchange_t *oldest = find_oldest(server);
-    if (oldest == NULL) return false;
-    if (is_idle(oldest)) {
-      close_connection(oldest, why);
+  for (mt_http_exchange_t *x = server->first; x != NULL; x = x->next) {
+    if (x->state != STATE_IDLE && x->state != STATE_CLOSING) continue;
+    if (x->busy_at == server->iteration) continue;
+    if (is_idle(x)) {
+      close_connection(x, why);
       return true;
     }
-    begin_age(oldest); /* its input is read next */
+    x->busy_at = server->iteration;
   }
   return false;
 }
@@ -532,9 +556,7 @@
   x->server = server;
   uv_tcp_init(server->loop, &x->tcp);
   x->tcp.data = x;
-  x->next = server->all;
-  if (x->next) x->next->prev = x;
-  server->all = x;
+  append_connection(x);
   server->count++;
   server->accepted++;
   begin_reading(x);
@@ -688,6 +710,7 @@
   mt_http_server_t *server = mtV_new(sizeof *server);
   struct sockaddr_in addr;
   server->loop = loop;
+  server->iteration = 1;
   server->handler = *handler;
   server->ud = ud;
   server->limits = default_limits;
@@ -731,7 +754,7 @@
 void mt_http_server_set_limits (mt_http_server_t *server,
                                 const mt_http_server_limits_t *limits) {
   server->limits = *limits;
-  for (mt_http_exchange_t *x = server->all; x != NULL; x = x->next)
+  for (mt_http_exchange_t *x = server->first; x != NULL; x = x->next)
     widen_limits(&x->limits, limits);
 }
 
@@ -786,7 +809,7 @@
 void mt_http_server_close_idle (mt_http_server_t *server) {
   mt_ms_t now = mt_boot_clock_now(server->loop);
   mt_http_exchange_t *next;
-  for (mt_http_exchange_t *x = server->all; x != NULL; x = next) {
+  for (mt_http_exchange_t *x = server->first; x != NULL; x = next) {
     next = x->next;
     bool rests = x->state == STATE_IDLE && now - x->since > REST_MIN_MS;
     if (rests && is_idle(x)) close_connection(x, MT_HTTP_CLOSE_STOPPING);
@@ -847,7 +870,7 @@
   mt_ms_t elapsed = server->last_tick ? now - server->last_tick : 0;
   mt_http_exchange_t *next;
   server->last_tick = now;
-  for (mt_http_exchange_t *x = server->all; x != NULL; x = next) {
+  for (mt_http_exchange_t *x = server->first; x != NULL; x = next) {
     next = x->next;
     check_age(x, elapsed, now);
   }
@@ -871,8 +894,8 @@
 void mt_http_server_close (mt_http_server_t *server) {
   if (server->spare_fd >= 0) close(server->spare_fd);
   server->spare_fd = -1;
-  while (server->all != NULL)
-    close_connection(server->all, MT_HTTP_CLOSE_SERVER);
+  while (server->first != NULL)
+    close_connection(server->first, MT_HTTP_CLOSE_SERVER);
   if (uv_is_closing((uv_handle_t *)&server->listener))
     on_listener_closed((uv_handle_t *)&server->listener);
   else
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <string>
+#include <vector>
 
 extern "C" {
 #include "boot_clock.h"
@@ -33,14 +34,12 @@
     server = mt_http_server_open(&loop, "127.0.0.1", 0, &handler, nullptr,
                                  reason, sizeof reason);
     mt_http_server_set_limits(server, &limits);
-    sockaddr_in addr{};
-    uv_ip4_addr("127.0.0.1", mt_http_server_port(server), &addr);
-    fd = socket(AF_INET, SOCK_STREAM, 0);
-    EXPECT_EQ(connect(fd, (const sockaddr *)&addr, sizeof addr), 0);
+    fd = connect_to_server();
     run();
   }
   ~ServerAndCaller() {
     ::close(fd);
+    for (int other : others) ::close(other);
     mt_http_server_close(server);
     uv_run(&loop, UV_RUN_DEFAULT);
     uv_loop_close(&loop);
@@ -49,6 +48,25 @@
     EXPECT_EQ(::send(fd, text.data(), text.size(), MSG_NOSIGNAL),
               (ssize_t)text.size());
   }
+  // Another connection to the server; returns its index.
+  size_t add_connection () {
+    others.push_back(connect_to_server());
+    run();
+    return others.size() - 1;
+  }
+  void ask_on (size_t connection) {
+    EXPECT_EQ(::send(others[connection], ASK.data(), ASK.size(), 0),
+              (ssize_t)ASK.size());
+    run();
+  }
+  // True if the server has closed the connection; reads what it has sent.
+  bool has_closed (size_t connection) {
+    char buf[4096];
+    ssize_t n;
+    while ((n = recv(others[connection], buf, sizeof buf, MSG_DONTWAIT)) > 0)
+      ;
+    return n == 0;
+  }
   // Turns of the loop, without a tick.
   void run () {
     for (int i = 0; i < 5; i++) uv_run(&loop, UV_RUN_NOWAIT);
@@ -70,6 +88,15 @@
 private:
   uv_loop_t loop{}; // without a boot clock
   int fd;
+  std::vector<int> others;
+
+  int connect_to_server () const {
+    sockaddr_in addr{};
+    uv_ip4_addr("127.0.0.1", mt_http_server_port(server), &addr);
+    int s = socket(AF_INET, SOCK_STREAM, 0);
+    EXPECT_EQ(connect(s, (const sockaddr *)&addr, sizeof addr), 0);
+    return s;
+  }
 
   static void on_request (void *, mt_http_exchange_t *x) {
     mt_http_exchange_head(x, 200, "", 0, 0);
@@ -141,4 +168,34 @@
   EXPECT_TRUE(w.closed);
 }
 
+// Guards against an order of ages that ticks have made equal: a connection
+// that has just come is closed in place of one that has long been idle.
+TEST(HttpServer, EvictsWhatHasBeenIdleLongest) {
+  const size_t MAX = 3;
+  struct Row {
+    const char *what;
+    std::vector<size_t> asked; // on these connections, in this order
+    bool ticks;                // behind it
+    size_t evicted;
+  };
+  const Row rows[] = {
+      {"none asked", {}, false, 0},
+      {"none asked, a tick", {}, true, 0},
+      {"the first asked", {0}, false, 1},
+      {"the first asked, a tick", {0}, true, 1},
+      {"all asked, the last first, a tick", {2, 1, 0}, true, 2},
+  };
+  for (const Row &row : rows) {
+    ServerAndCaller w;
+    mt_http_server_set_max_connections(w.server, MAX + 1);
+    w.send(ASK.substr(0, 9)); // the caller's own connection is not idle
+    for (size_t i = 0; i < MAX; i++) w.add_connection();
+    for (size_t connection : row.asked) w.ask_on(connection);
+    if (row.ticks) w.tick();
+    w.add_connection();
+    for (size_t i = 0; i <= MAX; i++)
+      EXPECT_EQ(w.has_closed(i), i == row.evicted) << row.what << ": " << i;
+  }
+}
+
 } // namespace
