Relay: a hedge that shows nothing does not replace a silent attempt

Cause: that an engine had not rejected the hedge was taken for having accepted it: the incident's own class, a decision on the absence of something.

At the end of the overlap the first attempt is given up only if a probe has found that its engine cannot be reached, or if the engine of the hedge has shown that it works since it got it: by its head, or by progress of another of its responses.

Tests: Hedge.TheOverlapIsBounded has a row for each sign (two fail before), SilentEngine two for another engine that is silent and crashes (both fail before: the stream is cut, or refused by 502). Hedge.ASignOfTheSilentEngineEndsTheOverlapForIt and RelayStreams.SilentEngineIsReplaced expected the hedge to be kept without a sign, which was the fault; they now give it its head, and the second that nothing is cancelled before the end of the overlap.

--- a/src/relay/engine.c
+++ b/src/relay/engine.c
@@ -142,6 +142,10 @@
   e->last_received = now;
 }
 
+void mt_engine_progressed (mt_engine_t *e, mt_ms_t now) {
+  e->last_progress = now;
+}
+
 void mt_engine_found_silent (mt_engine_t *e, mt_ms_t now) {
   e->silent_at = now;
 }
@@ -255,6 +259,7 @@
 void mt_engine_request_rejected (mt_engine_t *e, mt_ms_t now) {
   e->suspended_until = mt_max(e->suspended_until, now + REJECTION_SUSPEND_MS);
   e->last_received = now;
+  mt_engine_progressed(e, now);
   record_attempt(e, true, now);
 }
 
@@ -276,5 +281,5 @@
   if (e->drain.started_at <= e->started_at) e->drain = (mt_engine_drain_t){0};
   e->unreachable = false;
   e->doubted_at = 0;
-  e->last_received = e->silent_at = 0;
+  e->last_received = e->last_progress = e->silent_at = 0;
 }
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -94,7 +94,8 @@
                        one succeeds */
   bool probing;     /* a probe is in progress */
   mt_ms_t next_probe;
-  mt_ms_t last_received;    /* when it last sent any response */
+  mt_ms_t last_received;    /* when it last sent any byte of a response */
+  mt_ms_t last_progress;    /* when a response last began or went on */
   mt_ms_t silent_at;        /* when it was last found silent; 0: never */
   mt_prefix_cache_t cached; /* prompt segments that it probably has cached */
   int64_t tokens_processed; /* of this router's requests, prompt and output */
@@ -142,6 +143,9 @@
 void mt_engine_failed (mt_engine_t *engine, mt_ms_t now);
 /* Records a success, which clears its failures and suspension. */
 void mt_engine_succeeded (mt_engine_t *engine, mt_ms_t now);
+/* One of its responses has begun or gone on, by more than a part of an
+   event. */
+void mt_engine_progressed (mt_engine_t *engine, mt_ms_t now);
 
 /* Records that it sends nothing though requests run there. */
 void mt_engine_found_silent (mt_engine_t *engine, mt_ms_t now);
--- a/src/relay/hedge.c
+++ b/src/relay/hedge.c
@@ -243,13 +243,25 @@
          relay->last_tick > hedge->written_at + OVERLAP_MAX_MS;
 }
 
+/* True if its engine has shown that it works since it got the hedge: by the
+   head of its response, or by progress of any other one. */
+static bool engine_works (const mt_attempt_t *hedge) {
+  return hedge->status != 0 ||
+         hedge->engine->last_progress > hedge->written_at;
+}
+
 /*
-** One of the two has to go, and neither has spoken. The hedge was not
-** rejected, so its engine has it. The other attempt stays all the same if any
-** byte of it has come meanwhile, or if this router may be late to read one.
+** One of the two has to go, and neither has spoken. The first attempt may be
+** given up if its engine cannot be reached, or if the one of the hedge works:
+** that the kernel of that box accepts connections says nothing of the
+*process.
+** It stays all the same if any byte of it has come meanwhile, or if this
+** router may be late to read one.
 */
 static void end_overlap (mt_relay_t *relay, mt_relay_request_t *r) {
-  if (relay->overloaded || r->current.heard >= r->hedge.sent)
+  bool replaceable =
+      r->current.engine->unreachable || engine_works(&r->hedge);
+  if (!replaceable || relay->overloaded || r->current.heard >= r->hedge.sent)
     mt_hedge_cancel(relay, r);
   else
     replace_current(relay, r, MT_HEDGE_KEPT);
--- a/src/relay/response.c
+++ b/src/relay/response.c
@@ -20,6 +20,7 @@
 
 void mt_response_accepted (mt_relay_t *relay, mt_relay_request_t *r) {
   mt_engine_succeeded(r->current.engine, relay->now);
+  mt_engine_progressed(r->current.engine, relay->now);
   mt_engine_request_accepted(r->current.engine, r->current.sent, relay->now);
   if (r->segments_count > 0)
     mt_request_effect(relay, MT_RELAY_DO_REPORT_HOLDER, r);
@@ -98,6 +99,7 @@
 /* The answer goes on, so no second attempt is needed. */
 static void note_progress (mt_relay_t *relay, mt_relay_request_t *r) {
   r->current.last_received = relay->now;
+  mt_engine_progressed(r->current.engine, relay->now);
   mt_hedge_cancel(relay, r);
 }
 
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -273,6 +273,11 @@
   ASSERT_NE(r.find(MT_RELAY_DO_START), nullptr);
   EXPECT_NE(r.find(MT_RELAY_DO_START)->u.start.engine, first);
   r.step(r.make_event(MT_RELAY_WRITTEN, 1, 2));
+  mt_relay_event_t accepted = r.make_event(MT_RELAY_HEAD, 1, 2);
+  accepted.u.head.status = 200;
+  accepted.u.head.events = accepted.u.head.framed = true;
+  r.step(accepted);
+  EXPECT_EQ(r.find(MT_RELAY_DO_CANCEL), nullptr);
   r.pass(3000);
   ASSERT_NE(r.find(MT_RELAY_DO_CANCEL), nullptr);
   EXPECT_EQ(r.find(MT_RELAY_DO_CANCEL)->attempt, 1);
