Placement: a hedge goes to an engine that goes on

For a hedge an engine that has requests of this router and goes on with none of them costs as much more as that has lasted, in ms.

Measured: Hedge.IsSentToAnEngineThatGoesOn fails without the cost (its second row).

--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -218,6 +218,17 @@
                                       e->version, &c->source_tokens);
 }
 
+/*
+** For a hedge: how long the engine has requests of this router and goes on
+** with none, in ms. The attempt beside it may be given up for the hedge, and
+** engines of one box or switch fall silent together.
+*/
+static double stall_ms (const costs_t *c, const mt_engine_t *e) {
+  if (c->request->current.engine == NULL || e->local.running == 0) return 0;
+  double stalled = (double)(c->relay->now - e->last_progress);
+  return fmin(stalled, SILENCE_PENALTY_MS);
+}
+
 /*
 ** Expected time to first token, with the prefill of uncached tokens weighted
 ** more, and penalties. At a home the prefill of shared segments is not
@@ -253,6 +264,7 @@
   if (kv_capacity > 0 && held > kv_capacity) cost += MEMORY_PENALTY_MS;
   cost += e->failures * FAILURE_PENALTY_MS;
   if (mt_engine_is_silent(e, c->relay->now)) cost += SILENCE_PENALTY_MS;
+  cost += stall_ms(c, e);
   if (mt_resume_engine_version(c->relay, e) == 0)
     cost += UNKNOWN_VERSION_PENALTY_MS;
   if (!r->bound)
@@ -276,14 +288,15 @@
 }
 
 /* Fraction of the slots in use with this request, for a remote engine half a
-   slot more; plus the engine's failures in a row, and 1 while it is silent.
- */
+   slot more; plus the engine's failures in a row, 1 while it is silent, and
+   up to 1 for a stall. */
 static double slot_cost (const costs_t *c, mt_engine_t *e,
                          mt_placement_t *p) {
   double slots = mt_max(e->slots, 1);
   *p = (mt_placement_t){.engine = e, .full = running(e) >= e->slots};
   return (running(e) + 1) / slots + (e->remote ? 0.5 / slots : 0) +
-         e->failures + mt_engine_is_silent(e, c->relay->now);
+         e->failures + mt_engine_is_silent(e, c->relay->now) +
+         stall_ms(c, e) / SILENCE_PENALTY_MS;
 }
 
 /* A suspect request, which may crash the engine, goes where the fewest
--- a/tests/hedge_test.cc
+++ b/tests/hedge_test.cc
@@ -283,6 +283,37 @@
   }
 }
 
+// Guards against hedges at engines that have fallen silent a little later
+// than the first: nothing would show which of the two attempts to end.
+TEST(Hedge, IsSentToAnEngineThatGoesOn) {
+  for (int going_on : {2, 3}) {
+    Relay r(3);
+    r.declare();
+    // Request N runs at engine mN.
+    for (int request = 1; request <= 3; request++) {
+      for (int i = 1; i <= 3; i++)
+        r.find("m" + std::to_string(i))->evacuated = i != request;
+      r.request(request, "/stream/x", "key-w1", 5000, 1000, "h.example", 99);
+      r.sent(request);
+      r.head(request, 200, true);
+      r.event(request, 1);
+    }
+    for (int i = 1; i <= 3; i++)
+      r.find("m" + std::to_string(i))->evacuated = false;
+    auto get = [&] {
+      return (const mt_relay_request_t *)mtV_get(&r.relay->requests, 1);
+    };
+    for (int id = 2; id < 60 && get()->hedge.engine == nullptr; id++) {
+      r.event(going_on, id);
+      if (id < 10) r.event(5 - going_on, id); // it falls silent later
+      r.pass(25);
+    }
+    ASSERT_NE(get()->hedge.engine, nullptr);
+    EXPECT_EQ(get()->hedge.engine, r.find("m" + std::to_string(going_on)))
+        << going_on;
+  }
+}
+
 // A connection that was kept says nothing of whether its engine can be
 // reached.
 TEST(Hedge, IsSentOnANewConnection) {
