Event streams: an event that comes in small parts is searched once

What callers saw: one engine that sent one event without end in chunks of a byte took the whole loop: other services' requests waited for 2.7 to over 5 s, and all silences and ages were judged late meanwhile. Cause: the whole unfinished event was searched for its end again with each part, up to 256 KB. What has been searched is remembered.

--- a/src/relay/event_stream.c
+++ b/src/relay/event_stream.c
@@ -6,6 +6,8 @@
 
 #include "event_stream.h"
 
+#define END_MAX 3 /* bytes from a line's end to that of an empty line */
+
 bool mt_event_stream_feed (mt_event_stream_t *s, const char *p, size_t n) {
   if (s->consumed > 0) {
     memmove(s->bytes, s->bytes + s->consumed, s->used - s->consumed);
@@ -26,9 +28,10 @@
   return true;
 }
 
-/* Offset after the empty line that ends the event; 0: incomplete. */
-static size_t event_end (const char *p, size_t n) {
-  for (size_t i = 0; i + 1 < n; i++) {
+/* Offset after the empty line that ends the event and begins at `from` or
+   later; 0: incomplete. */
+static size_t event_end (const char *p, size_t n, size_t from) {
+  for (size_t i = from; i + 1 < n; i++) {
     if (p[i] != '\n') continue;
     if (p[i + 1] == '\n') return i + 2;
     if (p[i + 1] == '\r' && i + 2 < n && p[i + 2] == '\n') return i + 3;
@@ -56,13 +59,21 @@
   return -1;
 }
 
-/* Size of the next complete event; 0: there is none. */
-static size_t next_size (const mt_event_stream_t *s) {
-  if (s->bytes == NULL) return 0;
-  return event_end(s->bytes + s->consumed, s->used - s->consumed);
+/*
+** Size of the next complete event; 0: there is none. What has been searched
+*is
+** not searched again, but for the begin of an end: an event that comes in
+** parts of a byte would take time by the square of its size.
+*/
+static size_t next_size (mt_event_stream_t *s) {
+  size_t n = s->used - s->consumed;
+  if (n == 0) return 0;
+  size_t size = event_end(s->bytes + s->consumed, n, s->searched);
+  if (size == 0 && n > END_MAX) s->searched = n - END_MAX;
+  return size;
 }
 
-bool mt_event_stream_has_next (const mt_event_stream_t *s) {
+bool mt_event_stream_has_next (mt_event_stream_t *s) {
   return next_size(s) > 0;
 }
 
@@ -73,6 +84,7 @@
   event->text = (mt_bytes_t){p, size};
   event->id = event_id(p, size);
   s->consumed += size;
+  s->searched = 0;
   return true;
 }
 
--- a/src/relay/event_stream.h
+++ b/src/relay/event_stream.h
@@ -13,6 +13,7 @@
   char *bytes;
   size_t used, cap;
   size_t consumed; /* bytes of events already returned */
+  size_t searched; /* bytes behind these in which no event ends */
 } mt_event_stream_t;
 
 /* One event with the empty line that ends it; valid until the next feed. */
@@ -28,7 +29,7 @@
 bool mt_event_stream_next (mt_event_stream_t *stream,
                            mt_stream_event_t *event);
 /* True if there is one. */
-bool mt_event_stream_has_next (const mt_event_stream_t *stream);
+bool mt_event_stream_has_next (mt_event_stream_t *stream);
 /* True if part of an event is pending. */
 bool mt_event_stream_partial (const mt_event_stream_t *stream);
 void mt_event_stream_free (mt_event_stream_t *stream);
