Server: a connection that its handler aborts when it is drained is not used again

Found by the review, not reachable today: on_written went on with a connection that `drained` may have closed; the list of connections would have kept it behind its end. HttpServerOrder has that case, and random events on the server.

Measured: the address sanitizer reported a use after free in AnAbortWhenDrainedLeavesTheList before.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -274,7 +274,7 @@
   }
   if (x->writing > 0) return;
   if (x->handed_over) x->server->handler.drained(x->server->ud, x);
-  finish_exchange(x);
+  if (!x->closing) finish_exchange(x);
 }
 
 static void write_later (mt_http_exchange_t *x, const char *p, size_t n) {
