Server: a caller that leaves is noticed where its input is not read

What was seen: a caller had a request at an engine, sent more than 64 KB ahead and left; the engine worked on until the answer or the deadline. Cause: at that limit reading stops, and with it the word of the caller's end. Where reading is stopped the ticks ask the kernel.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -451,6 +451,10 @@
   *buf = uv_buf_init(x->server->input, READ_BYTES);
 }
 
+static bool is_reading_stopped (const mt_http_exchange_t *x) {
+  return x->pipelined.n > PIPELINED_BYTES_MAX;
+}
+
 static void on_read (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf) {
   mt_http_exchange_t *x = stream->data;
   if (n == 0) return;
@@ -464,7 +468,7 @@
     return;
   }
   buffer_add(&x->pipelined, buf->base, (size_t)n);
-  if (x->pipelined.n > PIPELINED_BYTES_MAX) uv_read_stop(stream);
+  if (is_reading_stopped(x)) uv_read_stop(stream);
 }
 
 /*
@@ -834,8 +838,8 @@
 
 /*
 ** Leaves out of a connection's age what is not its caller's time: what came
-** before the first tick, and `elapsed` since the last one if its input lay
-** unread or, as the loop was held up, may have had no room in the kernel.
+** before the first tick, and `elapsed` since the last tick if its input lay unread or, as the loop was
+** held up, may have had no room in the kernel.
 */
 static void correct_age (mt_http_exchange_t *x, mt_ms_t elapsed,
                          mt_ms_t now) {
@@ -847,6 +851,15 @@
   x->fresh = false;
 }
 
+/* The loop does not tell where reading is stopped. */
+static void check_connected (mt_http_exchange_t *x) {
+  uv_os_fd_t fd;
+  if (!is_reading_stopped(x) || uv_fileno((uv_handle_t *)&x->tcp, &fd) != 0)
+    return;
+  struct pollfd caller = {.fd = fd, .events = POLLRDHUP};
+  if (poll(&caller, 1, 0) > 0) close_connection(x, MT_HTTP_CLOSE_CALLER);
+}
+
 static void check_age (mt_http_exchange_t *x, mt_ms_t elapsed, mt_ms_t now) {
   const mt_http_server_limits_t *limits = &x->limits;
   switch (x->state) {
@@ -861,7 +874,7 @@
       break;
     case STATE_CLOSING: check_closing(x, now); break;
     case STATE_HANDLING:
-    case STATE_RESPONDING: break;
+    case STATE_RESPONDING: check_connected(x); break;
   }
 }
 
