Server: an empty line before a request does not begin it

HTTP asks servers to ignore it. It was taken for the begin of a request that was late after the header time: 408 where no request waited, and the next one met the close.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -420,9 +420,20 @@
   mt_http_exchange_end(x);
 }
 
+/* Empty lines before a request are ignored, as HTTP asks for. */
+static size_t empty_lines (const char *p, size_t n) {
+  size_t used = 0;
+  while (used < n && (p[used] == '\r' || p[used] == '\n')) used++;
+  return used;
+}
+
 /* Parses bytes of a request; bytes beyond its end are buffered. */
 static void parse (mt_http_exchange_t *x, const char *p, size_t n) {
   if (x->state == STATE_IDLE) {
+    size_t empty = empty_lines(p, n);
+    p += empty;
+    n -= empty;
+    if (n == 0) return;
     x->state = STATE_READING;
     begin_age(x);
   }
