Relay: an engine that was left for a hedge may get the request again

What callers saw: a sound engine was silent, its attempt was cancelled for a hedge, whose engine crashed. The route had a third attempt and the budget a permit, but the first engine counted as tried, though it had not failed: with two engines the answer was lost.

--- a/src/relay/candidates.c
+++ b/src/relay/candidates.c
@@ -27,6 +27,11 @@
   return false;
 }
 
+void mt_candidates_forget_try (mt_relay_request_t *r, uint64_t key) {
+  for (int i = 0; i < r->tried_count; i++)
+    if (r->tried[i] == key) r->tried[i] = 0;
+}
+
 /* True if the failure domain of the engine is unreachable, and others are
    not. */
 static bool is_cut_off (const mt_relay_t *relay, const mt_relay_request_t *r,
--- a/src/relay/candidates.h
+++ b/src/relay/candidates.h
@@ -13,6 +13,10 @@
 
 #include "relay.h"
 
+/* An engine that was tried for the request has not failed it: it may be tried
+   again. */
+void mt_candidates_forget_try (mt_relay_request_t *request, uint64_t key);
+
 /* True if the engine is of the request's service, takes work and has not been
    tried for the request. */
 bool mt_candidates_usable (const mt_relay_t *relay,
--- a/src/relay/hedge.c
+++ b/src/relay/hedge.c
@@ -3,6 +3,7 @@
 */
 #include <string.h>
 
+#include "candidates.h"
 #include "connects.h"
 #include "hedge.h"
 #include "quarantine.h"
@@ -96,13 +97,15 @@
     mt_connects_engine_failed(relay, e);
 }
 
-/* Ends the silent attempt for the hedge. */
+/* Ends the silent attempt for the hedge. Its engine has not failed, and may
+   get the request again if that of the hedge does. */
 static void replace_current (mt_relay_t *relay, mt_relay_request_t *r,
                              mt_hedge_outcome_t outcome) {
   record_silent_engine(relay, r);
   mt_request_effect(relay, MT_RELAY_DO_CANCEL, r);
   mt_request_log(relay, r, "attempt-failed",
                  mt_relay_retry_code(MT_RELAY_RETRY_SILENT));
+  mt_candidates_forget_try(r, r->current.engine->key);
   mt_relay_remove_load(r);
   r->may_have_run = true;
   become_current(relay, r, outcome);
