Relay: only what an engine sends now shows that it works

Found by the review: a hedge that was kept, or took over, counted as progress of its engine at that moment, though its head had come before; and so did events of a response that was paused for its caller, which are as old as the pause. By either another silent attempt was given up for a hedge at an engine that had stopped since: 502, or a cut stream. A head counts when it comes; of a response that was ever paused nothing counts. Its name is lagged.

--- a/src/relay/engine.c
+++ b/src/relay/engine.c
@@ -136,10 +136,9 @@
       now + mt_min((mt_ms_t)SUSPEND_FIRST_MS << doublings, SUSPEND_MAX_MS);
 }
 
-void mt_engine_succeeded (mt_engine_t *e, mt_ms_t now) {
+void mt_engine_succeeded (mt_engine_t *e) {
   e->failures = 0;
   e->suspended_until = 0;
-  e->last_received = now;
 }
 
 void mt_engine_progressed (mt_engine_t *e, mt_ms_t now) {
@@ -160,7 +159,10 @@
   if (!up) activate(e);
   e->probing = false;
   e->next_probe = now + PROBE_INTERVAL_MS;
-  if (up) mt_engine_succeeded(e, now);
+  if (up) {
+    mt_engine_succeeded(e);
+    e->last_received = now;
+  }
 }
 
 bool mt_engine_is_draining (const mt_engine_t *e, mt_ms_t now) {
@@ -259,8 +261,6 @@
 
 void mt_engine_request_rejected (mt_engine_t *e, mt_ms_t now) {
   e->suspended_until = mt_max(e->suspended_until, now + REJECTION_SUSPEND_MS);
-  e->last_received = now;
-  mt_engine_progressed(e, now);
   record_attempt(e, true, now);
 }
 
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -144,7 +144,7 @@
    requests for a time that doubles with each further one. */
 void mt_engine_failed (mt_engine_t *engine, mt_ms_t now);
 /* Records a success, which clears its failures and suspension. */
-void mt_engine_succeeded (mt_engine_t *engine, mt_ms_t now);
+void mt_engine_succeeded (mt_engine_t *engine);
 /* One of its responses has begun or gone on, by more than a part of an
    event. */
 void mt_engine_progressed (mt_engine_t *engine, mt_ms_t now);
--- a/src/relay/event_stream.c
+++ b/src/relay/event_stream.c
@@ -60,8 +60,7 @@
 }
 
 /*
-** Size of the next complete event; 0: there is none. What has been searched
-*is
+** Size of the next complete event; 0: there is none. What was searched is
 ** not searched again, but for the begin of an end: an event that comes in
 ** parts of a byte would take time by the square of its size.
 */
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -580,6 +580,7 @@
 static void on_paused (mt_relay_t *relay, mt_relay_request_t *r,
                        bool paused) {
   r->current.paused = paused;
+  r->current.lagged = true;
   if (!paused) r->current.last_received = relay->now;
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -434,6 +434,7 @@
   bool outlived;          /* the engine has outlived the first event */
   bool delayed;           /* the router didn't read since the last event */
   bool paused;            /* the adapter does not read the response */
+  bool lagged;            /* it was paused: what is read may be old */
 } mt_attempt_t;
 
 typedef struct mt_relay_request_t {
--- a/src/relay/request.c
+++ b/src/relay/request.c
@@ -215,7 +215,7 @@
   r->current.status = 0;
   r->current.written = r->current.outlived = false;
   r->current.first_event_at = 0;
-  r->current.paused = false;
+  r->current.paused = r->current.lagged = false;
   r->current.heard = 0;
   mt_event_stream_free(&r->current.stream);
   mt_engine_request_sent(p->engine, relay->now);
@@ -264,7 +264,8 @@
   a->status = ev->u.head.status;
   a->events = ev->u.head.events && a->status / 100 == 2;
   a->framed = ev->u.head.framed;
-  a->last_received = a->heard = ev->now;
+  a->last_received = a->heard = a->engine->last_received = ev->now;
+  mt_engine_progressed(a->engine, ev->now);
 }
 
 const mt_attempt_t *mt_relay_attempt (const mt_relay_request_t *r,
--- a/src/relay/response.c
+++ b/src/relay/response.c
@@ -19,8 +19,7 @@
 #define BUFFERED_BODY_MAX (256u << 10)
 
 void mt_response_accepted (mt_relay_t *relay, mt_relay_request_t *r) {
-  mt_engine_succeeded(r->current.engine, relay->now);
-  mt_engine_progressed(r->current.engine, relay->now);
+  mt_engine_succeeded(r->current.engine);
   mt_engine_request_accepted(r->current.engine, r->current.sent, relay->now);
   if (r->segments_count > 0)
     mt_request_effect(relay, MT_RELAY_DO_REPORT_HOLDER, r);
@@ -99,7 +98,7 @@
 /* The answer goes on, so no second attempt is needed. */
 static void note_progress (mt_relay_t *relay, mt_relay_request_t *r) {
   r->current.last_received = relay->now;
-  mt_engine_progressed(r->current.engine, relay->now);
+  if (!r->current.lagged) mt_engine_progressed(r->current.engine, relay->now);
   mt_hedge_cancel(relay, r);
 }
 
@@ -180,8 +179,7 @@
     forward_head(relay, r, (int64_t)r->body_size);
     forward_data(relay, r, (mt_bytes_t){r->body, r->body_size});
   }
-  if (r->current.status < 500)
-    mt_engine_succeeded(r->current.engine, relay->now);
+  if (r->current.status < 500) mt_engine_succeeded(r->current.engine);
   if (r->current.events) mt_relay_learn_stream(relay, r);
   mt_quarantine_run_answered(relay, r);
   mt_request_effect(relay, MT_RELAY_DO_END, r);
