Relay: a retry that connects is not withdrawn before another is certain

Found by the review: on a drain or a backoff that an engine advertised, a connecting retry of a stream that had begun, or of a request that had run, was cancelled, and only then another engine and a permit were looked for; without them the stream was cut, or the request refused by 502. Now both are asked for first; else the retry stays. One that has not run is withdrawn as before, by a true refusal.

--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -436,14 +436,22 @@
 
 /* {== Drains and backoffs that engines advertise ======================= */
 
-/* Requests of which nothing was written to the engine yet are retried
-   elsewhere: they were placed before it advertised that it takes no work. */
+/*
+** Requests of which nothing was written to the engine yet are retried
+** elsewhere: they were placed before it advertised that it takes no work. One
+** that has run elsewhere, and would be lost, stays: an engine that drains
+** serves on, and one in backoff may reject it.
+*/
 static void withdraw_unsent (mt_relay_t *relay, const mt_engine_t *e) {
   for (size_t i = relay->count; i-- > 0;) {
     if (i >= relay->count) continue;
     mt_relay_request_t *r = relay->list[i];
     if (r->hedge.engine == e && !r->hedge.written) mt_hedge_cancel(relay, r);
     if (r->current.engine != e || r->current.written) continue;
+    if (r->may_have_run) {
+      mt_attempt_move_unsent(relay, r, MT_RELAY_RETRY_NOTICE);
+      continue;
+    }
     mt_request_effect(relay, MT_RELAY_DO_CANCEL, r);
     mt_attempt_failed(relay, r, MT_RELAY_RETRY_NOTICE, false);
   }
--- a/src/relay/request.c
+++ b/src/relay/request.c
@@ -370,6 +370,23 @@
   mt_attempt_start(relay, r, p);
 }
 
+bool mt_attempt_move_unsent (mt_relay_t *relay, mt_relay_request_t *r,
+                             mt_relay_retry_t reason) {
+  mt_placement_t p;
+  r->attempts_sent--;
+  if (!mt_attempt_may_retry(relay, r, false) ||
+      !find_other(relay, r, false, &p) || !take_budget(relay, r)) {
+    r->attempts_sent++;
+    return false;
+  }
+  mt_request_effect(relay, MT_RELAY_DO_CANCEL, r);
+  mt_request_log(relay, r, "attempt-failed", mt_relay_retry_code(reason));
+  mt_relay_prompt_not_run(relay, r, false);
+  mt_relay_remove_load(r);
+  start_retry(relay, r, reason, &p);
+  return true;
+}
+
 /* Sends the request to another engine, or asks for quotes of further ones;
    false if there is no engine, room or budget. */
 static bool retry (mt_relay_t *relay, mt_relay_request_t *r,
--- a/src/relay/request.h
+++ b/src/relay/request.h
@@ -59,6 +59,11 @@
    False if that may not be retried, or there is no engine, room or budget. */
 bool mt_attempt_hedge (mt_relay_t *relay, mt_relay_request_t *request);
 
+/* Sends a request of which nothing was written to its engine yet to another
+   one; false, and nothing changes, if no engine or budget is left for it. */
+bool mt_attempt_move_unsent (mt_relay_t *relay, mt_relay_request_t *request,
+                             mt_relay_retry_t reason);
+
 /* Exchanges the current attempt and the hedge. */
 void mt_attempt_swap (mt_relay_request_t *request);
 
