Relay: what lies unread behind a stall decides at the overlap's and the grace's end

Found by the review: the overlap of a hedge, and the grace of a stop, could end in the tick right behind a stall of the loop: what the silent engine had sent meanwhile lay unread and was cancelled; the hedge's own failure lay unread, too. Both wait for the tick behind that, as deadlines did; the process ends a tick later, so that what is answered then is written.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -657,7 +657,7 @@
 ** Stops in steps: not ready, so load balancers remove it; then closes idle
 ** connections; exits when none is left or the grace is nearly over. This step
 ** may come late, before sockets are read: requests that lie unread in them
-** are refused before the next one.
+** are refused before the next one, and answers written before the one behind.
 */
 static void continue_stop (mt_gateway_t *g) {
   mt_ms_t since = mt_boot_clock_now(g->loop) - g->stopping;
@@ -668,8 +668,8 @@
       return;
     }
   }
-  if (g->out_of_time) finish(g, "out-of-time");
-  g->out_of_time = since + FLUSH_RESERVE_MS / 2 > g->settings.grace;
+  if (g->out_of_time > 1) finish(g, "out-of-time");
+  if (since + FLUSH_RESERVE_MS / 2 > g->settings.grace) g->out_of_time++;
 }
 
 /* Processor time that this process has used, ms. */
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -30,7 +30,7 @@
   mt_map_t inflight_by_number; /* inflight_t (gateway.c), owned */
   uint64_t next_number;        /* last request number that was given out */
   mt_ms_t started, stopping;   /* `stopping`: when the stop began, or 0 */
-  bool out_of_time;            /* the last tick found the grace nearly over */
+  int out_of_time;             /* ticks that found the grace nearly over */
   mt_ms_t last_tick; /* time of the last tick, or of the last timer restart */
   mt_ms_t tick_ms;   /* interval of the tick timer */
   mt_ms_t last_busy; /* when a request was last in progress */
--- a/src/relay/hedge.c
+++ b/src/relay/hedge.c
@@ -239,10 +239,10 @@
 }
 
 /* What either engine has sent by the previous tick is read: the hedge would
-   have been rejected. */
+   have been rejected. Not so behind a stall of this router. */
 static bool is_overlap_over (const mt_relay_t *relay,
                              const mt_attempt_t *hedge) {
-  return hedge->written &&
+  return hedge->written && !mt_response_stalled(relay) &&
          relay->last_tick > hedge->written_at + OVERLAP_MAX_MS;
 }
 
@@ -255,11 +255,10 @@
 
 /*
 ** One of the two has to go, and neither has spoken. The first attempt may be
-** given up if its engine cannot be reached, or if the one of the hedge works:
-** that the kernel of that box accepts connections says nothing of the
-*process.
-** It stays all the same if any byte of it has come meanwhile, or if this
-** router may be late to read one.
+** given up if its engine cannot be reached, or if that of the hedge works: a
+** box whose kernel accepts connections says nothing of the process. It stays
+** all the same if any byte of it has come meanwhile, or if this router may be
+** late to read one.
 */
 static void end_overlap (mt_relay_t *relay, mt_relay_request_t *r) {
   bool replaceable =
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -14,6 +14,7 @@
 #include "quotes.h"
 #include "relay_load.h"
 #include "request.h"
+#include "response_timeout.h"
 #include "stream_resume.h"
 
 #define UPDATE_MS 100   /* between updates of fair shares and engines */
@@ -21,8 +22,6 @@
 /* After STOP, new streams are accepted for this long: the load balancer may
    still send callers. */
 #define STREAM_GRACE_MS 2000
-/* Between ticks: this process, or its box, stood still meanwhile. */
-#define STALL_MS 200
 
 /* {== Requests and quotes ============================================== */
 
@@ -484,21 +483,13 @@
 
 /* {== Time ============================================================= */
 
-static bool stood_still (const mt_relay_t *relay) {
-  return relay->now - relay->last_tick > STALL_MS;
-}
-
-/* What came while this process stood still is read after this tick. */
-static bool is_expired (const mt_relay_t *relay,
-                        const mt_relay_request_t *r) {
-  bool may_lie_unread = r->current.written && stood_still(relay);
-  return (may_lie_unread ? relay->last_tick : relay->now) >= r->expires;
-}
-
-/* A stopping router answers what it would only cut off by its end. */
+/* A stopping router answers what it would only cut off by its end. What came
+   while this process stood still is read after this tick. */
 static bool is_over (const mt_relay_t *relay, const mt_relay_request_t *r) {
-  bool stopped = relay->stop_since != 0 && relay->now >= relay->stop_until;
-  return stopped || is_expired(relay, r);
+  bool may_lie_unread = r->current.written && mt_response_stalled(relay);
+  mt_ms_t read_until = may_lie_unread ? relay->last_tick : relay->now;
+  bool stopped = relay->stop_since != 0 && read_until >= relay->stop_until;
+  return stopped || read_until >= r->expires;
 }
 
 static void check_request (mt_relay_t *relay, mt_relay_request_t *r) {
@@ -563,7 +554,7 @@
 static void on_tick (mt_relay_t *relay) {
   for (size_t i = relay->count; i-- > 0;)
     if (i < relay->count) check_request(relay, relay->list[i]);
-  if (stood_still(relay)) relay->reads_since = relay->now;
+  if (mt_response_stalled(relay)) relay->reads_since = relay->now;
   relay->last_tick = relay->now;
   mt_resume_tick(relay);
   mt_relay_probe_engines(relay);
--- a/src/relay/response_timeout.c
+++ b/src/relay/response_timeout.c
@@ -9,6 +9,8 @@
 /* Of a body that is buffered, in bytes per ms: one that comes more slowly is
    overdue as if nothing came. */
 #define BODY_RATE_MIN 1
+/* Between ticks: this process, or its box, stood still meanwhile. */
+#define STALL_MS 200
 
 /* Longest time without a byte of the request's response, in ms. */
 static mt_ms_t silence_limit (const mt_relay_request_t *r) {
@@ -33,6 +35,10 @@
   return elapsed(mt_max(from, relay->reads_since), relay->last_tick);
 }
 
+bool mt_response_stalled (const mt_relay_t *relay) {
+  return relay->now - relay->last_tick > STALL_MS;
+}
+
 bool mt_response_engine_silent (const mt_relay_t *relay,
                                 const mt_relay_request_t *r) {
   mt_ms_t heard =
--- a/src/relay/response_timeout.h
+++ b/src/relay/response_timeout.h
@@ -16,6 +16,10 @@
 bool mt_response_trickles (const mt_relay_t *relay,
                            const mt_relay_request_t *request);
 
+/* True if this router has read nothing for so long before this tick that
+   responses may lie unread. */
+bool mt_response_stalled (const mt_relay_t *relay);
+
 /* True if the engine has sent nothing to any request for so long, as far as
    this router has read. */
 bool mt_response_engine_silent (const mt_relay_t *relay,
