Placement: a hedge looks for an engine that was seen to work

An engine without requests of this router counted as good as one that goes on, and only engines with quotes were considered. For a hedge each engine costs as much more as it is long since a response of it last began or went on; if the best of those with quotes has not gone on since the first attempt fell silent, all that run requests of this router are considered.

--- a/src/relay/engine.c
+++ b/src/relay/engine.c
@@ -214,7 +214,6 @@
 }
 
 void mt_engine_request_sent (mt_engine_t *e, mt_ms_t now) {
-  if (e->local.running == 0) mt_engine_progressed(e, now);
   if (e->backoff_until == 0) return;
   if (e->half_open_since == 0)
     e->half_open_since = now;
--- a/src/relay/engine.h
+++ b/src/relay/engine.h
@@ -94,10 +94,8 @@
                        one succeeds */
   bool probing;     /* a probe is in progress */
   mt_ms_t next_probe;
-  mt_ms_t last_received; /* when it last sent any byte of a response */
-  /* When a response last began or went on, or when it got the first of the
-     requests that this router has there. */
-  mt_ms_t last_progress;
+  mt_ms_t last_received;    /* when it last sent any byte of a response */
+  mt_ms_t last_progress;    /* when a response last began or went on */
   mt_ms_t silent_at;        /* when it was last found silent; 0: never */
   mt_prefix_cache_t cached; /* prompt segments that it probably has cached */
   int64_t tokens_processed; /* of this router's requests, prompt and output */
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -219,12 +219,13 @@
 }
 
 /*
-** For a hedge: how long the engine has requests of this router and goes on
-** with none, in ms. The attempt beside it may be given up for the hedge, and
-** engines of one box or switch fall silent together.
+** For a hedge: how long ago a response of the engine last began or went on,
+*in
+** ms. The attempt beside it may be given up for the hedge, and engines fall
+** silent together: one that is seen to work is worth more than an idle one.
 */
 static double stall_ms (const costs_t *c, const mt_engine_t *e) {
-  if (c->request->current.engine == NULL || e->local.running == 0) return 0;
+  if (c->request->current.engine == NULL) return 0;
   double stalled = (double)(c->relay->now - e->last_progress);
   return fmin(stalled, SILENCE_PENALTY_MS);
 }
@@ -340,6 +341,20 @@
          mt_admission_allows(relay, r, e);
 }
 
+/* True if the request has an attempt that is silent, and the engine has not
+   gone on since: a hedge may be as silent there. */
+static bool may_be_silent_too (const mt_relay_request_t *r,
+                               const mt_engine_t *e) {
+  return r->current.engine != NULL &&
+         e->last_progress <= r->current.last_received;
+}
+
+static void consider_all (costs_t *c, mt_engine_t *const *engines,
+                          size_t count) {
+  for (size_t i = 0; i < count; i++)
+    if (may_go_to(c->relay, c->request, engines[i])) consider(c, engines[i]);
+}
+
 mt_placement_t mt_placement_choose (mt_relay_t *relay,
                                     const mt_relay_request_t *r) {
   costs_t c = begin_costs(relay, r);
@@ -350,11 +365,11 @@
     if (candidate->quoted && e != NULL && may_go_to(relay, r, e))
       consider(&c, e);
   }
-  if (c.best.engine != NULL) return result_of(&c);
-  for (size_t i = 0; i < relay->engines.count; i++) {
-    mt_engine_t *e = relay->engines.list[i];
-    if (may_go_to(relay, r, e)) consider(&c, e);
-  }
+  const mt_engines_t *engines = &relay->engines;
+  if (c.best.engine == NULL)
+    consider_all(&c, engines->list, engines->count);
+  else if (may_be_silent_too(r, c.best.engine))
+    consider_all(&c, engines->active, engines->active_count);
   return result_of(&c);
 }
 
