--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -75,8 +75,7 @@
   void *ud;
   mt_http_server_limits_t limits;
   /* All connections, in the order in which they last became idle, began to
-     receive a request or were shut down; `since` may be equal after stalls.
-   */
+     receive a request or were shut down; `since` may be equal. */
   mt_http_exchange_t *first, *last;
   mt_http_exchange_t *dirty;
   size_t count, max_connections; /* connections; maximum 0: no limit */
--- a/src/relay/placement.c
+++ b/src/relay/placement.c
@@ -220,7 +220,6 @@
 
 /*
 ** For a hedge: how long ago a response of the engine last began or went on,
-*in
 ** ms. The attempt beside it may be given up for the hedge, and engines fall
 ** silent together: one that is seen to work is worth more than an idle one.
 */
--- a/src/relay/placement.h
+++ b/src/relay/placement.h
@@ -26,11 +26,11 @@
 ** else of all. For a language model this is the engine with the least
 ** expected time to first token, with the prefill of uncached tokens weighted
 ** more; for another service the one with the lowest fraction of its slots in
-** use. Among equals the local failure domain is preferred. For a hedge,
-*engines
-** that were seen to work since the first attempt fell silent are preferred,
-*and
-** looked for among all that run requests of this router.
+** use. Among equals the local failure domain is preferred.
+**
+** For a hedge, engines that were seen to work since the first attempt fell
+** silent are preferred, and looked for among all that run requests of this
+** router.
 */
 mt_placement_t mt_placement_choose (mt_relay_t *relay,
                                     const mt_relay_request_t *request);
