--- a/src/relay/hedge.c
+++ b/src/relay/hedge.c
@@ -180,7 +180,7 @@
 }
 
 /* True if the data completes an event, or is of a response without events:
-   the hedge has spoken. */
+   the hedge wins. */
 static bool on_data (mt_relay_t *relay, mt_relay_request_t *r,
                      const mt_relay_event_t *ev) {
   if (!r->hedge.events) return true;
@@ -254,7 +254,7 @@
 }
 
 /*
-** One of the two has to go, and neither has spoken. The first attempt may be
+** One of the two has to go, and neither has won. The first attempt may be
 ** given up if its engine cannot be reached, or if that of the hedge works: a
 ** box whose kernel accepts connections says nothing of the process. It stays
 ** all the same if any byte of it has come meanwhile, or if this router may be
