Relay: a stopping router refuses streams that it may cut off

What callers saw: in a planned stop streams were taken for 2 s behind SIGTERM and, where they needed longer than the rest of the grace, answered 504 or cut at its end, resumable ones and others.

Cause: is_too_late_to_start asked other requests to expire before the exit, but took streams for as long as the load balancer may send callers, whatever they need.

A stream that may outlast the grace gets 503 router_stopping, which promises that it has not run, at once, while its caller can go to another router. What was taken before the stop goes on.

RelayStop has rows for the bounds.

--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -169,15 +169,16 @@
 }
 
 /*
-** A stopping router accepts streams only while the load balancer may still
-** send callers, and other requests only if they expire before it exits.
+** A stopping router accepts only requests that expire before it exits: what
+** it would cut off is better refused while its caller can go elsewhere. It
+** accepts streams only while the load balancer may still send callers.
 */
 static bool is_too_late_to_start (const mt_relay_t *relay,
                                   const mt_relay_request_t *r) {
   if (relay->stop_since == 0) return false;
-  if (r->kind == MT_ROUTE_STREAM)
-    return relay->now - relay->stop_since > STREAM_GRACE_MS;
-  return r->expires > relay->stop_until;
+  if (r->expires > relay->stop_until) return true;
+  return r->kind == MT_ROUTE_STREAM &&
+         relay->now - relay->stop_since > STREAM_GRACE_MS;
 }
 
 /* Starts a round of quotes; false if no owner is to be asked. */
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -360,6 +360,29 @@
   }
 }
 
+// Guards against streams that a stopping router takes and then cuts off.
+TEST(RelayStop, AcceptsNoStreamThatItMayCutOff) {
+  struct Row {
+    mt_ms_t after, deadline_ms;
+    bool accepted;
+  } rows[] = {{0, 3500, false},    {0, 3100, false},   {0, 2900, true},
+              {1900, 1200, false}, {1900, 1000, true}, {1900, 3500, false}};
+  for (const char *path : {"/stream/x", "/events/x"})
+    for (const Row &row : rows) {
+      Relay r;
+      r.declare();
+      mt_relay_event_t stop{};
+      stop.kind = MT_RELAY_STOP;
+      stop.u.stop_ms = 3000;
+      r.step(stop);
+      r.pass(row.after);
+      r.request(1, path, "key-w1", row.deadline_ms);
+      EXPECT_EQ(r.refusal(),
+                row.accepted ? MT_RELAY_REFUSAL_COUNT : MT_RELAY_STOPPING)
+          << path << " " << row.after << " " << row.deadline_ms;
+    }
+}
+
 TEST(RelayCallers, DisconnectCancelsTheAttempt) {
   Relay r;
   r.declare();
