Tests: an answer's head that is cut at any byte

Another operator's report: an engine stopped within the head of its answer, and clients got a 200 with a short body.

--- a/tests/odd_head_test.cc
+++ b/tests/odd_head_test.cc
@@ -72,6 +72,13 @@
   return rows;
 }
 
+std::string replaced (std::string text, const std::string &from,
+                      const std::string &to) {
+  for (size_t at; (at = text.find(from)) != text.npos;)
+    text.replace(at, from.size(), to);
+  return text;
+}
+
 struct OddHeadWorld : World {
   std::string odd; // the engine's answer
   int next = 0, odd_answers = 0;
@@ -79,12 +86,8 @@
   void add_odd_engine (const char *service) {
     engine("odd-" + std::string(service), service,
            listen([this] (Conn &c, const Request &r) {
-             std::string text = odd;
-             size_t at;
-             while ((at = text.find('@')) != text.npos)
-               text.replace(at, 1, r.field("X-Attempt-Id"));
              odd_answers++;
-             c.send(text);
+             c.send(replaced(odd, "@", r.field("X-Attempt-Id")));
            }));
   }
   void add_sound_engine (const char *service) {
@@ -177,6 +180,35 @@
   }
 }
 
+// An engine that closes within the head of its answer, at any byte, also on a
+// connection that was used before and behind an interim answer.
+TEST(OddHead, ThatIsCutIsNoAnswer) {
+  const std::string whole = with_line("X-Foo: a", 1);
+  const std::string head = whole.substr(0, whole.find("\r\n\r\n") + 3);
+  for (const char *before : {"", "HTTP/1.1 100 X\r\n\r\n"})
+    for (size_t cut = 0; cut <= head.size(); cut++) {
+      OddHeadWorld w;
+      w.engine("i-1", "plain", w.listen([&] (Conn &c, const Request &r) {
+        if (r.field("X-Attempt-Id") == "first") {
+          c.send(
+              answer(200, "X-Engine-Seal: s\r\nX-Attempt-Id: first\r\n", ""));
+          return;
+        }
+        c.send(before +
+               replaced(head, "@", r.field("X-Attempt-Id")).substr(0, cut));
+        c.close();
+      }));
+      w.start();
+      EXPECT_EQ(World::status_of(w.call(World::ask("/once/x", "first"))),
+                200);
+      std::string in = w.send("/once/x");
+      EXPECT_EQ(World::status_of(in), 502) << before << cut << in;
+      in = w.send("/safe/x");
+      EXPECT_TRUE(World::status_of(in) == 502 || World::status_of(in) == 503)
+          << before << cut << in;
+    }
+}
+
 // {== Requests =============================================================
 
 TEST(OddHead, OfARequestIsRefused) {
