--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -671,6 +671,7 @@
       .traffic = mt_gateway_peers_traffic(g->peers),
       .updates = mt_gateway_peers_updates(g->peers),
       .source_events = g->source_events,
+      .source_faults = &g->source_faults,
       .addresses_refused = mt_gateway_peers_addresses_refused(g->peers)};
   mt_gateway_metrics(&from, &g->scratch);
   send_text(g, x, 200);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -182,6 +182,39 @@
 void mt_gateway_count_source_event (mt_gateway_t *gateway,
                                     mt_source_event_t event);
 
+/* The ranges of the source that are read. */
+typedef enum mt_source_range_t {
+  MT_RANGE_DECLARATIONS,
+  MT_RANGE_ENGINES,
+  MT_RANGE_SUSPECTS,
+  MT_SOURCE_RANGES
+} mt_source_range_t;
+
+/* What is wrong with an entry that some writer left in a range, or with the
+   pages of a list. */
+typedef enum mt_source_fault_t {
+  MT_SOURCE_FAULT_KEY,     /* the key cannot be read or is too long */
+  MT_SOURCE_FAULT_NAME,    /* no engine has such a name */
+  MT_SOURCE_FAULT_VALUE,   /* it does not describe an engine */
+  MT_SOURCE_FAULT_PAGES,   /* no page follows, and the list has more */
+  MT_SOURCE_FAULT_REFUSED, /* the source refused the call for a page */
+  MT_SOURCE_FAULTS
+} mt_source_fault_t;
+
+/* How often each has been found, and when it was last logged. */
+typedef struct mt_source_faults_t {
+  uint64_t count[MT_SOURCE_RANGES][MT_SOURCE_FAULTS];
+  mt_ms_t logged[MT_SOURCE_RANGES][MT_SOURCE_FAULTS]; /* 0: never */
+} mt_source_faults_t;
+
+const char *mt_source_range_name (mt_source_range_t range);
+const char *mt_source_fault_name (mt_source_fault_t fault);
+
+/* Counts a fault and logs it, at most one of a kind in a range a second.
+   `name`: of the entry or the place in the list; any bytes. */
+void mt_gateway_source_fault (mt_gateway_t *gateway, mt_source_range_t range,
+                              mt_source_fault_t fault, mt_bytes_t name);
+
 /* Reports not ready, finishes the requests in progress, then stops the loop;
    at the latest when `grace` is nearly over. */
 void mt_gateway_stop (mt_gateway_t *gateway);
--- a/src/gateway/gateway_feeds.c
+++ b/src/gateway/gateway_feeds.c
@@ -10,12 +10,16 @@
 #include "gateway_log.h"
 #include "gateway_state.h"
 #include "mtcrypt.h"
+#include "percent_encoding.h"
 #include "stream_resume.h"
 
 /* Longer than a watch that reports no change is held by the source. */
 #define LIST_AGE_MAX_MS 6000
 /* By then all writers that reach the source have repeated their entries. */
 #define RESTORE_GRACE_MS 2500
+#define FAULT_LOG_INTERVAL_MS 1000
+#define FAULT_NAME_SIZE 128 /* of an encoded name in a line */
+#define DOMAIN_TEXT_SIZE MT_PERCENT_ENCODED_SIZE(MT_NAME_MAX)
 
 void mt_gateway_source_restored (mt_gateway_t *g) {
   g->restored_at = mt_boot_clock_now(g->loop);
@@ -211,10 +215,12 @@
 }
 
 static void set_evacuated (mt_gateway_t *g, const char *domain, bool on) {
+  char text[DOMAIN_TEXT_SIZE];
   if (!mt_relay_evacuate(g->relay, domain, on, mt_boot_clock_now(g->loop)))
     return;
+  mt_percent_encode(text, sizeof text, (mt_bytes_t){domain, strlen(domain)});
   mt_log_line(g->log, MT_LOG_STATE, mt_boot_clock_now(g->loop), "evacuation",
-              "domain=%s outcome=%s", domain, on ? "begun" : "over");
+              "domain=%s outcome=%s", text, on ? "begun" : "over");
 }
 
 void mt_gateway_evacuate (mt_gateway_t *g, const char *domain, bool on,
@@ -584,6 +590,43 @@
   g->source_events[event]++;
 }
 
+const char *mt_source_range_name (mt_source_range_t range) {
+  switch (range) {
+    case MT_RANGE_DECLARATIONS: return "configuration";
+    case MT_RANGE_ENGINES: return "engines";
+    case MT_RANGE_SUSPECTS: return "suspects";
+    case MT_SOURCE_RANGES: break;
+  }
+  return "";
+}
+
+const char *mt_source_fault_name (mt_source_fault_t fault) {
+  switch (fault) {
+    case MT_SOURCE_FAULT_KEY: return "key";
+    case MT_SOURCE_FAULT_NAME: return "name";
+    case MT_SOURCE_FAULT_VALUE: return "value";
+    case MT_SOURCE_FAULT_PAGES: return "pages";
+    case MT_SOURCE_FAULT_REFUSED: return "refused";
+    case MT_SOURCE_FAULTS: break;
+  }
+  return "";
+}
+
+void mt_gateway_source_fault (mt_gateway_t *g, mt_source_range_t range,
+                              mt_source_fault_t fault, mt_bytes_t name) {
+  char text[FAULT_NAME_SIZE];
+  mt_ms_t now = mt_boot_clock_now(g->loop),
+          *logged = &g->source_faults.logged[range][fault];
+  uint64_t count = ++g->source_faults.count[range][fault];
+  if (*logged != 0 && now - *logged < FAULT_LOG_INTERVAL_MS) return;
+  *logged = now;
+  mt_percent_encode(text, sizeof text, name);
+  mt_log_line(g->log, MT_LOG_STATE, now, "store-entry",
+              "feed=%s name=%s total=%llu outcome=ignored why=%s",
+              mt_source_range_name(range), text, (unsigned long long)count,
+              mt_source_fault_name(fault));
+}
+
 bool mt_gateway_watches_source (const mt_gateway_t *g) {
   return mt_gateway_peers_watches_source(g->peers);
 }
--- a/src/gateway/gateway_log.c
+++ b/src/gateway/gateway_log.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "gateway_log.h"
+#include "percent_encoding.h"
 #include "request.h"
 
 /* Names of a prompt's shared segments in a line, each of 16 digits and a
@@ -15,6 +16,9 @@
 /* Bytes of a request's id in a line. */
 #define ID_TEXT_MAX 39
 
+/* Of an entry's text in a line. */
+#define TEXT_SIZE 192
+
 typedef unsigned long long number_t;
 
 const char *mt_gateway_state_name (mt_engine_state_t state) {
@@ -35,16 +39,20 @@
   return "";
 }
 
-static const char *version_name (const mt_engine_t *e) {
-  return e->version_name != NULL ? e->version_name : "-";
+/* Text of an entry: a blank in it would look like the next field. */
+static const char *entry_text (const char *text, char out[TEXT_SIZE]) {
+  if (text == NULL) return "-";
+  mt_percent_encode(out, TEXT_SIZE, (mt_bytes_t){text, strlen(text)});
+  return out;
 }
 
 void mt_gateway_log_engine (mt_log_writer_t *log, mt_ms_t now,
                             const mt_engine_t *e, const char *outcome) {
+  char version[TEXT_SIZE];
   mt_log_line(log, MT_LOG_STATE, now, "engine",
               "engine=%s address=%s:%u running=%d outcome=%s software=%s",
               e->name, e->ip, e->port, e->local.running, outcome,
-              version_name(e));
+              entry_text(e->version_name, version));
 }
 
 void mt_gateway_log_foreign (mt_log_writer_t *log, mt_ms_t now,
@@ -57,9 +65,10 @@
 
 void mt_gateway_log_domain (mt_log_writer_t *log, mt_ms_t now,
                             const mt_engine_t *e, bool reachable) {
+  char domain[TEXT_SIZE];
   mt_log_line(log, MT_LOG_STATE, now, "domain",
-              "domain=%s engine=%s outcome=%s", e->domain, e->name,
-              reachable ? "reachable" : "unreachable");
+              "domain=%s engine=%s outcome=%s", entry_text(e->domain, domain),
+              e->name, reachable ? "reachable" : "unreachable");
 }
 
 void mt_gateway_log_suspect (mt_log_writer_t *log, mt_ms_t now,
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -213,6 +213,20 @@
                      names[i], (unsigned long long)counts[i]);
 }
 
+static void source_faults (const mt_source_faults_t *faults,
+                           mt_strbuf_t *out) {
+  describe(out, "source_faults_total", "counter",
+           "Entries of the source that were ignored, and its lists that were "
+           "not read, by reason.");
+  for (int r = 0; r < MT_SOURCE_RANGES; r++)
+    for (int i = 0; i < MT_SOURCE_FAULTS; i++)
+      mt_strbuf_format(
+          out, PREFIX "source_faults_total{feed=\"%s\",reason=\"%s\"} %llu\n",
+          mt_source_range_name((mt_source_range_t)r),
+          mt_source_fault_name((mt_source_fault_t)i),
+          (unsigned long long)faults->count[r][i]);
+}
+
 static void caller_closes (const mt_http_closes_t *closes, mt_strbuf_t *out) {
   describe(out, "caller_closes_total", "counter",
            "Connections of callers that were closed, by reason.");
@@ -328,6 +342,7 @@
   peers(from->traffic, out);
   updates(from->updates, out);
   source_events(from->source_events, out);
+  source_faults(from->source_faults, out);
   number(out, "requests", "gauge", "Requests in progress.",
          (double)relay->count);
   number(out, "engines", "gauge", "Engines known.",
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -23,7 +23,8 @@
   const mt_peer_traffic_t *traffic; /* by mt_peer_kind_t */
   const uint64_t *updates;          /* by mt_feed_outcome_t */
   const uint64_t *source_events;    /* by mt_source_event_t */
-  uint64_t addresses_refused;       /* router addresses not stored */
+  const mt_source_faults_t *source_faults;
+  uint64_t addresses_refused; /* router addresses not stored */
 } mt_gateway_metrics_t;
 
 /* Appends all metrics. */
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -39,6 +39,7 @@
   mt_gateway_load_t load;
   mt_loop_turns_t turns;
   uint64_t source_events[MT_SOURCE_EVENTS];
+  mt_source_faults_t source_faults;
   mt_ms_t restored_at; /* when the source was last restored; 0: never */
   mt_revision_t
       catalog_rev; /* of that configuration; valid if there is one */
