Gateway: names of engines are whole in what gateways tell each other

What callers saw: of two engines whose names have the same first 71 bytes one got no request.

Cause: a change kept 71 bytes of the name. Both engines were one subject, and the change with the lower revision counted as old. By reading, other gateways did not hear of an end of either.

Fix: a change has room for the longest name that a key of the source allows.

--- a/src/gateway/change.h
+++ b/src/gateway/change.h
@@ -13,7 +13,9 @@
 
 #include "revision.h"
 
-#define MT_CHANGE_NAME_SIZE 72 /* a SHA-256 digest in hexadecimal fits */
+/* The longest name of an engine, and a SHA-256 digest in hexadecimal, fit:
+   a name that is cut would stand for another engine. */
+#define MT_CHANGE_NAME_SIZE 200
 #define MT_CHANGE_TEXT_SIZE 64
 
 /* The two change feeds of the configuration source. */
--- a/tests/odd_key_test.cc
+++ b/tests/odd_key_test.cc
@@ -231,6 +231,38 @@
     }
 }
 
+// An engine, or its removal, is not that of one whose name begins alike.
+TEST(OddKey, IsNotTheEngineThatItsNameBeginsWith) {
+  const std::string stem(150, 'e');
+  OddKeyWorld w;
+  auto logged = [&] (const std::string &id, const std::string &outcome) {
+    size_t at = w.log.find("engine=" + id + " ");
+    while (at != w.log.npos) {
+      std::string line = w.log.substr(at, w.log.find('\n', at) - at);
+      if (line.find("outcome=" + outcome + " ") != line.npos) return true;
+      at = w.log.find("engine=" + id + " ", at + 1);
+    }
+    return false;
+  };
+  w.engine("e", "plain", w.odd);
+  w.start();
+  w.until([&] { return w.watches.size() >= 2; });
+  w.compact(); // they come by a list, in which the later one stands first
+  w.engine(stem + "2", "plain", w.odd);
+  w.engine(stem + "1", "plain", w.odd);
+  for (const std::string &id : {std::string("e"), stem + "2", stem + "1"})
+    EXPECT_TRUE(w.within([&] { return logged(id, "ready"); })) << id;
+  for (const std::string &odd : {std::string("e\\u0000"), stem + "1\\u0000",
+                                 stem + "1" + std::string(300, 'x')}) {
+    w.engine(odd, "plain", w.odd);
+    w.remove("servers/" + odd);
+  }
+  w.remove("servers/" + stem + "2");
+  EXPECT_TRUE(w.within([&] { return logged(stem + "2", "vanished"); }));
+  EXPECT_FALSE(logged(stem + "1", "vanished"));
+  EXPECT_FALSE(logged("e", "vanished"));
+}
+
 // }==
 
 // {== Lists that cannot be read ============================================
