Tests: pages of records behind odd keys, and lists without an end at a start

OriginStore: a read of the records of origins goes on behind keys of other programs, and ends as not complete where its pages do not move on. By the code, wrote such a key into the request line as it was. OddKey: a list without an end also at the start; the gateway serves with what it could read.

--- a/tests/odd_key_test.cc
+++ b/tests/odd_key_test.cc
@@ -293,46 +293,53 @@
       {"a page that is too far", "refused",
        [] (const std::string &) { return answer(414, "", ""); }},
   };
-  for (const EndlessList &row : rows) {
-    OddKeyWorld w;
-    w.page = 2;
-    w.add_engines();
-    w.start();
-    ASSERT_TRUE(reads_engines(w)) << row.what;
-    Handler sound = w.store->handler;
-    std::string first;
-    int calls = 0;
-    w.store->handler = [&] (Conn &c, const Request &r) {
-      if (r.line().find("kv-range?path_prefix=servers/") ==
-          std::string::npos) {
-        sound(c, r);
-        return;
-      }
-      calls++;
-      if (r.line().find("since_rev") != std::string::npos)
-        c.send(row.further(first));
-      else {
-        first = answer(200, "",
-                       "{\"items\":[" + w.item("servers/A1") + "," +
-                           w.item("servers/a-1") + "],\"more\":true,\"at\":" +
-                           std::to_string(w.rev) + "}");
-        c.send(first);
+  for (bool at_start : {false, true})
+    for (const EndlessList &row : rows) {
+      OddKeyWorld w;
+      w.page = 2;
+      w.add_engines();
+      if (!at_start) {
+        w.start();
+        ASSERT_TRUE(reads_engines(w)) << row.what;
       }
-    };
-    w.compact();
-    auto begun = Clock::now();
-    w.within([&] { return ms_since(begun) > 3000; });
-    EXPECT_GE(calls, 4) << row.what;
-    EXPECT_LE(calls, 40) << row.what;
-    EXPECT_EQ(w.log.find("outcome=vanished"), w.log.npos) << row.what;
-    EXPECT_GE(w.faults("engines", row.reason), 1) << row.what;
-    for (int i = 0; i < 8; i++) EXPECT_TRUE(w.serves()) << row.what;
-    w.store->handler = sound;
-    w.engine("n1", "plain", w.odd);
-    EXPECT_TRUE(w.within([&] {
-      return w.log.find("engine=n1 ") != w.log.npos;
-    })) << row.what;
-  }
+      Handler sound = w.store->handler;
+      std::string first;
+      int calls = 0;
+      w.store->handler = [&] (Conn &c, const Request &r) {
+        if (r.line().find("kv-range?path_prefix=servers/") ==
+            std::string::npos) {
+          sound(c, r);
+          return;
+        }
+        calls++;
+        if (r.line().find("since_rev") != std::string::npos)
+          c.send(row.further(first));
+        else {
+          first =
+              answer(200, "",
+                     "{\"items\":[" + w.item("servers/A1") + "," +
+                         w.item("servers/a-1") + "],\"more\":true,\"at\":" +
+                         std::to_string(w.rev) + "}");
+          c.send(first);
+        }
+      };
+      if (at_start)
+        w.start();
+      else
+        w.compact();
+      auto begun = Clock::now();
+      w.within([&] { return ms_since(begun) > 3000; });
+      EXPECT_GE(calls, 4) << row.what;
+      EXPECT_LE(calls, 40) << row.what;
+      EXPECT_EQ(w.log.find("outcome=vanished"), w.log.npos) << row.what;
+      EXPECT_GE(w.faults("engines", row.reason), 1) << row.what;
+      for (int i = 0; i < 8; i++) EXPECT_TRUE(w.serves()) << row.what;
+      w.store->handler = sound;
+      w.engine("n1", "plain", w.odd);
+      EXPECT_TRUE(w.within([&] {
+        return w.log.find("engine=n1 ") != w.log.npos;
+      })) << row.what;
+    }
 }
 
 // }==
--- a/tests/origin_store_test.cc
+++ b/tests/origin_store_test.cc
@@ -215,6 +215,20 @@
         page({item("origins/2", sound)})},
        true,
        4},
+      {"the second page begins like the first",
+       {page({item("origins/1", sound)}, true),
+        page({item("origins/1", sound)}, true)},
+       false,
+       4},
+      {"the second page has no key",
+       {page({item("origins/1", sound)}, true), page({"7"}, true)},
+       false,
+       2},
+      {"no page follows", {page({}, true)}, false, 0},
+      {"an item with a NUL",
+       {page({"{\"key\":\"origins/a\\u0000\"}", item("origins/1", sound)})},
+       true,
+       2},
       {"the second page fails",
        {page({item("origins/1", sound)}, true), AWAY},
        false,
@@ -248,4 +262,29 @@
   }
 }
 
+// Other programs' keys may be any text.
+TEST(OriginStore, BeginsAPageBehindAnOddKey) {
+  struct Row {
+    const char *written, *place;
+  } rows[] = {{"1", "1"},
+              {"a b&since_rev=%41+#", "a%20b%26since_rev%3D%2541%2B%23"},
+              {"a\\r\\n", "a%0D%0A"},
+              {"a\\u0000b", "a%01"},
+              {"a\\ud800", "a%F4%8F%BF%BF"}};
+  for (const Row &row : rows) {
+    SCOPED_TRACE(row.written);
+    ClientAndStore t;
+    std::string odd = "origins/" + std::string(row.written);
+    t.responses = {page({item(odd, "{}")}, true),
+                   page({item("origins/x", "{\"ttl_ms\":9,\"rows\":["
+                                           "\"ab1:7:0\"]}")})};
+    EXPECT_TRUE(t.read_all());
+    EXPECT_EQ(t.rows.size(), 1u);
+    ASSERT_EQ(t.calls.size(), 2u);
+    EXPECT_EQ(t.calls[1].substr(0, t.calls[1].find("\r\n")),
+              "GET /-/kv-range?path_prefix=origins/&since_rev=origins%2F" +
+                  std::string(row.place) + " HTTP/1.1");
+  }
+}
+
 } // namespace
