Logs: a software version in a request's line is encoded, too

An entry's version with a blank began another field of the line: on OddEntry.TextOfAnEntryAddsNoFieldToALine fails.

--- a/src/gateway/gateway_log.c
+++ b/src/gateway/gateway_log.c
@@ -41,7 +41,7 @@
 
 /* Text of an entry: a blank in it would look like the next field. */
 static const char *entry_text (const char *text, char out[TEXT_SIZE]) {
-  if (text == NULL) return "-";
+  if (text == NULL || text[0] == '\0') return "-";
   mt_percent_encode(out, TEXT_SIZE, (mt_bytes_t){text, strlen(text)});
   return out;
 }
@@ -118,7 +118,7 @@
   bool routine = strcmp(outcome, "answered") == 0 && r->current.number == 1;
   bool cut = strcmp(outcome, "aborted") == 0;
   int64_t version = relay->catalog ? relay->catalog->version : 0;
-  char parts[PARTS_TEXT_BYTES];
+  char parts[PARTS_TEXT_BYTES], software[TEXT_SIZE];
   mt_log_line(
       log, routine ? MT_LOG_DETAIL : MT_LOG_FAILURE, relay->now, "request",
       "id=%s digest=%016llx parts=%s route=%08x workspace=%08x engine=%s "
@@ -131,7 +131,7 @@
       "end=%s fault=%s outcome=%s why=%s",
       r->id, (number_t)r->digest, parts_text(r, parts), r->route,
       r->workspace, r->current.engine_name[0] ? r->current.engine_name : "-",
-      r->current.engine_version[0] ? r->current.engine_version : "-",
+      entry_text(r->current.engine_version, software),
       r->resumes[0] ? r->resumes : "-", (long long)r->first_event,
       mt_origin_source_name(r->origin_source), r->current.number,
       (number_t)(relay->now - r->arrived), r->current.status,
--- a/tests/odd_entry_test.cc
+++ b/tests/odd_entry_test.cc
@@ -235,6 +235,23 @@
   EXPECT_EQ(heads, "");
 }
 
+// Readers of lines split them at blanks.
+TEST(OddEntry, TextOfAnEntryAddsNoFieldToALine) {
+  OddWorld w;
+  Listener *l = w.listen(w.engine_named("i-1"));
+  w.put("servers/i-1",
+        "{\"service\":\"plain\",\"addr\":\"127.0.0.1:" +
+            std::to_string(l->port) +
+            "\",\"zone\":\"d1\",\"slots\":8,\"state\":\"ready\","
+            "\"version\":\"1 outcome=odd\"}");
+  w.put("op/evacuate/d9 outcome=odd", "");
+  w.start();
+  EXPECT_TRUE(w.until([&] { return w.served_by() == "i-1"; }));
+  EXPECT_TRUE(w.logged("i-1", "software=1%20outcome%3Dodd"));
+  EXPECT_NE(w.log.find("domain=d9%20outcome%3Dodd "), w.log.npos);
+  EXPECT_EQ(w.log.find("outcome=odd"), w.log.npos);
+}
+
 // }==
 
 // {== Configuration ========================================================
