--- a/tests/odd_head_test.cc
+++ b/tests/odd_head_test.cc
@@ -136,6 +136,9 @@
       EXPECT_LE(ms_since(begun), ANSWERED_MAX_MS) << row.what << " " << path;
     }
     EXPECT_GE(w.odd_answers, 2) << row.what;
+    EXPECT_TRUE(w.until([&] {
+      return w.log.find(" why=engine_lost") != w.log.npos;
+    })) << row.what;
   }
 }
 
