Tests: a planned stop takes what ends in time, too

PlannedStop asked for refusals alone where all deadlines are behind the stop; with shorter ones some requests have to be answered. Comments and a field that nothing read, of the tests of odd keys.

--- a/tests/odd_key_test.cc
+++ b/tests/odd_key_test.cc
@@ -58,7 +58,6 @@
 }
 
 struct OddKeyWorld : World {
-  std::set<std::string> asked; // engines that got a request
   Listener *odd;
   int odd_requests = 0;
   int next = 0;
@@ -69,12 +68,10 @@
       c.abort();
     });
   }
-  // Engines around the odd keys, of which those in lists of one item each are
-  // alone on their pages.
+  // Engines whose names sort before, between and after the odd keys.
   void add_engines () {
     for (const char *id : {"A1", "a-1", "aa", "b1", "z1", "~1"})
-      engine(id, "plain", listen([this, id] (Conn &c, const Request &r) {
-               asked.insert(id);
+      engine(id, "plain", listen([id] (Conn &c, const Request &r) {
                c.send(answer(200,
                              "X-Engine-Seal: s\r\nX-Attempt-Id: " +
                                  r.field("X-Attempt-Id") + "\r\n",
--- a/tests/planned_stop_test.cc
+++ b/tests/planned_stop_test.cc
@@ -13,6 +13,12 @@
   bool sent;
 };
 
+std::string with_deadline (std::string text, int ms) {
+  const std::string usual = "X-Deadline-Ms: 3000";
+  return text.replace(text.find(usual), usual.size(),
+                      "X-Deadline-Ms: " + std::to_string(ms));
+}
+
 // An engine that takes its time: answers are sent when they are due.
 struct SlowEngine {
   struct Run {
@@ -91,8 +97,10 @@
           c.sent = true;
           if (c.conn == nullptr) c.conn = w.connect(w.callers);
           if (c.conn == nullptr || c.conn->fd < 0) continue;
-          c.conn->send(
-              World::ask(c.path, "q" + std::to_string(&c - callers.data())));
+          std::string text =
+              World::ask(c.path, "q" + std::to_string(&c - callers.data()));
+          if (lasts_ms == 300) text = with_deadline(text, 1500);
+          c.conn->send(text);
         }
         step();
       }
@@ -113,7 +121,9 @@
         answered += whole;
         refused += status == 503;
       }
-      EXPECT_GT(answered + refused, 0);
+      if (lasts_ms == 300) {
+        EXPECT_GT(answered, 0);
+      }
       EXPECT_GT(refused, 0);
     }
 }
