Heads that are none are counted and logged by reason; ids in lines are encoded

What operators saw: an engine's odd head was one more lost answer (engine_lost), and a caller's id with a blank added fields to the lines of its request.

Cause: the HTTP client told no more than that an answer is malformed; ids and what a request resumes went into lines as callers wrote them.

Fix: malformed_heads_total{reason} and event=malformed-head name the engine, the request and the field, encoded and cut. Ids are encoded, within the room that they had, so that a line's end is not lost.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -588,10 +588,21 @@
   free_attempt(a);
 }
 
+static void log_malformed (const attempt_t *a, const mt_http_call_t *call) {
+  mt_gateway_t *g = a->gateway;
+  mt_bytes_t name;
+  mt_http_head_fault_t fault = mt_http_call_head_fault(call, &name);
+  const mt_engine_t *e = mt_engines_get(&g->relay->engines, a->engine);
+  if (fault != MT_HTTP_HEAD_SOUND && e != NULL)
+    mt_gateway_log_malformed(g->log, mt_boot_clock_now(g->loop), e,
+                             (mt_bytes_t){a->id.p, a->id.n}, fault, name);
+}
+
 static void on_failed (void *ud, mt_http_call_t *call,
                        mt_http_failure_t why) {
   attempt_t *a = ud;
   inflight_t *p = a->inflight;
+  log_malformed(a, call);
   a->call = NULL;
   if (p != NULL) {
     mt_relay_event_t event = {
--- a/src/gateway/gateway_log.c
+++ b/src/gateway/gateway_log.c
@@ -13,11 +13,10 @@
 #define PARTS_MAX 16
 #define PARTS_TEXT_BYTES (PARTS_MAX * 17 + 1)
 
-/* Bytes of a request's id in a line. */
-#define ID_TEXT_MAX 39
-
-/* Of an entry's text in a line. */
+/* Of the text of an entry or of a field in a line. */
 #define TEXT_SIZE 192
+/* In the line of a request, which has to hold all of its fields. */
+#define SHORT_TEXT_SIZE 40
 
 typedef unsigned long long number_t;
 
@@ -39,36 +38,53 @@
   return "";
 }
 
-/* Text of an entry: a blank in it would look like the next field. */
-static const char *entry_text (const char *text, char out[TEXT_SIZE]) {
-  if (text == NULL || text[0] == '\0') return "-";
-  mt_percent_encode(out, TEXT_SIZE, (mt_bytes_t){text, strlen(text)});
+/* Text of another program: a blank in it would look like the next field. */
+static const char *line_text (mt_bytes_t text, char *out, size_t size) {
+  if (text.n == 0) return "-";
+  mt_percent_encode(out, size, text);
   return out;
 }
 
+static mt_bytes_t bytes (const char *text) {
+  return (mt_bytes_t){text, text != NULL ? strlen(text) : 0};
+}
+
 void mt_gateway_log_engine (mt_log_writer_t *log, mt_ms_t now,
                             const mt_engine_t *e, const char *outcome) {
   char version[TEXT_SIZE];
   mt_log_line(log, MT_LOG_STATE, now, "engine",
               "engine=%s address=%s:%u running=%d outcome=%s software=%s",
               e->name, e->ip, e->port, e->local.running, outcome,
-              entry_text(e->version_name, version));
+              line_text(bytes(e->version_name), version, sizeof version));
 }
 
 void mt_gateway_log_foreign (mt_log_writer_t *log, mt_ms_t now,
                              const mt_engine_t *e, mt_bytes_t id,
                              int status) {
+  char text[SHORT_TEXT_SIZE];
   mt_log_line(log, MT_LOG_FAILURE, now, "foreign-answer",
-              "engine=%s id=%.*s status=%d outcome=passed-over", e->name,
-              (int)mt_min(id.n, (size_t)ID_TEXT_MAX), id.p, status);
+              "engine=%s id=%s status=%d outcome=passed-over", e->name,
+              line_text(id, text, sizeof text), status);
+}
+
+void mt_gateway_log_malformed (mt_log_writer_t *log, mt_ms_t now,
+                               const mt_engine_t *e, mt_bytes_t id,
+                               mt_http_head_fault_t why, mt_bytes_t name) {
+  char text[SHORT_TEXT_SIZE], field[TEXT_SIZE];
+  mt_log_line(log, MT_LOG_FAILURE, now, "malformed-head",
+              "engine=%s id=%s field=%s outcome=dropped why=%s", e->name,
+              line_text(id, text, sizeof text),
+              line_text(name, field, sizeof field),
+              mt_http_head_fault_name(why));
 }
 
 void mt_gateway_log_domain (mt_log_writer_t *log, mt_ms_t now,
                             const mt_engine_t *e, bool reachable) {
   char domain[TEXT_SIZE];
   mt_log_line(log, MT_LOG_STATE, now, "domain",
-              "domain=%s engine=%s outcome=%s", entry_text(e->domain, domain),
-              e->name, reachable ? "reachable" : "unreachable");
+              "domain=%s engine=%s outcome=%s",
+              line_text(bytes(e->domain), domain, sizeof domain), e->name,
+              reachable ? "reachable" : "unreachable");
 }
 
 void mt_gateway_log_suspect (mt_log_writer_t *log, mt_ms_t now,
@@ -118,7 +134,8 @@
   bool routine = strcmp(outcome, "answered") == 0 && r->current.number == 1;
   bool cut = strcmp(outcome, "aborted") == 0;
   int64_t version = relay->catalog ? relay->catalog->version : 0;
-  char parts[PARTS_TEXT_BYTES], software[TEXT_SIZE];
+  char parts[PARTS_TEXT_BYTES], id[SHORT_TEXT_SIZE],
+      software[SHORT_TEXT_SIZE], resumes[SHORT_TEXT_SIZE];
   mt_log_line(
       log, routine ? MT_LOG_DETAIL : MT_LOG_FAILURE, relay->now, "request",
       "id=%s digest=%016llx parts=%s route=%08x workspace=%08x engine=%s "
@@ -129,13 +146,14 @@
       "tokens=%lld own=%lld unread=%lld fetched=%lld home=%d last=%lld "
       "version=%lld "
       "end=%s fault=%s outcome=%s why=%s",
-      r->id, (number_t)r->digest, parts_text(r, parts), r->route,
-      r->workspace, r->current.engine_name[0] ? r->current.engine_name : "-",
-      entry_text(r->current.engine_version, software),
-      r->resumes[0] ? r->resumes : "-", (long long)r->first_event,
-      mt_origin_source_name(r->origin_source), r->current.number,
-      (number_t)(relay->now - r->arrived), r->current.status,
-      r->current.wait_expected, r->current.ttft_expected,
+      line_text(bytes(r->id), id, sizeof id), (number_t)r->digest,
+      parts_text(r, parts), r->route, r->workspace,
+      r->current.engine_name[0] ? r->current.engine_name : "-",
+      line_text(bytes(r->current.engine_version), software, sizeof software),
+      line_text(bytes(r->resumes), resumes, sizeof resumes),
+      (long long)r->first_event, mt_origin_source_name(r->origin_source),
+      r->current.number, (number_t)(relay->now - r->arrived),
+      r->current.status, r->current.wait_expected, r->current.ttft_expected,
       (number_t)r->current.ttft, r->current.slowness,
       r->current.pause_expected, (number_t)r->longest_gap,
       silent_ms(relay, r), r->service_ratio, (long long)r->tokens_in,
--- a/src/gateway/gateway_log.h
+++ b/src/gateway/gateway_log.h
@@ -26,6 +26,12 @@
                              const mt_engine_t *engine, mt_bytes_t id,
                              int status);
 
+/* Logs that the head of the engine's answer to that request was none. `name`:
+   of the field that was wrong, or empty. */
+void mt_gateway_log_malformed (mt_log_writer_t *log, mt_ms_t now,
+                               const mt_engine_t *engine, mt_bytes_t id,
+                               mt_http_head_fault_t why, mt_bytes_t name);
+
 /* Logs that the engine's failure domain became reachable or unreachable, by a
    connect to the engine. */
 void mt_gateway_log_domain (mt_log_writer_t *log, mt_ms_t now,
--- a/src/gateway/gateway_metrics.c
+++ b/src/gateway/gateway_metrics.c
@@ -227,6 +227,18 @@
           (unsigned long long)faults->count[r][i]);
 }
 
+static void malformed_heads (const mt_http_client_t *engines,
+                             mt_strbuf_t *out) {
+  describe(out, "malformed_heads_total", "counter",
+           "Heads of engines that HTTP does not have, by reason.");
+  for (int i = MT_HTTP_HEAD_SOUND + 1; i < MT_HTTP_HEAD_FAULTS; i++)
+    mt_strbuf_format(out,
+                     PREFIX "malformed_heads_total{reason=\"%s\"} %llu\n",
+                     mt_http_head_fault_name((mt_http_head_fault_t)i),
+                     (unsigned long long)mt_http_client_head_faults(
+                         engines, (mt_http_head_fault_t)i));
+}
+
 static void caller_closes (const mt_http_closes_t *closes, mt_strbuf_t *out) {
   describe(out, "caller_closes_total", "counter",
            "Connections of callers that were closed, by reason.");
@@ -369,6 +381,7 @@
   number(out, "foreign_answers_total", "counter",
          "Answers of engines to other requests, or to none.",
          (double)mt_http_client_skipped(from->engines));
+  malformed_heads(from->engines, out);
   number(out, "engine_connections", "gauge", "Connections to engines.",
          (double)mt_http_client_connections(from->engines));
   number(out, "caller_connections", "gauge", "Connections of callers.",
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -75,6 +75,7 @@
   mt_ms_t idle_limit; /* how long it may stay idle */
   http_parser parser;
   status_line_t line; /* of the response that is parsed */
+  mt_http_head_fault_t head_fault;
   mt_http_headers_t headers;
 };
 
@@ -88,6 +89,7 @@
   mt_ms_t last_tick;
   uint64_t opened;
   uint64_t skipped; /* responses */
+  uint64_t head_faults[MT_HTTP_HEAD_FAULTS];
   char input[READ_BYTES];
 };
 
@@ -221,11 +223,20 @@
   return status >= STATUS_FINAL_MIN || !has_body;
 }
 
+static mt_http_head_fault_t check_head (const mt_http_call_t *c) {
+  if (c->line.digits != STATUS_DIGITS || !has_valid_status(&c->parser))
+    return MT_HTTP_HEAD_STATUS;
+  return mt_http_headers_are_valid(&c->headers) ? MT_HTTP_HEAD_SOUND
+                                                : MT_HTTP_HEAD_NAME;
+}
+
 static int on_headers (http_parser *parser) {
   mt_http_call_t *c = parser->data;
-  if (c->line.digits != STATUS_DIGITS || !has_valid_status(parser) ||
-      !mt_http_headers_are_valid(&c->headers))
+  c->head_fault = check_head(c);
+  if (c->head_fault != MT_HTTP_HEAD_SOUND) {
+    c->client->head_faults[c->head_fault]++;
     return -1;
+  }
   if (parser->status_code < STATUS_FINAL_MIN) return 0;
   c->idle_limit = idle_limit(c);
   c->until_close = !(parser->flags & (F_CHUNKED | F_CONTENTLENGTH));
@@ -447,6 +458,7 @@
   http_parser_init(&c->parser, HTTP_RESPONSE);
   c->parser.data = c;
   c->line = (status_line_t){PART_BEGIN, 0};
+  c->head_fault = MT_HTTP_HEAD_SOUND;
   c->skipped = 0;
   c->skipped_bytes = c->overhead = c->body = 0;
   c->whole_at = 0;
@@ -630,6 +642,22 @@
   return c->refused;
 }
 
+mt_http_head_fault_t mt_http_call_head_fault (const mt_http_call_t *c,
+                                              mt_bytes_t *name) {
+  *name = mt_http_headers_invalid_name(&c->headers);
+  return c->head_fault;
+}
+
+const char *mt_http_head_fault_name (mt_http_head_fault_t fault) {
+  switch (fault) {
+    case MT_HTTP_HEAD_STATUS: return "status";
+    case MT_HTTP_HEAD_NAME: return "name";
+    case MT_HTTP_HEAD_SOUND:
+    case MT_HTTP_HEAD_FAULTS: break;
+  }
+  return "";
+}
+
 bool mt_http_call_is_framed (const mt_http_call_t *c) {
   return !c->until_close;
 }
@@ -709,6 +737,11 @@
   return client->skipped;
 }
 
+uint64_t mt_http_client_head_faults (const mt_http_client_t *client,
+                                     mt_http_head_fault_t fault) {
+  return client->head_faults[fault];
+}
+
 size_t mt_http_client_connections (const mt_http_client_t *client) {
   return client->count;
 }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -23,6 +23,15 @@
   MT_HTTP_MALFORMED /* the response is not valid HTTP, or has no end */
 } mt_http_failure_t;
 
+/* Why the head of a response is none. */
+typedef enum mt_http_head_fault_t {
+  MT_HTTP_HEAD_SOUND,  /* or it has not come, or is no HTTP at all */
+  MT_HTTP_HEAD_STATUS, /* not a status of HTTP, or an interim one that has a
+                          body */
+  MT_HTTP_HEAD_NAME,   /* a field's name is none */
+  MT_HTTP_HEAD_FAULTS
+} mt_http_head_fault_t;
+
 /* Result of a probe, an attempt to connect. */
 typedef enum mt_http_probe_t {
   MT_HTTP_CONNECTED,
@@ -110,6 +119,12 @@
    port. */
 bool mt_http_call_was_refused (const mt_http_call_t *call);
 
+/* In `failed`: what was wrong with the head, and the name of the field if it
+   was that. */
+mt_http_head_fault_t mt_http_call_head_fault (const mt_http_call_t *call,
+                                              mt_bytes_t *name);
+const char *mt_http_head_fault_name (mt_http_head_fault_t fault);
+
 /*
 ** False when only the end of the connection ends the response: a truncated
 ** one looks like a complete one then.
@@ -130,6 +145,9 @@
 uint64_t mt_http_client_opened (const mt_http_client_t *client);
 /* Responses that belonged to no call. */
 uint64_t mt_http_client_skipped (const mt_http_client_t *client);
+/* Responses whose heads had this fault. */
+uint64_t mt_http_client_head_faults (const mt_http_client_t *client,
+                                     mt_http_head_fault_t fault);
 /* Connections open now. */
 size_t mt_http_client_connections (const mt_http_client_t *client);
 
--- a/src/net/http_headers.c
+++ b/src/net/http_headers.c
@@ -103,10 +103,23 @@
   return text.n > 0;
 }
 
+/* The index of the first field whose name is none; the count: there is
+   none. */
+static size_t find_invalid (const mt_http_headers_t *headers) {
+  size_t i = 0;
+  while (i < headers->count && is_token(mt_http_headers_name_at(headers, i)))
+    i++;
+  return i;
+}
+
 bool mt_http_headers_are_valid (const mt_http_headers_t *headers) {
-  for (size_t i = 0; i < headers->count; i++)
-    if (!is_token(mt_http_headers_name_at(headers, i))) return false;
-  return true;
+  return find_invalid(headers) == headers->count;
+}
+
+mt_bytes_t mt_http_headers_invalid_name (const mt_http_headers_t *headers) {
+  size_t i = find_invalid(headers);
+  if (i == headers->count) return (mt_bytes_t){"", 0};
+  return mt_http_headers_name_at(headers, i);
 }
 
 bool mt_bytes_equal_nocase (mt_bytes_t a, const char *b) {
--- a/src/net/http_headers.h
+++ b/src/net/http_headers.h
@@ -37,6 +37,8 @@
 ** that "Content-Length : 5" is read by some recipients and not by others.
 */
 bool mt_http_headers_are_valid (const mt_http_headers_t *headers);
+/* The name of the first field for which that is not so; empty: none. */
+mt_bytes_t mt_http_headers_invalid_name (const mt_http_headers_t *headers);
 
 /* The value of the first field with this name, ignoring case; its `n` is 0 if
    there is none. */
--- a/tests/odd_head_test.cc
+++ b/tests/odd_head_test.cc
@@ -164,6 +164,35 @@
   }
 }
 
+// Lines have no field that an engine or a caller wrote.
+TEST(OddHead, IsCountedAndLogged) {
+  struct Fault {
+    const char *what, *reason, *field;
+    std::string text;
+  } faults[] = {{"a status", "status", "-", with_status("000")},
+                {"a name", "name", "X%20Foo", with_line("X Foo: odd", 1)}};
+  for (const Fault &row : faults) {
+    OddHeadWorld w;
+    w.odd = row.text;
+    w.add_odd_engine("plain");
+    w.start();
+    w.call(World::ask("/once/x", "q why=odd"));
+    std::string page =
+        w.fetch(w.metrics, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_NE(page.find("malformed_heads_total{reason=\"" +
+                        std::string(row.reason) + "\"} 1\n"),
+              page.npos)
+        << row.what;
+    EXPECT_TRUE(w.until([&] {
+      return w.log.find("engine=odd-plain id=q%20why%3Dodd field=" +
+                        std::string(row.field) + " outcome=dropped why=" +
+                        row.reason + "\n") != w.log.npos;
+    })) << row.what
+        << w.log;
+    EXPECT_EQ(w.log.find("why=odd"), w.log.npos) << row.what;
+  }
+}
+
 // What HTTP has is passed on: interim answers, all characters of a name, and
 // values on several lines.
 TEST(OddHead, SoundHeadsPass) {
