HTTP: requests that have stalled give up their places for others

What callers saw: while heads that stop short held all places of a process, new connections were closed unread until 408 came, up to the time limit of a request (10 s here): none of 95 requests was answered beside 3,000 such heads.

Cause: at the limit of connections only idle ones made room. A connection in the middle of a request counted as in use, however long nothing came on it.

Fix: at the limit, of connections or descriptors, the request that has made no progress for longest, a second or more, is refused with 503 (it has not run) and its connection closed at once; after those idle ones go as before. Nothing is closed that has input which this process has not read.

HttpServerOrder.NewConnectionsAtTheLimitDoNotEvictEachOther still fails: it is about idle connections that evict each other within a second.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -852,6 +852,18 @@
   return false;
 }
 
+/* Refuses the request of the server that has stalled longest, and closes its
+   connection at once; false if there is none. */
+static bool close_stalled (mt_http_server_t *server) {
+  mt_http_exchange_t *x = find_stalled(server->guard.budget, server, 0,
+                                       mt_boot_clock_now(server->loop));
+  if (x == NULL) return false;
+  deny_request(x, MT_HTTP_CLOSE_STALLED);
+  write_now(x);
+  close_connection(x, MT_HTTP_CLOSE_STALLED);
+  return true;
+}
+
 static int open_spare_fd (void) {
   return socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 }
@@ -862,20 +874,22 @@
 ** the spare descriptor is closed.
 */
 static void release_descriptor (mt_http_server_t *server) {
-  if (close_oldest_idle(server, MT_HTTP_CLOSE_DESCRIPTORS) ||
+  if (close_stalled(server) ||
+      close_oldest_idle(server, MT_HTTP_CLOSE_DESCRIPTORS) ||
       server->spare_fd < 0)
     return;
   close(server->spare_fd);
   server->spare_fd = -1;
 }
 
-/* True when a new connection may stay open. At the limit closes an idle
-   one. */
+/* True when a new connection may stay open. At the limit closes one that has
+   stalled or is idle. */
 static bool make_room (mt_http_server_t *server) {
   if (server->spare_fd < 0) return false;
   if (server->max_connections == 0 || server->count < server->max_connections)
     return true;
-  return close_oldest_idle(server, MT_HTTP_CLOSE_EVICTED);
+  return close_stalled(server) ||
+         close_oldest_idle(server, MT_HTTP_CLOSE_EVICTED);
 }
 
 static mt_http_exchange_t *add_connection (mt_http_server_t *server) {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -53,7 +53,7 @@
   MT_HTTP_CLOSE_DESCRIPTORS, /* idle, and no descriptor was left */
   MT_HTTP_CLOSE_FULL,        /* new, at a limit, and none was idle */
   MT_HTTP_CLOSE_STALLED,     /* its request stood still, and others need its
-                                memory */
+                                place or its memory */
   MT_HTTP_CLOSE_MEMORY,      /* no memory is left for it */
   MT_HTTP_CLOSE_STOPPING,    /* idle, and the server stops */
   MT_HTTP_CLOSE_ABORTED,     /* by the handler, before the response's end */
--- a/tests/memory_budget_test.cc
+++ b/tests/memory_budget_test.cc
@@ -279,6 +279,20 @@
   }
 }
 
+// Requests that would be served wait for no place of those that stalled.
+TEST(CrowdedServer, StalledRequestsLeaveTheirPlaces) {
+  for (bool waits : {false, true}) {
+    CrowdedServer w(10 * BODY);
+    mt_http_server_set_max_connections(w.server, 2);
+    size_t first = w.add("GET / HT");
+    w.add(part(BODY, 10));
+    if (waits) w.wait();
+    size_t newcomer = w.add("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_EQ(w.status(newcomer), waits ? 200 : 0);
+    EXPECT_EQ(w.status(first), waits ? 503 : 0);
+  }
+}
+
 // A body is freed with the last that needs it, and a kept connection has
 // none.
 TEST(CrowdedServer, KeptConnectionsHoldNoBodies) {
