Router: both its ports share one bound of memory

What callers saw: the older path's process ended (status 16506, an abort) beside 16 bodies of 8 MB on each of its ports, in a box of 48 MB.

Cause: as in the gateway, bodies of up to 32 MiB without a bound of their sum.

Fix: the callers' and the operators' port share one budget.

--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -17,9 +17,7 @@
 #define LOG_LINES_PER_S 100      /* of each class */
 #define DESCRIPTORS_DEFAULT 1024 /* if the system's limit cannot be read */
 #define DESCRIPTORS_MAX 65536
-/* Of the box's memory: the rest is for the process itself. */
-#define CALLER_MEMORY_FRACTION 0.45
-#define BYTES_PER_MB 1e6
+#define BYTES_PER_MB 1000000u
 #define RETRY_RATIO 0.1 /* retries for each request */
 #define RETRY_WINDOW_MS 10000
 /* Retries of the whole fleet in a window, beyond the ratio. */
@@ -100,10 +98,8 @@
 
 /* For what callers make the process hold, of the box's memory. */
 static size_t caller_memory (const json_t *doc) {
-  int64_t box_mb = mtJ_int(doc, "memory_mb", 0);
-  double box =
-      box_mb > 0 ? (double)box_mb * BYTES_PER_MB : (double)mt_memory_of_box();
-  return (size_t)(box * CALLER_MEMORY_FRACTION);
+  size_t box = (size_t)mtJ_int(doc, "memory_mb", 0) * BYTES_PER_MB;
+  return mt_memory_default_limit(box > 0 ? box : mt_memory_of_box());
 }
 
 static void read_params (const json_t *doc, mt_relay_params_t *params,
--- a/src/mtrouter.c
+++ b/src/mtrouter.c
@@ -197,6 +197,9 @@
       mtB_open(&X->loop, X->set.operators.ip, X->set.operators.port,
                mtI_handle, X, reason, sizeof reason);
   if (X->operators == NULL) goto fail;
+  X->memory.limit = mt_memory_default_limit(mt_memory_of_box());
+  mtB_share_memory(X->callers, &X->memory);
+  mtB_share_memory(X->operators, &X->memory);
   return true;
 fail:
   mtL_log(MT_ERR, MT_L_ROUTER, "%s", reason);
--- a/src/mtrouter.h
+++ b/src/mtrouter.h
@@ -22,6 +22,7 @@
   mt_peers_t *peers;
   mt_front_t *front;
   mt_web_t *callers, *operators; /* the two HTTP listeners */
+  mt_memory_budget_t memory;     /* for what callers make both of them hold */
   uv_timer_t tick;
   uv_signal_t term, intr, hup;
   uint64_t boot;  /* start time in microseconds; identifies the process */
--- a/src/mtweb.c
+++ b/src/mtweb.c
@@ -203,6 +203,11 @@
   }
 }
 
+void mtB_share_memory (mt_web_t *web, mt_memory_budget_t *budget) {
+  const mt_http_server_guard_t guard = {.budget = budget};
+  mt_http_server_set_guard(web->server, &guard);
+}
+
 uint16_t mtB_port (const mt_web_t *web) {
   return web->port;
 }
--- a/src/mtweb.h
+++ b/src/mtweb.h
@@ -6,7 +6,7 @@
 
 #include <uv.h>
 
-#include "mtobject.h"
+#include "memory_budget.h"
 
 typedef struct mt_web_t mt_web_t;       /* a listener */
 typedef struct mt_webreq_t mt_webreq_t; /* a request and its reply */
@@ -30,6 +30,9 @@
 /* Listens; NULL and a reason when that fails. Port 0 picks a free port. */
 mt_web_t *mtB_open (uv_loop_t *loop, const char *ip, uint16_t port,
                     mt_webfn_t fn, void *ud, char *reason, size_t size);
+/* Has listeners share one budget for what callers make them hold; to be
+   called before there are connections. */
+void mtB_share_memory (mt_web_t *web, mt_memory_budget_t *budget);
 uint16_t mtB_port (const mt_web_t *web);
 
 /* Stops accepting connections; requests in progress are completed. */
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -33,8 +33,6 @@
                                 */
 #define LITTLE_BYTES 4096      /* refusing what holds no more makes no room */
 #define KEPT_BYTES (16u << 10) /* of a buffer, between two requests */
-/* Of the memory that the process may get, for what callers make it hold. */
-#define BUDGET_FRACTION 0.45
 /* Input of all connections in an iteration of the loop, and of one. */
 #define TURN_BYTES (1u << 20)
 #define TURN_BYTES_MIN 4096
@@ -1068,8 +1066,7 @@
   server->ud = ud;
   server->limits = default_limits;
   server->spare_fd = open_spare_fd();
-  server->own_budget.limit =
-      (size_t)(BUDGET_FRACTION * (double)mt_memory_of_box());
+  server->own_budget.limit = mt_memory_default_limit(mt_memory_of_box());
   server->guard.budget = &server->own_budget;
   uv_tcp_init(loop, &server->listener);
   server->listener.data = server;
--- a/src/net/memory_budget.c
+++ b/src/net/memory_budget.c
@@ -6,6 +6,7 @@
 
 #include "memory_budget.h"
 
+#define LIMIT_FRACTION 0.45 /* of the box */
 #define SMALL_FRACTION 16   /* 1/16 of the budget is left to small requests */
 #define SHARE_FRACTION 8    /* of what is left, one may hold 1/8 */
 #define PROGRESS_FRACTION 8 /* growth by 1/8 is progress */
@@ -23,6 +24,10 @@
   return lower(lower(memory, RLIMIT_AS), RLIMIT_DATA);
 }
 
+size_t mt_memory_default_limit (size_t box) {
+  return (size_t)(LIMIT_FRACTION * (double)box);
+}
+
 size_t mt_memory_held (const mt_memory_budget_t *b) {
   size_t total = 0;
   for (int i = 0; i < MT_MEMORY_KINDS; i++) total += b->held[i];
--- a/src/net/memory_budget.h
+++ b/src/net/memory_budget.h
@@ -46,6 +46,10 @@
    address space or data if that is lower. */
 size_t mt_memory_of_box (void);
 
+/* The limit that a budget has by default in a box with so much memory: the
+   rest is for the process itself. */
+size_t mt_memory_default_limit (size_t box);
+
 /* Bytes held altogether. */
 size_t mt_memory_held (const mt_memory_budget_t *budget);
 /* Bytes left; 0 if the limit is exceeded. */
--- a/tests/crowd/crowd.cc
+++ b/tests/crowd/crowd.cc
@@ -295,6 +295,99 @@
 
 // }==
 
+// {== The older path =======================================================
+
+// `martentiller router` in a box, without a store.
+class Router {
+public:
+  pid_t pid = -1;
+  int callers = 0, operators = 0; // its ports
+  std::string dir;
+
+  explicit Router(size_t box) {
+    char name[] = "/tmp/mt-router-XXXXXX";
+    dir = mkdtemp(name);
+    std::string file = dir + "/settings.json", line;
+    std::ofstream(file)
+        << "{\"node\":\"r1\",\"domain\":\"d1\","
+           "\"callers\":\"127.0.0.1:0\",\"operators\":\"127.0.0.1:0\","
+           "\"peers\":\"127.0.0.1:0\",\"store\":\"http://127.0.0.1:9\","
+           "\"peer_keys\":[\""
+        << std::string(64, 'a') << "\"]}";
+    int out[2];
+    EXPECT_EQ(pipe(out), 0);
+    pid = fork();
+    if (pid == 0) {
+      struct rlimit limit = {box, box};
+      const char *bin = getenv("MT_BIN");
+      std::string program =
+          std::string(bin ? bin : "build") + "/martentiller";
+      dup2(out[1], 1);
+      setrlimit(RLIMIT_AS, &limit);
+      execl(program.c_str(), program.c_str(), "router", "--settings",
+            file.c_str(), (char *)nullptr);
+      _exit(127);
+    }
+    ::close(out[1]);
+    char c;
+    while (read(out[0], &c, 1) == 1 && c != '\n') line += c;
+    ::close(out[0]);
+    callers = port(line, "\"callers\"");
+    operators = port(line, "\"operators\"");
+  }
+  ~Router() {
+    kill(pid, SIGKILL);
+    waitpid(pid, nullptr, 0);
+    unlink((dir + "/settings.json").c_str());
+    rmdir(dir.c_str());
+  }
+  static int port (const std::string &line, const std::string &name) {
+    size_t at = line.find("127.0.0.1:", line.find(name));
+    return at == std::string::npos ? 0 : atoi(line.c_str() + at + 10);
+  }
+  size_t memory () const {
+    std::ifstream in("/proc/" + std::to_string(pid) + "/statm");
+    size_t pages = 0;
+    in >> pages >> pages;
+    return pages * (size_t)sysconf(_SC_PAGESIZE) +
+           unread_bytes({(unsigned)callers, (unsigned)operators});
+  }
+};
+
+// Its two ports share a box.
+TEST(OlderRouter, StaysWithinItsBox) {
+  Router r(BOX);
+  ASSERT_GT(r.callers, 0);
+  const Script body = announced(8 * MB, 8 * MB - 1);
+  Crowd callers(r.callers, 16, body, ALL, ALL);
+  Crowd operators(r.operators, 16, body, ALL, ALL);
+  size_t most = 0;
+  for (int i = 0; i < 400; i++) {
+    callers.advance(true);
+    operators.advance(true);
+    usleep(1000);
+    most = std::max(most, r.memory());
+  }
+  for (int port : {r.callers, r.operators}) {
+    Crowd one(port, 1,
+              {[] (int) {
+                 return std::string("GET /none HTTP/1.1\r\nHost: x\r\n\r\n");
+               },
+               "", 0},
+              ALL, ALL);
+    for (int i = 0; i < 1000 && one.clients[0].in.size() < 13; i++) {
+      one.advance(true);
+      usleep(1000);
+    }
+    EXPECT_GE(World::status_of(one.clients[0].in), 400);
+  }
+  EXPECT_EQ(waitpid(r.pid, nullptr, WNOHANG), 0);
+  EXPECT_LE(most, BOX);
+  printf("  most: %.1f MB with what is unread\n", (double)most / (double)MB);
+}
+
+// }==
+
 // {== In calm ==============================================================
 
 // Requests inside the limits, one after another on connections that stay.
