--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -28,9 +28,8 @@
 #define REST_MIN_MS 300       /* without a request, until a stop closes it */
 #define HELD_UP_MS 600  /* between two ticks: the loop has been held up */
 #define STALLED_MS 1000 /* without progress: others go before it */
-#define SMALL_BYTES                                                        \
-  (16u << 10)                  /* a request that may use all of the budget \
-                                */
+#define SMALL_BYTES (16u << 10) /* such requests may use all of the budget \
+                                 */
 #define LITTLE_BYTES 4096      /* refusing what holds no more makes no room */
 #define KEPT_BYTES (16u << 10) /* of a buffer, between two requests */
 /* Input of all connections in an iteration of the loop, and of one. */
@@ -548,7 +547,7 @@
   x->user = NULL;
 }
 
-/* What is held of a request that is refused or handed over. */
+/* A request that is refused or handed over does not give way any more. */
 static void end_receiving (mt_http_exchange_t *x) {
   mt_memory_end(budget_of(x), &x->holder);
 }
@@ -685,10 +684,9 @@
   return used;
 }
 
-/* False if what a request holds by now exceeds the budget, and it is refused:
-   a head may hold several times its size. */
+/* False if what has come of a request exceeds the budget, and it is
+   refused. */
 static bool keep_within_budget (mt_http_exchange_t *x) {
-  count_memory(x);
   if (mt_memory_left(budget_of(x)) > 0 || make_memory(x, 1)) return true;
   deny_request(x, MT_HTTP_CLOSE_MEMORY);
   return false;
@@ -696,14 +694,17 @@
 
 /* A part of a request has been parsed. */
 static void go_on_receiving (mt_http_exchange_t *x) {
+  count_memory(x);
   mt_memory_progress(budget_of(x), &x->holder, x->received,
                      mt_boot_clock_now(x->server->loop));
   if (keep_within_budget(x) && x->has_head && !x->asked) check_head(x);
 }
 
-/* All of a request has been parsed. */
+/* All of a request has been parsed. Its body has its room; a head of many
+   fields holds several times its size. */
 static void hand_over (mt_http_exchange_t *x) {
-  if (!keep_within_budget(x)) return;
+  count_memory(x);
+  if (x->requests_held > SMALL_BYTES && !keep_within_budget(x)) return;
   end_receiving(x);
   x->handed_over = true;
   x->server->handler.request(x->server->ud, x);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -752,13 +752,13 @@
                                       int number);
 
 /* Processes one event; appends the effects that follow from it. */
+void mt_relay_step (mt_relay_t *relay, const mt_relay_event_t *event,
+                    mt_relay_effects_t *effects);
+
 /* True if a request with this head is refused, whatever its body is. */
 bool mt_relay_refuses_head (mt_relay_t *relay,
                             const mt_relay_incoming_t *incoming);
 
-void mt_relay_step (mt_relay_t *relay, const mt_relay_event_t *event,
-                    mt_relay_effects_t *effects);
-
 /*
 ** Puts a configuration in force and takes ownership of it. False, and it is
 ** freed, if it is not newer than the present one.
