Tests: an answer with status 000 on every path to an engine

Reported of other systems: a client got an answer with status 000 as an answer. Here it is refused on all paths that a test can reach: a response, a retry, a stream, one that its caller resumes, one that goes on within an answer, a hedge, behind an interim answer.

--- a/tests/odd_head_test.cc
+++ b/tests/odd_head_test.cc
@@ -164,6 +164,95 @@
   }
 }
 
+// What an engine does with the attempts at one request, in their order.
+enum class Does {
+  ODD,         // answers with status 000
+  INTERIM_ODD, // the same, behind an interim answer
+  BREAKS_OFF,  // sends the first event of a stream
+  HOLDS,       // answers soundly once the next attempt has come
+  SOUND
+};
+
+// Whichever way a request has come to an engine that answers with status 000,
+// its caller gets nothing of that.
+TEST(OddHead, WithStatusZeroIsNoAnswerOnAnyPath) {
+  struct PathRow {
+    const char *what, *path, *fields;
+    std::vector<Does> attempts; // the last one repeats
+    std::string whole;          // what the caller gets; empty: no success
+  } rows[] = {
+      {"a response", "/safe/x", "", {Does::ODD, Does::SOUND}, "sound"},
+      {"that runs once", "/once/x", "", {Does::ODD, Does::SOUND}, ""},
+      {"a stream", "/gen/x", "", {Does::ODD, Does::SOUND}, "id: 1"},
+      {"all streams", "/gen/x", "", {Does::ODD}, ""},
+      {"behind an interim one", "/safe/x", "", {Does::INTERIM_ODD}, ""},
+      {"a stream behind an interim one",
+       "/gen/x",
+       "",
+       {Does::INTERIM_ODD, Does::SOUND},
+       "id: 1"},
+      {"a stream that its caller resumes",
+       "/gen/x",
+       "Last-Event-Id: 1\r\nResumes: q0\r\n",
+       {Does::SOUND, Does::ODD},
+       ""},
+      {"a stream that goes on",
+       "/gen/x",
+       "",
+       {Does::BREAKS_OFF, Does::ODD, Does::SOUND},
+       "id: 1"},
+      {"a hedge", "/gen/x", "", {Does::HOLDS, Does::ODD}, "id: 1"},
+  };
+  const std::string STREAM = "Content-Type: text/event-stream\r\n";
+  for (const PathRow &row : rows) {
+    World w;
+    size_t attempts = 0;
+    Conn *held = nullptr;
+    const bool stream = strcmp(row.path, "/gen/x") == 0;
+    auto sound = [&] (const std::string &id) {
+      return answer(200,
+                    "X-Engine-Seal: s\r\nX-Attempt-Id: " + id + "\r\n" +
+                        (stream ? STREAM : ""),
+                    stream ? "id: 1\ndata: x\n\n" : "sound");
+    };
+    for (const char *id : {"i-1", "i-2", "i-3"})
+      w.engine(id, stream ? "model" : "plain",
+               w.listen([&] (Conn &c, const Request &r) {
+                 std::string at = r.field("X-Attempt-Id");
+                 std::string odd = replaced(with_status("000"), "@", at);
+                 size_t i = std::min(attempts++, row.attempts.size() - 1);
+                 if (held != nullptr) held->send(sound(at));
+                 held = nullptr;
+                 switch (row.attempts[i]) {
+                   case Does::ODD: c.send(odd); break;
+                   case Does::INTERIM_ODD:
+                     c.send("HTTP/1.1 103 X\r\nX-Foo: x\r\n\r\n" + odd);
+                     break;
+                   case Does::BREAKS_OFF:
+                     c.send("HTTP/1.1 200 X\r\nX-Engine-Seal: s\r\n"
+                            "X-Attempt-Id: " +
+                            at + "\r\n" + STREAM +
+                            "Transfer-Encoding: chunked\r\n\r\n"
+                            "f\r\nid: 1\ndata: x\n\n\r\n");
+                     c.close();
+                     break;
+                   case Does::HOLDS: held = &c; break;
+                   case Does::SOUND: c.send(sound(at)); break;
+                 }
+               }));
+    w.start();
+    if (row.fields[0] != '\0') w.call(World::ask(row.path, "q0"));
+    std::string in = w.call(World::ask(row.path, "q1", "", row.fields));
+    EXPECT_EQ(in.find("odd"), in.npos) << row.what << ": " << in;
+    EXPECT_NE(World::status_of(in), 0) << row.what << ": " << in;
+    EXPECT_EQ(World::status_of(in) == 200, !row.whole.empty())
+        << row.what << ": " << in;
+    EXPECT_NE(in.find(row.whole), in.npos) << row.what << ": " << in;
+    size_t least = std::min(row.attempts.size(), (size_t)2);
+    EXPECT_GE(attempts, stream ? least : 1) << row.what;
+  }
+}
+
 // Lines have no field that an engine or a caller wrote.
 TEST(OddHead, IsCountedAndLogged) {
   struct Fault {
