HTTP: only large bodies are refused before they have come

Cause: a request whose small body came in a segment of its own and that its head refuses had its connection closed, which the next request could have used.

Change: the head is asked about where more than 16 KB are announced or have come, or where the caller waits for "100 Continue". Comments that the formatter had broken.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -28,9 +28,10 @@
 #define REST_MIN_MS 300       /* without a request, until a stop closes it */
 #define HELD_UP_MS 600  /* between two ticks: the loop has been held up */
 #define STALLED_MS 1000 /* without progress: others go before it */
-#define SMALL_BYTES (16u << 10) /* such requests may use all of the budget \
-                                 */
-#define LITTLE_BYTES 4096      /* refusing what holds no more makes no room */
+/* Requests that hold no more may use all of the budget. */
+#define SMALL_BYTES (16u << 10)
+/* Refusing what holds no more makes no room. */
+#define LITTLE_BYTES 4096
 #define KEPT_BYTES (16u << 10) /* of a buffer, between two requests */
 /* Input of all connections in an iteration of the loop, and of one. */
 #define TURN_BYTES (1u << 20)
@@ -469,9 +470,9 @@
   mt_http_exchange_t *x = parser->data;
   uint64_t length = parser->content_length;
   if (!mt_http_headers_are_valid(&x->headers)) return -1;
-  bool has_length = parser->flags & F_CONTENTLENGTH;
-  x->too_large = has_length && length > x->limits.body_bytes;
-  x->length = has_length ? (size_t)length : x->limits.body_bytes;
+  bool announced = parser->flags & F_CONTENTLENGTH;
+  x->too_large = announced && length > x->limits.body_bytes;
+  x->length = announced ? (size_t)length : x->limits.body_bytes;
   x->has_head = true;
   return x->too_large ? -1 : 0;
 }
@@ -645,22 +646,36 @@
   return true;
 }
 
-/* Tells the caller that it may send the body, if it waits for that. */
+/* True if the caller waits to be told to send the body. */
+static bool expects_continue (const mt_http_exchange_t *x) {
+  mt_bytes_t expect = mt_http_headers_find(&x->headers, "expect");
+  return mt_bytes_equal_nocase(expect, "100-continue");
+}
+
 static void send_continue (mt_http_exchange_t *x) {
   static const char interim[] = "HTTP/1.1 100 Continue\r\n\r\n";
-  mt_bytes_t expect = mt_http_headers_find(&x->headers, "expect");
-  if (!mt_bytes_equal_nocase(expect, "100-continue")) return;
   add_output(x, interim, sizeof interim - 1);
   mark_dirty(x);
 }
 
+static bool has_length (const mt_http_exchange_t *x) {
+  return x->parser.flags & F_CONTENTLENGTH;
+}
+
+/* True if there is a body worth refusing before it comes: after a small one
+   the connection is of use for the next request. */
+static bool is_worth_asking (const mt_http_exchange_t *x) {
+  if (!x->has_head || x->asked) return false;
+  size_t size = has_length(x) ? x->length : body_size(x);
+  return size > SMALL_BYTES || expects_continue(x);
+}
+
 /* The head has come without the whole body: refuses at once what is refused
    whatever its body is. */
 static void check_head (mt_http_exchange_t *x) {
   const mt_http_server_t *server = x->server;
-  bool announced = x->parser.flags & F_CONTENTLENGTH;
   size_t held = held_bytes(x);
-  size_t expected = announced ? mt_max(x->length, held) : held;
+  size_t expected = has_length(x) ? mt_max(x->length, held) : held;
   x->asked = true;
   if (server->guard.refuses != NULL && server->guard.refuses(server->ud, x)) {
     x->keep_alive = false;
@@ -673,7 +688,7 @@
   }
   if (!make_memory(x, expected - held))
     deny_request(x, MT_HTTP_CLOSE_MEMORY);
-  else
+  else if (expects_continue(x))
     send_continue(x);
 }
 
@@ -697,7 +712,7 @@
   count_memory(x);
   mt_memory_progress(budget_of(x), &x->holder, x->received,
                      mt_boot_clock_now(x->server->loop));
-  if (keep_within_budget(x) && x->has_head && !x->asked) check_head(x);
+  if (keep_within_budget(x) && is_worth_asking(x)) check_head(x);
 }
 
 /* All of a request has been parsed. Its body has its room; a head of many
@@ -1275,18 +1290,16 @@
   }
 }
 
-/* True if closing a connection frees memory while no request is lost that may
-   still be served in time: its caller does not take up the response. */
+/* True if the caller has not taken up its response for a while. */
 static bool is_blocked (const mt_http_exchange_t *x, mt_ms_t now) {
   return x->writing > 0 && now - x->blocked_at > STALLED_MS;
 }
 
 /*
-** Frees memory where the budget is exceeded, which the input that has not
-*been
-** read may do: by connections that have had their response, by requests in
-** the order of their progress, by callers that send more behind a request,
-** and last by those that do not read.
+** Frees memory where the budget is exceeded, which unread input may do: by
+** connections that have had their response, by requests in the order of
+** their progress, by callers that send more behind a request, and last by
+** those that do not read.
 */
 static bool shed_one (mt_http_server_t *server, mt_ms_t now) {
   mt_memory_budget_t *budget = server->guard.budget;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -7,11 +7,9 @@
 ** Responses are buffered and written once per iteration of the loop.
 **
 ** What callers make the server hold counts in a memory budget. Where a
-*request
-** finds no room the one that has stalled longest is refused for it, or else
-** the request itself, with 503: neither has run. In an iteration of the loop
-*a
-** connection has no more than its share of the input that is read.
+** request finds no room, the one that has stalled longest is refused for it,
+** or else the request itself, with 503: neither has run. In an iteration of
+** the loop a connection has no more than its share of the input that is read.
 **
 ** No connection is closed for its age or to make room while input lies unread
 ** in it: the loop may have been held up, and a request in it came in time.
@@ -88,9 +86,9 @@
   /* Shared with other servers; NULL: the server has one of its own. */
   mt_memory_budget_t *budget;
   /*
-  ** The head of a request has come, but not its whole body. True if the
-  ** request is refused whatever its body is: `request` is called at once and
-  ** must complete the response. May be NULL.
+  ** The head of a request with a large body has come, but not all of the
+  ** body. True if the request is refused whatever that is: `request` is then
+  ** called at once and must complete the response. May be NULL.
   */
   bool (*refuses)(void *ud, mt_http_exchange_t *exchange);
   /* A connection of `peer` (IP:PORT) is closed, or its request refused, as
@@ -123,9 +121,8 @@
 
 /*
 ** Limits the number of connections; 0: no limit. A further one takes the
-*place
-** of a request that has stalled, or of the connection that has been idle
-** longest; if there is none it is closed unread.
+** place of a request that has stalled, or of the connection that has been
+** idle longest; if there is none it is closed unread.
 */
 void mt_http_server_set_max_connections (mt_http_server_t *server,
                                          size_t connections);
--- a/src/net/memory_budget.h
+++ b/src/net/memory_budget.h
@@ -1,11 +1,10 @@
 /*
 ** memory_budget.h - a bound for the memory that callers make a process hold
 **
-** The servers of a process share one budget: what counts is the sum,
-*whichever
-** port it came through. It has the bytes of unfinished requests, of bodies
-** that engines are still to get and of responses that callers have not read,
-** and those that lie unread in the kernel, which the box counts as well.
+** The servers of a process share one budget: what counts is the sum over all
+** ports. It has the bytes of unfinished requests, of bodies that engines are
+** still to get and of responses that callers have not read, and those that
+** lie unread in the kernel, which the box counts as well.
 **
 ** Requests that are being received are ordered by their progress: where there
 ** is no room the one whose caller has stalled longest gives way.
