HTTP: what the kernel receives ahead of a process fits its box, too

What callers saw: 530 clients that send more behind a running request, or bodies in chunks of one byte, made a process and its sockets hold 58.0 and 62.9 MB of a box of 48 MB, of which 21.6 MB are for callers. A trial at full size: 1,000 such clients, 134 MB of a box of 110 MB.

Cause: a receive buffer of 64 KB holds some 75 KB of a connection, times all connections. It fills between two ticks, so that shedding comes late.

Fix: where the box is small each connection begins with as much as 1/4 of the budget gives to all, 16 KB at the least. A large body that is let in gets 64 KB for its time, counted in the budget, where that fits; far callers need it.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -36,8 +36,13 @@
 /* Input of all connections in an iteration of the loop, and of one. */
 #define TURN_BYTES (1u << 20)
 #define TURN_BYTES_MIN 4096
-/* Of a connection in the kernel, which the box counts as well. */
-#define RECEIVE_BUFFER_BYTES (64u << 10)
+/* Of a connection in the kernel, which the box counts as well: as much as a
+   body needs on a long way, and the least where there may be many. */
+#define RECEIVE_BUFFER_MAX (64u << 10)
+#define RECEIVE_BUFFER_MIN 16384
+/* Of the budget, all connections may have 1/4 unread by such buffers; the
+   kernel takes twice what it is told. */
+#define RECEIVE_FRACTION 8
 #define RETRY_AFTER_MIN_MS 500 /* about the time until memory comes free */
 #define RETRY_AFTER_SPREAD_MS 500
 
@@ -86,6 +91,7 @@
   mt_ms_t blocked_at; /* when some of them were last written, or passed */
   mt_memory_holder_t holder;
   size_t requests_held, responses_held; /* counted in the budget */
+  size_t window;    /* its receive buffer, if that is a large one; or 0 */
   size_t unread;    /* bytes in the kernel, as of the last tick */
   uint64_t turn;    /* iteration in which it was last read */
   size_t turn_read; /* bytes that were read of it in that iteration */
@@ -116,6 +122,7 @@
   mt_ms_t last_tick;
   mt_http_server_guard_t guard;
   mt_memory_budget_t own_budget;
+  size_t receive_buffer;        /* of a connection in the kernel */
   size_t unread;                /* as counted in the budget */
   size_t readers, last_readers; /* connections with input in an iteration */
   int spare_fd; /* closed to free a descriptor when none is left; -1: none */
@@ -183,8 +190,8 @@
 /* Bytes that a connection holds, without the body, which is counted by
    itself. */
 static void count_memory (mt_http_exchange_t *x) {
-  size_t requests =
-      x->target.cap + x->pipelined.cap + mt_http_headers_memory(&x->headers);
+  size_t requests = x->target.cap + x->pipelined.cap + x->window +
+                    mt_http_headers_memory(&x->headers);
   mt_memory_set(budget_of(x), MT_MEMORY_REQUESTS, &x->requests_held,
                 requests);
   mt_memory_set(budget_of(x), MT_MEMORY_RESPONSES, &x->responses_held,
@@ -195,6 +202,31 @@
   return x->requests_held + (x->body != NULL ? x->body->cap : 0);
 }
 
+/* Sets what the kernel receives ahead of this process: the window that it
+   offers follows from that. */
+static void set_receive_buffer (const mt_http_exchange_t *x, size_t size) {
+  uv_os_fd_t fd;
+  int bytes = (int)size;
+  if (uv_fileno((const uv_handle_t *)&x->tcp, &fd) != 0) return;
+  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+  setsockopt(fd, IPPROTO_TCP, TCP_WINDOW_CLAMP, &bytes, sizeof bytes);
+}
+
+/* A large body gets a large receive buffer if that fits. */
+static void widen_window (mt_http_exchange_t *x) {
+  if (x->server->receive_buffer >= RECEIVE_BUFFER_MAX) return;
+  if (mt_memory_left_for_large(budget_of(x)) < RECEIVE_BUFFER_MAX) return;
+  x->window = RECEIVE_BUFFER_MAX;
+  set_receive_buffer(x, x->window);
+  count_memory(x);
+}
+
+static void narrow_window (mt_http_exchange_t *x) {
+  if (x->window == 0) return;
+  x->window = 0;
+  set_receive_buffer(x, x->server->receive_buffer);
+}
+
 static void release_body (mt_http_exchange_t *x) {
   mt_shared_bytes_unref(x->body);
   x->body = NULL;
@@ -266,6 +298,7 @@
   buffer_free(&x->pipelined);
   buffer_free(&x->out);
   x->writing = 0;
+  x->window = 0;
   count_memory(x);
 }
 
@@ -551,6 +584,7 @@
 /* A request that is refused or handed over does not give way any more. */
 static void end_receiving (mt_http_exchange_t *x) {
   mt_memory_end(budget_of(x), &x->holder);
+  narrow_window(x);
 }
 
 /* Responds to a request that is not handed over and closes the connection. */
@@ -686,10 +720,12 @@
     server->handler.request(server->ud, x);
     return;
   }
-  if (!make_memory(x, expected - held))
+  if (!make_memory(x, expected - held)) {
     deny_request(x, MT_HTTP_CLOSE_MEMORY);
-  else if (expects_continue(x))
-    send_continue(x);
+    return;
+  }
+  widen_window(x);
+  if (expects_continue(x)) send_continue(x);
 }
 
 /* Empty lines before a request are ignored, as HTTP asks for. */
@@ -718,6 +754,7 @@
 /* All of a request has been parsed. Its body has its room; a head of many
    fields holds several times its size. */
 static void hand_over (mt_http_exchange_t *x) {
+  narrow_window(x);
   count_memory(x);
   if (x->requests_held > SMALL_BYTES && !keep_within_budget(x)) return;
   end_receiving(x);
@@ -1079,13 +1116,22 @@
 
 /* {== The listener ===================================================== */
 
+/* Connections inherit the listener's receive buffer. */
+static void size_receive_buffers (mt_http_server_t *server) {
+  size_t count = mt_max(server->max_connections, (size_t)1);
+  size_t each = server->guard.budget->limit / RECEIVE_FRACTION / count;
+  each = mt_max(each, (size_t)RECEIVE_BUFFER_MIN);
+  server->receive_buffer = mt_min(each, (size_t)RECEIVE_BUFFER_MAX);
+  int bytes = (int)server->receive_buffer;
+  uv_recv_buffer_size((uv_handle_t *)&server->listener, &bytes);
+}
+
 mt_http_server_t *
 mt_http_server_open (uv_loop_t *loop, const char *ip, uint16_t port,
                      const mt_http_server_handler_t *handler, void *ud,
                      char *reason, size_t size) {
   mt_http_server_t *server = mtV_new(sizeof *server);
   struct sockaddr_in addr;
-  int receive_buffer = RECEIVE_BUFFER_BYTES; /* connections inherit it */
   server->loop = loop;
   server->iteration = 1;
   server->handler = *handler;
@@ -1099,7 +1145,6 @@
   int err = uv_ip4_addr(ip, port, &addr);
   if (err == 0)
     err = uv_tcp_bind(&server->listener, (const struct sockaddr *)&addr, 0);
-  uv_recv_buffer_size((uv_handle_t *)&server->listener, &receive_buffer);
   if (err == 0)
     err = uv_listen((uv_stream_t *)&server->listener, LISTEN_BACKLOG,
                     on_connection);
@@ -1109,6 +1154,7 @@
     uv_close((uv_handle_t *)&server->listener, NULL);
     return NULL; /* the handle still belongs to the loop */
   }
+  size_receive_buffers(server);
   uv_prepare_init(loop, &server->flusher);
   server->flusher.data = server;
   uv_prepare_start(&server->flusher, on_prepare);
@@ -1119,6 +1165,7 @@
                                const mt_http_server_guard_t *guard) {
   server->guard = *guard;
   if (guard->budget == NULL) server->guard.budget = &server->own_budget;
+  size_receive_buffers(server);
 }
 
 uint16_t mt_http_server_port (const mt_http_server_t *server) {
@@ -1184,6 +1231,7 @@
 void mt_http_server_set_max_connections (mt_http_server_t *server,
                                          size_t connections) {
   server->max_connections = connections;
+  size_receive_buffers(server);
 }
 
 bool mt_http_server_is_empty (const mt_http_server_t *server) {
