--- a/tests/crowd/crowd.cc
+++ b/tests/crowd/crowd.cc
@@ -432,6 +432,59 @@
   expect_within_box(world, BOX);
 }
 
+// The same connection, again and again, and bodies that come in small parts.
+TEST(Calm, OneConnectionServesLargestBodies) {
+  for (size_t part : {ALL, (size_t)BODY / 50}) {
+    CrowdWorld world(BOX, BODY, 2);
+    Conn *c = world.w.connect(world.w.callers);
+    ASSERT_NE(c, nullptr);
+    for (int i = 0; i < 20; i++) {
+      std::string id = "o" + std::to_string(i);
+      std::string text = World::ask("/safe/x", id, std::string(BODY, 'x'));
+      for (size_t at = 0; at < text.size();
+           at += std::min(part, text.size())) {
+        c->send(text.substr(at, part));
+        world.step();
+      }
+      EXPECT_TRUE(world.w.until([&] {
+        world.engine.advance();
+        return c->closed || World::is_complete(c->in);
+      }));
+      EXPECT_EQ(World::status_of(c->in), 200) << i << ": " << c->in;
+      EXPECT_EQ(world.engine.body[id], BODY) << i;
+      c->in.clear();
+    }
+    c->close();
+    expect_within_box(world, BOX);
+  }
+}
+
+// Operators see that callers are refused, why, and who the newest one is.
+TEST(Crowd, IsCountedAndLogged) {
+  CrowdWorld world(BOX, BODY, 2);
+  const Row row = {"", 100, CALLERS, announced(BODY, BODY - 1), ALL};
+  Crowd crowd(world.w.callers, row.clients, row.script, ALL, ALL);
+  world.play(crowd, row);
+  std::string page =
+      world.w.fetch(world.w.metrics, "GET /metrics HTTP/1.1\r\n\r\n");
+  auto value = [&] (const std::string &name) {
+    size_t at = page.find("\nmartentiller_gateway_" + name + " ");
+    EXPECT_NE(at, page.npos) << name;
+    return at == page.npos ? 0 : atof(page.c_str() + page.find(' ', at + 1));
+  };
+  double limit = value("caller_memory_limit_bytes");
+  EXPECT_GT(value("caller_memory_bytes{kind=\"requests\"}"), limit / 2);
+  EXPECT_GT(value("caller_closes_total{reason=\"memory\"}"), 0);
+  for (const char *kind : {"responses", "buffered", "unread"})
+    EXPECT_LE(
+        value("caller_memory_bytes{kind=\"" + std::string(kind) + "\"}"),
+        limit);
+  EXPECT_TRUE(world.w.until([&] {
+    return world.w.log.find(" event=caller-denied peer=127.0.0.1:") !=
+           world.w.log.npos;
+  }));
+}
+
 // The smallest box, bodies of the size that configurations allow.
 TEST(Calm, LargestBodiesAtOnceAreServed) {
   const size_t box = 88 * MB, body = 4 * MB;
